Add the workspace, core types and the design page

The repository was empty. The crates, the clock, ranked locks, names and the objects of the environment are set down first, because every later part depends on them.

--- /dev/null
+++ b/crates/base/src/name.rs
@@ -0,0 +1,77 @@
+//! Immutable strings that are shared rather than copied.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// The name of a VM, data centre, service, upstream or key.
+#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(from = "String", into = "String")]
+pub struct SharedName(Arc<str>);
+
+impl SharedName {
+    /// Returns the name as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Deref for SharedName {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Borrow<str> for SharedName {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for SharedName {
+    fn from(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+}
+
+impl From<String> for SharedName {
+    fn from(text: String) -> Self {
+        Self(Arc::from(text))
+    }
+}
+
+impl From<SharedName> for String {
+    fn from(name: SharedName) -> Self {
+        name.as_str().to_owned()
+    }
+}
+
+impl PartialEq<str> for SharedName {
+    fn eq(&self, other: &str) -> bool {
+        self.as_str() == other
+    }
+}
+
+impl PartialEq<&str> for SharedName {
+    fn eq(&self, other: &&str) -> bool {
+        self.as_str() == *other
+    }
+}
+
+impl fmt::Display for SharedName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self)
+    }
+}
+
+impl fmt::Debug for SharedName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self.as_str(), formatter)
+    }
+}
--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that almost every module needs.
+
+pub use crate::clock::{ClockSource, ClockSpan, ClockTime, RealClock, VirtualClock};
+pub use crate::lock::{LockRank, RankedMutex, RankedRwLock};
+pub use crate::name::SharedName;
+pub use crate::random::RandomSource;
--- /dev/null
+++ b/crates/base/tests/locks.rs
@@ -0,0 +1,55 @@
+//! Lock order checks.
+
+use base::prelude::*;
+
+struct OrderCase {
+    name: &'static str,
+    first: LockRank,
+    second: LockRank,
+    panics: bool,
+}
+
+/// Guards against a lock order that could deadlock two workers going unnoticed in debug builds.
+#[test]
+#[cfg(debug_assertions)]
+fn lock_order_is_checked() {
+    let cases = [
+        OrderCase {
+            name: "ascending",
+            first: LockRank::WaitQueue,
+            second: LockRank::PeerTable,
+            panics: false,
+        },
+        OrderCase {
+            name: "descending",
+            first: LockRank::PeerTable,
+            second: LockRank::WaitQueue,
+            panics: true,
+        },
+        OrderCase {
+            name: "same rank",
+            first: LockRank::PeerTable,
+            second: LockRank::PeerTable,
+            panics: true,
+        },
+    ];
+    for case in cases {
+        let outcome = std::panic::catch_unwind(|| {
+            let first_lock = RankedMutex::new(case.first, 0);
+            let second_lock = RankedRwLock::new(case.second, 0);
+            let _first = first_lock.lock();
+            let _second = second_lock.read();
+        });
+        assert_eq!(outcome.is_err(), case.panics, "{}", case.name);
+    }
+}
+
+/// Guards against a released lock still counting as held.
+#[test]
+fn released_locks_are_forgotten() {
+    let high = RankedMutex::new(LockRank::BurnTable, 0);
+    let low = RankedMutex::new(LockRank::WaitQueue, 0);
+    drop(high.lock());
+    drop(low.lock());
+    drop(high.lock());
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the gateway.
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution and durable deferred work.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Versions, trial, promotion and propagation of the environment document.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gateway process.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, wait queues, retry budgets and probe budgets.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generation and result tables.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Identity of VMs and what they report about one another.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between VMs.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Access to the platform's table service, object store and membership list.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level objective burn.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chooses an upstream for each call and tracks the evidence that the choice rests on.
--- /dev/null
+++ b/crates/stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test doubles: upstream, platform and fault proxy.
--- /dev/null
+++ b/crates/suspect/src/lib.rs
@@ -0,0 +1,1 @@
+//! Requests that crash upstreams.
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,19 @@
+//! The machines, zones, links and contracts that decisions are about.
+
+pub mod centre;
+pub mod contract;
+pub mod environment;
+pub mod request;
+pub mod upstream;
+pub mod vm;
+
+pub mod prelude {
+    //! The types that almost every module needs.
+
+    pub use crate::centre::{DataCentre, LinkCost};
+    pub use crate::contract::{ServiceContract, ServiceObjective, WorkClass, WorkRule};
+    pub use crate::environment::EnvironmentMap;
+    pub use crate::request::CallerRequest;
+    pub use crate::upstream::UpstreamServer;
+    pub use crate::vm::VmIdentity;
+}
