Add the interface and first version of upstream selection

Change: UpstreamTable with one lock per service, tickets, four policies that are selected by name, outcome and ejection records, drain marks, and the exchange of notices.

--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,152 @@
+//! Outcomes, ejection and warm-up of one upstream.
+
+use base::prelude::*;
+
+use crate::estimate::remaining;
+use crate::outcome::CallResult;
+use crate::tuning::RouteTuning;
+
+/// What the outcomes of calls say about one server.
+#[derive(Clone, Debug, Default)]
+pub struct HealthRecord {
+    failures: f64,
+    outcomes: f64,
+    run: f64,
+    judged_at: ClockTime,
+    lost_at: Option<ClockTime>,
+    ejected_until: Option<ClockTime>,
+    ejections: u32,
+    ramp_from: Option<ClockTime>,
+    restart_suspected: bool,
+}
+
+impl HealthRecord {
+    /// Starts the ramp of a cold server.
+    pub fn start_ramp(&mut self, now: ClockTime) {
+        self.ramp_from = Some(self.ramp_from.map_or(now, |from| from.max(now)));
+    }
+
+    /// Records the end of a call and returns whether the server should be ejected.
+    pub fn record(&mut self, result: CallResult, now: ClockTime, tuning: &RouteTuning) -> bool {
+        match result {
+            CallResult::Success => self.add_success(now, tuning),
+            CallResult::ServerError => self.add_failure(1.0, 1.0, now, tuning),
+            CallResult::ConnectFailed => {
+                self.restart_suspected = true;
+                self.add_failure(1.0, tuning.connect_weight, now, tuning);
+            }
+            CallResult::ConnectionLost => {
+                let burst = self.lost_at.is_some_and(|at| now.since(at) <= tuning.loss_burst);
+                self.lost_at = Some(now);
+                if !burst {
+                    self.add_failure(1.0, 1.0, now, tuning);
+                }
+            }
+            CallResult::TimedOut => {
+                self.add_failure(tuning.timeout_weight, tuning.timeout_weight, now, tuning);
+            }
+            // A server that sheds protects itself: that is load, which the record keeps apart.
+            CallResult::Shed | CallResult::Cancelled => return false,
+        }
+        !self.is_ejected(now) && self.is_bad(now, tuning)
+    }
+
+    /// Notes that the server answered. The first sign of life after failed connections means that
+    /// it restarted and is cold.
+    pub fn hear(&mut self, now: ClockTime) {
+        if std::mem::take(&mut self.restart_suspected) {
+            self.start_ramp(now);
+        }
+    }
+
+    fn add_success(&mut self, now: ClockTime, tuning: &RouteTuning) {
+        self.decay(now, tuning);
+        self.outcomes += 1.0;
+        self.run = 0.0;
+    }
+
+    fn add_failure(&mut self, weight: f64, run: f64, now: ClockTime, tuning: &RouteTuning) {
+        self.decay(now, tuning);
+        self.outcomes += weight;
+        self.failures += weight;
+        self.run += run;
+    }
+
+    fn decay(&mut self, now: ClockTime, tuning: &RouteTuning) {
+        let weight = remaining(now.since(self.judged_at), tuning.failure_memory);
+        self.failures *= weight;
+        self.outcomes *= weight;
+        self.judged_at = now.max(self.judged_at);
+    }
+
+    /// Returns whether the outcomes alone would eject the server.
+    pub fn is_bad(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
+        let limit = if self.ramp(now, tuning) < 1.0 {
+            tuning.ramp_consecutive_limit
+        } else {
+            tuning.consecutive_limit
+        };
+        let rate = if self.outcomes > 0.0 { self.failures / self.outcomes } else { 0.0 };
+        self.run >= limit || (self.outcomes >= tuning.rate_evidence && rate >= tuning.rate_limit)
+    }
+
+    /// Ejects the server for a time that doubles with each ejection.
+    pub fn eject(&mut self, now: ClockTime, tuning: &RouteTuning, random: &mut RandomSource) {
+        let forgotten =
+            self.ejected_until.is_none_or(|until| now.since(until) > tuning.ejection_forget);
+        self.ejections = if forgotten { 1 } else { self.ejections.saturating_add(1) };
+        let doublings = (self.ejections - 1).min(MAX_DOUBLINGS);
+        let span = tuning.ejection_base.scaled(f64::from(1_u32 << doublings));
+        let jitter = 1.0 + tuning.ejection_jitter * (2.0 * random.unit() - 1.0);
+        let until = now + span.min(tuning.ejection_max).scaled(jitter);
+        self.ejected_until = Some(until);
+        self.ramp_from = Some(until);
+        self.clear_evidence();
+    }
+
+    /// Ends an ejection early; the server ramps up from now.
+    pub fn release(&mut self, now: ClockTime) {
+        self.ejected_until = Some(now);
+        self.ramp_from = Some(now);
+    }
+
+    /// The evidence that led to an ejection is used up by it.
+    fn clear_evidence(&mut self) {
+        self.run = 0.0;
+        self.failures = 0.0;
+        self.outcomes = 0.0;
+    }
+
+    /// Returns whether the server is ejected.
+    pub fn is_ejected(&self, now: ClockTime) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns when the current or last ejection ends.
+    pub fn ejected_until(&self) -> Option<ClockTime> {
+        self.ejected_until
+    }
+
+    /// Returns the share of its normal weight that the server may take.
+    pub fn ramp(&self, now: ClockTime, tuning: &RouteTuning) -> f64 {
+        let Some(from) = self.ramp_from else { return 1.0 };
+        if tuning.ramp_time == ClockSpan::ZERO {
+            return 1.0;
+        }
+        let elapsed = now.since(from).as_millis_f64() / tuning.ramp_time.as_millis_f64();
+        (tuning.ramp_floor + (1.0 - tuning.ramp_floor) * elapsed).min(1.0)
+    }
+
+    /// Returns the share of failures, shrunk towards zero while there is little evidence.
+    pub fn failure_rate(&self) -> f64 {
+        self.failures / (self.outcomes + 1.0)
+    }
+
+    /// Returns when the failure rate last changed.
+    pub fn judged_at(&self) -> ClockTime {
+        self.judged_at
+    }
+}
+
+/// Keeps the doubling of ejection times within range.
+const MAX_DOUBLINGS: u32 = 16;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,35 @@
 //! Chooses an upstream for each call and tracks the evidence that the choice rests on.
+//!
+//! The crate performs no I/O and reads no clock. Evidence arrives through
+//! [`UpstreamTable::finish`](table::UpstreamTable::finish),
+//! [`UpstreamTable::observe`](table::UpstreamTable::observe) and
+//! [`UpstreamTable::merge`](table::UpstreamTable::merge), each with the current time.
+
+pub mod affinity;
+pub mod cost;
+pub mod estimate;
+pub mod health;
+pub mod notice;
+pub mod outcome;
+pub mod policy;
+mod record;
+pub mod refusal;
+mod service;
+pub mod table;
+pub mod tuning;
+pub mod view;
+
+pub mod prelude {
+    //! The types that users of the crate need.
+
+    pub use crate::cost::ExpectedCost;
+    pub use crate::notice::{LoadNotice, UpstreamNotice};
+    pub use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+    pub use crate::policy::{
+        ChoicePolicy, LeastInFlight, PolicyKind, RandomChoice, TwoChoices, UnknownPolicy,
+    };
+    pub use crate::refusal::NoUpstream;
+    pub use crate::table::{UpstreamState, UpstreamTable, UpstreamTicket};
+    pub use crate::tuning::{CostTuning, RouteTuning};
+    pub use crate::view::UpstreamView;
+}
--- /dev/null
+++ b/crates/route/src/policy.rs
@@ -0,0 +1,183 @@
+//! Policies that choose one of several upstreams.
+
+use std::fmt;
+use std::str::FromStr;
+
+use base::prelude::*;
+use snafu::Snafu;
+
+use crate::cost::ExpectedCost;
+use crate::view::UpstreamView;
+
+/// Chooses an upstream for a call.
+pub trait ChoicePolicy {
+    /// Returns the index of the chosen candidate, or `None` if there are none.
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize>;
+}
+
+/// Chooses uniformly at random.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RandomChoice;
+
+impl ChoicePolicy for RandomChoice {
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        _now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize> {
+        (!candidates.is_empty()).then(|| random.below(candidates.len()))
+    }
+}
+
+/// Chooses the upstream with the fewest calls of this VM in flight for its slots; ties are broken
+/// at random.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastInFlight;
+
+impl ChoicePolicy for LeastInFlight {
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        _now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize> {
+        least_by(candidates, random, |view, _| occupancy(view))
+    }
+}
+
+/// Draws two upstreams and chooses the one with fewer calls of this VM in flight for its slots.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TwoChoices;
+
+impl ChoicePolicy for TwoChoices {
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        _now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize> {
+        if candidates.len() < 2 {
+            return (!candidates.is_empty()).then_some(0);
+        }
+        let first = random.below(candidates.len());
+        let offset = 1 + random.below(candidates.len() - 1);
+        let second = (first + offset) % candidates.len();
+        let second_wins = occupancy(&candidates[second]) < occupancy(&candidates[first]);
+        Some(if second_wins { second } else { first })
+    }
+}
+
+/// Returns the share of the slots that this VM's own calls take.
+fn occupancy(view: &UpstreamView) -> f64 {
+    f64::from(view.own_in_flight) / f64::from(view.slots.max(1))
+}
+
+/// Returns the index of the candidate with the lowest cost. The scan starts at a random place and
+/// keeps the first of equals, which breaks ties without a second pass.
+pub(crate) fn least_by(
+    candidates: &[UpstreamView],
+    random: &mut RandomSource,
+    cost: impl Fn(&UpstreamView, &mut RandomSource) -> f64,
+) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let start = random.below(candidates.len());
+    let mut best = start;
+    let mut best_cost = f64::INFINITY;
+    for index in (start..candidates.len()).chain(0..start) {
+        let candidate_cost = cost(&candidates[index], random);
+        if candidate_cost < best_cost {
+            best = index;
+            best_cost = candidate_cost;
+        }
+    }
+    Some(best)
+}
+
+/// A policy that is selected by name and called without dynamic dispatch.
+#[derive(Clone, Copy, Debug)]
+pub enum PolicyKind {
+    /// `random`
+    Random(RandomChoice),
+    /// `least-in-flight`
+    LeastInFlight(LeastInFlight),
+    /// `two-choices`
+    TwoChoices(TwoChoices),
+    /// `expected-cost`, the default
+    ExpectedCost(ExpectedCost),
+}
+
+impl PolicyKind {
+    /// The names of all policies.
+    pub const NAMES: [&'static str; 4] =
+        ["random", "least-in-flight", "two-choices", "expected-cost"];
+
+    /// Returns the name that selects the policy.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Random(_) => "random",
+            Self::LeastInFlight(_) => "least-in-flight",
+            Self::TwoChoices(_) => "two-choices",
+            Self::ExpectedCost(_) => "expected-cost",
+        }
+    }
+}
+
+impl Default for PolicyKind {
+    fn default() -> Self {
+        Self::ExpectedCost(ExpectedCost::default())
+    }
+}
+
+impl ChoicePolicy for PolicyKind {
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize> {
+        match self {
+            Self::Random(policy) => policy.choose(candidates, now, random),
+            Self::LeastInFlight(policy) => policy.choose(candidates, now, random),
+            Self::TwoChoices(policy) => policy.choose(candidates, now, random),
+            Self::ExpectedCost(policy) => policy.choose(candidates, now, random),
+        }
+    }
+}
+
+/// The name of a policy that does not exist.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display(
+    "unknown policy {name:?}: use random, least-in-flight, two-choices or expected-cost"
+))]
+pub struct UnknownPolicy {
+    /// The name that was given.
+    pub name: String,
+}
+
+impl FromStr for PolicyKind {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
+        match name {
+            "random" => Ok(Self::Random(RandomChoice)),
+            "least-in-flight" => Ok(Self::LeastInFlight(LeastInFlight)),
+            "two-choices" => Ok(Self::TwoChoices(TwoChoices)),
+            "expected-cost" => Ok(Self::default()),
+            _ => Err(UnknownPolicy { name: name.to_owned() }),
+        }
+    }
+}
+
+impl fmt::Display for PolicyKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/route/src/record.rs
@@ -0,0 +1,258 @@
+//! What this VM knows of one upstream.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use world::prelude::*;
+
+use crate::estimate::{DecayingMean, DecayingPeak};
+use crate::health::HealthRecord;
+use crate::notice::{LoadNotice, UpstreamNotice};
+use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+use crate::tuning::RouteTuning;
+use crate::view::UpstreamView;
+
+/// The last load report that was believed.
+#[derive(Clone, Copy, Debug)]
+struct LoadRecord {
+    report: LoadReport,
+    made_at: ClockTime,
+    others: f64,
+}
+
+/// The last evidence on draining.
+#[derive(Clone, Copy, Debug)]
+struct DrainMark {
+    draining: bool,
+    made_at: ClockTime,
+}
+
+/// The evidence and reservations of one upstream.
+#[derive(Debug)]
+pub struct UpstreamRecord {
+    pub id: u64,
+    pub server: Arc<UpstreamServer>,
+    /// Whether the environment lists the server. Records of removed servers stay until their
+    /// calls have ended.
+    pub listed: bool,
+    pub own_in_flight: u32,
+    pub round_trip: ClockSpan,
+    pub preference: f64,
+    pub health: HealthRecord,
+    pub exported_at: Option<ClockTime>,
+    load: Option<LoadRecord>,
+    drain: Option<DrainMark>,
+    busy_until: ClockTime,
+    latency: DecayingMean,
+    tail: DecayingPeak,
+    heard_at: Option<ClockTime>,
+}
+
+impl UpstreamRecord {
+    pub fn new(id: u64, server: Arc<UpstreamServer>) -> Self {
+        Self {
+            id,
+            server,
+            listed: true,
+            own_in_flight: 0,
+            round_trip: ClockSpan::ZERO,
+            preference: 0.0,
+            health: HealthRecord::default(),
+            exported_at: None,
+            load: None,
+            drain: None,
+            busy_until: ClockTime::ZERO,
+            latency: DecayingMean::default(),
+            tail: DecayingPeak::default(),
+            heard_at: None,
+        }
+    }
+
+    pub fn is_draining(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
+        self.drain
+            .is_some_and(|mark| mark.draining && now.since(mark.made_at) <= tuning.drain_memory)
+    }
+
+    /// Returns the calls that this VM may have in flight on the server, fewer during the ramp.
+    fn own_slots(&self, now: ClockTime, tuning: &RouteTuning) -> u32 {
+        let slots = f64::from(self.server.slots) * self.health.ramp(now, tuning);
+        (slots.ceil() as u32).max(1)
+    }
+
+    pub fn is_full(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
+        self.own_in_flight >= self.own_slots(now, tuning) || self.busy_until > now
+    }
+
+    /// Returns the time until a report that closes the server is too old to count.
+    pub fn busy_for(&self, now: ClockTime) -> Option<ClockSpan> {
+        (self.busy_until > now).then(|| self.busy_until.since(now))
+    }
+
+    /// Records a load report or drain mark. Returns the calls at the server per slot if the load
+    /// was news.
+    pub fn observe(
+        &mut self,
+        report: LoadReport,
+        now: ClockTime,
+        tuning: &RouteTuning,
+    ) -> Option<f64> {
+        let made_at = now - report.age;
+        if report.source != ReportSource::Peer {
+            self.hear(now);
+        }
+        self.mark_drain(report.draining, made_at, now, tuning);
+        self.note_load(report, made_at, tuning)
+    }
+
+    /// Follows drain evidence that is at least as fresh as the present mark; at the same age a
+    /// mark wins over its absence.
+    fn mark_drain(
+        &mut self,
+        draining: bool,
+        made_at: ClockTime,
+        now: ClockTime,
+        tuning: &RouteTuning,
+    ) {
+        let news = self.drain.is_none_or(|mark| {
+            made_at > mark.made_at || (made_at == mark.made_at && draining && !mark.draining)
+        });
+        if !news {
+            return;
+        }
+        if !draining && self.is_draining(now, tuning) {
+            self.health.start_ramp(now);
+        }
+        self.drain = Some(DrainMark { draining, made_at });
+    }
+
+    fn note_load(
+        &mut self,
+        report: LoadReport,
+        made_at: ClockTime,
+        tuning: &RouteTuning,
+    ) -> Option<f64> {
+        if self.load.is_some_and(|load| load.made_at > made_at) {
+            return None;
+        }
+        // The report counts this VM's calls as well, the one that it answers included.
+        let calls = f64::from(report.in_flight) + f64::from(report.queued);
+        let others = (calls - f64::from(self.own_in_flight)).max(0.0);
+        self.load = Some(LoadRecord { report, made_at, others });
+        let slots = if report.slots > 0 { report.slots } else { self.server.slots };
+        let full = report.in_flight >= slots && report.queued > 0;
+        self.busy_until = if full { made_at + tuning.full_report_age } else { ClockTime::ZERO };
+        Some(others / f64::from(slots.max(1)))
+    }
+
+    /// Records the end of a call, while the call is still counted in flight. Returns the server's
+    /// own time in milliseconds if the call measured it.
+    pub fn record_latency(
+        &mut self,
+        outcome: &CallOutcome,
+        now: ClockTime,
+        tuning: &RouteTuning,
+    ) -> Option<f64> {
+        let own_ms = outcome.latency.saturating_sub(self.round_trip).as_millis_f64();
+        match outcome.result {
+            CallResult::Success => {}
+            // The call would have taken at least as long as the wait for it.
+            CallResult::TimedOut if own_ms > self.latency.value => {}
+            // Errors and refusals are often faster than the work and say nothing of its time.
+            _ => return None,
+        }
+        let elapsed = self.latency.sampled_at.map_or(ClockSpan::ZERO, |before| now.since(before));
+        self.latency.add(own_ms, now, tuning.latency_memory, tuning.sample_share);
+        self.tail.add(own_ms, self.latency.value, elapsed, tuning.tail_memory);
+        Some(own_ms)
+    }
+
+    /// Closes the server for a moment after it refused a call.
+    pub fn note_shed(&mut self, now: ClockTime, tuning: &RouteTuning) {
+        self.busy_until = self.busy_until.max(now + tuning.shed_hold);
+    }
+
+    /// Notes first-hand news of the server.
+    pub fn hear(&mut self, now: ClockTime) {
+        self.heard_at = Some(self.heard_at.map_or(now, |before| before.max(now)));
+        self.health.hear(now);
+    }
+
+    pub fn latency_ms(&self) -> f64 {
+        self.latency.value
+    }
+
+    pub fn tail_ms(&self) -> f64 {
+        self.tail.value
+    }
+
+    pub fn view(&self, ramp: f64, service_ms: f64, service_load: f64) -> UpstreamView {
+        UpstreamView {
+            own_in_flight: self.own_in_flight,
+            slots: self.server.slots,
+            others: self.load.map_or(0.0, |load| load.others),
+            others_mean: service_load * f64::from(self.server.slots),
+            reported_at: self.load.map(|load| load.made_at),
+            latency_ms: self.latency.value,
+            tail_ms: self.tail.value,
+            sampled_at: self.latency.sampled_at,
+            service_ms,
+            failure_rate: self.health.failure_rate(),
+            judged_at: self.health.judged_at(),
+            heard_at: self.heard_at,
+            round_trip_ms: self.round_trip.as_millis_f64(),
+            ramp,
+            preference: self.preference,
+        }
+    }
+
+    /// Returns what other VMs may want to know: drain evidence, and load that was heard first
+    /// hand and recently.
+    pub fn notice(&self, now: ClockTime, tuning: &RouteTuning) -> Option<UpstreamNotice> {
+        let load = self.load.filter(|load| {
+            load.report.source != ReportSource::Peer && now.since(load.made_at) <= tuning.export_age
+        });
+        let drain = self.drain.filter(|mark| {
+            now.since(mark.made_at)
+                <= if mark.draining { tuning.drain_memory } else { tuning.export_age }
+        })?;
+        Some(UpstreamNotice {
+            upstream: self.server.name.clone(),
+            draining: drain.draining,
+            drain_age_ms: age_ms(now.since(drain.made_at)),
+            load: load.map(|load| LoadNotice {
+                in_flight: load.report.in_flight,
+                slots: load.report.slots,
+                queued: load.report.queued,
+                age_ms: age_ms(now.since(load.made_at)),
+            }),
+        })
+    }
+
+    /// Takes over a peer's evidence where it is fresher than what is known.
+    pub fn merge(
+        &mut self,
+        notice: &UpstreamNotice,
+        now: ClockTime,
+        tuning: &RouteTuning,
+    ) -> Option<f64> {
+        let made_at = |age_ms: u32| {
+            now - (ClockSpan::from_millis(u64::from(age_ms)) + tuning.transit_allowance)
+        };
+        self.mark_drain(notice.draining, made_at(notice.drain_age_ms), now, tuning);
+        let load = notice.load?;
+        let report = LoadReport {
+            in_flight: load.in_flight,
+            slots: load.slots,
+            queued: load.queued,
+            draining: notice.draining,
+            age: ClockSpan::from_millis(u64::from(load.age_ms)),
+            source: ReportSource::Peer,
+        };
+        self.note_load(report, made_at(load.age_ms), tuning)
+    }
+}
+
+/// Returns an age in whole milliseconds, rounded up so that evidence never becomes fresher.
+fn age_ms(age: ClockSpan) -> u32 {
+    u32::try_from(age.as_millis().saturating_add(1)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/route/src/refusal.rs
@@ -0,0 +1,53 @@
+//! Why no upstream could take a call.
+
+use base::prelude::*;
+use snafu::Snafu;
+
+/// No upstream of a service can take a call now.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum NoUpstream {
+    /// The environment lists no upstream for the service.
+    #[snafu(display(
+        "service {service} has no upstream: add one to the environment's document and promote it"
+    ))]
+    NoneConfigured {
+        /// The service.
+        service: SharedName,
+    },
+    /// Every upstream is ejected or draining.
+    #[snafu(display(
+        "service {service} has no usable upstream ({ejected} ejected, {draining} draining): \
+         retry later, or add upstreams that are not leaving"
+    ))]
+    AllUnavailable {
+        /// The service.
+        service: SharedName,
+        /// Ejected upstreams.
+        ejected: u32,
+        /// Draining upstreams.
+        draining: u32,
+    },
+    /// Usable upstreams exist, and all of them are full. The call can wait for a slot.
+    #[snafu(display(
+        "all {full} usable upstreams of service {service} are full: queue the call or add upstreams"
+    ))]
+    AllFull {
+        /// The service.
+        service: SharedName,
+        /// Full upstreams.
+        full: u32,
+        /// Calls of this VM in flight to the service. If it is zero, no `finish` will free a slot
+        /// and only `retry_in` tells when to try again.
+        own_in_flight: u32,
+        /// The time until a load report that marks an upstream as full becomes too old to count,
+        /// or `None` if only a finished call can free a slot.
+        retry_in: Option<ClockSpan>,
+    },
+}
+
+impl NoUpstream {
+    /// Returns whether the call can be queued for a slot.
+    pub const fn is_full(&self) -> bool {
+        matches!(self, Self::AllFull { .. })
+    }
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,294 @@
+//! The table of upstreams that all workers share.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use base::prelude::*;
+use world::prelude::*;
+
+use crate::affinity;
+use crate::notice::UpstreamNotice;
+use crate::outcome::{CallOutcome, LoadReport};
+use crate::policy::ChoicePolicy;
+use crate::record::UpstreamRecord;
+use crate::refusal::NoUpstream;
+use crate::service::{RecordKey, ServiceState, ServiceTable};
+use crate::tuning::RouteTuning;
+
+/// Services and upstreams by name. Replaced as a whole, so that calls look names up without a
+/// lock.
+#[derive(Debug, Default)]
+struct TableSnapshot {
+    version: u64,
+    services: HashMap<SharedName, Arc<ServiceTable>>,
+    upstreams: HashMap<SharedName, UpstreamEntry>,
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamEntry {
+    service: Arc<ServiceTable>,
+    connections: u32,
+    vm_ceiling: u32,
+}
+
+/// A VM's evidence on all upstreams and its calls in flight to them.
+///
+/// Each service has its own lock of rank [`LockRank::UpstreamTable`].
+#[derive(Debug)]
+pub struct UpstreamTable {
+    centre: SharedName,
+    vm_seed: u64,
+    tuning: RouteTuning,
+    snapshot: ArcSwap<TableSnapshot>,
+}
+
+impl UpstreamTable {
+    /// Returns an empty table for a VM in the data centre `centre`.
+    pub fn new(centre: SharedName) -> Self {
+        let vm_seed = affinity::seed_of(&centre);
+        let snapshot = ArcSwap::from_pointee(TableSnapshot::default());
+        Self { centre, vm_seed, tuning: RouteTuning::STANDARD, snapshot }
+    }
+
+    /// Sets the name of the VM, which determines its order of preference among upstreams and the
+    /// jitter of its ejections. Call it before [`apply`](Self::apply).
+    #[must_use]
+    pub fn with_vm(mut self, vm: &str) -> Self {
+        self.vm_seed = affinity::seed_of(vm);
+        self
+    }
+
+    /// Sets the constants. Call it before [`apply`](Self::apply).
+    #[must_use]
+    pub fn with_tuning(mut self, tuning: RouteTuning) -> Self {
+        self.tuning = tuning;
+        self
+    }
+
+    /// Follows a version of the environment: adds and removes upstreams and keeps the evidence on
+    /// those that stay. An older version than the present one changes nothing.
+    pub fn apply(&self, map: &EnvironmentMap, now: ClockTime) {
+        let before = self.snapshot.rcu(|old| {
+            if old.version > map.version {
+                Arc::clone(old)
+            } else {
+                Arc::new(self.next_snapshot(old, map, now))
+            }
+        });
+        for service in before.services.values() {
+            let mut state = service.state.lock();
+            state.apply(&service.name, map, &self.centre, self.vm_seed, now);
+        }
+    }
+
+    fn next_snapshot(
+        &self,
+        old: &TableSnapshot,
+        map: &EnvironmentMap,
+        now: ClockTime,
+    ) -> TableSnapshot {
+        let mut next = TableSnapshot { version: map.version, ..TableSnapshot::default() };
+        for (name, servers) in &map.upstreams {
+            let known = old.services.get(name).map(Arc::clone);
+            let service = known.unwrap_or_else(|| self.new_service(name, map, now));
+            let vm_ceiling = map.contract(name).map_or(1, |contract| contract.vm_ceiling);
+            for server in servers {
+                let connections = server.connections;
+                let entry =
+                    UpstreamEntry { service: Arc::clone(&service), connections, vm_ceiling };
+                next.upstreams.insert(server.name.clone(), entry);
+            }
+            next.services.insert(name.clone(), service);
+        }
+        for (name, service) in &old.services {
+            if !next.services.contains_key(name) && service.state.lock().is_in_use() {
+                next.services.insert(name.clone(), Arc::clone(service));
+            }
+        }
+        next
+    }
+
+    fn new_service(
+        &self,
+        name: &SharedName,
+        map: &EnvironmentMap,
+        now: ClockTime,
+    ) -> Arc<ServiceTable> {
+        let seed = affinity::score(self.vm_seed, name);
+        let mut state = ServiceState::new(self.tuning, seed);
+        state.apply(name, map, &self.centre, self.vm_seed, now);
+        Arc::new(ServiceTable::new(name.clone(), state))
+    }
+
+    /// Chooses an upstream of `service` and counts one call in flight on it. Upstreams in `avoid`
+    /// are chosen only if no other one is usable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no upstream can take the call now; [`NoUpstream::AllFull`] can be queued for.
+    pub fn reserve<P: ChoicePolicy>(
+        &self,
+        policy: &P,
+        service: &str,
+        avoid: &[SharedName],
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Result<UpstreamTicket, NoUpstream> {
+        let snapshot = self.snapshot.load();
+        let Some(table) = snapshot.services.get(service) else {
+            return Err(NoUpstream::NoneConfigured { service: SharedName::from(service) });
+        };
+        let (key, server) = table.state.lock().reserve(policy, &table.name, avoid, now, random)?;
+        Ok(UpstreamTicket { table: Some(Arc::clone(table)), key, server })
+    }
+
+    /// Releases a reservation and records how the call ended.
+    pub fn finish(&self, mut ticket: UpstreamTicket, outcome: CallOutcome, now: ClockTime) {
+        if let Some(table) = ticket.table.take() {
+            table.state.lock().finish(ticket.key, &outcome, now);
+        }
+    }
+
+    /// Records load or a drain mark from a response, a probe or a peer. Reports on unknown
+    /// upstreams are ignored.
+    pub fn observe(&self, upstream: &str, report: LoadReport, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(upstream) {
+            entry.service.state.lock().observe(upstream, report, now);
+        }
+    }
+
+    /// Returns at most `limit` notices for other VMs: drain marks first, then the load that was
+    /// exported longest ago.
+    pub fn export(&self, now: ClockTime, limit: usize) -> Vec<UpstreamNotice> {
+        let snapshot = self.snapshot.load();
+        let mut notices = Vec::new();
+        for service in snapshot.services.values() {
+            let state = service.state.lock();
+            let listed = state.records().iter().filter(|record| record.listed);
+            notices.extend(listed.filter_map(|record| {
+                let notice = record.notice(now, state.tuning())?;
+                Some((!notice.draining, record.exported_at, notice))
+            }));
+        }
+        notices.sort_by(|first, second| {
+            let order = (first.0, first.1).cmp(&(second.0, second.1));
+            order.then_with(|| first.2.upstream.cmp(&second.2.upstream))
+        });
+        notices.truncate(limit);
+        let notices: Vec<_> = notices.into_iter().map(|(_, _, notice)| notice).collect();
+        for notice in &notices {
+            if let Some(entry) = snapshot.upstreams.get(&notice.upstream) {
+                entry.service.state.lock().mark_exported(&notice.upstream, now);
+            }
+        }
+        notices
+    }
+
+    /// Takes over what a peer knows where it is fresher than this VM's own evidence.
+    pub fn merge(&self, notice: &UpstreamNotice, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(&notice.upstream) {
+            entry.service.state.lock().merge(notice, now);
+        }
+    }
+
+    /// Returns how many connections this VM may open to `upstream`: an equal share of what the
+    /// server holds, and at least one.
+    pub fn connection_share(&self, upstream: &str, vm_count: u32) -> u32 {
+        let snapshot = self.snapshot.load();
+        let Some(entry) = snapshot.upstreams.get(upstream) else { return 1 };
+        (entry.connections / vm_count.max(entry.vm_ceiling).max(1)).max(1)
+    }
+
+    /// Returns the state of every upstream, sorted by service and name, for metrics and operators.
+    pub fn states(&self, now: ClockTime) -> Vec<UpstreamState> {
+        let snapshot = self.snapshot.load();
+        let mut states = Vec::new();
+        for service in snapshot.services.values() {
+            let state = service.state.lock();
+            let listed = state.records().iter().filter(|record| record.listed);
+            states.extend(listed.map(|record| UpstreamState::new(record, now, state.tuning())));
+        }
+        states.sort_by(|first, second| {
+            (&first.service, &first.upstream).cmp(&(&second.service, &second.upstream))
+        });
+        states
+    }
+}
+
+/// What a VM knows of one upstream, for metrics and operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamState {
+    /// The service.
+    pub service: SharedName,
+    /// The upstream.
+    pub upstream: SharedName,
+    /// Calls of this VM in flight.
+    pub own_in_flight: u32,
+    /// Whether new calls are withheld because of failures.
+    pub ejected: bool,
+    /// Whether new calls are withheld because the server is leaving.
+    pub draining: bool,
+    /// Share of its normal weight, below 1.0 while it warms up.
+    pub ramp: f64,
+    /// Share of recent failures.
+    pub failure_rate: f64,
+    /// Mean of the server's own time for a call, in milliseconds.
+    pub latency_ms: f64,
+    /// Decaying peak of the same.
+    pub tail_ms: f64,
+}
+
+impl UpstreamState {
+    fn new(record: &UpstreamRecord, now: ClockTime, tuning: &RouteTuning) -> Self {
+        Self {
+            service: record.server.service.clone(),
+            upstream: record.server.name.clone(),
+            own_in_flight: record.own_in_flight,
+            ejected: record.health.is_ejected(now),
+            draining: record.is_draining(now, tuning),
+            ramp: record.health.ramp(now, tuning),
+            failure_rate: record.health.failure_rate(),
+            latency_ms: record.latency_ms(),
+            tail_ms: record.tail_ms(),
+        }
+    }
+}
+
+/// A call in flight on an upstream.
+///
+/// A ticket that is dropped without [`UpstreamTable::finish`] releases its reservation and records
+/// no outcome. It locks the service, so it must not be dropped while a lock of the same or a
+/// higher rank is held.
+pub struct UpstreamTicket {
+    table: Option<Arc<ServiceTable>>,
+    key: RecordKey,
+    server: Arc<UpstreamServer>,
+}
+
+impl UpstreamTicket {
+    /// Returns the server to call.
+    pub fn server(&self) -> &Arc<UpstreamServer> {
+        &self.server
+    }
+
+    /// Returns the name of the upstream.
+    pub fn upstream(&self) -> &SharedName {
+        &self.server.name
+    }
+}
+
+impl Drop for UpstreamTicket {
+    fn drop(&mut self) {
+        if let Some(table) = self.table.take() {
+            table.state.lock().release(self.key);
+        }
+    }
+}
+
+impl fmt::Debug for UpstreamTicket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("UpstreamTicket").field("upstream", &self.server.name).finish()
+    }
+}
--- /dev/null
+++ b/crates/route/src/tuning.rs
@@ -0,0 +1,159 @@
+//! The constants of upstream selection, with their units.
+
+use base::prelude::*;
+
+/// Constants of evidence, ejection, warm-up and exchange. A test switches a mechanism off through
+/// the value that the field's description names.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteTuning {
+    /// Time constant of the latency mean of one server.
+    pub latency_memory: ClockSpan,
+    /// Time constant with which a latency peak returns to the mean.
+    pub tail_memory: ClockSpan,
+    /// Time constant of the averages over a whole service.
+    pub service_memory: ClockSpan,
+    /// The most weight of one sample in a mean, `0.0..=1.0`.
+    pub sample_share: f64,
+    /// Age up to which a report of full slots and a queue closes a server to this VM; zero turns
+    /// the rule off.
+    pub full_report_age: ClockSpan,
+    /// Time for which a shed call closes a server to this VM; zero turns the rule off.
+    pub shed_hold: ClockSpan,
+    /// Time constant of the failure rate.
+    pub failure_memory: ClockSpan,
+    /// Weight of consecutive failures that ejects a server; infinity turns the rule off.
+    pub consecutive_limit: f64,
+    /// The same while the server ramps up.
+    pub ramp_consecutive_limit: f64,
+    /// Failure rate that ejects a server; a value above 1.0 turns the rule off.
+    pub rate_limit: f64,
+    /// Weight of recent outcomes from which the failure rate is believed.
+    pub rate_evidence: f64,
+    /// Weight of a failed connection in a run of failures. A refused connection means that no
+    /// process listens, which is stronger evidence than an answered error.
+    pub connect_weight: f64,
+    /// Weight of a timeout in runs and rates. The call may have been slow by itself, or have lost
+    /// its connection, so that a timeout says less than an answered error.
+    pub timeout_weight: f64,
+    /// Connections lost within this span count as one failure, because one crash or one broken
+    /// link ends all of them.
+    pub loss_burst: ClockSpan,
+    /// Share of a service that may be ejected at once, rounded down; zero turns ejection off.
+    pub ejection_share: f64,
+    /// First ejection time, doubled by each further ejection.
+    pub ejection_base: ClockSpan,
+    /// The longest ejection time before jitter.
+    pub ejection_max: ClockSpan,
+    /// Relative jitter of ejection times, so that VMs do not re-admit a server together.
+    pub ejection_jitter: f64,
+    /// Time without ejection after which the ejection time starts again at its base.
+    pub ejection_forget: ClockSpan,
+    /// Share of healthy servers below which ejections are ignored; zero turns the rule off.
+    pub panic_share: f64,
+    /// Time over which a cold or re-admitted server grows to its normal share; zero turns the
+    /// ramp off.
+    pub ramp_time: ClockSpan,
+    /// Share of its normal weight that a server has at the start of the ramp.
+    pub ramp_floor: f64,
+    /// Time after which a drain mark that nobody confirms is dropped, so that a restarted server
+    /// that is not probed is used again.
+    pub drain_memory: ClockSpan,
+    /// Added to the age of merged notices for the time in transit, so that passing evidence on
+    /// never makes it look fresher.
+    pub transit_allowance: ClockSpan,
+    /// Age up to which load is exported.
+    pub export_age: ClockSpan,
+    /// Round trip assumed between data centres without a link.
+    pub unknown_round_trip: ClockSpan,
+}
+
+impl RouteTuning {
+    /// The values in production.
+    pub const STANDARD: Self = Self {
+        latency_memory: ClockSpan::from_millis(100),
+        tail_memory: ClockSpan::from_millis(200),
+        service_memory: ClockSpan::from_secs(2),
+        sample_share: 0.3,
+        full_report_age: ClockSpan::from_millis(5),
+        shed_hold: ClockSpan::from_millis(20),
+        failure_memory: ClockSpan::from_secs(5),
+        consecutive_limit: 5.0,
+        ramp_consecutive_limit: 2.0,
+        rate_limit: 0.5,
+        rate_evidence: 10.0,
+        connect_weight: 2.0,
+        timeout_weight: 0.5,
+        loss_burst: ClockSpan::from_millis(50),
+        ejection_share: 0.5,
+        ejection_base: ClockSpan::from_secs(1),
+        ejection_max: ClockSpan::from_secs(60),
+        ejection_jitter: 0.25,
+        ejection_forget: ClockSpan::from_secs(60),
+        panic_share: 0.25,
+        ramp_time: ClockSpan::from_secs(5),
+        ramp_floor: 0.1,
+        drain_memory: ClockSpan::from_secs(300),
+        transit_allowance: ClockSpan::from_millis(5),
+        export_age: ClockSpan::from_millis(500),
+        unknown_round_trip: ClockSpan::from_millis(50),
+    };
+}
+
+impl Default for RouteTuning {
+    fn default() -> Self {
+        Self::STANDARD
+    }
+}
+
+/// Constants of [`ExpectedCost`](crate::cost::ExpectedCost).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CostTuning {
+    /// Time constant with which a load report loses its weight; zero ignores reports.
+    pub report_memory: ClockSpan,
+    /// Time constant with which a server's latency returns to that of its service.
+    pub latency_memory: ClockSpan,
+    /// Weight of the distance between peak and mean latency.
+    pub tail_weight: f64,
+    /// Cost of a fully occupied server before any queue, in units of its latency.
+    pub occupancy_weight: f64,
+    /// Latency assumed before any call has ended, in milliseconds.
+    pub unknown_latency_ms: f64,
+    /// Cost of a certain failure, in units of the service's latency; zero ignores failures.
+    pub failure_weight: f64,
+    /// Time constant with which a failure rate loses its weight.
+    pub failure_memory: ClockSpan,
+    /// Cost of a server that was not heard of for long, in units of the service's latency.
+    pub stale_weight: f64,
+    /// Time constant with which silence makes evidence stale.
+    pub stale_memory: ClockSpan,
+    /// Cost of the last server in the VM's order of preference, in units of the service's latency.
+    pub preference_weight: f64,
+    /// Servers with at most this many slots are chosen by preference.
+    pub preference_slots: u32,
+    /// Relative random change of each cost, which keeps VMs with equal evidence apart.
+    pub cost_jitter: f64,
+}
+
+impl CostTuning {
+    /// The values in production.
+    pub const STANDARD: Self = Self {
+        report_memory: ClockSpan::from_millis(50),
+        latency_memory: ClockSpan::from_millis(200),
+        tail_weight: 0.25,
+        occupancy_weight: 0.5,
+        unknown_latency_ms: 1.0,
+        failure_weight: 20.0,
+        failure_memory: ClockSpan::from_secs(5),
+        stale_weight: 0.02,
+        stale_memory: ClockSpan::from_secs(1),
+        preference_weight: 0.5,
+        preference_slots: 2,
+        cost_jitter: 0.05,
+    };
+}
+
+impl Default for CostTuning {
+    fn default() -> Self {
+        Self::STANDARD
+    }
+}
