--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,1 +1,12 @@
-//! The gateway process.
+//! The gateway process: listeners, connections to upstreams and the path of a call.
+
+pub mod answer;
+pub mod call;
+pub mod event;
+pub mod front;
+pub mod head;
+pub mod link;
+pub mod options;
+pub mod relay;
+pub mod state;
+pub mod worker;
