Add the upstream stand-in and the example that runs it

Cause: the gateway's tests need upstreams with queues, drains, crashes and late reports, inside the test process and as processes of their own.

Change: UpstreamStand serves HTTP/1.1 over hyper on a loopback port under a JSON plan that can be changed at run time by methods or by the admin listener. Slots and queue are a table without I/O that takes the time as an argument. The example prints its addresses as one JSON line and ends with its standard input.

--- /dev/null
+++ b/crates/stand/examples/stand.rs
@@ -0,0 +1,56 @@
+//! Runs one stand-in as a process of its own.
+//!
+//! The argument is a JSON object with one field that names the stand-in, such as
+//! `{"upstream":{"slots":6}}`. The addresses are printed as one JSON line. The process ends when
+//! its standard input is closed, so that it does not outlive the process that started it.
+
+use std::error::Error;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use stand::prelude::*;
+
+/// Which stand-in to run.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StandChoice {
+    Upstream(UpstreamPlan),
+}
+
+/// The line that is printed when the stand-in is ready.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct ReadyLine {
+    address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let argument = std::env::args().nth(1).ok_or("give the plan as a JSON argument")?;
+    match serde_json::from_str(&argument)? {
+        StandChoice::Upstream(plan) => {
+            let stand = UpstreamStand::start(plan).await?;
+            announce(stand.address(), stand.admin_address())?;
+            input_closed().await;
+        }
+    }
+    Ok(())
+}
+
+/// Prints the addresses.
+fn announce(address: SocketAddr, admin_address: SocketAddr) -> Result<(), Box<dyn Error>> {
+    let mut output = std::io::stdout().lock();
+    serde_json::to_writer(&mut output, &ReadyLine { address, admin_address })?;
+    writeln!(output)?;
+    Ok(output.flush()?)
+}
+
+/// Waits until standard input is closed.
+async fn input_closed() {
+    // The result is of no interest: an unreadable input counts as closed.
+    let copy = || std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+    let _ = tokio::task::spawn_blocking(copy).await;
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,1 +1,31 @@
 //! Test doubles: upstream, platform and fault proxy.
+//!
+//! Each of them runs inside a tokio runtime as an owned value that stops when it is dropped, or as
+//! a process of its own through the example `stand`. Each keeps its state behind one lock, which is
+//! never held while another lock is taken or across an await, so the lock order has one level.
+
+mod answer;
+pub mod body;
+pub mod counts;
+pub mod error;
+pub mod noise;
+pub mod plan;
+pub mod port;
+pub mod scan;
+pub mod service;
+pub mod slot;
+mod state;
+pub mod upstream;
+pub mod web;
+
+pub mod prelude {
+    //! The types that most tests need.
+
+    pub use crate::counts::UpstreamCounts;
+    pub use crate::error::StandError;
+    pub use crate::plan::{
+        ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
+    };
+    pub use crate::service::ServiceTime;
+    pub use crate::upstream::UpstreamStand;
+}
--- /dev/null
+++ b/crates/stand/src/port.rs
@@ -0,0 +1,141 @@
+//! A loopback port that can be closed, reopened and cut while it stays reserved.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+use crate::error::{ListenSnafu, StandError};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause between attempts to reopen a port that another process holds.
+const REOPEN_PAUSE: Duration = Duration::from_millis(10);
+
+/// Whether a port accepts connections. Connections of an earlier epoch are closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct PortState {
+    open: bool,
+    epoch: u64,
+}
+
+/// Switches of a port.
+#[derive(Clone, Debug)]
+pub struct PortControl {
+    state: watch::Sender<PortState>,
+}
+
+impl PortControl {
+    /// Closes every connection.
+    pub fn cut(&self) {
+        self.state.send_modify(|state| state.epoch += 1);
+    }
+
+    /// Refuses new connections.
+    pub fn close(&self) {
+        self.state.send_modify(|state| state.open = false);
+    }
+
+    /// Accepts new connections again.
+    pub fn open(&self) {
+        self.state.send_modify(|state| state.open = true);
+    }
+
+    /// Closes every connection and refuses new ones.
+    pub fn close_and_cut(&self) {
+        self.state.send_modify(|state| {
+            state.open = false;
+            state.epoch += 1;
+        });
+    }
+}
+
+/// Completes when the connection that it was made for has to be closed.
+#[derive(Clone, Debug)]
+pub struct CutSignal {
+    state: watch::Receiver<PortState>,
+    epoch: u64,
+}
+
+impl CutSignal {
+    /// Waits until the connection has to be closed.
+    pub async fn wait(&mut self) {
+        let epoch = self.epoch;
+        // An error means that the port is gone, which closes its connections too.
+        let _ = self.state.wait_for(|state| state.epoch != epoch).await;
+    }
+}
+
+/// A listening loopback port.
+#[derive(Debug)]
+pub struct StandPort {
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    state: watch::Receiver<PortState>,
+}
+
+impl StandPort {
+    /// Opens a port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn open(address: SocketAddr) -> Result<(Self, PortControl), StandError> {
+        let listener = reserve(address)
+            .and_then(|socket| socket.listen(BACKLOG))
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let (sender, state) = watch::channel(PortState { open: true, epoch: 0 });
+        Ok((Self { address, listener: Some(listener), state }, PortControl { state: sender }))
+    }
+
+    /// Returns the address, with the port that the system chose.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections and passes each to `serve` until the control is dropped.
+    pub async fn run(mut self, mut serve: impl FnMut(TcpStream, CutSignal)) {
+        loop {
+            let state = *self.state.borrow_and_update();
+            if !state.open {
+                self.listener = None;
+                // A socket that is bound but does not listen refuses connections and keeps other
+                // processes off the port.
+                let reserved = reserve(self.address);
+                if self.state.wait_for(|state| state.open).await.is_err() {
+                    return;
+                }
+                self.listener = reserved.and_then(|socket| socket.listen(BACKLOG)).ok();
+                continue;
+            }
+            let Some(listener) = &self.listener else {
+                tokio::time::sleep(REOPEN_PAUSE).await;
+                self.listener = reserve(self.address).and_then(|s| s.listen(BACKLOG)).ok();
+                continue;
+            };
+            tokio::select! {
+                biased;
+                changed = self.state.changed() => if changed.is_err() { return },
+                accepted = listener.accept() => {
+                    let state = *self.state.borrow();
+                    if let (Ok((stream, _)), true) = (accepted, state.open) {
+                        let _ = stream.set_nodelay(true);
+                        let signal = CutSignal { state: self.state.clone(), epoch: state.epoch };
+                        serve(stream, signal);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Returns a socket that is bound but does not listen.
+fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/stand/src/state.rs
@@ -0,0 +1,521 @@
+//! The shared state of an upstream stand-in.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+use crate::counts::UpstreamCounts;
+use crate::noise::NoiseSchedule;
+use crate::plan::{LoadAnswer, NoisePlan, UpstreamPlan};
+use crate::port::PortControl;
+use crate::slot::{LoadFigures, QueueExit, SlotTable};
+
+/// What the core needs to know about a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkLabel {
+    pub(crate) key: Option<SharedName>,
+    pub(crate) nonce: Option<SharedName>,
+    pub(crate) request: Option<SharedName>,
+    pub(crate) deadline: Option<ClockTime>,
+    pub(crate) probe: bool,
+}
+
+/// How the wait of a queued request ended.
+#[derive(Debug)]
+pub(crate) enum QueueFate {
+    Started(SlotHold),
+    Expired,
+    Cancelled,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<QueueFate>,
+    label: WorkLabel,
+}
+
+/// The answer to a request for a slot.
+#[derive(Debug)]
+pub(crate) enum Admission {
+    Started(SlotHold),
+    Queued(QueueSeat),
+    Shed,
+}
+
+/// What answers say about draining.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct DrainState {
+    pub(crate) draining: bool,
+    pub(crate) unhealthy: bool,
+    pub(crate) refusing: bool,
+}
+
+#[derive(Debug)]
+struct UpstreamState {
+    plan: Arc<UpstreamPlan>,
+    table: SlotTable<Waiter>,
+    counts: UpstreamCounts,
+    random: RandomSource,
+    started: ClockTime,
+    drain_since: Option<ClockTime>,
+    noise_factor: f64,
+    noise_task: Option<AbortHandle>,
+    /// Grows with each crash; slots of an earlier epoch are not released again.
+    epoch: u64,
+}
+
+impl UpstreamState {
+    /// Counts the start of a request and returns its service time.
+    fn begin(&mut self, label: &WorkLabel, now: ClockTime) -> ClockSpan {
+        let in_flight = u64::from(self.table.figures().in_flight);
+        self.counts.in_flight_peak = self.counts.in_flight_peak.max(in_flight);
+        if label.probe {
+            return ClockSpan::from_millis(self.plan.probe_ms);
+        }
+        let (key, nonce) = (label.key.as_deref(), label.nonce.as_deref());
+        self.counts.execute(key, nonce, self.plan.count_limit);
+        let cold = self.plan.cold.map_or(1.0, |cold| cold.factor_at(now.since(self.started)));
+        self.plan.service.draw(&mut self.random).scaled(cold * self.noise_factor)
+    }
+}
+
+/// State and switches of an upstream stand-in, shared by its tasks.
+#[derive(Debug)]
+pub(crate) struct UpstreamCore {
+    clock: RealClock,
+    port: PortControl,
+    changed: Notify,
+    state: Mutex<UpstreamState>,
+}
+
+/// Messages to queued requests, sent after the lock is released.
+type Fates = Vec<(oneshot::Sender<QueueFate>, QueueFate)>;
+
+impl UpstreamCore {
+    pub(crate) fn new(plan: UpstreamPlan, port: PortControl) -> Arc<Self> {
+        let clock = RealClock::new();
+        let state = UpstreamState {
+            table: SlotTable::new(plan.slots, plan.queue_limit),
+            counts: UpstreamCounts::default(),
+            random: RandomSource::from_seed(plan.seed),
+            started: clock.now(),
+            drain_since: None,
+            noise_factor: 1.0,
+            noise_task: None,
+            epoch: 0,
+            plan: Arc::new(UpstreamPlan::default()),
+        };
+        let core = Arc::new(Self { clock, port, changed: Notify::new(), state: Mutex::new(state) });
+        core.set_plan(plan);
+        core
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn plan(&self) -> Arc<UpstreamPlan> {
+        self.state.lock().plan.clone()
+    }
+
+    pub(crate) fn counts(&self) -> UpstreamCounts {
+        self.state.lock().counts.clone()
+    }
+
+    pub(crate) fn figures(&self) -> LoadFigures {
+        self.state.lock().table.figures()
+    }
+
+    /// Changes counters and wakes those who wait for them.
+    pub(crate) fn count(&self, change: impl FnOnce(&mut UpstreamCounts)) {
+        change(&mut self.state.lock().counts);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until the counters and figures meet a condition.
+    pub(crate) async fn wait_for(&self, met: impl Fn(&UpstreamCounts, LoadFigures) -> bool) {
+        loop {
+            let notified = self.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            {
+                let state = self.state.lock();
+                if met(&state.counts, state.table.figures()) {
+                    return;
+                }
+            }
+            notified.await;
+        }
+    }
+
+    /// Puts a plan into force.
+    pub(crate) fn set_plan(self: &Arc<Self>, plan: UpstreamPlan) {
+        let fates = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            let now = self.clock.now();
+            let lag = match plan.load {
+                LoadAnswer::Honest { lag_ms } => ClockSpan::from_millis(lag_ms),
+                LoadAnswer::Idle | LoadAnswer::Silent => ClockSpan::ZERO,
+            };
+            state.table.resize(plan.slots, plan.queue_limit, now);
+            state.table.set_lag(lag, now);
+            state.drain_since = plan.drain.and(state.drain_since.or(Some(now)));
+            if plan.noise != state.plan.noise {
+                self.restart_noise(state, plan.noise, plan.seed);
+            }
+            state.plan = Arc::new(plan);
+            self.pump(state)
+        };
+        self.announce(fates);
+    }
+
+    fn restart_noise(
+        self: &Arc<Self>,
+        state: &mut UpstreamState,
+        noise: Option<NoisePlan>,
+        seed: u64,
+    ) {
+        if let Some(task) = state.noise_task.take() {
+            task.abort();
+        }
+        state.table.take_slots(0);
+        state.noise_factor = 1.0;
+        state.noise_task = noise.map(|noise| {
+            let core = Arc::downgrade(self);
+            let mut schedule = NoiseSchedule::new(noise, seed);
+            let task = tokio::spawn(async move {
+                loop {
+                    let burst = schedule.next_burst();
+                    tokio::time::sleep(burst.after.to_duration()).await;
+                    let Some(strong) = core.upgrade() else { return };
+                    strong.set_noise(noise.slots, noise.factor, true);
+                    drop(strong);
+                    tokio::time::sleep(burst.length.to_duration()).await;
+                    let Some(strong) = core.upgrade() else { return };
+                    strong.set_noise(0, 1.0, false);
+                }
+            });
+            task.abort_handle()
+        });
+    }
+
+    fn set_noise(self: &Arc<Self>, slots: u32, factor: f64, begins: bool) {
+        let fates = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            state.table.take_slots(slots);
+            state.noise_factor = factor;
+            state.counts.bursts += u64::from(begins);
+            self.pump(state)
+        };
+        self.announce(fates);
+    }
+
+    pub(crate) fn drain_state(&self) -> DrainState {
+        let state = self.state.lock();
+        let (Some(drain), Some(since)) = (state.plan.drain, state.drain_since) else {
+            return DrainState::default();
+        };
+        let age = self.clock.now().since(since);
+        DrainState {
+            draining: true,
+            unhealthy: age >= ClockSpan::from_millis(drain.health_fails_after_ms),
+            refusing: age >= ClockSpan::from_millis(drain.grace_ms),
+        }
+    }
+
+    /// Returns the load that answers report, or `None` if they report none.
+    pub(crate) fn reported(&self) -> Option<LoadFigures> {
+        let mut state = self.state.lock();
+        match state.plan.load {
+            LoadAnswer::Honest { .. } => Some(state.table.reported(self.clock.now())),
+            LoadAnswer::Idle => Some(LoadFigures { slots: state.plan.slots, ..Default::default() }),
+            LoadAnswer::Silent => None,
+        }
+    }
+
+    /// Takes a slot or a place in the queue.
+    pub(crate) fn admit(self: &Arc<Self>, label: WorkLabel) -> Admission {
+        let admission = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            let now = self.clock.now();
+            if state.table.try_start(now) {
+                let length = state.begin(&label, now);
+                Admission::Started(self.hold(state.epoch, length, label.probe, now))
+            } else {
+                let (sender, receiver) = oneshot::channel();
+                let (request, deadline) = (label.request.clone(), label.deadline);
+                let waiter = Waiter { sender, label };
+                match state.table.enqueue(request, deadline, waiter, now) {
+                    Some(ticket) => {
+                        Admission::Queued(QueueSeat { core: self.clone(), ticket, receiver })
+                    }
+                    None => {
+                        state.counts.shed += 1;
+                        Admission::Shed
+                    }
+                }
+            }
+        };
+        self.changed.notify_waiters();
+        admission
+    }
+
+    /// Cancels a queued request and returns whether this is confirmed.
+    pub(crate) fn cancel(&self, request: &str) -> bool {
+        let waiter = {
+            let mut state = self.state.lock();
+            let now = self.clock.now();
+            let waiter =
+                if state.plan.confirm_cancel { state.table.cancel(request, now) } else { None };
+            match waiter {
+                Some(_) => state.counts.cancelled += 1,
+                None => state.counts.cancel_denied += 1,
+            }
+            waiter
+        };
+        self.changed.notify_waiters();
+        match waiter {
+            Some(waiter) => {
+                let _ = waiter.sender.send(QueueFate::Cancelled);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Drops every connection and request, and refuses connections until the restart.
+    pub(crate) fn crash(self: &Arc<Self>) {
+        let (waiters, epoch, restart) = {
+            let mut state = self.state.lock();
+            let waiters = state.table.reset(self.clock.now());
+            state.epoch += 1;
+            state.counts.crashes += 1;
+            (waiters, state.epoch, state.plan.restart_ms)
+        };
+        drop(waiters);
+        self.port.close_and_cut();
+        self.changed.notify_waiters();
+        if let Some(restart_ms) = restart {
+            let core = Arc::downgrade(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(ClockSpan::from_millis(restart_ms).to_duration()).await;
+                if let Some(core) = core.upgrade() {
+                    core.restart(Some(epoch));
+                }
+            });
+        }
+    }
+
+    /// Accepts connections again, cold. Does nothing if another crash followed the one of `epoch`.
+    pub(crate) fn restart(&self, epoch: Option<u64>) {
+        let mut state = self.state.lock();
+        if epoch.is_none_or(|epoch| epoch == state.epoch) {
+            state.started = self.clock.now();
+            self.port.open();
+        }
+    }
+
+    /// Closes the port and every connection.
+    pub(crate) fn stop(&self) {
+        if let Some(task) = self.state.lock().noise_task.take() {
+            task.abort();
+        }
+        self.port.close_and_cut();
+    }
+
+    /// Registers a connection, or returns `None` if there are too many.
+    pub(crate) fn connect(self: &Arc<Self>) -> Option<ConnectionMark> {
+        let accepted = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            let accepted = state.counts.connections < u64::from(state.plan.connections);
+            if accepted {
+                state.counts.connections += 1;
+                state.counts.connections_served += 1;
+                let open = state.counts.connections;
+                state.counts.connections_peak = state.counts.connections_peak.max(open);
+            } else {
+                state.counts.connections_refused += 1;
+            }
+            accepted
+        };
+        self.changed.notify_waiters();
+        accepted.then(|| ConnectionMark { core: self.clone() })
+    }
+
+    fn hold(
+        self: &Arc<Self>,
+        epoch: u64,
+        length: ClockSpan,
+        probe: bool,
+        began: ClockTime,
+    ) -> SlotHold {
+        SlotHold { core: self.clone(), epoch, length, probe, began, released: false }
+    }
+
+    /// Lets requests leave the queue.
+    fn pump(self: &Arc<Self>, state: &mut UpstreamState) -> Fates {
+        let now = self.clock.now();
+        let mut fates = Fates::new();
+        while let Some(exit) = state.table.next_exit(now) {
+            match exit {
+                QueueExit::Started(waiter) => {
+                    let length = state.begin(&waiter.label, now);
+                    let hold = self.hold(state.epoch, length, waiter.label.probe, now);
+                    fates.push((waiter.sender, QueueFate::Started(hold)));
+                }
+                QueueExit::Expired(waiter) => {
+                    state.counts.expired += 1;
+                    fates.push((waiter.sender, QueueFate::Expired));
+                }
+            }
+        }
+        fates
+    }
+
+    /// Tells queued requests how their wait ended. A slot whose request is gone runs to its end.
+    fn announce(&self, fates: Fates) {
+        for (sender, fate) in fates {
+            let _ = sender.send(fate);
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn release(self: &Arc<Self>, hold: &SlotHold) {
+        let fates = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            if state.epoch != hold.epoch {
+                return;
+            }
+            state.table.finish(self.clock.now());
+            let millis = hold.length.as_millis_f64();
+            if hold.probe {
+                state.counts.probe_slot_ms += millis;
+            } else {
+                state.counts.completed += 1;
+                state.counts.slot_ms += millis;
+            }
+            self.pump(state)
+        };
+        self.announce(fates);
+    }
+
+    /// Removes a request from the queue and returns whether it was still there.
+    fn withdraw(&self, ticket: u64, expired: bool) -> bool {
+        let removed = {
+            let mut state = self.state.lock();
+            let removed = state.table.withdraw(ticket, self.clock.now()).is_some();
+            if removed && expired {
+                state.counts.expired += 1;
+            } else if removed {
+                state.counts.withdrawn += 1;
+            }
+            removed
+        };
+        self.changed.notify_waiters();
+        removed
+    }
+}
+
+/// A slot that a request holds. Work whose caller goes away keeps its slot to the end of the
+/// service time, as a server that does not notice would.
+#[derive(Debug)]
+pub(crate) struct SlotHold {
+    core: Arc<UpstreamCore>,
+    epoch: u64,
+    length: ClockSpan,
+    probe: bool,
+    began: ClockTime,
+    released: bool,
+}
+
+impl SlotHold {
+    /// Works for the service time and releases the slot.
+    pub(crate) async fn run(mut self) {
+        let left = self.left();
+        if left > ClockSpan::ZERO {
+            tokio::time::sleep(left.to_duration()).await;
+        }
+        self.release();
+    }
+
+    fn left(&self) -> ClockSpan {
+        self.length.saturating_sub(self.core.now().since(self.began))
+    }
+
+    fn release(&mut self) {
+        self.released = true;
+        let core = self.core.clone();
+        core.release(self);
+    }
+}
+
+impl Drop for SlotHold {
+    fn drop(&mut self) {
+        if self.released {
+            return;
+        }
+        // Outside a runtime the stand-in is being torn down and nobody needs the slot.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            let rest = Self {
+                core: self.core.clone(),
+                epoch: self.epoch,
+                length: self.length,
+                probe: self.probe,
+                began: self.began,
+                released: false,
+            };
+            runtime.spawn(rest.run());
+        }
+    }
+}
+
+/// A place in the queue.
+#[derive(Debug)]
+pub(crate) struct QueueSeat {
+    core: Arc<UpstreamCore>,
+    ticket: u64,
+    receiver: oneshot::Receiver<QueueFate>,
+}
+
+impl QueueSeat {
+    /// Waits for a slot, the deadline or a cancellation. Returns `None` after a crash.
+    pub(crate) async fn wait(mut self, deadline: Option<ClockTime>) -> Option<QueueFate> {
+        let Some(deadline) = deadline else {
+            return (&mut self.receiver).await.ok();
+        };
+        let left = deadline.since(self.core.now()).to_duration();
+        if let Ok(fate) = tokio::time::timeout(left, &mut self.receiver).await {
+            return fate.ok();
+        }
+        if self.core.withdraw(self.ticket, true) {
+            return Some(QueueFate::Expired);
+        }
+        (&mut self.receiver).await.ok()
+    }
+}
+
+impl Drop for QueueSeat {
+    fn drop(&mut self) {
+        self.core.withdraw(self.ticket, false);
+    }
+}
+
+/// Counts an open connection.
+#[derive(Debug)]
+pub(crate) struct ConnectionMark {
+    core: Arc<UpstreamCore>,
+}
+
+impl Drop for ConnectionMark {
+    fn drop(&mut self) {
+        self.core.count(|counts| counts.connections -= 1);
+    }
+}
--- /dev/null
+++ b/crates/stand/src/upstream.rs
@@ -0,0 +1,124 @@
+//! An upstream server whose faults are switched at run time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::task::JoinSet;
+
+use crate::answer;
+use crate::counts::UpstreamCounts;
+use crate::error::StandError;
+use crate::plan::UpstreamPlan;
+use crate::port::StandPort;
+use crate::slot::LoadFigures;
+use crate::state::UpstreamCore;
+use crate::web;
+
+/// A running upstream stand-in. It stops when it is dropped.
+#[derive(Debug)]
+pub struct UpstreamStand {
+    core: Arc<UpstreamCore>,
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    _tasks: JoinSet<()>,
+}
+
+impl UpstreamStand {
+    /// Starts an upstream in the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the two addresses cannot be bound.
+    pub async fn start(plan: UpstreamPlan) -> Result<Self, StandError> {
+        let (port, control) = StandPort::open(plan.listen)?;
+        // The control must live as long as the port; the task below keeps it.
+        let (admin_port, admin_control) = StandPort::open(plan.admin_listen)?;
+        let (address, admin_address) = (port.address(), admin_port.address());
+        let core = UpstreamCore::new(plan, control);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(core.clone(), port));
+        let admin_core = core.clone();
+        tasks.spawn(async move {
+            admin_port
+                .run(|stream, cut| {
+                    let core = admin_core.clone();
+                    tokio::spawn(web::serve(stream, cut, move |request| {
+                        answer::administer(core.clone(), request)
+                    }));
+                })
+                .await;
+            drop(admin_control);
+        });
+        Ok(Self { core, address, admin_address, _tasks: tasks })
+    }
+
+    /// Returns the address for requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the admin interface.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns the plan in force.
+    pub fn plan(&self) -> UpstreamPlan {
+        (*self.core.plan()).clone()
+    }
+
+    /// Puts a plan into force. Addresses and the seed stay as they were.
+    pub fn set_plan(&self, plan: UpstreamPlan) {
+        self.core.set_plan(plan);
+    }
+
+    /// Changes some fields of the plan in force.
+    pub fn update(&self, change: impl FnOnce(&mut UpstreamPlan)) {
+        let mut plan = self.plan();
+        change(&mut plan);
+        self.core.set_plan(plan);
+    }
+
+    /// Returns the counters.
+    pub fn counts(&self) -> UpstreamCounts {
+        self.core.counts()
+    }
+
+    /// Returns the true load of this moment.
+    pub fn figures(&self) -> LoadFigures {
+        self.core.figures()
+    }
+
+    /// Waits until the counters and the true load meet a condition.
+    pub async fn wait_for(&self, met: impl Fn(&UpstreamCounts, LoadFigures) -> bool) {
+        self.core.wait_for(met).await;
+    }
+
+    /// Crashes, as a marked request does.
+    pub fn crash(&self) {
+        self.core.crash();
+    }
+
+    /// Ends a crash at once.
+    pub fn restart(&self) {
+        self.core.restart(None);
+    }
+}
+
+impl Drop for UpstreamStand {
+    fn drop(&mut self) {
+        self.core.stop();
+    }
+}
+
+async fn accept(core: Arc<UpstreamCore>, port: StandPort) {
+    port.run(|stream, cut| {
+        let Some(mark) = core.connect() else { return };
+        let core = core.clone();
+        tokio::spawn(async move {
+            web::serve(stream, cut, |request| answer::serve(core.clone(), request)).await;
+            drop(mark);
+        });
+    })
+    .await;
+}
