--- a/crates/stand/src/counts.rs
+++ b/crates/stand/src/counts.rs
@@ -36,6 +36,8 @@
     pub arrived_draining: u64,
     /// Crashes.
     pub crashes: u64,
+    /// Restarts after crashes.
+    pub restarts: u64,
     /// Bursts of the noisy neighbour that have begun.
     pub bursts: u64,
     /// Calls to the health and load endpoints.
--- a/crates/stand/src/port.rs
+++ b/crates/stand/src/port.rs
@@ -1,5 +1,6 @@
 //! A loopback port that can be closed, reopened and cut while it stays reserved.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct PortControl {
     state: watch::Sender<PortState>,
+    listening: watch::Receiver<bool>,
 }
 
 impl PortControl {
@@ -43,6 +45,12 @@
         self.state.send_modify(|state| state.open = true);
     }
 
+    /// Waits until the port accepts connections, or until it refuses them.
+    pub async fn wait_listening(&self, listening: bool) {
+        // An error means that the port is gone and its state no longer changes.
+        let _ = self.listening.clone().wait_for(|now| *now == listening).await;
+    }
+
     /// Closes every connection and refuses new ones.
     pub fn close_and_cut(&self) {
         self.state.send_modify(|state| {
@@ -74,6 +82,7 @@
     address: SocketAddr,
     listener: Option<TcpListener>,
     state: watch::Receiver<PortState>,
+    listening: watch::Sender<bool>,
 }
 
 impl StandPort {
@@ -88,7 +97,9 @@
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let (sender, state) = watch::channel(PortState { open: true, epoch: 0 });
-        Ok((Self { address, listener: Some(listener), state }, PortControl { state: sender }))
+        let (listening, listens) = watch::channel(true);
+        let port = Self { address, listener: Some(listener), state, listening };
+        Ok((port, PortControl { state: sender, listening: listens }))
     }
 
     /// Returns the address, with the port that the system chose.
@@ -105,15 +116,16 @@
                 // A socket that is bound but does not listen refuses connections and keeps other
                 // processes off the port.
                 let reserved = reserve(self.address);
+                self.listening.send_replace(false);
                 if self.state.wait_for(|state| state.open).await.is_err() {
                     return;
                 }
-                self.listener = reserved.and_then(|socket| socket.listen(BACKLOG)).ok();
+                self.resume(reserved);
                 continue;
             }
             let Some(listener) = &self.listener else {
                 tokio::time::sleep(REOPEN_PAUSE).await;
-                self.listener = reserve(self.address).and_then(|s| s.listen(BACKLOG)).ok();
+                self.resume(reserve(self.address));
                 continue;
             };
             tokio::select! {
@@ -130,10 +142,15 @@
             }
         }
     }
+
+    fn resume(&mut self, reserved: io::Result<TcpSocket>) {
+        self.listener = reserved.and_then(|socket| socket.listen(BACKLOG)).ok();
+        self.listening.send_replace(self.listener.is_some());
+    }
 }
 
 /// Returns a socket that is bound but does not listen.
-fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -151,6 +151,10 @@
         }
     }
 
+    pub(crate) fn port(&self) -> &PortControl {
+        &self.port
+    }
+
     /// Puts a plan into force.
     pub(crate) fn set_plan(self: &Arc<Self>, plan: UpstreamPlan) {
         let fates = {
@@ -314,11 +318,16 @@
 
     /// Accepts connections again, cold. Does nothing if another crash followed the one of `epoch`.
     pub(crate) fn restart(&self, epoch: Option<u64>) {
-        let mut state = self.state.lock();
-        if epoch.is_none_or(|epoch| epoch == state.epoch) {
+        {
+            let mut state = self.state.lock();
+            if epoch.is_some_and(|epoch| epoch != state.epoch) {
+                return;
+            }
             state.started = self.clock.now();
-            self.port.open();
+            state.counts.restarts += 1;
         }
+        self.port.open();
+        self.changed.notify_waiters();
     }
 
     /// Closes the port and every connection.
@@ -356,7 +365,7 @@
         probe: bool,
         began: ClockTime,
     ) -> SlotHold {
-        SlotHold { core: self.clone(), epoch, length, probe, began, released: false }
+        SlotHold { core: self.clone(), epoch, length, probe, began, persistent: true }
     }
 
     /// Lets requests leave the queue.
@@ -433,7 +442,8 @@
     length: ClockSpan,
     probe: bool,
     began: ClockTime,
-    released: bool,
+    /// Whether dropping the hold leaves the rest of the work to a task.
+    persistent: bool,
 }
 
 impl SlotHold {
@@ -451,7 +461,7 @@
     }
 
     fn release(&mut self) {
-        self.released = true;
+        self.persistent = false;
         let core = self.core.clone();
         core.release(self);
     }
@@ -459,10 +469,11 @@
 
 impl Drop for SlotHold {
     fn drop(&mut self) {
-        if self.released {
+        if !self.persistent {
             return;
         }
-        // Outside a runtime the stand-in is being torn down and nobody needs the slot.
+        // Without a runtime the stand-in is being torn down and nobody needs the slot. A runtime
+        // that shuts down drops the task at once, so the rest must not start another one.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             let rest = Self {
                 core: self.core.clone(),
@@ -470,7 +481,7 @@
                 length: self.length,
                 probe: self.probe,
                 began: self.began,
-                released: false,
+                persistent: false,
             };
             runtime.spawn(rest.run());
         }
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -31,7 +31,6 @@
     /// Fails if one of the two addresses cannot be bound.
     pub async fn start(plan: UpstreamPlan) -> Result<Self, StandError> {
         let (port, control) = StandPort::open(plan.listen)?;
-        // The control must live as long as the port; the task below keeps it.
         let (admin_port, admin_control) = StandPort::open(plan.admin_listen)?;
         let (address, admin_address) = (port.address(), admin_port.address());
         let core = UpstreamCore::new(plan, control);
@@ -47,6 +46,7 @@
                     }));
                 })
                 .await;
+            // The port closes with its control, which therefore lives as long.
             drop(admin_control);
         });
         Ok(Self { core, address, admin_address, _tasks: tasks })
@@ -99,6 +99,11 @@
         self.core.crash();
     }
 
+    /// Waits until the upstream accepts connections, or until it refuses them.
+    pub async fn wait_listening(&self, listening: bool) {
+        self.core.port().wait_listening(listening).await;
+    }
+
     /// Ends a crash at once.
     pub fn restart(&self) {
         self.core.restart(None);
