Add the platform stand-in

Cause: claims, configuration and membership need the platform's services with their outages, lost answers and limits, without the platform.

Tables, membership list and rate limits are free of I/O. Switches: refusing or silent outage, delay, answers lost after the commit, limits on writes and reads. Versions come from one counter, so a row that is deleted and created again never has an old version. percent-encoding is a new dependency, for the scan's 'after'.

--- a/crates/stand/examples/stand.rs
+++ b/crates/stand/examples/stand.rs
@@ -17,6 +17,7 @@
 #[serde(rename_all = "snake_case")]
 enum StandChoice {
     Upstream(UpstreamPlan),
+    Platform(PlatformPlan),
 }
 
 /// The line that is printed when the stand-in is ready.
@@ -36,6 +37,11 @@
             announce(stand.address(), stand.admin_address())?;
             input_closed().await;
         }
+        StandChoice::Platform(plan) => {
+            let stand = PlatformStand::start(plan).await?;
+            announce(stand.address(), stand.admin_address())?;
+            input_closed().await;
+        }
     }
     Ok(())
 }
--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -14,7 +14,7 @@
 use crate::plan::{UpstreamMode, UpstreamPlan};
 use crate::scan::{CRASH_MARKER, MarkerScan};
 use crate::state::{Admission, QueueFate, SlotHold, UpstreamCore, WorkLabel};
-use crate::web;
+use crate::web::{self, ConnectionCut};
 
 const CANCEL_PREFIX: &str = "/agateroad/cancel/";
 const BYTES_PREFIX: &str = "/bytes/";
@@ -57,7 +57,7 @@
 pub(crate) async fn serve(
     core: Arc<UpstreamCore>,
     request: Request<Incoming>,
-) -> Response<StandBody> {
+) -> Result<Response<StandBody>, ConnectionCut> {
     let plan = core.plan();
     if plan.mode == UpstreamMode::Freeze {
         core.count(|counts| counts.frozen += 1);
@@ -74,7 +74,7 @@
         work(&core, &plan, request).await
     };
     mark(&core, &plan, answer.headers_mut());
-    answer
+    Ok(answer)
 }
 
 /// Adds the headers that every answer of an upstream carries.
@@ -252,9 +252,9 @@
 pub(crate) async fn administer(
     core: Arc<UpstreamCore>,
     request: Request<Incoming>,
-) -> Response<StandBody> {
+) -> Result<Response<StandBody>, ConnectionCut> {
     let (head, body) = request.into_parts();
-    match (&head.method, head.uri.path()) {
+    Ok(match (&head.method, head.uri.path()) {
         (&Method::GET, "/admin/plan") => web::json(StatusCode::OK, &*core.plan()),
         (&Method::GET, "/admin/counts") => web::json(StatusCode::OK, &core.counts()),
         (&Method::POST, "/admin/crash") => {
@@ -266,17 +266,9 @@
             web::plain(StatusCode::OK, "restarted")
         }
         (&Method::POST, "/admin/plan") => {
-            let Some(patch) = web::read_all(body).await else {
-                return web::plain(StatusCode::BAD_REQUEST, "broken body");
-            };
-            match web::merge(&*core.plan(), &patch) {
-                Ok(plan) => {
-                    core.set_plan(plan);
-                    web::json(StatusCode::OK, &*core.plan())
-                }
-                Err(error) => web::json(StatusCode::BAD_REQUEST, &error.to_string()),
-            }
+            let Some(patch) = web::read_all(body).await else { return Err(ConnectionCut) };
+            web::changed(web::merge(&*core.plan(), &patch), |plan| core.set_plan(plan))
         }
         _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
-    }
+    })
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -8,15 +8,20 @@
 pub mod body;
 pub mod counts;
 pub mod error;
+pub mod member;
 pub mod noise;
 pub mod plan;
+pub mod platform;
 pub mod port;
+pub mod rate;
 pub mod scan;
 pub mod service;
 pub mod slot;
 mod state;
+pub mod table;
 pub mod upstream;
 pub mod web;
+pub mod wire;
 
 pub mod prelude {
     //! The types that most tests need.
@@ -26,6 +31,8 @@
     pub use crate::plan::{
         ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
     };
+    pub use crate::platform::{PlatformCounts, PlatformOutage, PlatformPlan, PlatformStand};
     pub use crate::service::ServiceTime;
     pub use crate::upstream::UpstreamStand;
+    pub use crate::wire::PlatformMember;
 }
--- /dev/null
+++ b/crates/stand/src/table.rs
@@ -0,0 +1,113 @@
+//! Tables and objects of the platform stand-in, without I/O.
+
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
+
+use base::prelude::*;
+use bytes::Bytes;
+
+use crate::wire::{
+    RowConflict, RowExpectation, RowName, RowWrite, ScannedRow, StoredRow, TransactAnswer,
+};
+
+type RowMap = BTreeMap<SharedName, StoredRow>;
+
+/// The outcome of storing an object.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ObjectOutcome {
+    /// The object is stored, now or already before.
+    Stored,
+    /// Other bytes are stored under this digest.
+    Differs,
+}
+
+/// The durable state of the platform.
+#[derive(Debug, Default)]
+pub struct PlatformTables {
+    tables: HashMap<SharedName, RowMap>,
+    objects: HashMap<SharedName, Bytes>,
+    /// The version of the last write. Versions are never used again, also after a deletion.
+    version: u64,
+}
+
+impl PlatformTables {
+    /// Carries out all writes, or none if an expectation is not met.
+    pub fn transact(&mut self, writes: &[RowWrite]) -> TransactAnswer {
+        let conflicts: Vec<RowConflict> = writes
+            .iter()
+            .enumerate()
+            .filter_map(|(index, write)| self.conflict(index, write))
+            .collect();
+        if !conflicts.is_empty() {
+            return TransactAnswer::Rejected { committed: false, conflicts };
+        }
+        let versions = writes.iter().map(|write| self.apply(write)).collect();
+        TransactAnswer::Committed { committed: true, versions }
+    }
+
+    /// Returns a row.
+    pub fn row(&self, table: &str, key: &str) -> Option<&StoredRow> {
+        self.tables.get(table)?.get(key)
+    }
+
+    /// Returns rows in the order of their names.
+    pub fn read(&self, names: &[RowName]) -> Vec<Option<StoredRow>> {
+        names.iter().map(|name| self.row(&name.table, &name.key).cloned()).collect()
+    }
+
+    /// Returns up to `limit` rows whose keys come after `after`.
+    pub fn scan(&self, table: &str, after: Option<&str>, limit: usize) -> Vec<ScannedRow> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let Some(rows) = self.tables.get(table) else { return Vec::new() };
+        rows.range::<str, _>((start, Bound::Unbounded))
+            .take(limit)
+            .map(|(key, row)| ScannedRow { key: key.clone(), row: row.clone() })
+            .collect()
+    }
+
+    /// Stores an object. Objects never change.
+    pub fn put_object(&mut self, digest: &str, bytes: Bytes) -> ObjectOutcome {
+        match self.objects.get(digest) {
+            Some(stored) if *stored != bytes => ObjectOutcome::Differs,
+            Some(_) => ObjectOutcome::Stored,
+            None => {
+                self.objects.insert(SharedName::from(digest), bytes);
+                ObjectOutcome::Stored
+            }
+        }
+    }
+
+    /// Returns an object.
+    pub fn object(&self, digest: &str) -> Option<Bytes> {
+        self.objects.get(digest).cloned()
+    }
+
+    fn conflict(&self, index: usize, write: &RowWrite) -> Option<RowConflict> {
+        let row = self.row(&write.table, &write.key);
+        let met = match write.expect {
+            RowExpectation::Any => true,
+            RowExpectation::Absent => row.is_none(),
+            RowExpectation::Version(version) => row.is_some_and(|row| row.version == version),
+        };
+        (!met).then(|| RowConflict {
+            index,
+            version: row.map(|row| row.version),
+            value: row.map(|row| row.value.clone()),
+        })
+    }
+
+    fn apply(&mut self, write: &RowWrite) -> u64 {
+        self.version += 1;
+        let version = self.version;
+        let rows = self.tables.entry(write.table.clone()).or_default();
+        match write.value.clone() {
+            Some(value) => {
+                rows.insert(write.key.clone(), StoredRow { version, value });
+            }
+            None => {
+                rows.remove(&write.key);
+            }
+        }
+        version
+    }
+}
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -1,6 +1,7 @@
 //! HTTP over a [`StandPort`](crate::port::StandPort).
 
-use std::convert::Infallible;
+use std::borrow::Cow;
+use std::fmt;
 use std::future::Future;
 
 use bytes::Bytes;
@@ -24,17 +25,26 @@
 /// Bounds the bodies of admin and platform calls.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 
+/// Tells the server to close the connection without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionCut;
+
+impl fmt::Display for ConnectionCut {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the connection is cut without an answer")
+    }
+}
+
+impl std::error::Error for ConnectionCut {}
+
 /// Serves one connection until it ends or is cut.
 pub async fn serve<F, R>(stream: TcpStream, mut cut: CutSignal, handler: F)
 where
     F: Fn(Request<Incoming>) -> R,
-    R: Future<Output = Response<StandBody>>,
+    R: Future<Output = Result<Response<StandBody>, ConnectionCut>>,
 {
-    let service = service_fn(|request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let stream = TokioIo::new(stream);
+    let connection = http1::Builder::new().serve_connection(stream, service_fn(handler));
     tokio::select! {
         biased;
         () = cut.wait() => {}
@@ -62,6 +72,26 @@
     }
 }
 
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Fails if the body is not a valid `T`.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StandError> {
+    serde_json::from_slice(body).context(PlanSnafu)
+}
+
+/// Applies a change that was read from a body, and answers with its error if there is one.
+pub fn changed<T>(change: Result<T, StandError>, apply: impl FnOnce(T)) -> Response<StandBody> {
+    match change {
+        Ok(change) => {
+            apply(change);
+            plain(StatusCode::OK, "changed")
+        }
+        Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
 /// Returns `value` with the top-level fields of the JSON object `patch` in place of its own.
 ///
 /// # Errors
@@ -85,3 +115,10 @@
 pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+/// Returns the decoded value of a query parameter.
+pub fn query_value<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.into_iter().find(|(key, _)| *key == name)?;
+    Some(percent_encoding::percent_decode_str(value).decode_utf8_lossy())
+}
--- /dev/null
+++ b/crates/stand/tests/tables.rs
@@ -0,0 +1,177 @@
+//! Tables, membership list and limits of the platform stand-in, on virtual time.
+
+use base::prelude::*;
+use stand::member::MemberHistory;
+use stand::rate::RateLimit;
+use stand::table::{ObjectOutcome, PlatformTables};
+use stand::wire::{PlatformMember, TransactAnswer, TransactCall};
+
+struct WriteCase {
+    name: &'static str,
+    writes: &'static str,
+    /// Versions of the rows that were written, or indexes of the conflicts.
+    outcome: Result<&'static [u64], &'static [usize]>,
+}
+
+/// Guards against a transaction that happens in part or ignores a condition, and against a version
+/// that is used twice.
+#[test]
+fn transactions_are_conditional_and_whole() {
+    let cases = [
+        WriteCase {
+            name: "absent row is created",
+            writes: r#"[{"table":"t","key":"a","expect":null,"value":1}]"#,
+            outcome: Ok(&[1]),
+        },
+        WriteCase {
+            name: "present row is not absent",
+            writes: r#"[{"table":"t","key":"a","expect":null,"value":2}]"#,
+            outcome: Err(&[0]),
+        },
+        WriteCase {
+            name: "right version",
+            writes: r#"[{"table":"t","key":"a","expect":1,"value":3}]"#,
+            outcome: Ok(&[2]),
+        },
+        WriteCase {
+            name: "one wrong condition stops all writes",
+            writes: r#"[{"table":"t","key":"b","expect":null,"value":1},
+                        {"table":"t","key":"a","expect":1,"value":4}]"#,
+            outcome: Err(&[1]),
+        },
+        WriteCase {
+            name: "no condition",
+            writes: r#"[{"table":"t","key":"a","value":5},{"table":"u","key":"a","value":6}]"#,
+            outcome: Ok(&[3, 4]),
+        },
+        WriteCase {
+            name: "deletion",
+            writes: r#"[{"table":"t","key":"a","expect":3,"value":null}]"#,
+            outcome: Ok(&[5]),
+        },
+        WriteCase {
+            name: "the version of a deleted row is gone",
+            writes: r#"[{"table":"t","key":"a","expect":3,"value":7}]"#,
+            outcome: Err(&[0]),
+        },
+        WriteCase {
+            name: "a row that is created again has a new version",
+            writes: r#"[{"table":"t","key":"a","expect":null,"value":8}]"#,
+            outcome: Ok(&[6]),
+        },
+    ];
+    let mut tables = PlatformTables::default();
+    for case in cases {
+        let text = format!(r#"{{"attempt":"x","writes":{}}}"#, case.writes);
+        let call: TransactCall = serde_json::from_str(&text).expect(case.name);
+        match (tables.transact(&call.writes), case.outcome) {
+            (TransactAnswer::Committed { versions, .. }, Ok(expected)) => {
+                assert_eq!(versions, expected, "{}", case.name);
+            }
+            (TransactAnswer::Rejected { conflicts, .. }, Err(expected)) => {
+                let indexes: Vec<_> = conflicts.iter().map(|conflict| conflict.index).collect();
+                assert_eq!(indexes, expected, "{}", case.name);
+            }
+            (answer, _) => panic!("{}: {answer:?}", case.name),
+        }
+    }
+    assert!(tables.row("t", "b").is_none());
+    assert_eq!(tables.row("t", "a").unwrap().value, 8);
+}
+
+struct ScanCase {
+    after: Option<&'static str>,
+    limit: usize,
+    keys: &'static [&'static str],
+}
+
+/// Guards against scans that repeat or skip a row from page to page.
+#[test]
+fn scans_are_paged() {
+    let mut tables = PlatformTables::default();
+    let writes = r#"[{"table":"t","key":"c","value":1},{"table":"t","key":"a","value":1},
+                     {"table":"t","key":"b","value":1}]"#;
+    tables.transact(&serde_json::from_str::<Vec<_>>(writes).unwrap());
+    let cases = [
+        ScanCase { after: None, limit: 2, keys: &["a", "b"] },
+        ScanCase { after: Some("b"), limit: 2, keys: &["c"] },
+        ScanCase { after: Some("aa"), limit: 1, keys: &["b"] },
+        ScanCase { after: Some("c"), limit: 2, keys: &[] },
+    ];
+    for case in cases {
+        let rows = tables.scan("t", case.after, case.limit);
+        let keys: Vec<_> = rows.iter().map(|row| row.key.as_str()).collect();
+        assert_eq!(keys, case.keys, "after {:?}", case.after);
+    }
+}
+
+/// Guards against a stored object that changes under its digest.
+#[test]
+fn objects_never_change() {
+    let mut tables = PlatformTables::default();
+    let cases = [
+        ("d1", "one", ObjectOutcome::Stored),
+        ("d1", "one", ObjectOutcome::Stored),
+        ("d1", "two", ObjectOutcome::Differs),
+        ("d2", "two", ObjectOutcome::Stored),
+    ];
+    for (digest, bytes, outcome) in cases {
+        assert_eq!(tables.put_object(digest, bytes.into()), outcome, "{digest} {bytes}");
+    }
+    assert_eq!(tables.object("d1").unwrap(), "one");
+}
+
+struct ListCase {
+    at: u64,
+    names: &'static [&'static str],
+}
+
+/// Guards against a membership list that is fresher than its lag.
+#[test]
+fn the_list_lags() {
+    let member = |name: &str| PlatformMember {
+        name: name.into(),
+        incarnation: 1,
+        centre: "medeu".into(),
+        peer_address: "127.0.0.1:1".into(),
+        leaving: false,
+    };
+    let mut history = MemberHistory::new(vec![member("vm-1")], ClockSpan::from_secs(30));
+    let at = ClockTime::from_millis;
+    history.change(|list| list.push(member("vm-2")), at(10_000));
+    history.change(|list| drop(list.remove(0)), at(20_000));
+    let cases = [
+        ListCase { at: 0, names: &["vm-1"] },
+        ListCase { at: 39_999, names: &["vm-1"] },
+        ListCase { at: 40_000, names: &["vm-1", "vm-2"] },
+        ListCase { at: 50_000, names: &["vm-2"] },
+    ];
+    for case in cases {
+        let listed = history.listed(at(case.at));
+        let names: Vec<_> = listed.members.iter().map(|member| member.name.as_str()).collect();
+        assert_eq!(names, case.names, "at {} ms", case.at);
+        assert_eq!(listed.age_ms, 30_000);
+    }
+}
+
+struct RateCase {
+    at: u64,
+    calls: usize,
+    allowed: usize,
+}
+
+/// Guards against a limit that is not kept, or that does not recover.
+#[test]
+fn the_rate_is_limited() {
+    let mut limit = RateLimit::new(Some(10), ClockTime::ZERO);
+    let cases = [
+        RateCase { at: 0, calls: 15, allowed: 10 },
+        RateCase { at: 500, calls: 15, allowed: 5 },
+        RateCase { at: 10_000, calls: 15, allowed: 10 },
+    ];
+    for case in cases {
+        let now = ClockTime::from_millis(case.at);
+        let allowed = (0..case.calls).filter(|_| limit.allow(now)).count();
+        assert_eq!(allowed, case.allowed, "at {} ms", case.at);
+    }
+}
