--- /dev/null
+++ b/crates/stand/src/web.rs
@@ -0,0 +1,124 @@
+//! HTTP over a [`StandPort`](crate::port::StandPort).
+
+use std::borrow::Cow;
+use std::fmt;
+use std::future::Future;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+
+use crate::body::StandBody;
+use crate::error::{PlanSnafu, StandError};
+use crate::port::CutSignal;
+
+/// Bounds the bodies of admin and platform calls.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Tells the server to close the connection without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionCut;
+
+impl fmt::Display for ConnectionCut {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the connection is cut without an answer")
+    }
+}
+
+impl std::error::Error for ConnectionCut {}
+
+/// Serves one connection until it ends or is cut.
+pub async fn serve<F, R>(stream: TcpStream, mut cut: CutSignal, handler: F)
+where
+    F: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Response<StandBody>, ConnectionCut>>,
+{
+    let stream = TokioIo::new(stream);
+    let connection = http1::Builder::new().serve_connection(stream, service_fn(handler));
+    tokio::select! {
+        biased;
+        () = cut.wait() => {}
+        _ = connection => {}
+    }
+}
+
+/// Returns an answer with a short body.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<StandBody> {
+    let mut answer = Response::new(StandBody::from(text));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Returns an answer with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<StandBody> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut answer = Response::new(StandBody::from(Bytes::from(bytes)));
+            *answer.status_mut() = status;
+            answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            answer
+        }
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "the value is not valid JSON"),
+    }
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+///
+/// Fails if the body is not a valid `T`.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StandError> {
+    serde_json::from_slice(body).context(PlanSnafu)
+}
+
+/// Applies a change that was read from a body, and answers with its error if there is one.
+pub fn changed<T>(change: Result<T, StandError>, apply: impl FnOnce(T)) -> Response<StandBody> {
+    match change {
+        Ok(change) => {
+            apply(change);
+            plain(StatusCode::OK, "changed")
+        }
+        Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+/// Returns `value` with the top-level fields of the JSON object `patch` in place of its own.
+///
+/// # Errors
+///
+/// Fails if the result is not a valid `T`.
+pub fn merge<T: DeserializeOwned + Serialize>(value: &T, patch: &[u8]) -> Result<T, StandError> {
+    let mut merged = serde_json::to_value(value).context(PlanSnafu)?;
+    let patch: Map<String, Value> = serde_json::from_slice(patch).context(PlanSnafu)?;
+    if let Some(fields) = merged.as_object_mut() {
+        fields.extend(patch);
+    }
+    serde_json::from_value(merged).context(PlanSnafu)
+}
+
+/// Reads a whole body, or returns `None` if it is broken or too long.
+pub async fn read_all(body: Incoming) -> Option<Bytes> {
+    http_body_util::Limited::new(body, BODY_LIMIT).collect().await.ok().map(|all| all.to_bytes())
+}
+
+/// Returns a header as text.
+pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns the decoded value of a query parameter.
+pub fn query_value<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.into_iter().find(|(key, _)| *key == name)?;
+    Some(percent_encoding::percent_decode_str(value).decode_utf8_lossy())
+}
