--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod head;
 pub mod link;
 pub mod options;
+pub mod process;
 pub mod relay;
 pub mod state;
 pub mod worker;
