Load environment documents and report all of their problems

A document was not checked before use. load_document parses it with JSON paths, rejects what only serde accepts (lists in place of objects), then collects every problem with path, reason and remedy. The map is returned only when no problem was found.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -1,3 +1,15 @@
-//! Checks the environment document and the process settings and turns them into world objects.
+//! Checks the environment document and turns it into world objects.
 
+mod centre;
+mod coverage;
+pub mod document;
+mod field;
 pub mod generated;
+pub mod parse;
+pub mod problem;
+mod rule;
+mod service;
+
+pub use crate::document::{DocumentError, document_digest, load_document};
+pub use crate::parse::ParseError;
+pub use crate::problem::FieldProblem;
--- /dev/null
+++ b/crates/border/src/problem.rs
@@ -0,0 +1,91 @@
+//! Problems that the checks find, and where they are.
+
+use std::fmt;
+
+/// The longest value that a message repeats, in characters.
+const MAX_QUOTED_CHARS: usize = 80;
+
+/// A problem with one field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FieldProblem {
+    /// The JSON path of the field, such as `services[0].rules[2].method`; `.` is the whole
+    /// document.
+    pub path: String,
+    /// What is wrong.
+    pub reason: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for FieldProblem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}; {}", self.path, self.reason, self.remedy)
+    }
+}
+
+/// The JSON path of a field.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct FieldPath(String);
+
+impl FieldPath {
+    /// Returns the path of a top-level field.
+    pub(crate) fn top(name: &str) -> Self {
+        Self(name.to_owned())
+    }
+
+    /// Returns the path of the field `name` of this object.
+    pub(crate) fn field(&self, name: &str) -> Self {
+        if self.0.is_empty() { Self::top(name) } else { Self(format!("{}.{name}", self.0)) }
+    }
+
+    /// Returns the path of the element `index` of this list.
+    pub(crate) fn item(&self, index: usize) -> Self {
+        Self(format!("{}[{index}]", self.0))
+    }
+}
+
+impl fmt::Display for FieldPath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(if self.0.is_empty() { "." } else { &self.0 })
+    }
+}
+
+/// The problems found so far.
+#[derive(Debug, Default)]
+pub(crate) struct ProblemList {
+    problems: Vec<FieldProblem>,
+}
+
+impl ProblemList {
+    /// Adds a problem.
+    pub(crate) fn report(
+        &mut self,
+        path: &FieldPath,
+        reason: impl Into<String>,
+        remedy: impl Into<String>,
+    ) {
+        let (path, reason, remedy) = (path.to_string(), reason.into(), remedy.into());
+        self.problems.push(FieldProblem { path, reason, remedy });
+    }
+
+    /// Returns `value` if it is complete and no problem was found.
+    pub(crate) fn accept<T>(self, value: Option<T>) -> Result<T, Vec<FieldProblem>> {
+        match value {
+            Some(value) if self.problems.is_empty() => Ok(value),
+            _ => Err(self.problems),
+        }
+    }
+}
+
+/// Returns the problems as indented lines.
+pub(crate) fn to_lines(problems: &[FieldProblem]) -> String {
+    problems.iter().map(|problem| format!("\n  {problem}")).collect()
+}
+
+/// Returns `text` in quotes, escaped and shortened for a message.
+pub(crate) fn quoted(text: &str) -> String {
+    match text.char_indices().nth(MAX_QUOTED_CHARS) {
+        Some((end, _)) => format!("{:?}...", &text[..end]),
+        None => format!("{text:?}"),
+    }
+}
