Load process settings without showing secrets

load_settings uses the same parser and checks as the document. Messages and debug output never contain a value of the secret lists, also when a secret is written in place of a list or the whole input is not an object.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -1,15 +1,24 @@
-//! Checks the environment document and turns it into world objects.
+//! Checks the environment document and the process settings and turns them into world objects.
+//!
+//! The JSON Schemas in `schema/` describe both formats. Parsing rejects JSON that does not follow
+//! them; the checks that follow collect every problem before anything is returned, so that a
+//! document is either accepted as a whole or not at all.
 
 mod centre;
 mod coverage;
 pub mod document;
 mod field;
-pub mod generated;
+mod generated;
 pub mod parse;
 pub mod problem;
 mod rule;
 mod service;
+pub mod settings;
 
 pub use crate::document::{DocumentError, document_digest, load_document};
+pub use crate::generated::settings::{LogFormat, LogLevel};
 pub use crate::parse::ParseError;
 pub use crate::problem::FieldProblem;
+pub use crate::settings::{
+    ProcessSettings, ProcessTimeouts, SettingsError, SharedSecret, load_settings,
+};
--- /dev/null
+++ b/crates/border/src/settings.rs
@@ -0,0 +1,249 @@
+//! The settings of one gateway process.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::num::NonZeroUsize;
+
+use base::prelude::*;
+use snafu::Snafu;
+
+use crate::field;
+use crate::generated::settings::{LogFormat, LogLevel, SettingsDocument, TimeoutsEntry};
+use crate::parse::{ParseError, ParseLimits};
+use crate::problem::{FieldPath, FieldProblem, ProblemList, to_lines};
+
+const PEER_SECRETS: &str = "peer_secrets";
+const OPERATOR_SECRETS: &str = "operator_secrets";
+/// What the parser accepts. Settings of one process are a few hundred bytes.
+const LIMITS: ParseLimits =
+    ParseLimits { size: 64 * 1024, secret_fields: &[PEER_SECRETS, OPERATOR_SECRETS] };
+/// The most secrets in a list. Two are enough to roll one.
+const MAX_SECRETS: usize = 16;
+/// The shortest secret, in characters. Shorter ones can be guessed.
+const MIN_SECRET_CHARS: usize = 16;
+/// The longest secret, in characters; it has to fit into a header.
+const MAX_SECRET_CHARS: usize = 256;
+/// The most worker threads.
+const MAX_WORKERS: u32 = 1_024;
+
+/// Rejected settings.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The bytes do not follow the schema.
+    #[snafu(display("the settings cannot be read: {source}"), context(false))]
+    Parse {
+        /// What is wrong with them.
+        source: ParseError,
+    },
+    /// The settings follow the schema and contradict themselves or leave a range.
+    #[snafu(display("correct these problems of the settings:{}", to_lines(problems)))]
+    Invalid {
+        /// Every problem.
+        problems: Vec<FieldProblem>,
+    },
+}
+
+impl SettingsError {
+    /// Returns every problem that was found.
+    pub fn to_problems(&self) -> Vec<FieldProblem> {
+        match self {
+            Self::Parse { source } => vec![source.to_problem()],
+            Self::Invalid { problems } => problems.clone(),
+        }
+    }
+}
+
+/// A secret. Debug output hides it.
+#[derive(Clone, Eq, PartialEq)]
+pub struct SharedSecret(SharedName);
+
+impl SharedSecret {
+    /// Returns the secret itself.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SharedSecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SharedSecret(hidden)")
+    }
+}
+
+/// The time limits of a process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProcessTimeouts {
+    /// For the head of a request to arrive.
+    pub head: ClockSpan,
+    /// For an idle connection of a caller.
+    pub caller_idle: ClockSpan,
+    /// For a body without progress.
+    pub body_idle: ClockSpan,
+    /// For opening a connection to an upstream.
+    pub connect: ClockSpan,
+    /// For an idle connection to an upstream.
+    pub upstream_idle: ClockSpan,
+    /// For a call to the platform.
+    pub platform: ClockSpan,
+    /// For a call to a peer.
+    pub peer: ClockSpan,
+    /// How long a leaving process accepts new requests after readiness is off.
+    pub leave: ClockSpan,
+}
+
+/// The settings of one gateway process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProcessSettings {
+    /// The name of the VM.
+    pub vm_name: SharedName,
+    /// The data centre that the VM runs in.
+    pub centre: SharedName,
+    /// The listener for callers.
+    pub caller_address: SocketAddr,
+    /// The listener for peers and operators.
+    pub control_address: SocketAddr,
+    /// The listener for metrics and readiness.
+    pub metrics_address: SocketAddr,
+    /// The platform's store and membership list.
+    pub platform_address: SocketAddr,
+    /// Secrets shared by all VMs, at least one. The first one signs; all of them are accepted.
+    pub peer_secrets: Vec<SharedSecret>,
+    /// Secrets accepted from operators, at least one.
+    pub operator_secrets: Vec<SharedSecret>,
+    /// The number of worker threads; `None` for the number of cores.
+    pub worker_count: Option<NonZeroUsize>,
+    /// The format of log lines.
+    pub log_format: LogFormat,
+    /// The least severe level that is logged.
+    pub log_level: LogLevel,
+    /// The time limits.
+    pub timeouts: ProcessTimeouts,
+}
+
+/// Returns the settings of a process.
+///
+/// # Errors
+///
+/// Returns an error if the bytes do not follow the schema, or else with every problem that the
+/// checks find. Messages never contain secrets.
+pub fn load_settings(bytes: &[u8]) -> Result<ProcessSettings, SettingsError> {
+    let document: SettingsDocument = LIMITS.parse(bytes)?;
+    let mut problems = ProblemList::default();
+    let settings = review(&document, &mut problems);
+    problems.accept(settings).map_err(|problems| SettingsError::Invalid { problems })
+}
+
+fn review(document: &SettingsDocument, problems: &mut ProblemList) -> Option<ProcessSettings> {
+    let vm_name = field::name(&FieldPath::top("vm_name"), &document.vm_name, problems);
+    let centre = field::name(&FieldPath::top("data_centre"), &document.data_centre, problems);
+    let addresses = review_listeners(document, problems);
+    let platform_path = FieldPath::top("platform_address");
+    let platform = field::remote_address(&platform_path, &document.platform_address, problems);
+    let (peer_secrets, operator_secrets) = review_secrets(document, problems);
+    if let Some(count) = document.worker_count {
+        let remedy = "leave the field out to use one worker for each core";
+        let path = FieldPath::top("worker_count");
+        field::within(&path, count, 1..=MAX_WORKERS, remedy, problems);
+    }
+    let timeouts = review_timeouts(document.timeouts.clone().unwrap_or_default(), problems);
+    let [caller_address, control_address, metrics_address] = addresses?;
+    Some(ProcessSettings {
+        vm_name,
+        centre,
+        caller_address,
+        control_address,
+        metrics_address,
+        platform_address: platform?,
+        peer_secrets,
+        operator_secrets,
+        worker_count: document.worker_count.and_then(|count| NonZeroUsize::new(count as usize)),
+        log_format: document.log_format.unwrap_or_default(),
+        log_level: document.log_level.unwrap_or_default(),
+        timeouts,
+    })
+}
+
+/// Checks the listeners for callers, for peers and operators, and for metrics.
+fn review_listeners(
+    document: &SettingsDocument,
+    problems: &mut ProblemList,
+) -> Option<[SocketAddr; 3]> {
+    let fields = [
+        ("caller_address", &document.caller_address),
+        ("control_address", &document.control_address),
+        ("metrics_address", &document.metrics_address),
+    ];
+    let addresses =
+        fields.map(|(name, text)| field::listener_address(&FieldPath::top(name), text, problems));
+    for (index, (name, _)) in fields.iter().enumerate() {
+        let clash = addresses[..index].iter().position(|other| overlap(*other, addresses[index]));
+        if let Some(clash) = clash {
+            let reason = format!("takes the same address and port as {}", fields[clash].0);
+            problems.report(&FieldPath::top(name), reason, "give each listener its own port");
+        }
+    }
+    let [caller, control, metrics] = addresses;
+    Some([caller?, control?, metrics?])
+}
+
+/// Returns whether two listeners cannot both be opened.
+fn overlap(first: Option<SocketAddr>, second: Option<SocketAddr>) -> bool {
+    let (Some(first), Some(second)) = (first, second) else { return false };
+    let same_address =
+        first.ip() == second.ip() || first.ip().is_unspecified() || second.ip().is_unspecified();
+    first.port() != 0 && first.port() == second.port() && same_address
+}
+
+/// Checks both lists of secrets. A secret in both would give operators the methods of peers.
+fn review_secrets(
+    document: &SettingsDocument,
+    problems: &mut ProblemList,
+) -> (Vec<SharedSecret>, Vec<SharedSecret>) {
+    let mut places = HashMap::new();
+    let mut review_list = |name: &str, entries: &[String]| {
+        let list = FieldPath::top(name);
+        field::length(&list, entries.len(), 1..=MAX_SECRETS, problems);
+        for (index, entry) in entries.iter().enumerate() {
+            let path = list.item(index);
+            review_secret(&path, entry, problems);
+            if let Some(place) = places.insert(entry.clone(), path.clone()) {
+                let reason = format!("is the same secret as {place}");
+                problems.report(&path, reason, "generate another one");
+            }
+        }
+        entries.iter().map(|entry| SharedSecret(SharedName::from(entry.as_str()))).collect()
+    };
+    let peer_secrets = review_list(PEER_SECRETS, &document.peer_secrets);
+    let operator_secrets = review_list(OPERATOR_SECRETS, &document.operator_secrets);
+    (peer_secrets, operator_secrets)
+}
+
+fn review_secret(path: &FieldPath, text: &str, problems: &mut ProblemList) {
+    let in_range = (MIN_SECRET_CHARS..=MAX_SECRET_CHARS).contains(&text.len());
+    if !in_range || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let remedy =
+            format!("use {MIN_SECRET_CHARS} to {MAX_SECRET_CHARS} visible ASCII characters");
+        problems.report(path, "not a valid secret", remedy);
+    }
+}
+
+fn review_timeouts(entry: TimeoutsEntry, problems: &mut ProblemList) -> ProcessTimeouts {
+    let timeouts = FieldPath::top("timeouts");
+    let mut span = |name: &str, millis: u32, least: u32| {
+        let remedy = "give a time in milliseconds, at most one hour";
+        let range = least..=field::MAX_TIME_MS;
+        field::within(&timeouts.field(name), millis, range, remedy, problems);
+        ClockSpan::from_millis(millis.into())
+    };
+    ProcessTimeouts {
+        head: span("head_ms", entry.head_ms, 1),
+        caller_idle: span("caller_idle_ms", entry.caller_idle_ms, 1),
+        body_idle: span("body_idle_ms", entry.body_idle_ms, 1),
+        connect: span("connect_ms", entry.connect_ms, 1),
+        upstream_idle: span("upstream_idle_ms", entry.upstream_idle_ms, 1),
+        platform: span("platform_ms", entry.platform_ms, 1),
+        peer: span("peer_ms", entry.peer_ms, 1),
+        leave: span("leave_ms", entry.leave_ms, 0),
+    }
+}
