List the changes between two documents and test properties of any input

Operators need to see what a promotion changes. difference lists added, removed and changed entries and a new precedence of services or rules.

Property tests with a fixed seed load arbitrary bytes, damaged examples and examples with changed values. They check accepted maps with the functions that requests use, and that difference is empty exactly for equal maps.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod centre;
 mod coverage;
+pub mod difference;
 pub mod document;
 mod field;
 mod generated;
@@ -15,6 +16,7 @@
 mod service;
 pub mod settings;
 
+pub use crate::difference::{MapChange, difference};
 pub use crate::document::{DocumentError, document_digest, load_document};
 pub use crate::generated::settings::{LogFormat, LogLevel};
 pub use crate::parse::ParseError;
--- /dev/null
+++ b/crates/border/tests/properties.rs
@@ -0,0 +1,237 @@
+//! Properties of any input.
+
+mod common;
+
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use border::{difference, load_document, load_settings};
+use common::{ALMATY, SETTINGS, VITI};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use serde_json::{Value, json};
+use world::prelude::*;
+
+const SEED: u64 = 20_261_204;
+const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "DELETE", "UNKNOWN"];
+
+fn seeded_runner(cases: u32) -> TestRunner {
+    let rng_seed = RngSeed::Fixed(SEED);
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed,
+        failure_persistence: None,
+        ..Default::default()
+    })
+}
+
+/// Selects the value to change, the kind of the change, and what to put in its place.
+type Mutation = (prop::sample::Index, prop::sample::Index, prop::sample::Index);
+
+/// Changes one value of a document. Most changes keep the type, since the parser rejects others.
+fn mutate(root: &mut Value, (target, change, source): Mutation) {
+    let mut pointers = Vec::new();
+    collect_pointers(root, String::new(), &mut pointers);
+    let pointer = target.get(&pointers);
+    let mut values = simple_values();
+    values.extend(pointers.iter().filter_map(|pointer| root.pointer(pointer)).cloned());
+    let value = root.pointer_mut(pointer).unwrap();
+    let change = change.index(8);
+    if change > 0 {
+        values.retain(|other| std::mem::discriminant(other) == std::mem::discriminant(value));
+    }
+    match (change, value) {
+        (1 | 2, Value::Array(items)) if items.len() > 1 => items.swap(0, 1),
+        (3 | 4, Value::Array(items)) => drop(items.pop()),
+        (5, Value::Array(items)) => items.extend(items.first().cloned()),
+        (1..=3, Value::Object(fields)) => drop(remove_first(fields)),
+        (_, value) => *value = source.get(&values).clone(),
+    }
+}
+
+fn simple_values() -> Vec<Value> {
+    let numbers = [0.0, 1.0, 0.5, -1.0, 1e308].map(Value::from);
+    let counts = [0, 1, 16, 250, u32::MAX].map(Value::from);
+    let texts = ["", "/", "/x", "GET", "medeu", "suva", "[::1]:9", "deferrable", "a.example"];
+    let others = [Value::Null, json!([]), json!({}), json!(true), json!(false)];
+    let texts = texts.map(Value::from);
+    numbers.into_iter().chain(counts).chain(texts).chain(others).collect()
+}
+
+fn remove_first(fields: &mut serde_json::Map<String, Value>) -> Option<Value> {
+    let name = fields.keys().next()?.clone();
+    fields.remove(&name)
+}
+
+fn collect_pointers(value: &Value, pointer: String, pointers: &mut Vec<String>) {
+    match value {
+        Value::Array(items) => items.iter().enumerate().for_each(|(index, item)| {
+            collect_pointers(item, format!("{pointer}/{index}"), pointers);
+        }),
+        Value::Object(fields) => fields.iter().for_each(|(name, field)| {
+            collect_pointers(field, format!("{pointer}/{name}"), pointers);
+        }),
+        _ => {}
+    }
+    pointers.push(pointer);
+}
+
+/// Checks an accepted map with the functions that requests use, not with those of the loader.
+fn assert_rules(map: &EnvironmentMap) {
+    let mut names = HashSet::new();
+    let mut addresses = HashSet::new();
+    assert!(map.centres.iter().all(|centre| names.insert(format!("centre {}", centre.name))));
+    assert!(!map.contracts.is_empty());
+    for contract in &map.contracts {
+        assert!(names.insert(format!("service {}", contract.name)));
+        assert_contract(map, contract);
+        assert!(!map.upstreams_of(&contract.name).is_empty());
+        for upstream in map.upstreams_of(&contract.name) {
+            assert!(names.insert(format!("upstream {}", upstream.name)));
+            assert!(addresses.insert(upstream.address) && upstream.address.port() > 0);
+            assert_eq!(upstream.service, contract.name);
+            assert!(map.centres.iter().any(|centre| centre.name == upstream.centre));
+            for centre in &map.centres {
+                assert!(map.round_trip(&centre.name, &upstream.centre).is_some());
+            }
+            assert!(upstream.slots > 0 && upstream.connections >= upstream.slots);
+            assert!(upstream.connections >= contract.vm_ceiling);
+        }
+    }
+}
+
+fn assert_contract(map: &EnvironmentMap, contract: &ServiceContract) {
+    assert!(contract.deadline > base::prelude::ClockSpan::ZERO && contract.vm_ceiling > 0);
+    assert!(contract.objective.latency > base::prelude::ClockSpan::ZERO);
+    assert!(contract.objective.latency <= contract.deadline);
+    let shares = [contract.objective.latency_share, contract.objective.success_share];
+    assert!(shares.iter().all(|share| *share > 0.0 && *share < 1.0));
+    assert!((0.0..=1.0).contains(&contract.probe_share));
+    assert!((0.0..=1.0).contains(&contract.retry_ratio));
+
+    let hosts: Vec<&str> = match contract.hosts.as_slice() {
+        [] => vec!["other.invalid"],
+        hosts => hosts.iter().map(|host| host.as_str()).collect(),
+    };
+    let prefixes: Vec<&str> = match contract.path_prefixes.as_slice() {
+        [] => vec!["/"],
+        prefixes => prefixes.iter().map(|prefix| prefix.as_str()).collect(),
+    };
+    let reached = |host: &str, prefix: &str| {
+        map.contract_for(host, prefix).is_some_and(|found| found.name == contract.name)
+    };
+    assert!(hosts.iter().all(|host| prefixes.iter().any(|prefix| reached(host, prefix))));
+    assert!(prefixes.iter().all(|prefix| hosts.iter().any(|host| reached(host, prefix))));
+
+    let mut paths: Vec<&str> =
+        contract.rules.iter().map(|rule| rule.path_prefix.as_str()).collect();
+    paths.extend(&prefixes);
+    paths.retain(|path| contract.covers(hosts[0], path));
+    let applied: Vec<&WorkRule> = paths
+        .iter()
+        .flat_map(|path| METHODS.map(|method| (method, *path)))
+        .map(|(method, path)| contract.rule_for(method, path).expect("a rule for every call"))
+        .collect();
+    for rule in &contract.rules {
+        assert!(!rule.deferred || (rule.idempotent && rule.class == WorkClass::Deferrable));
+        let named = rule.method.as_ref().is_some_and(|method| !METHODS.contains(&method.as_str()));
+        assert!(named || applied.iter().any(|found| std::ptr::eq(*found, rule)));
+    }
+}
+
+/// Returns the map without what `difference` ignores.
+fn normalised(map: &EnvironmentMap) -> EnvironmentMap {
+    let mut map = EnvironmentMap { version: 0, digest: "".into(), ..map.clone() };
+    map.centres.sort_by(|first, second| first.name.cmp(&second.name));
+    for link in &mut map.links {
+        if link.from > link.to {
+            std::mem::swap(&mut link.from, &mut link.to);
+        }
+    }
+    map.links.sort_by(|first, second| (&first.from, &first.to).cmp(&(&second.from, &second.to)));
+    for upstreams in map.upstreams.values_mut() {
+        upstreams.sort_by(|first, second| first.name.cmp(&second.name));
+    }
+    for contract in &mut map.contracts {
+        let contract = Arc::make_mut(contract);
+        contract.hosts.sort();
+        contract.path_prefixes.sort();
+    }
+    map
+}
+
+/// Guards against a panic on any bytes, which would stop every VM that learns of a document.
+#[test]
+fn arbitrary_bytes_never_panic() {
+    let bytes = prop_oneof![
+        vec(any::<u8>(), 0..256),
+        "[\\[\\]{}\",:0-9a-z_ ]{0,256}".prop_map(String::into_bytes)
+    ];
+    let property = |bytes: Vec<u8>| {
+        prop_assert!(load_document(&bytes, 1).is_err());
+        prop_assert!(load_settings(&bytes).is_err());
+        Ok(())
+    };
+    seeded_runner(2_000).run(&bytes, property).unwrap();
+}
+
+/// Guards against a panic on damaged bytes of valid input.
+#[test]
+fn damaged_bytes_never_panic() {
+    let damage = vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
+    let property = |damage: Vec<(prop::sample::Index, u8)>| {
+        for example in [ALMATY, VITI, SETTINGS] {
+            let mut bytes = example.to_vec();
+            for (index, byte) in &damage {
+                let position = index.index(bytes.len());
+                bytes[position] = *byte;
+            }
+            if let Ok(map) = load_document(&bytes, 1) {
+                assert_rules(&map);
+            }
+            let _ = load_settings(&bytes);
+            bytes.truncate(damage[0].0.index(bytes.len()));
+            prop_assert!(load_document(&bytes, 1).is_err());
+        }
+        Ok(())
+    };
+    seeded_runner(200).run(&damage, property).unwrap();
+}
+
+/// Guards against a document that passes the checks and breaks a rule on the request path, and
+/// against a change that `difference` does not list.
+#[test]
+fn mutated_documents_give_sound_maps() {
+    let accepted = Cell::new(0);
+    let rejected = Cell::new(0);
+    let examples = [ALMATY, VITI].map(|example| {
+        let root: Value = serde_json::from_slice(example).unwrap();
+        (load_document(example, 1).unwrap(), root)
+    });
+    let mutations = vec(any::<Mutation>(), 1..4);
+    let property = |mutations: Vec<Mutation>| {
+        for (original, root) in &examples {
+            let mut root = root.clone();
+            mutations.iter().for_each(|choices| mutate(&mut root, *choices));
+            match load_document(&serde_json::to_vec(&root).unwrap(), 2) {
+                Ok(map) => {
+                    assert_rules(&map);
+                    let unchanged = normalised(original) == normalised(&map);
+                    prop_assert_eq!(difference(original, &map).is_empty(), unchanged);
+                    accepted.set(accepted.get() + 1);
+                }
+                Err(error) => {
+                    prop_assert!(!error.to_problems().is_empty());
+                    rejected.set(rejected.get() + 1);
+                }
+            }
+        }
+        Ok(())
+    };
+    seeded_runner(1_000).run(&mutations, property).unwrap();
+    // Both outcomes have to be frequent for the property to mean anything.
+    assert!(accepted.get() >= 100, "{} accepted, seed {SEED}", accepted.get());
+    assert!(rejected.get() >= 100, "{} rejected, seed {SEED}", rejected.get());
+}
