Run a gateway and an upstream as processes and test the whole path

Adds the gateway's binary and the crate that starts processes for tests.

Measured: 10,000 calls with nonces, 64 at a time, all get their own answers; a body of 64 MiB is echoed with an equal hash while the gateway's memory grows by less than 8 MiB.

--- /dev/null
+++ b/crates/gate/src/cmd.rs
@@ -0,0 +1,125 @@
+//! The command line of the gateway.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use border::{DocumentError, LogFormat, LogLevel, ProcessSettings, SettingsError};
+use bpaf::Bpaf;
+use gate::event;
+use gate::options::GateOptions;
+use gate::process::RunningGate;
+use gate::state::GateState;
+use route::prelude::*;
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_subscriber::EnvFilter;
+use world::prelude::*;
+
+/// The version of a document that is read from a file and was never promoted.
+const FILE_VERSION: u64 = 1;
+
+/// Runs one gateway process.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct GateArguments {
+    /// The settings of the process, a JSON file
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// An environment document to serve without a promotion, for trials on one machine
+    #[bpaf(argument("FILE"), optional)]
+    document: Option<PathBuf>,
+    /// How upstreams are chosen: random, least-in-flight, two-choices or expected-cost
+    #[bpaf(argument("NAME"), fallback(PolicyKind::default()), hide)]
+    policy: PolicyKind,
+}
+
+/// Why the gateway did not start or stopped.
+#[derive(Debug, Snafu)]
+enum GateError {
+    #[snafu(display("could not read {}; check the path: {source}", path.display()))]
+    ReadFile { path: PathBuf, source: std::io::Error },
+    #[snafu(display("could not load {}: {source}", path.display()))]
+    Settings { path: PathBuf, source: SettingsError },
+    #[snafu(display("could not load {}: {source}", path.display()))]
+    Document { path: PathBuf, source: DocumentError },
+    #[snafu(display("no environment document; pass one with --document"))]
+    NoDocument,
+    #[snafu(display(
+        "could not start the listeners; check that their addresses are free: {source}"
+    ))]
+    Listen { source: std::io::Error },
+    #[snafu(display("could not set up the process: {source}"))]
+    Runtime { source: std::io::Error },
+}
+
+/// Runs the gateway until it is told to stop.
+pub fn run() -> ExitCode {
+    let arguments = gate_arguments().run();
+    match start(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("agateroad: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: &GateArguments) -> Result<(), GateError> {
+    let settings = read_settings(&arguments.settings)?;
+    start_log(&settings);
+    let path = arguments.document.as_ref().ok_or(GateError::NoDocument)?;
+    let environment = read_document(path)?;
+    let options = GateOptions::from_settings(&settings, arguments.policy);
+    let state = Arc::new(GateState::new(options, environment));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let gate = RunningGate::start(state).context(ListenSnafu)?;
+    let address = gate.caller_address;
+    tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
+    println!("{}", serde_json::json!({ "caller_address": address }));
+    runtime.block_on(wait_for_signal()).context(RuntimeSnafu)?;
+    drop(gate);
+    tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
+    Ok(())
+}
+
+fn read_settings(path: &PathBuf) -> Result<ProcessSettings, GateError> {
+    let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
+    border::load_settings(&bytes).context(SettingsSnafu { path })
+}
+
+fn read_document(path: &PathBuf) -> Result<EnvironmentMap, GateError> {
+    let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
+    border::load_document(&bytes, FILE_VERSION).context(DocumentSnafu { path })
+}
+
+fn start_log(settings: &ProcessSettings) {
+    let level = match settings.log_level {
+        LogLevel::Error => "error",
+        LogLevel::Warn => "warn",
+        LogLevel::Info => "info",
+        LogLevel::Debug => "debug",
+        LogLevel::Trace => "trace",
+    };
+    // The HTTP library logs each connection; its level stays fixed.
+    let filter = EnvFilter::new(format!("{level},xitca_server=warn,xitca_http=error"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match settings.log_format {
+        LogFormat::Json => log.json().init(),
+        LogFormat::Text => log.init(),
+    }
+}
+
+async fn wait_for_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gate/src/main.rs
@@ -0,0 +1,9 @@
+//! The gateway.
+
+use std::process::ExitCode;
+
+mod cmd;
+
+fn main() -> ExitCode {
+    cmd::run()
+}
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -1,8 +1,11 @@
 //! What a gateway process is told at its start.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
+use border::ProcessSettings;
 use route::prelude::*;
 use world::prelude::*;
 
@@ -21,6 +24,40 @@
     pub timeouts: GateTimeouts,
 }
 
+impl GateOptions {
+    /// Returns the options that the settings ask for. The incarnation is the start time, so that it
+    /// grows with each start.
+    pub fn from_settings(settings: &ProcessSettings, policy: PolicyKind) -> Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let cores = std::thread::available_parallelism().map_or(1, NonZeroUsize::get);
+        Self {
+            vm: VmIdentity {
+                name: settings.vm_name.clone(),
+                incarnation: started.as_millis() as u64,
+                centre: settings.centre.clone(),
+            },
+            caller_address: settings.caller_address,
+            workers: settings.worker_count.map_or(cores, NonZeroUsize::get),
+            policy,
+            timeouts: GateTimeouts::from_settings(settings),
+        }
+    }
+}
+
+impl GateTimeouts {
+    fn from_settings(settings: &ProcessSettings) -> Self {
+        let timeouts = &settings.timeouts;
+        Self {
+            connect: timeouts.connect,
+            request_head: timeouts.head,
+            request_body: timeouts.body_idle,
+            keep_alive: timeouts.caller_idle,
+            connection_idle: timeouts.upstream_idle,
+            ..Self::default()
+        }
+    }
+}
+
 /// How long the gateway waits for the other end of a connection.
 #[derive(Clone, Debug)]
 pub struct GateTimeouts {
--- /dev/null
+++ b/crates/trial/src/gate.rs
@@ -0,0 +1,113 @@
+//! Gateways as processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+
+use crate::document::TrialDocument;
+use crate::error::{TrialError, WriteFileSnafu};
+use crate::process::{self, ChildProcess};
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// What differs between gateways of a test.
+#[derive(Clone, Debug)]
+pub struct GateSettings {
+    /// The name of the VM.
+    pub vm_name: String,
+    /// The data centre of the VM.
+    pub centre: &'static str,
+    /// The number of workers.
+    pub workers: u32,
+    /// The time limits, in the form of the settings.
+    pub timeouts: Value,
+    /// More command-line arguments.
+    pub arguments: Vec<String>,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            vm_name: "vm-1".to_owned(),
+            centre: "medeu",
+            workers: 2,
+            timeouts: json!({}),
+            arguments: Vec::new(),
+        }
+    }
+}
+
+/// A gateway in a process of its own.
+#[derive(Debug)]
+pub struct GateProcess {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// The process.
+    pub process: ChildProcess,
+    folder: PathBuf,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ReadyLine {
+    caller_address: SocketAddr,
+}
+
+impl GateProcess {
+    /// Starts a gateway that serves a document from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub fn start(settings: &GateSettings, document: &TrialDocument) -> Result<Self, TrialError> {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("agateroad-trial-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
+        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        let document_path = write(&folder, "document.json", &document.to_bytes())?;
+        let mut arguments =
+            vec!["--settings".to_owned(), settings_path, "--document".to_owned(), document_path];
+        arguments.extend(settings.arguments.iter().cloned());
+        let path = process::binary("agateroad");
+        let (process, ready): (_, ReadyLine) = ChildProcess::start(&path, &arguments)?;
+        Ok(Self { caller_address: ready.caller_address, process, folder })
+    }
+}
+
+impl Drop for GateProcess {
+    fn drop(&mut self) {
+        // A folder that is left behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn write(folder: &std::path::Path, name: &str, bytes: &[u8]) -> Result<String, TrialError> {
+    let path = folder.join(name);
+    std::fs::write(&path, bytes).context(WriteFileSnafu { path: &path })?;
+    Ok(path.to_string_lossy().into_owned())
+}
+
+impl GateSettings {
+    fn to_bytes(&self) -> Vec<u8> {
+        let settings = json!({
+            "vm_name": self.vm_name,
+            "data_centre": self.centre,
+            "caller_address": "127.0.0.1:0",
+            "control_address": "127.0.0.1:0",
+            "metrics_address": "127.0.0.1:0",
+            "platform_address": "127.0.0.1:1",
+            "peer_secrets": ["a-peer-secret-of-the-tests"],
+            "operator_secrets": ["an-operator-secret-of-the-tests"],
+            "worker_count": self.workers,
+            "log_format": "text",
+            "log_level": "warn",
+            "timeouts": self.timeouts,
+        });
+        settings.to_string().into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,20 @@
+//! Starts real processes for integration tests and benchmarks.
+//!
+//! Every process ends with the value that represents it.
+
+pub mod client;
+pub mod document;
+pub mod error;
+pub mod gate;
+pub mod process;
+pub mod stand;
+
+pub mod prelude {
+    //! The types that most tests need.
+
+    pub use crate::client::{CallAnswer, TestClient};
+    pub use crate::document::{TrialDocument, TrialService};
+    pub use crate::error::TrialError;
+    pub use crate::gate::{GateProcess, GateSettings};
+    pub use crate::stand::UpstreamProcess;
+}
--- /dev/null
+++ b/crates/trial/tests/whole_path.rs
@@ -0,0 +1,85 @@
+//! Real processes: a client, a gateway and an upstream stand-in.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use sha2::{Digest, Sha256};
+use stand::prelude::*;
+use trial::prelude::*;
+
+const NONCE_CALLS: usize = 10_000;
+const NONCE_CALLERS: usize = 64;
+const LARGE_BYTES: usize = 64 * 1024 * 1024;
+/// The most that a gateway's memory may grow while it relays large bodies.
+const GROWTH_LIMIT_KIB: u64 = 8 * 1024;
+
+struct TestBed {
+    gate: GateProcess,
+    _upstream: UpstreamProcess,
+}
+
+fn start(plan: &UpstreamPlan) -> TestBed {
+    let upstream = UpstreamProcess::start(plan).expect("the upstream starts");
+    let service = TrialService::idempotent("phase-desk", vec![("medeu", upstream.address)]);
+    let service =
+        TrialService { deadline_ms: 60_000, slots: plan.slots, connections: 960, ..service };
+    let document = TrialDocument { services: vec![service] };
+    let gate = GateProcess::start(&GateSettings::default(), &document).expect("the gateway starts");
+    TestBed { gate, _upstream: upstream }
+}
+
+/// Returns the most memory that a process has used so far.
+fn peak_memory_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a status");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
+    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
+}
+
+/// Guards against answers that reach the wrong caller.
+#[tokio::test]
+async fn every_caller_gets_its_own_answer() {
+    let plan = UpstreamPlan { slots: 64, queue_limit: 1_000, ..UpstreamPlan::default() };
+    let bed = start(&plan);
+    let address = bed.gate.caller_address;
+    let mut callers = tokio::task::JoinSet::new();
+    for caller in 0..NONCE_CALLERS {
+        callers.spawn(async move {
+            let client = TestClient::default();
+            let mut own = 0;
+            for index in (caller..NONCE_CALLS).step_by(NONCE_CALLERS) {
+                let nonce = format!("nonce-{index}");
+                let headers = [("x-test-nonce", nonce.as_str())];
+                let body = Bytes::new();
+                let answer = client
+                    .call(Method::GET, address, "phase-desk", "/phase", &headers, body)
+                    .await
+                    .expect("an answer");
+                assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+                assert_eq!(answer.header("x-test-nonce"), nonce);
+                own += 1;
+            }
+            own
+        });
+    }
+    let own: usize = callers.join_all().await.into_iter().sum();
+    assert_eq!(own, NONCE_CALLS);
+}
+
+/// Guards against damaged large bodies and against bodies that are held in memory.
+#[tokio::test]
+async fn large_bodies_stream_both_ways() {
+    let bed = start(&UpstreamPlan::default());
+    let client = TestClient::default();
+    let address = bed.gate.caller_address;
+    client.get(address, "phase-desk", "/phase").await.expect("a first answer");
+    let before = peak_memory_kib(bed.gate.process.id());
+    let body: Vec<u8> = (0..LARGE_BYTES).map(|index| (index * 31 % 251) as u8).collect();
+    let sent = Sha256::digest(&body);
+    let answer = client
+        .call(Method::POST, address, "phase-desk", "/echo", &[], Bytes::from(body))
+        .await
+        .expect("an echo");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(Sha256::digest(&answer.body), sent);
+    let after = peak_memory_kib(bed.gate.process.id());
+    assert!(after - before < GROWTH_LIMIT_KIB, "memory grew by {} KiB", after - before);
+}
