Add the fault proxy and run every stand-in as a process

Cause: tests of lost answers, silent connections, cuts and delays need the faults on the wire between any two processes.

Change: FaultProxy passes TCP connections with delay, jitter, bandwidth, cut, truncation, lost answers, refusal and silence of the connections open at that time, switched by methods or the admin listener. Tests wait for counters; tests of delays use the virtual time of tokio (feature test-util, tests only). The example runs all three stand-ins; its argument and first line are types of the library.

--- a/crates/stand/examples/stand.rs
+++ b/crates/stand/examples/stand.rs
@@ -6,40 +6,30 @@
 
 use std::error::Error;
 use std::io::Write;
-use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use stand::launch::{ReadyLine, StandChoice};
 use stand::prelude::*;
 
-/// Which stand-in to run.
-#[derive(Debug)]
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum StandChoice {
-    Upstream(UpstreamPlan),
-    Platform(PlatformPlan),
-}
-
-/// The line that is printed when the stand-in is ready.
-#[derive(Debug)]
-#[derive(Serialize)]
-struct ReadyLine {
-    address: SocketAddr,
-    admin_address: SocketAddr,
-}
-
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let argument = std::env::args().nth(1).ok_or("give the plan as a JSON argument")?;
     match serde_json::from_str(&argument)? {
         StandChoice::Upstream(plan) => {
             let stand = UpstreamStand::start(plan).await?;
-            announce(stand.address(), stand.admin_address())?;
+            let (address, admin_address) = (stand.address(), stand.admin_address());
+            announce(ReadyLine { address, admin_address })?;
             input_closed().await;
         }
         StandChoice::Platform(plan) => {
             let stand = PlatformStand::start(plan).await?;
-            announce(stand.address(), stand.admin_address())?;
+            let (address, admin_address) = (stand.address(), stand.admin_address());
+            announce(ReadyLine { address, admin_address })?;
+            input_closed().await;
+        }
+        StandChoice::Proxy(plan) => {
+            let stand = FaultProxy::start(plan).await?;
+            let (address, admin_address) = (stand.address(), stand.admin_address());
+            announce(ReadyLine { address, admin_address })?;
             input_closed().await;
         }
     }
@@ -47,9 +37,9 @@
 }
 
 /// Prints the addresses.
-fn announce(address: SocketAddr, admin_address: SocketAddr) -> Result<(), Box<dyn Error>> {
+fn announce(line: ReadyLine) -> Result<(), Box<dyn Error>> {
     let mut output = std::io::stdout().lock();
-    serde_json::to_writer(&mut output, &ReadyLine { address, admin_address })?;
+    serde_json::to_writer(&mut output, &line)?;
     writeln!(output)?;
     Ok(output.flush()?)
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -8,12 +8,15 @@
 pub mod body;
 pub mod counts;
 pub mod error;
+pub mod launch;
 pub mod member;
 pub mod noise;
 pub mod plan;
 pub mod platform;
 pub mod port;
+pub mod proxy;
 pub mod rate;
+mod relay;
 pub mod scan;
 pub mod service;
 pub mod slot;
@@ -32,6 +35,7 @@
         ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
     };
     pub use crate::platform::{PlatformCounts, PlatformOutage, PlatformPlan, PlatformStand};
+    pub use crate::proxy::{FaultProxy, ProxyCounts, ProxyPlan};
     pub use crate::service::ServiceTime;
     pub use crate::upstream::UpstreamStand;
     pub use crate::wire::PlatformMember;
--- /dev/null
+++ b/crates/stand/src/proxy.rs
@@ -0,0 +1,364 @@
+//! A TCP proxy whose faults are switched at run time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+use crate::body::StandBody;
+use crate::error::StandError;
+use crate::plan::ANY_LOOPBACK;
+use crate::port::{CutSignal, PortControl, StandPort};
+use crate::relay::{Relay, RelayEnd};
+use crate::web::{self, ConnectionCut};
+
+/// Everything that a fault proxy can be told. Absent fields take their defaults.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProxyPlan {
+    /// Where connections are accepted. Read at the start only.
+    pub listen: SocketAddr,
+    /// Where the admin interface listens. Read at the start only.
+    pub admin_listen: SocketAddr,
+    /// Where new connections are passed to.
+    pub target: SocketAddr,
+    /// Seed of the jitter. Read at the start only.
+    pub seed: u64,
+    /// Delay in each direction.
+    pub delay_ms: f64,
+    /// The most that is added to the delay; drawn evenly for each chunk, without reordering.
+    pub jitter_ms: f64,
+    /// The most bytes a second in each direction of each connection.
+    pub bytes_per_second: Option<u64>,
+    /// Resets a connection when it has passed this many bytes, both directions together.
+    pub cut_after_bytes: Option<u64>,
+    /// Ends a connection cleanly when it has passed this many bytes of answers.
+    pub truncate_after_bytes: Option<u64>,
+    /// The next answers that are lost: the connection is reset when the first bytes of the answer
+    /// arrive, so the request has been delivered.
+    pub lose_next: u64,
+    /// Refuses new connections. Those that are open stay so.
+    pub refuse: bool,
+}
+
+impl Default for ProxyPlan {
+    fn default() -> Self {
+        Self {
+            listen: ANY_LOOPBACK,
+            admin_listen: ANY_LOOPBACK,
+            target: ANY_LOOPBACK,
+            seed: 0,
+            delay_ms: 0.0,
+            jitter_ms: 0.0,
+            bytes_per_second: None,
+            cut_after_bytes: None,
+            truncate_after_bytes: None,
+            lose_next: 0,
+            refuse: false,
+        }
+    }
+}
+
+/// Counters since the start of the proxy.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default)]
+pub struct ProxyCounts {
+    /// Connections open at present, silent ones included.
+    pub connections: u64,
+    /// Connections passed to the target since the start.
+    pub accepted: u64,
+    /// Connections closed because the target could not be reached.
+    pub unreachable: u64,
+    /// Connections reset by a switch of the proxy, lost answers included.
+    pub cut: u64,
+    /// Connections that have gone silent.
+    pub silenced: u64,
+    /// Answers that were lost.
+    pub lost_answers: u64,
+    /// Connections ended by truncation.
+    pub truncated: u64,
+    /// Bytes passed to the target.
+    pub bytes_to_target: u64,
+    /// Bytes passed to callers.
+    pub bytes_to_caller: u64,
+}
+
+#[derive(Debug)]
+struct ProxyState {
+    plan: Arc<ProxyPlan>,
+    counts: ProxyCounts,
+    next_connection: u64,
+}
+
+/// State and switches of a proxy, shared by its connections.
+#[derive(Debug)]
+pub(crate) struct ProxyCore {
+    port: PortControl,
+    changed: Notify,
+    /// Connections with a lower number are silent.
+    silent_below: watch::Sender<u64>,
+    state: Mutex<ProxyState>,
+}
+
+impl ProxyCore {
+    fn new(plan: ProxyPlan, port: PortControl) -> Arc<Self> {
+        let state = ProxyState {
+            plan: Arc::new(ProxyPlan::default()),
+            counts: ProxyCounts::default(),
+            next_connection: 0,
+        };
+        let core = Arc::new(Self {
+            port,
+            changed: Notify::new(),
+            silent_below: watch::Sender::new(0),
+            state: Mutex::new(state),
+        });
+        core.set_plan(plan);
+        core
+    }
+
+    pub(crate) fn plan(&self) -> Arc<ProxyPlan> {
+        self.state.lock().plan.clone()
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut ProxyCounts)) {
+        change(&mut self.state.lock().counts);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether the answer that has just begun is lost, and counts it if so.
+    pub(crate) fn loses_answer(&self) -> bool {
+        {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            if state.plan.lose_next == 0 {
+                return false;
+            }
+            Arc::make_mut(&mut state.plan).lose_next -= 1;
+            state.counts.lost_answers += 1;
+        }
+        self.changed.notify_waiters();
+        true
+    }
+
+    fn set_plan(&self, plan: ProxyPlan) {
+        let refuses = plan.refuse;
+        self.state.lock().plan = Arc::new(plan);
+        if refuses {
+            self.port.close();
+        } else {
+            self.port.open();
+        }
+    }
+
+    fn silence(&self) {
+        let next = self.state.lock().next_connection;
+        self.silent_below.send_replace(next);
+    }
+
+    fn connect(&self) -> (u64, SocketAddr) {
+        let mut state = self.state.lock();
+        let number = state.next_connection;
+        state.next_connection += 1;
+        (number, state.plan.target)
+    }
+}
+
+/// A running fault proxy. It stops when it is dropped.
+#[derive(Debug)]
+pub struct FaultProxy {
+    core: Arc<ProxyCore>,
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    _tasks: JoinSet<()>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy in the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the two addresses cannot be bound.
+    pub async fn start(plan: ProxyPlan) -> Result<Self, StandError> {
+        let (port, control) = StandPort::open(plan.listen)?;
+        let (admin_port, admin_control) = StandPort::open(plan.admin_listen)?;
+        let (address, admin_address) = (port.address(), admin_port.address());
+        let core = ProxyCore::new(plan, control);
+        let mut tasks = JoinSet::new();
+        let relay_core = core.clone();
+        tasks.spawn(port.run(move |stream, cut| {
+            tokio::spawn(pass(relay_core.clone(), stream, cut));
+        }));
+        let admin_core = core.clone();
+        tasks.spawn(async move {
+            admin_port
+                .run(|stream, cut| {
+                    let core = admin_core.clone();
+                    tokio::spawn(web::serve(stream, cut, move |request| {
+                        administer(core.clone(), request)
+                    }));
+                })
+                .await;
+            // The port closes with its control, which therefore lives as long.
+            drop(admin_control);
+        });
+        Ok(Self { core, address, admin_address, _tasks: tasks })
+    }
+
+    /// Returns the address for connections.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the admin interface.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns the plan in force.
+    pub fn plan(&self) -> ProxyPlan {
+        (*self.core.plan()).clone()
+    }
+
+    /// Puts a plan into force, also for the connections that are open.
+    pub fn set_plan(&self, plan: ProxyPlan) {
+        self.core.set_plan(plan);
+    }
+
+    /// Changes some fields of the plan in force.
+    pub fn update(&self, change: impl FnOnce(&mut ProxyPlan)) {
+        let mut plan = self.plan();
+        change(&mut plan);
+        self.core.set_plan(plan);
+    }
+
+    /// Resets every connection.
+    pub fn cut_all(&self) {
+        self.core.port.cut();
+    }
+
+    /// Stops passing bytes on the connections that are open now. They stay open; later ones work.
+    pub fn silence_open(&self) {
+        self.core.silence();
+    }
+
+    /// Returns the counters.
+    pub fn counts(&self) -> ProxyCounts {
+        self.core.state.lock().counts.clone()
+    }
+
+    /// Waits until exactly `count` connections are open.
+    pub async fn connections(&self, count: u64) {
+        self.wait_for(|counts| counts.connections == count).await;
+    }
+
+    /// Waits until the counters meet a condition.
+    pub async fn wait_for(&self, met: impl Fn(&ProxyCounts) -> bool) {
+        loop {
+            let notified = self.core.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            if met(&self.core.state.lock().counts) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    /// Waits until the proxy accepts connections, or until it refuses them.
+    pub async fn wait_listening(&self, listening: bool) {
+        self.core.port.wait_listening(listening).await;
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.core.port.close_and_cut();
+    }
+}
+
+/// Counts an open connection.
+struct OpenMark<'a>(&'a ProxyCore);
+
+impl Drop for OpenMark<'_> {
+    fn drop(&mut self) {
+        self.0.count(|counts| counts.connections -= 1);
+    }
+}
+
+/// Passes one connection to the target.
+async fn pass(core: Arc<ProxyCore>, mut caller: TcpStream, mut cut: CutSignal) {
+    let (number, address) = core.connect();
+    let seed = core.plan().seed.wrapping_add(number);
+    let Ok(mut target) = TcpStream::connect(address).await else {
+        core.count(|counts| counts.unreachable += 1);
+        return;
+    };
+    let _ = target.set_nodelay(true);
+    core.count(|counts| {
+        counts.connections += 1;
+        counts.accepted += 1;
+    });
+    let mark = OpenMark(&core);
+    let mut silence = core.silent_below.subscribe();
+    let relay = Relay::new(&core, seed);
+    let end = tokio::select! {
+        biased;
+        () = cut.wait() => RelayEnd::Cut,
+        _ = silence.wait_for(|below| number < *below) => RelayEnd::Silent,
+        end = relay.run(&mut caller, &mut target) => end,
+    };
+    match end {
+        RelayEnd::Closed => {}
+        RelayEnd::Truncated => core.count(|counts| counts.truncated += 1),
+        RelayEnd::Cut => reset(&core, &caller, &target),
+        RelayEnd::Silent => {
+            core.count(|counts| counts.silenced += 1);
+            cut.wait().await;
+            reset(&core, &caller, &target);
+        }
+    }
+    drop((caller, target));
+    drop(mark);
+}
+
+/// Makes both ends see a reset when the streams are dropped.
+fn reset(core: &ProxyCore, caller: &TcpStream, target: &TcpStream) {
+    // An end that is closed already cannot be reset, which does no harm.
+    let _ = caller.set_zero_linger();
+    let _ = target.set_zero_linger();
+    core.count(|counts| counts.cut += 1);
+}
+
+/// Answers a call on the admin port.
+async fn administer(
+    core: Arc<ProxyCore>,
+    request: Request<Incoming>,
+) -> Result<Response<StandBody>, ConnectionCut> {
+    let (head, body) = request.into_parts();
+    let Some(body) = web::read_all(body).await else { return Err(ConnectionCut) };
+    Ok(match (&head.method, head.uri.path()) {
+        (&Method::GET, "/admin/plan") => web::json(StatusCode::OK, &*core.plan()),
+        (&Method::GET, "/admin/counts") => web::json(StatusCode::OK, &core.state.lock().counts),
+        (&Method::POST, "/admin/plan") => {
+            web::changed(web::merge(&*core.plan(), &body), |plan| core.set_plan(plan))
+        }
+        (&Method::POST, "/admin/cut") => {
+            core.port.cut();
+            web::plain(StatusCode::OK, "cut")
+        }
+        (&Method::POST, "/admin/silence") => {
+            core.silence();
+            web::plain(StatusCode::OK, "silent")
+        }
+        _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
+    })
+}
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -448,10 +448,14 @@
 
 impl SlotHold {
     /// Works for the service time and releases the slot.
-    pub(crate) async fn run(mut self) {
-        let left = self.left();
-        if left > ClockSpan::ZERO {
-            tokio::time::sleep(left.to_duration()).await;
+    pub(crate) async fn run(self) {
+        let length = self.length;
+        self.run_for(length).await;
+    }
+
+    async fn run_for(mut self, span: ClockSpan) {
+        if span > ClockSpan::ZERO {
+            tokio::time::sleep(span.to_duration()).await;
         }
         self.release();
     }
@@ -483,7 +487,8 @@
                 began: self.began,
                 persistent: false,
             };
-            runtime.spawn(rest.run());
+            let left = self.left();
+            runtime.spawn(rest.run_for(left));
         }
     }
 }
--- /dev/null
+++ b/crates/stand/tests/process.rs
@@ -0,0 +1,56 @@
+//! The example runs each stand-in as a process.
+
+mod support;
+
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+
+use stand::launch::{ReadyLine, StandChoice};
+use stand::prelude::*;
+use support::{Call, call};
+
+struct ProcessCase {
+    name: &'static str,
+    choice: StandChoice,
+    path: &'static str,
+}
+
+/// Guards against a process that does not start, does not serve, or outlives its parent.
+#[tokio::test]
+async fn processes_serve_until_their_input_closes() {
+    let upstream = UpstreamStand::start(UpstreamPlan::default()).await.unwrap();
+    let proxy = ProxyPlan { target: upstream.address(), ..Default::default() };
+    let cases = [
+        ProcessCase {
+            name: "upstream",
+            choice: StandChoice::Upstream(UpstreamPlan::default()),
+            path: "/phase/today",
+        },
+        ProcessCase {
+            name: "platform",
+            choice: StandChoice::Platform(PlatformPlan::default()),
+            path: "/v1/members",
+        },
+        ProcessCase { name: "proxy", choice: StandChoice::Proxy(proxy), path: "/phase/today" },
+    ];
+    // Test binaries are in `deps`, next to the folder of the examples.
+    let folder = std::env::current_exe().unwrap().ancestors().nth(2).unwrap().join("examples");
+    for case in cases {
+        let argument = serde_json::to_string(&case.choice).unwrap();
+        let mut child = Command::new(folder.join("stand"))
+            .arg(argument)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("run `cargo build -p agateroad-stand --example stand` first");
+        let mut line = String::new();
+        BufReader::new(child.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+        let ready: ReadyLine = serde_json::from_str(&line).expect(case.name);
+        let reply = call(ready.address, Call::get(case.path)).await.expect(case.name);
+        assert_eq!(reply.status, 200, "{}", case.name);
+        let counts = call(ready.admin_address, Call::get("/admin/counts")).await;
+        assert_eq!(counts.expect(case.name).status, 200, "{}", case.name);
+        drop(child.stdin.take());
+        assert!(child.wait().unwrap().success(), "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/stand/tests/proxy.rs
@@ -0,0 +1,264 @@
+//! Each switch of the fault proxy shows the fault that it makes.
+
+mod support;
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use stand::prelude::*;
+use support::{Call, Caller, call};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+const WORK: Call = Call::get("/phase/today");
+
+async fn pair(change: impl FnOnce(&mut ProxyPlan)) -> (UpstreamStand, FaultProxy) {
+    let upstream = UpstreamStand::start(UpstreamPlan::default()).await.unwrap();
+    let mut plan = ProxyPlan { target: upstream.address(), ..Default::default() };
+    change(&mut plan);
+    (upstream, FaultProxy::start(plan).await.unwrap())
+}
+
+struct PassCase {
+    name: &'static str,
+    change: fn(&mut ProxyPlan),
+    call: Call,
+    /// Length of the body of a whole answer.
+    body: Option<usize>,
+    executed: u64,
+    check: fn(&ProxyCounts) -> bool,
+}
+
+/// Guards against a switch without effect, and against faults before the request is delivered.
+#[tokio::test]
+async fn answers_meet_the_fault() {
+    let cases = [
+        PassCase {
+            name: "no fault",
+            change: |_| {},
+            call: Call::get("/bytes/300000"),
+            body: Some(300_000),
+            executed: 1,
+            check: |counts| {
+                counts.bytes_to_caller > 300_000 && counts.bytes_to_target > 0 && counts.cut == 0
+            },
+        },
+        PassCase {
+            name: "cut after a number of bytes",
+            change: |plan| plan.cut_after_bytes = Some(100_000),
+            call: Call::get("/bytes/300000"),
+            body: None,
+            executed: 1,
+            check: |counts| {
+                counts.cut == 1 && counts.bytes_to_caller + counts.bytes_to_target == 100_000
+            },
+        },
+        PassCase {
+            name: "cut before the request is complete",
+            change: |plan| plan.cut_after_bytes = Some(10),
+            call: WORK,
+            body: None,
+            executed: 0,
+            check: |counts| counts.cut == 1 && counts.bytes_to_target == 10,
+        },
+        PassCase {
+            name: "truncated answer",
+            change: |plan| plan.truncate_after_bytes = Some(100_000),
+            call: Call::get("/bytes/300000"),
+            body: None,
+            executed: 1,
+            check: |counts| counts.truncated == 1 && counts.bytes_to_caller == 100_000,
+        },
+        PassCase {
+            name: "lost answer",
+            change: |plan| plan.lose_next = 1,
+            call: WORK,
+            body: None,
+            executed: 1,
+            check: |counts| counts.lost_answers == 1 && counts.bytes_to_caller == 0,
+        },
+        PassCase {
+            name: "unreachable target",
+            // Port 1 of the loopback address has no listener.
+            change: |plan| plan.target = "127.0.0.1:1".parse().unwrap(),
+            call: WORK,
+            body: None,
+            executed: 0,
+            check: |counts| counts.unreachable == 1,
+        },
+    ];
+    for case in cases {
+        let (upstream, proxy) = pair(case.change).await;
+        let reply = call(proxy.address(), case.call).await;
+        assert_eq!(reply.map(|reply| reply.body.len()), case.body, "{}", case.name);
+        proxy.connections(0).await;
+        assert_eq!(upstream.counts().executed, case.executed, "{}", case.name);
+        let counts = proxy.counts();
+        assert!((case.check)(&counts), "{}: {counts:?}", case.name);
+    }
+}
+
+struct EndCase {
+    name: &'static str,
+    change: fn(&mut ProxyPlan),
+    error: Option<ErrorKind>,
+}
+
+/// Guards against a truncation that is visible as a reset, and a cut that looks like a clean end.
+#[tokio::test]
+async fn truncation_ends_cleanly_and_cuts_do_not() {
+    let cases = [
+        EndCase {
+            name: "truncated",
+            change: |plan| plan.truncate_after_bytes = Some(50),
+            error: None,
+        },
+        EndCase {
+            name: "cut",
+            change: |plan| plan.cut_after_bytes = Some(50),
+            error: Some(ErrorKind::ConnectionReset),
+        },
+    ];
+    for case in cases {
+        let (_upstream, proxy) = pair(case.change).await;
+        let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+        stream.write_all(b"GET /x HTTP/1.1\r\nhost: t\r\n\r\n").await.unwrap();
+        let mut answer = Vec::new();
+        let end = stream.read_to_end(&mut answer).await;
+        assert_eq!(end.as_ref().err().map(|error| error.kind()), case.error, "{}", case.name);
+        if case.error.is_none() {
+            assert_eq!(answer.len(), 50, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a lost answer that also breaks the calls after it.
+#[tokio::test]
+async fn one_answer_is_lost() {
+    let (upstream, proxy) = pair(|_| {}).await;
+    let mut caller = Caller::connect(proxy.address()).await.unwrap();
+    assert!(caller.call(WORK).await.is_some());
+    proxy.update(|plan| plan.lose_next = 1);
+    assert!(caller.call(WORK).await.is_none());
+    assert!(call(proxy.address(), WORK).await.is_some());
+    assert_eq!(upstream.counts().executed, 3);
+}
+
+/// Guards against silence that spreads to new connections or closes the old ones.
+#[tokio::test]
+async fn open_connections_go_silent() {
+    let (upstream, proxy) = pair(|_| {}).await;
+    let mut old = Caller::connect(proxy.address()).await.unwrap();
+    assert!(old.call(WORK).await.is_some());
+    proxy.silence_open();
+    proxy.wait_for(|counts| counts.silenced == 1).await;
+    let stalled = tokio::spawn(async move { old.call(WORK).await });
+    let mut new = Caller::connect(proxy.address()).await.unwrap();
+    for _ in 0..10 {
+        assert!(new.call(WORK).await.is_some());
+    }
+    assert!(!stalled.is_finished());
+    proxy.connections(2).await;
+    assert_eq!(upstream.counts().executed, 11);
+    proxy.cut_all();
+    assert!(stalled.await.unwrap().is_none());
+    assert!(new.call(WORK).await.is_none());
+    proxy.connections(0).await;
+}
+
+/// Guards against a cut that misses a connection or outlasts itself.
+#[tokio::test]
+async fn all_connections_are_cut() {
+    let (_upstream, proxy) = pair(|_| {}).await;
+    let mut callers = Vec::new();
+    for _ in 0..3 {
+        let mut caller = Caller::connect(proxy.address()).await.unwrap();
+        assert!(caller.call(WORK).await.is_some());
+        callers.push(caller);
+    }
+    proxy.connections(3).await;
+    proxy.cut_all();
+    proxy.connections(0).await;
+    for caller in &mut callers {
+        assert!(caller.call(WORK).await.is_none());
+    }
+    assert!(call(proxy.address(), WORK).await.is_some());
+    assert_eq!(proxy.counts().cut, 3);
+}
+
+/// Guards against a refusal that cuts open connections or lets new ones in.
+#[tokio::test]
+async fn new_connections_are_refused() {
+    let (_upstream, proxy) = pair(|_| {}).await;
+    let mut old = Caller::connect(proxy.address()).await.unwrap();
+    assert!(old.call(WORK).await.is_some());
+    proxy.update(|plan| plan.refuse = true);
+    proxy.wait_listening(false).await;
+    assert!(Caller::connect(proxy.address()).await.is_none());
+    assert!(old.call(WORK).await.is_some());
+    proxy.update(|plan| plan.refuse = false);
+    proxy.wait_listening(true).await;
+    assert!(call(proxy.address(), WORK).await.is_some());
+}
+
+struct DelayCase {
+    name: &'static str,
+    change: fn(&mut ProxyPlan),
+    call: Call,
+    least: Duration,
+}
+
+/// Guards against a delay that is not made, and against bytes that overtake each other. Time is
+/// virtual: it only passes while every task waits.
+#[tokio::test(start_paused = true)]
+async fn bytes_are_delayed_in_order() {
+    let cases = [
+        DelayCase {
+            name: "delay in both directions",
+            change: |plan| plan.delay_ms = 10_000.0,
+            call: Call::post("/echo", "0123456789"),
+            least: Duration::from_secs(20),
+        },
+        DelayCase {
+            name: "jitter",
+            change: |plan| {
+                plan.delay_ms = 1000.0;
+                plan.jitter_ms = 1000.0;
+            },
+            call: Call::post("/echo", "0123456789"),
+            least: Duration::from_secs(2),
+        },
+        DelayCase {
+            name: "bandwidth",
+            change: |plan| plan.bytes_per_second = Some(10),
+            call: Call::post("/echo", "0123456789"),
+            least: Duration::from_secs(2),
+        },
+    ];
+    for case in cases {
+        let (_upstream, proxy) = pair(case.change).await;
+        let start = Instant::now();
+        let reply = call(proxy.address(), case.call).await.expect(case.name);
+        assert_eq!(reply.body, case.call.body, "{}", case.name);
+        assert!(start.elapsed() >= case.least, "{}: {:?}", case.name, start.elapsed());
+    }
+}
+
+/// Guards against admin calls without effect.
+#[tokio::test]
+async fn admin_switches_faults() {
+    let (_upstream, proxy) = pair(|_| {}).await;
+    let admin = proxy.admin_address();
+    for path in ["/admin/cut", "/admin/silence"] {
+        let mut caller = Caller::connect(proxy.address()).await.unwrap();
+        assert!(caller.call(WORK).await.is_some());
+        assert_eq!(call(admin, Call::post(path, "")).await.unwrap().status, 200);
+    }
+    proxy.wait_for(|counts| counts.cut == 1 && counts.silenced == 1).await;
+    let change = Call::post("/admin/plan", r#"{"lose_next":1}"#);
+    assert_eq!(call(admin, change).await.unwrap().status, 200);
+    assert!(call(proxy.address(), WORK).await.is_none());
+    let counts = call(admin, Call::get("/admin/counts")).await.unwrap().json();
+    assert_eq!(counts["lost_answers"], 1);
+}
--- a/crates/stand/tests/upstream.rs
+++ b/crates/stand/tests/upstream.rs
@@ -418,3 +418,13 @@
     assert_eq!(counts.json()["failed_fast"], 1);
     assert_eq!(serde_json::from_slice::<UpstreamCounts>(&counts.body).unwrap(), stand.counts());
 }
+
+/// Guards against a service time that is counted but not spent. Time is virtual.
+#[tokio::test(start_paused = true)]
+async fn service_takes_its_time() {
+    let plan = UpstreamPlan { service: ServiceTime::Fixed { ms: 60_000.0 }, ..Default::default() };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    let start = tokio::time::Instant::now();
+    assert!(call(stand.address(), WORK).await.is_some());
+    assert!(start.elapsed().as_secs() >= 60, "{:?}", start.elapsed());
+}
