Test the limits of lists and names

Upper limits of lists, names and path prefixes had no test. The table checks that the largest value is accepted and the next one is reported.

--- a/crates/border/tests/common/mod.rs
+++ b/crates/border/tests/common/mod.rs
@@ -14,7 +14,7 @@
 pub type Edit = (&'static str, &'static str);
 
 /// Returns `document` with the edits applied in order.
-pub fn edited(document: &[u8], edits: &[Edit]) -> Vec<u8> {
+pub fn edited(document: &[u8], edits: &[(&str, &str)]) -> Vec<u8> {
     let mut root: Value = serde_json::from_slice(document).unwrap();
     for (pointer, json) in edits {
         let (parent, last) = pointer.rsplit_once('/').unwrap();
@@ -83,7 +83,7 @@
 }
 
 /// Returns a JSON pointer in the notation of problems, such as `links[0].to`.
-fn json_path(pointer: &str) -> String {
+pub fn json_path(pointer: &str) -> String {
     let mut path = String::new();
     for part in pointer.split('/').skip(1) {
         let separator = if path.is_empty() { "" } else { "." };
--- a/crates/border/tests/document.rs
+++ b/crates/border/tests/document.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use border::{document_digest, load_document};
-use common::{ALMATY, RejectedCase, VITI, at_field, at_paths, report_rejections};
+use common::{
+    ALMATY, RejectedCase, VITI, at_field, at_paths, edited, json_path, report_rejections,
+};
 use world::prelude::*;
 
 struct ExampleCase {
@@ -322,6 +324,59 @@
     }
 }
 
+struct LimitCase {
+    pointer: &'static str,
+    limit: usize,
+    /// Returns a value of the given size.
+    value: fn(usize) -> String,
+}
+
+fn list_of(size: usize, entry: impl Fn(usize) -> String) -> String {
+    let entries: Vec<String> = (0..size).map(entry).collect();
+    format!("[{}]", entries.join(","))
+}
+
+/// Guards against limits that differ from `docs/configuration.md`, and against lists and names that
+/// make every request slow.
+#[test]
+fn lists_and_names_are_limited() {
+    let limit_case = |pointer, limit, value| LimitCase { pointer, limit, value };
+    let cases = [
+        limit_case("/name", 63, |size| format!("{:?}", "n".repeat(size))),
+        limit_case("/services/1/hosts", 32, |size| list_of(size, |i| format!("\"h{i}\""))),
+        limit_case("/services/1/path_prefixes", 32, |size| {
+            list_of(size, |index| format!("\"/bookings/{index}/\""))
+        }),
+        limit_case("/services/1/path_prefixes/0", 256, |size| {
+            format!("\"/bookings{}\"", "x".repeat(size - "/bookings".len()))
+        }),
+        limit_case("/services/1/rules", 64, |size| {
+            list_of(size, |index| match index {
+                0 => r#"{"path_prefix":"/bookings/0"}"#.to_owned(),
+                _ if index + 1 == size => "{}".to_owned(),
+                _ => format!(r#"{{"method":"PUT","path_prefix":"/bookings/{}"}}"#, index + 100),
+            })
+        }),
+        limit_case("/data_centres", 64, |size| {
+            let names = ["medeu", "bostandyk", "auezov"];
+            list_of(size, |index| {
+                let spare = format!("spare-{index}");
+                let name = names.get(index).map_or(spare.as_str(), |name| name);
+                format!(r#"{{"name":"{name}","region":"r"}}"#)
+            })
+        }),
+    ];
+    for case in cases {
+        let problems = |size| {
+            let document = edited(ALMATY, &[(case.pointer, &(case.value)(size))]);
+            let problems = load_document(&document, 1).err().map(|error| error.to_problems());
+            let path = json_path(case.pointer);
+            problems.unwrap_or_default().iter().filter(|problem| problem.path == path).count()
+        };
+        assert_eq!((problems(case.limit), problems(case.limit + 1)), (0, 1), "{}", case.pointer);
+    }
+}
+
 /// Guards against unbounded input: the limit is 1 MiB.
 #[test]
 fn size_is_limited() {
