--- a/crates/border/src/centre.rs
+++ b/crates/border/src/centre.rs
@@ -64,7 +64,8 @@
     pub(crate) fn links(&self, entries: &[LinkEntry], problems: &mut ProblemList) -> Vec<LinkCost> {
         let list = FieldPath::top("links");
         field::length(&list, entries.len(), 0..=MAX_LINKS, problems);
-        let mut pairs = UniqueValues::new("keep one link for each pair, which holds in both ways");
+        let mut pairs =
+            UniqueValues::new("keep one link for each pair, which holds in both directions");
         let mut links = Vec::with_capacity(entries.len());
         for (index, entry) in entries.iter().enumerate() {
             let path = list.item(index);
--- a/crates/border/tests/settings.rs
+++ b/crates/border/tests/settings.rs
@@ -73,7 +73,7 @@
     at_field("unknown log level", "/log_level", r#""loud""#),
     at_field("no time to connect", "/timeouts/connect_ms", "0"),
     at_field("time above an hour", "/timeouts/leave_ms", "3600001"),
-    at_field("unknown timeout", "/timeouts/tea_ms", "1"),
+    at_field("unknown timeout", "/timeouts/dial_ms", "1"),
     at_field("list for timeouts", "/timeouts", "[1, 2, 3, 4, 5, 6, 7, 8]"),
     at_paths(
         "several problems",
