Add the platform store trait, wire types and the in-memory store

Cause: claims, configuration and the platform stand-in need one interface to build on. Change: PlatformStore with done, conflict, not done and unknown as separate results, serde types of the protocol, and MemoryStore with switches for an outage, lost responses, lost requests and latency. Conclusion: other crates can build against the trait.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,11 @@
 //! Access to the platform's table service, object store and membership list.
+//!
+//! [`store::PlatformStore`] is the interface, and [`wire`] holds the bodies of the protocol that
+//! `docs/platform.md` describes.
+
+pub mod digest;
+pub mod memory;
+pub mod prelude;
+pub mod row;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,258 @@
+//! A store in memory, for tests and for the stand-in of the platform.
+
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use parking_lot::Mutex;
+
+use crate::digest::content_digest;
+use crate::row::{RowConflict, RowEntry, RowKey, RowWrite, ScanRow};
+use crate::store::{MemberEntry, MemberList, PlatformStore, StoreError, TransactOutcome};
+use crate::wire::{TransactRequest, TransactResponse};
+
+/// Calls that a store has received.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreCounts {
+    /// Transactions.
+    pub transactions: u64,
+    /// Writes in committed transactions.
+    pub rows_written: u64,
+    /// Reads and scans.
+    pub reads: u64,
+    /// Objects stored or fetched.
+    pub objects: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreTables {
+    rows: BTreeMap<RowKey, RowEntry>,
+    attempts: HashMap<SharedName, Vec<u64>>,
+    objects: HashMap<SharedName, Bytes>,
+    members: MemberList,
+    last_version: u64,
+    outage: bool,
+    lost_responses: u32,
+    lost_requests: u32,
+    latency: ClockSpan,
+    counts: StoreCounts,
+}
+
+/// A store in memory. Clones share their contents.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    // A leaf lock: no other lock is taken while it is held.
+    tables: Arc<Mutex<StoreTables>>,
+}
+
+impl MemoryStore {
+    /// Returns an empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes every call fail without effect, or ends that.
+    pub fn set_outage(&self, outage: bool) {
+        self.tables.lock().outage = outage;
+    }
+
+    /// Makes the next `count` transactions commit or conflict as usual, but answer as unknown.
+    pub fn lose_responses(&self, count: u32) {
+        self.tables.lock().lost_responses = count;
+    }
+
+    /// Makes the next `count` transactions have no effect and answer as unknown.
+    pub fn lose_requests(&self, count: u32) {
+        self.tables.lock().lost_requests = count;
+    }
+
+    /// Sets the time that every call takes, measured by the runtime's clock.
+    pub fn set_latency(&self, latency: ClockSpan) {
+        self.tables.lock().latency = latency;
+    }
+
+    /// Replaces the membership list.
+    pub fn set_members(&self, members: Vec<MemberEntry>, age: ClockSpan) {
+        self.tables.lock().members = MemberList { members, age };
+    }
+
+    /// Returns the calls received so far.
+    pub fn counts(&self) -> StoreCounts {
+        self.tables.lock().counts
+    }
+
+    /// Applies a transaction at once, without latency or faults.
+    pub fn apply(&self, request: &TransactRequest) -> TransactResponse {
+        self.tables.lock().apply(request)
+    }
+
+    /// Reads rows at once, without latency or faults.
+    pub fn rows(&self, places: &[RowKey]) -> Vec<Option<RowEntry>> {
+        let mut tables = self.tables.lock();
+        tables.counts.reads += 1;
+        places.iter().map(|place| tables.rows.get(place).cloned()).collect()
+    }
+
+    /// Scans a table at once, without latency or faults.
+    pub fn scan_rows(&self, table: &str, after: &str, limit: usize) -> Vec<ScanRow> {
+        let mut tables = self.tables.lock();
+        tables.counts.reads += 1;
+        let start = Bound::Excluded(RowKey::new(table, after));
+        tables
+            .rows
+            .range((start, Bound::Unbounded))
+            .take_while(|(place, _)| place.table == *table)
+            .take(limit)
+            .map(|(place, entry)| ScanRow {
+                key: place.key.clone(),
+                version: entry.version,
+                value: entry.value.clone(),
+            })
+            .collect()
+    }
+
+    /// Stores an object at once if its bytes match `digest`, and returns whether they do.
+    pub fn insert_object(&self, digest: &SharedName, bytes: Bytes) -> bool {
+        let mut tables = self.tables.lock();
+        tables.counts.objects += 1;
+        let matches = content_digest(&bytes) == *digest;
+        if matches {
+            tables.objects.insert(digest.clone(), bytes);
+        }
+        matches
+    }
+
+    /// Returns an object at once, without latency or faults.
+    pub fn object(&self, digest: &str) -> Option<Bytes> {
+        let mut tables = self.tables.lock();
+        tables.counts.objects += 1;
+        tables.objects.get(digest).cloned()
+    }
+
+    /// Returns the membership list at once.
+    pub fn member_list(&self) -> MemberList {
+        self.tables.lock().members.clone()
+    }
+
+    async fn admit(&self) -> Result<(), StoreError> {
+        let latency = self.tables.lock().latency;
+        if latency > ClockSpan::ZERO {
+            tokio::time::sleep(latency.to_duration()).await;
+        }
+        if self.tables.lock().outage {
+            return Err(StoreError::Unavailable { reason: "outage".to_owned() });
+        }
+        Ok(())
+    }
+
+    fn transact_with_faults(&self, request: &TransactRequest) -> TransactOutcome {
+        let lost = StoreError::Unavailable { reason: "response lost".to_owned() };
+        let mut tables = self.tables.lock();
+        if tables.lost_requests > 0 {
+            tables.lost_requests -= 1;
+            return TransactOutcome::Unknown { error: lost };
+        }
+        let response = tables.apply(request);
+        if tables.lost_responses > 0 {
+            tables.lost_responses -= 1;
+            return TransactOutcome::Unknown { error: lost };
+        }
+        if response.committed {
+            TransactOutcome::Done { versions: response.versions }
+        } else {
+            TransactOutcome::Conflict { conflicts: response.conflicts }
+        }
+    }
+}
+
+impl StoreTables {
+    fn apply(&mut self, request: &TransactRequest) -> TransactResponse {
+        self.counts.transactions += 1;
+        if let Some(versions) = self.attempts.get(&request.attempt) {
+            return committed(versions.clone());
+        }
+        let conflicts = self.conflicts(&request.writes);
+        if !conflicts.is_empty() {
+            return TransactResponse { committed: false, versions: Vec::new(), conflicts };
+        }
+        let versions: Vec<u64> = request.writes.iter().map(|write| self.write(write)).collect();
+        self.attempts.insert(request.attempt.clone(), versions.clone());
+        committed(versions)
+    }
+
+    fn conflicts(&self, writes: &[RowWrite]) -> Vec<RowConflict> {
+        let mut conflicts = Vec::new();
+        for (index, write) in writes.iter().enumerate() {
+            let entry = self.rows.get(&write.place());
+            let version = entry.map(|entry| entry.version);
+            if !write.expect.admits(version) {
+                let value = entry.map(|entry| entry.value.clone());
+                conflicts.push(RowConflict { index, version, value });
+            }
+        }
+        conflicts
+    }
+
+    fn write(&mut self, write: &RowWrite) -> u64 {
+        self.counts.rows_written += 1;
+        let place = write.place();
+        let Some(value) = write.value.clone() else {
+            self.rows.remove(&place);
+            return 0;
+        };
+        // One counter for all rows, so that a version is not used again after a deletion.
+        self.last_version += 1;
+        self.rows.insert(place, RowEntry { version: self.last_version, value });
+        self.last_version
+    }
+}
+
+fn committed(versions: Vec<u64>) -> TransactResponse {
+    TransactResponse { committed: true, versions, conflicts: Vec::new() }
+}
+
+impl PlatformStore for MemoryStore {
+    async fn transact(&self, attempt: &SharedName, writes: Vec<RowWrite>) -> TransactOutcome {
+        let request = TransactRequest { attempt: attempt.clone(), writes };
+        match self.admit().await {
+            Ok(()) => self.transact_with_faults(&request),
+            Err(error) => TransactOutcome::NotDone { error },
+        }
+    }
+
+    async fn read(&self, rows: Vec<RowKey>) -> Result<Vec<Option<RowEntry>>, StoreError> {
+        self.admit().await?;
+        Ok(self.rows(&rows))
+    }
+
+    async fn scan(
+        &self,
+        table: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<ScanRow>, StoreError> {
+        self.admit().await?;
+        Ok(self.scan_rows(table, after, limit))
+    }
+
+    async fn put_object(&self, digest: &SharedName, bytes: Bytes) -> Result<(), StoreError> {
+        self.admit().await?;
+        if self.insert_object(digest, bytes) {
+            return Ok(());
+        }
+        let message = format!("bytes do not match digest {digest}");
+        Err(StoreError::Rejected { status: 400, message })
+    }
+
+    async fn load_object(&self, digest: &SharedName) -> Result<Option<Bytes>, StoreError> {
+        self.admit().await?;
+        Ok(self.object(digest))
+    }
+
+    async fn members(&self) -> Result<MemberList, StoreError> {
+        self.admit().await?;
+        Ok(self.member_list())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/row.rs
@@ -0,0 +1,133 @@
+//! Rows of the table service.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The place of a row.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub struct RowKey {
+    /// The table.
+    pub table: SharedName,
+    /// The key within the table.
+    pub key: SharedName,
+}
+
+impl RowKey {
+    /// Returns the place `key` in `table`.
+    pub fn new(table: &str, key: &str) -> Self {
+        Self { table: SharedName::from(table), key: SharedName::from(key) }
+    }
+}
+
+/// What a write requires of the row that it replaces.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RowExpect {
+    /// Nothing.
+    #[default]
+    Any,
+    /// The row does not exist.
+    Absent,
+    /// The row exists with this version.
+    Version(u64),
+}
+
+impl RowExpect {
+    /// Returns whether a row with `version`, or no row, meets the condition.
+    pub fn admits(self, version: Option<u64>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Absent => version.is_none(),
+            Self::Version(expected) => version == Some(expected),
+        }
+    }
+
+    fn is_any(&self) -> bool {
+        *self == Self::Any
+    }
+}
+
+// On the wire the condition is a number, null for an absent row, or no field at all.
+impl Serialize for RowExpect {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Self::Version(version) => serializer.serialize_u64(*version),
+            Self::Any | Self::Absent => serializer.serialize_none(),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for RowExpect {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Option::<u64>::deserialize(deserializer)?.map_or(Self::Absent, Self::Version))
+    }
+}
+
+/// One write of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RowWrite {
+    /// The table.
+    pub table: SharedName,
+    /// The key within the table.
+    pub key: SharedName,
+    /// What the row must be for the transaction to commit.
+    #[serde(default, skip_serializing_if = "RowExpect::is_any")]
+    pub expect: RowExpect,
+    /// The new value, or `None` to delete the row.
+    pub value: Option<Value>,
+}
+
+impl RowWrite {
+    /// Returns a write of `value` to `place` on the condition `expect`.
+    pub fn put(place: &RowKey, expect: RowExpect, value: Value) -> Self {
+        let RowKey { table, key } = place.clone();
+        Self { table, key, expect, value: Some(value) }
+    }
+
+    /// Returns a deletion of `place` on the condition `expect`.
+    pub fn delete(place: &RowKey, expect: RowExpect) -> Self {
+        let RowKey { table, key } = place.clone();
+        Self { table, key, expect, value: None }
+    }
+
+    /// Returns the place that is written.
+    pub fn place(&self) -> RowKey {
+        RowKey { table: self.table.clone(), key: self.key.clone() }
+    }
+}
+
+/// A row as it was read.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RowEntry {
+    /// The version, which differs after every write and is never used again for the same key.
+    pub version: u64,
+    /// The value.
+    pub value: Value,
+}
+
+/// A row as it was scanned.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ScanRow {
+    /// The key within the table.
+    pub key: SharedName,
+    /// The version.
+    pub version: u64,
+    /// The value.
+    pub value: Value,
+}
+
+/// A row that kept a transaction from committing.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RowConflict {
+    /// The position of the write in the transaction.
+    pub index: usize,
+    /// The version found, or `None` if there is no row.
+    pub version: Option<u64>,
+    /// The value found, or `None` if there is no row.
+    pub value: Option<Value>,
+}
