Add the HTTP adapter of the platform with breaker and budget

Cause: the gateway reaches the platform over HTTP, where answers are lost, malformed or late. Change: HttpStore with timeouts, fresh connections after silence or an error, a circuit breaker with jittered trials and a read and write budget. A lost answer is resolved by repeating the attempt id without writes, which also keeps the first request from committing later. Conclusion: 18 kinds of bad answers end with the outcome that the store has.

--- /dev/null
+++ b/crates/platform/src/connection.rs
@@ -0,0 +1,135 @@
+//! One HTTP/1.1 connection to the platform.
+
+use std::net::SocketAddr;
+
+use ::http::{Method, Request, StatusCode, header};
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::store::StoreError;
+
+/// A call in the form in which it is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreCall {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+}
+
+/// A complete answer.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no complete answer.
+#[derive(Clone, Debug)]
+pub(crate) struct CallFailure {
+    /// Whether the platform may have received the call.
+    pub(crate) sent: bool,
+    /// Whether this VM refused to make the call.
+    pub(crate) refused: bool,
+    pub(crate) error: StoreError,
+}
+
+impl CallFailure {
+    pub(crate) fn sent(error: StoreError) -> Self {
+        Self { sent: true, refused: false, error }
+    }
+
+    pub(crate) fn refused(error: StoreError) -> Self {
+        Self { sent: false, refused: true, error }
+    }
+
+    fn unsent(reason: String) -> Self {
+        Self { sent: false, refused: false, error: StoreError::Unavailable { reason } }
+    }
+
+    fn lost(reason: String) -> Self {
+        Self::sent(StoreError::Unavailable { reason })
+    }
+}
+
+/// An open connection with no call in flight.
+#[derive(Debug)]
+pub(crate) struct StoreConnection {
+    sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl StoreConnection {
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        timeout: ClockSpan,
+    ) -> Result<Self, CallFailure> {
+        let opening = async {
+            let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+            stream.set_nodelay(true).map_err(|error| error.to_string())?;
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())
+        };
+        let (sender, driver) = tokio::time::timeout(timeout.to_duration(), opening)
+            .await
+            .map_err(|_| CallFailure::unsent("connecting timed out".to_owned()))?
+            .map_err(CallFailure::unsent)?;
+        // The driver ends when the sender is dropped or the peer closes the connection.
+        tokio::spawn(async move {
+            let _ = driver.await;
+        });
+        Ok(Self { sender, address })
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        call: StoreCall,
+        timeout: ClockSpan,
+        limit: usize,
+    ) -> Result<StoreAnswer, CallFailure> {
+        let request = self.request(call)?;
+        let exchange = async {
+            let response = self.sender.try_send_request(request).await.map_err(|mut failed| {
+                let reason = failed.error().to_string();
+                // The request comes back if none of it was written.
+                match failed.take_message() {
+                    Some(_) => CallFailure::unsent(reason),
+                    None => CallFailure::lost(reason),
+                }
+            })?;
+            answer(response, limit).await
+        };
+        tokio::time::timeout(timeout.to_duration(), exchange)
+            .await
+            .unwrap_or_else(|_| Err(CallFailure::lost("call timed out".to_owned())))
+    }
+
+    fn request(&self, call: StoreCall) -> Result<Request<Full<Bytes>>, CallFailure> {
+        Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(|error| CallFailure::unsent(error.to_string()))
+    }
+}
+
+async fn answer(
+    response: ::http::Response<Incoming>,
+    limit: usize,
+) -> Result<StoreAnswer, CallFailure> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), limit)
+        .collect()
+        .await
+        .map_err(|error| CallFailure::lost(error.to_string()))?;
+    Ok(StoreAnswer { status, body: body.to_bytes() })
+}
--- /dev/null
+++ b/crates/platform/tests/http.rs
@@ -0,0 +1,250 @@
+//! The HTTP adapter against servers that misbehave.
+
+use base::prelude::*;
+use bytes::Bytes;
+use platform::prelude::*;
+use platform::wire::TransactRequest;
+use serde_json::json;
+
+mod script;
+use script::{ScriptServer, ScriptStep};
+
+const MINUTE: ClockSpan = ClockSpan::from_secs(60);
+
+fn settings(server: &ScriptServer) -> HttpSettings {
+    let mut settings = HttpSettings::new(server.address, 1);
+    settings.connect_timeout = MINUTE;
+    settings.call_timeout = MINUTE;
+    settings.idle_limit = MINUTE;
+    settings.budget.longest_wait = MINUTE;
+    settings.budget.writes_per_second = 1e6;
+    settings.breaker.failures = 100;
+    settings
+}
+
+fn writes() -> Vec<RowWrite> {
+    vec![RowWrite::put(&RowKey::new("t", "k"), RowExpect::Absent, json!({"n": 1}))]
+}
+
+fn row_exists(server: &ScriptServer) -> bool {
+    server.store.rows(&[RowKey::new("t", "k")])[0].is_some()
+}
+
+fn kind(outcome: &TransactOutcome) -> &'static str {
+    match outcome {
+        TransactOutcome::Done { .. } => "done",
+        TransactOutcome::Conflict { .. } => "conflict",
+        TransactOutcome::NotDone { error: StoreError::Rejected { .. } } => "rejected",
+        TransactOutcome::NotDone { error: StoreError::Throttled { .. } } => "throttled",
+        TransactOutcome::NotDone { .. } => "not done",
+        TransactOutcome::Unknown { .. } => "unknown",
+    }
+}
+
+struct TransactCase {
+    name: &'static str,
+    steps: &'static [ScriptStep],
+    result: &'static str,
+    row: bool,
+    requests: usize,
+}
+
+/// Guards against a transaction that was applied being taken for one that was not, and the other
+/// way round, when the answer is malformed, cut or missing.
+#[tokio::test]
+async fn transactions_end_with_the_outcome_that_the_store_has() {
+    use ScriptStep::*;
+    const NO_VERSIONS: &str = r#"{"committed":true,"versions":[]}"#;
+    const NO_CONFLICTS: &str = r#"{"committed":false,"conflicts":[]}"#;
+    const FAR_CONFLICT: &str =
+        r#"{"committed":false,"conflicts":[{"index":7,"version":1,"value":null}]}"#;
+    let case =
+        |name, steps, result, row, requests| TransactCase { name, steps, result, row, requests };
+    let cases = [
+        case("served", &[Serve] as &[_], "done", true, 1),
+        case("malformed after commit", &[ServeThenAnswer(200, "{")], "done", true, 2),
+        case("malformed without commit", &[Answer(200, "{")], "not done", false, 2),
+        case("wrong shape", &[Answer(200, r#"{"ok":1}"#)], "not done", false, 2),
+        case("versions missing", &[Answer(200, NO_VERSIONS)], "not done", false, 2),
+        case("conflicts missing", &[Answer(409, NO_CONFLICTS)], "not done", false, 2),
+        case("conflict out of range", &[Answer(409, FAR_CONFLICT)], "not done", false, 2),
+        case("cut before", &[Cut], "not done", false, 2),
+        case("cut after commit", &[ServeThenCut], "done", true, 2),
+        case("cut in the answer", &[ServeThenTruncate], "done", true, 2),
+        case("not http", &[Garbage], "not done", false, 2),
+        case("500 after commit", &[ServeThenAnswer(500, "")], "done", true, 2),
+        case("503 without commit", &[Answer(503, "")], "not done", false, 2),
+        case("400", &[Answer(400, "no such table")], "rejected", false, 1),
+        case("429", &[Answer(429, "")], "throttled", false, 1),
+        case("resolved at second try", &[ServeThenCut, Cut], "done", true, 3),
+        case("never resolved", &[ServeThenCut, Cut, Cut], "unknown", true, 3),
+        case("resolved with nonsense", &[Cut, Answer(409, NO_CONFLICTS), Cut], "unknown", false, 3),
+    ];
+    for case in cases {
+        let server = ScriptServer::start(case.steps).await;
+        let store = HttpStore::new(settings(&server), RealClock::new());
+        let outcome = store.transact(&"a1".into(), writes()).await;
+        assert_eq!(kind(&outcome), case.result, "{}: {outcome:?}", case.name);
+        assert_eq!(row_exists(&server), case.row, "{}", case.name);
+        assert_eq!(server.seen().len(), case.requests, "{}: {:?}", case.name, server.seen());
+    }
+}
+
+/// Guards against a delayed transaction committing after its caller was told that it did not.
+#[tokio::test]
+async fn resolved_transaction_cannot_commit_later() {
+    let server = ScriptServer::start(&[ScriptStep::Cut]).await;
+    let store = HttpStore::new(settings(&server), RealClock::new());
+    let outcome = store.transact(&"late".into(), writes()).await;
+    assert_eq!(kind(&outcome), "not done");
+    let delayed = TransactRequest { attempt: "late".into(), writes: writes() };
+    server.store.apply(&delayed);
+    assert!(!row_exists(&server));
+}
+
+struct HangCase {
+    name: &'static str,
+    step: ScriptStep,
+    result: &'static str,
+}
+
+/// Guards against a call that waits without end for a store that does not answer.
+#[tokio::test]
+async fn unanswered_transactions_time_out_and_are_resolved() {
+    let cases = [
+        HangCase { name: "after commit", step: ScriptStep::ServeThenHang, result: "done" },
+        HangCase { name: "without commit", step: ScriptStep::Hang, result: "not done" },
+    ];
+    for case in cases {
+        let server = ScriptServer::start(&[case.step]).await;
+        let store = HttpStore::new(settings(&server), RealClock::new());
+        let call = tokio::spawn(async move { store.transact(&"a1".into(), writes()).await });
+        server.hung.notified().await;
+        tokio::time::pause();
+        tokio::time::advance(MINUTE.to_duration()).await;
+        tokio::time::resume();
+        let outcome = call.await.unwrap();
+        assert_eq!(kind(&outcome), case.result, "{}: {outcome:?}", case.name);
+        let connections: Vec<usize> = server.seen().iter().map(|seen| seen.0).collect();
+        assert_eq!(connections, [1, 2], "{}: resolved on a fresh connection", case.name);
+    }
+}
+
+struct ConnectionCase {
+    name: &'static str,
+    silence: ClockSpan,
+    steps: &'static [ScriptStep],
+    connections: &'static [usize],
+}
+
+impl ConnectionCase {
+    fn new(
+        name: &'static str,
+        silence: ClockSpan,
+        steps: &'static [ScriptStep],
+        connections: &'static [usize],
+    ) -> Self {
+        Self { name, silence, steps, connections }
+    }
+}
+
+/// Guards against calls on connections that have stopped responding during a silence.
+#[tokio::test]
+async fn silent_and_failed_connections_are_replaced() {
+    use ScriptStep::*;
+    let second = ClockSpan::from_secs(1);
+    let cases = [
+        ConnectionCase::new("kept", second, &[], &[1, 1]),
+        ConnectionCase::new("silent for too long", MINUTE + second, &[], &[1, 2]),
+        ConnectionCase::new("cut on reuse, read again", second, &[Serve, Cut], &[1, 1, 2]),
+    ];
+    for case in cases {
+        let server = ScriptServer::start(case.steps).await;
+        let clock = VirtualClock::default();
+        let store = HttpStore::new(settings(&server), clock.clone());
+        for _ in 0..2 {
+            let rows = store.read(vec![RowKey::new("t", "k")]).await;
+            assert_eq!(rows, Ok(vec![None]), "{}", case.name);
+            clock.advance(case.silence);
+        }
+        let connections: Vec<usize> = server.seen().iter().map(|seen| seen.0).collect();
+        assert_eq!(connections, case.connections, "{}", case.name);
+    }
+}
+
+struct ReadCase {
+    name: &'static str,
+    status: u16,
+    body: &'static str,
+}
+
+/// Guards against rows and objects that were never stored being accepted.
+#[tokio::test]
+async fn malformed_reads_are_refused() {
+    let cases = [
+        ReadCase { name: "too few rows", status: 200, body: r#"{"rows":[]}"# },
+        ReadCase { name: "not JSON", status: 200, body: "<html>" },
+        ReadCase { name: "other status", status: 418, body: r#"{"rows":[null]}"# },
+    ];
+    for case in cases {
+        let server = ScriptServer::start(&[ScriptStep::Answer(case.status, case.body)]).await;
+        let store = HttpStore::new(settings(&server), RealClock::new());
+        let rows = store.read(vec![RowKey::new("t", "k")]).await;
+        assert!(rows.is_err(), "{}: {rows:?}", case.name);
+    }
+    let scans = [
+        ReadCase {
+            name: "before the given key",
+            status: 200,
+            body: r#"{"rows":[{"key":"a","version":1,"value":1}]}"#,
+        },
+        ReadCase {
+            name: "out of order",
+            status: 200,
+            body: r#"{"rows":[{"key":"d","version":1,"value":1},{"key":"c","version":2,"value":1}]}"#,
+        },
+    ];
+    for case in scans {
+        let server = ScriptServer::start(&[ScriptStep::Answer(case.status, case.body)]).await;
+        let store = HttpStore::new(settings(&server), RealClock::new());
+        let rows = store.scan("t", "b", 10).await;
+        assert!(rows.is_err(), "{}: {rows:?}", case.name);
+    }
+}
+
+/// Guards against an object being accepted whose bytes are not those of its digest.
+#[tokio::test]
+async fn objects_are_checked_against_their_digest() {
+    use ScriptStep::*;
+    let server = ScriptServer::start(&[Serve, Serve, Answer(200, "other")]).await;
+    let store = HttpStore::new(settings(&server), RealClock::new());
+    let bytes = Bytes::from_static(b"document");
+    let digest = content_digest(&bytes);
+    assert_eq!(store.put_object(&digest, bytes.clone()).await, Ok(()));
+    assert_eq!(store.load_object(&digest).await, Ok(Some(bytes)));
+    assert!(matches!(store.load_object(&digest).await, Err(StoreError::Malformed { .. })));
+    assert_eq!(store.load_object(&"0".repeat(64).into()).await, Ok(None));
+}
+
+/// Guards against calls that keep waiting for a store that is known to be down, and against a
+/// breaker that does not close when the store is back.
+#[tokio::test]
+async fn open_breaker_fails_at_once_and_closes_after_a_trial() {
+    let server =
+        ScriptServer::start(&[ScriptStep::Answer(503, ""), ScriptStep::Answer(503, "")]).await;
+    let clock = VirtualClock::default();
+    let mut settings = settings(&server);
+    settings.breaker.failures = 2;
+    let store = HttpStore::new(settings, clock.clone());
+    let place = RowKey::new("t", "k");
+    for _ in 0..2 {
+        assert!(store.read(vec![place.clone()]).await.is_err());
+    }
+    assert!(store.is_down());
+    let outcome = store.transact(&"a".into(), writes()).await;
+    assert_eq!(kind(&outcome), "not done");
+    assert_eq!(server.seen().len(), 2, "nothing is sent while the breaker is open");
+    clock.advance(settings.breaker.first_wait);
+    assert_eq!(store.read(vec![place]).await, Ok(vec![None]));
+    assert!(!store.is_down());
+}
