Add random and runner tests of claims

Cause: the explorer covers one key; groups, answers in the object store and callers that leave need tests of their own. Conclusion: group commit keeps claims within the platform's write rate.

--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -456,6 +456,12 @@
             bounds: bounds(2, 0, 2, 7),
             violation: None,
         },
+        ModelCase {
+            name: "two requests, one fault",
+            guards: all,
+            bounds: bounds(2, 0, 1, 9),
+            violation: None,
+        },
         ModelCase {
             name: "three requests, no fault",
             guards: all,
--- /dev/null
+++ b/crates/claim/tests/random.rs
@@ -0,0 +1,317 @@
+//! Random events against several VMs and keys.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use base::prelude::*;
+use bytes::Bytes;
+use claim::answer::FoundAnswer;
+use claim::event::TicketId;
+use claim::members::VmRun;
+use claim::prelude::*;
+use platform::memory::MemoryStore;
+use platform::wire::TransactRequest;
+use world::vm::VmIdentity;
+
+const VMS: usize = 3;
+const KEYS: usize = 4;
+const STEPS: usize = 400;
+const RUNS: u64 = 150;
+
+struct TestVm {
+    identity: VmIdentity,
+    machine: ClaimMachine,
+    calls: Vec<ClaimAction>,
+    running: Vec<(SharedName, SharedName)>,
+}
+
+/// What callers were told, and what ran.
+#[derive(Default)]
+struct TestRecord {
+    keys: HashMap<TicketId, SharedName>,
+    answered: HashMap<TicketId, &'static str>,
+    dispatched: BTreeSet<TicketId>,
+    unreleased: HashMap<SharedName, u32>,
+    first_answers: HashMap<SharedName, Bytes>,
+    unknown: BTreeSet<SharedName>,
+    totals: BTreeMap<&'static str, u32>,
+}
+
+struct TestFleet {
+    seed: u64,
+    random: RandomSource,
+    now: ClockTime,
+    store: MemoryStore,
+    vms: Vec<TestVm>,
+    record: TestRecord,
+    delayed: Vec<TransactRequest>,
+}
+
+impl TestFleet {
+    fn new(seed: u64) -> Self {
+        let vms = (0..VMS).map(|index| TestVm::new(index, 1, seed)).collect();
+        Self {
+            seed,
+            random: RandomSource::from_seed(seed),
+            now: ClockTime::from_millis(1),
+            store: MemoryStore::new(),
+            vms,
+            record: TestRecord::default(),
+            delayed: Vec::new(),
+        }
+    }
+
+    fn step(&mut self) {
+        let index = self.random.below(VMS);
+        match self.random.below(100) {
+            0..25 => self.arrive(index),
+            25..65 => self.answer_call(index),
+            65..80 => self.settle(index),
+            80..82 => self.crash(index),
+            82..85 => self.list_members(),
+            85..87 if !self.delayed.is_empty() => {
+                let request = self.delayed.remove(0);
+                self.store.apply(&request);
+            }
+            _ => {
+                self.now = self.now + ClockSpan::from_millis(self.random.below(300) as u64);
+                self.tell(index, ClaimEvent::Timer);
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let ticket = self.record.keys.len() as u64 + 1;
+        let key = SharedName::from(format!("desk/{}", self.random.below(KEYS)));
+        self.record.keys.insert(ticket, key.clone());
+        let deadline = self.now + ClockSpan::from_millis(self.random.below(3000) as u64);
+        let request = ClaimRequest { key, body: "body".into(), deadline };
+        self.tell(index, ClaimEvent::Arrived { ticket, request });
+    }
+
+    fn answer_call(&mut self, index: usize) {
+        if self.vms[index].calls.is_empty() {
+            return;
+        }
+        let position = self.random.below(self.vms[index].calls.len());
+        let call = self.vms[index].calls.remove(position);
+        let fate = self.random.below(10);
+        let event = match call {
+            ClaimAction::Write { group, attempt, writes } => {
+                let request = TransactRequest { attempt, writes };
+                match fate {
+                    0 => ClaimEvent::NotDone { group, trouble: StoreTrouble::Down },
+                    1 => ClaimEvent::NotDone { group, trouble: StoreTrouble::Busy },
+                    2 => {
+                        self.store.apply(&request);
+                        ClaimEvent::OutcomeUnknown { group }
+                    }
+                    3 => {
+                        self.delayed.push(request);
+                        ClaimEvent::OutcomeUnknown { group }
+                    }
+                    _ => {
+                        let response = self.store.apply(&request);
+                        if response.committed {
+                            ClaimEvent::Committed { group, versions: response.versions }
+                        } else {
+                            ClaimEvent::Conflicted { group, conflicts: response.conflicts }
+                        }
+                    }
+                }
+            }
+            ClaimAction::Read { places } if fate == 0 => {
+                ClaimEvent::ReadFailed { places, trouble: StoreTrouble::Down }
+            }
+            ClaimAction::Read { places } => {
+                let entries = self.store.rows(&places);
+                ClaimEvent::RowsRead { places, entries }
+            }
+            ClaimAction::StoreBody { key, attempt, digest, bytes } => {
+                let stored = fate > 2 && self.store.insert_object(&digest, bytes);
+                ClaimEvent::BodyStored { key, attempt, stored }
+            }
+            other => panic!("seed {}: {other:?} is not a call", self.seed),
+        };
+        self.tell(index, event);
+    }
+
+    fn settle(&mut self, index: usize) {
+        if self.vms[index].running.is_empty() {
+            return;
+        }
+        let position = self.random.below(self.vms[index].running.len());
+        let (key, attempt) = self.vms[index].running.remove(position);
+        let verdict = match self.random.below(4) {
+            0 => {
+                *self.record.unreleased.get_mut(&key).unwrap() -= 1;
+                WorkVerdict::Released(NotRunProof::Shed)
+            }
+            1 => WorkVerdict::Unknown,
+            large => {
+                // Bodies of both kinds: in the row and in the object store.
+                let mut body = attempt.as_bytes().to_vec();
+                body.resize(if large == 2 { 40 } else { 9000 }, b'.');
+                let body = Bytes::from(body);
+                self.record.first_answers.insert(key.clone(), body.clone());
+                WorkVerdict::Finished(KeptAnswer { status: 200, headers: Vec::new(), body })
+            }
+        };
+        self.tell(index, ClaimEvent::Settled { key, attempt, verdict });
+    }
+
+    fn crash(&mut self, index: usize) {
+        let incarnation = self.vms[index].identity.incarnation + 1;
+        self.vms[index] = TestVm::new(index, incarnation, self.seed);
+    }
+
+    fn list_members(&mut self) {
+        self.now = self.now + ClockSpan::from_secs(self.random.below(70) as u64);
+        let run = |vm: &TestVm| VmRun {
+            name: vm.identity.name.clone(),
+            incarnation: vm.identity.incarnation,
+        };
+        // A VM may be missing although it runs, as one that is cut off from the platform.
+        let missing = self.random.below(VMS * 2);
+        let vms = self.vms.iter().enumerate().filter(|(index, _)| *index != missing);
+        let members: Vec<VmRun> = vms.map(|(_, vm)| run(vm)).collect();
+        for index in 0..VMS {
+            let members = members.clone();
+            self.tell(index, ClaimEvent::Members { members, age: ClockSpan::ZERO });
+        }
+    }
+
+    fn tell(&mut self, index: usize, event: ClaimEvent) {
+        for action in self.vms[index].machine.handle(event, self.now) {
+            let seed = self.seed;
+            match action {
+                ClaimAction::Dispatch { ticket, key, attempt } => {
+                    self.record.answer(seed, ticket, "dispatched");
+                    self.record.dispatched.insert(ticket);
+                    let unreleased = self.record.unreleased.entry(key.clone()).or_default();
+                    *unreleased += 1;
+                    assert_eq!(*unreleased, 1, "seed {seed}: {key} dispatched twice");
+                    assert!(!self.record.unknown.contains(&key), "seed {seed}: {key} was unknown");
+                    self.vms[index].running.push((key, attempt));
+                }
+                ClaimAction::Respond { ticket, answer } => {
+                    self.record.answer(seed, ticket, "kept");
+                    let body = self.body(answer);
+                    let key = &self.record.keys[&ticket];
+                    let first = self.record.first_answers.get(key);
+                    assert_eq!(Some(&body), first, "seed {seed}: {key} answered differently");
+                }
+                ClaimAction::Refuse { ticket, .. } => self.record.answer(seed, ticket, "refused"),
+                ClaimAction::InProgress { ticket } => {
+                    self.record.answer(seed, ticket, "in progress");
+                }
+                ClaimAction::ReportUnknown { ticket } => {
+                    self.record.answer(seed, ticket, "unknown");
+                    self.record.unknown.insert(self.record.keys[&ticket].clone());
+                }
+                ClaimAction::Wait { .. } => {}
+                call => self.vms[index].calls.push(call),
+            }
+        }
+    }
+
+    fn body(&self, answer: FoundAnswer) -> Bytes {
+        match answer {
+            FoundAnswer::Whole(answer) => answer.body.clone(),
+            FoundAnswer::Stored(row) => self.store.object(row.object().unwrap()).unwrap(),
+        }
+    }
+}
+
+impl TestVm {
+    fn new(index: usize, incarnation: u64, seed: u64) -> Self {
+        let name = SharedName::from(format!("vm-{index}"));
+        let identity = VmIdentity { name, incarnation, centre: "medeu".into() };
+        let tuning = ClaimTuning { cache_span: ClockSpan::from_secs(1), ..ClaimTuning::default() };
+        let machine = ClaimMachine::new(identity.clone(), 0, tuning, seed);
+        Self { identity, machine, calls: Vec::new(), running: Vec::new() }
+    }
+}
+
+impl TestRecord {
+    fn answer(&mut self, seed: u64, ticket: TicketId, answer: &'static str) {
+        let earlier = self.answered.insert(ticket, answer);
+        assert_eq!(earlier, None, "seed {seed}: request {ticket} was also {answer}");
+        *self.totals.entry(answer).or_default() += 1;
+    }
+}
+
+/// Guards against work that runs twice, work that ran though its caller was told "not run", work
+/// that runs after it was reported as unknown, and answers that differ from the first.
+#[test]
+fn random_events_keep_the_promises() {
+    println!("seeds 0..{RUNS}");
+    let mut totals: BTreeMap<&str, u32> = BTreeMap::new();
+    for seed in 0..RUNS {
+        let mut fleet = TestFleet::new(seed);
+        (0..STEPS).for_each(|_| fleet.step());
+        let refused = fleet.record.answered.iter().filter(|(_, answer)| **answer == "refused");
+        for (ticket, _) in refused {
+            assert!(!fleet.record.dispatched.contains(ticket), "seed {seed}: {ticket} ran");
+        }
+        for (answer, count) in fleet.record.totals {
+            *totals.entry(answer).or_default() += count;
+        }
+    }
+    println!("{totals:?}");
+    // Without all five answers the run would not have tested what it claims to test.
+    assert_eq!(totals.len(), 5);
+}
+
+/// Guards against requests that never get a decision and outcomes that are never stored once the
+/// store works again.
+#[test]
+fn a_working_store_settles_everything() {
+    for seed in 0..RUNS {
+        let mut fleet = TestFleet::new(seed);
+        (0..STEPS).for_each(|_| fleet.step());
+        for index in 0..VMS {
+            drain(&mut fleet, index);
+            let vm = &fleet.vms[index];
+            assert!(vm.machine.is_settled(), "seed {seed}: vm-{index} keeps {:?}", vm.machine);
+        }
+    }
+}
+
+fn drain(fleet: &mut TestFleet, index: usize) {
+    for _ in 0..10_000 {
+        while let Some(call) = fleet.vms[index].calls.pop() {
+            let event = match call {
+                ClaimAction::Write { group, attempt, writes } => {
+                    let response = fleet.store.apply(&TransactRequest { attempt, writes });
+                    if response.committed {
+                        ClaimEvent::Committed { group, versions: response.versions }
+                    } else {
+                        ClaimEvent::Conflicted { group, conflicts: response.conflicts }
+                    }
+                }
+                ClaimAction::Read { places } => {
+                    let entries = fleet.store.rows(&places);
+                    ClaimEvent::RowsRead { places, entries }
+                }
+                ClaimAction::StoreBody { key, attempt, digest, bytes } => {
+                    fleet.store.insert_object(&digest, bytes);
+                    ClaimEvent::BodyStored { key, attempt, stored: true }
+                }
+                other => panic!("{other:?} is not a call"),
+            };
+            fleet.tell(index, event);
+        }
+        while let Some((key, attempt)) = fleet.vms[index].running.pop() {
+            let verdict = WorkVerdict::Unknown;
+            fleet.tell(index, ClaimEvent::Settled { key, attempt, verdict });
+        }
+        match fleet.vms[index].machine.next_wake() {
+            Some(wake) if !fleet.vms[index].machine.is_settled() => {
+                fleet.now = fleet.now.max(wake);
+                fleet.tell(index, ClaimEvent::Timer);
+            }
+            _ if fleet.vms[index].calls.is_empty() => return,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/claim/tests/runner.rs
@@ -0,0 +1,307 @@
+//! Claims that run against a store.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use claim::prelude::*;
+use platform::prelude::*;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use world::contract::WorkClass;
+use world::request::CallerRequest;
+use world::vm::VmIdentity;
+
+/// A clock that follows the paused time of the runtime.
+#[derive(Clone, Copy, Debug)]
+struct PausedClock {
+    start: Instant,
+}
+
+impl ClockSource for PausedClock {
+    fn now(&self) -> ClockTime {
+        ClockTime::ZERO + ClockSpan::from(self.start.elapsed())
+    }
+}
+
+type TestRunner = ClaimRunner<MemoryStore, PausedClock>;
+type TestDecision = ClaimDecision<MemoryStore, PausedClock>;
+
+fn start(name: &str, store: &MemoryStore, tuning: ClaimTuning) -> (TestRunner, JoinHandle<()>) {
+    let identity = VmIdentity { name: name.into(), incarnation: 1, centre: "suva".into() };
+    let table = ClaimTable::new(identity, 0, tuning, 1);
+    let clock = PausedClock { start: Instant::now() };
+    let (runner, driver) = ClaimRunner::new(table, store.clone(), clock);
+    (runner, tokio::spawn(driver.run()))
+}
+
+fn request() -> CallerRequest {
+    CallerRequest {
+        service: "pledge-desk".into(),
+        class: WorkClass::Normal,
+        idempotent: false,
+        deadline: ClockTime::MAX,
+        attempt: 1,
+        depth: 0,
+        key: Some("k".into()),
+        fingerprint: 0,
+    }
+}
+
+async fn begin(runner: &TestRunner, key: &str) -> TestDecision {
+    runner.begin(claim_key("pledge-desk", key), "body".into(), &request()).await
+}
+
+fn answer(size: usize) -> KeptAnswer {
+    let body = Bytes::from(vec![b'x'; size]);
+    KeptAnswer { status: 201, headers: vec![("content-type".into(), "text/plain".into())], body }
+}
+
+fn kind(decision: &TestDecision) -> &'static str {
+    match decision {
+        ClaimDecision::Dispatch(_) => "dispatch",
+        ClaimDecision::Kept(_) => "kept",
+        ClaimDecision::Refused(_) => "refused",
+        ClaimDecision::Unknown => "unknown",
+        ClaimDecision::InProgress => "in progress",
+    }
+}
+
+struct RunnerCase {
+    name: &'static str,
+    fault: fn(&MemoryStore),
+    verdict: fn(claim::runner::ClaimGrant<MemoryStore, PausedClock>),
+    first: &'static str,
+    same_vm: &'static str,
+    other_vm: &'static str,
+}
+
+/// Guards against a verdict or a fault of the store that leads to another decision for the first
+/// request or for its repeats, at the same VM and at another one.
+#[tokio::test(start_paused = true)]
+async fn repeats_get_what_the_first_request_left() {
+    let cases = [
+        RunnerCase {
+            name: "finished",
+            fault: |_| {},
+            verdict: |grant| grant.finish(answer(10)),
+            first: "dispatch",
+            same_vm: "kept",
+            other_vm: "kept",
+        },
+        RunnerCase {
+            name: "finished with a large answer",
+            fault: |_| {},
+            verdict: |grant| grant.finish(answer(100_000)),
+            first: "dispatch",
+            same_vm: "kept",
+            other_vm: "kept",
+        },
+        RunnerCase {
+            name: "dropped",
+            fault: |_| {},
+            verdict: drop,
+            first: "dispatch",
+            same_vm: "unknown",
+            other_vm: "unknown",
+        },
+        RunnerCase {
+            name: "still running",
+            fault: |_| {},
+            verdict: std::mem::forget,
+            first: "dispatch",
+            same_vm: "in progress",
+            other_vm: "in progress",
+        },
+        RunnerCase {
+            name: "lost response",
+            fault: |store| store.lose_responses(1),
+            verdict: |grant| grant.finish(answer(10)),
+            first: "dispatch",
+            same_vm: "kept",
+            other_vm: "kept",
+        },
+        RunnerCase {
+            name: "lost request",
+            fault: |store| store.lose_requests(1),
+            verdict: |grant| grant.finish(answer(10)),
+            first: "dispatch",
+            same_vm: "kept",
+            other_vm: "kept",
+        },
+        RunnerCase {
+            name: "store down",
+            fault: |store| store.set_outage(true),
+            verdict: drop,
+            first: "refused",
+            same_vm: "refused",
+            other_vm: "refused",
+        },
+    ];
+    for case in cases {
+        let store = MemoryStore::new();
+        (case.fault)(&store);
+        let (runner, _driver) = start("vm-a", &store, ClaimTuning::default());
+        let (other, _other_driver) = start("vm-b", &store, ClaimTuning::default());
+        let first = begin(&runner, "k").await;
+        assert_eq!(kind(&first), case.first, "{}", case.name);
+        if let ClaimDecision::Dispatch(grant) = first {
+            (case.verdict)(grant);
+        }
+        let repeat = begin(&runner, "k").await;
+        assert_eq!(kind(&repeat), case.same_vm, "{}", case.name);
+        tokio::time::sleep(ClockSpan::from_secs(1).to_duration()).await;
+        let repeat = begin(&other, "k").await;
+        assert_eq!(kind(&repeat), case.other_vm, "{}", case.name);
+    }
+}
+
+/// Guards against a large answer that comes back different from the object store.
+#[tokio::test(start_paused = true)]
+async fn large_answers_come_back_whole() {
+    let store = MemoryStore::new();
+    let (runner, driver) = start("vm-a", &store, ClaimTuning::default());
+    let ClaimDecision::Dispatch(grant) = begin(&runner, "k").await else { panic!("no grant") };
+    grant.finish(answer(100_000));
+    runner.stop();
+    driver.await.unwrap();
+    let (other, _driver) = start("vm-b", &store, ClaimTuning::default());
+    let ClaimDecision::Kept(kept) = begin(&other, "k").await else { panic!("not kept") };
+    assert_eq!(*kept, answer(100_000));
+}
+
+/// Guards against a proven release that keeps its key locked, and against one that is not stored.
+#[tokio::test(start_paused = true)]
+async fn released_keys_can_be_claimed_again() {
+    let store = MemoryStore::new();
+    let (runner, _driver) = start("vm-a", &store, ClaimTuning::default());
+    let (other, _other_driver) = start("vm-b", &store, ClaimTuning::default());
+    for vm in [&runner, &other, &runner] {
+        let ClaimDecision::Dispatch(grant) = begin(vm, "k").await else { panic!("no grant") };
+        grant.release(NotRunProof::ConnectFailed);
+        tokio::time::sleep(ClockSpan::from_secs(1).to_duration()).await;
+    }
+}
+
+/// Guards against a key that stays claimed because its caller left before the claim was stored.
+#[tokio::test(start_paused = true)]
+async fn callers_that_leave_release_their_key() {
+    let store = MemoryStore::new();
+    store.set_latency(ClockSpan::from_millis(20));
+    let (runner, _driver) = start("vm-a", &store, ClaimTuning::default());
+    for wait_ms in [1, 10, 23, 24, 25, 30] {
+        let wait = ClockSpan::from_millis(wait_ms).to_duration();
+        drop(tokio::time::timeout(wait, begin(&runner, "k")).await.map(
+            |decision| match decision {
+                ClaimDecision::Dispatch(grant) => grant.release(NotRunProof::NeverSent),
+                other => panic!("{}", kind(&other)),
+            },
+        ));
+        tokio::time::sleep(ClockSpan::from_secs(1).to_duration()).await;
+        assert_eq!(runner.table().key_count(), 0, "after {wait_ms} ms");
+    }
+    let (other, _other_driver) = start("vm-b", &store, ClaimTuning::default());
+    assert_eq!(kind(&begin(&other, "k").await), "dispatch");
+}
+
+/// Guards against an answer that is lost because the store was down when the work ended, and
+/// against a stop that does not wait for it.
+#[tokio::test(start_paused = true)]
+async fn outcomes_outlast_an_outage() {
+    let store = MemoryStore::new();
+    let (runner, driver) = start("vm-a", &store, ClaimTuning::default());
+    let ClaimDecision::Dispatch(grant) = begin(&runner, "k").await else { panic!("no grant") };
+    store.set_outage(true);
+    grant.finish(answer(10));
+    assert_eq!(kind(&begin(&runner, "k").await), "kept");
+    tokio::time::sleep(ClockSpan::from_secs(1).to_duration()).await;
+    assert_eq!(kind(&begin(&runner, "k").await), "kept");
+    assert_eq!(kind(&begin(&runner, "other").await), "refused");
+    runner.stop();
+    tokio::time::sleep(ClockSpan::from_secs(60).to_duration()).await;
+    assert!(!driver.is_finished());
+    store.set_outage(false);
+    driver.await.unwrap();
+    let (other, _driver) = start("vm-b", &store, ClaimTuning::default());
+    assert_eq!(kind(&begin(&other, "k").await), "kept");
+}
+
+/// Guards against claims of a VM that is gone staying in progress, and against rows that are
+/// never deleted.
+#[tokio::test(start_paused = true)]
+async fn sweeping_marks_orphans_and_deletes_old_rows() {
+    let store = MemoryStore::new();
+    let tuning = ClaimTuning::default();
+    let (gone, gone_driver) = start("vm-a", &store, tuning);
+    std::mem::forget(begin(&gone, "k").await);
+    gone_driver.abort();
+    let (runner, _driver) = start("vm-b", &store, tuning);
+    let empty = MemberList::default();
+    runner.update_members(&empty);
+    tokio::time::sleep((tuning.gone_after + ClockSpan::from_secs(1)).to_duration()).await;
+    runner.update_members(&empty);
+    assert_eq!(runner.sweep("", 10, &"s1".into()).await, Ok(None));
+    assert_eq!(kind(&begin(&runner, "k").await), "unknown");
+    tokio::time::sleep((tuning.retention + ClockSpan::from_secs(1)).to_duration()).await;
+    assert_eq!(runner.sweep("", 10, &"s2".into()).await, Ok(None));
+    assert!(store.scan_rows("claims", "", 10).is_empty());
+}
+
+struct GroupCase {
+    group_size: usize,
+    /// Transactions for 640 claims and their outcomes may not exceed this.
+    transactions: u64,
+}
+
+/// Guards against claims that do not share transactions: the platform takes several hundred
+/// writes a second from all VMs.
+#[tokio::test(start_paused = true)]
+async fn claims_share_transactions() {
+    const CLAIMS: usize = 640;
+    let cases = [
+        GroupCase { group_size: 1, transactions: 1280 },
+        GroupCase { group_size: 8, transactions: 160 + 2 },
+        GroupCase { group_size: 64, transactions: 20 + 2 },
+        GroupCase { group_size: 256, transactions: 6 + 2 },
+    ];
+    for case in cases {
+        let store = MemoryStore::new();
+        // 20 transactions a second, as one VM of 15 has.
+        store.set_latency(ClockSpan::from_millis(50));
+        let tuning = ClaimTuning {
+            group_size: case.group_size,
+            request_wait: ClockSpan::from_secs(600),
+            ..ClaimTuning::default()
+        };
+        let (runner, driver) = start("vm-a", &store, tuning);
+        let started = Instant::now();
+        let runner = Arc::new(runner);
+        let requests: Vec<JoinHandle<()>> = (0..CLAIMS)
+            .map(|number| {
+                let runner = runner.clone();
+                tokio::spawn(async move {
+                    match begin(&runner, &number.to_string()).await {
+                        ClaimDecision::Dispatch(grant) => grant.finish(answer(10)),
+                        other => panic!("{}", kind(&other)),
+                    }
+                })
+            })
+            .collect();
+        for request in requests {
+            request.await.unwrap();
+        }
+        runner.stop();
+        driver.await.unwrap();
+        let counts = store.counts();
+        let seconds = started.elapsed().as_secs_f64();
+        println!(
+            "group size {}: {} transactions, {:.3} per claim, {:.0} claims/s at 20 transactions/s",
+            case.group_size,
+            counts.transactions,
+            counts.transactions as f64 / CLAIMS as f64,
+            CLAIMS as f64 / seconds,
+        );
+        assert!(counts.transactions <= case.transactions, "{}", counts.transactions);
+        assert_eq!(counts.rows_written, 2 * CLAIMS as u64);
+    }
+}
