--- a/crates/claim/src/runner.rs
+++ b/crates/claim/src/runner.rs
@@ -190,17 +190,12 @@
     /// # Errors
     ///
     /// Returns the store's error. A row that has changed in the meantime is no error.
-    pub async fn sweep(
-        &self,
-        after: &str,
-        limit: usize,
-        attempt: &SharedName,
-    ) -> Result<Option<SharedName>, StoreError> {
+    pub async fn sweep(&self, after: &str, limit: usize) -> Result<Option<SharedName>, StoreError> {
         let RunnerState { table, store, clock, .. } = &*self.state;
         let rows = store.scan(CLAIM_TABLE, after, limit).await?;
         let writes = table.sweep(&rows, clock.now());
         if !writes.is_empty() {
-            let outcome = store.transact(attempt, writes).await;
+            let outcome = store.transact(&table.next_attempt(), writes).await;
             if let TransactOutcome::NotDone { error } | TransactOutcome::Unknown { error } = outcome
             {
                 return Err(error);
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -48,6 +48,11 @@
         self.machine.lock().key_count()
     }
 
+    /// Returns an attempt id that this run of the VM has not used.
+    pub fn next_attempt(&self) -> SharedName {
+        self.machine.lock().next_attempt()
+    }
+
     /// Returns writes that delete settled claims past their retention and mark claims of VMs that
     /// are gone. All are conditional, so that a row that has changed since is left alone.
     pub fn sweep(&self, rows: &[ScanRow], now: ClockTime) -> Vec<RowWrite> {
--- a/crates/claim/tests/runner.rs
+++ b/crates/claim/tests/runner.rs
@@ -240,10 +240,10 @@
     runner.update_members(&empty);
     tokio::time::sleep((tuning.gone_after + ClockSpan::from_secs(1)).to_duration()).await;
     runner.update_members(&empty);
-    assert_eq!(runner.sweep("", 10, &"s1".into()).await, Ok(None));
+    assert_eq!(runner.sweep("", 10).await, Ok(None));
     assert_eq!(kind(&begin(&runner, "k").await), "unknown");
     tokio::time::sleep((tuning.retention + ClockSpan::from_secs(1)).to_duration()).await;
-    assert_eq!(runner.sweep("", 10, &"s2".into()).await, Ok(None));
+    assert_eq!(runner.sweep("", 10).await, Ok(None));
     assert!(store.scan_rows("claims", "", 10).is_empty());
 }
 
