Add versions, trial, promotion, rollback and propagation

Cause: an accepted configuration must be active on every VM within 5 s and never be replaced by an older one, while operators race and the store fails. Change: ChangeMachine (events to actions) with ConfigOperator, VersionTracker with ConfigFollower, and an explorer of two operators that also shows the fault that each of five safeguards prevents.

--- /dev/null
+++ b/crates/config/src/change.rs
@@ -0,0 +1,331 @@
+//! Decisions on a change of an environment's version.
+
+use base::prelude::*;
+use platform::row::{RowEntry, RowExpect, RowKey, RowWrite};
+use platform::store::StoreError;
+
+use crate::error::ConfigError;
+use crate::row::{ChangeCause, VersionRow};
+
+/// Writes of a change whose outcome stays unknown.
+const WRITE_ATTEMPTS: u32 = 3;
+
+/// What is to be changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ChangeKind {
+    /// Try a document that was stored.
+    Try {
+        /// Its digest.
+        digest: SharedName,
+    },
+    /// Put a document into force that was tried in another environment.
+    Promote {
+        /// Its digest.
+        digest: SharedName,
+        /// The environment where it was tried.
+        trial: SharedName,
+    },
+    /// Put the document of an earlier version into force again.
+    Rollback {
+        /// The earlier version.
+        to: u64,
+    },
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeRequest {
+    /// The environment.
+    pub environment: SharedName,
+    /// What is to be changed.
+    pub kind: ChangeKind,
+    /// Who asks for it.
+    pub author: SharedName,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The version that the operator has seen, if the change must build on it.
+    pub base: Option<u64>,
+    /// The id of the attempt, unique to the request.
+    pub attempt: SharedName,
+}
+
+/// Safeguards of changes. All are on in production; a test switches one off to show that its
+/// checks find the resulting fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ChangeGuards {
+    /// A version is written only over the one that was read.
+    pub compare_and_set: bool,
+    /// A lost answer is read back.
+    pub read_back: bool,
+    /// A document is promoted only if it was tried.
+    pub tried: bool,
+    /// A conflict with the change's own row counts as success.
+    pub own_attempt: bool,
+    /// A rollback gets a new version.
+    pub new_version: bool,
+}
+
+impl ChangeGuards {
+    /// All safeguards.
+    pub const ALL: Self = Self {
+        compare_and_set: true,
+        read_back: true,
+        tried: true,
+        own_attempt: true,
+        new_version: true,
+    };
+}
+
+/// What a change is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChangeEvent {
+    /// The rows that were asked for.
+    Rows(Vec<Option<RowEntry>>),
+    /// The rows could not be read.
+    ReadFailed(StoreError),
+    /// The writes were applied.
+    Committed,
+    /// The writes were refused because of rows.
+    Conflicted,
+    /// The writes were not applied.
+    NotDone(StoreError),
+    /// The writes may have been applied.
+    Unknown,
+}
+
+/// What a change asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChangeAction {
+    /// Read rows.
+    Read(Vec<RowKey>),
+    /// Make a transaction with the request's attempt id.
+    Write(Vec<RowWrite>),
+    /// The change has ended. The version is the one that the change made.
+    End(Result<VersionRow, ConfigError>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum ChangePhase {
+    Planning,
+    Writing { row: VersionRow, writes: Vec<RowWrite> },
+    ReadingBack { row: VersionRow, writes: Vec<RowWrite> },
+}
+
+/// One change, without I/O.
+#[derive(Clone, Debug)]
+pub struct ChangeMachine {
+    request: ChangeRequest,
+    guards: ChangeGuards,
+    phase: ChangePhase,
+    writes_left: u32,
+    /// Whether a write of this change may have been applied.
+    maybe_made: bool,
+}
+
+impl ChangeMachine {
+    /// Returns the machine and its first action.
+    pub fn start(request: ChangeRequest, guards: ChangeGuards) -> (Self, ChangeAction) {
+        let mut places = vec![VersionRow::place(&request.environment)];
+        places.extend(match &request.kind {
+            ChangeKind::Try { .. } => None,
+            ChangeKind::Promote { digest, trial } => Some(VersionRow::tried_place(trial, digest)),
+            ChangeKind::Rollback { to } => {
+                Some(VersionRow::history_place(&request.environment, *to))
+            }
+        });
+        let machine = Self {
+            request,
+            guards,
+            phase: ChangePhase::Planning,
+            writes_left: WRITE_ATTEMPTS,
+            maybe_made: false,
+        };
+        (machine, ChangeAction::Read(places))
+    }
+
+    /// Returns the request.
+    pub fn request(&self) -> &ChangeRequest {
+        &self.request
+    }
+
+    /// Takes an event and returns what to do next.
+    pub fn handle(&mut self, event: ChangeEvent) -> ChangeAction {
+        match (event, self.phase.clone()) {
+            (ChangeEvent::Rows(rows), ChangePhase::Planning) => self.plan(&rows),
+            (ChangeEvent::Rows(rows), ChangePhase::ReadingBack { row, writes }) => {
+                self.read_back(&rows, row, writes)
+            }
+            (ChangeEvent::Committed, ChangePhase::Writing { row, .. }) => {
+                ChangeAction::End(Ok(row))
+            }
+            (ChangeEvent::Unknown, ChangePhase::Writing { row, .. }) if !self.guards.read_back => {
+                ChangeAction::End(Ok(row))
+            }
+            (ChangeEvent::Unknown, ChangePhase::Writing { row, writes }) => {
+                self.maybe_made = true;
+                self.start_reading_back(row, writes)
+            }
+            (ChangeEvent::Conflicted, ChangePhase::Writing { row, writes }) => {
+                self.start_reading_back(row, writes)
+            }
+            (ChangeEvent::ReadFailed(source) | ChangeEvent::NotDone(source), _)
+                if !self.maybe_made =>
+            {
+                ChangeAction::End(Err(ConfigError::Store { source }))
+            }
+            _ => ChangeAction::End(Err(ConfigError::Unclear)),
+        }
+    }
+
+    fn start_reading_back(&mut self, row: VersionRow, writes: Vec<RowWrite>) -> ChangeAction {
+        let environment = &self.request.environment;
+        let places = vec![
+            VersionRow::place(environment),
+            VersionRow::history_place(environment, row.version),
+        ];
+        self.phase = ChangePhase::ReadingBack { row, writes };
+        ChangeAction::Read(places)
+    }
+
+    fn plan(&mut self, rows: &[Option<RowEntry>]) -> ChangeAction {
+        match self.planned(rows) {
+            Ok((row, writes)) => {
+                if writes.is_empty() {
+                    return ChangeAction::End(Ok(row));
+                }
+                self.write(row, writes)
+            }
+            Err(error) => ChangeAction::End(Err(error)),
+        }
+    }
+
+    fn write(&mut self, row: VersionRow, writes: Vec<RowWrite>) -> ChangeAction {
+        self.writes_left -= 1;
+        self.phase = ChangePhase::Writing { row, writes: writes.clone() };
+        ChangeAction::Write(writes)
+    }
+
+    fn planned(
+        &self,
+        rows: &[Option<RowEntry>],
+    ) -> Result<(VersionRow, Vec<RowWrite>), ConfigError> {
+        let environment = &self.request.environment;
+        let current = rows.first().and_then(Option::as_ref);
+        let current = VersionRow::from_entry(environment, current)?;
+        let extra = rows.get(1).and_then(Option::as_ref);
+        self.check_base(current.as_ref().map(|(_, row)| row))?;
+        let (digest, cause) = self.target(current.as_ref().map(|(_, row)| row), extra)?;
+        if let Some((_, row)) = &current
+            && row.digest == digest
+            && cause == ChangeCause::Promote
+        {
+            // The document is in force already, so that the promotion has nothing to do.
+            return Ok((row.clone(), Vec::new()));
+        }
+        let version = self.next_version(current.as_ref().map(|(_, row)| row), &cause);
+        let row = self.new_row(version, digest, cause);
+        let expect = match &current {
+            _ if !self.guards.compare_and_set => RowExpect::Any,
+            Some((row_version, _)) => RowExpect::Version(*row_version),
+            None => RowExpect::Absent,
+        };
+        let writes = self.change_writes(&row, expect);
+        Ok((row, writes))
+    }
+
+    fn check_base(&self, current: Option<&VersionRow>) -> Result<(), ConfigError> {
+        match (self.request.base, current) {
+            (Some(base), Some(row)) if row.version != base => {
+                Err(ConfigError::LostRace { winner: Box::new(row.clone()) })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn target(
+        &self,
+        current: Option<&VersionRow>,
+        extra: Option<&RowEntry>,
+    ) -> Result<(SharedName, ChangeCause), ConfigError> {
+        let environment = &self.request.environment;
+        match &self.request.kind {
+            ChangeKind::Try { digest } => Ok((digest.clone(), ChangeCause::Try)),
+            ChangeKind::Promote { digest, trial } if extra.is_none() && self.guards.tried => {
+                Err(ConfigError::NotTried { digest: digest.clone(), trial: trial.clone() })
+            }
+            ChangeKind::Promote { digest, .. } => Ok((digest.clone(), ChangeCause::Promote)),
+            ChangeKind::Rollback { .. } if current.is_none() => {
+                Err(ConfigError::NoVersion { environment: environment.clone() })
+            }
+            ChangeKind::Rollback { to } => match VersionRow::from_entry(environment, extra)? {
+                Some((_, row)) => Ok((row.digest, ChangeCause::Rollback { to: *to })),
+                None => {
+                    let (environment, version) = (environment.clone(), *to);
+                    Err(ConfigError::NeverInForce { environment, version })
+                }
+            },
+        }
+    }
+
+    fn next_version(&self, current: Option<&VersionRow>, cause: &ChangeCause) -> u64 {
+        match cause {
+            ChangeCause::Rollback { to } if !self.guards.new_version => *to,
+            _ => current.map_or(0, |row| row.version) + 1,
+        }
+    }
+
+    fn new_row(&self, version: u64, digest: SharedName, cause: ChangeCause) -> VersionRow {
+        let ChangeRequest { environment, author, at_ms, attempt, .. } = self.request.clone();
+        VersionRow { environment, version, digest, author, at_ms, attempt, cause }
+    }
+
+    fn change_writes(&self, row: &VersionRow, expect: RowExpect) -> Vec<RowWrite> {
+        let guarded = self.guards.compare_and_set && self.guards.new_version;
+        let history_expect = if guarded { RowExpect::Absent } else { RowExpect::Any };
+        let environment = &row.environment;
+        let history_place = VersionRow::history_place(environment, row.version);
+        let mut writes = vec![
+            RowWrite::put(&VersionRow::place(environment), expect, row.to_value()),
+            RowWrite::put(&history_place, history_expect, row.to_value()),
+        ];
+        if row.cause == ChangeCause::Try {
+            let place = VersionRow::tried_place(environment, &row.digest);
+            writes.push(RowWrite::put(&place, RowExpect::Any, row.to_value()));
+        }
+        writes
+    }
+
+    fn read_back(
+        &mut self,
+        rows: &[Option<RowEntry>],
+        row: VersionRow,
+        writes: Vec<RowWrite>,
+    ) -> ChangeAction {
+        match self.found(rows) {
+            Err(error) => ChangeAction::End(Err(error)),
+            Ok((_, Some(made))) if made.attempt == row.attempt && self.guards.own_attempt => {
+                ChangeAction::End(Ok(row))
+            }
+            Ok((Some(winner), _)) if winner.version >= row.version => {
+                ChangeAction::End(Err(ConfigError::LostRace { winner: Box::new(winner) }))
+            }
+            // Nothing has changed yet, but the first write may still be under way. The second one
+            // has the same attempt id and condition, so that at most one of them is applied.
+            Ok(_) if self.writes_left > 0 => self.write(row, writes),
+            Ok(_) => ChangeAction::End(Err(ConfigError::Unclear)),
+        }
+    }
+
+    /// Returns the version in force and the one with the number of this change.
+    fn found(
+        &self,
+        rows: &[Option<RowEntry>],
+    ) -> Result<(Option<VersionRow>, Option<VersionRow>), ConfigError> {
+        let environment = &self.request.environment;
+        let row = |index: usize| {
+            let entry = rows.get(index).and_then(Option::as_ref);
+            VersionRow::from_entry(environment, entry).map(|found| found.map(|(_, row)| row))
+        };
+        Ok((row(0)?, row(1)?))
+    }
+}
--- /dev/null
+++ b/crates/config/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that users of configuration need.
+
+pub use crate::change::{ChangeGuards, ChangeKind, ChangeRequest};
+pub use crate::check::{DocumentCheck, DocumentProblem};
+pub use crate::error::ConfigError;
+pub use crate::follower::{ConfigFollower, DocumentTarget, NoPeers, PeerSource};
+pub use crate::operator::ConfigOperator;
+pub use crate::row::{ChangeCause, VersionMark, VersionRow};
+pub use crate::tracker::{LearnSource, TrackerTuning, VersionTracker};
--- /dev/null
+++ b/crates/config/tests/model.rs
@@ -0,0 +1,362 @@
+//! Explores the interleavings of two operators and a store that fails.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{Hash, Hasher};
+
+use base::prelude::*;
+use config::change::{ChangeAction, ChangeEvent, ChangeMachine};
+use config::prelude::*;
+use config::row::HISTORY_TABLE;
+use platform::prelude::*;
+use serde::Deserialize;
+use serde_json::Value;
+
+const PRODUCTION: &str = "production";
+const TRIAL: &str = "trial";
+const FIRST_VERSION: u64 = 7;
+
+/// A store that can be copied, so that the explorer can go back.
+#[derive(Clone, Debug, Default)]
+struct ModelStore {
+    rows: BTreeMap<RowKey, (u64, Value)>,
+    version: u64,
+}
+
+impl ModelStore {
+    fn transact(&mut self, writes: &[RowWrite]) -> bool {
+        let admitted = writes.iter().all(|write| {
+            write.expect.admits(self.rows.get(&write.place()).map(|(version, _)| *version))
+        });
+        if admitted {
+            for write in writes {
+                self.version += 1;
+                self.rows.insert(write.place(), (self.version, write.value.clone().unwrap()));
+            }
+        }
+        admitted
+    }
+
+    fn read(&self, places: &[RowKey]) -> Vec<Option<RowEntry>> {
+        let entry =
+            |(version, value): &(u64, Value)| RowEntry { version: *version, value: value.clone() };
+        places.iter().map(|place| self.rows.get(place).map(entry)).collect()
+    }
+
+    fn in_force(&self) -> VersionRow {
+        VersionRow::deserialize(&self.rows[&VersionRow::place(PRODUCTION)].1).unwrap()
+    }
+
+    fn history(&self) -> Vec<VersionRow> {
+        let rows = self.rows.iter().filter(|(place, _)| place.table == *HISTORY_TABLE);
+        rows.map(|(_, (_, value))| VersionRow::deserialize(value).unwrap()).collect()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ModelOperator {
+    machine: ChangeMachine,
+    action: ChangeAction,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Violation {
+    VersionNotHigher,
+    TracelessSuccess,
+    FailedYetMade,
+    UntriedInForce,
+    OwnWinner,
+    BaseIgnored,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Choice {
+    Answer(usize),
+    AnswerLost(usize),
+    Lose(usize),
+    LoseAndDelay(usize),
+    Fail(usize),
+    Late,
+}
+
+#[derive(Clone, Debug)]
+struct ModelWorld {
+    store: ModelStore,
+    operators: Vec<ModelOperator>,
+    delayed: Option<Vec<RowWrite>>,
+    faults: u32,
+}
+
+fn version_row(version: u64, digest: &str) -> VersionRow {
+    VersionRow {
+        environment: PRODUCTION.into(),
+        version,
+        digest: digest.into(),
+        author: "first".into(),
+        at_ms: 0,
+        attempt: SharedName::from(format!("first.{version}")),
+        cause: ChangeCause::Promote,
+    }
+}
+
+impl ModelWorld {
+    fn new(kinds: &[ChangeKind], base: Option<u64>, guards: ChangeGuards) -> Self {
+        let mut store = ModelStore::default();
+        let put = |place, value| RowWrite::put(&place, RowExpect::Any, value);
+        for (version, digest) in [(FIRST_VERSION - 1, "d0"), (FIRST_VERSION, "d1")] {
+            let row = version_row(version, digest);
+            store.transact(&[
+                put(VersionRow::place(PRODUCTION), row.to_value()),
+                put(VersionRow::history_place(PRODUCTION, version), row.to_value()),
+            ]);
+        }
+        for digest in ["d0", "d1", "d2", "d3"] {
+            store.transact(&[put(VersionRow::tried_place(TRIAL, digest), Value::Bool(true))]);
+        }
+        let operator = |(index, kind): (usize, &ChangeKind)| {
+            let request = ChangeRequest {
+                environment: PRODUCTION.into(),
+                kind: kind.clone(),
+                author: SharedName::from(format!("operator-{index}")),
+                at_ms: 1,
+                base,
+                attempt: SharedName::from(format!("attempt-{index}")),
+            };
+            let (machine, action) = ChangeMachine::start(request, guards);
+            ModelOperator { machine, action }
+        };
+        let operators = kinds.iter().enumerate().map(operator).collect();
+        Self { store, operators, delayed: None, faults: 0 }
+    }
+
+    fn choices(&self, faults: u32) -> Vec<Choice> {
+        let mut choices = Vec::new();
+        let faulty = self.faults < faults;
+        for (index, operator) in self.operators.iter().enumerate() {
+            match operator.action {
+                ChangeAction::End(_) => continue,
+                ChangeAction::Read(_) => {}
+                ChangeAction::Write(_) if faulty => {
+                    choices.extend([Choice::AnswerLost(index), Choice::Lose(index)]);
+                    if self.delayed.is_none() {
+                        choices.push(Choice::LoseAndDelay(index));
+                    }
+                }
+                ChangeAction::Write(_) => {}
+            }
+            choices.push(Choice::Answer(index));
+            if faulty {
+                choices.push(Choice::Fail(index));
+            }
+        }
+        if self.delayed.is_some() {
+            choices.push(Choice::Late);
+        }
+        choices
+    }
+
+    fn apply(&mut self, choice: Choice) -> Result<(), Violation> {
+        let before = self.store.in_force();
+        let error = StoreError::Unavailable { reason: "test".to_owned() };
+        match choice {
+            Choice::Late => {
+                let writes = self.delayed.take().unwrap_or_default();
+                self.store.transact(&writes);
+            }
+            Choice::Answer(index) => {
+                let event = match self.operators[index].action.clone() {
+                    ChangeAction::Read(places) => ChangeEvent::Rows(self.store.read(&places)),
+                    ChangeAction::Write(writes) if self.store.transact(&writes) => {
+                        ChangeEvent::Committed
+                    }
+                    _ => ChangeEvent::Conflicted,
+                };
+                self.tell(index, event);
+            }
+            Choice::Fail(index) => {
+                self.faults += 1;
+                let event = match self.operators[index].action {
+                    ChangeAction::Read(_) => ChangeEvent::ReadFailed(error),
+                    _ => ChangeEvent::NotDone(error),
+                };
+                self.tell(index, event);
+            }
+            Choice::AnswerLost(index) | Choice::Lose(index) | Choice::LoseAndDelay(index) => {
+                self.faults += 1;
+                if let ChangeAction::Write(writes) = self.operators[index].action.clone() {
+                    match choice {
+                        Choice::AnswerLost(_) => drop(self.store.transact(&writes)),
+                        Choice::LoseAndDelay(_) => self.delayed = Some(writes),
+                        _ => {}
+                    }
+                }
+                self.tell(index, ChangeEvent::Unknown);
+            }
+        }
+        self.check(&before)
+    }
+
+    fn tell(&mut self, index: usize, event: ChangeEvent) {
+        let operator = &mut self.operators[index];
+        operator.action = operator.machine.handle(event);
+    }
+
+    fn check(&self, before: &VersionRow) -> Result<(), Violation> {
+        let now = self.store.in_force();
+        if now != *before && now.version <= before.version {
+            return Err(Violation::VersionNotHigher);
+        }
+        if now.digest == "d9" {
+            return Err(Violation::UntriedInForce);
+        }
+        let history = self.store.history();
+        for operator in &self.operators {
+            let request = operator.machine.request();
+            let made = history.iter().find(|row| row.attempt == request.attempt);
+            match (&operator.action, made) {
+                (ChangeAction::End(Ok(row)), made) if made != Some(row) => {
+                    return Err(Violation::TracelessSuccess);
+                }
+                (ChangeAction::End(Ok(row)), _)
+                    if request.base.is_some_and(|base| row.version != base + 1) =>
+                {
+                    return Err(Violation::BaseIgnored);
+                }
+                (ChangeAction::End(Err(ConfigError::LostRace { winner })), _)
+                    if winner.attempt == request.attempt =>
+                {
+                    return Err(Violation::OwnWinner);
+                }
+                (ChangeAction::End(Err(ConfigError::Unclear)), _) => {}
+                (ChangeAction::End(Err(_)), Some(_)) => return Err(Violation::FailedYetMade),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        format!("{self:?}").hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+#[derive(Default)]
+struct Explorer {
+    seen: HashMap<u64, ()>,
+    steps: u64,
+    path: Vec<Choice>,
+    endings: BTreeMap<&'static str, u64>,
+}
+
+impl Explorer {
+    fn explore(&mut self, world: &ModelWorld, faults: u32) -> Option<Violation> {
+        let choices = world.choices(faults);
+        if choices.is_empty() {
+            for operator in &world.operators {
+                *self.endings.entry(ending(&operator.action)).or_default() += 1;
+            }
+        }
+        for choice in choices {
+            let mut next = world.clone();
+            self.steps += 1;
+            self.path.push(choice);
+            if let Err(violation) = next.apply(choice) {
+                return Some(violation);
+            }
+            if self.seen.insert(next.fingerprint(), ()).is_none()
+                && let Some(violation) = self.explore(&next, faults)
+            {
+                return Some(violation);
+            }
+            self.path.pop();
+        }
+        None
+    }
+}
+
+fn ending(action: &ChangeAction) -> &'static str {
+    match action {
+        ChangeAction::End(Ok(_)) => "made",
+        ChangeAction::End(Err(ConfigError::LostRace { .. })) => "lost the race",
+        ChangeAction::End(Err(ConfigError::NotTried { .. })) => "not tried",
+        ChangeAction::End(Err(ConfigError::Unclear)) => "unclear",
+        ChangeAction::End(Err(_)) => "not made",
+        _ => "running",
+    }
+}
+
+struct ModelCase {
+    name: &'static str,
+    kinds: Vec<ChangeKind>,
+    base: Option<u64>,
+    guards: ChangeGuards,
+    violation: Option<Violation>,
+}
+
+/// Guards against any order of two operators' reads and writes, lost answers, late writes and
+/// failures that repeats or lowers a version, or that tells an operator something else than what
+/// was made. The cases with one safeguard off show that the explorer sees each of these faults.
+#[test]
+fn every_interleaving_keeps_versions_in_order() {
+    const FAULTS: u32 = 3;
+    let all = ChangeGuards::ALL;
+    let promote = |digest: &str| ChangeKind::Promote { digest: digest.into(), trial: TRIAL.into() };
+    let rollback = || ChangeKind::Rollback { to: FIRST_VERSION - 1 };
+    let case =
+        |name, kinds, base, guards, violation| ModelCase { name, kinds, base, guards, violation };
+    let two = || vec![promote("d2"), promote("d3")];
+    let seen = Some(FIRST_VERSION);
+    let cases = [
+        case("two promotions", two(), None, all, None),
+        case("two promotions on one version", two(), seen, all, None),
+        case("promotion and rollback", vec![promote("d2"), rollback()], None, all, None),
+        case("untried document", vec![promote("d9"), rollback()], None, all, None),
+        case(
+            "without compare-and-set",
+            two(),
+            None,
+            ChangeGuards { compare_and_set: false, ..all },
+            Some(Violation::VersionNotHigher),
+        ),
+        case(
+            "without read back",
+            two(),
+            None,
+            ChangeGuards { read_back: false, ..all },
+            Some(Violation::TracelessSuccess),
+        ),
+        case(
+            "without the check for a trial",
+            vec![promote("d9")],
+            None,
+            ChangeGuards { tried: false, ..all },
+            Some(Violation::UntriedInForce),
+        ),
+        case(
+            "own attempt taken for a rival's",
+            two(),
+            None,
+            ChangeGuards { own_attempt: false, ..all },
+            Some(Violation::OwnWinner),
+        ),
+        case(
+            "rollback to the old number",
+            vec![rollback()],
+            None,
+            ChangeGuards { new_version: false, ..all },
+            Some(Violation::VersionNotHigher),
+        ),
+    ];
+    for case in cases {
+        let mut explorer = Explorer::default();
+        let world = ModelWorld::new(&case.kinds, case.base, case.guards);
+        let found = explorer.explore(&world, FAULTS);
+        println!(
+            "{}: {} steps, endings {:?}, {found:?}",
+            case.name, explorer.steps, explorer.endings
+        );
+        assert_eq!(found, case.violation, "{}: {:?}", case.name, explorer.path);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/operator.rs
@@ -0,0 +1,184 @@
+//! Changes and propagation against a store.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::prelude::*;
+use parking_lot::Mutex;
+use platform::prelude::*;
+
+struct NoBraces;
+
+impl DocumentCheck for NoBraces {
+    fn check(&self, document: &[u8]) -> Result<(), Vec<DocumentProblem>> {
+        if document.starts_with(b"{") {
+            return Ok(());
+        }
+        Err(vec![DocumentProblem {
+            path: "$".to_owned(),
+            reason: "not an object".to_owned(),
+            remedy: "write an object".to_owned(),
+        }])
+    }
+}
+
+fn operator(store: &MemoryStore, name: &str) -> ConfigOperator<MemoryStore, VirtualClock> {
+    ConfigOperator::new(store.clone(), VirtualClock::default(), name.into(), name.into(), 1000)
+}
+
+fn document(number: u64) -> Bytes {
+    Bytes::from(format!("{{\"number\":{number}}}"))
+}
+
+/// Guards against a document that reaches production untried or changed, a race whose loser does
+/// not learn who won, and a rollback that lowers the version.
+#[tokio::test]
+async fn documents_go_from_trial_to_production_and_back() {
+    let store = MemoryStore::new();
+    let (trial, production) = (SharedName::from("trial"), SharedName::from("production"));
+    let (anna, beka) = (operator(&store, "anna"), operator(&store, "beka"));
+    let invalid = anna.try_document(&NoBraces, &trial, Bytes::from_static(b"x"), None).await;
+    assert!(matches!(invalid, Err(ConfigError::Invalid { .. })));
+    let digests = [document(1), document(2), document(3)].map(|bytes| content_digest(&bytes));
+    let early = anna.promote(&production, &trial, &digests[0], None).await;
+    let refusal = ConfigError::NotTried { digest: digests[0].clone(), trial: trial.clone() };
+    assert_eq!(early, Err(refusal));
+    let early = anna.rollback(&production, 1, None).await;
+    assert_eq!(early, Err(ConfigError::NoVersion { environment: production.clone() }));
+    for number in 1..=3 {
+        let tried = anna.try_document(&NoBraces, &trial, document(number), None).await.unwrap();
+        assert_eq!(tried.version, number);
+    }
+    store.lose_responses(1);
+    let first = anna.promote(&production, &trial, &digests[0], None).await.unwrap();
+    assert_eq!((first.version, &first.digest), (1, &digests[0]));
+    let second = beka.promote(&production, &trial, &digests[1], Some(1)).await.unwrap();
+    let lost = anna.promote(&production, &trial, &digests[2], Some(1)).await;
+    assert_eq!(lost, Err(ConfigError::LostRace { winner: Box::new(second.clone()) }));
+    let text = lost.unwrap_err().to_string();
+    for part in ["version 2", "beka", digests[1].as_str()] {
+        assert!(text.contains(part), "{text}");
+    }
+    let again = beka.promote(&production, &trial, &digests[1], None).await.unwrap();
+    assert_eq!(again, second, "a document in force gets no new version");
+    let back = anna.rollback(&production, 1, None).await.unwrap();
+    assert_eq!((back.version, &back.digest), (3, &digests[0]));
+    assert!(matches!(
+        anna.rollback(&production, 9, None).await,
+        Err(ConfigError::NeverInForce { version: 9, .. })
+    ));
+    let history = beka.history(&production, None, 10).await.unwrap();
+    let versions: Vec<u64> = history.iter().map(|row| row.version).collect();
+    assert_eq!(versions, [3, 2, 1]);
+    assert_eq!(beka.history(&production, Some(3), 1).await.unwrap(), [second]);
+    assert_eq!(beka.status(&production).await.unwrap(), Some(back));
+    store.set_outage(true);
+    let down = anna.promote(&production, &trial, &digests[2], None).await;
+    assert!(matches!(down, Err(ConfigError::Store { .. })));
+}
+
+/// The versions that a VM has applied.
+#[derive(Clone, Default)]
+struct TestTarget {
+    applied: Arc<Mutex<Vec<u64>>>,
+}
+
+impl DocumentTarget for TestTarget {
+    fn apply(&self, mark: &VersionMark, document: &Bytes) -> Result<(), String> {
+        assert_eq!(content_digest(document), mark.digest);
+        self.applied.lock().push(mark.version);
+        Ok(())
+    }
+}
+
+/// Peers that know a version and have a document, which may be damaged.
+#[derive(Clone, Default)]
+struct TestPeers {
+    marks: Vec<VersionMark>,
+    document: Option<Bytes>,
+}
+
+impl PeerSource for TestPeers {
+    async fn versions(&self) -> Vec<VersionMark> {
+        self.marks.clone()
+    }
+
+    async fn document(&self, _digest: &SharedName) -> Option<Bytes> {
+        self.document.clone()
+    }
+}
+
+struct FollowCase {
+    name: &'static str,
+    store_down: bool,
+    peer_versions: &'static [u64],
+    peer_document: Option<u64>,
+    applied: &'static [u64],
+    starts: bool,
+}
+
+/// Guards against a VM that starts without asking its peers while the store is down, and against a
+/// damaged document being applied.
+#[tokio::test]
+async fn starting_vms_learn_from_the_store_or_their_peers() {
+    let case = |name, store_down, peer_versions, peer_document, applied, starts| FollowCase {
+        name,
+        store_down,
+        peer_versions,
+        peer_document,
+        applied,
+        starts,
+    };
+    let cases = [
+        case("store", false, &[] as &[u64], None, &[1_u64] as &[u64], true),
+        case("store down, no peers", true, &[], None, &[], false),
+        case("store down, peers", true, &[1, 2], Some(2), &[2], true),
+        case("store down, damaged document", true, &[1, 2], Some(9), &[], false),
+        case("store down, no document", true, &[2], None, &[], false),
+    ];
+    for case in cases {
+        let store = MemoryStore::new();
+        let trial = SharedName::from("trial");
+        let anna = operator(&store, "anna");
+        anna.try_document(&NoBraces, &trial, document(1), None).await.unwrap();
+        store.set_outage(case.store_down);
+        let mark = |version: &u64| VersionMark {
+            version: *version,
+            digest: content_digest(&document(*version)),
+        };
+        let peers = TestPeers {
+            marks: case.peer_versions.iter().map(mark).collect(),
+            document: case.peer_document.map(document),
+        };
+        let target = TestTarget::default();
+        let parts = (store, VirtualClock::default(), peers, target.clone());
+        let follower = ConfigFollower::new(parts, trial, TrackerTuning::default(), 1);
+        follower.poll().await;
+        assert_eq!(*target.applied.lock(), case.applied, "{}", case.name);
+        assert_eq!(follower.may_start(), case.starts, "{}", case.name);
+    }
+}
+
+/// Guards against a running VM that loses its version in an outage or does not fetch one that a
+/// peer tells it of.
+#[tokio::test]
+async fn running_vms_keep_their_version_and_follow() {
+    let store = MemoryStore::new();
+    let trial = SharedName::from("trial");
+    let anna = operator(&store, "anna");
+    anna.try_document(&NoBraces, &trial, document(1), None).await.unwrap();
+    let target = TestTarget::default();
+    let parts = (store.clone(), VirtualClock::default(), NoPeers, target.clone());
+    let follower = ConfigFollower::new(parts, trial.clone(), TrackerTuning::default(), 1);
+    follower.poll().await;
+    store.set_outage(true);
+    follower.poll().await;
+    assert_eq!(follower.active().map(|mark| mark.version), Some(1));
+    store.set_outage(false);
+    let second = anna.try_document(&NoBraces, &trial, document(2), None).await.unwrap();
+    follower.learn(&second.to_mark());
+    follower.poll().await;
+    follower.poll().await;
+    assert_eq!(*target.applied.lock(), [1, 2]);
+}
