Add the suspect table

Change: SuspectTable with crash evidence, mergeable notices, home upstreams for fingerprints that are not proven, and one isolated run at a time for the suspects of one crash.

--- /dev/null
+++ b/crates/suspect/src/evidence.rs
@@ -0,0 +1,74 @@
+//! Decides from connection events whether an upstream crashed.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+
+use crate::tuning::SuspectTuning;
+
+/// Recent connection events of one upstream.
+#[derive(Debug, Default)]
+struct ConnectionEvents {
+    losses: Vec<ClockTime>,
+    refusals: usize,
+}
+
+/// Evidence for crashes, per upstream.
+///
+/// A crash is several connections lost within a short time and then a refused connect, or one
+/// lost connection and several refused connects. A lost connection alone is none: callers,
+/// idle time-outs and networks close connections as well.
+#[derive(Debug, Default)]
+pub struct CrashEvidence {
+    upstreams: HashMap<SharedName, ConnectionEvents>,
+}
+
+impl CrashEvidence {
+    /// Records that a connection with an unfinished call was lost.
+    pub fn connection_lost(
+        &mut self,
+        upstream: &SharedName,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) {
+        let events = self.upstreams.entry(upstream.clone()).or_default();
+        events.losses.retain(|loss| now.since(*loss) <= tuning.refusal_span);
+        if events.losses.is_empty() {
+            events.refusals = 0;
+        }
+        // More entries than the rule counts would change nothing.
+        if events.losses.len() >= tuning.losses.max(1) {
+            events.losses.remove(0);
+        }
+        events.losses.push(now);
+    }
+
+    /// Records a refused connect and returns whether the upstream crashed. The evidence is then
+    /// used up.
+    pub fn connect_refused(
+        &mut self,
+        upstream: &SharedName,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> bool {
+        let Some(events) = self.upstreams.get_mut(upstream) else { return false };
+        let Some(newest) = events.losses.iter().max().copied() else { return false };
+        if now.since(newest) > tuning.refusal_span {
+            self.upstreams.remove(upstream);
+            return false;
+        }
+        events.refusals += 1;
+        let together =
+            events.losses.iter().filter(|loss| newest.since(**loss) <= tuning.loss_span).count();
+        let crashed = together >= tuning.losses || events.refusals >= tuning.refusals;
+        if crashed {
+            self.upstreams.remove(upstream);
+        }
+        crashed
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.upstreams.retain(|upstream, _| keep(upstream));
+    }
+}
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -1,1 +1,24 @@
 //! Requests that crash upstreams.
+//!
+//! Nothing here performs I/O or reads a clock: every method takes the present moment.
+
+pub mod evidence;
+mod flight;
+mod isolation;
+pub mod notice;
+pub mod placement;
+mod proven;
+mod record;
+pub mod table;
+pub mod tuning;
+
+pub mod prelude {
+    //! The types that the gate needs.
+
+    pub use crate::notice::{CrashIncident, SuspectNotice};
+    pub use crate::placement::{home_upstreams, owner};
+    pub use crate::table::{
+        GrantReport, SuspectEntry, SuspectStanding, SuspectTable, SuspectVerdict,
+    };
+    pub use crate::tuning::SuspectTuning;
+}
--- /dev/null
+++ b/crates/suspect/src/placement.rs
@@ -0,0 +1,39 @@
+//! Rendezvous hashing of fingerprints to upstreams and VMs.
+
+use base::prelude::*;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the VM among `members` that runs the isolated copies of the suspects of one crash, or
+/// `None` if there are no members. All VMs with the same members return the same VM.
+pub fn owner(key: u64, members: &[SharedName]) -> Option<&SharedName> {
+    members.iter().max_by_key(|member| (weight(key, member), *member))
+}
+
+/// Returns the first `count` of `upstreams` in the order of a fingerprint. All VMs with the same
+/// upstreams return the same ones.
+pub fn home_upstreams<'a>(
+    fingerprint: u64,
+    upstreams: impl Iterator<Item = &'a SharedName>,
+    count: usize,
+) -> SmallVec<[&'a SharedName; 4]> {
+    let mut best: SmallVec<[(u64, &SharedName); 4]> = SmallVec::new();
+    for upstream in upstreams {
+        let entry = (weight(fingerprint, upstream), upstream);
+        let position = best.partition_point(|other| *other > entry);
+        if position < count {
+            best.insert(position, entry);
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, upstream)| upstream).collect()
+}
+
+/// Returns the key of an upstream's name for [`owner`].
+pub fn name_key(name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), 0)
+}
+
+fn weight(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
--- /dev/null
+++ b/crates/suspect/src/table.rs
@@ -0,0 +1,481 @@
+//! Suspected and confirmed fingerprints.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::ops::DerefMut;
+use std::sync::Arc;
+
+use base::prelude::*;
+use world::prelude::*;
+
+use crate::evidence::CrashEvidence;
+use crate::flight::FlightTable;
+use crate::isolation::IsolationSlot;
+use crate::notice::SuspectNotice;
+use crate::placement::{home_upstreams, name_key, owner};
+use crate::proven::ProvenTable;
+use crate::record::{CrashFacts, SuspectRecord};
+use crate::tuning::SuspectTuning;
+
+pub use crate::record::SuspectStanding;
+
+/// One part in this many is evicted from a full table at once, as ordering it costs time.
+const EVICTED_PART: usize = 8;
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuspectVerdict {
+    /// It may run.
+    Clear,
+    /// It may run now, alone. The run is reserved for it until `start`, or until `abandon`.
+    Isolated,
+    /// It must not run now.
+    Refused,
+}
+
+/// A fingerprint in the table, for operators.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectEntry {
+    /// The fingerprint.
+    pub fingerprint: u64,
+    /// What follows from its crashes.
+    pub standing: SuspectStanding,
+    /// The upstreams that crashed.
+    pub upstreams: Vec<SharedName>,
+    /// The time since the newest crash, renewal, release or clearing.
+    pub age: ClockSpan,
+}
+
+/// The end of an isolated run that another VM allowed. The gate sends it to the owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GrantReport {
+    /// The VM that allowed the run.
+    pub owner: SharedName,
+    /// The fingerprint.
+    pub fingerprint: u64,
+    /// Whether the upstream survived.
+    pub survived: bool,
+}
+
+#[derive(Clone, Debug)]
+struct HeldGrant {
+    owner: SharedName,
+    since: ClockTime,
+}
+
+#[derive(Debug)]
+struct TableState {
+    members: Vec<SharedName>,
+    records: BTreeMap<u64, SuspectRecord>,
+    flights: FlightTable,
+    proven: ProvenTable,
+    evidence: CrashEvidence,
+    isolation: IsolationSlot,
+    grants: HashMap<u64, HeldGrant>,
+    reports: Vec<GrantReport>,
+    /// When upstreams crashed, for home sets.
+    crashed: HashMap<SharedName, ClockTime>,
+    /// Fingerprints whose records changed on this VM since the last `take_notices`.
+    changed: Vec<u64>,
+    /// The fingerprint at which the next `export` begins.
+    export_from: u64,
+    /// The latest moment that a method was given.
+    latest: ClockTime,
+}
+
+/// Suspected and confirmed fingerprints, and the fingerprints in flight.
+#[derive(Debug)]
+pub struct SuspectTable {
+    vm: SharedName,
+    tuning: SuspectTuning,
+    state: RankedMutex<TableState>,
+}
+
+impl TableState {
+    fn standing(
+        &self,
+        fingerprint: u64,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> SuspectStanding {
+        self.records
+            .get(&fingerprint)
+            .map_or(SuspectStanding::Cleared, |record| record.standing(tuning, now))
+    }
+
+    fn mark_changed(&mut self, fingerprint: u64) {
+        if !self.changed.contains(&fingerprint) {
+            self.changed.push(fingerprint);
+        }
+    }
+
+    fn record(&mut self, fingerprint: u64) -> &mut SuspectRecord {
+        self.records.entry(fingerprint).or_default()
+    }
+
+    /// Removes the records whose verdicts and releases have expired everywhere.
+    fn purge(&mut self, tuning: &SuspectTuning, now: ClockTime) {
+        let longest = tuning.confirmed_span + tuning.suspect_span;
+        self.records.retain(|_, record| record.age(now) <= longest);
+    }
+
+    /// Makes room in a full table, a part of it at a time: cleared before suspected before
+    /// confirmed records, the oldest first.
+    fn evict(&mut self, tuning: &SuspectTuning, now: ClockTime) {
+        if self.records.len() <= tuning.entries {
+            return;
+        }
+        self.purge(tuning, now);
+        let rank =
+            |record: &SuspectRecord| (record.standing(tuning, now), Reverse(record.age(now)));
+        let mut order: Vec<_> =
+            self.records.iter().map(|(key, record)| (rank(record), *key)).collect();
+        order.sort_unstable();
+        let spare = tuning.entries - tuning.entries / EVICTED_PART;
+        let surplus = order.len().saturating_sub(spare);
+        for (_, victim) in order.into_iter().take(surplus) {
+            self.records.remove(&victim);
+        }
+    }
+
+    fn owner_of(&self, fingerprint: u64) -> Option<&SharedName> {
+        let upstream = self.records.get(&fingerprint)?.upstreams().next()?;
+        owner(name_key(upstream), &self.members)
+    }
+
+    /// Returns whether the time for crashes at other VMs to become known has passed.
+    fn is_settled(&self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) -> bool {
+        let age = self.records.get(&fingerprint).and_then(|record| record.crash_age(now));
+        age.is_none_or(|age| age >= tuning.settle_span)
+    }
+
+    fn take_isolation(
+        &mut self,
+        vm: &SharedName,
+        fingerprint: u64,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> bool {
+        let owned = self.owner_of(fingerprint).is_none_or(|owner| owner == vm);
+        let granted = self.grants.get(&fingerprint);
+        let granted = granted.is_some_and(|grant| now.since(grant.since) <= tuning.isolation_span);
+        (owned || granted)
+            && self.is_settled(fingerprint, tuning, now)
+            && self.isolation.reserve(fingerprint, tuning, now)
+    }
+
+    /// Reports the end of a granted run to the owner, or counts the run here.
+    fn end_isolation(
+        &mut self,
+        fingerprint: u64,
+        survived: bool,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) {
+        if let Some(grant) = self.grants.remove(&fingerprint) {
+            self.reports.push(GrantReport { owner: grant.owner, fingerprint, survived });
+        } else if survived {
+            self.count_run(fingerprint, tuning, now);
+        }
+    }
+
+    fn count_run(&mut self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) {
+        if self.standing(fingerprint, tuning, now) != SuspectStanding::Suspected {
+            return;
+        }
+        let Some(record) = self.records.get_mut(&fingerprint) else { return };
+        record.cleared_runs += 1;
+        if record.cleared_runs >= tuning.clear_runs {
+            record.clear(now);
+            self.mark_changed(fingerprint);
+        }
+    }
+
+    /// Returns whether an upstream crashed a while ago and has not answered since. Before that
+    /// time a crashed upstream stays in its home sets, so that copies of the cause that arrive
+    /// before the notice do not move on to further upstreams.
+    fn is_down(&self, upstream: &str, tuning: &SuspectTuning, now: ClockTime) -> bool {
+        let age = self.crashed.get(upstream).map(|at| now.since(*at));
+        age.is_some_and(|age| age > tuning.settle_span && age <= tuning.down_span)
+    }
+
+    fn crash(
+        &mut self,
+        upstream: &SharedName,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> Vec<SuspectNotice> {
+        self.crashed.insert(upstream.clone(), now);
+        let suspects = self.flights.take_crashed(upstream, tuning.refusal_span, now);
+        let mut notices = Vec::with_capacity(suspects.len());
+        for (fingerprint, isolated) in suspects {
+            let proven = self.proven.contains(fingerprint, tuning, now);
+            let record = self.record(fingerprint);
+            record.crash(upstream, CrashFacts { proven, isolated }, tuning, now);
+            notices.push(record.to_notice(fingerprint, now));
+        }
+        self.evict(tuning, now);
+        notices
+    }
+}
+
+impl SuspectTable {
+    /// Returns an empty table of the VM `vm`.
+    pub fn new(vm: SharedName, tuning: SuspectTuning) -> Self {
+        let state = TableState {
+            members: Vec::new(),
+            records: BTreeMap::new(),
+            flights: FlightTable::default(),
+            proven: ProvenTable::default(),
+            evidence: CrashEvidence::default(),
+            isolation: IsolationSlot::default(),
+            grants: HashMap::new(),
+            reports: Vec::new(),
+            crashed: HashMap::new(),
+            changed: Vec::new(),
+            export_from: 0,
+            latest: ClockTime::ZERO,
+        };
+        Self { vm, tuning, state: RankedMutex::new(LockRank::SuspectTable, state) }
+    }
+
+    /// Takes over the upstreams of `map`.
+    pub fn apply(&self, map: &EnvironmentMap, _now: ClockTime) {
+        let known =
+            |name: &str| map.upstreams.values().flatten().any(|upstream| upstream.name == *name);
+        let mut state = self.state.lock();
+        state.flights.retain(known);
+        state.evidence.retain(known);
+        state.crashed.retain(|upstream, _| known(upstream));
+    }
+
+    /// Takes over the live VMs, this one included. Without members this VM owns every suspect.
+    pub fn set_members(&self, members: Vec<SharedName>) {
+        self.state.lock().members = members;
+    }
+
+    /// Returns whether a request may run. `Isolated` reserves this VM's isolated run.
+    pub fn review(&self, fingerprint: u64, now: ClockTime) -> SuspectVerdict {
+        let mut state = self.lock_at(now);
+        match state.standing(fingerprint, &self.tuning, now) {
+            SuspectStanding::Cleared => SuspectVerdict::Clear,
+            SuspectStanding::Suspected => {
+                if state.take_isolation(&self.vm, fingerprint, &self.tuning, now) {
+                    SuspectVerdict::Isolated
+                } else {
+                    SuspectVerdict::Refused
+                }
+            }
+            SuspectStanding::Confirmed => {
+                if state.record(fingerprint).renew(&self.tuning, now) {
+                    state.mark_changed(fingerprint);
+                }
+                SuspectVerdict::Refused
+            }
+        }
+    }
+
+    /// Returns the upstreams that a request must not use, for `route`.
+    ///
+    /// A fingerprint that is not proven may use only its home upstreams, the same ones through
+    /// every VM, so that copies which arrive everywhere at once crash no more than these. A
+    /// suspect avoids the upstreams that it may have crashed.
+    pub fn avoid(
+        &self,
+        fingerprint: u64,
+        upstreams: &[Arc<UpstreamServer>],
+        now: ClockTime,
+    ) -> Vec<SharedName> {
+        let state = self.state.lock();
+        let suspected =
+            state.standing(fingerprint, &self.tuning, now) == SuspectStanding::Suspected;
+        if !suspected && state.proven.contains(fingerprint, &self.tuning, now) {
+            return Vec::new();
+        }
+        let names = || upstreams.iter().map(|upstream| &upstream.name);
+        let crashed_by = |name: &SharedName| {
+            let record = state.records.get(&fingerprint).filter(|_| suspected);
+            record.is_some_and(|record| record.upstreams().any(|upstream| upstream == name))
+        };
+        let usable = |name: &&SharedName| !state.is_down(name, &self.tuning, now);
+        let count = self.tuning.home_upstreams;
+        let mut home = home_upstreams(
+            fingerprint,
+            names().filter(usable).filter(|name| !crashed_by(name)),
+            count,
+        );
+        if home.is_empty() {
+            home = home_upstreams(fingerprint, names(), count);
+        }
+        names().filter(|name| !home.contains(name)).cloned().collect()
+    }
+
+    /// Records that a request was sent to an upstream.
+    pub fn start(&self, fingerprint: u64, upstream: &SharedName, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        let isolated = state.isolation.start(fingerprint, upstream, now);
+        state.flights.start(fingerprint, upstream, isolated, now);
+    }
+
+    /// Records that a request is no longer in flight. Unless a connection to the upstream was lost
+    /// since its start, the upstream has survived it.
+    pub fn finish(&self, fingerprint: u64, upstream: &SharedName, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        let survived = state.flights.finish(fingerprint, upstream);
+        if survived {
+            state.proven.record(fingerprint, &self.tuning, now);
+            state.crashed.remove(upstream);
+        }
+        if state.isolation.finish(fingerprint, upstream) {
+            state.end_isolation(fingerprint, survived, &self.tuning, now);
+        }
+    }
+
+    /// Gives back an isolated run that `review` reserved and that will not start.
+    pub fn abandon(&self, fingerprint: u64, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        if state.isolation.abandon(fingerprint) {
+            state.end_isolation(fingerprint, false, &self.tuning, now);
+        }
+    }
+
+    /// Records that a connection with an unfinished call was lost. Call it before `finish` for
+    /// the calls on the connection.
+    pub fn connection_lost(&self, upstream: &SharedName, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        state.evidence.connection_lost(upstream, &self.tuning, now);
+        state.flights.connection_lost(upstream, self.tuning.refusal_span, now);
+    }
+
+    /// Records a refused connect. If it completes the evidence of a crash, the notices about the
+    /// requests in flight are returned, to be sent to all VMs.
+    pub fn connect_refused(&self, upstream: &SharedName, now: ClockTime) -> Vec<SuspectNotice> {
+        let mut state = self.lock_at(now);
+        if state.evidence.connect_refused(upstream, &self.tuning, now) {
+            state.crash(upstream, &self.tuning, now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Records that an upstream crashed and returns the notices about the requests in flight on
+    /// it, to be sent to all VMs.
+    pub fn crash(&self, upstream: &SharedName, now: ClockTime) -> Vec<SuspectNotice> {
+        self.lock_at(now).crash(upstream, &self.tuning, now)
+    }
+
+    /// Takes over what another VM knows. Notices may arrive in any order and more than once.
+    pub fn merge(&self, notice: &SuspectNotice, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        let proven = state.proven.contains(notice.fingerprint, &self.tuning, now);
+        let record = state.record(notice.fingerprint);
+        record.merge(notice, now);
+        if proven && record.mark_proven() {
+            state.mark_changed(notice.fingerprint);
+        }
+        let recent = |age: ClockSpan| age <= self.tuning.down_span;
+        for incident in notice.incidents.iter().filter(|incident| recent(incident.age)) {
+            let at = now - incident.age;
+            let known = state.crashed.entry(incident.upstream.clone()).or_insert(at);
+            *known = at.max(*known);
+        }
+        state.evict(&self.tuning, now);
+    }
+
+    /// Discards all crashes of a fingerprint by order of an operator, here and on every VM that
+    /// merges the notice.
+    pub fn release(&self, fingerprint: u64) -> SuspectNotice {
+        let mut state = self.state.lock();
+        let now = state.latest;
+        state.mark_changed(fingerprint);
+        let record = state.record(fingerprint);
+        record.clear(now);
+        record.to_notice(fingerprint, now)
+    }
+
+    /// Returns all fingerprints in the table.
+    pub fn list(&self, now: ClockTime) -> Vec<SuspectEntry> {
+        let state = self.state.lock();
+        let entry = |(fingerprint, record): (&u64, &SuspectRecord)| SuspectEntry {
+            fingerprint: *fingerprint,
+            standing: record.standing(&self.tuning, now),
+            upstreams: record.upstreams().cloned().collect(),
+            age: record.age(now),
+        };
+        state.records.iter().map(entry).collect()
+    }
+
+    /// Returns notices about changes since the last call other than those that `crash` and
+    /// `release` returned: cleared suspects, renewed verdicts and corrections.
+    pub fn take_notices(&self, now: ClockTime) -> Vec<SuspectNotice> {
+        let mut state = self.lock_at(now);
+        let changed = std::mem::take(&mut state.changed);
+        let notice = |fingerprint: u64| {
+            state.records.get(&fingerprint).map(|record| record.to_notice(fingerprint, now))
+        };
+        changed.into_iter().filter_map(notice).collect()
+    }
+
+    /// Returns up to `limit` notices, a different part of the table in each call. Sending them
+    /// regularly makes up for lost notices and teaches VMs that start.
+    pub fn export(&self, now: ClockTime, limit: usize) -> Vec<SuspectNotice> {
+        let mut state = self.lock_at(now);
+        state.purge(&self.tuning, now);
+        let from = state.export_from;
+        let records = state.records.range(from..).chain(state.records.range(..from));
+        let notices: Vec<_> = records
+            .take(limit)
+            .map(|(fingerprint, record)| record.to_notice(*fingerprint, now))
+            .collect();
+        state.export_from = notices.last().map_or(0, |notice| notice.fingerprint.wrapping_add(1));
+        notices
+    }
+
+    /// Returns the VM that must grant an isolated run of a suspect before this VM may perform it,
+    /// or `None` if no grant is needed or none would be given yet.
+    pub fn isolation_owner(&self, fingerprint: u64, now: ClockTime) -> Option<SharedName> {
+        let state = self.state.lock();
+        let suspected =
+            state.standing(fingerprint, &self.tuning, now) == SuspectStanding::Suspected;
+        let settled = state.is_settled(fingerprint, &self.tuning, now);
+        let owner = state.owner_of(fingerprint).filter(|owner| **owner != self.vm);
+        owner.filter(|_| suspected && settled).cloned()
+    }
+
+    /// Decides, on the owner, whether `vm` may perform an isolated run now.
+    pub fn grant(&self, fingerprint: u64, vm: &SharedName, now: ClockTime) -> bool {
+        let mut state = self.lock_at(now);
+        let owned = state.owner_of(fingerprint).is_some_and(|owner| *owner == self.vm);
+        owned
+            && state.standing(fingerprint, &self.tuning, now) == SuspectStanding::Suspected
+            && state.is_settled(fingerprint, &self.tuning, now)
+            && state.isolation.grant(fingerprint, vm, &self.tuning, now)
+    }
+
+    /// Takes over a grant of `owner`; `asked` is the moment at which this VM asked for it. The
+    /// next `review` may return `Isolated`.
+    pub fn accept_grant(&self, fingerprint: u64, owner: SharedName, asked: ClockTime) {
+        let mut state = self.lock_at(asked);
+        state.grants.retain(|_, grant| asked.since(grant.since) <= self.tuning.isolation_span);
+        state.grants.insert(fingerprint, HeldGrant { owner, since: asked });
+    }
+
+    /// Ends, on the owner, the grant of `vm`.
+    pub fn end_grant(&self, report: &GrantReport, vm: &SharedName, now: ClockTime) {
+        let mut state = self.lock_at(now);
+        if state.isolation.end_grant(report.fingerprint, vm) && report.survived {
+            state.count_run(report.fingerprint, &self.tuning, now);
+        }
+    }
+
+    /// Returns the ends of granted runs, to be sent to their owners.
+    pub fn take_reports(&self) -> Vec<GrantReport> {
+        std::mem::take(&mut self.state.lock().reports)
+    }
+
+    fn lock_at(&self, now: ClockTime) -> impl DerefMut<Target = TableState> {
+        let mut state = self.state.lock();
+        state.latest = state.latest.max(now);
+        state
+    }
+}
