--- a/crates/suspect/src/proven.rs
+++ b/crates/suspect/src/proven.rs
@@ -31,10 +31,19 @@
         self.young.insert(fingerprint, SuccessCount { runs, last: now });
     }
 
+    /// Returns when a proven fingerprint last ran, or `None` if it is not proven.
+    pub fn last_run(
+        &self,
+        fingerprint: u64,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> Option<ClockTime> {
+        let count = self.young.get(&fingerprint).or_else(|| self.old.get(&fingerprint))?;
+        let recent = now.since(count.last) <= tuning.proven_span;
+        (count.runs >= tuning.proven_runs && recent).then_some(count.last)
+    }
+
     pub fn contains(&self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) -> bool {
-        let known = self.young.get(&fingerprint).or_else(|| self.old.get(&fingerprint));
-        known.is_some_and(|count| {
-            count.runs >= tuning.proven_runs && now.since(count.last) <= tuning.proven_span
-        })
+        self.last_run(fingerprint, tuning, now).is_some()
     }
 }
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -40,6 +40,8 @@
 }
 
 impl CountStamp {
+    const NEVER: Self = Self { count: 0, at: PastTime::NEVER };
+
     fn merge(&mut self, other: Self) {
         if other.count > self.count {
             *self = other;
@@ -55,6 +57,8 @@
     stamp: CountStamp,
     proven: bool,
     isolated: bool,
+    /// Whether this VM saw the crash itself.
+    own: bool,
 }
 
 impl KnownIncident {
@@ -62,6 +66,7 @@
         if other.stamp.count > self.stamp.count {
             *self = other;
         } else if other.stamp.count == self.stamp.count {
+            self.own |= other.own;
             self.stamp.merge(other.stamp);
             self.proven |= other.proven;
             self.isolated |= other.isolated;
@@ -99,7 +104,7 @@
 
 impl Default for SuspectRecord {
     fn default() -> Self {
-        let never = CountStamp { count: 0, at: PastTime::NEVER };
+        let never = CountStamp::NEVER;
         Self { cleared: never, incidents: Vec::new(), renewed: never, cleared_runs: 0 }
     }
 }
@@ -159,7 +164,8 @@
             None => CountStamp { count: 1, at },
         };
         let CrashFacts { proven, isolated } = facts;
-        self.insert(KnownIncident { upstream: upstream.clone(), stamp, proven, isolated });
+        let upstream = upstream.clone();
+        self.insert(KnownIncident { upstream, stamp, proven, isolated, own: true });
         self.cleared_runs = 0;
     }
 
@@ -197,31 +203,35 @@
         new
     }
 
-    /// Takes over what another VM knows. The higher epoch discards the crashes of the lower one,
-    /// except those after its clearing: a VM that had not heard of the clearing reported them.
-    pub fn merge(&mut self, notice: &SuspectNotice, now: ClockTime) {
+    /// Takes over what another VM knows and returns whether that VM needs an answer.
+    ///
+    /// The higher epoch discards the crashes of the lower one. Only a crash that this VM saw after
+    /// a clearing of which it had not heard enters the new epoch, and must then be told again.
+    pub fn merge(&mut self, notice: &SuspectNotice, now: ClockTime) -> bool {
         let before = |age: ClockSpan| PastTime::before(now, age);
         let cleared = CountStamp { count: notice.epoch, at: before(notice.cleared_age) };
-        let renewed = CountStamp { count: notice.renewals, at: before(notice.renewed_age) };
-        if cleared.count > self.cleared.count {
-            self.incidents.retain(|known| known.stamp.at > cleared.at);
-            self.renewed = renewed;
-        } else if cleared.count == self.cleared.count {
-            self.renewed.merge(renewed);
+        if cleared.count < self.cleared.count {
+            return true;
+        }
+        let newer = cleared.count > self.cleared.count;
+        if newer {
+            self.incidents.retain(|known| known.own && known.stamp.at > cleared.at);
+            self.renewed = CountStamp::NEVER;
         }
-        let outdated = cleared.count < self.cleared.count;
+        let kept = newer && !self.incidents.is_empty();
         self.cleared.merge(cleared);
+        let renewed_at = before(notice.renewed_age);
+        self.renewed.merge(CountStamp { count: notice.renewals, at: renewed_at });
         for incident in &notice.incidents {
-            let stamp = CountStamp { count: incident.count, at: before(incident.age) };
-            if !outdated || stamp.at > self.cleared.at {
-                self.insert(KnownIncident {
-                    upstream: incident.upstream.clone(),
-                    stamp,
-                    proven: incident.proven,
-                    isolated: incident.isolated,
-                });
-            }
+            self.insert(KnownIncident {
+                upstream: incident.upstream.clone(),
+                stamp: CountStamp { count: incident.count, at: before(incident.age) },
+                proven: incident.proven,
+                isolated: incident.isolated,
+                own: false,
+            });
         }
+        kept
     }
 
     pub fn to_notice(&self, fingerprint: u64, now: ClockTime) -> SuspectNotice {
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -191,6 +191,21 @@
         }
     }
 
+    /// Clears a suspect that is proven and has run successfully since the newest crash. A frequent
+    /// request is in flight at every crash and would otherwise be refused almost everywhere; the
+    /// cause of the crash does not end successfully.
+    fn acquit(&mut self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) {
+        if self.standing(fingerprint, tuning, now) != SuspectStanding::Suspected {
+            return;
+        }
+        let Some(last) = self.proven.last_run(fingerprint, tuning, now) else { return };
+        let Some(record) = self.records.get_mut(&fingerprint) else { return };
+        if record.crash_age(now).is_some_and(|age| age > now.since(last)) {
+            record.clear(now);
+            self.mark_changed(fingerprint);
+        }
+    }
+
     /// Returns whether an upstream crashed a while ago and has not answered since. Before that
     /// time a crashed upstream stays in its home sets, so that copies of the cause that arrive
     /// before the notice do not move on to further upstreams.
@@ -325,6 +340,7 @@
         if survived {
             state.proven.record(fingerprint, &self.tuning, now);
             state.crashed.remove(upstream);
+            state.acquit(fingerprint, &self.tuning, now);
         }
         if state.isolation.finish(fingerprint, upstream) {
             state.end_isolation(fingerprint, survived, &self.tuning, now);
@@ -369,10 +385,11 @@
         let mut state = self.lock_at(now);
         let proven = state.proven.contains(notice.fingerprint, &self.tuning, now);
         let record = state.record(notice.fingerprint);
-        record.merge(notice, now);
-        if proven && record.mark_proven() {
+        let answer = record.merge(notice, now);
+        if (proven && record.mark_proven()) || answer {
             state.mark_changed(notice.fingerprint);
         }
+        state.acquit(notice.fingerprint, &self.tuning, now);
         let recent = |age: ClockSpan| age <= self.tuning.down_span;
         for incident in notice.incidents.iter().filter(|incident| recent(incident.age)) {
             let at = now - incident.age;
--- /dev/null
+++ b/crates/suspect/tests/sharing.rs
@@ -0,0 +1,345 @@
+//! Notices between VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use suspect::prelude::*;
+use world::prelude::*;
+
+const SUSPECT: u64 = 7;
+
+fn table(vm: &str) -> SuspectTable {
+    SuspectTable::new(vm.into(), SuspectTuning::default())
+}
+
+fn crash(table: &SuspectTable, fingerprint: u64, upstream: &str, now: ClockTime) -> SuspectNotice {
+    let upstream = SharedName::from(upstream);
+    table.start(fingerprint, &upstream, now);
+    let notice = table.crash(&upstream, now).remove(0);
+    table.finish(fingerprint, &upstream, now);
+    notice
+}
+
+fn upstreams(count: usize) -> Vec<Arc<UpstreamServer>> {
+    let server = |index: usize| {
+        Arc::new(UpstreamServer {
+            name: SharedName::from(format!("grove-view-{index}")),
+            service: "grove-view".into(),
+            centre: "suva".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            slots: 2,
+            connections: 200,
+        })
+    };
+    (0..count).map(server).collect()
+}
+
+struct OrderCase {
+    seed: u64,
+    notices: usize,
+}
+
+/// Guards against VMs that disagree for good because they heard the same notices in another
+/// order, or twice.
+#[test]
+fn merge_order_does_not_matter() {
+    let cases = (1..=40).map(|seed| OrderCase { seed, notices: 30 });
+    for case in cases {
+        let mut random = RandomSource::from_seed(case.seed);
+        let notices = history(&mut random, case.notices);
+        let now = ClockTime::from_millis(1_000_000);
+        let reference = merged(&notices, now);
+        for _ in 0..10 {
+            let mut shuffled = notices.clone();
+            for index in (1..shuffled.len()).rev() {
+                shuffled.swap(index, random.below(index + 1));
+            }
+            let repeats: Vec<_> = shuffled.iter().filter(|_| random.chance(0.3)).cloned().collect();
+            shuffled.extend(repeats);
+            assert_eq!(merged(&shuffled, now), reference, "seed {}", case.seed);
+        }
+    }
+}
+
+/// Returns notices of four tables that crash, release and hear of each other at random. The ages
+/// are those at a common moment.
+fn history(random: &mut RandomSource, count: usize) -> Vec<SuspectNotice> {
+    let tables: Vec<_> = (0..4).map(|index| table(&format!("vm-{index}"))).collect();
+    let mut now = ClockTime::from_millis(1000);
+    for _ in 0..count {
+        now = now + ClockSpan::from_millis(random.below(5000) as u64);
+        let fingerprint = random.below(3) as u64;
+        let own = &tables[random.below(tables.len())];
+        match random.below(10) {
+            0 => drop(own.release(fingerprint)),
+            1..5 => drop(crash(own, fingerprint, ["a", "b", "c"][random.below(3)], now)),
+            _ => own
+                .export(now, usize::MAX)
+                .iter()
+                .for_each(|notice| tables[random.below(tables.len())].merge(notice, now)),
+        }
+    }
+    tables.iter().flat_map(|own| own.export(now, usize::MAX)).collect()
+}
+
+fn merged(notices: &[SuspectNotice], now: ClockTime) -> Vec<SuspectNotice> {
+    let own = table("receiver");
+    notices.iter().for_each(|notice| own.merge(notice, now));
+    let mut known = own.export(now, usize::MAX);
+    known.sort_unstable_by_key(|notice| notice.fingerprint);
+    known
+}
+
+struct SpreadCase {
+    name: &'static str,
+    /// Upstreams that crash at the first and the second VM.
+    crashes: [&'static [&'static str]; 2],
+    released: bool,
+    /// What a third VM thinks after it heard of everything, oldest last.
+    standing: SuspectStanding,
+}
+
+const SPREAD_CASES: &[SpreadCase] = &[
+    SpreadCase {
+        name: "one crash at one VM",
+        crashes: [&["a"], &[]],
+        released: false,
+        standing: SuspectStanding::Suspected,
+    },
+    SpreadCase {
+        name: "the same crash at two VMs",
+        crashes: [&["a"], &["a"]],
+        released: false,
+        standing: SuspectStanding::Suspected,
+    },
+    SpreadCase {
+        name: "different crashes at two VMs",
+        crashes: [&["a"], &["b"]],
+        released: false,
+        standing: SuspectStanding::Confirmed,
+    },
+    SpreadCase {
+        name: "a release wins over older notices that arrive later",
+        crashes: [&["a", "b"], &["c"]],
+        released: true,
+        standing: SuspectStanding::Cleared,
+    },
+];
+
+/// Guards against VMs that do not learn from each other, and against a release that an older
+/// notice undoes.
+#[test]
+fn notices_spread() {
+    for case in SPREAD_CASES {
+        let now = ClockTime::from_millis(5000);
+        let tables = [table("vm-0"), table("vm-1")];
+        let mut notices = Vec::new();
+        for (own, names) in tables.iter().zip(case.crashes) {
+            notices.extend(names.iter().map(|name| crash(own, SUSPECT, name, now)));
+        }
+        let later = now + ClockSpan::from_secs(10);
+        if case.released {
+            tables[0].merge(notices.last().expect("a notice"), later);
+            // The present moment of the table is that of its last event.
+            assert_eq!(tables[0].review(SUSPECT, later), SuspectVerdict::Refused);
+            notices.insert(0, tables[0].release(SUSPECT));
+        }
+        let third = table("vm-2");
+        for notice in &mut notices {
+            let release = notice.incidents.is_empty();
+            let waited = if release { ClockSpan::ZERO } else { ClockSpan::from_secs(10) };
+            notice.incidents.iter_mut().for_each(|incident| incident.age += waited);
+            third.merge(notice, later);
+        }
+        assert_eq!(third.list(later)[0].standing, case.standing, "{}", case.name);
+    }
+}
+
+/// Guards against a crash that is lost because the VM that saw it had not heard of a release.
+#[test]
+fn crash_after_release_counts_at_vms_that_missed_the_release() {
+    let [first, second] = [table("vm-0"), table("vm-1")];
+    let start = ClockTime::from_millis(1000);
+    crash(&first, SUSPECT, "a", start);
+    crash(&first, SUSPECT, "b", start);
+    first.release(SUSPECT);
+    let later = start + ClockSpan::from_secs(20);
+    let notice = crash(&second, SUSPECT, "c", later);
+    // The release is told to the VM that missed it, and the crash is told again.
+    first.merge(&notice, later);
+    first.take_notices(later).iter().for_each(|notice| second.merge(notice, later));
+    assert_eq!(second.list(later)[0].standing, SuspectStanding::Suspected);
+    second.take_notices(later).iter().for_each(|notice| first.merge(notice, later));
+    assert_eq!(first.list(later)[0].standing, SuspectStanding::Suspected);
+}
+
+/// Guards against a verdict that is lost with a VM, and against one that a VM with a young clock
+/// keeps longer than the others.
+#[test]
+fn restarted_vm_relearns_with_the_true_age() {
+    let old = table("vm-0");
+    let crashed = ClockTime::from_millis(1000);
+    crash(&old, SUSPECT, "a", crashed);
+    crash(&old, SUSPECT, "b", crashed);
+    let exported = old.export(crashed + ClockSpan::from_secs(3000), 10);
+    let restarted = table("vm-1");
+    let start = ClockTime::from_millis(50);
+    assert_eq!(restarted.review(SUSPECT, start), SuspectVerdict::Clear);
+    exported.iter().for_each(|notice| restarted.merge(notice, start));
+    let standing = |now: ClockTime| restarted.list(now)[0].standing;
+    assert_eq!(standing(start + ClockSpan::from_secs(599)), SuspectStanding::Confirmed);
+    assert_eq!(standing(start + ClockSpan::from_secs(601)), SuspectStanding::Cleared);
+}
+
+/// Guards against two VMs running suspects of one crash at the same time.
+#[test]
+fn owner_grants_one_isolated_run() {
+    let members: Vec<SharedName> = ["vm-0", "vm-1", "vm-2"].map(SharedName::from).to_vec();
+    let tables = ["vm-0", "vm-1", "vm-2"].map(table);
+    let crashed = ClockTime::from_millis(1000);
+    let notice = crash(&tables[0], SUSPECT, "a", crashed);
+    for own in &tables {
+        own.set_members(members.clone());
+        own.merge(&notice, crashed);
+    }
+    assert_eq!(tables[0].isolation_owner(SUSPECT, crashed), None, "not before it settled");
+    let now = crashed + ClockSpan::from_secs(1);
+    let owners: Vec<_> = tables.iter().map(|own| own.isolation_owner(SUSPECT, now)).collect();
+    let position = owners.iter().position(Option::is_none).expect("one VM is the owner");
+    let others: Vec<usize> = (0..3).filter(|index| *index != position).collect();
+    let (owner, [guest, rival]) = (&tables[position], [&tables[others[0]], &tables[others[1]]]);
+    let name = members[position].clone();
+    assert!(owners.iter().flatten().all(|vm| *vm == name));
+
+    assert_eq!(guest.review(SUSPECT, now), SuspectVerdict::Refused, "no grant yet");
+    assert!(owner.grant(SUSPECT, &members[others[0]], now));
+    assert!(!owner.grant(SUSPECT, &members[others[1]], now), "one at a time");
+    assert!(!rival.grant(SUSPECT, &members[others[0]], now), "only the owner grants");
+    guest.accept_grant(SUSPECT, name, now);
+    assert_eq!(guest.review(SUSPECT, now), SuspectVerdict::Isolated);
+    guest.start(SUSPECT, &"b".into(), now);
+    guest.finish(SUSPECT, &"b".into(), now);
+    let reports = guest.take_reports();
+    assert!(reports.len() == 1 && reports[0].survived);
+    owner.end_grant(&reports[0], &members[others[0]], now);
+    assert_eq!(owner.review(SUSPECT, now), SuspectVerdict::Isolated, "free again");
+    assert_eq!(guest.review(SUSPECT, now), SuspectVerdict::Refused, "the grant is used up");
+}
+
+struct EvictionCase {
+    name: &'static str,
+    /// Fingerprints that crash one and two upstreams before the table overflows.
+    suspected: u64,
+    confirmed: u64,
+    cleared: u64,
+}
+
+/// Guards against a table that grows without bound, or that forgets verdicts before releases.
+#[test]
+fn table_is_bounded() {
+    let cases = [
+        EvictionCase { name: "cleared first", suspected: 30, confirmed: 20, cleared: 80 },
+        EvictionCase { name: "then suspected", suspected: 120, confirmed: 20, cleared: 0 },
+    ];
+    for case in cases {
+        let tuning = SuspectTuning { entries: 64, ..SuspectTuning::default() };
+        let own = SuspectTable::new("vm".into(), tuning);
+        let now = ClockTime::from_millis(1000);
+        for fingerprint in 0..case.confirmed {
+            crash(&own, fingerprint, "a", now);
+            crash(&own, fingerprint, "b", now);
+        }
+        for fingerprint in 1000..1000 + case.suspected {
+            crash(&own, fingerprint, "a", now);
+        }
+        for fingerprint in 2000..2000 + case.cleared {
+            let empty = own.release(fingerprint);
+            own.merge(&empty, now);
+        }
+        let list = own.list(now);
+        let count = |standing| list.iter().filter(|entry| entry.standing == standing).count();
+        assert!(list.len() <= 64, "{}: {} entries", case.name, list.len());
+        assert_eq!(count(SuspectStanding::Confirmed) as u64, case.confirmed, "{}", case.name);
+        if case.cleared > 0 {
+            assert_eq!(count(SuspectStanding::Suspected) as u64, case.suspected, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a full table whose part is exported only: every record has its turn.
+#[test]
+fn export_covers_the_table_in_turns() {
+    let own = table("vm");
+    let now = ClockTime::from_millis(1000);
+    (0..10).for_each(|fingerprint| drop(crash(&own, fingerprint, "a", now)));
+    let mut seen: Vec<u64> =
+        (0..4).flat_map(|_| own.export(now, 3)).map(|notice| notice.fingerprint).collect();
+    seen.sort_unstable();
+    seen.dedup();
+    assert_eq!(seen.len(), 10);
+}
+
+struct HomeCase {
+    name: &'static str,
+    upstreams: usize,
+    allowed: usize,
+}
+
+/// Guards against copies of one new request spreading over a service, and against proven ones
+/// being held back.
+#[test]
+fn unproven_requests_stay_at_home() {
+    let cases = [
+        HomeCase { name: "one upstream", upstreams: 1, allowed: 1 },
+        HomeCase { name: "two upstreams", upstreams: 2, allowed: 2 },
+        HomeCase { name: "ten upstreams", upstreams: 10, allowed: 2 },
+    ];
+    for case in cases {
+        let now = ClockTime::from_millis(1000);
+        let servers = upstreams(case.upstreams);
+        let [first, second] = [table("vm-0"), table("vm-1")];
+        let avoided = first.avoid(SUSPECT, &servers, now);
+        assert_eq!(avoided.len(), case.upstreams - case.allowed, "{}", case.name);
+        assert_eq!(avoided, second.avoid(SUSPECT, &servers, now), "{}", case.name);
+        for _ in 0..3 {
+            first.start(SUSPECT, &servers[0].name, now);
+            first.finish(SUSPECT, &servers[0].name, now);
+        }
+        assert!(first.avoid(SUSPECT, &servers, now).is_empty(), "{}: proven", case.name);
+    }
+}
+
+/// Guards against a home set that moves on while notices travel, and against one that stays on a
+/// dead upstream.
+#[test]
+fn home_moves_on_after_a_crash_has_settled() {
+    let own = table("vm");
+    let servers = upstreams(10);
+    let now = ClockTime::from_millis(1000);
+    let before = own.avoid(SUSPECT, &servers, now);
+    let home = servers.iter().find(|server| !before.contains(&server.name)).expect("a home");
+    own.crash(&home.name, now);
+    assert_eq!(own.avoid(SUSPECT, &servers, now + ClockSpan::from_secs(1)), before);
+    let moved = own.avoid(SUSPECT, &servers, now + ClockSpan::from_millis(1001));
+    assert!(moved.contains(&home.name));
+    assert_eq!(own.avoid(SUSPECT, &servers, now + ClockSpan::from_secs(31)), before);
+}
+
+/// Guards against a change of membership that moves suspects whose owner stays.
+#[test]
+fn owner_changes_only_with_its_own_vm() {
+    let members: Vec<SharedName> =
+        (0..15).map(|index| SharedName::from(format!("vm-{index}"))).collect();
+    let fewer = &members[1..];
+    let mut counts = [0; 15];
+    for key in 0..3000 {
+        let before = owner(key, &members).expect("members");
+        counts[members.iter().position(|vm| vm == before).expect("a member")] += 1;
+        if *before != members[0] {
+            assert_eq!(owner(key, fewer), Some(before), "key {key}");
+        }
+    }
+    assert!(counts.iter().all(|count| (100..300).contains(count)), "uneven: {counts:?}");
+    assert_eq!(owner(1, &[]), None);
+}
