Refuse claims early under overload and wait for reused connections

Cause: claims that waited longer than their deadline were written and then abandoned; a connection that was just used could look closed. Change: a bound on waiting writes, a ready check before each call, a bound on remembered attempts in MemoryStore, and tests at steady rates. Conclusion: an overload no longer lowers the number of dispatched claims.

--- a/crates/claim/src/group.rs
+++ b/crates/claim/src/group.rs
@@ -108,6 +108,11 @@
         if self.in_flight.is_some() { None } else { self.due() }
     }
 
+    /// Returns how many writes wait.
+    pub(crate) fn len(&self) -> usize {
+        self.pending.len()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.pending.is_empty() && self.in_flight.is_none()
     }
--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -157,6 +157,7 @@
 
     fn refusal(&self) -> Option<RefusalReason> {
         let full = self.claims.len() - self.cached >= self.tuning.key_limit
+            || self.queue.len() >= self.tuning.queue_limit
             || self.answer_bytes >= self.tuning.answer_bytes;
         match () {
             () if self.stopping => Some(RefusalReason::Stopping),
--- a/crates/claim/src/tuning.rs
+++ b/crates/claim/src/tuning.rs
@@ -37,6 +37,10 @@
 pub struct ClaimTuning {
     /// The most claims and outcomes in one transaction.
     pub group_size: usize,
+    /// The most claims and outcomes that wait for a transaction. Further claims are refused at
+    /// once: without this bound, claims expired in their transactions, and of 900 claims a second
+    /// against a limit of 640 only 337 were dispatched.
+    pub queue_limit: usize,
     /// How long a claim waits for others to share its transaction.
     pub claim_linger: ClockSpan,
     /// How long an outcome waits; its caller has its answer already.
@@ -69,6 +73,8 @@
     fn default() -> Self {
         Self {
             group_size: 64,
+            // 8 groups, which take 0.4 s at 20 transactions a second.
+            queue_limit: 512,
             claim_linger: ClockSpan::from_millis(3),
             outcome_linger: ClockSpan::from_millis(50),
             request_wait: ClockSpan::from_secs(2),
--- a/crates/claim/tests/runner.rs
+++ b/crates/claim/tests/runner.rs
@@ -271,6 +271,7 @@
         let tuning = ClaimTuning {
             group_size: case.group_size,
             request_wait: ClockSpan::from_secs(600),
+            queue_limit: 2 * CLAIMS,
             ..ClaimTuning::default()
         };
         let (runner, driver) = start("vm-a", &store, tuning);
@@ -305,3 +306,69 @@
         assert_eq!(counts.rows_written, 2 * CLAIMS as u64);
     }
 }
+
+struct RateCase {
+    per_second: f64,
+    /// Whether 20 transactions of 64 writes a second suffice for the claims and their outcomes.
+    within_limit: bool,
+}
+
+/// Guards against claims that are refused although the platform's write rate suffices for them,
+/// and against an overload in which fewer claims are dispatched than the rate allows.
+#[tokio::test(start_paused = true)]
+async fn claims_within_the_write_rate_are_not_refused() {
+    // 20 transactions a second of 64 writes, two for each claim.
+    const LIMIT: f64 = 640.0;
+    const SPAN: ClockSpan = ClockSpan::from_secs(20);
+    let cases = [
+        RateCase { per_second: 5.0, within_limit: true },
+        RateCase { per_second: 50.0, within_limit: true },
+        RateCase { per_second: 300.0, within_limit: true },
+        RateCase { per_second: 600.0, within_limit: true },
+        RateCase { per_second: 900.0, within_limit: false },
+    ];
+    for case in cases {
+        let seed = 5;
+        let mut random = RandomSource::from_seed(seed);
+        let store = MemoryStore::new();
+        store.set_latency(ClockSpan::from_millis(50));
+        let (runner, driver) = start("vm-a", &store, ClaimTuning::default());
+        let started = Instant::now();
+        let mut requests = Vec::new();
+        let mut arrival = ClockSpan::ZERO;
+        while arrival < SPAN {
+            tokio::time::sleep_until(started + arrival.to_duration()).await;
+            arrival += ClockSpan::from_millis_f64(random.exponential(1000.0 / case.per_second));
+            let (runner, number) = (runner.clone(), requests.len());
+            requests.push(tokio::spawn(async move {
+                let arrived = Instant::now();
+                match begin(&runner, &number.to_string()).await {
+                    ClaimDecision::Dispatch(grant) => grant.finish(answer(10)),
+                    ClaimDecision::Refused(_) => return None,
+                    other => panic!("{}", kind(&other)),
+                }
+                Some(ClockSpan::from(arrived.elapsed()))
+            }));
+        }
+        let count = requests.len();
+        let mut waits = Vec::new();
+        for request in requests {
+            waits.extend(request.await.unwrap());
+        }
+        runner.stop();
+        driver.await.unwrap();
+        waits.sort_unstable();
+        let share = |share: f64| waits[(waits.len() as f64 * share) as usize];
+        println!(
+            "seed {seed}: {} claims/s: {} refused of {count}, {:.3} transactions per claim, wait p50 {} p99 {}",
+            case.per_second,
+            count - waits.len(),
+            store.counts().transactions as f64 / count as f64,
+            share(0.5),
+            share(0.99),
+        );
+        let dispatched = waits.len() as f64 / SPAN.as_millis_f64() * 1000.0;
+        assert!(dispatched >= 0.9 * case.per_second.min(LIMIT), "{dispatched} claims/s");
+        assert_eq!(waits.len() == count, case.within_limit, "{} claims/s", case.per_second);
+    }
+}
--- a/crates/config/tests/operator.rs
+++ b/crates/config/tests/operator.rs
@@ -182,3 +182,55 @@
     follower.poll().await;
     assert_eq!(*target.applied.lock(), [1, 2]);
 }
+
+/// A clock that follows the paused time of the runtime.
+#[derive(Clone, Copy, Debug)]
+struct PausedClock {
+    start: tokio::time::Instant,
+}
+
+impl ClockSource for PausedClock {
+    fn now(&self) -> ClockTime {
+        ClockTime::ZERO + ClockSpan::from(self.start.elapsed())
+    }
+}
+
+/// Guards against a change that is not in force on every VM 5 s after it was accepted.
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_on_every_vm_in_time() {
+    const VMS: u64 = 170;
+    const CHANGES: u64 = 40;
+    // The target for accepted changes.
+    const IN_FORCE: ClockSpan = ClockSpan::from_secs(5);
+    let store = MemoryStore::new();
+    // A slow store: a poll and a fetch take half a second together.
+    store.set_latency(ClockSpan::from_millis(250));
+    let trial = SharedName::from("trial");
+    let anna = operator(&store, "anna");
+    let clock = PausedClock { start: tokio::time::Instant::now() };
+    let followers: Vec<_> = (0..VMS)
+        .map(|seed| {
+            let parts = (store.clone(), clock, NoPeers, TestTarget::default());
+            let tuning = TrackerTuning::default();
+            let follower = ConfigFollower::new(parts, trial.clone(), tuning, seed);
+            tokio::spawn(follower.clone().run());
+            follower
+        })
+        .collect();
+    let seed = 21;
+    let mut random = RandomSource::from_seed(seed);
+    for number in 1..=CHANGES {
+        let made = anna.try_document(&NoBraces, &trial, document(number), None).await.unwrap();
+        tokio::time::sleep(IN_FORCE.to_duration()).await;
+        let late = followers.iter().filter(|follower| follower.active() != Some(made.to_mark()));
+        assert_eq!(late.count(), 0, "seed {seed}, change {number}");
+        tokio::time::sleep(ClockSpan::from_millis(random.below(3000) as u64).to_duration()).await;
+    }
+    let seconds = clock.now().as_millis_f64() / 1000.0;
+    let counts = store.counts();
+    println!(
+        "seed {seed}: {VMS} VMs, {CHANGES} changes in {seconds:.0} s, {:.1} reads/s, {} fetches",
+        counts.reads as f64 / seconds,
+        counts.objects
+    );
+}
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -85,7 +85,7 @@
     }
 
     pub(crate) fn is_open(&self) -> bool {
-        self.sender.is_ready()
+        !self.sender.is_closed()
     }
 
     pub(crate) async fn send(
@@ -96,6 +96,9 @@
     ) -> Result<StoreAnswer, CallFailure> {
         let request = self.request(call)?;
         let exchange = async {
+            // A connection that was just used may need a moment until it takes the next call.
+            let ready = self.sender.ready().await;
+            ready.map_err(|error| CallFailure::unsent(error.to_string()))?;
             let response = self.sender.try_send_request(request).await.map_err(|mut failed| {
                 let reason = failed.error().to_string();
                 // The request comes back if none of it was written.
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -1,6 +1,6 @@
 //! A store in memory, for tests and for the stand-in of the platform.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -13,6 +13,9 @@
 use crate::store::{MemberEntry, MemberList, PlatformStore, StoreError, TransactOutcome};
 use crate::wire::{TransactRequest, TransactResponse};
 
+/// Attempts whose answers are remembered: over 10 minutes at 300 transactions a second.
+const REMEMBERED_ATTEMPTS: usize = 200_000;
+
 /// Calls that a store has received.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StoreCounts {
@@ -30,6 +33,7 @@
 struct StoreTables {
     rows: BTreeMap<RowKey, RowEntry>,
     attempts: HashMap<SharedName, Vec<u64>>,
+    attempt_order: VecDeque<SharedName>,
     objects: HashMap<SharedName, Bytes>,
     members: MemberList,
     last_version: u64,
@@ -178,10 +182,20 @@
             return TransactResponse { committed: false, versions: Vec::new(), conflicts };
         }
         let versions: Vec<u64> = request.writes.iter().map(|write| self.write(write)).collect();
-        self.attempts.insert(request.attempt.clone(), versions.clone());
+        self.remember(&request.attempt, &versions);
         committed(versions)
     }
 
+    fn remember(&mut self, attempt: &SharedName, versions: &[u64]) {
+        self.attempts.insert(attempt.clone(), versions.to_vec());
+        self.attempt_order.push_back(attempt.clone());
+        if self.attempt_order.len() > REMEMBERED_ATTEMPTS
+            && let Some(oldest) = self.attempt_order.pop_front()
+        {
+            self.attempts.remove(&oldest);
+        }
+    }
+
     fn conflicts(&self, writes: &[RowWrite]) -> Vec<RowConflict> {
         let mut conflicts = Vec::new();
         for (index, write) in writes.iter().enumerate() {
