Keep rejected writes from holding up their group

Cause: a row that the store never takes, such as one that is too large, made its whole group fail again and again and counted as an outage. Change: writes of a rejected group are made one by one, and an outcome that is rejected alone is given up and logged. Storing an object is repeated on a fresh connection, as reads are. Conclusion: of five claims with one rejected, the other four are dispatched.

--- a/crates/claim/src/event.rs
+++ b/crates/claim/src/event.rs
@@ -78,6 +78,8 @@
     Down,
     /// The store, or this VM's share of it, is overloaded.
     Busy,
+    /// The store works and refuses this request, as it does with a row that is too large.
+    Rejected,
 }
 
 /// What the machine is told.
--- a/crates/claim/src/group.rs
+++ b/crates/claim/src/group.rs
@@ -29,6 +29,9 @@
     pub(crate) due: ClockTime,
     /// Whether the write was in a transaction that conflicted.
     pub(crate) repeated: bool,
+    /// Whether the write was in a transaction that the store rejected. It gets one of its own, so
+    /// that a write that the store never takes does not hold up the others.
+    pub(crate) alone: bool,
 }
 
 impl PendingWrite {
@@ -86,8 +89,7 @@
         if self.in_flight.is_some() || !due {
             return None;
         }
-        let repeated = self.pending.iter().take_while(|write| write.repeated).count();
-        let count = if repeated > 0 { repeated } else { self.pending.len() }.min(size);
+        let count = self.next_count().min(size);
         let writes: Vec<PendingWrite> = self.pending.drain(..count).collect();
         let rows = writes.iter().map(PendingWrite::to_row_write).collect();
         self.last_group += 1;
@@ -95,6 +97,15 @@
         Some((self.last_group, rows))
     }
 
+    fn next_count(&self) -> usize {
+        let repeated = self.pending.iter().take_while(|write| write.repeated && !write.alone);
+        match self.pending.front() {
+            Some(write) if write.alone => 1,
+            Some(write) if write.repeated => repeated.count(),
+            _ => self.pending.len(),
+        }
+    }
+
     /// Ends the transaction in flight and returns its writes.
     pub(crate) fn end(&mut self, group: GroupId) -> Vec<PendingWrite> {
         match self.in_flight.take_if(|(id, _)| *id == group) {
--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -276,6 +276,7 @@
             row,
             due,
             repeated,
+            alone: false,
         });
     }
 
@@ -366,8 +367,13 @@
     fn not_done(&mut self, group: GroupId, trouble: StoreTrouble, now: ClockTime) {
         let writes = self.queue.end(group);
         self.store_failed(trouble, now);
+        let several = writes.len() > 1;
         for write in writes {
-            self.unwritten(write, trouble, now);
+            if several && trouble == StoreTrouble::Rejected {
+                self.repeat(PendingWrite { alone: true, ..write }, now);
+            } else {
+                self.unwritten(write, trouble, now);
+            }
         }
     }
 
@@ -406,6 +412,7 @@
     fn store_failed(&mut self, trouble: StoreTrouble, now: ClockTime) {
         let retry_at = now + self.retry_gap();
         match trouble {
+            StoreTrouble::Rejected => self.store_answered(),
             StoreTrouble::Busy => self.busy = Some(retry_at),
             StoreTrouble::Down => {
                 if self.down.is_none() {
--- a/crates/claim/src/runner.rs
+++ b/crates/claim/src/runner.rs
@@ -380,6 +380,7 @@
 fn trouble(error: &StoreError) -> StoreTrouble {
     match error {
         StoreError::Throttled { .. } => StoreTrouble::Busy,
+        StoreError::Rejected { .. } => StoreTrouble::Rejected,
         _ => StoreTrouble::Down,
     }
 }
--- a/crates/claim/src/steps.rs
+++ b/crates/claim/src/steps.rs
@@ -53,10 +53,11 @@
     pub(crate) fn unwritten(&mut self, write: PendingWrite, trouble: StoreTrouble, now: ClockTime) {
         let due = now + self.tuning.outcome_linger;
         match (write.kind, trouble) {
+            (WriteKind::Outcome, StoreTrouble::Rejected) => self.give_up_outcome(&write.key, now),
             (WriteKind::Outcome, _) | (WriteKind::Claim, StoreTrouble::Busy) => {
                 self.repeat(PendingWrite { due, ..write }, now);
             }
-            (WriteKind::Claim, StoreTrouble::Down) => {
+            (WriteKind::Claim, StoreTrouble::Down | StoreTrouble::Rejected) => {
                 self.refuse_all(&write.key, RefusalReason::StoreDown);
                 self.repeat(write.clone(), now);
                 self.drop_unwanted(&write.key, 0, now);
@@ -114,11 +115,11 @@
                 let retry_at = now + self.retry_gap();
                 self.set_alarm(retry_at, ClaimAlarm::Read(key.clone()));
             }
-            (ClaimPhase::Reading { .. }, StoreTrouble::Down) => {
+            (ClaimPhase::Reading { .. }, StoreTrouble::Down | StoreTrouble::Rejected) => {
                 self.refuse_all(key, RefusalReason::StoreDown);
                 self.drop_unwanted(key, 0, now);
             }
-            (ClaimPhase::Remote, StoreTrouble::Down) => {
+            (ClaimPhase::Remote, StoreTrouble::Down | StoreTrouble::Rejected) => {
                 for ticket in self.take_waiting(key) {
                     self.actions.push(ClaimAction::InProgress { ticket });
                 }
@@ -232,7 +233,7 @@
         }
         let row = row.with_state(ClaimState::Unknown);
         let (key, kind) = (key.clone(), WriteKind::Mark);
-        self.push(PendingWrite { key, kind, expect, row, due: now, repeated: true });
+        self.push(PendingWrite { key, kind, expect, row, due: now, repeated: true, alone: false });
     }
 
     /// The claim of a VM that is gone could not be marked. Its holder may still release it, so
@@ -344,7 +345,27 @@
         let urgent = repeated || !claim.waiting.is_empty();
         let linger = if urgent { ClockSpan::ZERO } else { self.linger(self.tuning.outcome_linger) };
         let (key, kind) = (key.clone(), WriteKind::Outcome);
-        self.push(PendingWrite { key, kind, expect, row, due: now + linger, repeated });
+        self.push(PendingWrite {
+            key,
+            kind,
+            expect,
+            row,
+            due: now + linger,
+            repeated,
+            alone: false,
+        });
+    }
+
+    /// The store never takes the outcome of `key`, so that its row becomes unknown in the end.
+    fn give_up_outcome(&mut self, key: &SharedName, now: ClockTime) {
+        tracing::error!(event = 1504, %key, "outcome was rejected by the store");
+        match self.claims.get(key).and_then(|claim| claim.answer().cloned()) {
+            Some(answer) => self.cache(key, answer, now),
+            None => {
+                self.refuse_all(key, RefusalReason::StoreDown);
+                self.remove(key);
+            }
+        }
     }
 
     fn outcome_stored(&mut self, key: &SharedName, version: u64, now: ClockTime) {
--- /dev/null
+++ b/crates/claim/tests/groups.rs
@@ -0,0 +1,111 @@
+//! Groups of claims that the store does not take as a whole.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use claim::prelude::*;
+use platform::memory::MemoryStore;
+use platform::row::RowWrite;
+use platform::wire::TransactRequest;
+use world::vm::VmIdentity;
+
+const KEYS: u64 = 5;
+
+struct GroupCase {
+    name: &'static str,
+    /// A key that the store never takes.
+    rejected: Option<&'static str>,
+    /// A key that is in the store already.
+    taken: Option<&'static str>,
+    /// The sizes of the transactions.
+    groups: &'static [usize],
+    refused: u64,
+}
+
+fn claim_row(key: &str, store: &MemoryStore) {
+    let (mut machine, now) = (machine("other"), ClockTime::ZERO);
+    let request = ClaimRequest { key: key.into(), body: "body".into(), deadline: ClockTime::MAX };
+    machine.handle(ClaimEvent::Arrived { ticket: 1, request }, now);
+    let later = now + ClockSpan::from_millis(10);
+    for action in machine.handle(ClaimEvent::Timer, later) {
+        if let ClaimAction::Write { attempt, writes, .. } = action {
+            assert!(store.apply(&TransactRequest { attempt, writes }).committed);
+        }
+    }
+}
+
+fn machine(name: &str) -> ClaimMachine {
+    let identity = VmIdentity { name: name.into(), incarnation: 1, centre: "medeu".into() };
+    ClaimMachine::new(identity, 0, ClaimTuning::default(), 1)
+}
+
+fn answer(
+    store: &MemoryStore,
+    rejected: Option<&str>,
+    group: u64,
+    attempt: SharedName,
+    writes: Vec<RowWrite>,
+) -> ClaimEvent {
+    if writes.iter().any(|write| Some(write.key.as_str()) == rejected) {
+        return ClaimEvent::NotDone { group, trouble: StoreTrouble::Rejected };
+    }
+    let response = store.apply(&TransactRequest { attempt, writes });
+    if response.committed {
+        ClaimEvent::Committed { group, versions: response.versions }
+    } else {
+        ClaimEvent::Conflicted { group, conflicts: response.conflicts }
+    }
+}
+
+/// Guards against one claim that the store refuses holding up the claims that share its
+/// transaction.
+#[test]
+fn one_bad_claim_does_not_hold_up_the_others() {
+    let case = |name, rejected, taken, groups, refused| GroupCase {
+        name,
+        rejected,
+        taken,
+        groups,
+        refused,
+    };
+    let cases = [
+        case("all taken", None, None, &[5_usize] as &[usize], 0),
+        case("one conflict", None, Some("desk/2"), &[5, 4], 0),
+        case("one rejected", Some("desk/2"), None, &[5, 1, 1, 1, 1, 1], 1),
+    ];
+    for case in cases {
+        let store = MemoryStore::new();
+        if let Some(key) = case.taken {
+            claim_row(key, &store);
+        }
+        let mut machine = machine("vm-a");
+        let mut now = ClockTime::ZERO;
+        for ticket in 1..=KEYS {
+            let key = SharedName::from(format!("desk/{ticket}"));
+            let request = ClaimRequest { key, body: "body".into(), deadline: ClockTime::MAX };
+            machine.handle(ClaimEvent::Arrived { ticket, request }, now);
+        }
+        now = now + ClockSpan::from_millis(10);
+        let mut actions = machine.handle(ClaimEvent::Timer, now);
+        let (mut groups, mut dispatched, mut refused) = (Vec::new(), BTreeSet::new(), 0);
+        while let Some(action) = actions.pop() {
+            match action {
+                ClaimAction::Write { group, attempt, writes } => {
+                    groups.push(writes.len());
+                    let event = answer(&store, case.rejected, group, attempt, writes);
+                    actions.extend(machine.handle(event, now));
+                }
+                ClaimAction::Dispatch { ticket, .. } => {
+                    dispatched.insert(ticket);
+                }
+                ClaimAction::Refuse { .. } => refused += 1,
+                _ => {}
+            }
+        }
+        assert_eq!(groups, case.groups, "{}", case.name);
+        assert_eq!(refused, case.refused, "{}", case.name);
+        let expected = KEYS - refused - u64::from(case.taken.is_some());
+        assert_eq!(dispatched.len() as u64, expected, "{}", case.name);
+        assert!(!machine.is_down(), "{}", case.name);
+    }
+}
--- a/crates/claim/tests/random.rs
+++ b/crates/claim/tests/random.rs
@@ -101,6 +101,9 @@
                 match fate {
                     0 => ClaimEvent::NotDone { group, trouble: StoreTrouble::Down },
                     1 => ClaimEvent::NotDone { group, trouble: StoreTrouble::Busy },
+                    4 if self.random.chance(0.2) => {
+                        ClaimEvent::NotDone { group, trouble: StoreTrouble::Rejected }
+                    }
                     2 => {
                         self.store.apply(&request);
                         ClaimEvent::OutcomeUnknown { group }
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -19,6 +19,8 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    /// Whether the call may be sent twice.
+    pub(crate) repeatable: bool,
 }
 
 /// A complete answer.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -113,7 +113,7 @@
         body: Bytes,
         count: usize,
     ) -> Result<TransactOutcome, CallFailure> {
-        let call = StoreCall { method: Method::POST, path: "/v1/transact".to_owned(), body };
+        let call = transact_call(body);
         let answer = self.client.call(call, CallCost::Write).await?;
         transact_outcome(&answer, count).map_err(CallFailure::sent)
     }
@@ -152,7 +152,7 @@
         body: Bytes,
         count: usize,
     ) -> Result<Option<Vec<u64>>, CallFailure> {
-        let call = StoreCall { method: Method::POST, path: "/v1/transact".to_owned(), body };
+        let call = transact_call(body);
         let answer = self.client.call(call, CallCost::Write).await?;
         let response: TransactResponse = parse(&answer).map_err(CallFailure::sent)?;
         match response.versions.len() {
@@ -171,7 +171,7 @@
         path: String,
         body: Bytes,
     ) -> Result<StoreAnswer, StoreError> {
-        let call = StoreCall { method, path, body };
+        let call = StoreCall { method, path, body, repeatable: true };
         self.client.call(call, CallCost::Read).await.map_err(|failure| failure.error)
     }
 }
@@ -182,7 +182,7 @@
         if wait > ClockSpan::ZERO {
             tokio::time::sleep(wait.to_duration()).await;
         }
-        let result = self.exchange(call, cost).await;
+        let result = self.exchange(call).await;
         self.record(pass, &result);
         result
     }
@@ -219,11 +219,10 @@
         }
     }
 
-    async fn exchange(&self, call: StoreCall, cost: CallCost) -> Result<StoreAnswer, CallFailure> {
+    async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
         if let Some(connection) = self.take_idle() {
             match self.send(connection, call.clone()).await {
-                // Only a read may be sent twice.
-                Err(failure) if !failure.sent || cost == CallCost::Read => self.close_idle(),
+                Err(failure) if !failure.sent || call.repeatable => self.close_idle(),
                 result => return result,
             }
         }
@@ -270,6 +269,11 @@
     }
 }
 
+fn transact_call(body: Bytes) -> StoreCall {
+    let path = "/v1/transact".to_owned();
+    StoreCall { method: Method::POST, path, body, repeatable: false }
+}
+
 fn transact_body(attempt: &SharedName, writes: Vec<RowWrite>) -> Bytes {
     encode(&TransactRequest { attempt: attempt.clone(), writes })
 }
@@ -378,7 +382,7 @@
     async fn put_object(&self, digest: &SharedName, bytes: Bytes) -> Result<(), StoreError> {
         let path = format!("/v1/objects/{digest}");
         // Objects are named by their digest, so that storing one twice is harmless.
-        let call = StoreCall { method: Method::PUT, path, body: bytes };
+        let call = StoreCall { method: Method::PUT, path, body: bytes, repeatable: true };
         let answer = self.client.call(call, CallCost::Write).await.map_err(|f| f.error)?;
         match answer.status {
             StatusCode::OK | StatusCode::CREATED => Ok(()),
