Run both deployments in agatectl demo and fit the mixes to the documents

Cause: the project had no operators' command, and the ready-made mixes used hosts and paths that the example documents do not cover, so that every call would have been answered with 404.

Change: agatectl demo starts upstreams, platform and three gateways for each document, puts the document into force through the platform, sends open-loop load and compares the answers with the counts of the upstreams. check, check-settings and load come with it.

--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,144 @@
+//! `check` and `check-settings`: files are checked without being used.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use base::prelude::*;
+use border::MapChange;
+use bpaf::Bpaf;
+use config::prelude::*;
+use serde::Serialize;
+use world::prelude::*;
+
+use crate::error::CtlError;
+use crate::file;
+use crate::output::{OutputArguments, output_arguments};
+
+/// The version of a document that was never promoted.
+const FILE_VERSION: u64 = 1;
+
+/// Arguments of `check`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct CheckArguments {
+    #[bpaf(external)]
+    pub(crate) output_arguments: OutputArguments,
+    /// List the differences from this document
+    #[bpaf(long, argument("FILE"), optional)]
+    against: Option<PathBuf>,
+    /// The environment document, a JSON file
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+/// Arguments of `check-settings`.
+#[derive(Bpaf, Clone, Debug)]
+pub struct SettingsArguments {
+    #[bpaf(external)]
+    pub(crate) output_arguments: OutputArguments,
+    /// The settings of a gateway process, a JSON file
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+/// A valid document.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct CheckReport {
+    environment: SharedName,
+    digest: SharedName,
+    services: usize,
+    upstreams: usize,
+    /// Differences from the other document, if one was named.
+    changes: Option<Vec<String>>,
+}
+
+impl CheckReport {
+    fn new(map: &EnvironmentMap, older: Option<&EnvironmentMap>) -> Self {
+        let describe = |changes: Vec<MapChange>| changes.iter().map(ToString::to_string).collect();
+        Self {
+            environment: map.name.clone(),
+            digest: map.digest.clone(),
+            services: map.contracts.len(),
+            upstreams: map.upstreams.values().map(Vec::len).sum(),
+            changes: older.map(|older| describe(border::difference(older, map))),
+        }
+    }
+}
+
+impl fmt::Display for CheckReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { environment, digest, services, upstreams, changes } = self;
+        writeln!(formatter, "valid: {environment}, {services} services, {upstreams} upstreams")?;
+        writeln!(formatter, "digest: {digest}")?;
+        match changes.as_deref() {
+            None => Ok(()),
+            Some([]) => writeln!(formatter, "no differences"),
+            Some(changes) => changes.iter().try_for_each(|change| writeln!(formatter, "{change}")),
+        }
+    }
+}
+
+/// Valid settings.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct SettingsReport {
+    vm: SharedName,
+    centre: SharedName,
+}
+
+impl fmt::Display for SettingsReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "valid: settings of {} in {}", self.vm, self.centre)
+    }
+}
+
+/// Checks a document.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read, or with every problem of a document.
+pub fn check(arguments: &CheckArguments) -> Result<CheckReport, CtlError> {
+    let map = load_file(&arguments.file)?;
+    let older = arguments.against.as_deref().map(load_file).transpose()?;
+    Ok(CheckReport::new(&map, older.as_ref()))
+}
+
+/// Checks the settings of a process.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read, or with every problem of the settings.
+pub fn check_settings(arguments: &SettingsArguments) -> Result<SettingsReport, CtlError> {
+    let path = &arguments.file;
+    let settings = border::load_settings(&file::read(path)?).map_err(|error| {
+        CtlError::Rejected { path: path.clone(), problems: error.to_problems() }
+    })?;
+    Ok(SettingsReport { vm: settings.vm_name, centre: settings.centre })
+}
+
+/// Reads and checks a document.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read, or with every problem of the document.
+pub fn load_file(path: &Path) -> Result<EnvironmentMap, CtlError> {
+    border::load_document(&file::read(path)?, FILE_VERSION)
+        .map_err(|error| CtlError::Rejected { path: path.into(), problems: error.to_problems() })
+}
+
+/// The checks of `border`, as an operator's changes need them.
+#[derive(Clone, Copy, Debug)]
+pub struct BorderCheck;
+
+impl DocumentCheck for BorderCheck {
+    fn check(&self, document: &[u8]) -> Result<(), Vec<DocumentProblem>> {
+        let checked = border::load_document(document, FILE_VERSION);
+        checked.map(drop).map_err(|error| {
+            let to_problem = |problem: border::FieldProblem| {
+                let border::FieldProblem { path, reason, remedy } = problem;
+                DocumentProblem { path, reason, remedy }
+            };
+            error.to_problems().into_iter().map(to_problem).collect()
+        })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/demo/bed.rs
@@ -0,0 +1,117 @@
+//! The running parts of one deployment.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::prelude::*;
+use gate::options::{GateOptions, GateTimeouts};
+use gate::process::RunningGate;
+use gate::state::GateState;
+use platform::prelude::*;
+use route::prelude::*;
+use serde_json::{Value, json};
+use snafu::{OptionExt, ResultExt};
+use stand::prelude::*;
+use world::prelude::*;
+
+use crate::check::BorderCheck;
+use crate::demo::deployment::DemoDeployment;
+use crate::error::{CtlError, DemoStoppedSnafu, GateSnafu};
+
+/// Worker threads of each gateway.
+const GATE_WORKERS: usize = 1;
+
+/// An upstream and the service that it belongs to.
+pub struct DemoUpstream {
+    /// The service.
+    pub service: SharedName,
+    /// The running upstream.
+    pub stand: UpstreamStand,
+}
+
+/// Platform, upstreams and gateways of one deployment. They stop when the bed is dropped.
+pub struct DemoBed {
+    /// The gateways, one for each data centre.
+    pub gates: Vec<RunningGate>,
+    /// The upstreams of the document.
+    pub upstreams: Vec<DemoUpstream>,
+    /// The configuration in force.
+    pub environment: EnvironmentMap,
+    /// When the upstreams were running.
+    pub started: ClockTime,
+    /// The clock of the bed.
+    pub clock: RealClock,
+    _platform: PlatformStand,
+}
+
+impl DemoBed {
+    /// Starts everything, and puts the document into force as an operator would.
+    pub async fn start(deployment: &DemoDeployment) -> Result<Self, CtlError> {
+        let clock = RealClock::new();
+        let platform = PlatformStand::start(PlatformPlan::default()).await?;
+        let (document, upstreams) = start_upstreams(deployment).await?;
+        let started = clock.now();
+        let environment =
+            put_in_force(deployment.name, platform.address(), clock, document).await?;
+        let centres = environment.centres.iter();
+        let gates = centres
+            .map(|centre| start_gate(&centre.name, &environment))
+            .collect::<Result<_, _>>()?;
+        Ok(Self { gates, upstreams, environment, started, clock, _platform: platform })
+    }
+}
+
+/// Starts the upstreams of a document and returns the document with their addresses.
+async fn start_upstreams(
+    deployment: &DemoDeployment,
+) -> Result<(Bytes, Vec<DemoUpstream>), CtlError> {
+    let mut document: Value = serde_json::from_slice(deployment.document)
+        .map_err(|error| CtlError::DemoStopped { reason: error.to_string() })?;
+    let mut upstreams = Vec::new();
+    for service in document["services"].as_array_mut().into_iter().flatten() {
+        let name = SharedName::from(service["name"].as_str().unwrap_or_default());
+        for entry in service["upstreams"].as_array_mut().into_iter().flatten() {
+            let upstream_name = entry["name"].as_str().unwrap_or_default();
+            let seed = upstreams.len() as u64;
+            let plan = deployment.upstream_plan(upstream_name, seed, entry);
+            let stand = UpstreamStand::start(plan).await?;
+            entry["address"] = json!(stand.address());
+            upstreams.push(DemoUpstream { service: name.clone(), stand });
+        }
+    }
+    Ok((Bytes::from(document.to_string()), upstreams))
+}
+
+/// Tries and promotes a document, and returns the version as a gateway reads it.
+async fn put_in_force(
+    name: &'static str,
+    address: SocketAddr,
+    clock: RealClock,
+    document: Bytes,
+) -> Result<EnvironmentMap, CtlError> {
+    let store = HttpStore::new(HttpSettings::new(address, 0), clock);
+    let (author, session) = (SharedName::from("demo"), SharedName::from("demo"));
+    let operator = ConfigOperator::new(store.clone(), clock, author, session, 0);
+    let (production, trial) = (SharedName::from(name), SharedName::from(format!("{name}-trial")));
+    let tried = operator.try_document(&BorderCheck, &trial, document, None).await?;
+    let row = operator.promote(&production, &trial, &tried.digest, None).await?;
+    let stored =
+        store.load_object(&row.digest).await.map_err(|source| ConfigError::Store { source })?;
+    let stored = stored.context(DemoStoppedSnafu { reason: "the document is not in the store" })?;
+    border::load_document(&stored, row.version)
+        .map_err(|error| CtlError::DemoStopped { reason: error.to_string() })
+}
+
+fn start_gate(centre: &SharedName, environment: &EnvironmentMap) -> Result<RunningGate, CtlError> {
+    let name = SharedName::from(format!("{centre}-vm"));
+    let options = GateOptions {
+        vm: VmIdentity { name, incarnation: 1, centre: centre.clone() },
+        caller_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        workers: GATE_WORKERS,
+        policy: PolicyKind::default(),
+        timeouts: GateTimeouts::default(),
+    };
+    RunningGate::start(Arc::new(GateState::new(options, environment.clone()))).context(GateSnafu)
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -19,7 +19,7 @@
     //! The types that most users need.
 
     pub use crate::error::LoadError;
-    pub use crate::mix::{almaty_mix, viti_mix};
+    pub use crate::mix::{almaty_mix, named_mix, viti_mix};
     pub use crate::plan::{ArrivalKind, LoadPlan, RateShape, RateStep, RequestKind};
     pub use crate::report::{ErrorCounts, LatencyFigures, LoadReport, RowFigures};
     pub use crate::run::run;
--- a/crates/load/src/mix.rs
+++ b/crates/load/src/mix.rs
@@ -6,7 +6,11 @@
 
 /// Bytes of the body of a booking, correction, pledge, certificate or report.
 const FORM_BYTES: usize = 512;
+/// The documents select services by path, so that one host serves all of them.
+const ALMATY_HOST: &str = "calendar.example";
+const VITI_HOST: &str = "pledges.example";
 
+/// A request that may run more than once.
 fn fetch(name: &str, class: &str, weight: u32, host: &str, path: &str) -> RequestKind {
     RequestKind {
         name: name.into(),
@@ -19,35 +23,54 @@
     }
 }
 
+/// A request that runs at most once and therefore has a key.
 fn submit(name: &str, class: &str, weight: u32, host: &str, path: &str) -> RequestKind {
     RequestKind {
         method: SharedName::from("POST"),
         body_bytes: FORM_BYTES,
         keyed: true,
-        // Deferred work is answered with 202 by the gateway and with 200 by an upstream.
-        expect_status: vec![200, 201, 202],
+        expect_status: vec![200, 201],
         ..fetch(name, class, weight, host, path)
     }
 }
 
+/// A request that is stored and run later. The gateway answers with 202 and an upstream with 200.
+fn defer(name: &str, class: &str, weight: u32, host: &str, path: &str) -> RequestKind {
+    RequestKind {
+        method: SharedName::from("PUT"),
+        expect_status: vec![200, 201, 202],
+        ..submit(name, class, weight, host, path)
+    }
+}
+
 /// Returns the mix of the Almaty Municipal Lunar Calendar Service: mostly phase lookups, some
-/// bookings and archive pulls, few corrections.
+/// bookings and archive pulls, few corrections. The paths select the services of
+/// `examples/almaty.json`.
 pub fn almaty_mix() -> Vec<RequestKind> {
     vec![
-        fetch("phase lookup", "urgent", 88, "phase-desk", "/phase/{n}"),
-        submit("booking", "normal", 6, "booking-desk", "/booking/{n}"),
-        submit("correction", "normal", 1, "almanac-office", "/almanac/correction/{n}"),
-        fetch("archive pull", "deferrable", 5, "almanac-office", "/almanac/archive/{n}"),
+        fetch("phase lookup", "urgent", 88, ALMATY_HOST, "/phases/{n}"),
+        submit("booking", "normal", 6, ALMATY_HOST, "/bookings/{n}"),
+        submit("correction", "normal", 1, ALMATY_HOST, "/almanac/corrections/{n}"),
+        fetch("archive pull", "deferrable", 5, ALMATY_HOST, "/almanac/archive/{n}"),
     ]
 }
 
 /// Returns the mix of the Vanua Roots Pledge Group: mostly tree-count fetches, some pledges,
-/// certificates and nursery reports.
+/// certificates and nursery reports. The paths select the services of `examples/viti.json`.
 pub fn viti_mix() -> Vec<RequestKind> {
     vec![
-        fetch("tree count", "urgent", 85, "grove-view", "/grove/{n}"),
-        submit("pledge", "normal", 8, "pledge-desk", "/pledge/{n}"),
-        submit("certificate", "normal", 4, "cert-house", "/cert/{n}"),
-        submit("nursery report", "deferrable", 3, "grove-view", "/grove/report/{n}"),
+        fetch("tree count", "urgent", 85, VITI_HOST, "/groves/{n}"),
+        submit("pledge", "normal", 8, VITI_HOST, "/pledges/{n}"),
+        submit("certificate", "normal", 4, VITI_HOST, "/certificates/{n}"),
+        defer("nursery report", "deferrable", 3, VITI_HOST, "/groves/nursery-reports/{n}"),
     ]
 }
+
+/// Returns the mix with this name.
+pub fn named_mix(name: &str) -> Option<Vec<RequestKind>> {
+    match name {
+        "almaty" => Some(almaty_mix()),
+        "viti" => Some(viti_mix()),
+        _ => None,
+    }
+}
