--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -19,6 +19,7 @@
 
 /// Arguments of `check`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct CheckArguments {
     #[bpaf(external)]
     pub(crate) output_arguments: OutputArguments,
@@ -32,6 +33,7 @@
 
 /// Arguments of `check-settings`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct SettingsArguments {
     #[bpaf(external)]
     pub(crate) output_arguments: OutputArguments,
--- a/crates/ctl/src/cmd.rs
+++ b/crates/ctl/src/cmd.rs
@@ -9,18 +9,24 @@
 use crate::check::{self, CheckArguments, SettingsArguments, check_arguments, settings_arguments};
 use crate::demo::{self, DemoArguments, demo_arguments};
 use crate::error::{CtlError, CtlExit};
+use crate::history::{self, HistoryArguments, history_arguments};
 use crate::load::{self, LoadArguments, load_arguments};
 use crate::output::{self, OutputFormat};
+use crate::promote::{self, PromoteArguments, promote_arguments};
+use crate::rollback::{self, RollbackArguments, rollback_arguments};
+use crate::stand::{self, StandArguments, stand_arguments};
+use crate::status::{self, StatusArguments, status_arguments};
+use crate::trial::{self, TryArguments, try_arguments};
 
 /// Columns of help and error texts.
 const TEXT_WIDTH: usize = 100;
+const EXIT_CODES: &str = "Exit codes: 0 success; 1 the operation was refused or failed; \
+    2 wrong usage; 3 it is not known whether the change was made; \
+    4 the version is in force, but not every VM has confirmed it.";
 
 /// Operates environments of agateroad gateways.
-///
-/// Exit codes: 0 success; 1 the operation was refused or failed; 2 wrong usage; 3 it is not known
-/// whether the change was made; 4 the version is in force, but not every VM has confirmed it.
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(EXIT_CODES))]
 pub enum CtlCommand {
     /// Run gateways, upstreams and load in this process and print what callers got
     #[bpaf(command("demo"))]
@@ -31,9 +37,27 @@
     /// Check the settings of a gateway process
     #[bpaf(command("check-settings"))]
     CheckSettings(#[bpaf(external(settings_arguments))] SettingsArguments),
+    /// Check a document and put it into force in the trial environment
+    #[bpaf(command("try"))]
+    Try(#[bpaf(external(try_arguments))] TryArguments),
+    /// Put a document into force that was tried, and wait for the VMs
+    #[bpaf(command("promote"))]
+    Promote(#[bpaf(external(promote_arguments))] PromoteArguments),
+    /// Put the document of an earlier version into force again, and wait for the VMs
+    #[bpaf(command("rollback"))]
+    Rollback(#[bpaf(external(rollback_arguments))] RollbackArguments),
+    /// Show the versions in force and ask each VM for its own
+    #[bpaf(command("status"))]
+    Status(#[bpaf(external(status_arguments))] StatusArguments),
+    /// List the versions of an environment, newest first
+    #[bpaf(command("history"))]
+    History(#[bpaf(external(history_arguments))] HistoryArguments),
     /// Send load to gateways at a rate that does not depend on their answers
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_arguments))] LoadArguments),
+    /// Run upstreams and a platform on this machine, for trials
+    #[bpaf(command("stand"))]
+    Stand(#[bpaf(external(stand_arguments))] StandArguments),
 }
 
 /// Runs the command line of this process.
@@ -64,10 +88,31 @@
             Self::CheckSettings(arguments) => {
                 finish(arguments.output_arguments.format, check::check_settings(arguments), succeed)
             }
+            Self::Try(arguments) => {
+                finish(arguments.output_arguments.format, trial::run(arguments), succeed)
+            }
+            Self::Promote(arguments) => {
+                let format = arguments.output_arguments.format;
+                finish(format, promote::run(arguments), |report| Ok(report.to_exit()))
+            }
+            Self::Rollback(arguments) => {
+                let format = arguments.output_arguments.format;
+                finish(format, rollback::run(arguments), |report| Ok(report.to_exit()))
+            }
+            Self::Status(arguments) => {
+                finish(arguments.output_arguments.format, status::run(arguments), succeed)
+            }
+            Self::History(arguments) => {
+                finish(arguments.output_arguments.format, history::run(arguments), succeed)
+            }
             Self::Load(arguments) => {
                 let format = arguments.output_arguments.format;
                 finish(format, load::run(arguments), |result| result.verify().map(done))
             }
+            Self::Stand(arguments) => stand::run(arguments).unwrap_or_else(|error| {
+                output::progress(format_args!("agatectl: {error}"));
+                error.to_exit()
+            }),
         }
     }
 }
--- a/crates/ctl/src/demo/mod.rs
+++ b/crates/ctl/src/demo/mod.rs
@@ -28,6 +28,7 @@
 
 /// Arguments of `demo`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct DemoArguments {
     #[bpaf(external)]
     pub(crate) output_arguments: OutputArguments,
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -57,6 +57,9 @@
         /// Why.
         source: StandError,
     },
+    /// No stand-in was named.
+    #[snafu(display("nothing to run; name a document, or a platform with --platform"))]
+    NoStand,
     /// A gateway could not start.
     #[snafu(display("cannot start a gateway: {source}; check the limit on open files"))]
     Gate {
--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -19,6 +19,7 @@
 
 /// Arguments of `load`.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct LoadArguments {
     #[bpaf(external)]
     pub(crate) output_arguments: OutputArguments,
@@ -40,6 +41,7 @@
 
 /// Where the kinds of requests come from.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 enum LoadSource {
     Mix {
         /// A ready-made mix: almaty or viti
--- /dev/null
+++ b/crates/ctl/src/operator.rs
@@ -0,0 +1,111 @@
+//! The operator that commands act for.
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::prelude::*;
+use bpaf::Bpaf;
+use config::prelude::*;
+use platform::prelude::*;
+use snafu::ResultExt;
+use tokio::runtime::Runtime;
+
+use crate::error::{CtlError, RuntimeSnafu};
+
+/// The longest name of an environment or author, as in the document.
+const MAX_NAME_BYTES: usize = 63;
+
+/// Whose environment is read or changed, and where.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct OperatorArguments {
+    /// Address of the platform, such as 10.0.0.5:8090
+    #[bpaf(long, env("AGATECTL_PLATFORM"), argument("ADDRESS"))]
+    pub platform: SocketAddr,
+    /// Environment that serves callers
+    #[bpaf(
+        long,
+        env("AGATECTL_ENVIRONMENT"),
+        argument::<String>("NAME"),
+        guard(is_name, NAME_RULE),
+        map(SharedName::from)
+    )]
+    pub environment: SharedName,
+    /// Environment where documents are tried; the default adds -trial to the other name
+    #[bpaf(
+        long,
+        env("AGATECTL_TRIAL"),
+        argument::<String>("NAME"),
+        guard(is_name, NAME_RULE),
+        map(SharedName::from),
+        optional
+    )]
+    pub trial: Option<SharedName>,
+    /// Who makes the change; named to operators who lose a race against it
+    #[bpaf(
+        long,
+        env("AGATECTL_AUTHOR"),
+        argument::<String>("NAME"),
+        guard(is_name, NAME_RULE),
+        map(SharedName::from),
+        fallback(SharedName::from("operator"))
+    )]
+    pub author: SharedName,
+}
+
+/// The version that a change builds on.
+#[derive(Bpaf, Clone, Copy, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct BaseArguments {
+    /// Refuse the change unless this version is in force
+    #[bpaf(long, argument("VERSION"), optional)]
+    pub base: Option<u64>,
+}
+
+const NAME_RULE: &str =
+    "a name has 1 to 63 lower-case letters, digits, -, _ and ., and starts with a letter or digit";
+
+fn is_name(name: &String) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+    name.len() <= MAX_NAME_BYTES
+        && name.bytes().next().is_some_and(allowed)
+        && name.bytes().all(|byte| allowed(byte) || b"-_.".contains(&byte))
+}
+
+/// A connection to the platform on behalf of an operator.
+pub struct OperatorLink {
+    /// The platform.
+    pub store: HttpStore<RealClock>,
+    /// Makes the changes.
+    pub operator: ConfigOperator<HttpStore<RealClock>, RealClock>,
+}
+
+impl OperatorArguments {
+    /// Returns the trial environment.
+    pub fn to_trial(&self) -> SharedName {
+        let default = || SharedName::from(format!("{}-trial", self.environment));
+        self.trial.clone().unwrap_or_else(default)
+    }
+
+    /// Returns a link, which connects when it is first used.
+    pub fn to_link(&self) -> OperatorLink {
+        let clock = RealClock::new();
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let seed = epoch.as_nanos() as u64 ^ u64::from(std::process::id());
+        let session = format!("{}-{}-{:x}", self.author, std::process::id(), epoch.as_nanos());
+        let store = HttpStore::new(HttpSettings::new(self.platform, seed), clock);
+        let (author, epoch_ms) = (self.author.clone(), epoch.as_millis() as u64);
+        let operator =
+            ConfigOperator::new(store.clone(), clock, author, SharedName::from(session), epoch_ms);
+        OperatorLink { store, operator }
+    }
+}
+
+/// Returns the event loop of a command that talks to the platform.
+///
+/// # Errors
+///
+/// Fails if the system gives no event loop.
+pub fn runtime() -> Result<Runtime, CtlError> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)
+}
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -38,6 +38,7 @@
 
 /// How the result is printed.
 #[derive(Bpaf, Clone, Copy, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub struct OutputArguments {
     /// Form of the result on standard output: text or json
     #[bpaf(long, argument("FORMAT"), fallback(OutputFormat::Text), complete(complete_format))]
--- /dev/null
+++ b/crates/ctl/src/rollback.rs
@@ -0,0 +1,45 @@
+//! `rollback`: the document of an earlier version comes into force again.
+
+use bpaf::Bpaf;
+
+use crate::change::{ChangeReport, VersionLine};
+use crate::error::CtlError;
+use crate::operator::{self, BaseArguments, OperatorArguments, base_arguments, operator_arguments};
+use crate::output::{OutputArguments, output_arguments};
+use crate::promote::{PromoteReport, confirm};
+use crate::vm::{VmArguments, vm_arguments};
+
+/// Arguments of `rollback`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct RollbackArguments {
+    #[bpaf(external)]
+    pub(crate) output_arguments: OutputArguments,
+    #[bpaf(external)]
+    operator_arguments: OperatorArguments,
+    #[bpaf(external)]
+    base_arguments: BaseArguments,
+    #[bpaf(external)]
+    vm_arguments: VmArguments,
+    /// The earlier version, as listed by history
+    #[bpaf(positional("VERSION"))]
+    version: u64,
+}
+
+/// Puts the document of the named version into force as a new, higher version, and waits for the
+/// VMs.
+///
+/// # Errors
+///
+/// Fails with the reason why the change was not made.
+pub fn run(arguments: &RollbackArguments) -> Result<PromoteReport, CtlError> {
+    let query = arguments.vm_arguments.to_query()?;
+    let link = arguments.operator_arguments.to_link();
+    let environment = &arguments.operator_arguments.environment;
+    let base = arguments.base_arguments.base;
+    operator::runtime()?.block_on(async {
+        let row = link.operator.rollback(environment, arguments.version, base).await?;
+        let change = ChangeReport { in_force: VersionLine(row) };
+        Ok(confirm(&link.store, &query, &arguments.vm_arguments, change).await)
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/spread.rs
@@ -0,0 +1,155 @@
+//! Which VMs have a version in force.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use platform::prelude::*;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::vm::{VmError, VmQuery, VmStatus};
+
+/// Time between two rounds of questions.
+const ROUND_GAP: Duration = Duration::from_millis(250);
+
+/// What is known of one VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum VmState {
+    /// It has the version, or a newer one, in force.
+    Active {
+        /// The version in force.
+        version: u64,
+    },
+    /// It has an older version, or none, in force.
+    Behind {
+        /// The version in force.
+        version: Option<u64>,
+    },
+    /// It did not answer.
+    Silent {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// What is known of all VMs. Decides without I/O.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+pub struct SpreadTable {
+    version: u64,
+    /// Why the list of VMs could not be read, or not lately.
+    unlisted: Option<String>,
+    vms: BTreeMap<SharedName, VmState>,
+}
+
+impl SpreadTable {
+    /// Returns a table for a version that no VM is known to have.
+    pub fn new(version: u64) -> Self {
+        Self { version, unlisted: None, vms: BTreeMap::new() }
+    }
+
+    /// Takes the list of VMs and returns those that are still to be asked. A VM that left the list
+    /// need not have the version any more.
+    pub fn list(&mut self, listed: Result<MemberList, StoreError>) -> Vec<MemberEntry> {
+        let members = match listed {
+            Ok(list) => list.members,
+            Err(error) => {
+                self.unlisted = Some(error.to_string());
+                return Vec::new();
+            }
+        };
+        self.unlisted = None;
+        let serving: Vec<_> = members.into_iter().filter(|member| !member.leaving).collect();
+        self.vms.retain(|name, _| serving.iter().any(|member| member.name == *name));
+        let is_open = |member: &MemberEntry| {
+            !matches!(self.vms.get(&member.name), Some(VmState::Active { .. }))
+        };
+        serving.into_iter().filter(is_open).collect()
+    }
+
+    /// Takes what a VM answered.
+    pub fn record(&mut self, vm: SharedName, answer: Result<VmStatus, VmError>) {
+        let state = match answer {
+            Ok(VmStatus { version: Some(version) }) if version >= self.version => {
+                VmState::Active { version }
+            }
+            Ok(VmStatus { version }) => VmState::Behind { version },
+            Err(error) => VmState::Silent { reason: error.to_string() },
+        };
+        self.vms.insert(vm, state);
+    }
+
+    /// Returns whether every VM of the list has the version.
+    pub fn is_complete(&self) -> bool {
+        self.unlisted.is_none()
+            && self.vms.values().all(|state| matches!(state, VmState::Active { .. }))
+    }
+}
+
+impl fmt::Display for SpreadTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(reason) = &self.unlisted {
+            writeln!(formatter, "the list of VMs is not known: {reason}")?;
+        } else if self.vms.is_empty() {
+            writeln!(formatter, "the platform lists no VMs")?;
+        }
+        for (name, state) in &self.vms {
+            match state {
+                VmState::Active { version } => {
+                    writeln!(formatter, "{name}: version {version} in force")?;
+                }
+                VmState::Behind { version: Some(version) } => {
+                    writeln!(formatter, "{name}: still has version {version}")?;
+                }
+                VmState::Behind { version: None } => {
+                    writeln!(formatter, "{name}: has no version yet")?;
+                }
+                VmState::Silent { reason } => {
+                    writeln!(formatter, "{name}: did not answer: {reason}")?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Asks the VMs until every one has the version, or until `limit` has passed. Asks each VM at least
+/// once.
+pub async fn wait<S: PlatformStore, Q: VmQuery>(
+    store: &S,
+    query: &Q,
+    version: u64,
+    limit: Duration,
+) -> SpreadTable {
+    let deadline = Instant::now() + limit;
+    let mut table = SpreadTable::new(version);
+    loop {
+        let open = table.list(store.members().await);
+        let mut answers = JoinSet::new();
+        for member in open {
+            let query = query.clone();
+            answers.spawn(async move { (member.name.clone(), ask(&query, &member).await) });
+        }
+        for (name, answer) in answers.join_all().await {
+            table.record(name, answer);
+        }
+        if table.is_complete() || Instant::now() + ROUND_GAP >= deadline {
+            return table;
+        }
+        tokio::time::sleep(ROUND_GAP).await;
+    }
+}
+
+async fn ask<Q: VmQuery>(query: &Q, member: &MemberEntry) -> Result<VmStatus, VmError> {
+    let address: SocketAddr = member
+        .peer_address
+        .parse()
+        .map_err(|_| VmError::Address { address: member.peer_address.clone() })?;
+    query.status(address).await
+}
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,268 @@
+//! Success, refusal, error text and exit code of each subcommand.
+
+mod support;
+
+use std::process::Stdio;
+
+use border::document_digest;
+use ctl::error::{CtlError, CtlExit};
+use stand::prelude::*;
+use support::{ENVIRONMENT, Ended, command, document, operator_command, repository_file, run};
+
+const UNTRIED: &str = "0000000000000000000000000000000000000000000000000000000000000000";
+
+struct CommandCase {
+    /// The fault that the case guards against.
+    guards: &'static str,
+    arguments: Vec<String>,
+    code: i32,
+    stdout: Vec<String>,
+    stderr: Vec<String>,
+}
+
+impl CommandCase {
+    fn new(guards: &'static str, arguments: &[&str], code: i32) -> Self {
+        let arguments = arguments.iter().map(ToString::to_string).collect();
+        Self { guards, arguments, code, stdout: Vec::new(), stderr: Vec::new() }
+    }
+
+    fn prints(mut self, parts: &[&str]) -> Self {
+        self.stdout = parts.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    fn explains(mut self, parts: &[&str]) -> Self {
+        self.stderr = parts.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    fn arguments(&self) -> Vec<&str> {
+        self.arguments.iter().map(String::as_str).collect()
+    }
+
+    fn verify(&self, ended: &Ended) {
+        assert_eq!(ended.code, Some(self.code), "{}: {ended:?}", self.guards);
+        for part in &self.stdout {
+            assert!(ended.stdout.contains(part), "{}: no {part:?} in {ended:?}", self.guards);
+        }
+        for part in &self.stderr {
+            assert!(ended.stderr.contains(part), "{}: no {part:?} in {ended:?}", self.guards);
+        }
+        if self.code != 0 && self.code != 4 {
+            assert!(!ended.stderr.is_empty(), "{}", self.guards);
+        }
+    }
+}
+
+/// Guards against files that are accepted or refused without saying why.
+#[test]
+fn files_are_checked() {
+    let almaty = repository_file("examples/almaty.json");
+    let settings = repository_file("examples/settings.json");
+    let changed = support::write_file("check", "changed.json", &document(300));
+    let broken = document(200).replace("\"medeu\", \"region\"", "\"Medeu\", \"region\"");
+    let broken = support::write_file("check", "broken.json", &broken);
+    let bare = support::write_file("check", "bare.json", "{}");
+    let digest = document_digest(document(200).as_bytes());
+    let cases = [
+        CommandCase::new("a valid document", &["check", &almaty], 0)
+            .prints(&["valid: almaty, 3 services, 29 upstreams", &digest]),
+        CommandCase::new("differences", &["check", &changed, "--against", &almaty], 0)
+            .prints(&["changed service phase-desk, queue limit: 200 -> 300"]),
+        CommandCase::new("no differences", &["check", &almaty, "--against", &almaty], 0)
+            .prints(&["no differences"]),
+        CommandCase::new("JSON", &["check", &almaty, "--format", "json"], 0)
+            .prints(&["\"environment\":\"almaty\"", "\"changes\":null"]),
+        CommandCase::new("every problem", &["check", &broken], 1).explains(&[
+            "correct these problems",
+            "data_centres[0].name",
+            "services[0].upstreams[0].data_centre",
+        ]),
+        CommandCase::new("problems as JSON", &["check", &broken, "--format", "json"], 1)
+            .prints(&["\"problems\":[{\"path\":\"data_centres[0].name\"", "\"remedy\":"]),
+        CommandCase::new("a missing file", &["check", "no-such-file.json"], 1)
+            .explains(&["cannot read no-such-file.json", "check the path"]),
+        CommandCase::new("valid settings", &["check-settings", &settings], 0)
+            .prints(&["valid: settings of almaty-vm-01 in medeu"]),
+        CommandCase::new("settings without fields", &["check-settings", &bare], 1)
+            .explains(&["missing field", "docs/configuration.md"]),
+        CommandCase::new("no subcommand", &[], 2),
+        CommandCase::new("an unknown subcommand", &["chekc", &almaty], 2),
+        CommandCase::new("an unknown format", &["check", &almaty, "--format", "xml"], 2)
+            .explains(&["use text or json"]),
+        CommandCase::new("no platform", &["status", "--environment", "almaty"], 2)
+            .explains(&["--platform"]),
+        CommandCase::new("an unknown mix", &["load", "--mix", "suva"], 2)
+            .explains(&["use almaty or viti"]),
+        CommandCase::new("load without a target", &["load", "--mix", "viti"], 1)
+            .explains(&["name at least one address"]),
+        CommandCase::new("a stand-in of nothing", &["stand"], 1)
+            .explains(&["name a document, or a platform"]),
+        CommandCase::new("help", &["--help"], 0).prints(&["promote"]),
+    ];
+    for case in cases {
+        case.verify(&run(command(&case.arguments())));
+    }
+}
+
+/// Guards against changes that are made, refused or listed wrongly. Each step builds on the ones
+/// before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_tried_promoted_and_rolled_back() {
+    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let first = support::write_file("change", "first.json", &document(200));
+    let second = support::write_file("change", "second.json", &document(300));
+    let broken = document(200).replace("\"slots\": 6", "\"slots\": 0");
+    let broken = support::write_file("change", "broken.json", &broken);
+    let first_digest = document_digest(document(200).as_bytes());
+    let second_digest = document_digest(document(300).as_bytes());
+    let steps = [
+        CommandCase::new("status of nothing", &["status"], 0)
+            .prints(&["almaty has no version yet", "almaty-trial has no version yet"]),
+        CommandCase::new("history of nothing", &["history"], 0).prints(&["no versions"]),
+        CommandCase::new("rollback of nothing", &["rollback", "1"], 1)
+            .explains(&["almaty has no version yet; promote a document first"]),
+        CommandCase::new("a trial of an invalid document", &["try", &broken], 1)
+            .explains(&["services[0].upstreams[0].slots"]),
+        CommandCase::new("promotion of an untried document", &["promote", UNTRIED], 1)
+            .explains(&["was not tried in almaty-trial; try it there first"]),
+        CommandCase::new("a wrong digest", &["promote", "first.json"], 2)
+            .explains(&["a digest has 64 digits"]),
+        CommandCase::new("a trial", &["try", &first], 0)
+            .prints(&["almaty-trial version 1, tried by beka at", &first_digest]),
+        CommandCase::new("a promotion", &["promote", &first_digest], 0)
+            .prints(&["almaty version 1, promoted by beka at", "the platform lists no VMs"]),
+        CommandCase::new("a repeated promotion", &["promote", &first_digest], 0)
+            .prints(&["almaty version 1, promoted by beka at"]),
+        CommandCase::new("a second trial", &["try", &second, "--base", "1"], 0)
+            .prints(&["almaty-trial version 2"]),
+        CommandCase::new("an outdated base", &["promote", &second_digest, "--base", "7"], 1)
+            .explains(&["version 1 of almaty by beka", &first_digest, "review it and repeat"]),
+        CommandCase::new(
+            "a lost race as JSON",
+            &["promote", &second_digest, "--base", "7", "--format", "json"],
+            1,
+        )
+        .prints(&["\"winner\":{", "\"author\":\"beka\"", "\"version\":1"]),
+        CommandCase::new("a second promotion", &["promote", &second_digest, "--base", "1"], 0)
+            .prints(&["almaty version 2, promoted"]),
+        CommandCase::new("rollback to a future version", &["rollback", "9"], 1)
+            .explains(&["version 9 of almaty was never in force; choose one from its history"]),
+        CommandCase::new("a rollback", &["rollback", "1"], 0)
+            .prints(&["almaty version 3, rolled back to version 1 by beka", &first_digest]),
+        CommandCase::new("status", &["status"], 0)
+            .prints(&["almaty version 3", "almaty-trial version 2"]),
+        CommandCase::new("status as JSON", &["status", "--format", "json"], 0).prints(&[
+            "\"in_force\":{",
+            "\"version\":3",
+            "\"vms\":{",
+        ]),
+    ];
+    for step in steps {
+        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
+    }
+}
+
+/// Guards against versions that are missing from the history or listed in the wrong order.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_are_listed_newest_first() {
+    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let first = support::write_file("history", "first.json", &document(200));
+    let second = support::write_file("history", "second.json", &document(300));
+    let first_digest = document_digest(document(200).as_bytes());
+    let second_digest = document_digest(document(300).as_bytes());
+    let steps = [
+        CommandCase::new("a trial", &["try", &first], 0),
+        CommandCase::new("a promotion", &["promote", &first_digest], 0),
+        CommandCase::new("a second trial", &["try", &second], 0),
+        CommandCase::new("a second promotion", &["promote", &second_digest], 0),
+        CommandCase::new("a rollback", &["rollback", "1"], 0),
+        CommandCase::new("history", &["history", "--limit", "2"], 0)
+            .prints(&["almaty version 3, rolled back", "\nalmaty version 2, promoted"]),
+        CommandCase::new("older history", &["history", "--before", "2"], 0)
+            .prints(&["almaty version 1"]),
+        CommandCase::new("history of the trial", &["history", "--of-trial"], 0)
+            .prints(&["almaty-trial version 2, tried", "\nalmaty-trial version 1, tried"]),
+    ];
+    for step in steps {
+        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
+    }
+}
+
+/// Guards against a change that is reported wrongly because an answer of the platform was lost: the
+/// lost answer to a transaction is read back, and a lost upload has changed nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_are_resolved() {
+    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let file = support::write_file("lost", "document.json", &document(200));
+    let digest = document_digest(document(200).as_bytes());
+    let steps = [
+        (1, CommandCase::new("a lost upload", &["try", &file], 1).explains(&["was not made"])),
+        (0, CommandCase::new("a trial", &["try", &file], 0).prints(&["trial version 1"])),
+        (1, CommandCase::new("a lost change", &["promote", &digest], 0).prints(&["version 1"])),
+        (1, CommandCase::new("a lost rollback", &["rollback", "1"], 0).prints(&["version 2"])),
+    ];
+    let mut lost = 0;
+    for (lose_next, step) in steps {
+        platform.update(|plan| plan.lose_next = lose_next);
+        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
+        lost += lose_next;
+        assert_eq!(platform.counts().lost_answers, lost, "{}", step.guards);
+    }
+    let row = platform.row("environments", ENVIRONMENT).expect("a version");
+    assert_eq!(row.value["version"], 2);
+}
+
+/// Guards against commands that hang or claim success while the platform is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_is_named() {
+    let plan = PlatformPlan { outage: Some(PlatformOutage::Refuse), ..PlatformPlan::default() };
+    let platform = PlatformStand::start(plan).await.expect("a platform");
+    let file = support::write_file("outage", "document.json", &document(200));
+    let refused = &["platform is unavailable", "retry when it answers again"];
+    let cases = [
+        CommandCase::new("status", &["status"], 1).explains(refused),
+        CommandCase::new("history", &["history"], 1).explains(refused),
+        CommandCase::new("try", &["try", &file], 1).explains(refused),
+        CommandCase::new("promote", &["promote", UNTRIED], 1).explains(refused),
+        CommandCase::new("rollback", &["rollback", "1"], 1).explains(refused),
+    ];
+    for case in cases {
+        case.verify(&run(operator_command(platform.address(), "beka", &case.arguments())));
+    }
+}
+
+/// Guards against two operators who overwrite each other's change without seeing it.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_operators_wins() {
+    const ROUNDS: u32 = 5;
+    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let address = platform.address();
+    let file = support::write_file("race", "first.json", &document(200));
+    assert_eq!(run(operator_command(address, "beka", &["try", &file])).code, Some(0));
+    for base in 1..=ROUNDS {
+        let children = ["beka", "sala"].map(|author| {
+            let limit = 400 + 2 * base + u32::from(author == "sala");
+            let file = support::write_file("race", &format!("{author}.json"), &document(limit));
+            let mut command =
+                operator_command(address, author, &["try", &file, "--base", &base.to_string()]);
+            command.stdout(Stdio::piped()).stderr(Stdio::piped());
+            command.spawn().expect("the command starts")
+        });
+        let ended = children.map(|child| Ended::from(child.wait_with_output().expect("an end")));
+        let winner = ended.iter().position(|ended| ended.code == Some(0)).expect("a winner");
+        let loser = &ended[1 - winner];
+        assert_eq!(loser.code, Some(1), "{ended:?}");
+        let name = ["beka", "sala"][winner];
+        let expected = format!("version {} of {ENVIRONMENT}-trial by {name}", base + 1);
+        assert!(loser.stderr.contains(&expected), "{ended:?}");
+    }
+}
+
+/// Guards against an unclear outcome that looks like a refusal to a program.
+#[test]
+fn an_unclear_outcome_has_its_own_code() {
+    let unclear = CtlError::from(config::prelude::ConfigError::Unclear);
+    assert_eq!(unclear.to_exit(), CtlExit::Unclear);
+    assert!(unclear.to_string().contains("read the status before repeating it"));
+}
--- /dev/null
+++ b/crates/ctl/tests/help.rs
@@ -0,0 +1,59 @@
+//! Help texts and shell completion.
+
+mod support;
+
+use support::{command, run};
+
+/// Guards against help that is missing or changes unnoticed.
+#[test]
+fn help_is_complete() {
+    let subcommands = [
+        "",
+        "demo",
+        "check",
+        "check-settings",
+        "try",
+        "promote",
+        "rollback",
+        "status",
+        "history",
+        "load",
+        "stand",
+    ];
+    for subcommand in subcommands {
+        let arguments: Vec<&str> =
+            [subcommand, "--help"].into_iter().filter(|part| !part.is_empty()).collect();
+        let ended = run(command(&arguments));
+        assert_eq!(ended.code, Some(0), "{subcommand}");
+        let name = if subcommand.is_empty() { "agatectl" } else { subcommand };
+        insta::assert_snapshot!(name, ended.stdout);
+    }
+}
+
+struct CompletionCase {
+    words: &'static [&'static str],
+    offered: &'static [&'static str],
+}
+
+/// Guards against a shell completion that leaves out subcommands or values.
+#[test]
+fn the_shell_completes_subcommands_and_values() {
+    let cases = [
+        CompletionCase { words: &["pro"], offered: &["promote"] },
+        CompletionCase { words: &["check"], offered: &["check", "check-settings"] },
+        CompletionCase { words: &["load", "--mix", ""], offered: &["almaty", "viti"] },
+        CompletionCase { words: &["status", "--platf"], offered: &["--platform"] },
+    ];
+    for case in cases {
+        // The library's own protocol, in the revision that its generated scripts for zsh use.
+        let arguments = [&["--bpaf-complete-rev=8"], case.words].concat();
+        let ended = run(command(&arguments));
+        assert_eq!(ended.code, Some(0), "{:?}", case.words);
+        for word in case.offered {
+            assert!(ended.stdout.contains(word), "{:?}: {}", case.words, ended.stdout);
+        }
+    }
+    let script = run(command(&["--bpaf-complete-style-bash"]));
+    assert_eq!(script.code, Some(0));
+    assert!(script.stdout.contains("complete"), "{}", script.stdout);
+}
--- /dev/null
+++ b/crates/ctl/tests/support/mod.rs
@@ -0,0 +1,70 @@
+//! Runs the command against a platform inside the test.
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+/// The environment of the tests.
+pub const ENVIRONMENT: &str = "almaty";
+
+/// How a command ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl From<Output> for Ended {
+    fn from(output: Output) -> Self {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let Output { status, stdout, stderr } = output;
+        Self { code: status.code(), stdout: text(&stdout), stderr: text(&stderr) }
+    }
+}
+
+/// Returns the command without settings from the environment of the test.
+pub fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_agatectl"));
+    for name in ["PLATFORM", "ENVIRONMENT", "TRIAL", "AUTHOR", "SECRET_FILE"] {
+        command.env_remove(format!("AGATECTL_{name}"));
+    }
+    command.args(arguments);
+    command
+}
+
+/// Returns the command of the operator `author` of the platform at `address`.
+pub fn operator_command(address: SocketAddr, author: &str, arguments: &[&str]) -> Command {
+    let mut command = command(arguments);
+    command.env("AGATECTL_PLATFORM", address.to_string());
+    command.env("AGATECTL_ENVIRONMENT", ENVIRONMENT);
+    command.env("AGATECTL_AUTHOR", author);
+    command
+}
+
+/// Runs a command to its end.
+pub fn run(mut command: Command) -> Ended {
+    command.output().expect("the command starts").into()
+}
+
+/// Returns the path of a file of the repository.
+pub fn repository_file(path: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    root.join(path).to_string_lossy().into_owned()
+}
+
+/// Writes a file for the test `test` and returns its path.
+pub fn write_file(test: &str, name: &str, content: &str) -> String {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join(name);
+    std::fs::write(&path, content).expect("a file");
+    path.to_string_lossy().into_owned()
+}
+
+/// Returns the Almaty document with another queue limit, which changes its digest.
+pub fn document(queue_limit: u32) -> String {
+    let text = std::fs::read_to_string(repository_file("examples/almaty.json")).expect("a file");
+    text.replace("\"queue_limit\": 200", &format!("\"queue_limit\": {queue_limit}"))
+}
