Test the load generator and bound how late a call is sent

Cause: a call that waited for a connection until just before its time-out was still sent, with no chance of an answer.

Change: send_within_ms bounds the time from the intended to the actual sending; later calls are counted as unsent.

--- a/crates/load/src/lane.rs
+++ b/crates/load/src/lane.rs
@@ -35,6 +35,7 @@
 pub(crate) struct LaneBook {
     pub(crate) kinds: Vec<PreparedKind>,
     pub(crate) timeout: Duration,
+    pub(crate) send_within: Duration,
     pub(crate) tallies: RefCell<Vec<KindTally>>,
 }
 
@@ -123,7 +124,7 @@
     async fn make(&mut self, call: DueCall) {
         let deadline = call.intended + self.book.timeout;
         let delay = call.intended.elapsed();
-        let end = if delay >= self.book.timeout {
+        let end = if delay >= self.book.send_within {
             CallEnd::Unsent
         } else {
             if call.measured {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -33,6 +33,9 @@
     pub duration_ms: u64,
     /// Time from the intended start of a call until it is given up.
     pub timeout_ms: u64,
+    /// The most that a call may be sent after its intended time. Later calls are counted as unsent,
+    /// since they would only add to the load of a server that is behind already.
+    pub send_within_ms: u64,
     /// The start of every idempotency key. Two runs against the same servers need different ones.
     pub key_prefix: SharedName,
     /// The request kinds.
@@ -51,6 +54,7 @@
             warm_up_ms: 0,
             duration_ms: 1000,
             timeout_ms: 5000,
+            send_within_ms: 1000,
             key_prefix: SharedName::from("key"),
             mix: vec![RequestKind::default()],
         }
@@ -74,6 +78,11 @@
         Ok(())
     }
 
+    /// Returns the most that a call may be sent after its intended time.
+    pub fn send_within(&self) -> Duration {
+        Duration::from_millis(self.send_within_ms.min(self.timeout_ms))
+    }
+
     /// Returns the time from the intended start of a call until it is given up.
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms)
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -63,7 +63,12 @@
 ) -> Result<Vec<KindTally>, LoadError> {
     let runtime = Builder::new_current_thread().enable_all().build().context(ThreadSnafu)?;
     let tallies = kinds.iter().map(|_| KindTally::new()).collect();
-    let book = Rc::new(LaneBook { kinds, timeout: plan.timeout(), tallies: RefCell::new(tallies) });
+    let book = Rc::new(LaneBook {
+        kinds,
+        timeout: plan.timeout(),
+        send_within: plan.send_within(),
+        tallies: RefCell::new(tallies),
+    });
     let local = LocalSet::new();
     local.block_on(&runtime, drive(plan, book.clone(), thread, start))?;
     Ok(book.tallies.take())
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -35,7 +35,7 @@
     TimedOut,
     /// The connection could not be opened, or broke before the answer began.
     ConnectionError,
-    /// Not sent before its time-out because every connection was in use.
+    /// Not sent in time because every connection was in use.
     Unsent,
 }
 
--- /dev/null
+++ b/crates/load/tests/judgement.rs
@@ -0,0 +1,197 @@
+//! Judgement of answers, tallies and tables.
+
+use std::time::Duration;
+
+use http::Response;
+use load::call::PreparedKind;
+use load::prelude::*;
+use load::report::LoadReport;
+use load::tally::{CallEnd, KindTally, merge_all};
+
+const NONCE: u64 = 7;
+const GOOD: &[(&str, &str)] = &[("x-test-nonce", "7")];
+
+struct JudgeCase {
+    name: &'static str,
+    status: u16,
+    headers: &'static [(&'static str, &'static str)],
+    bytes: u64,
+    end: CallEnd,
+}
+
+/// Guards against an answer to another call, a short one or a refusal that counts as good.
+#[test]
+fn answers_are_judged() {
+    let cases = [
+        JudgeCase { name: "good", status: 200, headers: GOOD, bytes: 3, end: CallEnd::Good },
+        JudgeCase {
+            name: "answer to another call",
+            status: 200,
+            headers: &[("x-test-nonce", "8")],
+            bytes: 3,
+            end: CallEnd::WrongNonce,
+        },
+        JudgeCase {
+            name: "no nonce",
+            status: 200,
+            headers: &[],
+            bytes: 3,
+            end: CallEnd::WrongNonce,
+        },
+        JudgeCase { name: "short", status: 200, headers: GOOD, bytes: 2, end: CallEnd::ShortBody },
+        JudgeCase {
+            name: "server error",
+            status: 500,
+            headers: GOOD,
+            bytes: 0,
+            end: CallEnd::WrongStatus,
+        },
+        JudgeCase {
+            name: "shed by an upstream",
+            status: 503,
+            headers: &[("agateroad-shed", "1")],
+            bytes: 0,
+            end: CallEnd::NotRun,
+        },
+        JudgeCase {
+            name: "refused by a gateway",
+            status: 503,
+            headers: &[("agateroad-outcome", "not-run")],
+            bytes: 0,
+            end: CallEnd::NotRun,
+        },
+        JudgeCase {
+            name: "outcome unknown",
+            status: 504,
+            headers: &[("agateroad-outcome", "unknown")],
+            bytes: 0,
+            end: CallEnd::Unknown,
+        },
+    ];
+    let kind = RequestKind { expect_bytes: Some(3), ..RequestKind::default() };
+    let prepared = PreparedKind::new(&LoadPlan::default(), &kind).unwrap();
+    for case in cases {
+        let mut answer = Response::builder().status(case.status);
+        for (name, value) in case.headers {
+            answer = answer.header(*name, *value);
+        }
+        let head = prepared.judge_head(NONCE, &answer.body(()).unwrap());
+        assert_eq!(prepared.judge_body(head, case.bytes), case.end, "{}", case.name);
+    }
+}
+
+struct RequestCase {
+    kind: RequestKind,
+    head: &'static str,
+    key: Option<&'static str>,
+}
+
+/// Guards against requests that differ from the plan.
+#[test]
+fn requests_follow_the_plan() {
+    let cases = [
+        RequestCase { kind: RequestKind::default(), head: "GET / localhost", key: None },
+        RequestCase {
+            kind: almaty_mix().swap_remove(0),
+            head: "GET /phase/42 phase-desk",
+            key: None,
+        },
+        RequestCase {
+            kind: viti_mix().swap_remove(1),
+            head: "POST /pledge/42 pledge-desk",
+            key: Some("key-7"),
+        },
+    ];
+    for case in cases {
+        let prepared = PreparedKind::new(&LoadPlan::default(), &case.kind).unwrap();
+        let request = prepared.request(NONCE, 42);
+        let host = request.headers()["host"].to_str().unwrap();
+        let head = format!("{} {} {host}", request.method(), request.uri());
+        assert_eq!(head, case.head);
+        let key = request.headers().get("idempotency-key").map(|key| key.to_str().unwrap());
+        assert_eq!(key, case.key, "{}", case.head);
+        assert_eq!(request.headers()["x-test-nonce"], "7", "{}", case.head);
+    }
+}
+
+/// Guards against threads whose calls are missing from the report, and against good calls that
+/// hide slow failures.
+#[test]
+fn tallies_are_merged() {
+    let mix = almaty_mix();
+    let plan = LoadPlan { duration_ms: 2000, mix, ..LoadPlan::default() };
+    let mut threads = vec![vec![KindTally::new(); plan.mix.len()]; 2];
+    for (thread, tallies) in threads.iter_mut().enumerate() {
+        for millis in 1..=500 {
+            let latency = Duration::from_millis(millis * 2 - thread as u64);
+            tallies[0].record_sent(Duration::ZERO);
+            tallies[0].record_end(CallEnd::Good, latency);
+        }
+        tallies[1].record_sent(Duration::from_millis(2));
+        tallies[1].record_end(CallEnd::TimedOut, Duration::from_secs(5));
+        tallies[2].record_end(CallEnd::Unsent, Duration::from_secs(5));
+    }
+    let mut total = vec![KindTally::new(); plan.mix.len()];
+    for part in &threads {
+        merge_all(&mut total, part);
+    }
+    let report = LoadReport::new(&plan, &total);
+    let overall = &report.overall;
+    assert_eq!((overall.intended, overall.sent, overall.good), (1004, 1002, 1000));
+    assert_eq!((overall.errors.timed_out, overall.errors.unsent, overall.late), (2, 2, 2));
+    assert_eq!(overall.goodput, 500.0);
+    let figures = [
+        (overall.latency.p50_ms, 500.0),
+        (overall.latency.p90_ms, 900.0),
+        (overall.latency.p99_ms, 990.0),
+        (overall.latency.p999_ms, 999.0),
+        (overall.latency.max_ms, 1000.0),
+        (overall.latency_all.max_ms, 5000.0),
+    ];
+    for (found, expected) in figures {
+        // The histogram keeps three digits.
+        assert!((found / expected - 1.0).abs() < 0.002, "{found} for {expected}");
+    }
+    let classes: Vec<_> = report.classes.iter().map(|row| (&*row.name, row.intended)).collect();
+    assert_eq!(classes, [("urgent", 1000), ("normal", 4), ("deferrable", 0)]);
+    let table = report.to_string();
+    let widths: Vec<_> = table.lines().map(|line| line.chars().count()).collect();
+    assert_eq!(widths, vec![widths[0]; 6], "{table}");
+    assert_eq!(serde_json::from_str::<LoadReport>(&report.to_json()).unwrap(), report);
+}
+
+struct PlanCase {
+    json: &'static str,
+    error: &'static str,
+}
+
+/// Guards against a run that starts with an impossible plan.
+#[test]
+fn impossible_plans_are_refused() {
+    let cases = [
+        PlanCase { json: r#"{}"#, error: "no targets" },
+        PlanCase { json: r#"{"targets":["127.0.0.1:1"],"mix":[]}"#, error: "no weight" },
+        PlanCase { json: r#"{"targets":["127.0.0.1:1"],"threads":0}"#, error: "threads is zero" },
+        PlanCase {
+            json: r#"{"targets":["127.0.0.1:1"],"connections":0}"#,
+            error: "connections is zero",
+        },
+        PlanCase {
+            json: r#"{"targets":["127.0.0.1:1"],"rate":{"kind":"constant","per_second":-1}}"#,
+            error: "rate -1",
+        },
+        PlanCase {
+            json: r#"{"targets":["127.0.0.1:1"],"mix":[{"path":"a b"}]}"#,
+            error: "correct its path",
+        },
+        PlanCase {
+            json: r#"{"targets":["127.0.0.1:1"],"mix":[{"headers":[["a b","c"]]}]}"#,
+            error: "correct its headers",
+        },
+    ];
+    for case in cases {
+        let plan: LoadPlan = serde_json::from_str(case.json).expect(case.json);
+        let error = run(&plan).unwrap_err().to_string();
+        assert!(error.contains(case.error), "{}: {error}", case.json);
+    }
+}
