--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -11,9 +11,10 @@
 use serde::Serialize;
 
 use crate::body::StandBody;
+use crate::hold::SlotHold;
 use crate::plan::{UpstreamMode, UpstreamPlan};
 use crate::scan::{CRASH_MARKER, MarkerScan};
-use crate::state::{Admission, QueueFate, SlotHold, UpstreamCore, WorkLabel};
+use crate::state::{Admission, QueueFate, UpstreamCore, WorkLabel};
 use crate::web::{self, ConnectionCut};
 
 const CANCEL_PREFIX: &str = "/agateroad/cancel/";
--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::body::StandBody;
@@ -16,6 +16,7 @@
 use crate::plan::ANY_LOOPBACK;
 use crate::port::{CutSignal, PortControl, StandPort};
 use crate::relay::{Relay, RelayEnd};
+use crate::signal::ChangeSignal;
 use crate::web::{self, ConnectionCut};
 
 /// Everything that a fault proxy can be told. Absent fields take their defaults.
@@ -102,7 +103,7 @@
 #[derive(Debug)]
 pub(crate) struct ProxyCore {
     port: PortControl,
-    changed: Notify,
+    changed: ChangeSignal,
     /// Connections with a lower number are silent.
     silent_below: watch::Sender<u64>,
     state: Mutex<ProxyState>,
@@ -117,7 +118,7 @@
         };
         let core = Arc::new(Self {
             port,
-            changed: Notify::new(),
+            changed: ChangeSignal::default(),
             silent_below: watch::Sender::new(0),
             state: Mutex::new(state),
         });
@@ -131,7 +132,7 @@
 
     pub(crate) fn count(&self, change: impl FnOnce(&mut ProxyCounts)) {
         change(&mut self.state.lock().counts);
-        self.changed.notify_waiters();
+        self.changed.announce();
     }
 
     /// Returns whether the answer that has just begun is lost, and counts it if so.
@@ -145,7 +146,7 @@
             Arc::make_mut(&mut state.plan).lose_next -= 1;
             state.counts.lost_answers += 1;
         }
-        self.changed.notify_waiters();
+        self.changed.announce();
         true
     }
 
@@ -197,19 +198,7 @@
         tasks.spawn(port.run(move |stream, cut| {
             tokio::spawn(pass(relay_core.clone(), stream, cut));
         }));
-        let admin_core = core.clone();
-        tasks.spawn(async move {
-            admin_port
-                .run(|stream, cut| {
-                    let core = admin_core.clone();
-                    tokio::spawn(web::serve(stream, cut, move |request| {
-                        administer(core.clone(), request)
-                    }));
-                })
-                .await;
-            // The port closes with its control, which therefore lives as long.
-            drop(admin_control);
-        });
+        tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), administer));
         Ok(Self { core, address, admin_address, _tasks: tasks })
     }
 
@@ -262,15 +251,8 @@
 
     /// Waits until the counters meet a condition.
     pub async fn wait_for(&self, met: impl Fn(&ProxyCounts) -> bool) {
-        loop {
-            let notified = self.core.changed.notified();
-            tokio::pin!(notified);
-            notified.as_mut().enable();
-            if met(&self.core.state.lock().counts) {
-                return;
-            }
-            notified.await;
-        }
+        let check = || met(&self.core.state.lock().counts);
+        self.core.changed.wait_until(check).await;
     }
 
     /// Waits until the proxy accepts connections, or until it refuses them.
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -4,13 +4,15 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
 use crate::counts::UpstreamCounts;
+use crate::hold::{ConnectionMark, QueueSeat, SlotHold};
 use crate::noise::NoiseSchedule;
 use crate::plan::{LoadAnswer, NoisePlan, UpstreamPlan};
 use crate::port::PortControl;
+use crate::signal::ChangeSignal;
 use crate::slot::{LoadFigures, QueueExit, SlotTable};
 
 /// What the core needs to know about a request.
@@ -87,7 +89,7 @@
 pub(crate) struct UpstreamCore {
     clock: RealClock,
     port: PortControl,
-    changed: Notify,
+    changed: ChangeSignal,
     state: Mutex<UpstreamState>,
 }
 
@@ -108,7 +110,12 @@
             epoch: 0,
             plan: Arc::new(UpstreamPlan::default()),
         };
-        let core = Arc::new(Self { clock, port, changed: Notify::new(), state: Mutex::new(state) });
+        let core = Arc::new(Self {
+            clock,
+            port,
+            changed: ChangeSignal::default(),
+            state: Mutex::new(state),
+        });
         core.set_plan(plan);
         core
     }
@@ -132,23 +139,16 @@
     /// Changes counters and wakes those who wait for them.
     pub(crate) fn count(&self, change: impl FnOnce(&mut UpstreamCounts)) {
         change(&mut self.state.lock().counts);
-        self.changed.notify_waiters();
+        self.changed.announce();
     }
 
     /// Waits until the counters and figures meet a condition.
     pub(crate) async fn wait_for(&self, met: impl Fn(&UpstreamCounts, LoadFigures) -> bool) {
-        loop {
-            let notified = self.changed.notified();
-            tokio::pin!(notified);
-            notified.as_mut().enable();
-            {
-                let state = self.state.lock();
-                if met(&state.counts, state.table.figures()) {
-                    return;
-                }
-            }
-            notified.await;
-        }
+        let check = || {
+            let state = self.state.lock();
+            met(&state.counts, state.table.figures())
+        };
+        self.changed.wait_until(check).await;
     }
 
     pub(crate) fn port(&self) -> &PortControl {
@@ -257,7 +257,7 @@
                 let waiter = Waiter { sender, label };
                 match state.table.enqueue(request, deadline, waiter, now) {
                     Some(ticket) => {
-                        Admission::Queued(QueueSeat { core: self.clone(), ticket, receiver })
+                        Admission::Queued(QueueSeat::new(self.clone(), ticket, receiver))
                     }
                     None => {
                         state.counts.shed += 1;
@@ -266,7 +266,7 @@
                 }
             }
         };
-        self.changed.notify_waiters();
+        self.changed.announce();
         admission
     }
 
@@ -283,7 +283,7 @@
             }
             waiter
         };
-        self.changed.notify_waiters();
+        self.changed.announce();
         match waiter {
             Some(waiter) => {
                 let _ = waiter.sender.send(QueueFate::Cancelled);
@@ -304,7 +304,7 @@
         };
         drop(waiters);
         self.port.close_and_cut();
-        self.changed.notify_waiters();
+        self.changed.announce();
         if let Some(restart_ms) = restart {
             let core = Arc::downgrade(self);
             tokio::spawn(async move {
@@ -327,7 +327,7 @@
             state.counts.restarts += 1;
         }
         self.port.open();
-        self.changed.notify_waiters();
+        self.changed.announce();
     }
 
     /// Closes the port and every connection.
@@ -354,8 +354,8 @@
             }
             accepted
         };
-        self.changed.notify_waiters();
-        accepted.then(|| ConnectionMark { core: self.clone() })
+        self.changed.announce();
+        accepted.then(|| ConnectionMark::new(self.clone()))
     }
 
     fn hold(
@@ -365,7 +365,7 @@
         probe: bool,
         began: ClockTime,
     ) -> SlotHold {
-        SlotHold { core: self.clone(), epoch, length, probe, began, persistent: true }
+        SlotHold::new(self.clone(), epoch, length, probe, began)
     }
 
     /// Lets requests leave the queue.
@@ -393,19 +393,19 @@
         for (sender, fate) in fates {
             let _ = sender.send(fate);
         }
-        self.changed.notify_waiters();
+        self.changed.announce();
     }
 
-    fn release(self: &Arc<Self>, hold: &SlotHold) {
+    pub(crate) fn release(self: &Arc<Self>, epoch: u64, length: ClockSpan, probe: bool) {
         let fates = {
             let mut guard = self.state.lock();
             let state = &mut *guard;
-            if state.epoch != hold.epoch {
+            if state.epoch != epoch {
                 return;
             }
             state.table.finish(self.clock.now());
-            let millis = hold.length.as_millis_f64();
-            if hold.probe {
+            let millis = length.as_millis_f64();
+            if probe {
                 state.counts.probe_slot_ms += millis;
             } else {
                 state.counts.completed += 1;
@@ -417,7 +417,7 @@
     }
 
     /// Removes a request from the queue and returns whether it was still there.
-    fn withdraw(&self, ticket: u64, expired: bool) -> bool {
+    pub(crate) fn withdraw(&self, ticket: u64, expired: bool) -> bool {
         let removed = {
             let mut state = self.state.lock();
             let removed = state.table.withdraw(ticket, self.clock.now()).is_some();
@@ -428,110 +428,7 @@
             }
             removed
         };
-        self.changed.notify_waiters();
+        self.changed.announce();
         removed
     }
 }
-
-/// A slot that a request holds. Work whose caller goes away keeps its slot to the end of the
-/// service time, as a server that does not notice would.
-#[derive(Debug)]
-pub(crate) struct SlotHold {
-    core: Arc<UpstreamCore>,
-    epoch: u64,
-    length: ClockSpan,
-    probe: bool,
-    began: ClockTime,
-    /// Whether dropping the hold leaves the rest of the work to a task.
-    persistent: bool,
-}
-
-impl SlotHold {
-    /// Works for the service time and releases the slot.
-    pub(crate) async fn run(self) {
-        let length = self.length;
-        self.run_for(length).await;
-    }
-
-    async fn run_for(mut self, span: ClockSpan) {
-        if span > ClockSpan::ZERO {
-            tokio::time::sleep(span.to_duration()).await;
-        }
-        self.release();
-    }
-
-    fn left(&self) -> ClockSpan {
-        self.length.saturating_sub(self.core.now().since(self.began))
-    }
-
-    fn release(&mut self) {
-        self.persistent = false;
-        let core = self.core.clone();
-        core.release(self);
-    }
-}
-
-impl Drop for SlotHold {
-    fn drop(&mut self) {
-        if !self.persistent {
-            return;
-        }
-        // Without a runtime the stand-in is being torn down and nobody needs the slot. A runtime
-        // that shuts down drops the task at once, so the rest must not start another one.
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            let rest = Self {
-                core: self.core.clone(),
-                epoch: self.epoch,
-                length: self.length,
-                probe: self.probe,
-                began: self.began,
-                persistent: false,
-            };
-            let left = self.left();
-            runtime.spawn(rest.run_for(left));
-        }
-    }
-}
-
-/// A place in the queue.
-#[derive(Debug)]
-pub(crate) struct QueueSeat {
-    core: Arc<UpstreamCore>,
-    ticket: u64,
-    receiver: oneshot::Receiver<QueueFate>,
-}
-
-impl QueueSeat {
-    /// Waits for a slot, the deadline or a cancellation. Returns `None` after a crash.
-    pub(crate) async fn wait(mut self, deadline: Option<ClockTime>) -> Option<QueueFate> {
-        let Some(deadline) = deadline else {
-            return (&mut self.receiver).await.ok();
-        };
-        let left = deadline.since(self.core.now()).to_duration();
-        if let Ok(fate) = tokio::time::timeout(left, &mut self.receiver).await {
-            return fate.ok();
-        }
-        if self.core.withdraw(self.ticket, true) {
-            return Some(QueueFate::Expired);
-        }
-        (&mut self.receiver).await.ok()
-    }
-}
-
-impl Drop for QueueSeat {
-    fn drop(&mut self) {
-        self.core.withdraw(self.ticket, false);
-    }
-}
-
-/// Counts an open connection.
-#[derive(Debug)]
-pub(crate) struct ConnectionMark {
-    core: Arc<UpstreamCore>,
-}
-
-impl Drop for ConnectionMark {
-    fn drop(&mut self) {
-        self.core.count(|counts| counts.connections -= 1);
-    }
-}
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -36,19 +36,7 @@
         let core = UpstreamCore::new(plan, control);
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(core.clone(), port));
-        let admin_core = core.clone();
-        tasks.spawn(async move {
-            admin_port
-                .run(|stream, cut| {
-                    let core = admin_core.clone();
-                    tokio::spawn(web::serve(stream, cut, move |request| {
-                        answer::administer(core.clone(), request)
-                    }));
-                })
-                .await;
-            // The port closes with its control, which therefore lives as long.
-            drop(admin_control);
-        });
+        tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), answer::administer));
         Ok(Self { core, address, admin_address, _tasks: tasks })
     }
 
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 use std::fmt;
 use std::future::Future;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -20,7 +21,7 @@
 
 use crate::body::StandBody;
 use crate::error::{PlanSnafu, StandError};
-use crate::port::CutSignal;
+use crate::port::{CutSignal, PortControl, StandPort};
 
 /// Bounds the bodies of admin and platform calls.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
@@ -52,6 +53,26 @@
     }
 }
 
+/// Serves every connection of a port. The port closes with its control, which therefore lives as
+/// long.
+pub(crate) async fn serve_port<S, F, R>(
+    port: StandPort,
+    control: PortControl,
+    state: Arc<S>,
+    handler: F,
+) where
+    S: Send + Sync + 'static,
+    F: Fn(Arc<S>, Request<Incoming>) -> R + Copy + Send + Sync + 'static,
+    R: Future<Output = Result<Response<StandBody>, ConnectionCut>> + Send + 'static,
+{
+    port.run(|stream, cut| {
+        let state = state.clone();
+        tokio::spawn(serve(stream, cut, move |request| handler(state.clone(), request)));
+    })
+    .await;
+    drop(control);
+}
+
 /// Returns an answer with a short body.
 pub fn plain(status: StatusCode, text: &'static str) -> Response<StandBody> {
     let mut answer = Response::new(StandBody::from(text));
