Change the plans of stand-ins in one step

Cause: update() read the plan, changed the copy and wrote it back, so that an answer that was lost in between was counted down in the old plan and lost once more.

Change: the change is made under the lock, also for the admin interfaces.

--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -268,7 +268,9 @@
         }
         (&Method::POST, "/admin/plan") => {
             let Some(patch) = web::read_all(body).await else { return Err(ConnectionCut) };
-            web::changed(web::merge(&*core.plan(), &patch), |plan| core.set_plan(plan))
+            let mut outcome = Ok(());
+            core.update(|plan| outcome = web::merge(plan, &patch));
+            web::changed(outcome)
         }
         _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
     })
--- a/crates/stand/src/plan.rs
+++ b/crates/stand/src/plan.rs
@@ -28,7 +28,8 @@
     pub listen: SocketAddr,
     /// Where the admin interface listens. Read at the start only.
     pub admin_listen: SocketAddr,
-    /// Seed of the service times and the noise schedule. Read at the start only.
+    /// Seed of the service times, read at the start, and of the noise schedule, read when the noise
+    /// changes.
     pub seed: u64,
     /// Requests that run at the same time.
     pub slots: u32,
--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -144,14 +144,12 @@
 
     /// Puts a plan into force.
     pub fn set_plan(&self, plan: PlatformPlan) {
-        self.core.set_plan(plan);
+        self.core.update(|own| *own = plan);
     }
 
     /// Changes some fields of the plan in force.
     pub fn update(&self, change: impl FnOnce(&mut PlatformPlan)) {
-        let mut plan = self.plan();
-        change(&mut plan);
-        self.core.set_plan(plan);
+        self.core.update(change);
     }
 
     /// Changes the membership list. Callers see the change after the lag.
--- a/crates/stand/src/protocol.rs
+++ b/crates/stand/src/protocol.rs
@@ -74,24 +74,26 @@
             changed: ChangeSignal::default(),
             state: Mutex::new(state),
         });
-        core.set_plan(plan);
+        core.update(|own| *own = plan);
         core
     }
 
-    pub(crate) fn set_plan(&self, plan: PlatformPlan) {
-        let refuses = plan.outage == Some(PlatformOutage::Refuse);
-        {
-            let mut state = self.state.lock();
-            let now = self.clock.now();
+    pub(crate) fn update(&self, change: impl FnOnce(&mut PlatformPlan)) {
+        let refuses = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            let (writes, reads) = (state.plan.writes_per_second, state.plan.reads_per_second);
+            change(&mut state.plan);
+            let (plan, now) = (&state.plan, self.clock.now());
             state.members.set_lag(ClockSpan::from_millis(plan.member_lag_ms));
-            if plan.writes_per_second != state.plan.writes_per_second {
+            if plan.writes_per_second != writes {
                 state.write_limit = RateLimit::new(plan.writes_per_second, now);
             }
-            if plan.reads_per_second != state.plan.reads_per_second {
+            if plan.reads_per_second != reads {
                 state.read_limit = RateLimit::new(plan.reads_per_second, now);
             }
-            state.plan = plan;
-        }
+            plan.outage == Some(PlatformOutage::Refuse)
+        };
         if refuses {
             self.port.close_and_cut();
         } else {
@@ -310,12 +312,13 @@
         (&Method::GET, "/admin/plan") => web::json(StatusCode::OK, &core.plan()),
         (&Method::GET, "/admin/counts") => web::json(StatusCode::OK, &core.counts()),
         (&Method::POST, "/admin/plan") => {
-            web::changed(web::merge(&core.plan(), &body), |plan| core.set_plan(plan))
+            let mut outcome = Ok(());
+            core.update(|plan| outcome = web::merge(plan, &body));
+            web::changed(outcome)
         }
         (&Method::POST, "/admin/members") => {
-            web::changed(web::parse(&body), |members: Vec<PlatformMember>| {
-                core.change_members(|list| *list = members);
-            })
+            let members = web::parse::<Vec<PlatformMember>>(&body);
+            web::changed(members.map(|members| core.change_members(|list| *list = members)))
         }
         _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
     })
--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -30,7 +30,7 @@
     pub admin_listen: SocketAddr,
     /// Where new connections are passed to.
     pub target: SocketAddr,
-    /// Seed of the jitter. Read at the start only.
+    /// Seed of the jitter of new connections.
     pub seed: u64,
     /// Delay in each direction.
     pub delay_ms: f64,
@@ -122,7 +122,7 @@
             silent_below: watch::Sender::new(0),
             state: Mutex::new(state),
         });
-        core.set_plan(plan);
+        core.update(|own| *own = plan);
         core
     }
 
@@ -150,9 +150,13 @@
         true
     }
 
-    fn set_plan(&self, plan: ProxyPlan) {
-        let refuses = plan.refuse;
-        self.state.lock().plan = Arc::new(plan);
+    fn update(&self, change: impl FnOnce(&mut ProxyPlan)) {
+        let refuses = {
+            let mut state = self.state.lock();
+            let plan = Arc::make_mut(&mut state.plan);
+            change(plan);
+            plan.refuse
+        };
         if refuses {
             self.port.close();
         } else {
@@ -219,14 +223,12 @@
 
     /// Puts a plan into force, also for the connections that are open.
     pub fn set_plan(&self, plan: ProxyPlan) {
-        self.core.set_plan(plan);
+        self.core.update(|own| *own = plan);
     }
 
     /// Changes some fields of the plan in force.
     pub fn update(&self, change: impl FnOnce(&mut ProxyPlan)) {
-        let mut plan = self.plan();
-        change(&mut plan);
-        self.core.set_plan(plan);
+        self.core.update(change);
     }
 
     /// Resets every connection.
@@ -331,7 +333,9 @@
         (&Method::GET, "/admin/plan") => web::json(StatusCode::OK, &*core.plan()),
         (&Method::GET, "/admin/counts") => web::json(StatusCode::OK, &core.state.lock().counts),
         (&Method::POST, "/admin/plan") => {
-            web::changed(web::merge(&*core.plan(), &body), |plan| core.set_plan(plan))
+            let mut outcome = Ok(());
+            core.update(|plan| outcome = web::merge(plan, &body));
+            web::changed(outcome)
         }
         (&Method::POST, "/admin/cut") => {
             core.port.cut();
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -116,7 +116,7 @@
             changed: ChangeSignal::default(),
             state: Mutex::new(state),
         });
-        core.set_plan(plan);
+        core.update(|own| *own = plan);
         core
     }
 
@@ -155,12 +155,15 @@
         &self.port
     }
 
-    /// Puts a plan into force.
-    pub(crate) fn set_plan(self: &Arc<Self>, plan: UpstreamPlan) {
+    /// Changes the plan and puts it into force.
+    pub(crate) fn update(self: &Arc<Self>, change: impl FnOnce(&mut UpstreamPlan)) {
         let fates = {
             let mut guard = self.state.lock();
             let state = &mut *guard;
             let now = self.clock.now();
+            let noise = state.plan.noise;
+            change(Arc::make_mut(&mut state.plan));
+            let plan = state.plan.clone();
             let lag = match plan.load {
                 LoadAnswer::Honest { lag_ms } => ClockSpan::from_millis(lag_ms),
                 LoadAnswer::Idle | LoadAnswer::Silent => ClockSpan::ZERO,
@@ -168,10 +171,9 @@
             state.table.resize(plan.slots, plan.queue_limit, now);
             state.table.set_lag(lag, now);
             state.drain_since = plan.drain.and(state.drain_since.or(Some(now)));
-            if plan.noise != state.plan.noise {
+            if plan.noise != noise {
                 self.restart_noise(state, plan.noise, plan.seed);
             }
-            state.plan = Arc::new(plan);
             self.pump(state)
         };
         self.announce(fates);
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -57,14 +57,12 @@
 
     /// Puts a plan into force. Addresses and the seed stay as they were.
     pub fn set_plan(&self, plan: UpstreamPlan) {
-        self.core.set_plan(plan);
+        self.core.update(|own| *own = plan);
     }
 
     /// Changes some fields of the plan in force.
     pub fn update(&self, change: impl FnOnce(&mut UpstreamPlan)) {
-        let mut plan = self.plan();
-        change(&mut plan);
-        self.core.set_plan(plan);
+        self.core.update(change);
     }
 
     /// Returns the counters.
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -102,29 +102,30 @@
     serde_json::from_slice(body).context(PlanSnafu)
 }
 
-/// Applies a change that was read from a body, and answers with its error if there is one.
-pub fn changed<T>(change: Result<T, StandError>, apply: impl FnOnce(T)) -> Response<StandBody> {
-    match change {
-        Ok(change) => {
-            apply(change);
-            plain(StatusCode::OK, "changed")
-        }
+/// Answers an admin call that changes something.
+pub fn changed(outcome: Result<(), StandError>) -> Response<StandBody> {
+    match outcome {
+        Ok(()) => plain(StatusCode::OK, "changed"),
         Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-/// Returns `value` with the top-level fields of the JSON object `patch` in place of its own.
+/// Replaces the top-level fields of `value` that the JSON object `patch` names.
 ///
 /// # Errors
 ///
-/// Fails if the result is not a valid `T`.
-pub fn merge<T: DeserializeOwned + Serialize>(value: &T, patch: &[u8]) -> Result<T, StandError> {
-    let mut merged = serde_json::to_value(value).context(PlanSnafu)?;
+/// Fails without a change if the result is not a valid `T`.
+pub fn merge<T: DeserializeOwned + Serialize>(
+    value: &mut T,
+    patch: &[u8],
+) -> Result<(), StandError> {
+    let mut merged = serde_json::to_value(&*value).context(PlanSnafu)?;
     let patch: Map<String, Value> = serde_json::from_slice(patch).context(PlanSnafu)?;
     if let Some(fields) = merged.as_object_mut() {
         fields.extend(patch);
     }
-    serde_json::from_value(merged).context(PlanSnafu)
+    *value = serde_json::from_value(merged).context(PlanSnafu)?;
+    Ok(())
 }
 
 /// Reads a whole body, or returns `None` if it is broken or too long.
