Stop stand-ins so that their addresses can be used again

Cause: a dropped stand-in releases its listeners some time later, so a test that restarts one on the same address could find it in use.

Change: stop() waits for the listeners to close. The test now has a file, and thereby a process, of its own, with the same check.

--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -107,7 +107,7 @@
     core: Arc<PlatformCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl PlatformStand {
@@ -124,7 +124,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(web::serve_port(port, core.port.clone(), core.clone(), protocol::serve));
         tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), protocol::administer));
-        Ok(Self { core, address, admin_address, _tasks: tasks })
+        Ok(Self { core, address, admin_address, tasks })
     }
 
     /// Returns the address of the services.
@@ -176,6 +176,12 @@
     pub fn row(&self, table: &str, key: &str) -> Option<StoredRow> {
         self.core.row(table, key)
     }
+
+    /// Stops and waits until the addresses are free for another listener. A process that is being
+    /// started at the same moment may hold them a little longer, until its exec.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 impl Drop for PlatformStand {
--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -183,7 +183,7 @@
     core: Arc<ProxyCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl FaultProxy {
@@ -203,7 +203,7 @@
             tokio::spawn(pass(relay_core.clone(), stream, cut));
         }));
         tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), administer));
-        Ok(Self { core, address, admin_address, _tasks: tasks })
+        Ok(Self { core, address, admin_address, tasks })
     }
 
     /// Returns the address for connections.
@@ -261,6 +261,12 @@
     pub async fn wait_listening(&self, listening: bool) {
         self.core.port.wait_listening(listening).await;
     }
+
+    /// Stops and waits until the addresses are free for another listener. A process that is being
+    /// started at the same moment may hold them a little longer, until its exec.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 impl Drop for FaultProxy {
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -20,7 +20,7 @@
     core: Arc<UpstreamCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl UpstreamStand {
@@ -37,7 +37,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(core.clone(), port));
         tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), answer::administer));
-        Ok(Self { core, address, admin_address, _tasks: tasks })
+        Ok(Self { core, address, admin_address, tasks })
     }
 
     /// Returns the address for requests.
@@ -94,6 +94,12 @@
     pub fn restart(&self) {
         self.core.restart(None);
     }
+
+    /// Stops and waits until the addresses are free for another listener. A process that is being
+    /// started at the same moment may hold them a little longer, until its exec.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 impl Drop for UpstreamStand {
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -1,4 +1,4 @@
-//! HTTP over a [`StandPort`](crate::port::StandPort).
+//! HTTP over a [`StandPort`].
 
 use std::borrow::Cow;
 use std::fmt;
--- /dev/null
+++ b/crates/stand/tests/stop.rs
@@ -0,0 +1,67 @@
+//! Stopped stand-ins free their addresses. This file starts no processes: a child holds copies of
+//! the listeners between its fork and its exec, so an address would seem to be in use.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use stand::launch::StandChoice;
+use stand::prelude::*;
+use support::{Call, call};
+
+struct StopCase {
+    name: &'static str,
+    choice: fn(SocketAddr) -> StandChoice,
+}
+
+/// Starts and stops a stand-in, and returns the address that it had.
+async fn start_and_stop(choice: StandChoice) -> Result<SocketAddr, StandError> {
+    match choice {
+        StandChoice::Upstream(plan) => {
+            let stand = UpstreamStand::start(plan).await?;
+            let address = stand.address();
+            assert!(call(address, Call::get("/")).await.is_some());
+            stand.stop().await;
+            Ok(address)
+        }
+        StandChoice::Platform(plan) => {
+            let stand = PlatformStand::start(plan).await?;
+            let address = stand.address();
+            assert!(call(address, Call::get("/v1/members")).await.is_some());
+            stand.stop().await;
+            Ok(address)
+        }
+        StandChoice::Proxy(plan) => {
+            let stand = FaultProxy::start(plan).await?;
+            let address = stand.address();
+            stand.stop().await;
+            Ok(address)
+        }
+    }
+}
+
+/// Guards against a stopped stand-in that keeps its address from the next one.
+#[tokio::test]
+async fn stopped_stands_free_their_address() {
+    let cases = [
+        StopCase {
+            name: "upstream",
+            choice: |listen| StandChoice::Upstream(UpstreamPlan { listen, ..Default::default() }),
+        },
+        StopCase {
+            name: "platform",
+            choice: |listen| StandChoice::Platform(PlatformPlan { listen, ..Default::default() }),
+        },
+        StopCase {
+            name: "proxy",
+            choice: |listen| StandChoice::Proxy(ProxyPlan { listen, ..Default::default() }),
+        },
+    ];
+    for case in cases {
+        // A loopback address of its own, so that no other listener can take the port in between.
+        let mut address: SocketAddr = "127.77.0.1:0".parse().unwrap();
+        for _ in 0..3 {
+            address = start_and_stop((case.choice)(address)).await.expect(case.name);
+        }
+    }
+}
