--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::body::StandBody;
@@ -16,6 +16,7 @@
 use crate::plan::ANY_LOOPBACK;
 use crate::port::{CutSignal, PortControl, StandPort};
 use crate::relay::{Relay, RelayEnd};
+use crate::signal::ChangeSignal;
 use crate::web::{self, ConnectionCut};
 
 /// Everything that a fault proxy can be told. Absent fields take their defaults.
@@ -29,7 +30,7 @@
     pub admin_listen: SocketAddr,
     /// Where new connections are passed to.
     pub target: SocketAddr,
-    /// Seed of the jitter. Read at the start only.
+    /// Seed of the jitter of new connections.
     pub seed: u64,
     /// Delay in each direction.
     pub delay_ms: f64,
@@ -102,7 +103,7 @@
 #[derive(Debug)]
 pub(crate) struct ProxyCore {
     port: PortControl,
-    changed: Notify,
+    changed: ChangeSignal,
     /// Connections with a lower number are silent.
     silent_below: watch::Sender<u64>,
     state: Mutex<ProxyState>,
@@ -117,11 +118,11 @@
         };
         let core = Arc::new(Self {
             port,
-            changed: Notify::new(),
+            changed: ChangeSignal::default(),
             silent_below: watch::Sender::new(0),
             state: Mutex::new(state),
         });
-        core.set_plan(plan);
+        core.update(|own| *own = plan);
         core
     }
 
@@ -131,7 +132,7 @@
 
     pub(crate) fn count(&self, change: impl FnOnce(&mut ProxyCounts)) {
         change(&mut self.state.lock().counts);
-        self.changed.notify_waiters();
+        self.changed.announce();
     }
 
     /// Returns whether the answer that has just begun is lost, and counts it if so.
@@ -145,13 +146,17 @@
             Arc::make_mut(&mut state.plan).lose_next -= 1;
             state.counts.lost_answers += 1;
         }
-        self.changed.notify_waiters();
+        self.changed.announce();
         true
     }
 
-    fn set_plan(&self, plan: ProxyPlan) {
-        let refuses = plan.refuse;
-        self.state.lock().plan = Arc::new(plan);
+    fn update(&self, change: impl FnOnce(&mut ProxyPlan)) {
+        let refuses = {
+            let mut state = self.state.lock();
+            let plan = Arc::make_mut(&mut state.plan);
+            change(plan);
+            plan.refuse
+        };
         if refuses {
             self.port.close();
         } else {
@@ -178,7 +183,7 @@
     core: Arc<ProxyCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl FaultProxy {
@@ -197,20 +202,8 @@
         tasks.spawn(port.run(move |stream, cut| {
             tokio::spawn(pass(relay_core.clone(), stream, cut));
         }));
-        let admin_core = core.clone();
-        tasks.spawn(async move {
-            admin_port
-                .run(|stream, cut| {
-                    let core = admin_core.clone();
-                    tokio::spawn(web::serve(stream, cut, move |request| {
-                        administer(core.clone(), request)
-                    }));
-                })
-                .await;
-            // The port closes with its control, which therefore lives as long.
-            drop(admin_control);
-        });
-        Ok(Self { core, address, admin_address, _tasks: tasks })
+        tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), administer));
+        Ok(Self { core, address, admin_address, tasks })
     }
 
     /// Returns the address for connections.
@@ -230,14 +223,12 @@
 
     /// Puts a plan into force, also for the connections that are open.
     pub fn set_plan(&self, plan: ProxyPlan) {
-        self.core.set_plan(plan);
+        self.core.update(|own| *own = plan);
     }
 
     /// Changes some fields of the plan in force.
     pub fn update(&self, change: impl FnOnce(&mut ProxyPlan)) {
-        let mut plan = self.plan();
-        change(&mut plan);
-        self.core.set_plan(plan);
+        self.core.update(change);
     }
 
     /// Resets every connection.
@@ -262,21 +253,20 @@
 
     /// Waits until the counters meet a condition.
     pub async fn wait_for(&self, met: impl Fn(&ProxyCounts) -> bool) {
-        loop {
-            let notified = self.core.changed.notified();
-            tokio::pin!(notified);
-            notified.as_mut().enable();
-            if met(&self.core.state.lock().counts) {
-                return;
-            }
-            notified.await;
-        }
+        let check = || met(&self.core.state.lock().counts);
+        self.core.changed.wait_until(check).await;
     }
 
     /// Waits until the proxy accepts connections, or until it refuses them.
     pub async fn wait_listening(&self, listening: bool) {
         self.core.port.wait_listening(listening).await;
     }
+
+    /// Stops and waits until the addresses are free for another listener. A process that is being
+    /// started at the same moment may hold them a little longer, until its exec.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 impl Drop for FaultProxy {
@@ -349,7 +339,9 @@
         (&Method::GET, "/admin/plan") => web::json(StatusCode::OK, &*core.plan()),
         (&Method::GET, "/admin/counts") => web::json(StatusCode::OK, &core.state.lock().counts),
         (&Method::POST, "/admin/plan") => {
-            web::changed(web::merge(&*core.plan(), &body), |plan| core.set_plan(plan))
+            let mut outcome = Ok(());
+            core.update(|plan| outcome = web::merge(plan, &body));
+            web::changed(outcome)
         }
         (&Method::POST, "/admin/cut") => {
             core.port.cut();
