Add the peer table, gossip plan, start-up and drain decisions

Cause: VMs need evidence about each other, a bounded way to pass on news, and a shutdown order, all without I/O.

--- /dev/null
+++ b/crates/member/examples/gossip_cost.rs
@@ -0,0 +1,70 @@
+//! Prints the cost and the spread time of gossip for several numbers of VMs, as lines of
+//! `name value unit bound`.
+
+use base::prelude::*;
+use member::prelude::*;
+
+#[path = "../tests/model/mod.rs"]
+#[allow(dead_code)]
+mod model;
+
+use model::{Model, ModelNews, ModelSetup};
+
+/// News items whose spread is measured for each number of VMs.
+const ITEMS: u64 = 3000;
+/// Time between two items. An ordinary day at the target scale has one every 40 s or so.
+const ITEM_PERIOD: ClockSpan = ClockSpan::from_millis(5000);
+const SETTLE: ClockSpan = ClockSpan::from_secs(30);
+const WARM_UP: ClockSpan = ClockSpan::from_secs(60);
+const NODE_BYTES_BOUND: f64 = 10_000.0;
+const SPREAD_BOUND_MS: f64 = 3000.0;
+const NODE_STATE_BOUND: f64 = 32_000_000.0;
+
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let rank = (share * sorted.len() as f64).ceil() as usize;
+    sorted[rank.clamp(1, sorted.len()) - 1]
+}
+
+fn measure(vms: usize, items: u64) {
+    let mut model = Model::new(ModelSetup::new(vms, 1));
+    model.run(WARM_UP);
+    let first = model.sample_count() - 1;
+    model.run(WARM_UP);
+    let (idle_bytes, idle_messages) = model.mean_rates(first);
+    let first = model.sample_count() - 1;
+    let mut starts = Vec::new();
+    for id in 0..items {
+        starts.push(model.now);
+        let origin = model.random.below(vms);
+        model.publish(origin, ModelNews::drain_mark(id));
+        model.run(ITEM_PERIOD);
+    }
+    let (bytes, messages) = model.mean_rates(first);
+    let peak = model.peak_bytes(first, 10);
+    let suspects = model.pairs_in(&[PeerState::Suspected]);
+    model.run(SETTLE);
+    let mut spreads: Vec<f64> = (0..items)
+        .zip(&starts)
+        .map(|(id, start)| model.spread(id, *start).unwrap_or(ClockSpan::MAX).as_millis_f64())
+        .collect();
+    spreads.sort_by(f64::total_cmp);
+    let local = model.local(0);
+    let state = model.vms[0].table.encoded_size(local);
+    println!("idle_bytes_{vms} {idle_bytes:.0} B/s {NODE_BYTES_BOUND:.0}");
+    println!("idle_messages_{vms} {idle_messages:.2} 1/s -");
+    println!("news_bytes_{vms} {bytes:.0} B/s {NODE_BYTES_BOUND:.0}");
+    println!("news_messages_{vms} {messages:.2} 1/s -");
+    println!("peak_10s_bytes_{vms} {peak:.0} B/s {NODE_BYTES_BOUND:.0}");
+    println!("spread_p50_{vms} {:.0} ms -", quantile(&spreads, 0.5));
+    println!("spread_p999_{vms} {:.0} ms {SPREAD_BOUND_MS:.0}", quantile(&spreads, 0.999));
+    println!("peer_state_{vms} {state} B {NODE_STATE_BOUND:.0}");
+    println!("false_suspects_{vms} {} pairs -", suspects);
+}
+
+fn main() {
+    let items = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(ITEMS);
+    println!("vms_needed {} VMs -", CapacityPlan::TARGET.vm_count());
+    for vms in [15, 45, 120] {
+        measure(vms, items);
+    }
+}
--- /dev/null
+++ b/crates/member/src/drain.rs
@@ -0,0 +1,145 @@
+//! Graceful shutdown of a VM as a state machine.
+
+use base::prelude::*;
+
+use crate::tuning::DrainTuning;
+
+/// What happened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainEvent {
+    /// The process was asked to stop. The second such event stops it without waiting.
+    Signal,
+    /// Time has passed.
+    Tick,
+    /// The number of calls in flight.
+    InFlight(u32),
+    /// All leases were released.
+    LeasesReleased,
+}
+
+/// What the gate does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainAction {
+    /// Report "not ready" to the platform's load balancer.
+    ReadinessOff,
+    /// Tell the peers that this VM is leaving.
+    AnnounceLeaving,
+    /// Accept new calls until the given time.
+    KeepAccepting(ClockTime),
+    /// Accept no further connections, and close connections after the call in progress.
+    StopAccepting,
+    /// Close connections without a call in progress.
+    CloseIdle,
+    /// Release the leases on deferred work.
+    ReleaseLeases,
+    /// End the process.
+    Exit {
+        /// Calls that are still in flight; zero unless a limit was reached or a second signal came.
+        interrupted: u32,
+    },
+}
+
+impl DrainAction {
+    /// Returns the number of the event in the log.
+    pub const fn event_number(self) -> u32 {
+        match self {
+            Self::ReadinessOff => 1711,
+            Self::AnnounceLeaving => 1712,
+            Self::KeepAccepting(_) => 1713,
+            Self::StopAccepting => 1714,
+            Self::CloseIdle => 1715,
+            Self::ReleaseLeases => 1716,
+            Self::Exit { .. } => 1717,
+        }
+    }
+}
+
+/// Where the shutdown is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainStage {
+    /// Not shutting down.
+    Serving,
+    /// Not ready, and still accepting until the given time.
+    Lagging(ClockTime),
+    /// Waiting for calls in flight, at most until the given time.
+    Finishing(ClockTime),
+    /// Waiting for leases to be released, at most until the given time.
+    Releasing(ClockTime),
+    /// Over.
+    Exited,
+}
+
+/// The shutdown of a VM.
+#[derive(Clone, Debug)]
+pub struct DrainPlan {
+    tuning: DrainTuning,
+    stage: DrainStage,
+    in_flight: u32,
+    /// Whether the count was reported after the last accept. An earlier zero says nothing about
+    /// calls that were accepted since.
+    counted: bool,
+}
+
+impl DrainPlan {
+    /// Returns the plan of a VM that serves.
+    pub fn new(tuning: DrainTuning) -> Self {
+        Self { tuning, stage: DrainStage::Serving, in_flight: 0, counted: false }
+    }
+
+    /// Returns where the shutdown is.
+    pub fn stage(&self) -> DrainStage {
+        self.stage
+    }
+
+    /// Takes in an event and returns what to do, in order.
+    pub fn handle(&mut self, event: DrainEvent, now: ClockTime) -> Vec<DrainAction> {
+        if let DrainEvent::InFlight(count) = event {
+            self.in_flight = count;
+            self.counted = matches!(self.stage, DrainStage::Finishing(_));
+        }
+        match (self.stage, event) {
+            (DrainStage::Exited, _) => Vec::new(),
+            (DrainStage::Serving, DrainEvent::Signal) => self.start(now),
+            (DrainStage::Serving, _) => Vec::new(),
+            (DrainStage::Releasing(_), DrainEvent::Signal | DrainEvent::LeasesReleased) => {
+                vec![self.exit()]
+            }
+            (_, DrainEvent::Signal) => vec![DrainAction::ReleaseLeases, self.exit()],
+            (stage, _) => self.advance(stage, now),
+        }
+    }
+
+    fn start(&mut self, now: ClockTime) -> Vec<DrainAction> {
+        let until = now + self.tuning.balancer_lag;
+        self.stage = DrainStage::Lagging(until);
+        vec![
+            DrainAction::ReadinessOff,
+            DrainAction::AnnounceLeaving,
+            DrainAction::KeepAccepting(until),
+        ]
+    }
+
+    fn advance(&mut self, stage: DrainStage, now: ClockTime) -> Vec<DrainAction> {
+        match stage {
+            DrainStage::Lagging(until) if now >= until => {
+                self.stage = DrainStage::Finishing(now + self.tuning.finish_limit);
+                vec![DrainAction::StopAccepting, DrainAction::CloseIdle]
+            }
+            DrainStage::Finishing(until) if self.is_idle() || now >= until => {
+                self.stage = DrainStage::Releasing(now + self.tuning.release_limit);
+                vec![DrainAction::ReleaseLeases]
+            }
+            DrainStage::Releasing(until) if now >= until => vec![self.exit()],
+            _ => Vec::new(),
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.counted && self.in_flight == 0
+    }
+
+    fn exit(&mut self) -> DrainAction {
+        self.stage = DrainStage::Exited;
+        DrainAction::Exit { interrupted: self.in_flight }
+    }
+}
--- /dev/null
+++ b/crates/member/src/start.rs
@@ -0,0 +1,93 @@
+//! Start-up of a VM: a random delay, joining, and a warm-up ramp.
+
+use base::prelude::*;
+
+use crate::peer::{PeerState, VmPhase};
+use crate::table::PeerTable;
+use crate::tuning::StartTuning;
+
+/// Where a VM is in its start-up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartStage {
+    /// Before its first exchange, so that VMs that start together do not act together.
+    Waiting,
+    /// Exchanging with peers, not yet ready.
+    Joining,
+    /// Ready for calls.
+    Ready,
+}
+
+/// The start-up of a VM.
+#[derive(Clone, Debug)]
+pub struct StartPlan {
+    tuning: StartTuning,
+    first_at: ClockTime,
+    ready_at: Option<ClockTime>,
+}
+
+impl StartPlan {
+    /// Returns the plan of a VM that starts now.
+    pub fn new(tuning: StartTuning, now: ClockTime, random: &mut RandomSource) -> Self {
+        let first_at = now + tuning.jitter.scaled(random.unit());
+        Self { tuning, first_at, ready_at: None }
+    }
+
+    /// Returns when the first exchange and the first reads of the store are due.
+    pub fn first_at(&self) -> ClockTime {
+        self.first_at
+    }
+
+    /// Advances the start-up. The VM is ready once a peer was heard and `configured` tells that a
+    /// configuration is active. A VM without peers is ready after the join limit.
+    pub fn advance(&mut self, table: &PeerTable, configured: bool, now: ClockTime) -> StartStage {
+        if now < self.first_at {
+            return StartStage::Waiting;
+        }
+        if self.ready_at.is_none() {
+            let waited = now.since(self.first_at) >= self.tuning.join_limit;
+            if configured && (waited || has_heard(table, now)) {
+                self.ready_at = Some(now);
+                table.set_phase(VmPhase::Live);
+            }
+        }
+        if self.ready_at.is_some() { StartStage::Ready } else { StartStage::Joining }
+    }
+
+    /// Returns the ramp of a VM that is ready.
+    pub fn ramp(&self) -> Option<WarmupRamp> {
+        self.ready_at.map(|start| WarmupRamp {
+            start,
+            length: self.tuning.warmup,
+            first_share: self.tuning.first_share,
+        })
+    }
+}
+
+fn has_heard(table: &PeerTable, now: ClockTime) -> bool {
+    table.views(now).iter().any(|view| {
+        view.heard_at.is_some() && !matches!(view.state, PeerState::Suspected | PeerState::Gone)
+    })
+}
+
+/// The share of calls that a VM takes on while its caches, connections and evidence are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupRamp {
+    /// When the VM became ready.
+    pub start: ClockTime,
+    /// Time to the full share.
+    pub length: ClockSpan,
+    /// The share at the start, `0.0..1.0`.
+    pub first_share: f64,
+}
+
+impl WarmupRamp {
+    /// Returns the share at `now`, `0.0..=1.0`.
+    pub fn share(&self, now: ClockTime) -> f64 {
+        let length = self.length.as_millis_f64();
+        if length <= 0.0 {
+            return 1.0;
+        }
+        let passed = (now.since(self.start).as_millis_f64() / length).min(1.0);
+        self.first_share + (1.0 - self.first_share) * passed
+    }
+}
