Add the burn table, alerts, merged summaries and their renderings

Cause: operators need to see how fast services spend their error budgets, as the callers saw it, over all VMs. Change: crate report with BurnTable, multi-window alerts with hysteresis, BurnExport, BurnSummary, and text, JSON and HTML renderings.

--- /dev/null
+++ b/crates/report/src/alert.rs
@@ -0,0 +1,224 @@
+//! Multi-window, multi-burn-rate alerts.
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+use world::prelude::*;
+
+use crate::export::BurnObjective;
+use crate::ring::CallCounts;
+use crate::tuning::{
+    BurnTuning, FIVE_MINUTES, HALF_HOUR, ONE_HOUR, ONE_MINUTE, SIX_HOURS, TEN_SECONDS, WINDOWS,
+};
+
+/// Which promise is broken.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BurnKind {
+    /// The share of calls that succeed.
+    Availability,
+    /// The share of successful calls that are fast enough.
+    Latency,
+}
+
+impl BurnKind {
+    /// Every kind.
+    pub const ALL: [Self; 2] = [Self::Availability, Self::Latency];
+
+    /// Returns the share of bad calls.
+    pub fn bad_share(self, counts: &CallCounts) -> f64 {
+        match self {
+            Self::Availability => counts.failed_share(),
+            Self::Latency => counts.slow_share(),
+        }
+    }
+
+    fn bad_calls(self, counts: &CallCounts) -> u64 {
+        match self {
+            Self::Availability => counts.failed,
+            Self::Latency => counts.slow,
+        }
+    }
+}
+
+/// How fast the error budget is spent.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BurnRule {
+    /// A large share of calls is bad now (10 s and 1 min). A fast-burn rule.
+    Outage,
+    /// The budget lasts for days (5 min and 1 h). A fast-burn rule.
+    Fast,
+    /// The budget does not last (30 min and 6 h). The slow-burn rule.
+    Slow,
+}
+
+impl BurnRule {
+    /// Every rule.
+    pub const ALL: [Self; 3] = [Self::Outage, Self::Fast, Self::Slow];
+
+    /// Returns the positions of the short and the long window.
+    const fn windows(self) -> (usize, usize) {
+        match self {
+            Self::Outage => (TEN_SECONDS, ONE_MINUTE),
+            Self::Fast => (FIVE_MINUTES, ONE_HOUR),
+            Self::Slow => (HALF_HOUR, SIX_HOURS),
+        }
+    }
+
+    /// Returns the shares of bad calls in the short and the long window that raise an alert.
+    fn thresholds(self, allowed: f64, tuning: &BurnTuning) -> (f64, f64) {
+        match self {
+            Self::Outage => {
+                let share = (tuning.fast_rate * allowed).min(tuning.outage_share);
+                let (short, long) = self.windows();
+                // The long window need only hold what a full short window contributes, or an
+                // outage would be seen only after a minute.
+                let ratio = WINDOWS[short].as_millis_f64() / WINDOWS[long].as_millis_f64();
+                (share, share * ratio)
+            }
+            Self::Fast => (tuning.fast_rate * allowed, tuning.fast_rate * allowed),
+            Self::Slow => (tuning.slow_rate * allowed, tuning.slow_rate * allowed),
+        }
+    }
+
+    /// Returns the number of the event in the log.
+    pub const fn event_number(self) -> u32 {
+        match self {
+            Self::Outage => 1901,
+            Self::Fast => 1902,
+            Self::Slow => 1903,
+        }
+    }
+}
+
+/// The number of the event in the log when an alert clears.
+pub const CLEARED_EVENT: u32 = 1904;
+
+/// Whether an alert began or ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AlertChange {
+    /// It began.
+    Raised,
+    /// It ended.
+    Cleared,
+}
+
+/// A change that the gate logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BurnAlert {
+    /// The service.
+    pub service: SharedName,
+    /// The class, or `None` for all calls of the service.
+    pub class: Option<WorkClass>,
+    /// Which promise is broken.
+    pub kind: BurnKind,
+    /// How fast.
+    pub rule: BurnRule,
+    /// Whether the alert began or ended.
+    pub change: AlertChange,
+    /// The burn rate in the short window.
+    pub burn: f64,
+    /// Bad calls in the short window.
+    pub bad: u64,
+    /// Calls in the short window.
+    pub total: u64,
+}
+
+impl BurnAlert {
+    /// Returns the number of the event in the log.
+    pub const fn event_number(&self) -> u32 {
+        match self.change {
+            AlertChange::Raised => self.rule.event_number(),
+            AlertChange::Cleared => CLEARED_EVENT,
+        }
+    }
+}
+
+/// Whether one rule has an alert, and since when its burn is low again.
+#[derive(Clone, Copy, Debug, Default)]
+struct RuleState {
+    raised: bool,
+    low_since: Option<ClockTime>,
+}
+
+/// The alerts of one service and class.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AlertStates {
+    states: [[RuleState; BurnRule::ALL.len()]; BurnKind::ALL.len()],
+}
+
+/// What an alert is about.
+#[derive(Clone, Copy)]
+pub(crate) struct AlertScope<'a> {
+    pub service: &'a SharedName,
+    pub class: Option<WorkClass>,
+    pub objective: &'a BurnObjective,
+}
+
+impl AlertStates {
+    /// Evaluates all rules; `window` returns the calls of a window.
+    pub fn evaluate(
+        &mut self,
+        scope: AlertScope<'_>,
+        tuning: &BurnTuning,
+        window: impl Fn(usize) -> CallCounts,
+        now: ClockTime,
+    ) -> Vec<BurnAlert> {
+        let mut alerts = Vec::new();
+        for kind in BurnKind::ALL {
+            for rule in BurnRule::ALL {
+                let (short, long) = rule.windows();
+                let (short, long) = (window(short), window(long));
+                let allowed = scope.objective.allowed(kind);
+                let (short_limit, long_limit) = rule.thresholds(allowed, tuning);
+                let share = kind.bad_share(&short);
+                let enough = kind.bad_calls(&short) >= u64::from(tuning.min_bad)
+                    && short.total >= u64::from(tuning.min_calls);
+                let high = enough && share >= short_limit && kind.bad_share(&long) >= long_limit;
+                let low = share < short_limit * tuning.clear_share;
+                let state = &mut self.states[kind as usize][rule as usize];
+                if let Some(change) = state.advance(high, low, tuning.clear_hold, now) {
+                    alerts.push(BurnAlert {
+                        service: scope.service.clone(),
+                        class: scope.class,
+                        kind,
+                        rule,
+                        change,
+                        burn: share / allowed,
+                        bad: kind.bad_calls(&short),
+                        total: short.total,
+                    });
+                }
+            }
+        }
+        alerts
+    }
+}
+
+impl RuleState {
+    fn advance(
+        &mut self,
+        high: bool,
+        low: bool,
+        hold: ClockSpan,
+        now: ClockTime,
+    ) -> Option<AlertChange> {
+        if !self.raised {
+            self.raised = high;
+            self.low_since = None;
+            return high.then_some(AlertChange::Raised);
+        }
+        if !low {
+            self.low_since = None;
+            return None;
+        }
+        let since = *self.low_since.get_or_insert(now);
+        if now.since(since) < hold {
+            return None;
+        }
+        *self = Self::default();
+        Some(AlertChange::Cleared)
+    }
+}
--- /dev/null
+++ b/crates/report/src/table.rs
@@ -0,0 +1,264 @@
+//! The table of calls as their callers saw them.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+use hdrhistogram::Histogram;
+use world::prelude::*;
+
+use crate::alert::{AlertScope, AlertStates, BurnAlert};
+use crate::export::{
+    BurnExport, BurnObjective, LATENCY_DIGITS, MAX_LATENCY, ServiceBurn, latency_histogram,
+};
+use crate::ring::{CallCounts, WindowCounts};
+use crate::tuning::{BurnTuning, WINDOWS};
+
+/// Time after which a new latency histogram is begun. The previous one is kept, so percentiles
+/// cover the last five to ten minutes.
+const HISTOGRAM_SPAN: ClockSpan = ClockSpan::from_secs(300);
+/// Silence after which a service and class that the document no longer has is dropped.
+const RETENTION: ClockSpan = WINDOWS[WINDOWS.len() - 1];
+
+/// Counts and latencies of calls, per service and class.
+pub struct BurnTable {
+    tuning: BurnTuning,
+    state: RankedMutex<TableState>,
+}
+
+#[derive(Default)]
+struct TableState {
+    services: HashMap<SharedName, ServiceEntry>,
+    entries: usize,
+    dropped: u64,
+}
+
+struct ServiceEntry {
+    objective: BurnObjective,
+    classes: [Option<Box<ClassEntry>>; WorkClass::ALL.len()],
+    alerts: AlertStates,
+    removed_at: Option<ClockTime>,
+}
+
+struct ClassEntry {
+    counts: WindowCounts,
+    recent: Histogram<u32>,
+    previous: Histogram<u32>,
+    slice: u64,
+    alerts: AlertStates,
+}
+
+impl BurnTable {
+    /// Returns a table without services.
+    pub fn new(tuning: BurnTuning) -> Self {
+        Self { tuning, state: RankedMutex::new(LockRank::BurnTable, TableState::default()) }
+    }
+
+    /// Takes in the objectives of a document. Calls already counted stay. A service that the
+    /// document no longer has is kept until its calls have left the longest window.
+    pub fn apply(&self, map: &EnvironmentMap, now: ClockTime) {
+        let mut state = self.state.lock();
+        for (name, entry) in &mut state.services {
+            if map.contract(name).is_none() {
+                entry.removed_at.get_or_insert(now);
+            }
+        }
+        for contract in &map.contracts {
+            let objective = BurnObjective::new(&contract.objective, map.version);
+            let entry = state
+                .services
+                .entry(contract.name.clone())
+                .or_insert_with(|| ServiceEntry::new(objective));
+            entry.objective = objective;
+            entry.removed_at = None;
+        }
+        state.remove_expired(now);
+    }
+
+    /// Counts a call. Calls of services without a contract are only counted as dropped.
+    pub fn record(
+        &self,
+        service: &str,
+        class: WorkClass,
+        latency: ClockSpan,
+        success: bool,
+        now: ClockTime,
+    ) {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        let Some(entry) = state.services.get_mut(service) else {
+            state.dropped += 1;
+            return;
+        };
+        let slot = &mut entry.classes[class.index()];
+        if slot.is_none() {
+            if state.entries >= self.tuning.max_entries {
+                state.dropped += 1;
+                return;
+            }
+            state.entries += 1;
+        }
+        let limit = entry.objective.latency;
+        slot.get_or_insert_with(|| Box::new(ClassEntry::new(now)))
+            .record(latency, limit, success, now);
+    }
+
+    /// Returns the alerts that began or ended. To be called each second.
+    pub fn evaluate(&self, now: ClockTime) -> Vec<BurnAlert> {
+        let mut state = self.state.lock();
+        let mut names: Vec<SharedName> = state.services.keys().cloned().collect();
+        names.sort();
+        let mut alerts = Vec::new();
+        for service in names {
+            if let Some(entry) = state.services.get_mut(&service) {
+                alerts.extend(entry.evaluate(&service, &self.tuning, now));
+            }
+        }
+        alerts
+    }
+
+    /// Returns the calls for merging with those of other VMs.
+    pub fn export(&self, vm: &SharedName, now: ClockTime) -> BurnExport {
+        let state = self.state.lock();
+        let mut services = Vec::new();
+        for (service, entry) in &state.services {
+            for class in WorkClass::ALL {
+                if let Some(calls) = &entry.classes[class.index()] {
+                    services.push(calls.export(service, class, entry.objective, now));
+                }
+            }
+        }
+        services.retain(|burn| burn.windows.iter().any(|counts| counts.total > 0));
+        services
+            .sort_by(|left, right| (&left.service, left.class).cmp(&(&right.service, right.class)));
+        BurnExport { vm: vm.clone(), services, dropped: state.dropped }
+    }
+
+    /// Returns the most bytes that one service and class takes in memory.
+    pub fn entry_bytes() -> usize {
+        let histogram = ClassEntry::histogram();
+        let counters = histogram.distinct_values() * size_of::<u32>();
+        size_of::<ClassEntry>() + WindowCounts::memory_bytes() + 2 * counters
+    }
+}
+
+impl TableState {
+    fn remove_expired(&mut self, now: ClockTime) {
+        let entries = &mut self.entries;
+        self.services.retain(|_, entry| {
+            let keep = entry.removed_at.is_none_or(|removed| now.since(removed) < RETENTION);
+            if !keep {
+                *entries -= entry.classes.iter().flatten().count();
+            }
+            keep
+        });
+    }
+}
+
+impl ServiceEntry {
+    fn new(objective: BurnObjective) -> Self {
+        Self {
+            objective,
+            classes: Default::default(),
+            alerts: AlertStates::default(),
+            removed_at: None,
+        }
+    }
+
+    fn evaluate(
+        &mut self,
+        service: &SharedName,
+        tuning: &BurnTuning,
+        now: ClockTime,
+    ) -> Vec<BurnAlert> {
+        let mut windows = [CallCounts::default(); WINDOWS.len()];
+        let mut alerts = Vec::new();
+        let objective = &self.objective;
+        for class in WorkClass::ALL {
+            let Some(calls) = &mut self.classes[class.index()] else { continue };
+            let own: [CallCounts; WINDOWS.len()] =
+                std::array::from_fn(|index| calls.counts.window(index, now));
+            for (sum, counts) in windows.iter_mut().zip(&own) {
+                sum.add(counts);
+            }
+            let scope = AlertScope { service, class: Some(class), objective };
+            alerts.extend(calls.alerts.evaluate(scope, tuning, |index| own[index], now));
+        }
+        let scope = AlertScope { service, class: None, objective };
+        alerts.extend(self.alerts.evaluate(scope, tuning, |index| windows[index], now));
+        alerts
+    }
+}
+
+impl ClassEntry {
+    fn new(now: ClockTime) -> Self {
+        Self {
+            counts: WindowCounts::new(),
+            recent: Self::histogram(),
+            previous: Self::histogram(),
+            slice: Self::slice_of(now),
+            alerts: AlertStates::default(),
+        }
+    }
+
+    fn histogram() -> Histogram<u32> {
+        Histogram::new_with_bounds(1, MAX_LATENCY, LATENCY_DIGITS)
+            .expect("the bounds of the latency histogram are valid")
+    }
+
+    fn slice_of(now: ClockTime) -> u64 {
+        now.as_millis() / HISTOGRAM_SPAN.as_millis()
+    }
+
+    fn record(&mut self, latency: ClockSpan, limit: u64, success: bool, now: ClockTime) {
+        self.roll(now);
+        let steps = latency.as_hundredths();
+        self.counts.record(!success, success && steps > limit, now);
+        if success {
+            self.recent.saturating_record(steps.max(1));
+        }
+    }
+
+    fn roll(&mut self, now: ClockTime) {
+        let slice = Self::slice_of(now);
+        if slice <= self.slice {
+            return;
+        }
+        std::mem::swap(&mut self.recent, &mut self.previous);
+        self.recent.reset();
+        if slice > self.slice + 1 {
+            self.previous.reset();
+        }
+        self.slice = slice;
+    }
+
+    fn export(
+        &self,
+        service: &SharedName,
+        class: WorkClass,
+        objective: BurnObjective,
+        now: ClockTime,
+    ) -> ServiceBurn {
+        let slices_passed = Self::slice_of(now).saturating_sub(self.slice);
+        let mut latencies = latency_histogram();
+        let kept = [(&self.recent, 1), (&self.previous, 0)];
+        for (histogram, most) in kept {
+            if slices_passed <= most {
+                for value in histogram.iter_recorded() {
+                    let count = u64::from(value.count_at_value());
+                    latencies.saturating_record_n(value.value_iterated_to(), count);
+                }
+            }
+        }
+        ServiceBurn {
+            service: service.clone(),
+            class,
+            objective,
+            windows: (0..WINDOWS.len()).map(|index| self.counts.window(index, now)).collect(),
+            timeline: self.counts.timeline(now),
+            latencies: latencies
+                .iter_recorded()
+                .map(|value| (value.value_iterated_to(), value.count_at_value()))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/report/tests/windows.rs
@@ -0,0 +1,141 @@
+//! Time windows, memory, and independence of the clock's origin.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use base::prelude::*;
+use report::prelude::*;
+use world::prelude::*;
+
+/// Services and classes at the target scale.
+const SERVICES: usize = 140;
+/// Memory of a node's control overhead at the target scale.
+const NODE_MEMORY: usize = 32_000_000;
+
+fn environment(services: &[&str]) -> EnvironmentMap {
+    let contract = |name: &&str| {
+        Arc::new(ServiceContract {
+            name: (*name).into(),
+            hosts: Vec::new(),
+            path_prefixes: Vec::new(),
+            rules: Vec::new(),
+            deadline: ClockSpan::from_secs(1),
+            objective: ServiceObjective {
+                latency: ClockSpan::from_millis(100),
+                latency_share: 0.99,
+                success_share: 0.999,
+            },
+            probe_share: 0.01,
+            vm_ceiling: 15,
+            retry_ratio: 0.1,
+            queue_limit: 100,
+        })
+    };
+    EnvironmentMap {
+        name: "test".into(),
+        version: 1,
+        digest: "d".into(),
+        centres: Vec::new(),
+        links: Vec::new(),
+        contracts: services.iter().map(contract).collect(),
+        upstreams: HashMap::new(),
+    }
+}
+
+fn totals(table: &BurnTable, now: ClockTime) -> Vec<u64> {
+    let export = table.export(&"vm".into(), now);
+    export.services.first().map_or_else(
+        || vec![0; WINDOWS.len()],
+        |burn| burn.windows.iter().map(|counts| counts.total).collect(),
+    )
+}
+
+struct RollCase {
+    after_seconds: u64,
+    /// Calls left in the windows of 10 s, 1 min, 5 min, 30 min, 1 h and 6 h.
+    calls: [u64; 6],
+}
+
+/// Guards against windows that keep calls for too long or lose them too early. The calls are made
+/// at the start of a bucket of every width.
+#[test]
+fn windows_roll() {
+    let cases = [
+        RollCase { after_seconds: 0, calls: [7; 6] },
+        RollCase { after_seconds: 9, calls: [7; 6] },
+        RollCase { after_seconds: 10, calls: [0, 7, 7, 7, 7, 7] },
+        RollCase { after_seconds: 59, calls: [0, 7, 7, 7, 7, 7] },
+        RollCase { after_seconds: 60, calls: [0, 0, 7, 7, 7, 7] },
+        RollCase { after_seconds: 299, calls: [0, 0, 7, 7, 7, 7] },
+        RollCase { after_seconds: 300, calls: [0, 0, 0, 7, 7, 7] },
+        RollCase { after_seconds: 1799, calls: [0, 0, 0, 7, 7, 7] },
+        RollCase { after_seconds: 1800, calls: [0, 0, 0, 0, 7, 7] },
+        RollCase { after_seconds: 3599, calls: [0, 0, 0, 0, 7, 7] },
+        RollCase { after_seconds: 3600, calls: [0, 0, 0, 0, 0, 7] },
+        RollCase { after_seconds: 21_599, calls: [0, 0, 0, 0, 0, 7] },
+        RollCase { after_seconds: 21_600, calls: [0; 6] },
+        RollCase { after_seconds: 1_000_000, calls: [0; 6] },
+    ];
+    let start = ClockTime::from_millis(86_400_000);
+    for case in cases {
+        let table = BurnTable::new(BurnTuning::default());
+        table.apply(&environment(&["a"]), start);
+        for _ in 0..7 {
+            table.record("a", WorkClass::Normal, ClockSpan::from_millis(1), true, start);
+        }
+        let now = start + ClockSpan::from_secs(case.after_seconds);
+        assert_eq!(totals(&table, now), case.calls, "after {} s", case.after_seconds);
+        // A call after a long silence must not bring old buckets back.
+        table.record("a", WorkClass::Normal, ClockSpan::from_millis(1), true, now);
+        let expected: Vec<u64> = case.calls.iter().map(|count| count + 1).collect();
+        assert_eq!(totals(&table, now), expected, "call after {} s", case.after_seconds);
+    }
+}
+
+/// Guards against results that depend on when the process started.
+#[test]
+fn results_do_not_depend_on_the_start_of_the_clock() {
+    let run = |origin: u64| {
+        let mut random = RandomSource::from_seed(7);
+        let table = BurnTable::new(BurnTuning::default());
+        let mut now = ClockTime::from_millis(origin);
+        table.apply(&environment(&["a"]), now);
+        let mut alerts = Vec::new();
+        for _ in 0..5000 {
+            now = now + ClockSpan::from_millis(100);
+            let latency = ClockSpan::from_millis_f64(random.exponential(20.0));
+            table.record("a", WorkClass::Normal, latency, random.chance(0.9), now);
+            alerts.extend(table.evaluate(now));
+        }
+        (table.export(&"vm".into(), now), alerts)
+    };
+    // The origins are multiples of the widest bucket, so that calls fall into the same buckets.
+    assert_eq!(run(300_000), run(300_000));
+    assert_eq!(run(300_000), run(900_000_000));
+}
+
+/// Guards against unbounded memory: unknown services take none, and 140 services with all classes
+/// stay within the node's memory.
+#[test]
+fn memory_is_bounded() {
+    let entries = SERVICES * WorkClass::ALL.len();
+    let bytes = entries * BurnTable::entry_bytes();
+    println!("{} B per service and class, {bytes} B for {entries}", BurnTable::entry_bytes());
+    assert!(bytes < NODE_MEMORY, "{bytes} B");
+
+    let now = ClockTime::from_millis(600_000);
+    let table = BurnTable::new(BurnTuning { max_entries: 1, ..BurnTuning::default() });
+    table.apply(&environment(&["a", "b"]), now);
+    for service in ["a", "b", "unknown"] {
+        table.record(service, WorkClass::Normal, ClockSpan::from_millis(1), true, now);
+    }
+    let export = table.export(&"vm".into(), now);
+    assert_eq!((export.services.len(), export.dropped), (1, 2));
+
+    table.apply(&environment(&["b"]), now);
+    let later = now + ClockSpan::from_secs(6 * 3600);
+    table.apply(&environment(&["b"]), later);
+    table.record("b", WorkClass::Normal, ClockSpan::from_millis(1), true, later);
+    let export = table.export(&"vm".into(), later);
+    assert_eq!((export.services.len(), export.dropped), (1, 2), "room of a removed service");
+}
