Order upstreams by each VM's own preference and ramp up cold servers

Change: own calls and a rendezvous order of preference carry the choice; reports count for about one latency of the service and have bounded weight; slowness counts from twice the service's mean. A server on its ramp gets its share of calls outright. Connection losses of calls sent before a counted loss belong to the same event, so that a server which loses every new call is still ejected.

--- a/crates/route/src/affinity.rs
+++ b/crates/route/src/affinity.rs
@@ -1,4 +1,7 @@
 //! Each VM's own order of preference among the upstreams of a service.
+//!
+//! Many VMs share servers with few slots, and each knows only its own calls. Different orders of
+//! preference make their first choices differ without any exchange between them.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -19,41 +19,52 @@
     /// Returns the expected cost of a call to `view`, in milliseconds.
     pub fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
         let service_ms = self.service_ms(view);
-        let latency_ms = self.latency_ms(view, service_ms, now);
-        latency_ms * (1.0 + self.waiting(view, now))
-            + view.round_trip_ms
-            + service_ms * self.penalty(view, now)
+        let calls = 1.0
+            + self.queueing(view, service_ms, now)
+            + self.slowness(view, service_ms, now)
+            + self.penalty(view, now);
+        service_ms * calls + view.round_trip_ms
     }
 
     fn service_ms(&self, view: &UpstreamView) -> f64 {
         if view.service_ms > 0.0 { view.service_ms } else { self.tuning.unknown_latency_ms }
     }
 
-    /// Returns the server's own time for a call. Old estimates return to the service's mean, so
-    /// that a server that was slow is tried again.
-    fn latency_ms(&self, view: &UpstreamView, service_ms: f64, now: ClockTime) -> f64 {
-        let Some(sampled_at) = view.sampled_at else { return service_ms };
-        let tail_ms = (view.tail_ms - view.latency_ms).max(0.0);
-        let measured_ms = view.latency_ms + self.tuning.tail_weight * tail_ms;
-        let weight = remaining(now.since(sampled_at), self.tuning.latency_memory);
-        service_ms + weight * (measured_ms - service_ms)
-    }
-
-    /// Returns the expected wait for a slot, in units of the server's latency.
-    fn waiting(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+    /// Returns the expected wait for a slot.
+    fn queueing(&self, view: &UpstreamView, service_ms: f64, now: ClockTime) -> f64 {
+        let tuning = &self.tuning;
         let slots = f64::from(view.slots.max(1));
-        let calls = f64::from(view.own_in_flight) + self.others(view, now);
-        let occupancy = (calls / slots).min(1.0);
-        let queue = (calls + 1.0 - slots).max(0.0);
-        self.tuning.occupancy_weight * occupancy * occupancy + queue / slots
+        let mut cost = tuning.own_weight * f64::from(view.own_in_flight) / slots;
+        if let Some(reported_at) = view.reported_at {
+            let memory = ClockSpan::from_millis_f64(tuning.report_memory * service_ms);
+            let memory = memory.min(tuning.report_memory_max);
+            let weight = remaining(now.since(reported_at), memory);
+            cost += tuning.report_weight * weight * (view.others - view.others_mean) / slots;
+            if f64::from(view.own_in_flight) + view.others >= slots {
+                cost += tuning.full_weight * weight * weight;
+            }
+        }
+        cost
     }
 
-    /// Returns the estimated calls of other VMs. A report returns to the service's mean as it
-    /// ages.
-    fn others(&self, view: &UpstreamView, now: ClockTime) -> f64 {
-        let Some(reported_at) = view.reported_at else { return view.others_mean };
-        let weight = remaining(now.since(reported_at), self.tuning.report_memory);
-        view.others_mean + weight * (view.others - view.others_mean)
+    /// Returns the cost of a server that is slow. Old estimates lose their weight, so that a
+    /// server that was slow is tried again. An own call that is overdue shows a stall before any
+    /// response does.
+    fn slowness(&self, view: &UpstreamView, service_ms: f64, now: ClockTime) -> f64 {
+        let tuning = &self.tuning;
+        let mut cost = 0.0;
+        if let Some(oldest_at) = view.oldest_at {
+            let waited = (now.since(oldest_at).as_millis_f64() - view.round_trip_ms) / service_ms;
+            cost += tuning.overdue_weight * (waited - tuning.overdue_after).max(0.0);
+        }
+        if let Some(sampled_at) = view.sampled_at {
+            let tail_ms = (view.tail_ms - view.latency_ms).max(0.0);
+            let measured = (view.latency_ms + tuning.tail_weight * tail_ms) / service_ms;
+            let excess = (measured - tuning.slow_from).max(0.0);
+            let weight = remaining(now.since(sampled_at), tuning.slow_memory);
+            cost += tuning.slow_weight * weight * excess;
+        }
+        cost
     }
 
     fn penalty(&self, view: &UpstreamView, now: ClockTime) -> f64 {
@@ -65,10 +76,7 @@
         }
         let silence = view.heard_at.map_or(ClockSpan::MAX, |heard_at| now.since(heard_at));
         penalty += tuning.stale_weight * (1.0 - remaining(silence, tuning.stale_memory));
-        if view.slots <= tuning.preference_slots {
-            penalty += tuning.preference_weight * view.preference;
-        }
-        penalty
+        penalty + tuning.preference_weight * view.preference
     }
 }
 
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -11,32 +11,28 @@
     (-(age.as_hundredths() as f64) / memory.as_hundredths() as f64).exp()
 }
 
-/// A mean that weights samples by the time that they stand for.
+/// A mean that weights samples by the time that they stand for. The first samples count equally,
+/// so that one of them does not bias the mean for the whole of its memory.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DecayingMean {
     /// The mean, or 0.0 before the first sample.
     pub value: f64,
     /// When the last sample was added.
     pub sampled_at: Option<ClockTime>,
+    samples: u32,
 }
 
 impl DecayingMean {
-    /// Adds a sample, which takes at most `sample_share` of the mean.
+    /// Adds a sample. After the first few, it takes at most `sample_share` of the mean.
     pub fn add(&mut self, sample: f64, now: ClockTime, memory: ClockSpan, sample_share: f64) {
-        let weight = match self.sampled_at {
-            None => 1.0,
-            Some(before) => {
-                (1.0 - remaining(now.since(before), memory)).clamp(MIN_WEIGHT, sample_share)
-            }
-        };
-        self.value += weight * (sample - self.value);
-        self.sampled_at = Some(now.max(self.sampled_at.unwrap_or(now)));
+        self.samples = self.samples.saturating_add(1);
+        let before = self.sampled_at.unwrap_or(now);
+        let weight = (1.0 - remaining(now.since(before), memory)).min(sample_share);
+        self.value += weight.max(1.0 / f64::from(self.samples)) * (sample - self.value);
+        self.sampled_at = Some(now.max(before));
     }
 }
 
-/// Samples at the same moment still count, so that a burst is not lost.
-const MIN_WEIGHT: f64 = 0.01;
-
 /// A peak that returns to the mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DecayingPeak {
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -26,8 +26,15 @@
         self.ramp_from = Some(self.ramp_from.map_or(now, |from| from.max(now)));
     }
 
-    /// Records the end of a call and returns whether the server should be ejected.
-    pub fn record(&mut self, result: CallResult, now: ClockTime, tuning: &RouteTuning) -> bool {
+    /// Records the end of a call that was sent at `sent_at` and returns whether the server should
+    /// be ejected.
+    pub fn record(
+        &mut self,
+        result: CallResult,
+        sent_at: ClockTime,
+        now: ClockTime,
+        tuning: &RouteTuning,
+    ) -> bool {
         match result {
             CallResult::Success => self.add_success(now, tuning),
             CallResult::ServerError => self.add_failure(1.0, 1.0, now, tuning),
@@ -36,9 +43,9 @@
                 self.add_failure(1.0, tuning.connect_weight, now, tuning);
             }
             CallResult::ConnectionLost => {
-                let burst = self.lost_at.is_some_and(|at| now.since(at) <= tuning.loss_burst);
-                self.lost_at = Some(now);
-                if !burst {
+                // One crash or broken link ends every call that is in flight at the time.
+                if self.lost_at.is_none_or(|lost_at| sent_at > lost_at) {
+                    self.lost_at = Some(now);
                     self.add_failure(1.0, 1.0, now, tuning);
                 }
             }
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use smallvec::SmallVec;
 use world::prelude::*;
 
 use crate::estimate::{DecayingMean, DecayingPeak};
@@ -12,6 +13,9 @@
 use crate::tuning::RouteTuning;
 use crate::view::UpstreamView;
 
+/// Calls in flight that a record holds without allocating; more than most servers have slots.
+const INLINE_CALLS: usize = 8;
+
 /// The last load report that was believed.
 #[derive(Clone, Copy, Debug)]
 struct LoadRecord {
@@ -35,7 +39,8 @@
     /// Whether the environment lists the server. Records of removed servers stay until their
     /// calls have ended.
     pub listed: bool,
-    pub own_in_flight: u32,
+    /// When each call of this VM in flight was sent, oldest first.
+    sent: SmallVec<[ClockTime; INLINE_CALLS]>,
     pub round_trip: ClockSpan,
     pub preference: f64,
     pub health: HealthRecord,
@@ -54,7 +59,7 @@
             id,
             server,
             listed: true,
-            own_in_flight: 0,
+            sent: SmallVec::new(),
             round_trip: ClockSpan::ZERO,
             preference: 0.0,
             health: HealthRecord::default(),
@@ -68,6 +73,23 @@
         }
     }
 
+    /// Returns the calls of this VM in flight.
+    pub fn own_in_flight(&self) -> u32 {
+        self.sent.len() as u32
+    }
+
+    /// Counts a call that is sent now.
+    pub fn send(&mut self, now: ClockTime) {
+        self.sent.push(now);
+    }
+
+    /// Stops counting a call that was sent at `sent_at`.
+    pub fn release(&mut self, sent_at: ClockTime) {
+        if let Some(index) = self.sent.iter().position(|sent| *sent == sent_at) {
+            self.sent.remove(index);
+        }
+    }
+
     pub fn is_draining(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
         self.drain
             .is_some_and(|mark| mark.draining && now.since(mark.made_at) <= tuning.drain_memory)
@@ -80,7 +102,7 @@
     }
 
     pub fn is_full(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
-        self.own_in_flight >= self.own_slots(now, tuning) || self.busy_until > now
+        self.own_in_flight() >= self.own_slots(now, tuning) || self.busy_until > now
     }
 
     /// Returns the time until a report that closes the server is too old to count.
@@ -136,7 +158,7 @@
         }
         // The report counts this VM's calls as well, the one that it answers included.
         let calls = f64::from(report.in_flight) + f64::from(report.queued);
-        let others = (calls - f64::from(self.own_in_flight)).max(0.0);
+        let others = (calls - f64::from(self.own_in_flight())).max(0.0);
         self.load = Some(LoadRecord { report, made_at, others });
         let slots = if report.slots > 0 { report.slots } else { self.server.slots };
         let full = report.in_flight >= slots && report.queued > 0;
@@ -177,6 +199,11 @@
         self.health.hear(now);
     }
 
+    /// Returns the calls of all VMs in the last load report.
+    pub fn reported_calls(&self) -> Option<f64> {
+        self.load.map(|load| f64::from(load.report.in_flight) + f64::from(load.report.queued))
+    }
+
     pub fn latency_ms(&self) -> f64 {
         self.latency.value
     }
@@ -187,7 +214,8 @@
 
     pub fn view(&self, ramp: f64, service_ms: f64, service_load: f64) -> UpstreamView {
         UpstreamView {
-            own_in_flight: self.own_in_flight,
+            own_in_flight: self.own_in_flight(),
+            oldest_at: self.sent.first().copied(),
             slots: self.server.slots,
             others: self.load.map_or(0.0, |load| load.others),
             others_mean: service_load * f64::from(self.server.slots),
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -1,5 +1,6 @@
 //! The upstreams of one service, behind one lock.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -33,6 +34,7 @@
 pub struct RecordKey {
     index: usize,
     id: u64,
+    sent_at: ClockTime,
 }
 
 /// The evidence on the upstreams of one service.
@@ -87,7 +89,7 @@
 
     /// Returns whether calls to the service are in flight.
     pub fn is_in_use(&self) -> bool {
-        self.records.iter().any(|record| record.own_in_flight > 0)
+        self.records.iter().any(|record| record.own_in_flight() > 0)
     }
 
     /// Follows a version of the environment. Servers that join a service that is already in use
@@ -112,7 +114,7 @@
             let round_trip = map.round_trip(centre, &server.centre);
             self.records[index].round_trip = round_trip.unwrap_or(self.tuning.unknown_round_trip);
         }
-        self.records.retain(|record| record.listed || record.own_in_flight > 0);
+        self.records.retain(|record| record.listed || record.own_in_flight() > 0);
         self.rank_preferences(vm_seed);
         self.release_excess(now);
         self.candidates.reserve(self.records.len());
@@ -139,15 +141,16 @@
         self.records.len() - 1
     }
 
+    /// Orders the servers by distance, and those at the same distance by the VM's own scores.
     fn rank_preferences(&mut self, vm_seed: u64) {
-        let scores: Vec<u64> = self
-            .records
-            .iter()
-            .map(|record| affinity::score(vm_seed, &record.server.name))
-            .collect();
-        let steps = scores.len().saturating_sub(1).max(1) as f64;
+        let key = |record: &UpstreamRecord| {
+            let score = affinity::score(vm_seed, &record.server.name);
+            (record.round_trip, Reverse(score))
+        };
+        let keys: Vec<_> = self.records.iter().map(key).collect();
+        let steps = keys.len().saturating_sub(1).max(1) as f64;
         for (index, record) in self.records.iter_mut().enumerate() {
-            let better = scores.iter().filter(|score| **score > scores[index]).count();
+            let better = keys.iter().filter(|key| **key < keys[index]).count();
             record.preference = better as f64 / steps;
         }
     }
@@ -195,14 +198,14 @@
         let chosen = self.choose(policy, now, random).ok_or_else(|| refusal(service, &count))?;
         let index = self.candidate_indexes[chosen];
         let record = &mut self.records[index];
-        record.own_in_flight += 1;
-        Ok((RecordKey { index, id: record.id }, Arc::clone(&record.server)))
+        record.send(now);
+        Ok((RecordKey { index, id: record.id, sent_at: now }, Arc::clone(&record.server)))
     }
 
     fn count(&self, now: ClockTime) -> RefusalCount {
         let mut count = RefusalCount::default();
         for record in &self.records {
-            count.own_in_flight += record.own_in_flight;
+            count.own_in_flight += record.own_in_flight();
             if !record.listed {
                 continue;
             }
@@ -267,15 +270,51 @@
         }
     }
 
+    /// Lets the policy choose among warm servers, after each server on its ramp had the chance to
+    /// take its share of the calls. Without a warm server, the policy chooses among all.
     fn choose<P: ChoicePolicy>(
         &mut self,
         policy: &P,
         now: ClockTime,
         random: &mut RandomSource,
     ) -> Option<usize> {
+        let ramping = self.candidates.iter().filter(|view| view.ramp < 1.0).count();
+        if ramping > 0 && ramping < self.candidates.len() {
+            let drawn = self.draw_ramping(random);
+            if drawn.is_some() {
+                return drawn;
+            }
+            self.drop_ramping();
+        }
         policy.choose(&self.candidates, now, random)
     }
 
+    /// Draws at most one server on its ramp. Each nearest one has the normal share of a server
+    /// times its ramp; policies alone would give an idle cold server far more.
+    fn draw_ramping(&self, random: &mut RandomSource) -> Option<usize> {
+        let distance = |view: &UpstreamView| view.round_trip_ms;
+        let nearest = self.candidates.iter().map(distance).fold(f64::INFINITY, f64::min);
+        let is_near = |view: &&UpstreamView| view.round_trip_ms <= nearest;
+        let near = self.candidates.iter().filter(is_near).count() as f64;
+        let mut left = random.unit() * near;
+        self.candidates.iter().position(|view| {
+            if view.ramp >= 1.0 || view.round_trip_ms > nearest {
+                return false;
+            }
+            left -= view.ramp;
+            left < 0.0
+        })
+    }
+
+    fn drop_ramping(&mut self) {
+        for index in (0..self.candidates.len()).rev() {
+            if self.candidates[index].ramp < 1.0 {
+                self.candidates.swap_remove(index);
+                self.candidate_indexes.swap_remove(index);
+            }
+        }
+    }
+
     /// Releases a reservation and records how the call ended.
     pub fn finish(&mut self, key: RecordKey, outcome: &CallOutcome, now: ClockTime) {
         let tuning = self.tuning;
@@ -289,7 +328,7 @@
         if outcome.result.is_answered() {
             record.hear(now);
         }
-        let bad = record.health.record(outcome.result, now, &tuning);
+        let bad = record.health.record(outcome.result, key.sent_at, now, &tuning);
         self.add_to_service(load, latency, now);
         if bad && self.records[index].listed && self.ejected(now) < self.ejection_cap() {
             self.records[index].health.eject(now, &tuning, &mut self.random);
@@ -301,8 +340,8 @@
     pub fn release(&mut self, key: RecordKey) {
         let Some(index) = self.find(key) else { return };
         let record = &mut self.records[index];
-        record.own_in_flight = record.own_in_flight.saturating_sub(1);
-        if !record.listed && record.own_in_flight == 0 {
+        record.release(key.sent_at);
+        if !record.listed && record.own_in_flight() == 0 {
             self.records.remove(index);
         }
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -238,6 +238,8 @@
     pub latency_ms: f64,
     /// Decaying peak of the same.
     pub tail_ms: f64,
+    /// Calls of all VMs at the server, running or queued, in the last load report.
+    pub reported_calls: Option<f64>,
 }
 
 impl UpstreamState {
@@ -245,13 +247,14 @@
         Self {
             service: record.server.service.clone(),
             upstream: record.server.name.clone(),
-            own_in_flight: record.own_in_flight,
+            own_in_flight: record.own_in_flight(),
             ejected: record.health.is_ejected(now),
             draining: record.is_draining(now, tuning),
             ramp: record.health.ramp(now, tuning),
             failure_rate: record.health.failure_rate(),
             latency_ms: record.latency_ms(),
             tail_ms: record.tail_ms(),
+            reported_calls: record.reported_calls(),
         }
     }
 }
--- a/crates/route/src/tuning.rs
+++ b/crates/route/src/tuning.rs
@@ -10,7 +10,8 @@
     pub latency_memory: ClockSpan,
     /// Time constant with which a latency peak returns to the mean.
     pub tail_memory: ClockSpan,
-    /// Time constant of the averages over a whole service.
+    /// Time constant of the averages over a whole service. Long enough that a server which takes
+    /// most calls and turns slow still stands out from the average.
     pub service_memory: ClockSpan,
     /// The most weight of one sample in a mean, `0.0..=1.0`.
     pub sample_share: f64,
@@ -35,9 +36,6 @@
     /// Weight of a timeout in runs and rates. The call may have been slow by itself, or have lost
     /// its connection, so that a timeout says less than an answered error.
     pub timeout_weight: f64,
-    /// Connections lost within this span count as one failure, because one crash or one broken
-    /// link ends all of them.
-    pub loss_burst: ClockSpan,
     /// Share of a service that may be ejected at once, rounded down; zero turns ejection off.
     pub ejection_share: f64,
     /// First ejection time, doubled by each further ejection.
@@ -72,7 +70,7 @@
     pub const STANDARD: Self = Self {
         latency_memory: ClockSpan::from_millis(100),
         tail_memory: ClockSpan::from_millis(200),
-        service_memory: ClockSpan::from_secs(2),
+        service_memory: ClockSpan::from_secs(10),
         sample_share: 0.3,
         full_report_age: ClockSpan::from_millis(5),
         shed_hold: ClockSpan::from_millis(20),
@@ -83,7 +81,6 @@
         rate_evidence: 10.0,
         connect_weight: 2.0,
         timeout_weight: 0.5,
-        loss_burst: ClockSpan::from_millis(50),
         ejection_share: 0.5,
         ejection_base: ClockSpan::from_secs(1),
         ejection_max: ClockSpan::from_secs(60),
@@ -105,31 +102,45 @@
     }
 }
 
-/// Constants of [`ExpectedCost`](crate::cost::ExpectedCost).
+/// Constants of [`ExpectedCost`](crate::cost::ExpectedCost). Weights are in units of the service's
+/// mean latency.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostTuning {
-    /// Time constant with which a load report loses its weight; zero ignores reports.
-    pub report_memory: ClockSpan,
-    /// Time constant with which a server's latency returns to that of its service.
-    pub latency_memory: ClockSpan,
+    /// Cost when this VM's own calls take all slots.
+    pub own_weight: f64,
+    /// Cost when other VMs' calls take all slots; zero ignores reports.
+    pub report_weight: f64,
+    /// Cost of a server whose slots are all taken by a report that is fresh.
+    pub full_weight: f64,
+    /// Time constant with which a load report loses its weight, in units of the service's latency.
+    /// Slots change hands within about one latency.
+    pub report_memory: f64,
+    /// The longest time constant of a load report.
+    pub report_memory_max: ClockSpan,
+    /// Age from which an own call in flight counts as overdue, in units of the service's latency.
+    pub overdue_after: f64,
+    /// Cost of each unit of time that the oldest own call is overdue; zero turns this off.
+    pub overdue_weight: f64,
+    /// Latency, relative to the service's, up to which a server does not count as slow.
+    pub slow_from: f64,
+    /// Cost of each unit of latency beyond that; zero ignores latency.
+    pub slow_weight: f64,
     /// Weight of the distance between peak and mean latency.
     pub tail_weight: f64,
-    /// Cost of a fully occupied server before any queue, in units of its latency.
-    pub occupancy_weight: f64,
+    /// Time constant with which a server's latency returns to that of its service.
+    pub slow_memory: ClockSpan,
     /// Latency assumed before any call has ended, in milliseconds.
     pub unknown_latency_ms: f64,
-    /// Cost of a certain failure, in units of the service's latency; zero ignores failures.
+    /// Cost of a certain failure; zero ignores failures.
     pub failure_weight: f64,
     /// Time constant with which a failure rate loses its weight.
     pub failure_memory: ClockSpan,
-    /// Cost of a server that was not heard of for long, in units of the service's latency.
+    /// Cost of a server that was not heard of for long.
     pub stale_weight: f64,
     /// Time constant with which silence makes evidence stale.
     pub stale_memory: ClockSpan,
-    /// Cost of the last server in the VM's order of preference, in units of the service's latency.
+    /// Cost of the last server in the VM's order of preference; zero turns the order off.
     pub preference_weight: f64,
-    /// Servers with at most this many slots are chosen by preference.
-    pub preference_slots: u32,
     /// Relative random change of each cost, which keeps VMs with equal evidence apart.
     pub cost_jitter: f64,
 }
@@ -137,17 +148,23 @@
 impl CostTuning {
     /// The values in production.
     pub const STANDARD: Self = Self {
-        report_memory: ClockSpan::from_millis(50),
-        latency_memory: ClockSpan::from_millis(200),
-        tail_weight: 0.25,
-        occupancy_weight: 0.5,
+        own_weight: 24.0,
+        report_weight: 1.0,
+        full_weight: 2.0,
+        report_memory: 1.0,
+        report_memory_max: ClockSpan::from_millis(100),
+        overdue_after: 2.0,
+        overdue_weight: 1.0,
+        slow_from: 2.0,
+        slow_weight: 1.0,
+        tail_weight: 0.1,
+        slow_memory: ClockSpan::from_millis(500),
         unknown_latency_ms: 1.0,
         failure_weight: 20.0,
         failure_memory: ClockSpan::from_secs(5),
         stale_weight: 0.02,
         stale_memory: ClockSpan::from_secs(1),
-        preference_weight: 0.5,
-        preference_slots: 2,
+        preference_weight: 4.0,
         cost_jitter: 0.05,
     };
 }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -8,6 +8,8 @@
 pub struct UpstreamView {
     /// Calls of this VM in flight.
     pub own_in_flight: u32,
+    /// When the oldest of them was sent, or `None` if there is none.
+    pub oldest_at: Option<ClockTime>,
     /// Slots of the server.
     pub slots: u32,
     /// Calls of other VMs, running or queued, at the last load report.
@@ -43,6 +45,7 @@
     pub const fn idle(slots: u32) -> Self {
         Self {
             own_in_flight: 0,
+            oldest_at: None,
             slots,
             others: 0.0,
             others_mean: 0.0,
--- /dev/null
+++ b/crates/route/tests/failures.rs
@@ -0,0 +1,403 @@
+//! Servers that fail, stall, come up cold or vanish with their data centre.
+
+mod support;
+
+use std::cell::Cell;
+
+use base::prelude::*;
+use route::prelude::*;
+use support::*;
+
+const STANDARD: RouteTuning = RouteTuning::STANDARD;
+const LEAST: PolicyKind = PolicyKind::LeastInFlight(LeastInFlight);
+const NO_EJECTION: RouteTuning = RouteTuning { ejection_share: 0.0, ..STANDARD };
+const NO_RAMP: RouteTuning = RouteTuning { ramp_time: ClockSpan::ZERO, ..STANDARD };
+
+fn own_policy(tuning: CostTuning) -> PolicyKind {
+    PolicyKind::ExpectedCost(ExpectedCost { tuning })
+}
+
+/// Guards against a server that fails at once and so looks idle: it must not attract load.
+#[test]
+fn fast_failing_server_loses_its_load() {
+    struct Case {
+        name: &'static str,
+        tuning: RouteTuning,
+        policy: PolicyKind,
+        result: CallResult,
+        loses_load: bool,
+    }
+    let no_penalty = own_policy(CostTuning { failure_weight: 0.0, ..CostTuning::STANDARD });
+    let own = PolicyKind::default();
+    let error = CallResult::ServerError;
+    let case = |name, tuning, policy, result, loses_load| Case {
+        name,
+        tuning,
+        policy,
+        result,
+        loses_load,
+    };
+    let cases = [
+        case("ejection, own policy", STANDARD, own, error, true),
+        case("ejection, least in flight", STANDARD, LEAST, error, true),
+        case("refused connections", STANDARD, LEAST, CallResult::ConnectFailed, true),
+        case("lost connections", STANDARD, LEAST, CallResult::ConnectionLost, true),
+        case("penalty alone", NO_EJECTION, own, error, true),
+        case("neither", NO_EJECTION, no_penalty, error, false),
+        case("least in flight without ejection", NO_EJECTION, LEAST, error, false),
+    ];
+    for Case { name, tuning, policy, result, loses_load } in cases {
+        let mut vm = TestVm::new(FOUR, tuning).with_policy(policy);
+        let sent = vm.run(4000, |server| if server == "a" { answer(0, result) } else { OK });
+        let share = sent.share("a");
+        println!("{name}: share of the failing server {share:.3}");
+        assert_eq!(share < 0.06, loses_load, "{name}: {sent:?}");
+    }
+}
+
+/// Guards against a failing server that answers some calls and so never fails many in a row.
+#[test]
+fn partly_failing_server_is_ejected_by_rate() {
+    struct Case {
+        name: &'static str,
+        tuning: RouteTuning,
+        ejected: bool,
+    }
+    let cases = [
+        Case { name: "rate rule", tuning: STANDARD, ejected: true },
+        Case {
+            name: "no rate rule",
+            tuning: RouteTuning { rate_limit: 2.0, ..STANDARD },
+            ejected: false,
+        },
+    ];
+    for Case { name, tuning, ejected } in cases {
+        let mut vm = TestVm::new(FOUR, tuning).with_policy(LEAST);
+        let calls = Cell::new(0);
+        let mut was_ejected = false;
+        for _ in 0..200 {
+            vm.run(10, |server| {
+                calls.set(calls.get() + usize::from(server == "a"));
+                let failing = server == "a" && calls.get() % 4 != 0;
+                if failing { answer(1, CallResult::ServerError) } else { answer(1, OK.result) }
+            });
+            was_ejected |= vm.state("a").ejected;
+        }
+        assert_eq!(was_ejected, ejected, "{name}");
+    }
+}
+
+/// Guards against results that count too much or too little: the number of each in a row that
+/// ejects a server.
+#[test]
+fn results_count_by_what_they_say() {
+    struct Case {
+        result: CallResult,
+        gap_ms: u64,
+        calls_to_eject: Option<usize>,
+    }
+    let case = |result, gap_ms, calls_to_eject| Case { result, gap_ms, calls_to_eject };
+    let cases = [
+        case(CallResult::Success, 100, None),
+        case(CallResult::ServerError, 100, Some(5)),
+        case(CallResult::ConnectFailed, 100, Some(3)),
+        case(CallResult::ConnectionLost, 100, Some(5)),
+        // One crash ends all calls on its connections and is one failure.
+        case(CallResult::ConnectionLost, 0, None),
+        case(CallResult::TimedOut, 100, Some(10)),
+        case(CallResult::Shed, 100, None),
+        case(CallResult::Cancelled, 100, None),
+    ];
+    for Case { result, gap_ms, calls_to_eject } in cases {
+        let mut vm = TestVm::new(&[near("a", 6), near("b", 6)], STANDARD);
+        let avoid = [SharedName::from("b")];
+        let mut ejected_after = None;
+        for call in 1..=30 {
+            let ticket = vm
+                .table
+                .reserve(&vm.policy, SERVICE, &avoid, vm.now, &mut vm.random)
+                .expect("a server");
+            vm.finish(ticket, answer(1, result));
+            if vm.state("a").ejected {
+                ejected_after = Some(call);
+                break;
+            }
+            vm.advance_ms(gap_ms);
+        }
+        assert_eq!(ejected_after, calls_to_eject, "{result:?} every {gap_ms} ms");
+    }
+}
+
+/// Guards against more than half of a service, rounded down, being ejected at once.
+#[test]
+fn at_most_half_is_ejected() {
+    struct Case {
+        servers: &'static [ServerSpec],
+        failing: &'static [&'static str],
+        ejected: usize,
+    }
+    let cases = [
+        Case { servers: &FOUR[..1], failing: &["a"], ejected: 0 },
+        Case { servers: &FOUR[..2], failing: &["a", "b"], ejected: 1 },
+        Case { servers: &FOUR[..3], failing: &["a", "b", "c"], ejected: 1 },
+        Case { servers: FOUR, failing: &["a", "b", "c", "d"], ejected: 2 },
+        Case { servers: FOUR, failing: &["a"], ejected: 1 },
+    ];
+    for Case { servers, failing, ejected } in cases {
+        let mut vm = TestVm::new(servers, STANDARD).with_policy(LEAST);
+        let mut most = 0;
+        for _ in 0..100 {
+            vm.run(5, |server| {
+                if failing.contains(&server) { answer(1, CallResult::ServerError) } else { OK }
+            });
+            most = most.max(vm.ejected());
+        }
+        assert_eq!(most, ejected, "{} servers, {failing:?} failing", servers.len());
+    }
+}
+
+/// Guards against a smaller environment leaving more than half of its servers ejected.
+#[test]
+fn removal_of_servers_keeps_the_cap() {
+    let mut vm = TestVm::new(FOUR, STANDARD).with_policy(LEAST);
+    vm.run(200, |server| match server {
+        "a" | "b" => answer(1, CallResult::ServerError),
+        _ => OK,
+    });
+    assert_eq!(vm.ejected(), 2);
+    vm.table.apply(&environment(2, &FOUR[..2]), vm.now);
+    assert_eq!(vm.ejected(), 1);
+}
+
+/// Guards against no server being left when all look bad: the service falls back to all of them.
+#[test]
+fn panic_uses_ejected_servers() {
+    struct Case {
+        name: &'static str,
+        tuning: RouteTuning,
+        used: bool,
+    }
+    let cases = [
+        Case { name: "panic rule", tuning: STANDARD, used: true },
+        Case {
+            name: "no panic rule",
+            tuning: RouteTuning { panic_share: 0.0, ..STANDARD },
+            used: false,
+        },
+    ];
+    for Case { name, tuning, used } in cases {
+        let mut vm = TestVm::new(FOUR, tuning).with_policy("random".parse().expect("a policy"));
+        vm.run(300, |server| match server {
+            "a" | "b" => answer(1, CallResult::ServerError),
+            _ => OK,
+        });
+        for server in ["c", "d"] {
+            vm.table.observe(server, drain_mark(true), vm.now);
+        }
+        let sent = vm.run(20, |_| OK);
+        assert_eq!(sent.total() > 0, used, "{name}: {sent:?}");
+        assert_eq!(sent.to("c") + sent.to("d"), 0, "{name}: a draining server was used");
+        if !used {
+            let refusal = vm.reserve().expect_err("no usable server");
+            assert!(matches!(refusal, NoUpstream::AllUnavailable { ejected: 2, draining: 2, .. }));
+        }
+    }
+}
+
+/// Guards against ejection times that do not grow, grow without bound, or are equal on all VMs.
+#[test]
+fn ejection_time_doubles_with_jitter() {
+    let mut first_ends = Vec::new();
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        let mut vm = TestVm::named(name, FOUR, STANDARD);
+        let mut spans = Vec::new();
+        for _ in 0..8 {
+            vm.run_until(refuse_a, |vm| vm.state("a").ejected);
+            let start = vm.now;
+            while vm.state("a").ejected {
+                vm.advance_ms(5);
+            }
+            spans.push(vm.now.since(start).as_millis_f64());
+        }
+        println!("{name}: {spans:?}");
+        first_ends.push(spans[0]);
+        for (index, span_ms) in spans.iter().enumerate() {
+            let nominal_ms = (1000.0 * f64::powi(2.0, index as i32)).min(60_000.0);
+            let range = nominal_ms * 0.74..=nominal_ms * 1.26 + 5.0;
+            assert!(range.contains(span_ms), "{name}: ejection {index} took {span_ms} ms");
+        }
+    }
+    first_ends.dedup();
+    assert_eq!(first_ends.len(), 3, "VMs re-admit at the same time: {first_ends:?}");
+}
+
+/// Guards against a re-admitted, new or restarted server being given its full share at once.
+#[test]
+fn cold_servers_ramp_up() {
+    struct Case {
+        name: &'static str,
+        tuning: RouteTuning,
+        start: fn(&mut TestVm),
+        ramps: bool,
+    }
+    fn add_server(vm: &mut TestVm) {
+        vm.table.apply(&environment(1, &FOUR[1..]), vm.now);
+        vm.run(200, |_| OK);
+        vm.table.apply(&environment(2, FOUR), vm.now);
+    }
+    fn restart_server(vm: &mut TestVm) {
+        vm.run_until(refuse_a, |vm| vm.state("a").failure_rate > 0.0);
+        vm.table.observe("a", report(0, 6, 0), vm.now);
+    }
+    fn readmit_server(vm: &mut TestVm) {
+        vm.run_until(refuse_a, |vm| vm.state("a").ejected);
+        vm.run_until(|_| OK, |vm| !vm.state("a").ejected);
+    }
+    let case = |name, tuning, start, ramps| Case { name, tuning, start, ramps };
+    let cases = [
+        case("added", STANDARD, add_server as fn(&mut TestVm), true),
+        case("restarted", STANDARD, restart_server, true),
+        case("re-admitted", STANDARD, readmit_server, true),
+        case("added, no ramp", NO_RAMP, add_server, false),
+        case("restarted, no ramp", NO_RAMP, restart_server, false),
+        case("re-admitted, no ramp", NO_RAMP, readmit_server, false),
+    ];
+    for Case { name, tuning, start, ramps } in cases {
+        let mut vm = TestVm::new(FOUR, tuning).with_policy(LEAST);
+        vm.run(100, |_| OK);
+        start(&mut vm);
+        let shares = [500, 4000, 2000, 2000].map(|span_ms| vm.run(span_ms, |_| OK).share("a"));
+        println!("{name}: shares {shares:.3?}");
+        assert_eq!(shares[0] < 0.1, ramps, "{name}: share at first {shares:?}");
+        assert!(shares[3] > 0.2, "{name}: share after the ramp {shares:?}");
+    }
+}
+
+/// Guards against the servers of a first configuration being taken for cold ones.
+#[test]
+fn servers_known_from_the_start_are_warm() {
+    let vm = TestVm::new(FOUR, STANDARD);
+    assert!(vm.table.states(vm.now).iter().all(|state| state.ramp >= 1.0));
+}
+
+/// Guards against load staying on a server that became slow, and never coming back to it.
+#[test]
+fn slow_server_loses_load_and_regains_it() {
+    struct Case {
+        name: &'static str,
+        policy: PolicyKind,
+        avoids: bool,
+    }
+    let blind = CostTuning {
+        slow_weight: 0.0,
+        overdue_weight: 0.0,
+        own_weight: 0.0,
+        ..CostTuning::STANDARD
+    };
+    let cases = [
+        Case { name: "own policy", policy: PolicyKind::default(), avoids: true },
+        Case {
+            name: "latency alone",
+            policy: own_policy(CostTuning { slow_weight: 1.0, ..blind }),
+            avoids: true,
+        },
+        Case {
+            name: "overdue calls alone",
+            policy: own_policy(CostTuning { overdue_weight: 1.0, ..blind }),
+            avoids: true,
+        },
+        Case { name: "none", policy: own_policy(blind), avoids: false },
+    ];
+    // The VM prefers the server, so that without evidence it would get most calls.
+    let servers: &[ServerSpec] =
+        &[near("a", 1000), near("b", 1000), near("c", 1000), near("d", 1000)];
+    for Case { name, policy, avoids } in cases {
+        let mut vm = TestVm::new(servers, STANDARD).with_policy(policy);
+        let usual = vm.run(1000, |_| OK);
+        let favourite =
+            usual.by_upstream.iter().max_by_key(|(_, count)| **count).expect("calls").0.clone();
+        vm.run(300, |server| if *server == favourite { slow() } else { OK });
+        let slowed = vm.run(2000, |server| if *server == favourite { slow() } else { OK });
+        vm.run(3000, |_| OK);
+        let regained = vm.run(1000, |_| OK);
+        println!("{name}: {usual:?} {slowed:?} {regained:?}");
+        let lost = slowed.share(&favourite) < 0.8 * usual.share(&favourite);
+        assert_eq!(lost, avoids, "{name}: share of the slow server");
+        assert!(regained.share(&favourite) > 0.7 * usual.share(&favourite), "{name}: not regained");
+    }
+}
+
+fn refuse_a(server: &str) -> Answer {
+    if server == "a" { answer(0, CallResult::ConnectFailed) } else { OK }
+}
+
+const fn slow() -> Answer {
+    answer(150, CallResult::Success)
+}
+
+/// Guards against calls to a data centre that is gone, and against a rush when it comes back.
+#[test]
+fn data_centre_goes_and_comes_back() {
+    const SERVERS: &[ServerSpec] =
+        &[near("a", 6), near("b", 6), near("c", 6), far("d", 6), far("e", 6), far("f", 6)];
+    struct Case {
+        name: &'static str,
+        tuning: RouteTuning,
+        policy: PolicyKind,
+        leaves: bool,
+        returns_slowly: bool,
+    }
+    let cases = [
+        Case {
+            name: "own policy",
+            tuning: STANDARD,
+            policy: PolicyKind::default(),
+            leaves: true,
+            returns_slowly: true,
+        },
+        Case {
+            name: "least in flight",
+            tuning: STANDARD,
+            policy: LEAST,
+            leaves: true,
+            returns_slowly: true,
+        },
+        Case {
+            name: "no ejection",
+            tuning: NO_EJECTION,
+            policy: LEAST,
+            leaves: false,
+            returns_slowly: true,
+        },
+        Case {
+            name: "no ramp",
+            tuning: NO_RAMP,
+            policy: PolicyKind::default(),
+            leaves: true,
+            returns_slowly: false,
+        },
+    ];
+    let near_share = |sent: &SentCount| sent.share("a") + sent.share("b") + sent.share("c");
+    for Case { name, tuning, policy, leaves, returns_slowly } in cases {
+        let mut vm = TestVm::new(SERVERS, tuning).with_policy(policy);
+        vm.run(1000, |_| OK);
+        let gone = |server: &str| {
+            if ["a", "b", "c"].contains(&server) {
+                answer(0, CallResult::ConnectFailed)
+            } else {
+                OK
+            }
+        };
+        vm.run(200, gone);
+        let away = vm.run(10_000, gone);
+        let ejected = vm.ejected();
+        vm.run_until(|_| OK, |vm| ejected == 0 || vm.ejected() < ejected);
+        let first = vm.run(200, |_| OK);
+        vm.run(10_000, |_| OK);
+        let back = vm.run(1000, |_| OK);
+        println!("{name}: away {away:?} first {first:?} back {back:?}");
+        assert_eq!(near_share(&away) < 0.05, leaves, "{name}: calls to the lost data centre");
+        assert_eq!(near_share(&first) < 0.2, returns_slowly, "{name}: calls at the return");
+        assert!(near_share(&back) > 0.4, "{name}: share after the return");
+    }
+}
