--- /dev/null
+++ b/crates/bench/src/figure.rs
@@ -0,0 +1,102 @@
+//! Measured figures and their bounds.
+
+use std::fs;
+use std::process::ExitCode;
+
+/// Lists the figures whose bound is known to be missed.
+const KNOWN_RED: &str = "KNOWN-RED.txt";
+
+/// What a figure is compared with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FigureBound {
+    /// Nothing.
+    None,
+    /// A stated target that is reported as missed, but does not fail the benchmark.
+    Target(f64),
+    /// The figure must not be above this.
+    AtMost(f64),
+    /// The figure must be below this.
+    Below(f64),
+}
+
+impl FigureBound {
+    fn is_met(self, value: f64) -> bool {
+        match self {
+            Self::None => true,
+            Self::Target(limit) | Self::AtMost(limit) => value <= limit,
+            Self::Below(limit) => value < limit,
+        }
+    }
+
+    fn to_text(self) -> String {
+        match self {
+            Self::None => "-".to_owned(),
+            Self::Target(limit) => format!("target<={limit}"),
+            Self::AtMost(limit) => format!("<={limit}"),
+            Self::Below(limit) => format!("<{limit}"),
+        }
+    }
+}
+
+/// Prints figures and remembers whether a bound was missed.
+#[derive(Clone, Debug)]
+pub struct FigureSheet {
+    known_red: String,
+    missed: bool,
+}
+
+impl FigureSheet {
+    /// Returns a sheet that passes over the figures that `KNOWN-RED.txt` in the working directory
+    /// names.
+    pub fn open() -> Self {
+        Self::with_known_red(fs::read_to_string(KNOWN_RED).unwrap_or_default())
+    }
+
+    /// Returns a sheet that passes over the figures that `known_red` names.
+    pub fn with_known_red(known_red: String) -> Self {
+        Self { known_red, missed: false }
+    }
+
+    /// Prints one figure and returns its line.
+    pub fn print(&mut self, name: &str, value: f64, unit: &str, bound: FigureBound) -> String {
+        let met = value.is_finite() && bound.is_met(value);
+        let verdict = match bound {
+            _ if met => "",
+            FigureBound::None => "",
+            FigureBound::Target(_) => " missed",
+            _ if self.is_known_red(name) => " missed known-red",
+            _ => {
+                self.missed = true;
+                " MISSED"
+            }
+        };
+        let line = format!("{name} {value:.4} {unit} {}{verdict}", bound.to_text());
+        println!("{line}");
+        line
+    }
+
+    /// Returns failure if a bound was missed that is not listed as known.
+    pub fn to_exit(&self) -> ExitCode {
+        if self.missed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    }
+
+    /// Returns whether a bound was missed that is not listed as known.
+    pub fn has_missed(&self) -> bool {
+        self.missed
+    }
+
+    fn is_known_red(&self, name: &str) -> bool {
+        self.known_red.split_whitespace().any(|word| word == name)
+    }
+}
+
+/// Returns the median, or NaN if there are no values.
+pub fn median(values: impl IntoIterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.into_iter().collect();
+    values.sort_by(f64::total_cmp);
+    match values.len() {
+        0 => f64::NAN,
+        length if length % 2 == 1 => values[length / 2],
+        length => (values[length / 2 - 1] + values[length / 2]) / 2.0,
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,12 @@
-//! Benchmarks of the gateway.
+//! Benchmarks of real processes, printed as `name value unit bound`.
+//!
+//! Each benchmark is an example of this crate. `.ci/bench` runs all of them.
+
+pub mod closed;
+pub mod error;
+pub mod figure;
+pub mod fleet;
+pub mod machine;
+pub mod path;
+pub mod relay;
+pub mod site;
--- /dev/null
+++ b/crates/bench/src/site.rs
@@ -0,0 +1,164 @@
+//! The users' deployments, scaled to one machine.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use serde_json::json;
+use stand::prelude::*;
+
+/// Gateway VMs of a deployment.
+pub const SITE_VMS: usize = 15;
+/// Reported load is at least this old.
+const LEAST_LAG_MS: f64 = 100.0;
+/// Reported load is at most this old.
+const MOST_LAG_MS: f64 = 5000.0;
+/// Waiting calls of an upstream for each of its slots. Further calls are shed.
+const QUEUE_PER_SLOT: u32 = 4;
+/// Service time of a probe, which occupies a slot.
+const PROBE_MS: u64 = 1;
+/// Mean time between two bursts of a noisy neighbour.
+const NOISE_EVERY_MS: f64 = 400.0;
+/// Mean length of a burst.
+const NOISE_FOR_MS: f64 = 40.0;
+/// Slower service of calls that start during a burst.
+const NOISE_FACTOR: f64 = 2.0;
+/// Spread of the logarithm of service times.
+const SERVICE_SIGMA: f64 = 0.5;
+
+/// A data centre, by name.
+pub type CentreName = &'static str;
+
+/// A deployment: its data centres, the links between them and its services.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteMap {
+    /// The name of the environment.
+    pub name: &'static str,
+    /// The data centres.
+    pub centres: [CentreName; 3],
+    /// Latency between any two data centres.
+    pub one_way_ms: f64,
+    /// The services and their numbers of upstreams.
+    pub services: [(&'static str, usize); 3],
+    /// Slots of an upstream.
+    pub slots: u32,
+    /// Slots that a noisy neighbour takes.
+    pub noise_slots: u32,
+    /// Median service time.
+    pub service_ms: f64,
+    /// Share of slot time that measuring may take.
+    pub probe_share: f64,
+}
+
+/// The Almaty Municipal Lunar Calendar Service.
+pub const ALMATY: SiteMap = SiteMap {
+    name: "almaty",
+    centres: ["medeu", "bostandyk", "auezov"],
+    one_way_ms: 1.0,
+    services: [("phase-desk", 12), ("booking-desk", 6), ("almanac-office", 11)],
+    slots: 6,
+    noise_slots: 4,
+    service_ms: 20.0,
+    probe_share: 0.01,
+};
+
+/// The Vanua Roots Pledge Group at Viti.
+pub const VITI: SiteMap = SiteMap {
+    name: "viti",
+    centres: ["suva", "lautoka", "labasa"],
+    one_way_ms: 0.5,
+    services: [("grove-view", 10), ("pledge-desk", 6), ("cert-house", 12)],
+    slots: 2,
+    noise_slots: 1,
+    service_ms: 20.0,
+    probe_share: 0.005,
+};
+
+impl SiteMap {
+    /// Returns the number of upstreams.
+    pub fn upstreams(&self) -> usize {
+        self.services.iter().map(|(_, count)| count).sum()
+    }
+
+    /// Returns the data centre of the upstream or VM with this number.
+    pub fn centre(&self, index: usize) -> CentreName {
+        self.centres[index % self.centres.len()]
+    }
+
+    /// Returns the mean service time without noise.
+    pub fn mean_service_ms(&self) -> f64 {
+        self.service_ms * (SERVICE_SIGMA * SERVICE_SIGMA / 2.0).exp()
+    }
+
+    /// Returns the calls a second that occupy this share of all slots.
+    pub fn rate(&self, share: f64) -> f64 {
+        let slots = self.upstreams() as f64 * f64::from(self.slots);
+        share * slots * 1000.0 / self.mean_service_ms()
+    }
+
+    /// Returns the plan of each upstream. Equal seeds give equal service times, noise and ages of
+    /// reports.
+    pub fn plans(&self, seed: u64) -> Vec<UpstreamPlan> {
+        let mut random = RandomSource::from_seed(seed);
+        (0..self.upstreams()).map(|_| self.plan(&mut random)).collect()
+    }
+
+    fn plan(&self, random: &mut RandomSource) -> UpstreamPlan {
+        // Log-uniform, so that fresh and old reports are equally frequent.
+        let lag_ms = LEAST_LAG_MS * (MOST_LAG_MS / LEAST_LAG_MS).powf(random.unit());
+        UpstreamPlan {
+            seed: random.next_u64(),
+            slots: self.slots,
+            queue_limit: QUEUE_PER_SLOT * self.slots,
+            service: ServiceTime::LogNormal { median_ms: self.service_ms, sigma: SERVICE_SIGMA },
+            load: LoadAnswer::Honest { lag_ms: lag_ms as u64 },
+            noise: Some(NoisePlan {
+                every_ms: NOISE_EVERY_MS,
+                for_ms: NOISE_FOR_MS,
+                slots: self.noise_slots,
+                factor: NOISE_FACTOR,
+            }),
+            probe_ms: PROBE_MS,
+            count_limit: 0,
+            ..UpstreamPlan::default()
+        }
+    }
+
+    /// Returns the document for upstreams at these addresses.
+    pub fn document(&self, addresses: &[SocketAddr]) -> Vec<u8> {
+        let mut numbered = addresses.iter().enumerate();
+        let services = self.services.iter().map(|(name, count)| {
+            let upstreams = numbered.by_ref().take(*count).map(|(index, address)| {
+                json!({
+                    "name": format!("{name}-{index}"),
+                    "data_centre": self.centre(index),
+                    "address": address,
+                    "slots": self.slots,
+                    "connections": 200,
+                })
+            });
+            json!({
+                "name": name,
+                "hosts": [name],
+                "path_prefixes": [],
+                "rules": [{ "path_prefix": "/", "idempotent": true, "class": "urgent" }],
+                "deadline_ms": 2000,
+                "objective": { "latency_ms": 100, "latency_share": 0.99, "success_share": 0.999 },
+                "probe_share": self.probe_share,
+                "vm_ceiling": SITE_VMS,
+                "retry_ratio": 0.1,
+                "queue_limit": 200,
+                "upstreams": upstreams.collect::<Vec<_>>(),
+            })
+        });
+        let services = services.collect::<Vec<_>>();
+        let link = |from: usize, to: usize| json!({ "from": self.centres[from], "to": self.centres[to], "one_way_ms": self.one_way_ms });
+        let centre = |name: &CentreName| json!({ "name": name, "region": self.name });
+        let document = json!({
+            "name": self.name,
+            "data_centres": self.centres.iter().map(centre).collect::<Vec<_>>(),
+            "links": [link(0, 1), link(0, 2), link(1, 2)],
+            "services": services,
+        });
+        document.to_string().into_bytes()
+    }
+}
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -64,12 +64,21 @@
     ///
     /// Fails if the process does not start.
     pub fn start(settings: &GateSettings, document: &TrialDocument) -> Result<Self, TrialError> {
+        Self::start_with(settings, &document.to_bytes())
+    }
+
+    /// Starts a gateway that serves the document of these bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub fn start_with(settings: &GateSettings, document: &[u8]) -> Result<Self, TrialError> {
         let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
         let name = format!("agateroad-trial-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
         let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
-        let document_path = write(&folder, "document.json", &document.to_bytes())?;
+        let document_path = write(&folder, "document.json", document)?;
         let mut arguments =
             vec!["--settings".to_owned(), settings_path, "--document".to_owned(), document_path];
         arguments.extend(settings.arguments.iter().cloned());
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -16,5 +16,5 @@
     pub use crate::document::{TrialDocument, TrialService};
     pub use crate::error::TrialError;
     pub use crate::gate::{GateProcess, GateSettings};
-    pub use crate::stand::UpstreamProcess;
+    pub use crate::stand::{UpstreamGroup, UpstreamProcess};
 }
--- a/crates/trial/src/stand.rs
+++ b/crates/trial/src/stand.rs
@@ -40,3 +40,30 @@
         Ok(Self { address: ready.address, admin_address: ready.admin_address, process })
     }
 }
+
+/// Several upstream stand-ins in one process.
+#[derive(Debug)]
+pub struct UpstreamGroup {
+    /// Where each accepts calls, in the order of the plans.
+    pub addresses: Vec<SocketAddr>,
+    /// Where the plan of each can be changed and its counts read.
+    pub admin_addresses: Vec<SocketAddr>,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+impl UpstreamGroup {
+    /// Starts upstream stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub fn start(plans: &[UpstreamPlan]) -> Result<Self, TrialError> {
+        let argument = json!(plans).to_string();
+        let path = process::example("stands");
+        let (process, ready): (_, Vec<ReadyLine>) = ChildProcess::start(&path, &[argument])?;
+        let addresses = ready.iter().map(|line| line.address).collect();
+        let admin_addresses = ready.iter().map(|line| line.admin_address).collect();
+        Ok(Self { addresses, admin_addresses, process })
+    }
+}
