Bring a choice over 30 candidates below 2 µs

Cause: ExpectedCost took 3.8 µs over 30 candidates against a target of 2 µs; most of it was spent in exp, rounding and divisions.

Change: a rational approximation of the exponential within 0.01, and rates instead of divisions.

--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 
-use crate::estimate::remaining;
+use crate::estimate::decay;
 use crate::policy::{ChoicePolicy, least_by};
 use crate::tuning::CostTuning;
 use crate::view::UpstreamView;
@@ -18,66 +18,110 @@
 impl ExpectedCost {
     /// Returns the expected cost of a call to `view`, in milliseconds.
     pub fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
-        let service_ms = self.service_ms(view);
+        CostRates::new(&self.tuning).cost_ms(view, now)
+    }
+}
+
+/// The constants of one choice, with time constants turned into rates, because a division for
+/// each candidate and each kind of evidence would take most of the time of a choice.
+struct CostRates<'a> {
+    tuning: &'a CostTuning,
+    report_rate_min: f64,
+    slow_rate: f64,
+    failure_rate: f64,
+    stale_rate: f64,
+}
+
+impl<'a> CostRates<'a> {
+    fn new(tuning: &'a CostTuning) -> Self {
+        Self {
+            tuning,
+            report_rate_min: rate(tuning.report_memory_max),
+            slow_rate: rate(tuning.slow_memory),
+            failure_rate: rate(tuning.failure_memory),
+            stale_rate: rate(tuning.stale_memory),
+        }
+    }
+
+    fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        let known = view.service_ms > 0.0;
+        let service_ms = if known { view.service_ms } else { self.tuning.unknown_latency_ms };
+        let per_ms = service_ms.recip();
         let calls = 1.0
-            + self.queueing(view, service_ms, now)
-            + self.slowness(view, service_ms, now)
+            + self.queueing(view, per_ms, now)
+            + self.slowness(view, per_ms, now)
             + self.penalty(view, now);
         service_ms * calls + view.round_trip_ms
     }
 
-    fn service_ms(&self, view: &UpstreamView) -> f64 {
-        if view.service_ms > 0.0 { view.service_ms } else { self.tuning.unknown_latency_ms }
-    }
-
-    /// Returns the expected wait for a slot.
-    fn queueing(&self, view: &UpstreamView, service_ms: f64, now: ClockTime) -> f64 {
-        let tuning = &self.tuning;
+    /// Returns the expected wait for a slot. A fresh report of full slots adds a fixed wait, and
+    /// loses it faster than the rest.
+    fn queueing(&self, view: &UpstreamView, per_ms: f64, now: ClockTime) -> f64 {
+        let tuning = self.tuning;
         let slots = f64::from(view.slots.max(1));
-        let mut cost = tuning.own_weight * f64::from(view.own_in_flight) / slots;
+        let own = f64::from(view.own_in_flight);
+        let mut taken = tuning.own_weight * own;
+        let mut full = 0.0;
         if let Some(reported_at) = view.reported_at {
-            let memory = ClockSpan::from_millis_f64(tuning.report_memory * service_ms);
-            let memory = memory.min(tuning.report_memory_max);
-            let weight = remaining(now.since(reported_at), memory);
-            cost += tuning.report_weight * weight * (view.others - view.others_mean) / slots;
-            if f64::from(view.own_in_flight) + view.others >= slots {
-                cost += tuning.full_weight * weight * weight;
+            let rate = (per_ms * tuning.report_rate).max(self.report_rate_min);
+            let weight = decay(age_ms(now, reported_at) * rate);
+            taken += tuning.report_weight * weight * (view.others - view.others_mean);
+            if own + view.others >= slots {
+                full = tuning.full_weight * weight * weight;
             }
         }
-        cost
+        taken / slots + full
     }
 
     /// Returns the cost of a server that is slow. Old estimates lose their weight, so that a
     /// server that was slow is tried again. An own call that is overdue shows a stall before any
     /// response does.
-    fn slowness(&self, view: &UpstreamView, service_ms: f64, now: ClockTime) -> f64 {
-        let tuning = &self.tuning;
+    fn slowness(&self, view: &UpstreamView, per_ms: f64, now: ClockTime) -> f64 {
+        let tuning = self.tuning;
         let mut cost = 0.0;
         if let Some(oldest_at) = view.oldest_at {
-            let waited = (now.since(oldest_at).as_millis_f64() - view.round_trip_ms) / service_ms;
+            let waited = (age_ms(now, oldest_at) - view.round_trip_ms) * per_ms;
             cost += tuning.overdue_weight * (waited - tuning.overdue_after).max(0.0);
         }
         if let Some(sampled_at) = view.sampled_at {
             let tail_ms = (view.tail_ms - view.latency_ms).max(0.0);
-            let measured = (view.latency_ms + tuning.tail_weight * tail_ms) / service_ms;
-            let excess = (measured - tuning.slow_from).max(0.0);
-            let weight = remaining(now.since(sampled_at), tuning.slow_memory);
-            cost += tuning.slow_weight * weight * excess;
+            let measured = (view.latency_ms + tuning.tail_weight * tail_ms) * per_ms;
+            let excess = measured - tuning.slow_from;
+            if excess > 0.0 {
+                cost += tuning.slow_weight * excess * self.aged(now, sampled_at, self.slow_rate);
+            }
         }
         cost
     }
 
     fn penalty(&self, view: &UpstreamView, now: ClockTime) -> f64 {
-        let tuning = &self.tuning;
-        let mut penalty = 0.0;
+        let tuning = self.tuning;
+        let mut penalty = tuning.preference_weight * view.preference;
         if view.failure_rate > 0.0 {
-            let weight = remaining(now.since(view.judged_at), tuning.failure_memory);
+            let weight = self.aged(now, view.judged_at, self.failure_rate);
             penalty += tuning.failure_weight * view.failure_rate * weight;
         }
-        let silence = view.heard_at.map_or(ClockSpan::MAX, |heard_at| now.since(heard_at));
-        penalty += tuning.stale_weight * (1.0 - remaining(silence, tuning.stale_memory));
-        penalty + tuning.preference_weight * view.preference
+        let heard = view.heard_at.map_or(0.0, |heard_at| self.aged(now, heard_at, self.stale_rate));
+        penalty + tuning.stale_weight * (1.0 - heard)
     }
+
+    fn aged(&self, now: ClockTime, made_at: ClockTime, rate: f64) -> f64 {
+        decay(age_ms(now, made_at) * rate)
+    }
+}
+
+/// The shortest time constant, which keeps rates finite.
+const MIN_MEMORY_MS: f64 = 0.01;
+
+fn rate(memory: ClockSpan) -> f64 {
+    memory.as_millis_f64().max(MIN_MEMORY_MS).recip()
+}
+
+/// Returns an age in milliseconds. The detour over a signed number compiles to one instruction
+/// instead of a branch; ages stay far below its range.
+fn age_ms(now: ClockTime, made_at: ClockTime) -> f64 {
+    const MS_PER_STEP: f64 = 0.01;
+    now.since(made_at).as_hundredths() as i64 as f64 * MS_PER_STEP
 }
 
 impl ChoicePolicy for ExpectedCost {
@@ -87,9 +131,9 @@
         now: ClockTime,
         random: &mut RandomSource,
     ) -> Option<usize> {
-        let tuning = &self.tuning;
+        let rates = CostRates::new(&self.tuning);
         least_by(candidates, random, |view, random| {
-            self.cost_ms(view, now) * (1.0 + tuning.cost_jitter * random.unit())
+            rates.cost_ms(view, now) * (1.0 + self.tuning.cost_jitter * random.unit())
         })
     }
 }
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -8,7 +8,18 @@
     if memory == ClockSpan::ZERO {
         return 0.0;
     }
-    (-(age.as_hundredths() as f64) / memory.as_hundredths() as f64).exp()
+    decay(age.as_hundredths() as f64 / memory.as_hundredths() as f64)
+}
+
+/// Returns `(1 + ratio / 32) ^ -32`, which is within 0.01 of `exp(-ratio)`. A choice over 30
+/// candidates evaluates it up to 120 times, and with `exp` the choice took 3.8 µs.
+#[inline]
+pub fn decay(ratio: f64) -> f64 {
+    let mut growth = 1.0 + ratio * (1.0 / 32.0);
+    for _ in 0..5 {
+        growth *= growth;
+    }
+    growth.recip()
 }
 
 /// A mean that weights samples by the time that they stand for. The first samples count equally,
--- a/crates/route/src/tuning.rs
+++ b/crates/route/src/tuning.rs
@@ -112,9 +112,9 @@
     pub report_weight: f64,
     /// Cost of a server whose slots are all taken by a report that is fresh.
     pub full_weight: f64,
-    /// Time constant with which a load report loses its weight, in units of the service's latency.
-    /// Slots change hands within about one latency.
-    pub report_memory: f64,
+    /// How fast a load report loses its weight, in e-folds for each latency of the service. Slots
+    /// change hands within about one latency.
+    pub report_rate: f64,
     /// The longest time constant of a load report.
     pub report_memory_max: ClockSpan,
     /// Age from which an own call in flight counts as overdue, in units of the service's latency.
@@ -151,7 +151,7 @@
         own_weight: 24.0,
         report_weight: 1.0,
         full_weight: 2.0,
-        report_memory: 1.0,
+        report_rate: 1.0,
         report_memory_max: ClockSpan::from_millis(100),
         overdue_after: 2.0,
         overdue_weight: 1.0,
--- a/crates/route/tests/failures.rs
+++ b/crates/route/tests/failures.rs
@@ -78,7 +78,7 @@
         for _ in 0..200 {
             vm.run(10, |server| {
                 calls.set(calls.get() + usize::from(server == "a"));
-                let failing = server == "a" && calls.get() % 4 != 0;
+                let failing = server == "a" && !calls.get().is_multiple_of(4);
                 if failing { answer(1, CallResult::ServerError) } else { answer(1, OK.result) }
             });
             was_ejected |= vm.state("a").ejected;
--- a/crates/route/tests/model/mod.rs
+++ b/crates/route/tests/model/mod.rs
@@ -3,6 +3,7 @@
 //! Servers are FIFO queues with a number of slots. A noisy neighbour slows a server for tens of
 //! milliseconds. Each VM has its own [`UpstreamTable`] and hears of load only on the responses to
 //! its own calls, optionally as it was some time ago.
+#![allow(dead_code)]
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
--- /dev/null
+++ b/crates/route/tests/properties.rs
@@ -0,0 +1,162 @@
+//! Random sequences of events against the rules that always hold.
+
+mod support;
+
+use base::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use route::prelude::*;
+use support::*;
+
+const SERVERS: &[ServerSpec] =
+    &[near("a", 2), near("b", 2), near("c", 6), far("d", 6), far("e", 2)];
+
+#[derive(Clone, Debug)]
+enum Event {
+    Reserve { policy: usize, avoid: Option<usize> },
+    Finish { ticket: usize, result: CallResult, load: Option<LoadReport> },
+    Drop { ticket: usize },
+    Observe { server: usize, report: LoadReport },
+    Merge { server: usize, draining: bool, drain_age_ms: u32, in_flight: u32, age_ms: u32 },
+    Apply { servers: usize },
+    Advance { millis: u64 },
+}
+
+fn reports() -> impl Strategy<Value = LoadReport> {
+    let source = prop_oneof![
+        Just(ReportSource::Response),
+        Just(ReportSource::Probe),
+        Just(ReportSource::Peer)
+    ];
+    (0..8_u32, 0..7_u32, 0..3_u32, prop::bool::weighted(0.1), 0..3000_u64, source).prop_map(
+        |(in_flight, slots, queued, draining, age_ms, source)| LoadReport {
+            in_flight,
+            slots,
+            queued,
+            draining,
+            age: ClockSpan::from_millis(age_ms),
+            source,
+        },
+    )
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let server = 0..SERVERS.len();
+    let result = prop::sample::select(CallResult::ALL.to_vec());
+    let avoid = prop::option::weighted(0.2, 0..SERVERS.len());
+    prop_oneof![
+        6 => (0..PolicyKind::NAMES.len(), avoid)
+            .prop_map(|(policy, avoid)| Event::Reserve { policy, avoid }),
+        6 => (any::<usize>(), result, prop::option::weighted(0.3, reports()))
+            .prop_map(|(ticket, result, load)| Event::Finish { ticket, result, load }),
+        1 => any::<usize>().prop_map(|ticket| Event::Drop { ticket }),
+        1 => (server.clone(), reports())
+            .prop_map(|(server, report)| Event::Observe { server, report }),
+        1 => (server, any::<bool>(), 0..3000_u32, 0..8_u32, 0..3000_u32).prop_map(
+            |(server, draining, drain_age_ms, in_flight, age_ms)| Event::Merge {
+                server, draining, drain_age_ms, in_flight, age_ms,
+            }
+        ),
+        1 => (1..=SERVERS.len()).prop_map(|servers| Event::Apply { servers }),
+        3 => (0..2000_u64).prop_map(|millis| Event::Advance { millis }),
+    ]
+}
+
+struct PropertyRun {
+    vm: TestVm,
+    tickets: Vec<UpstreamTicket>,
+    version: u64,
+}
+
+impl PropertyRun {
+    fn step(&mut self, event: &Event) {
+        match event {
+            Event::Reserve { policy, avoid } => self.reserve(*policy, *avoid),
+            Event::Finish { ticket, result, load } => {
+                if let Some(ticket) = self.take(*ticket) {
+                    let answer = Answer { load: *load, ..answer(7, *result) };
+                    self.vm.finish(ticket, answer);
+                }
+            }
+            Event::Drop { ticket } => drop(self.take(*ticket)),
+            Event::Observe { server, report } => {
+                self.vm.table.observe(SERVERS[*server].name, *report, self.vm.now);
+            }
+            Event::Merge { server, draining, drain_age_ms, in_flight, age_ms } => {
+                let notice = UpstreamNotice {
+                    upstream: SharedName::from(SERVERS[*server].name),
+                    draining: *draining,
+                    drain_age_ms: *drain_age_ms,
+                    load: Some(LoadNotice {
+                        in_flight: *in_flight,
+                        slots: 2,
+                        queued: 0,
+                        age_ms: *age_ms,
+                    }),
+                };
+                self.vm.table.merge(&notice, self.vm.now);
+            }
+            Event::Apply { servers } => {
+                self.version += 1;
+                let map = environment(self.version, &SERVERS[..*servers]);
+                self.vm.table.apply(&map, self.vm.now);
+            }
+            Event::Advance { millis } => self.vm.advance_ms(*millis),
+        }
+    }
+
+    fn reserve(&mut self, policy: usize, avoid: Option<usize>) {
+        let policy: PolicyKind = PolicyKind::NAMES[policy].parse().expect("a policy");
+        let avoid: Vec<_> =
+            avoid.iter().map(|index| SharedName::from(SERVERS[*index].name)).collect();
+        let before = self.vm.table.states(self.vm.now);
+        let vm = &mut self.vm;
+        let chosen = vm.table.reserve(&policy, SERVICE, &avoid, vm.now, &mut vm.random);
+        if let Ok(ticket) = chosen {
+            let state = before.iter().find(|state| state.upstream == *ticket.upstream());
+            let state = state.expect("a listed upstream");
+            assert!(!state.draining, "a draining server was chosen");
+            assert!(state.own_in_flight < ticket.server().slots, "a full server was chosen");
+            self.tickets.push(ticket);
+        }
+    }
+
+    fn take(&mut self, ticket: usize) -> Option<UpstreamTicket> {
+        if self.tickets.is_empty() {
+            return None;
+        }
+        Some(self.tickets.swap_remove(ticket % self.tickets.len()))
+    }
+
+    fn check(&self) {
+        let states = self.vm.table.states(self.vm.now);
+        for state in &states {
+            let held = self.tickets.iter().filter(|ticket| *ticket.upstream() == state.upstream);
+            assert_eq!(state.own_in_flight as usize, held.count(), "{}", state.upstream);
+        }
+        let ejected = states.iter().filter(|state| state.ejected).count();
+        assert!(ejected <= states.len() / 2, "{ejected} of {} ejected", states.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(300)
+    })]
+
+    /// Guards against counts below zero, tickets released twice or never, more ejections than the
+    /// cap allows, and calls to draining or full servers.
+    #[test]
+    fn rules_hold_for_any_events(events in vec(events(), 1..150)) {
+        let vm = TestVm::new(SERVERS, RouteTuning::STANDARD);
+        let mut run = PropertyRun { vm, tickets: Vec::new(), version: 1 };
+        for event in &events {
+            run.step(event);
+            run.check();
+        }
+        run.tickets.clear();
+        run.check();
+    }
+}
--- /dev/null
+++ b/crates/route/tests/reserve.rs
@@ -0,0 +1,209 @@
+//! Reservations, refusals, locality, preferences and changes of the environment.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use route::prelude::*;
+use support::*;
+
+const STANDARD: RouteTuning = RouteTuning::STANDARD;
+
+/// Guards against a refusal that does not tell why, or whether waiting helps.
+#[test]
+fn refusals_name_their_cause() {
+    struct Case {
+        name: &'static str,
+        servers: &'static [ServerSpec],
+        prepare: fn(&mut TestVm) -> Vec<UpstreamTicket>,
+        refusal: NoUpstream,
+        queueable: bool,
+    }
+    let service = SharedName::from(SERVICE);
+    let cases = [
+        Case {
+            name: "none configured",
+            servers: &[],
+            prepare: |_| Vec::new(),
+            refusal: NoUpstream::NoneConfigured { service: service.clone() },
+            queueable: false,
+        },
+        Case {
+            name: "all draining",
+            servers: &FOUR[..1],
+            prepare: |vm| {
+                vm.table.observe("a", drain_mark(true), vm.now);
+                Vec::new()
+            },
+            refusal: NoUpstream::AllUnavailable {
+                service: service.clone(),
+                ejected: 0,
+                draining: 1,
+            },
+            queueable: false,
+        },
+        Case {
+            name: "own calls fill the slots",
+            servers: &FOUR[..1],
+            prepare: |vm| (0..6).map(|_| vm.reserve().expect("a slot")).collect(),
+            refusal: NoUpstream::AllFull { service, full: 1, own_in_flight: 6, retry_in: None },
+            queueable: true,
+        },
+    ];
+    for Case { name, servers, prepare, refusal, queueable } in cases {
+        let mut vm = TestVm::new(servers, STANDARD);
+        let held = prepare(&mut vm);
+        let found = vm.reserve().expect_err(name);
+        assert_eq!(found, refusal, "{name}");
+        assert_eq!(found.is_full(), queueable, "{name}");
+        drop(held);
+    }
+}
+
+/// Guards against an unknown service being an error of another kind.
+#[test]
+fn unknown_service_has_no_upstream() {
+    let mut vm = TestVm::new(FOUR, STANDARD);
+    let refusal = vm.table.reserve(&vm.policy, "other", &[], vm.now, &mut vm.random);
+    assert!(matches!(refusal, Err(NoUpstream::NoneConfigured { .. })));
+}
+
+/// Guards against a retry going back to the server that failed, and against a single server
+/// being refused because it is to be avoided.
+#[test]
+fn avoided_servers_come_last() {
+    struct Case {
+        name: &'static str,
+        servers: &'static [ServerSpec],
+        avoid: &'static [&'static str],
+        allowed: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "one", servers: FOUR, avoid: &["a"], allowed: &["b", "c", "d"] },
+        Case { name: "three", servers: FOUR, avoid: &["a", "b", "c"], allowed: &["d"] },
+        Case { name: "only server", servers: &FOUR[..1], avoid: &["a"], allowed: &["a"] },
+    ];
+    for Case { name, servers, avoid, allowed } in cases {
+        let policy: PolicyKind = "random".parse().expect("a policy");
+        let mut vm = TestVm::new(servers, STANDARD);
+        let avoid: Vec<_> = avoid.iter().copied().map(SharedName::from).collect();
+        let seen: BTreeSet<String> = (0..100)
+            .map(|_| {
+                let ticket = vm.table.reserve(&policy, SERVICE, &avoid, vm.now, &mut vm.random);
+                ticket.expect("a server").upstream().to_string()
+            })
+            .collect();
+        assert_eq!(seen, allowed.iter().map(|name| (*name).to_owned()).collect(), "{name}");
+    }
+}
+
+/// Guards against a reservation that is never released when its ticket is dropped, or is
+/// released twice.
+#[test]
+fn each_ticket_is_released_once() {
+    let mut vm = TestVm::new(&FOUR[..1], STANDARD);
+    let first = vm.reserve().expect("a slot");
+    let second = vm.reserve().expect("a slot");
+    assert_eq!(vm.state("a").own_in_flight, 2);
+    drop(first);
+    assert_eq!(vm.state("a").own_in_flight, 1);
+    vm.finish(second, OK);
+    assert_eq!(vm.state("a").own_in_flight, 0);
+}
+
+/// Guards against calls leaving the data centre without need, and staying in it when its servers
+/// are taken.
+#[test]
+fn own_data_centre_comes_first() {
+    const SERVERS: &[ServerSpec] = &[near("a", 2), near("b", 2), far("c", 2), far("d", 2)];
+    for vm_index in 0..20 {
+        let mut vm = TestVm::named(&format!("vm-{vm_index}"), SERVERS, STANDARD);
+        let tickets: Vec<_> = (0..8).map(|_| vm.reserve().expect("a slot")).collect();
+        let first = tickets[0].server();
+        assert_eq!(first.centre, "medeu", "the first call left the data centre");
+        let far_calls =
+            tickets.iter().filter(|ticket| ticket.server().centre == "bostandyk").count();
+        assert_eq!(far_calls, 4, "the slots of the other data centre stay unused");
+        assert!(vm.reserve().is_err());
+    }
+}
+
+/// Guards against all VMs making the same first choice.
+#[test]
+fn vms_prefer_different_servers() {
+    let first_choices: BTreeSet<String> = (0..15)
+        .map(|vm_index| {
+            let mut vm = TestVm::named(&format!("vm-{vm_index}"), FOUR, STANDARD);
+            vm.reserve().expect("a server").upstream().to_string()
+        })
+        .collect();
+    assert_eq!(first_choices.len(), 4, "{first_choices:?}");
+}
+
+/// Guards against a new version of the environment losing evidence or calls in flight, and an
+/// older version being followed.
+#[test]
+fn apply_keeps_evidence_and_calls() {
+    let mut vm = TestVm::new(FOUR, STANDARD);
+    vm.table.observe("b", drain_mark(true), vm.now);
+    let ticket = vm.reserve().expect("a server");
+    let kept = ticket.upstream().to_string();
+    let others: Vec<_> = FOUR.iter().copied().filter(|spec| spec.name != kept).collect();
+    vm.table.apply(&environment(3, &others), vm.now);
+    assert_eq!(vm.table.states(vm.now).len(), 3);
+    assert!(vm.state("b").draining);
+    vm.table.apply(&environment(2, &FOUR[..1]), vm.now);
+    assert_eq!(vm.table.states(vm.now).len(), 3, "an older version was followed");
+    vm.table.apply(&environment(4, FOUR), vm.now);
+    assert_eq!(vm.state(&kept).own_in_flight, 1, "a call in flight was forgotten");
+    vm.finish(ticket, OK);
+    assert_eq!(vm.state(&kept).own_in_flight, 0);
+}
+
+/// Guards against a VM opening more connections than its share, or none.
+#[test]
+fn connections_are_shared() {
+    struct Case {
+        vm_count: u32,
+        share: u32,
+    }
+    let cases = [
+        Case { vm_count: 0, share: 13 },
+        Case { vm_count: 14, share: 13 },
+        Case { vm_count: 15, share: 13 },
+        Case { vm_count: 20, share: 10 },
+        Case { vm_count: 500, share: 1 },
+    ];
+    let vm = TestVm::new(FOUR, STANDARD);
+    for Case { vm_count, share } in cases {
+        assert_eq!(vm.table.connection_share("a", vm_count), share, "{vm_count} VMs");
+    }
+}
+
+/// Guards against a policy name that does not select the policy it names.
+#[test]
+fn policies_are_selected_by_name() {
+    for name in PolicyKind::NAMES {
+        assert_eq!(name.parse::<PolicyKind>().expect("a policy").name(), name);
+    }
+    let error = "fastest".parse::<PolicyKind>().expect_err("an unknown policy");
+    assert!(error.to_string().contains("expected-cost"), "{error}");
+}
+
+/// Guards against a policy that picks a server with more calls over one with fewer, and against
+/// a choice among no servers.
+#[test]
+fn policies_compare_own_calls() {
+    let busy = UpstreamView { own_in_flight: 5, ..UpstreamView::idle(6) };
+    let idle = UpstreamView::idle(6);
+    let mut random = RandomSource::from_seed(SEED);
+    for name in ["least-in-flight", "two-choices", "expected-cost"] {
+        let policy: PolicyKind = name.parse().expect("a policy");
+        for _ in 0..100 {
+            let chosen = policy.choose(&[busy, idle], ClockTime::ZERO, &mut random);
+            assert_eq!(chosen, Some(1), "{name}");
+        }
+        assert_eq!(policy.choose(&[], ClockTime::ZERO, &mut random), None, "{name}");
+    }
+}
