--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -17,10 +17,13 @@
 use route::prelude::*;
 use snafu::Snafu;
 use tokio::time::Sleep;
+use world::prelude::*;
 use xitca_web::body::{Body, Frame, SizeHint};
 
+use crate::crash;
 use crate::head::{OUTCOME, REQUEST_ID};
 use crate::link::LinkConnection;
+use crate::slot::CallSlot;
 use crate::state::GateState;
 
 /// Longer answers that nobody needs are cut off by closing their connection.
@@ -127,12 +130,12 @@
     }
 }
 
-/// A call that holds a place on an upstream. Reports its outcome once, on drop at the latest.
+/// A call that holds a slot of an upstream. Reports its outcome once, on drop at the latest.
 pub struct RunningCall {
     /// The gateway.
     pub state: Arc<GateState>,
-    /// The reservation.
-    pub ticket: Option<UpstreamTicket>,
+    /// The upstream.
+    pub upstream: SharedName,
     /// The connection that carries the call.
     pub connection: Option<LinkConnection>,
     /// The time until the head of the answer.
@@ -141,8 +144,11 @@
     pub result: CallResult,
     /// The load that came with the answer.
     pub load: Option<LoadReport>,
-    /// When the caller stops waiting.
-    pub deadline: ClockTime,
+    slot: Option<CallSlot>,
+    deadline: ClockTime,
+    fingerprint: u64,
+    /// Whether the upstream has the request.
+    started: bool,
 }
 
 impl fmt::Debug for RunningCall {
@@ -152,23 +158,66 @@
 }
 
 impl RunningCall {
+    /// Returns a call that has a slot and was not sent yet.
+    pub fn new(
+        state: &Arc<GateState>,
+        slot: CallSlot,
+        upstream: SharedName,
+        request: &CallerRequest,
+    ) -> Self {
+        Self {
+            state: Arc::clone(state),
+            upstream,
+            connection: None,
+            latency: ClockSpan::ZERO,
+            result: CallResult::Cancelled,
+            load: None,
+            slot: Some(slot),
+            deadline: request.deadline,
+            fingerprint: request.fingerprint,
+            started: false,
+        }
+    }
+
+    /// Records that the request is about to be sent.
+    pub fn start(&mut self) {
+        if !self.started {
+            self.started = true;
+            let now = self.state.clock.now();
+            self.state.tables.suspects.start(self.fingerprint, &self.upstream, now);
+        }
+    }
+
     fn deadline_timer(&self) -> Sleep {
         tokio::time::sleep_until(self.state.clock.to_instant(self.deadline).into())
     }
 
     fn complete(&mut self, context: &mut Context<'_>) {
         if let Some(connection) = self.connection.take() {
-            connection.put_back(self.state.clock.now(), context);
+            connection.put_back(self.latency, self.state.clock.now(), context);
         }
         self.report(self.result);
     }
 
-    /// Reports the outcome and frees the place on the upstream, once.
+    /// Reports a connection that was lost while the answer arrived.
+    fn lose_connection(&mut self) {
+        self.report(CallResult::ConnectionLost);
+        let (state, upstream) = (Arc::clone(&self.state), self.upstream.clone());
+        tokio::spawn(async move { crash::inspect_loss(&state, &upstream).await });
+    }
+
+    /// Reports the outcome and frees the slot, once.
     pub fn report(&mut self, result: CallResult) {
-        if let Some(ticket) = self.ticket.take() {
-            let outcome = CallOutcome { latency: self.latency, result, load: self.load };
-            self.state.finish_call(ticket, outcome);
+        let Some(slot) = self.slot.take() else { return };
+        if self.started {
+            let now = self.state.clock.now();
+            let suspects = &self.state.tables.suspects;
+            if result == CallResult::ConnectionLost {
+                suspects.connection_lost(&self.upstream, now);
+            }
+            suspects.finish(self.fingerprint, &self.upstream, now);
         }
+        slot.finish(CallOutcome { latency: self.latency, result, load: self.load });
     }
 }
 
@@ -254,7 +303,7 @@
                     }
                 }
                 Some(Err(source)) => {
-                    call.report(CallResult::ConnectionLost);
+                    call.lose_connection();
                     *self = Self::Empty;
                     return Poll::Ready(Some(Err(AnswerError::Truncated { source })));
                 }
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -4,39 +4,28 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http::header::{HeaderMap, HeaderValue};
+use http::header::HeaderValue;
 use http::request::Parts;
-use http::{Method, Request, Response, StatusCode, Uri, Version};
-use hyper::body::Incoming;
-use route::prelude::*;
+use http::{Response, StatusCode};
+use suspect::prelude::*;
+use tokio::time::timeout_at;
 use world::prelude::*;
 use xitca_web::body::RequestBody;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::answer::{AnswerBody, CallFate, CallRefusal, RunningCall};
-use crate::head::{self, AnswerMarks, HeadFacts};
-use crate::link::{LinkConnection, LinkError, SendError};
+use crate::answer::{AnswerBody, CallFate, CallRefusal};
+use crate::attempt::{CallAttempt, FailedAttempt, NextStep, PlannedCall};
+use crate::desk::ServiceDesk;
+use crate::head::{self, HeadFacts};
+use crate::metrics::CallEnd;
 use crate::relay::{self, RelayBody, RelayError};
 use crate::state::GateState;
-use crate::worker;
 
 /// Bodies up to this length are held in memory, so that a retry can send them again.
 const REPLAY_LIMIT_BYTES: u64 = 64 * 1024;
 
-/// The most attempts of one call.
-const MAX_ATTEMPTS: u32 = 3;
-
-/// When to come back if nothing better is known.
-const DEFAULT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
-
-/// A call that was checked and matched to its contract.
-struct PlannedCall {
-    request: CallerRequest,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    id: HeaderValue,
-}
+/// When a refused suspect may come back. By then its isolated run may be free.
+const SUSPECT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
 
 /// The body of a call, as far as it is needed for further attempts.
 enum CallBody {
@@ -45,17 +34,6 @@
     Streamed(Option<RelayBody>),
 }
 
-/// An attempt that brought no answer for the caller.
-struct FailedAttempt {
-    upstream: Option<SharedName>,
-    fate: CallFate,
-    refusal: CallRefusal,
-    /// The upstream's own answer, for the case that there is no further attempt.
-    answer: Option<Response<AnswerBody>>,
-    /// The body, if no part of it was sent.
-    unsent: Option<RelayBody>,
-}
-
 /// Serves one request.
 pub async fn serve(
     state: &Arc<GateState>,
@@ -78,19 +56,46 @@
     body: RequestBody,
     id: &HeaderValue,
 ) -> Result<Response<AnswerBody>, CallRefusal> {
+    let arrived = state.clock.now();
     let facts = head::check_head(&parts)
         .map_err(|error| CallRefusal::not_run(StatusCode::BAD_REQUEST, error).closing())?;
-    let call = plan(state, parts, &facts, id)?;
-    let body = prepare_body(state, &facts, body).await?;
-    run_attempts(state, &call, body).await
+    let (mut call, avoid) = plan(state, parts, &facts, id, arrived)?;
+    let desk = state.tables.desks.desk(&call.request.service).ok_or_else(|| {
+        let message = "the service was removed from the environment; repeat the request";
+        CallRefusal::not_run(StatusCode::NOT_FOUND, message)
+    })?;
+    let mut upstream_time = ClockSpan::ZERO;
+    let body_started = state.clock.now();
+    let body = prepare_body(state, &facts, body, call.request.deadline).await;
+    let body_time = state.clock.now().since(body_started);
+    let result = match body {
+        Ok(body) => run_reviewed(state, &desk, &mut call, avoid, body, &mut upstream_time).await,
+        Err(refusal) => Err(refusal),
+    };
+    let spent = state.clock.now().since(arrived);
+    desk.meters.record_residence(spent.saturating_sub(upstream_time + body_time));
+    desk.meters.count_call(call.request.class, end_of(&result));
+    result
 }
 
+fn end_of(result: &Result<Response<AnswerBody>, CallRefusal>) -> CallEnd {
+    match result {
+        Ok(answer) if !answer.status().is_server_error() => CallEnd::Answered,
+        Ok(answer) if answer.headers().contains_key(head::OUTCOME) => CallEnd::NotRun,
+        Ok(_) => CallEnd::UpstreamError,
+        Err(refusal) if refusal.fate == CallFate::NotRun => CallEnd::NotRun,
+        Err(_) => CallEnd::Unknown,
+    }
+}
+
+/// Matches a request to its service and rule. Also returns the upstreams that it must not use.
 fn plan(
     state: &GateState,
     parts: Parts,
     facts: &HeadFacts,
     id: &HeaderValue,
-) -> Result<PlannedCall, CallRefusal> {
+    now: ClockTime,
+) -> Result<(PlannedCall, Vec<SharedName>), CallRefusal> {
     let environment = state.environment.load();
     let path = parts.uri.path();
     let contract = environment.contract_for(&facts.host, path).ok_or_else(|| {
@@ -101,20 +106,27 @@
         let message = format!("service {} has no rule for {} {path}", contract.name, parts.method);
         CallRefusal::not_run(StatusCode::NOT_FOUND, message)
     })?;
-    let deadline = facts.deadline.map_or(contract.deadline, |own| own.min(contract.deadline));
+    let span = facts.deadline.map_or(contract.deadline, |own| own.min(contract.deadline));
+    if span == ClockSpan::ZERO {
+        let message = "the deadline has passed; allow more time";
+        return Err(CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message));
+    }
     let request = CallerRequest {
         service: contract.name.clone(),
         class: rule.class,
         idempotent: rule.idempotent,
-        deadline: state.clock.now() + deadline,
+        deadline: now + span,
         attempt: 1,
         depth: facts.depth,
         key: facts.key.clone(),
         fingerprint: fingerprint(&parts, facts),
     };
+    let upstreams = environment.upstreams_of(&contract.name);
+    let avoid = state.tables.suspects.avoid(request.fingerprint, upstreams, now);
     let mut headers = parts.headers;
     head::clean_request(&mut headers);
-    Ok(PlannedCall { request, method: parts.method, uri: parts.uri, headers, id: id.clone() })
+    let (method, uri, id) = (parts.method, parts.uri, id.clone());
+    Ok((PlannedCall { request, method, uri, headers, id }, avoid))
 }
 
 fn fingerprint(parts: &Parts, facts: &HeadFacts) -> u64 {
@@ -133,12 +145,15 @@
     state: &GateState,
     facts: &HeadFacts,
     body: RequestBody,
+    deadline: ClockTime,
 ) -> Result<CallBody, CallRefusal> {
     let pause = state.options.timeouts.request_body;
     match facts.body_length {
         _ if !facts.has_body => Ok(CallBody::Empty),
         Some(length) if length <= REPLAY_LIMIT_BYTES => {
-            let bytes = relay::read_whole(body, length as usize, pause).await;
+            let deadline = state.clock.to_instant(deadline).into();
+            let whole = relay::read_whole(body, length as usize, pause);
+            let bytes = timeout_at(deadline, whole).await.unwrap_or(Err(RelayError::TooSlow));
             let bytes = bytes.map_err(refuse_body)?;
             Ok(CallBody::Held(bytes.unwrap_or_default()))
         }
@@ -147,11 +162,7 @@
 }
 
 fn refuse_body(error: RelayError) -> CallRefusal {
-    let status = match error {
-        RelayError::Truncated => StatusCode::BAD_REQUEST,
-        RelayError::TooSlow => StatusCode::REQUEST_TIMEOUT,
-    };
-    CallRefusal::not_run(status, error).closing()
+    CallRefusal::not_run(error.status(), error).closing()
 }
 
 impl CallBody {
@@ -164,6 +175,11 @@
         }
     }
 
+    /// Returns whether `next` will return a body.
+    fn is_available(&self) -> bool {
+        !matches!(self, Self::Streamed(None))
+    }
+
     fn restore(&mut self, unsent: RelayBody) {
         if let Self::Streamed(body) = self {
             *body = Some(unsent);
@@ -171,250 +187,156 @@
     }
 }
 
+/// Gives back a reserved isolated run that did not start.
+struct IsolationGuard<'a> {
+    state: &'a GateState,
+    fingerprint: u64,
+}
+
+impl Drop for IsolationGuard<'_> {
+    fn drop(&mut self) {
+        self.state.tables.suspects.abandon(self.fingerprint, self.state.clock.now());
+    }
+}
+
+/// Runs a call if it is not suspected of crashing upstreams.
+async fn run_reviewed(
+    state: &Arc<GateState>,
+    desk: &Arc<ServiceDesk>,
+    call: &mut PlannedCall,
+    avoid: Vec<SharedName>,
+    body: CallBody,
+    upstream_time: &mut ClockSpan,
+) -> Result<Response<AnswerBody>, CallRefusal> {
+    let fingerprint = call.request.fingerprint;
+    let verdict = state.tables.suspects.review(fingerprint, state.clock.now());
+    let guard = match verdict {
+        SuspectVerdict::Clear => None,
+        SuspectVerdict::Isolated => Some(IsolationGuard { state, fingerprint }),
+        SuspectVerdict::Refused => {
+            desk.meters.count_suspect();
+            let message = "upstreams crashed while they ran this request; repeat it later, or have \
+                           an operator release it";
+            // An innocent suspect is cleared after a while, so the status must not say that a
+            // repeat is useless.
+            let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+            return Err(refusal.retry_after(SUSPECT_RETRY_AFTER));
+        }
+    };
+    let isolated = guard.is_some();
+    let result = run_attempts(state, desk, call, avoid, body, isolated, upstream_time).await;
+    drop(guard);
+    result
+}
+
 async fn run_attempts(
     state: &Arc<GateState>,
-    call: &PlannedCall,
+    desk: &Arc<ServiceDesk>,
+    call: &mut PlannedCall,
+    mut avoid: Vec<SharedName>,
     mut body: CallBody,
+    isolated: bool,
+    upstream_time: &mut ClockSpan,
 ) -> Result<Response<AnswerBody>, CallRefusal> {
-    let mut avoid: Vec<SharedName> = Vec::new();
-    let mut attempt = 1;
-    let mut next_body = body.next();
+    let CallerRequest { service, depth, .. } = &call.request;
+    state.tables.retries.record_first_at(service, *depth, state.clock.now());
+    let mut allowance =
+        RetryAllowance { isolated, repeated: false, lost: false, may_have_run: false };
     loop {
-        let Some(current) = next_body else {
+        let Some(current) = body.next() else {
             let message = "the request body cannot be sent again; repeat the request";
-            return Err(CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
+            return Err(allowance.refusal(message));
         };
-        let failure = match run_attempt(state, call, current, attempt, &avoid).await {
+        let attempt = CallAttempt { state, desk, call, avoid: &avoid };
+        let mut failure = match attempt.run(current, upstream_time).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
-        if let Some(unsent) = failure.unsent {
+        if let Some(unsent) = failure.unsent.take() {
             body.restore(unsent);
         }
-        let safe = failure.fate == CallFate::NotRun || call.request.idempotent;
-        let again = safe && failure.upstream.is_some() && attempt < MAX_ATTEMPTS;
-        next_body = if again { body.next() } else { None };
-        if next_body.is_none() {
-            return failure.answer.ok_or(failure.refusal);
+        allowance.may_have_run |= failure.fate == CallFate::Unknown;
+        if !body.is_available() || !allowance.allows(state, call, &failure) {
+            return allowance.end(*failure);
         }
         if let Some(answer) = failure.answer {
             answer.into_body().discard();
         }
-        avoid.extend(failure.upstream);
-        attempt += 1;
-    }
-}
-
-async fn run_attempt(
-    state: &Arc<GateState>,
-    call: &PlannedCall,
-    body: RelayBody,
-    attempt: u32,
-    avoid: &[SharedName],
-) -> Result<Response<AnswerBody>, Box<FailedAttempt>> {
-    let ticket = reserve(state, call, avoid)?;
-    let upstream = ticket.upstream().clone();
-    let mut running = RunningCall {
-        state: Arc::clone(state),
-        ticket: Some(ticket),
-        connection: None,
-        latency: ClockSpan::ZERO,
-        result: CallResult::Cancelled,
-        load: None,
-        deadline: call.request.deadline,
-    };
-    let connection = match connect(state, call, &upstream).await {
-        Ok(connection) => connection,
-        Err(error) => return Err(Box::new(connect_failure(running, upstream, body, &error))),
-    };
-    let answer = send(state, call, body, attempt, upstream, connection, &mut running).await?;
-    answer.finish(&call.id, running)
-}
-
-fn reserve(
-    state: &GateState,
-    call: &PlannedCall,
-    avoid: &[SharedName],
-) -> Result<UpstreamTicket, Box<FailedAttempt>> {
-    let now = state.clock.now();
-    let policy = &state.options.policy;
-    let reserved = worker::with_random(|random| {
-        state.upstreams.reserve(policy, &call.request.service, avoid, now, random)
-    });
-    reserved.map_err(|error| {
-        let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, error);
-        Box::new(FailedAttempt {
-            upstream: None,
-            fate: CallFate::NotRun,
-            refusal: refusal.retry_after(DEFAULT_RETRY_AFTER),
-            answer: None,
-            unsent: None,
-        })
-    })
-}
-
-async fn connect(
-    state: &GateState,
-    call: &PlannedCall,
-    upstream: &SharedName,
-) -> Result<LinkConnection, LinkError> {
-    let Some(link) = state.links.link(upstream) else {
-        return Err(LinkError::ShareUsed { limit: 0 });
-    };
-    let now = state.clock.now();
-    let proven_since = if call.request.idempotent {
-        ClockTime::ZERO
-    } else {
-        now - state.options.timeouts.connection_proof
-    };
-    if let Some(connection) = link.take_idle(proven_since) {
-        return Ok(connection);
-    }
-    let timeout = state.options.timeouts.connect.min(call.request.deadline.since(now));
-    match link.connect(timeout, state.clock).await {
-        Err(LinkError::ShareUsed { .. }) if link.close_idle() => {
-            link.connect(timeout, state.clock).await
+        if failure.next != NextStep::Repeat {
+            avoid.extend(failure.upstream);
         }
-        result => result,
-    }
-}
-
-fn connect_failure(
-    mut running: RunningCall,
-    upstream: SharedName,
-    body: RelayBody,
-    error: &LinkError,
-) -> FailedAttempt {
-    let result = match error {
-        LinkError::ShareUsed { .. } => CallResult::Cancelled,
-        _ => CallResult::ConnectFailed,
-    };
-    running.report(result);
-    let refusal = CallRefusal::not_run(StatusCode::BAD_GATEWAY, error);
-    FailedAttempt {
-        upstream: Some(upstream),
-        fate: CallFate::NotRun,
-        refusal: refusal.retry_after(DEFAULT_RETRY_AFTER),
-        answer: None,
-        unsent: Some(body),
+        call.request.attempt += 1;
+        desk.meters.retries.inc();
     }
 }
 
-/// The head of an upstream's answer, with what to do with it.
-struct UpstreamAnswer {
-    response: Response<Incoming>,
-    marks: AnswerMarks,
-    upstream: SharedName,
+/// What a call may still do after failed attempts.
+struct RetryAllowance {
+    /// A suspect runs once only.
+    isolated: bool,
+    /// Whether a silent connection was replaced.
+    repeated: bool,
+    /// Whether a connection was lost. A second one could mean that the call crashes upstreams.
+    lost: bool,
+    /// Whether any attempt may have been run.
+    may_have_run: bool,
 }
 
-async fn send(
-    state: &GateState,
-    call: &PlannedCall,
-    body: RelayBody,
-    attempt: u32,
-    upstream: SharedName,
-    mut connection: LinkConnection,
-    running: &mut RunningCall,
-) -> Result<UpstreamAnswer, Box<FailedAttempt>> {
-    let started = state.clock.now();
-    let request = upstream_request(call, body, attempt, started);
-    let deadline = state.clock.to_instant(call.request.deadline).into();
-    let sent = tokio::time::timeout_at(deadline, connection.send(request)).await;
-    running.latency = state.clock.now().since(started);
-    match sent {
-        Ok(Ok(mut response)) => {
-            running.connection = Some(connection);
-            let marks = head::clean_answer(response.headers_mut());
-            running.load = marks.load;
-            running.result = judge(&response, marks);
-            Ok(UpstreamAnswer { response, marks, upstream })
-        }
-        Ok(Err(SendError::NotSent { source, request })) => {
-            running.report(CallResult::Cancelled);
-            let message = format!("the connection closed before the request was sent: {source}");
-            let refusal = CallRefusal::not_run(StatusCode::BAD_GATEWAY, message);
-            let unsent = Some(request.into_body());
-            let fate = CallFate::NotRun;
-            let upstream = Some(upstream);
-            Err(Box::new(FailedAttempt { upstream, fate, refusal, answer: None, unsent }))
-        }
-        Ok(Err(error @ SendError::Lost { .. })) => {
-            running.report(CallResult::ConnectionLost);
-            let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, error);
-            Err(Box::new(unknown_fate(Some(upstream), refusal)))
+impl RetryAllowance {
+    /// Returns whether another attempt may follow, and takes what it costs.
+    fn allows(&mut self, state: &GateState, call: &PlannedCall, failure: &FailedAttempt) -> bool {
+        let request = &call.request;
+        let may_run_twice = request.idempotent && request.key.is_none();
+        if self.isolated || (failure.fate == CallFate::Unknown && !may_run_twice) {
+            return false;
         }
-        Err(_) => {
-            running.report(CallResult::TimedOut);
-            let message = "the upstream did not answer within the deadline";
-            let refusal = CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, message);
-            Err(Box::new(unknown_fate(None, refusal)))
+        let now = state.clock.now();
+        let allow = || state.tables.retries.allow_retry(request, now);
+        match failure.next {
+            NextStep::End => false,
+            NextStep::Retry => allow(),
+            NextStep::RetryAfterLoss => {
+                let first = !std::mem::replace(&mut self.lost, true);
+                first && is_clear(state, request.fingerprint, now) && allow()
+            }
+            NextStep::Repeat => !std::mem::replace(&mut self.repeated, true),
         }
     }
-}
-
-fn unknown_fate(upstream: Option<SharedName>, refusal: CallRefusal) -> FailedAttempt {
-    FailedAttempt { upstream, fate: CallFate::Unknown, refusal, answer: None, unsent: None }
-}
 
-fn judge(response: &Response<Incoming>, marks: AnswerMarks) -> CallResult {
-    match response.status() {
-        StatusCode::SERVICE_UNAVAILABLE if marks.shed => CallResult::Shed,
-        status if status.is_server_error() => CallResult::ServerError,
-        _ => CallResult::Success,
+    /// Returns what the caller is told at the end.
+    fn end(&self, failure: FailedAttempt) -> Result<Response<AnswerBody>, CallRefusal> {
+        let FailedAttempt { answer, mut refusal, .. } = failure;
+        if !self.may_have_run {
+            return answer.ok_or(refusal);
+        }
+        refusal.fate = CallFate::Unknown;
+        match answer {
+            Some(answer) if answer.headers().contains_key(head::OUTCOME) => {
+                answer.into_body().discard();
+                Err(refusal)
+            }
+            Some(answer) => Ok(answer),
+            None => Err(refusal),
+        }
     }
-}
 
-fn upstream_request(
-    call: &PlannedCall,
-    body: RelayBody,
-    attempt: u32,
-    now: ClockTime,
-) -> Request<RelayBody> {
-    let mut request = Request::new(body);
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = origin_form(&call.uri);
-    *request.version_mut() = Version::HTTP_11;
-    let headers = request.headers_mut();
-    headers.clone_from(&call.headers);
-    let remaining = call.request.deadline.since(now);
-    head::mark_request(headers, remaining, attempt, call.request.depth, &call.id);
-    request
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    match (uri.authority(), uri.path_and_query()) {
-        (Some(_), Some(path)) => Uri::from(path.clone()),
-        _ => uri.clone(),
+    fn refusal(&self, message: &str) -> CallRefusal {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        match self.may_have_run {
+            true => CallRefusal::unknown(status, message),
+            false => CallRefusal::not_run(status, message),
+        }
     }
 }
 
-impl UpstreamAnswer {
-    fn finish(
-        self,
-        id: &HeaderValue,
-        running: RunningCall,
-    ) -> Result<Response<AnswerBody>, Box<FailedAttempt>> {
-        let Self { response, marks, upstream } = self;
-        let result = running.result;
-        let (mut parts, incoming) = response.into_parts();
-        parts.headers.insert(head::REQUEST_ID, id.clone());
-        if marks.shed {
-            parts.headers.insert(head::OUTCOME, HeaderValue::from_static("not-run"));
-        }
-        let body = AnswerBody::relayed(incoming, running);
-        let answer = Response::from_parts(parts, body);
-        if result == CallResult::Success {
-            return Ok(answer);
+fn is_clear(state: &GateState, fingerprint: u64, now: ClockTime) -> bool {
+    let suspects = &state.tables.suspects;
+    match suspects.review(fingerprint, now) {
+        SuspectVerdict::Clear => true,
+        SuspectVerdict::Isolated => {
+            suspects.abandon(fingerprint, now);
+            false
         }
-        let fate = if marks.shed { CallFate::NotRun } else { CallFate::Unknown };
-        let message = "the upstream reported an error";
-        let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
-        Err(Box::new(FailedAttempt {
-            upstream: Some(upstream),
-            fate,
-            refusal,
-            answer: Some(answer),
-            unsent: None,
-        }))
+        SuspectVerdict::Refused => false,
     }
 }
--- /dev/null
+++ b/crates/gate/src/cancel.rs
@@ -0,0 +1,72 @@
+//! Cancellation of calls at upstreams.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use http::{HeaderValue, Method};
+use serde::Deserialize;
+
+use crate::link::{ConnectUse, UpstreamLink};
+use crate::probe;
+use crate::state::GateState;
+
+/// The longest time for a cancellation whose result nobody waits for.
+const UNATTENDED_TIMEOUT: ClockSpan = ClockSpan::from_millis(250);
+
+/// The body of an answer to a cancellation.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct CancelBody {
+    confirmed: bool,
+}
+
+/// Asks an upstream, on another connection, to cancel a call. Returns whether the upstream
+/// confirmed it, which proves that the call was not run.
+pub async fn cancel(
+    state: &GateState,
+    link: &Arc<UpstreamLink>,
+    id: &HeaderValue,
+    timeout: ClockSpan,
+) -> bool {
+    let Ok(id) = id.to_str() else { return false };
+    let path = format!("/agateroad/cancel/{id}");
+    let now = state.clock.now();
+    let connection = match link.take_idle(now - state.options.timeouts.connection_proof) {
+        Some(connection) => connection,
+        None => match link.connect(ConnectUse::Check, timeout, state.clock).await {
+            Ok(connection) => connection,
+            Err(_) => return false,
+        },
+    };
+    let Some(answer) = probe::ask(state, connection, Method::POST, &path, timeout).await else {
+        return false;
+    };
+    let body = serde_json::from_slice::<CancelBody>(&answer.body);
+    answer.status.is_success() && body.is_ok_and(|body| body.confirmed)
+}
+
+/// Cancels a call whose caller went away before the head of its answer.
+pub struct CancelGuard {
+    target: Option<(Arc<GateState>, Arc<UpstreamLink>, HeaderValue)>,
+}
+
+impl CancelGuard {
+    /// Returns a guard that cancels the call when it is dropped.
+    pub fn new(state: &Arc<GateState>, link: &Arc<UpstreamLink>, id: &HeaderValue) -> Self {
+        Self { target: Some((Arc::clone(state), Arc::clone(link), id.clone())) }
+    }
+
+    /// Keeps the guard from cancelling.
+    pub fn disarm(&mut self) {
+        self.target = None;
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        let Some((state, link, id)) = self.target.take() else { return };
+        // Without a runtime the process is about to end.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        runtime.spawn(async move { cancel(&state, &link, &id, UNATTENDED_TIMEOUT).await });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/crash.rs
@@ -0,0 +1,64 @@
+//! Evidence of crashed upstreams.
+
+use std::io;
+
+use base::prelude::*;
+use suspect::prelude::*;
+
+use crate::event;
+use crate::link::{ConnectUse, LinkError};
+use crate::state::GateState;
+
+/// Connects that are tried after a lost connection. Two refused ones and a lost connection are
+/// evidence of a crash.
+const CONNECTS_AFTER_LOSS: u32 = 2;
+/// The longest time for one of them.
+const CONNECT_TIMEOUT: ClockSpan = ClockSpan::from_millis(50);
+
+/// Records a connect that was refused.
+pub fn note_connect_failure(state: &GateState, upstream: &SharedName, error: &LinkError) {
+    let LinkError::Connect { source, .. } = error else { return };
+    if source.kind() == io::ErrorKind::ConnectionRefused {
+        let notices = state.tables.suspects.connect_refused(upstream, state.clock.now());
+        take_notices(state, upstream, notices);
+    }
+}
+
+/// Finds out, after a connection was lost, whether the upstream still accepts connections, so that
+/// a crash is known before its cause is repeated.
+pub async fn inspect_loss(state: &GateState, upstream: &SharedName) {
+    let Some(link) = state.links.link(upstream) else { return };
+    for _ in 0..CONNECTS_AFTER_LOSS {
+        match link.connect(ConnectUse::Check, CONNECT_TIMEOUT, state.clock).await {
+            Ok(connection) => {
+                connection.into_idle();
+                return;
+            }
+            Err(error) => note_connect_failure(state, upstream, &error),
+        }
+    }
+}
+
+fn take_notices(state: &GateState, upstream: &SharedName, notices: Vec<SuspectNotice>) {
+    if notices.is_empty() {
+        return;
+    }
+    tracing::warn!(
+        event = event::UPSTREAM_CRASHED,
+        %upstream,
+        in_flight = notices.len(),
+        "an upstream crashed"
+    );
+    let now = state.clock.now();
+    for entry in state.tables.suspects.list(now) {
+        let own = notices.iter().any(|notice| notice.fingerprint == entry.fingerprint);
+        if own && entry.standing == SuspectStanding::Confirmed {
+            tracing::error!(
+                event = event::SUSPECT_CONFIRMED,
+                fingerprint = format_args!("{:016x}", entry.fingerprint),
+                "a request crashed several upstreams and is refused from now on"
+            );
+        }
+    }
+    state.tables.add_crash_notices(notices);
+}
--- /dev/null
+++ b/crates/gate/src/desk.rs
@@ -0,0 +1,93 @@
+//! What the request path keeps for each service.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use base::prelude::*;
+use limit::prelude::{RefusalKind, RefusalReason};
+use world::prelude::*;
+
+use crate::event;
+use crate::metrics::{GateMetrics, ServiceMeters};
+use crate::wait::TurnWaiter;
+
+/// Refusals of one kind are logged at most once in this time.
+const REFUSAL_LOG_SPAN_MS: u64 = 1000;
+/// The number of kinds of refusals.
+const REFUSAL_KINDS: usize = RefusalKind::Displaced as usize + 1;
+
+/// The state of one service that its calls share.
+#[derive(Debug)]
+pub struct ServiceDesk {
+    /// The name of the service.
+    pub name: SharedName,
+    /// Calls that wait for a slot, those that are about to get one included.
+    pub waiting: AtomicU32,
+    /// Waiters that had their turn and found no slot. They come first at the next turn.
+    pub held: RankedMutex<VecDeque<TurnWaiter>>,
+    /// The metrics of the service.
+    pub meters: ServiceMeters,
+    /// When a refusal of each kind was logged last, in milliseconds of the process's clock.
+    logged: [AtomicU64; REFUSAL_KINDS],
+}
+
+impl ServiceDesk {
+    fn new(name: &SharedName, metrics: &GateMetrics) -> Self {
+        Self {
+            name: name.clone(),
+            waiting: AtomicU32::new(0),
+            held: RankedMutex::new(LockRank::WaitQueue, VecDeque::new()),
+            meters: metrics.service(name),
+            logged: Default::default(),
+        }
+    }
+
+    /// Counts a refusal of the queue and logs it if none of its kind was logged lately.
+    pub fn note_refusal(&self, reason: &RefusalReason, now: ClockTime) {
+        self.meters.count_refusal(reason.kind);
+        let logged = &self.logged[reason.kind as usize];
+        let before = logged.load(Ordering::Relaxed);
+        let now_ms = now.as_millis().max(1);
+        let due = before == 0 || now_ms >= before + REFUSAL_LOG_SPAN_MS;
+        let swap = || logged.compare_exchange(before, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        if due && swap().is_ok() {
+            tracing::warn!(
+                event = event::OVERLOAD,
+                service = %self.name,
+                kind = reason.kind.as_str(),
+                "calls are refused because of overload"
+            );
+        }
+    }
+}
+
+/// The desks of all services. Calls look them up without a lock.
+#[derive(Debug, Default)]
+pub struct DeskTable {
+    desks: ArcSwap<HashMap<SharedName, Arc<ServiceDesk>>>,
+}
+
+impl DeskTable {
+    /// Adds the desks of new services and drops those of removed ones.
+    pub fn apply(&self, environment: &EnvironmentMap, metrics: &GateMetrics) {
+        let known = self.desks.load();
+        let desks = environment.contracts.iter().map(|contract| {
+            let name = &contract.name;
+            let kept = known.get(name).cloned();
+            (name.clone(), kept.unwrap_or_else(|| Arc::new(ServiceDesk::new(name, metrics))))
+        });
+        self.desks.store(Arc::new(desks.collect()));
+    }
+
+    /// Returns the desk of a service.
+    pub fn desk(&self, service: &str) -> Option<Arc<ServiceDesk>> {
+        self.desks.load().get(service).cloned()
+    }
+
+    /// Returns the desks of all services.
+    pub fn all(&self) -> Vec<Arc<ServiceDesk>> {
+        self.desks.load().values().cloned().collect()
+    }
+}
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -10,3 +10,19 @@
 pub const DRAIN_STARTED: u32 = 1004;
 /// The gateway has stopped.
 pub const STOPPED: u32 = 1005;
+/// Old connections to an upstream stopped responding while a new one works.
+pub const SILENT_CONNECTIONS: u32 = 1006;
+/// An upstream is ejected because of failures.
+pub const UPSTREAM_EJECTED: u32 = 1201;
+/// An ejected upstream takes calls again.
+pub const UPSTREAM_READMITTED: u32 = 1202;
+/// An upstream announced that it is leaving.
+pub const DRAIN_SEEN: u32 = 1203;
+/// An upstream no longer announces that it is leaving.
+pub const DRAIN_ENDED: u32 = 1204;
+/// Calls are refused because of overload.
+pub const OVERLOAD: u32 = 1301;
+/// An upstream crashed.
+pub const UPSTREAM_CRASHED: u32 = 1401;
+/// A request is confirmed to crash upstreams.
+pub const SUSPECT_CONFIRMED: u32 = 1402;
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::task::{Context, Poll};
 
 use arc_swap::ArcSwap;
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use limit::prelude::ConnectionShare;
 use snafu::{IntoError as _, ResultExt, Snafu};
 use tokio::net::TcpStream;
 use world::prelude::*;
@@ -20,6 +21,21 @@
 
 /// The longest head of an answer.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+/// Unused connections that are kept ready for the next call to an upstream.
+const SPARE_CONNECTIONS: usize = 1;
+/// Weight of a new sample in the usual latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// An answer on an old connection is remembered for this time, even if a newer connection answers.
+const HEARD_SPAN: ClockSpan = ClockSpan::from_millis(100);
+
+/// What a connection is opened for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectUse {
+    /// A call.
+    Call,
+    /// A probe or a cancellation, for which a part of the share is kept back.
+    Check,
+}
 
 /// Why no connection could be opened. None of these sent a byte of the request.
 #[derive(Debug, Snafu)]
@@ -77,9 +93,24 @@
 #[derive(Debug)]
 pub struct UpstreamLink {
     server: Arc<UpstreamServer>,
-    limit: u32,
+    share: ConnectionShare,
     open: AtomicU32,
-    idle: RankedMutex<Vec<LinkConnection>>,
+    opening: AtomicBool,
+    checking: AtomicBool,
+    pool: RankedMutex<LinkPool>,
+}
+
+/// Idle connections and what the connections of a link have shown.
+#[derive(Debug, Default)]
+struct LinkPool {
+    idle: Vec<LinkConnection>,
+    /// Connections that were opened earlier are closed instead of used again.
+    retired_before: ClockTime,
+    /// When a connection last carried an answer, and when that connection was opened.
+    heard: Option<(ClockTime, ClockTime)>,
+    usual_latency_ms: Option<f64>,
+    /// When the upstream was last heard of, here or by a peer.
+    last_news: ClockTime,
 }
 
 /// One connection to an upstream. Dropping it closes it.
@@ -89,6 +120,7 @@
     worker: u32,
     opened: ClockTime,
     last_answer: ClockTime,
+    pooled: bool,
     permit: OpenPermit,
 }
 
@@ -104,11 +136,27 @@
     }
 }
 
+/// Marks that a check of a link's connections is under way.
+#[derive(Debug)]
+pub struct CheckPermit<'a>(&'a AtomicBool);
+
+impl Drop for CheckPermit<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Release);
+    }
+}
+
 impl UpstreamLink {
-    /// Returns a link without connections that opens at most `limit`.
-    pub fn new(server: Arc<UpstreamServer>, limit: u32) -> Self {
-        let idle = RankedMutex::new(LockRank::ConnectionPool, Vec::new());
-        Self { server, limit, open: AtomicU32::new(0), idle }
+    /// Returns a link without connections that opens at most its share.
+    pub fn new(server: Arc<UpstreamServer>, share: ConnectionShare) -> Self {
+        let pool = RankedMutex::new(LockRank::ConnectionPool, LinkPool::default());
+        let (opening, checking) = (AtomicBool::new(false), AtomicBool::new(false));
+        Self { server, share, open: AtomicU32::new(0), opening, checking, pool }
+    }
+
+    /// Returns the upstream.
+    pub fn server(&self) -> &Arc<UpstreamServer> {
+        &self.server
     }
 
     /// Returns the number of open connections.
@@ -116,11 +164,57 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Returns the mean time until the head of an answer, if there were any.
+    pub fn usual_latency(&self) -> Option<ClockSpan> {
+        self.pool.lock().usual_latency_ms.map(ClockSpan::from_millis_f64)
+    }
+
+    /// Returns when the upstream was last heard of, here or by a peer.
+    pub fn last_news(&self) -> ClockTime {
+        self.pool.lock().last_news
+    }
+
+    /// Notes that a peer heard of the upstream at `at`, so that it needs no probe.
+    pub fn note_news(&self, at: ClockTime) {
+        let mut pool = self.pool.lock();
+        pool.last_news = at.max(pool.last_news);
+    }
+
+    /// Returns whether a connection that was opened no later than `opened` carried an answer since
+    /// `since`.
+    pub fn has_heard(&self, opened: ClockTime, since: ClockTime) -> bool {
+        self.pool.lock().heard.is_some_and(|(at, of)| at >= since && of <= opened)
+    }
+
+    /// Returns whether connections opened at `opened` are closed instead of used again.
+    pub fn is_retired(&self, opened: ClockTime) -> bool {
+        opened < self.pool.lock().retired_before
+    }
+
+    /// Closes the idle connections that were opened before `before`, and those in use when their
+    /// calls end. Returns how many were idle.
+    pub fn retire(&self, before: ClockTime) -> usize {
+        let retired = {
+            let mut pool = self.pool.lock();
+            pool.retired_before = pool.retired_before.max(before);
+            let of = |connection: &mut LinkConnection| connection.opened < before;
+            pool.idle.extract_if(.., of).collect::<Vec<_>>()
+        };
+        retired.len()
+    }
+
+    /// Returns a permit if no other check of this link is under way.
+    pub fn start_check(&self) -> Option<CheckPermit<'_>> {
+        let busy = self.checking.swap(true, Ordering::Acquire);
+        (!busy).then_some(CheckPermit(&self.checking))
+    }
+
     /// Takes an idle connection that carried an answer or was opened after `proven_since`. Prefers
     /// the current worker's, which spares a switch between threads.
     pub fn take_idle(&self, proven_since: ClockTime) -> Option<LinkConnection> {
         let worker = worker::index();
-        let mut idle = self.idle.lock();
+        let mut pool = self.pool.lock();
+        let idle = &mut pool.idle;
         idle.retain(|connection| !connection.sender.is_closed());
         let usable = |connection: &LinkConnection| connection.proven() >= proven_since;
         let own =
@@ -136,10 +230,11 @@
     /// Fails if the share is used up or the upstream does not accept the connection in time.
     pub async fn connect(
         self: &Arc<Self>,
+        purpose: ConnectUse,
         timeout: ClockSpan,
         clock: RealClock,
     ) -> Result<LinkConnection, LinkError> {
-        let permit = self.permit()?;
+        let permit = self.permit(purpose)?;
         let address = self.server.address;
         let stream = tokio::time::timeout(timeout.to_duration(), TcpStream::connect(address))
             .await
@@ -157,11 +252,15 @@
         });
         let opened = clock.now();
         let worker = worker::index();
-        Ok(LinkConnection { sender, worker, opened, last_answer: opened, permit })
+        let pooled = false;
+        Ok(LinkConnection { sender, worker, opened, last_answer: opened, pooled, permit })
     }
 
-    fn permit(self: &Arc<Self>) -> Result<OpenPermit, LinkError> {
-        let limit = self.limit;
+    fn permit(self: &Arc<Self>, purpose: ConnectUse) -> Result<OpenPermit, LinkError> {
+        let limit = match purpose {
+            ConnectUse::Call => self.share.calls,
+            ConnectUse::Check => self.share.total(),
+        };
         let claim = |open: u32| (open < limit).then_some(open + 1);
         self.open
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, claim)
@@ -172,7 +271,7 @@
     /// Closes one idle connection, to make room for a new one. Returns whether there was any.
     pub fn close_idle(&self) -> bool {
         let oldest = {
-            let mut idle = self.idle.lock();
+            let idle = &mut self.pool.lock().idle;
             if idle.is_empty() { None } else { Some(idle.remove(0)) }
         };
         oldest.is_some()
@@ -180,14 +279,52 @@
 
     /// Closes idle connections that have not been used since `unused_since`.
     pub fn close_unused(&self, unused_since: ClockTime) {
-        let mut idle = self.idle.lock();
-        idle.retain(|connection| {
-            !connection.sender.is_closed() && connection.last_answer >= unused_since
+        let closed = {
+            let mut pool = self.pool.lock();
+            let of = |connection: &mut LinkConnection| {
+                connection.sender.is_closed() || connection.last_answer < unused_since
+            };
+            pool.idle.extract_if(.., of).collect::<Vec<_>>()
+        };
+        drop(closed);
+    }
+
+    /// Opens a connection ahead of need if fewer than the usual spare ones are idle. It belongs to
+    /// the current worker.
+    pub fn open_spare(self: &Arc<Self>, timeout: ClockSpan, clock: RealClock) {
+        let wanted = self.open() < self.share.calls
+            && self.pool.lock().idle.len() < SPARE_CONNECTIONS
+            && !self.opening.swap(true, Ordering::Acquire);
+        if !wanted {
+            return;
+        }
+        let link = Arc::clone(self);
+        tokio::spawn(async move {
+            // A failure shows again when a call needs the connection.
+            if let Ok(connection) = link.connect(ConnectUse::Call, timeout, clock).await {
+                connection.into_idle();
+            }
+            link.opening.store(false, Ordering::Release);
         });
     }
 }
 
 impl LinkConnection {
+    /// Returns the link of the connection.
+    pub fn link(&self) -> &Arc<UpstreamLink> {
+        &self.permit.link
+    }
+
+    /// Returns when the connection was opened.
+    pub fn opened(&self) -> ClockTime {
+        self.opened
+    }
+
+    /// Returns whether the connection was opened before the call that uses it.
+    pub fn is_pooled(&self) -> bool {
+        self.pooled
+    }
+
     /// Returns when the connection last showed that it works.
     pub fn proven(&self) -> ClockTime {
         self.last_answer.max(self.opened)
@@ -213,9 +350,10 @@
     }
 
     /// Returns the connection to its link once it can take another request. `context` must belong
-    /// to the task that read the answer to its end.
-    pub fn put_back(mut self, now: ClockTime, context: &mut Context<'_>) {
-        self.last_answer = now;
+    /// to the task that read the answer to its end. `latency` is the time until the head of the
+    /// answer.
+    pub fn put_back(mut self, latency: ClockSpan, now: ClockTime, context: &mut Context<'_>) {
+        self.note_answer(Some(latency), now);
         match self.sender.poll_ready(context) {
             Poll::Ready(Ok(())) => self.into_idle(),
             Poll::Ready(Err(_)) => {}
@@ -225,15 +363,43 @@
         }
     }
 
+    /// Returns the connection to its link after a probe or cancellation, whose latency is not that
+    /// of calls.
+    pub async fn put_back_after_check(mut self, now: ClockTime) {
+        self.note_answer(None, now);
+        self.put_back_when_ready().await;
+    }
+
+    fn note_answer(&mut self, latency: Option<ClockSpan>, now: ClockTime) {
+        self.last_answer = now;
+        let mut pool = self.permit.link.pool.lock();
+        pool.last_news = now.max(pool.last_news);
+        let older =
+            |(at, of): (ClockTime, ClockTime)| self.opened <= of || now.since(at) > HEARD_SPAN;
+        if pool.heard.is_none_or(older) {
+            pool.heard = Some((now, self.opened));
+        }
+        if let Some(latency) = latency {
+            let sample = latency.as_millis_f64();
+            let usual = pool.usual_latency_ms.unwrap_or(sample);
+            pool.usual_latency_ms = Some(usual + (sample - usual) * LATENCY_WEIGHT);
+        }
+    }
+
     async fn put_back_when_ready(mut self) {
         if self.sender.ready().await.is_ok() {
             self.into_idle();
         }
     }
 
-    fn into_idle(self) {
+    /// Makes the connection available to calls, unless it is retired.
+    pub fn into_idle(mut self) {
+        self.pooled = true;
         let link = Arc::clone(&self.permit.link);
-        link.idle.lock().push(self);
+        let mut pool = link.pool.lock();
+        if self.opened >= pool.retired_before {
+            pool.idle.push(self);
+        }
     }
 }
 
@@ -246,16 +412,20 @@
 impl LinkTable {
     /// Adds links to new upstreams and drops those to removed ones. `share` returns the most
     /// connections that this VM may open to an upstream.
-    pub fn apply(&self, environment: &EnvironmentMap, share: impl Fn(&UpstreamServer) -> u32) {
+    pub fn apply(
+        &self,
+        environment: &EnvironmentMap,
+        share: impl Fn(&UpstreamServer) -> ConnectionShare,
+    ) {
         let known = self.links.load();
         let links = environment.upstreams.values().flatten().map(|server| {
-            let limit = share(server);
+            let share = share(server);
             let kept = known
                 .get(&server.name)
-                .filter(|link| link.server.address == server.address && link.limit == limit);
+                .filter(|link| link.server.address == server.address && link.share == share);
             let link = match kept {
                 Some(link) => Arc::clone(link),
-                None => Arc::new(UpstreamLink::new(Arc::clone(server), limit)),
+                None => Arc::new(UpstreamLink::new(Arc::clone(server), share)),
             };
             (server.name.clone(), link)
         });
@@ -267,10 +437,8 @@
         self.links.load().get(upstream).cloned()
     }
 
-    /// Closes connections that have not been used since `unused_since`.
-    pub fn close_unused(&self, unused_since: ClockTime) {
-        for link in self.links.load().values() {
-            link.close_unused(unused_since);
-        }
+    /// Returns all links.
+    pub fn all(&self) -> Vec<Arc<UpstreamLink>> {
+        self.links.load().values().cloned().collect()
     }
 }
--- /dev/null
+++ b/crates/gate/src/maintenance.rs
@@ -0,0 +1,135 @@
+//! Background work of the request path, on a thread of its own.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+
+use base::prelude::*;
+use tokio_util::sync::CancellationToken;
+
+use crate::link::UpstreamLink;
+use crate::state::GateState;
+use crate::watch::UpstreamWatch;
+use crate::{probe, wait};
+
+/// Time between two looks at the waiting calls while there are any.
+const QUEUE_TICK: ClockSpan = ClockSpan::from_millis(2);
+/// Time between two looks at the connections.
+const LINK_TICK: ClockSpan = ClockSpan::from_secs(1);
+/// Time between two looks at the states of the upstreams.
+const WATCH_TICK: ClockSpan = ClockSpan::from_millis(500);
+/// Time between two rounds of probes.
+const PROBE_TICK: ClockSpan = ClockSpan::from_millis(200);
+/// The most probes in a round. Ten a second of about 500 bytes are 5 KB/s, half of the limit of
+/// the control traffic of a VM.
+const PROBES_PER_ROUND: usize = 2;
+/// An upstream that was heard of within this time is not probed. With the longest wait for a round
+/// it keeps a drain mark within the 3 s in which new calls must end.
+const PROBE_SILENCE: ClockSpan = ClockSpan::from_secs(2);
+
+/// The thread of the background work. Stops when it is dropped.
+pub struct MaintenanceThread {
+    stop: CancellationToken,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Starts the background work.
+///
+/// # Errors
+///
+/// Fails if the thread cannot be started.
+pub fn spawn(state: &Arc<GateState>) -> io::Result<MaintenanceThread> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let stop = CancellationToken::new();
+    let (state, stopped) = (Arc::clone(state), stop.clone());
+    let thread = std::thread::Builder::new()
+        .name("maintenance".to_owned())
+        .spawn(move || runtime.block_on(run(&state, &stopped)))?;
+    Ok(MaintenanceThread { stop, thread: Some(thread) })
+}
+
+impl Drop for MaintenanceThread {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has already been printed.
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn run(state: &Arc<GateState>, stopped: &CancellationToken) {
+    tokio::select! {
+        () = stopped.cancelled() => {}
+        () = serve_queue(state) => {}
+        () = keep_links(state) => {}
+        () = watch_upstreams(state) => {}
+        () = probe_upstreams(state) => {}
+    }
+}
+
+async fn serve_queue(state: &Arc<GateState>) {
+    let room = &state.tables.wait;
+    loop {
+        room.until_occupied().await;
+        tokio::time::sleep(QUEUE_TICK.to_duration()).await;
+        room.tell_dropped(state.clock.now());
+        for desk in state.tables.desks.all() {
+            if desk.waiting.load(Ordering::Relaxed) > 0 {
+                wait::serve_waiters(state, &desk);
+            }
+        }
+    }
+}
+
+/// Closes connections before they idle out and keeps one ready for each upstream.
+async fn keep_links(state: &GateState) {
+    let timeouts = &state.options.timeouts;
+    loop {
+        let unused_since = state.clock.now() - timeouts.connection_idle;
+        for link in state.links.all() {
+            link.close_unused(unused_since);
+            // Further ones are opened by the workers, which can then use them without a switch
+            // between threads.
+            if link.open() == 0 {
+                link.open_spare(timeouts.connect, state.clock);
+            }
+        }
+        tokio::time::sleep(LINK_TICK.to_duration()).await;
+    }
+}
+
+async fn watch_upstreams(state: &GateState) {
+    let mut watch = UpstreamWatch::default();
+    loop {
+        watch.update(state, state.clock.now());
+        tokio::time::sleep(WATCH_TICK.to_duration()).await;
+    }
+}
+
+/// Probes the upstreams that were not heard of for the longest time.
+async fn probe_upstreams(state: &GateState) {
+    let mut probed: HashMap<SharedName, ClockTime> = HashMap::new();
+    loop {
+        tokio::time::sleep(PROBE_TICK.to_duration()).await;
+        let now = state.clock.now();
+        let links = state.links.all();
+        probed.retain(|name, _| links.iter().any(|link| link.server().name == *name));
+        let mut silent: Vec<(ClockTime, &Arc<UpstreamLink>)> = links
+            .iter()
+            .map(|link| {
+                let probed = probed.get(&link.server().name).copied().unwrap_or_default();
+                (link.last_news().max(probed), link)
+            })
+            .filter(|(last, _)| now.since(*last) > PROBE_SILENCE)
+            .collect();
+        silent.sort_unstable_by_key(|(last, _)| *last);
+        for (_, link) in silent.into_iter().take(PROBES_PER_ROUND) {
+            let Some(desk) = state.tables.desks.desk(&link.server().service) else { continue };
+            probe::probe(state, &desk, link).await;
+            probed.insert(link.server().name.clone(), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/metrics.rs
@@ -0,0 +1,258 @@
+//! Metrics of the request path, in the format of `prometheus`.
+//!
+//! Labels are services, classes and fixed names only, so that their number stays bounded.
+
+use base::prelude::*;
+use limit::prelude::RefusalKind;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use world::prelude::*;
+
+/// Upper bounds in seconds for the gateway's own time. The target is 0.42 ms.
+const RESIDENCE_BUCKETS: [f64; 13] =
+    [2e-5, 5e-5, 1e-4, 2e-4, 3e-4, 4.2e-4, 6e-4, 1e-3, 2e-3, 5e-3, 2e-2, 0.1, 1.0];
+/// Upper bounds in seconds for the time of upstreams.
+const UPSTREAM_BUCKETS: [f64; 13] =
+    [5e-4, 1e-3, 2e-3, 5e-3, 1e-2, 2e-2, 5e-2, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// The upstream's answer was passed on.
+    Answered,
+    /// The upstream's error was passed on.
+    UpstreamError,
+    /// The gateway reported that the call was not run.
+    NotRun,
+    /// The gateway reported that the call may have been run.
+    Unknown,
+}
+
+impl CallEnd {
+    const ALL: [Self; 4] = [Self::Answered, Self::UpstreamError, Self::NotRun, Self::Unknown];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::UpstreamError => "upstream_error",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// How many upstreams of a service are in each state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamTally {
+    /// Upstreams that take calls.
+    pub usable: i64,
+    /// Upstreams that are ejected.
+    pub ejected: i64,
+    /// Upstreams that are leaving.
+    pub draining: i64,
+    /// Open connections to them.
+    pub connections: i64,
+}
+
+/// The metrics of one service.
+#[derive(Debug)]
+pub struct ServiceMeters {
+    calls: [[IntCounter; CallEnd::ALL.len()]; WorkClass::ALL.len()],
+    residence: Histogram,
+    upstream_time: Histogram,
+    waiting: IntGauge,
+    refusals: [IntCounter; REFUSAL_KINDS.len()],
+    suspects_refused: IntCounter,
+    /// Attempts after the first.
+    pub retries: IntCounter,
+    /// Probes of upstreams.
+    pub probes: IntCounter,
+    probe_micros: IntCounter,
+    /// Connections that were closed because they were silent.
+    pub silent_connections: IntCounter,
+    usable: IntGauge,
+    ejected: IntGauge,
+    draining: IntGauge,
+    connections: IntGauge,
+}
+
+const REFUSAL_KINDS: [RefusalKind; 5] = [
+    RefusalKind::UnknownService,
+    RefusalKind::QueueFull,
+    RefusalKind::DeadlineTooShort,
+    RefusalKind::Overloaded,
+    RefusalKind::Displaced,
+];
+
+impl ServiceMeters {
+    /// Counts a finished call.
+    pub fn count_call(&self, class: WorkClass, end: CallEnd) {
+        self.calls[class.index()][end as usize].inc();
+    }
+
+    /// Records the time that a call spent in the gateway itself.
+    pub fn record_residence(&self, span: ClockSpan) {
+        self.residence.observe(span.as_millis_f64() / 1e3);
+    }
+
+    /// Records the time until the head of an upstream's answer.
+    pub fn record_upstream(&self, span: ClockSpan) {
+        self.upstream_time.observe(span.as_millis_f64() / 1e3);
+    }
+
+    /// Counts a refusal of the queue.
+    pub fn count_refusal(&self, kind: RefusalKind) {
+        if let Some(index) = REFUSAL_KINDS.iter().position(|own| *own == kind) {
+            self.refusals[index].inc();
+        }
+    }
+
+    /// Counts a call that was refused as a suspect.
+    pub fn count_suspect(&self) {
+        self.suspects_refused.inc();
+    }
+
+    /// Counts a probe and the slot time that it may have taken.
+    pub fn count_probe(&self, cost: ClockSpan) {
+        self.probes.inc();
+        self.probe_micros.inc_by(cost.as_hundredths() * 10);
+    }
+
+    /// Sets the gauges.
+    pub fn set_gauges(&self, waiting: usize, tally: UpstreamTally) {
+        self.waiting.set(waiting as i64);
+        self.usable.set(tally.usable);
+        self.ejected.set(tally.ejected);
+        self.draining.set(tally.draining);
+        self.connections.set(tally.connections);
+    }
+}
+
+/// The metrics of the process.
+#[derive(Debug)]
+pub struct GateMetrics {
+    registry: Registry,
+    calls: IntCounterVec,
+    residence: HistogramVec,
+    upstream_time: HistogramVec,
+    waiting: IntGaugeVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    probes: IntCounterVec,
+    probe_micros: IntCounterVec,
+    silent_connections: IntCounterVec,
+    upstreams: IntGaugeVec,
+    connections: IntGaugeVec,
+}
+
+impl Default for GateMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GateMetrics {
+    /// Returns metrics without services.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics of this module have the same name.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("valid names");
+            registry.register(Box::new(counter.clone())).expect("distinct names");
+            counter
+        };
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels).expect("valid names");
+            registry.register(Box::new(gauge.clone())).expect("distinct names");
+            gauge
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = HistogramVec::new(options, &["service"]).expect("valid names");
+            registry.register(Box::new(histogram.clone())).expect("distinct names");
+            histogram
+        };
+        Self {
+            calls: counter(
+                "agateroad_calls_total",
+                "Calls by how they ended.",
+                &["service", "class", "result"],
+            ),
+            residence: histogram(
+                "agateroad_residence_seconds",
+                "Time of a call in the gateway until the head of its answer, less the time of its \
+                 upstreams.",
+                &RESIDENCE_BUCKETS,
+            ),
+            upstream_time: histogram(
+                "agateroad_upstream_seconds",
+                "Time from sending an attempt to the head of its answer.",
+                &UPSTREAM_BUCKETS,
+            ),
+            waiting: gauge("agateroad_waiting_calls", "Calls that wait for a slot.", &["service"]),
+            refusals: counter(
+                "agateroad_refusals_total",
+                "Calls that were refused without being run.",
+                &["service", "kind"],
+            ),
+            retries: counter("agateroad_retries_total", "Attempts after the first.", &["service"]),
+            probes: counter("agateroad_probes_total", "Probes of upstreams.", &["service"]),
+            probe_micros: counter(
+                "agateroad_probe_slot_microseconds_total",
+                "Slot time that probes were charged for.",
+                &["service"],
+            ),
+            silent_connections: counter(
+                "agateroad_silent_connections_total",
+                "Connections that were closed because they were silent while a new one worked.",
+                &["service"],
+            ),
+            upstreams: gauge("agateroad_upstreams", "Upstreams by state.", &["service", "state"]),
+            connections: gauge(
+                "agateroad_upstream_connections",
+                "Open connections to upstreams.",
+                &["service"],
+            ),
+            registry,
+        }
+    }
+
+    /// Returns the handles of a service.
+    pub fn service(&self, service: &str) -> ServiceMeters {
+        let labels = [service];
+        ServiceMeters {
+            calls: WorkClass::ALL.map(|class| {
+                CallEnd::ALL.map(|end| {
+                    self.calls.with_label_values(&[service, class.as_str(), end.as_str()])
+                })
+            }),
+            residence: self.residence.with_label_values(&labels),
+            upstream_time: self.upstream_time.with_label_values(&labels),
+            waiting: self.waiting.with_label_values(&labels),
+            refusals: REFUSAL_KINDS
+                .map(|kind| self.refusals.with_label_values(&[service, kind.as_str()])),
+            suspects_refused: self.refusals.with_label_values(&[service, "suspect"]),
+            retries: self.retries.with_label_values(&labels),
+            probes: self.probes.with_label_values(&labels),
+            probe_micros: self.probe_micros.with_label_values(&labels),
+            silent_connections: self.silent_connections.with_label_values(&labels),
+            usable: self.upstreams.with_label_values(&[service, "usable"]),
+            ejected: self.upstreams.with_label_values(&[service, "ejected"]),
+            draining: self.upstreams.with_label_values(&[service, "draining"]),
+            connections: self.connections.with_label_values(&labels),
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub fn render(&self) -> String {
+        let mut bytes = Vec::new();
+        // Writing to memory fails only for a metric without a name, which `new` rules out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
--- a/crates/gate/src/process.rs
+++ b/crates/gate/src/process.rs
@@ -8,6 +8,7 @@
 use xitca_server::ServerHandle;
 
 use crate::front;
+use crate::maintenance::{self, MaintenanceThread};
 use crate::state::GateState;
 
 /// A gateway that accepts callers. Stops when it is dropped.
@@ -18,6 +19,7 @@
     pub caller_address: SocketAddr,
     handle: ServerHandle,
     thread: Option<JoinHandle<io::Result<()>>>,
+    _maintenance: MaintenanceThread,
 }
 
 impl RunningGate {
@@ -27,13 +29,14 @@
     ///
     /// Fails if an address cannot be bound or a thread cannot be started.
     pub fn start(state: Arc<GateState>) -> io::Result<Self> {
+        let maintenance = maintenance::spawn(&state)?;
         let mut front = front::bind(Arc::clone(&state))?;
         let handle = front.future.handle()?;
         let caller_address = front.address;
         let thread = std::thread::Builder::new()
             .name("callers".to_owned())
             .spawn(move || front.future.wait())?;
-        Ok(Self { state, caller_address, handle, thread: Some(thread) })
+        Ok(Self { state, caller_address, handle, thread: Some(thread), _maintenance: maintenance })
     }
 }
 
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use futures_util::future::poll_fn;
+use http::StatusCode;
 use http_body::{Frame, SizeHint};
 use snafu::Snafu;
 use tokio::sync::mpsc;
@@ -26,6 +27,16 @@
     TooSlow,
 }
 
+impl RelayError {
+    /// Returns the status that tells the caller.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::Truncated => StatusCode::BAD_REQUEST,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
 /// A request body that can be sent from any worker.
 #[derive(Debug)]
 pub enum RelayBody {
--- /dev/null
+++ b/crates/gate/src/silence.rs
@@ -0,0 +1,85 @@
+//! Detection of old connections that stopped responding while new ones work.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use world::prelude::*;
+
+use crate::desk::ServiceDesk;
+use crate::link::{LinkConnection, UpstreamLink};
+use crate::state::GateState;
+use crate::{event, probe};
+
+/// A call without an answer for this multiple of the usual latency makes its connection suspect.
+const SILENCE_FACTOR: f64 = 8.0;
+/// The shortest time without an answer that makes a connection suspect, as short calls vary by
+/// more than `SILENCE_FACTOR`.
+const SILENCE_FLOOR: ClockSpan = ClockSpan::from_millis(100);
+/// The floor is at most this part of the time that the call has left, so that a retry fits in.
+const SILENCE_PART: f64 = 0.25;
+/// The factor by which the time until the next check grows.
+const CHECK_GROWTH: f64 = 2.0;
+
+/// Watches a call on a connection that was opened before the call.
+pub struct SilenceWatch {
+    link: Arc<UpstreamLink>,
+    opened: ClockTime,
+    sent: ClockTime,
+    interval: ClockSpan,
+    next: ClockTime,
+}
+
+impl SilenceWatch {
+    /// Returns a watch, or `None` for new connections and as long as the usual latency is unknown.
+    pub fn start(
+        connection: &LinkConnection,
+        request: &CallerRequest,
+        sent: ClockTime,
+    ) -> Option<Self> {
+        let link = connection.link();
+        let usual = link.usual_latency().filter(|_| connection.is_pooled())?;
+        let floor = SILENCE_FLOOR.min(request.deadline.since(sent).scaled(SILENCE_PART));
+        let interval = usual.scaled(SILENCE_FACTOR).max(floor);
+        let opened = connection.opened();
+        Some(Self { link: Arc::clone(link), opened, sent, interval, next: sent + interval })
+    }
+
+    /// Returns the time of the next check.
+    pub const fn next(&self) -> ClockTime {
+        self.next
+    }
+
+    /// Returns whether the connection is silent while new ones work.
+    pub async fn check(&mut self, state: &GateState, desk: &ServiceDesk) -> bool {
+        let silent = self.is_silent(state, desk).await;
+        self.interval = self.interval.scaled(CHECK_GROWTH);
+        self.next = state.clock.now() + self.interval;
+        silent
+    }
+
+    async fn is_silent(&self, state: &GateState, desk: &ServiceDesk) -> bool {
+        if self.link.is_retired(self.opened) {
+            return true;
+        }
+        // A connection of the same age that answered shows that this call merely takes long.
+        if self.link.has_heard(self.opened, self.sent) {
+            return false;
+        }
+        let Some(_permit) = self.link.start_check() else { return false };
+        let Some(fresh) = probe::check_fresh(state, desk, &self.link).await else {
+            return false;
+        };
+        if self.link.has_heard(self.opened, self.sent) {
+            return false;
+        }
+        let idle = self.link.retire(fresh);
+        desk.meters.silent_connections.inc_by(idle as u64 + 1);
+        tracing::warn!(
+            event = event::SILENT_CONNECTIONS,
+            upstream = %self.link.server().name,
+            idle,
+            "connections stopped responding while a new one works; they are closed"
+        );
+        true
+    }
+}
--- /dev/null
+++ b/crates/gate/src/slot.rs
@@ -0,0 +1,118 @@
+//! A call's place on an upstream and within the adaptive limit.
+
+use std::fmt;
+use std::sync::Arc;
+
+use base::prelude::*;
+use limit::prelude::*;
+use route::prelude::*;
+
+use crate::desk::ServiceDesk;
+use crate::state::GateState;
+use crate::{wait, worker};
+
+/// Why a call got no slot.
+#[derive(Debug)]
+pub enum NoSlot {
+    /// This VM has as many calls in flight to the service as its adaptive limit allows.
+    Limit,
+    /// Every usable upstream is full.
+    Full,
+    /// No upstream can be used, so waiting does not help.
+    Unavailable(NoUpstream),
+}
+
+/// A reserved slot. Frees its place and serves the next waiter when it ends.
+pub struct CallSlot {
+    state: Arc<GateState>,
+    desk: Arc<ServiceDesk>,
+    ticket: Option<UpstreamTicket>,
+}
+
+impl CallSlot {
+    /// Reserves a slot.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the call can wait for one.
+    pub fn acquire(
+        state: &Arc<GateState>,
+        desk: &Arc<ServiceDesk>,
+        avoid: &[SharedName],
+        now: ClockTime,
+    ) -> Result<Self, NoSlot> {
+        let limits = &state.tables.limits;
+        if !limits.try_start(&desk.name, now) {
+            return Err(NoSlot::Limit);
+        }
+        let policy = &state.options.policy;
+        let reserved = worker::with_random(|random| {
+            state.upstreams.reserve(policy, &desk.name, avoid, now, random)
+        });
+        match reserved {
+            Ok(ticket) => {
+                let (state, desk) = (Arc::clone(state), Arc::clone(desk));
+                Ok(Self { state, desk, ticket: Some(ticket) })
+            }
+            Err(error) => {
+                limits.finish(&desk.name, LimitSignal::Neutral, now);
+                Err(if error.is_full() { NoSlot::Full } else { NoSlot::Unavailable(error) })
+            }
+        }
+    }
+
+    /// Returns the name of the upstream.
+    pub fn upstream(&self) -> Option<&SharedName> {
+        self.ticket.as_ref().map(UpstreamTicket::upstream)
+    }
+
+    /// Returns the desk of the service.
+    pub fn desk(&self) -> &Arc<ServiceDesk> {
+        &self.desk
+    }
+
+    /// Records how the call ended and frees the slot.
+    pub fn finish(mut self, outcome: CallOutcome) {
+        let Some(ticket) = self.ticket.take() else { return };
+        let now = self.state.clock.now();
+        let tables = &self.state.tables;
+        let service = &self.desk.name;
+        self.state.upstreams.finish(ticket, outcome, now);
+        tables.limits.finish(service, limit_signal(&outcome), now);
+        if outcome.result == CallResult::Success {
+            tables.wait.queue.record_call(service, outcome.latency, now);
+            tables.retries.record_call(service, outcome.latency, now);
+        }
+        wait::serve_waiters(&self.state, &self.desk);
+    }
+}
+
+fn limit_signal(outcome: &CallOutcome) -> LimitSignal {
+    match outcome.result {
+        CallResult::Success => LimitSignal::Response(outcome.latency),
+        CallResult::Shed => LimitSignal::Shed,
+        CallResult::TimedOut => LimitSignal::TimedOut,
+        // Errors are often faster than the work and would lower the baseline.
+        CallResult::ServerError
+        | CallResult::ConnectFailed
+        | CallResult::ConnectionLost
+        | CallResult::Cancelled => LimitSignal::Neutral,
+    }
+}
+
+impl Drop for CallSlot {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            drop(ticket);
+            let now = self.state.clock.now();
+            self.state.tables.limits.finish(&self.desk.name, LimitSignal::Neutral, now);
+            wait::serve_waiters(&self.state, &self.desk);
+        }
+    }
+}
+
+impl fmt::Debug for CallSlot {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("CallSlot").field("ticket", &self.ticket).finish_non_exhaustive()
+    }
+}
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -6,11 +6,13 @@
 use arc_swap::ArcSwap;
 use base::prelude::*;
 use http::HeaderValue;
+use limit::prelude::{ConnectionShare, VmCounts};
 use route::prelude::*;
 use world::prelude::*;
 
 use crate::link::LinkTable;
 use crate::options::GateOptions;
+use crate::tables::CallTables;
 
 /// Everything that a call needs besides itself.
 pub struct GateState {
@@ -24,6 +26,8 @@
     pub upstreams: UpstreamTable,
     /// The connections to the upstreams.
     pub links: LinkTable,
+    /// What decides when and whether a call runs.
+    pub tables: CallTables,
     /// Whether the gateway is leaving.
     pub draining: AtomicBool,
     next_call: AtomicU64,
@@ -34,12 +38,14 @@
     pub fn new(options: GateOptions, environment: EnvironmentMap) -> Self {
         let clock = RealClock::new();
         let upstreams = UpstreamTable::new(options.vm.centre.clone()).with_vm(&options.vm.name);
+        let tables = CallTables::new(&options.vm, rand::random());
         let state = Self {
             options,
             clock,
             environment: ArcSwap::from_pointee(environment),
             upstreams,
             links: LinkTable::default(),
+            tables,
             draining: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
         };
@@ -55,7 +61,9 @@
 
     fn refresh_tables(&self) {
         let environment = self.environment.load();
-        self.upstreams.apply(&environment, self.clock.now());
+        let now = self.clock.now();
+        self.upstreams.apply(&environment, now);
+        self.tables.apply(&environment, now);
         self.links.apply(&environment, |server| connection_share(&environment, server));
     }
 
@@ -66,15 +74,10 @@
         let text = format!("{}-{:x}-{:x}", vm.name, vm.incarnation, number);
         HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from(number))
     }
-
-    /// Records the outcome of a call and frees its place.
-    pub fn finish_call(&self, ticket: UpstreamTicket, outcome: CallOutcome) {
-        self.upstreams.finish(ticket, outcome, self.clock.now());
-    }
 }
 
 /// Divides an upstream's connections among the most VMs that may run.
-fn connection_share(environment: &EnvironmentMap, server: &UpstreamServer) -> u32 {
+fn connection_share(environment: &EnvironmentMap, server: &UpstreamServer) -> ConnectionShare {
     let ceiling = environment.contract(&server.service).map_or(1, |contract| contract.vm_ceiling);
-    (server.connections / ceiling.max(1)).max(1)
+    ConnectionShare::of(server.connections, ceiling, VmCounts::default())
 }
--- /dev/null
+++ b/crates/gate/src/tables.rs
@@ -0,0 +1,73 @@
+//! The decision tables of the request path.
+
+use base::prelude::*;
+use limit::prelude::*;
+use suspect::prelude::*;
+use world::prelude::*;
+
+use crate::desk::DeskTable;
+use crate::metrics::GateMetrics;
+use crate::wait::WaitRoom;
+
+/// The most crash notices that are kept until they are sent. `SuspectTable::export` makes up for
+/// dropped ones.
+const MAX_CRASH_NOTICES: usize = 256;
+
+/// Tables that decide when and whether a call runs.
+#[derive(Debug)]
+pub struct CallTables {
+    /// Calls that wait for a slot.
+    pub wait: WaitRoom,
+    /// The most calls in flight to each service.
+    pub limits: AdaptiveLimit,
+    /// Retry tokens.
+    pub retries: RetryBudget,
+    /// Measuring tokens.
+    pub probes: ProbeBudget,
+    /// Requests that crash upstreams.
+    pub suspects: SuspectTable,
+    /// State of each service.
+    pub desks: DeskTable,
+    /// The metrics of the process.
+    pub metrics: GateMetrics,
+    crash_notices: RankedMutex<Vec<SuspectNotice>>,
+}
+
+impl CallTables {
+    /// Returns tables without services. The seed feeds the jitter of repeat times.
+    pub fn new(vm: &VmIdentity, seed: u64) -> Self {
+        Self {
+            wait: WaitRoom::new(seed),
+            limits: AdaptiveLimit::new(AdaptiveTuning::default()),
+            retries: RetryBudget::new(RetryTuning::default()),
+            probes: ProbeBudget::new(ProbeTuning::default()),
+            suspects: SuspectTable::new(vm.name.clone(), SuspectTuning::default()),
+            desks: DeskTable::default(),
+            metrics: GateMetrics::new(),
+            crash_notices: RankedMutex::new(LockRank::SuspectTable, Vec::new()),
+        }
+    }
+
+    /// Follows a version of the environment.
+    pub fn apply(&self, environment: &EnvironmentMap, now: ClockTime) {
+        self.wait.queue.apply(environment, now);
+        self.limits.apply(environment, now);
+        self.retries.apply(environment, now);
+        self.probes.apply(environment, now);
+        self.suspects.apply(environment, now);
+        self.desks.apply(environment, &self.metrics);
+    }
+
+    /// Keeps notices of a crash for the other VMs.
+    pub fn add_crash_notices(&self, notices: Vec<SuspectNotice>) {
+        let mut kept = self.crash_notices.lock();
+        kept.extend(notices);
+        let surplus = kept.len().saturating_sub(MAX_CRASH_NOTICES);
+        kept.drain(..surplus);
+    }
+
+    /// Returns the notices of crashes since the last call, to be sent to all VMs.
+    pub fn take_crash_notices(&self) -> Vec<SuspectNotice> {
+        std::mem::take(&mut self.crash_notices.lock())
+    }
+}
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -12,6 +12,9 @@
 use crate::error::{TrialError, WriteFileSnafu};
 use crate::process::{self, ChildProcess};
 
+/// The file in the folder of a gateway that holds its log.
+const LOG_FILE: &str = "log";
+
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
 /// What differs between gateways of a test.
@@ -25,6 +28,8 @@
     pub workers: u32,
     /// The time limits, in the form of the settings.
     pub timeouts: Value,
+    /// Where the platform answers.
+    pub platform_address: SocketAddr,
     /// More command-line arguments.
     pub arguments: Vec<String>,
 }
@@ -36,6 +41,7 @@
             centre: "medeu",
             workers: 2,
             timeouts: json!({}),
+            platform_address: ([127, 0, 0, 1], 1).into(),
             arguments: Vec::new(),
         }
     }
@@ -74,13 +80,30 @@
             vec!["--settings".to_owned(), settings_path, "--document".to_owned(), document_path];
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
-        let (process, ready): (_, ReadyLine) = ChildProcess::start(&path, &arguments)?;
+        let log = folder.join(LOG_FILE);
+        let (process, ready): (_, ReadyLine) = ChildProcess::start_logged(&path, &arguments, &log)?;
         Ok(Self { caller_address: ready.caller_address, process, folder })
     }
 }
 
+impl GateProcess {
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join(LOG_FILE)).unwrap_or_default()
+    }
+
+    /// Returns how often the process has logged an event.
+    pub fn logged(&self, event: u32) -> usize {
+        let mark = format!("\"event\":{event},");
+        self.log().lines().filter(|line| line.contains(&mark)).count()
+    }
+}
+
 impl Drop for GateProcess {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("log of the gateway:\n{}", self.log());
+        }
         // A folder that is left behind does no harm.
         let _ = std::fs::remove_dir_all(&self.folder);
     }
@@ -100,11 +123,11 @@
             "caller_address": "127.0.0.1:0",
             "control_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
-            "platform_address": "127.0.0.1:1",
+            "platform_address": self.platform_address,
             "peer_secrets": ["a-peer-secret-of-the-tests"],
             "operator_secrets": ["an-operator-secret-of-the-tests"],
             "worker_count": self.workers,
-            "log_format": "text",
+            "log_format": "json",
             "log_level": "warn",
             "timeouts": self.timeouts,
         });
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -1,5 +1,6 @@
 //! Child processes that print one JSON line when they are ready.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -7,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
 
-use crate::error::{MissingSnafu, NotReadySnafu, StartSnafu, TrialError};
+use crate::error::{MissingSnafu, NotReadySnafu, StartSnafu, TrialError, WriteFileSnafu};
 
 /// A child process. Dropping it kills it.
 #[derive(Debug)]
@@ -25,10 +26,33 @@
     pub fn start<T: DeserializeOwned>(
         path: &Path,
         arguments: &[String],
+    ) -> Result<(Self, T), TrialError> {
+        Self::start_with(path, arguments, Stdio::inherit())
+    }
+
+    /// As [`ChildProcess::start`], with the log in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails also if the file cannot be created.
+    pub fn start_logged<T: DeserializeOwned>(
+        path: &Path,
+        arguments: &[String],
+        log: &Path,
+    ) -> Result<(Self, T), TrialError> {
+        let file = File::create(log).context(WriteFileSnafu { path: log })?;
+        Self::start_with(path, arguments, Stdio::from(file))
+    }
+
+    fn start_with<T: DeserializeOwned>(
+        path: &Path,
+        arguments: &[String],
+        log: Stdio,
     ) -> Result<(Self, T), TrialError> {
         ensure!(path.exists(), MissingSnafu { path });
         let mut child = Command::new(path)
             .args(arguments)
+            .stderr(log)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
--- /dev/null
+++ b/crates/trial/tests/request_path.rs
@@ -0,0 +1,271 @@
+//! The request path of gateway processes in front of failing upstreams.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::json;
+use stand::prelude::*;
+use tokio::task::JoinSet;
+use trial::prelude::*;
+
+const SERVICE: &str = "phase-desk";
+/// Calls of a series, enough for the success share of the objective to be a whole number.
+const SERIES_CALLS: usize = 1000;
+/// The success share that the test documents state.
+const SUCCESS_SHARE: f64 = 0.999;
+const EJECTED: u32 = 1201;
+const SILENT_CONNECTIONS: u32 = 1006;
+
+/// Never ends by itself within a test.
+const LONG_MS: u64 = 600_000;
+
+fn rules() -> serde_json::Value {
+    json!([
+        { "path_prefix": "/book", "idempotent": false, "class": "normal" },
+        { "path_prefix": "/", "idempotent": true, "class": "urgent" },
+    ])
+}
+
+fn service(addresses: &[SocketAddr]) -> TrialService {
+    let upstreams = addresses.iter().map(|address| ("medeu", *address)).collect();
+    let service = TrialService::idempotent(SERVICE, upstreams);
+    TrialService { rules: rules(), vm_ceiling: 3, ..service }
+}
+
+/// Gateways and the platform that they need for non-idempotent work.
+struct TestBed {
+    gates: Vec<GateProcess>,
+    _platform: PlatformStand,
+}
+
+impl TestBed {
+    async fn start(service: TrialService, gates: usize) -> Self {
+        Self::start_with(service, gates, Vec::new()).await
+    }
+
+    async fn start_with(service: TrialService, gates: usize, arguments: Vec<String>) -> Self {
+        let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+        let document = TrialDocument { services: vec![service] };
+        let start = |index: usize| {
+            let settings = GateSettings {
+                vm_name: format!("vm-{}", index + 1),
+                platform_address: platform.address(),
+                arguments: arguments.clone(),
+                ..GateSettings::default()
+            };
+            GateProcess::start(&settings, &document).expect("the gateway starts")
+        };
+        Self { gates: (0..gates).map(start).collect(), _platform: platform }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.gates[0].caller_address
+    }
+}
+
+async fn stands(plans: Vec<UpstreamPlan>) -> Vec<UpstreamStand> {
+    let mut stands = Vec::new();
+    for plan in plans {
+        stands.push(UpstreamStand::start(plan).await.expect("the upstream starts"));
+    }
+    stands
+}
+
+fn addresses(stands: &[UpstreamStand]) -> Vec<SocketAddr> {
+    stands.iter().map(UpstreamStand::address).collect()
+}
+
+async fn call(
+    client: &TestClient,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    nonce: &str,
+) -> CallAnswer {
+    let headers = [("x-test-nonce", nonce)];
+    let answer = client.call(method, address, SERVICE, path, &headers, Bytes::new()).await;
+    answer.expect("an answer")
+}
+
+fn executions(stands: &[UpstreamStand], nonce: &str) -> u32 {
+    stands.iter().map(|stand| stand.counts().of_nonce(nonce)).sum()
+}
+
+struct FailureCase {
+    policy: &'static str,
+    retry_ratio: f64,
+    /// Whether the success share of the objective is reached.
+    reached: bool,
+}
+
+/// Guards against an upstream that fails fast and so looks the least loaded. The last case shows
+/// that the choice must take failures into account.
+#[tokio::test]
+async fn a_fast_failing_upstream_does_not_reduce_goodput() {
+    let cases = [
+        FailureCase { policy: "expected-cost", retry_ratio: 0.2, reached: true },
+        FailureCase { policy: "expected-cost", retry_ratio: 0.0, reached: true },
+        FailureCase { policy: "least-in-flight", retry_ratio: 0.0, reached: false },
+    ];
+    for case in cases {
+        let good = UpstreamPlan::default();
+        let bad = UpstreamPlan { mode: UpstreamMode::FailFast, ..UpstreamPlan::default() };
+        let stands = stands(vec![bad, good.clone(), good]).await;
+        let service =
+            TrialService { retry_ratio: case.retry_ratio, ..service(&addresses(&stands)) };
+        let arguments = vec!["--policy".to_owned(), case.policy.to_owned()];
+        let bed = TestBed::start_with(service, 1, arguments).await;
+        let client = TestClient::default();
+        let mut succeeded = 0;
+        for index in 0..SERIES_CALLS {
+            let path = format!("/phase/{index}");
+            let answer = call(&client, bed.address(), Method::GET, &path, "series").await;
+            succeeded += usize::from(answer.status == StatusCode::OK);
+        }
+        let reached = succeeded as f64 >= SERIES_CALLS as f64 * SUCCESS_SHARE;
+        assert_eq!(reached, case.reached, "{}: {succeeded} of {SERIES_CALLS}", case.policy);
+        assert!(stands[0].counts().failed_fast > 0, "no call reached the failing upstream");
+    }
+}
+
+/// Guards against new work at an upstream that announced that it is leaving. A gateway learns of
+/// it from the answer to at most one call.
+#[tokio::test]
+async fn a_draining_upstream_gets_no_call_after_its_mark_is_seen() {
+    let stands = stands(vec![UpstreamPlan::default(); 3]).await;
+    let bed = TestBed::start(service(&addresses(&stands)), 3).await;
+    let client = TestClient::default();
+    let drain = DrainPlan { health_fails_after_ms: LONG_MS, grace_ms: LONG_MS };
+    stands[0].update(|plan| plan.drain = Some(drain));
+    for gate in &bed.gates {
+        for index in 0..100 {
+            let path = format!("/phase/{index}");
+            let answer = call(&client, gate.caller_address, Method::GET, &path, "drain").await;
+            assert_eq!(answer.status, StatusCode::OK);
+            assert_eq!(answer.header("agateroad-drain"), "");
+        }
+    }
+    let late = stands[0].counts().arrived_draining;
+    assert!(late <= bed.gates.len() as u64, "{late} calls reached the leaving upstream");
+}
+
+/// Guards against calls that are lost, or upstreams that are ejected, because old connections
+/// stopped responding.
+#[tokio::test]
+async fn silent_connections_are_replaced() {
+    let stands = stands(vec![UpstreamPlan::default()]).await;
+    let plan = ProxyPlan { target: stands[0].address(), ..ProxyPlan::default() };
+    let proxy = FaultProxy::start(plan).await.expect("the proxy starts");
+    // The objective keeps calls that wait behind silent ones from being refused as overload.
+    let service = TrialService { objective_ms: 5_000, ..service(&[proxy.address()]) };
+    let bed = TestBed::start(service, 1).await;
+    let client = TestClient::default();
+    let address = bed.address();
+    call(&client, address, Method::GET, "/phase/0", "first").await;
+    proxy.silence_open();
+    let mut callers = JoinSet::new();
+    for index in 0..4 {
+        let client = client.clone();
+        callers.spawn(async move {
+            let path = format!("/phase/{index}");
+            call(&client, address, Method::GET, &path, "silent").await
+        });
+    }
+    for answer in callers.join_all().await {
+        assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+    }
+    for index in 0..20 {
+        let nonce = format!("booking-{index}");
+        let answer = call(&client, address, Method::POST, "/book", &nonce).await;
+        assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+        assert_eq!(executions(&stands, &nonce), 1);
+    }
+    assert!(bed.gates[0].logged(SILENT_CONNECTIONS) > 0, "no connections were retired");
+    assert_eq!(bed.gates[0].logged(EJECTED), 0, "the upstream was ejected");
+}
+
+struct ShedCase {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+}
+
+/// Guards against calls that fail although another upstream has a slot, and against a retry that
+/// runs a call twice.
+#[tokio::test]
+async fn a_shed_call_runs_once_on_another_upstream() {
+    let cases = [
+        ShedCase { name: "idempotent", method: Method::GET, path: "/phase" },
+        ShedCase { name: "non-idempotent", method: Method::POST, path: "/book" },
+    ];
+    for case in cases {
+        let full = UpstreamPlan { slots: 0, queue_limit: 0, ..UpstreamPlan::default() };
+        let full = UpstreamPlan { load: LoadAnswer::Silent, ..full };
+        let stands = stands(vec![full, UpstreamPlan::default()]).await;
+        let bed = TestBed::start(service(&addresses(&stands)), 1).await;
+        let client = TestClient::default();
+        for index in 0..20 {
+            let nonce = format!("shed-{index}");
+            let answer = call(&client, bed.address(), case.method.clone(), case.path, &nonce).await;
+            assert_eq!(answer.status, StatusCode::OK, "{}: {:?}", case.name, answer.body);
+            assert_eq!(executions(&stands, &nonce), 1, "{}", case.name);
+        }
+        assert!(stands[0].counts().shed > 0, "{}: no call was shed", case.name);
+    }
+}
+
+/// Guards against a request that takes down one upstream after the other while its caller repeats
+/// it.
+#[tokio::test]
+async fn a_repeated_crashing_request_is_refused() {
+    let plan = UpstreamPlan { restart_ms: Some(20), ..UpstreamPlan::default() };
+    let stands = stands(vec![plan; 6]).await;
+    let bed = TestBed::start(service(&addresses(&stands)), 1).await;
+    let client = TestClient::default();
+    let mut refused = 0;
+    for _ in 0..200 {
+        let answer = call(&client, bed.address(), Method::GET, "/phase?crash=1", "crash").await;
+        assert_ne!(answer.status, StatusCode::OK);
+        let outcome = answer.header("agateroad-outcome").to_owned();
+        refused += usize::from(outcome == "not-run");
+    }
+    let crashes: u64 = stands.iter().map(|stand| stand.counts().crashes).sum();
+    assert!((1..=3).contains(&crashes), "{crashes} crashes");
+    assert!(refused > 0, "the request was never refused");
+}
+
+/// Guards against refusals that are wrong about the call, or that do not say when to come back.
+#[tokio::test]
+async fn a_refused_call_was_not_run() {
+    let service_time = ServiceTime::Fixed { ms: 20.0 };
+    let plan =
+        UpstreamPlan { slots: 1, queue_limit: 0, service: service_time, ..UpstreamPlan::default() };
+    let stands = stands(vec![plan]).await;
+    let service =
+        TrialService { slots: 1, queue_limit: 4, vm_ceiling: 1, ..service(&addresses(&stands)) };
+    let bed = TestBed::start(service, 1).await;
+    let address = bed.address();
+    let mut callers = JoinSet::new();
+    for index in 0..60 {
+        callers.spawn(async move {
+            let nonce = format!("refused-{index}");
+            let client = TestClient::default();
+            (call(&client, address, Method::GET, "/phase", &nonce).await, nonce)
+        });
+    }
+    let mut refused = 0;
+    for (answer, nonce) in callers.join_all().await {
+        let runs = executions(&stands, &nonce);
+        if answer.status == StatusCode::OK {
+            assert_eq!(runs, 1);
+            continue;
+        }
+        refused += 1;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{:?}", answer.body);
+        assert_eq!(answer.header("agateroad-outcome"), "not-run");
+        assert!(answer.header("retry-after").parse::<u64>().is_ok_and(|seconds| seconds > 0));
+        assert_eq!(runs, 0);
+    }
+    assert!(refused > 0, "no call was refused");
+}
