--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -11,9 +11,10 @@
 use serde::Serialize;
 
 use crate::body::StandBody;
+use crate::hold::SlotHold;
 use crate::plan::{UpstreamMode, UpstreamPlan};
 use crate::scan::{CRASH_MARKER, MarkerScan};
-use crate::state::{Admission, QueueFate, SlotHold, UpstreamCore, WorkLabel};
+use crate::state::{Admission, QueueFate, UpstreamCore, WorkLabel};
 use crate::web::{self, ConnectionCut};
 
 const CANCEL_PREFIX: &str = "/agateroad/cancel/";
@@ -267,7 +268,9 @@
         }
         (&Method::POST, "/admin/plan") => {
             let Some(patch) = web::read_all(body).await else { return Err(ConnectionCut) };
-            web::changed(web::merge(&*core.plan(), &patch), |plan| core.set_plan(plan))
+            let mut outcome = Ok(());
+            core.update(|plan| outcome = web::merge(plan, &patch));
+            web::changed(outcome)
         }
         _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
     })
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -20,7 +20,7 @@
     core: Arc<UpstreamCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl UpstreamStand {
@@ -36,20 +36,8 @@
         let core = UpstreamCore::new(plan, control);
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(core.clone(), port));
-        let admin_core = core.clone();
-        tasks.spawn(async move {
-            admin_port
-                .run(|stream, cut| {
-                    let core = admin_core.clone();
-                    tokio::spawn(web::serve(stream, cut, move |request| {
-                        answer::administer(core.clone(), request)
-                    }));
-                })
-                .await;
-            // The port closes with its control, which therefore lives as long.
-            drop(admin_control);
-        });
-        Ok(Self { core, address, admin_address, _tasks: tasks })
+        tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), answer::administer));
+        Ok(Self { core, address, admin_address, tasks })
     }
 
     /// Returns the address for requests.
@@ -69,14 +57,12 @@
 
     /// Puts a plan into force. Addresses and the seed stay as they were.
     pub fn set_plan(&self, plan: UpstreamPlan) {
-        self.core.set_plan(plan);
+        self.core.update(|own| *own = plan);
     }
 
     /// Changes some fields of the plan in force.
     pub fn update(&self, change: impl FnOnce(&mut UpstreamPlan)) {
-        let mut plan = self.plan();
-        change(&mut plan);
-        self.core.set_plan(plan);
+        self.core.update(change);
     }
 
     /// Returns the counters.
@@ -108,6 +94,12 @@
     pub fn restart(&self) {
         self.core.restart(None);
     }
+
+    /// Stops and waits until the addresses are free for another listener. A process that is being
+    /// started at the same moment may hold them a little longer, until its exec.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 impl Drop for UpstreamStand {
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -1,8 +1,9 @@
-//! HTTP over a [`StandPort`](crate::port::StandPort).
+//! HTTP over a [`StandPort`].
 
 use std::borrow::Cow;
 use std::fmt;
 use std::future::Future;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -20,7 +21,7 @@
 
 use crate::body::StandBody;
 use crate::error::{PlanSnafu, StandError};
-use crate::port::CutSignal;
+use crate::port::{CutSignal, PortControl, StandPort};
 
 /// Bounds the bodies of admin and platform calls.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
@@ -52,6 +53,26 @@
     }
 }
 
+/// Serves every connection of a port. The port closes with its control, which therefore lives as
+/// long.
+pub(crate) async fn serve_port<S, F, R>(
+    port: StandPort,
+    control: PortControl,
+    state: Arc<S>,
+    handler: F,
+) where
+    S: Send + Sync + 'static,
+    F: Fn(Arc<S>, Request<Incoming>) -> R + Copy + Send + Sync + 'static,
+    R: Future<Output = Result<Response<StandBody>, ConnectionCut>> + Send + 'static,
+{
+    port.run(|stream, cut| {
+        let state = state.clone();
+        tokio::spawn(serve(stream, cut, move |request| handler(state.clone(), request)));
+    })
+    .await;
+    drop(control);
+}
+
 /// Returns an answer with a short body.
 pub fn plain(status: StatusCode, text: &'static str) -> Response<StandBody> {
     let mut answer = Response::new(StandBody::from(text));
@@ -81,29 +102,30 @@
     serde_json::from_slice(body).context(PlanSnafu)
 }
 
-/// Applies a change that was read from a body, and answers with its error if there is one.
-pub fn changed<T>(change: Result<T, StandError>, apply: impl FnOnce(T)) -> Response<StandBody> {
-    match change {
-        Ok(change) => {
-            apply(change);
-            plain(StatusCode::OK, "changed")
-        }
+/// Answers an admin call that changes something.
+pub fn changed(outcome: Result<(), StandError>) -> Response<StandBody> {
+    match outcome {
+        Ok(()) => plain(StatusCode::OK, "changed"),
         Err(error) => json(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-/// Returns `value` with the top-level fields of the JSON object `patch` in place of its own.
+/// Replaces the top-level fields of `value` that the JSON object `patch` names.
 ///
 /// # Errors
 ///
-/// Fails if the result is not a valid `T`.
-pub fn merge<T: DeserializeOwned + Serialize>(value: &T, patch: &[u8]) -> Result<T, StandError> {
-    let mut merged = serde_json::to_value(value).context(PlanSnafu)?;
+/// Fails without a change if the result is not a valid `T`.
+pub fn merge<T: DeserializeOwned + Serialize>(
+    value: &mut T,
+    patch: &[u8],
+) -> Result<(), StandError> {
+    let mut merged = serde_json::to_value(&*value).context(PlanSnafu)?;
     let patch: Map<String, Value> = serde_json::from_slice(patch).context(PlanSnafu)?;
     if let Some(fields) = merged.as_object_mut() {
         fields.extend(patch);
     }
-    serde_json::from_value(merged).context(PlanSnafu)
+    *value = serde_json::from_value(merged).context(PlanSnafu)?;
+    Ok(())
 }
 
 /// Reads a whole body, or returns `None` if it is broken or too long.
