--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -27,8 +27,7 @@
         long,
         env("AGATECTL_ENVIRONMENT"),
         argument::<String>("NAME"),
-        guard(is_name, NAME_RULE),
-        map(SharedName::from)
+        parse(parse_name)
     )]
     pub environment: SharedName,
     /// Environment where documents are tried; the default adds -trial to the other name
@@ -36,8 +35,7 @@
         long,
         env("AGATECTL_TRIAL"),
         argument::<String>("NAME"),
-        guard(is_name, NAME_RULE),
-        map(SharedName::from),
+        parse(parse_name),
         optional
     )]
     pub trial: Option<SharedName>,
@@ -46,8 +44,7 @@
         long,
         env("AGATECTL_AUTHOR"),
         argument::<String>("NAME"),
-        guard(is_name, NAME_RULE),
-        map(SharedName::from),
+        parse(parse_name),
         fallback(SharedName::from("operator"))
     )]
     pub author: SharedName,
@@ -65,11 +62,12 @@
 const NAME_RULE: &str =
     "a name has 1 to 63 lower-case letters, digits, -, _ and ., and starts with a letter or digit";
 
-fn is_name(name: &String) -> bool {
+fn parse_name(name: String) -> Result<SharedName, &'static str> {
     let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
-    name.len() <= MAX_NAME_BYTES
+    let valid = name.len() <= MAX_NAME_BYTES
         && name.bytes().next().is_some_and(allowed)
-        && name.bytes().all(|byte| allowed(byte) || b"-_.".contains(&byte))
+        && name.bytes().all(|byte| allowed(byte) || b"-_.".contains(&byte));
+    if valid { Ok(SharedName::from(name)) } else { Err(NAME_RULE) }
 }
 
 /// A connection to the platform on behalf of an operator.
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -30,17 +30,17 @@
     #[bpaf(external)]
     vm_arguments: VmArguments,
     /// The digest that try and check print
-    #[bpaf(
-        positional::<String>("DIGEST"),
-        guard(is_digest, "a digest has 64 digits from 0 to 9 and a to f, as check prints it"),
-        map(SharedName::from)
-    )]
+    #[bpaf(positional::<String>("DIGEST"), parse(parse_digest))]
     digest: SharedName,
 }
 
-fn is_digest(text: &String) -> bool {
+fn parse_digest(text: String) -> Result<SharedName, &'static str> {
     let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    text.len() == DIGEST_DIGITS && text.bytes().all(is_digit)
+    if text.len() == DIGEST_DIGITS && text.bytes().all(is_digit) {
+        Ok(SharedName::from(text))
+    } else {
+        Err("a digest has 64 digits from 0 to 9 and a to f, as check prints it")
+    }
 }
 
 /// A change with what the VMs say about it.
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -92,6 +92,12 @@
             .explains(&["use text or json"]),
         CommandCase::new("no platform", &["status", "--environment", "almaty"], 2)
             .explains(&["--platform"]),
+        CommandCase::new(
+            "a name that would mix environments in the store",
+            &["status", "--platform", "127.0.0.1:1", "--environment", "almaty/1"],
+            2,
+        )
+        .explains(&["a name has 1 to 63 lower-case letters"]),
         CommandCase::new("an unknown mix", &["load", "--mix", "suva"], 2)
             .explains(&["use almaty or viti"]),
         CommandCase::new("load without a target", &["load", "--mix", "viti"], 1)
