Name the change that came first with a readable time

Cause: a lost race showed the winner's time in milliseconds since 1970 and did not say how to build on its version.

The test of requests expects the paths and hosts of the example documents.

Conclusion: operators can act on a lost race without looking anything up.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -11,6 +11,8 @@
 use snafu::Snafu;
 use stand::prelude::StandError;
 
+use crate::change::VersionLine;
+
 /// Why a command failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -40,7 +42,7 @@
         source: serde_json::Error,
     },
     /// A change was refused or its outcome is unclear.
-    #[snafu(display("{source}"), context(false))]
+    #[snafu(display("{source}{}", winner_line(source)), context(false))]
     Change {
         /// Why.
         source: ConfigError,
@@ -140,6 +142,13 @@
     }
 }
 
+/// Returns the change that came first, with a readable time and the option that builds on it.
+fn winner_line(error: &ConfigError) -> String {
+    let ConfigError::LostRace { winner } = error else { return String::new() };
+    let line = VersionLine(winner.as_ref().clone());
+    format!("\n  in force: {line}\n  to build on it, pass --base {}", winner.version)
+}
+
 fn lines(problems: &[FieldProblem]) -> String {
     problems.iter().map(|problem| format!("\n  {problem}")).collect()
 }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -143,7 +143,13 @@
         CommandCase::new("a second trial", &["try", &second, "--base", "1"], 0)
             .prints(&["almaty-trial version 2"]),
         CommandCase::new("an outdated base", &["promote", &second_digest, "--base", "7"], 1)
-            .explains(&["version 1 of almaty by beka", &first_digest, "review it and repeat"]),
+            .explains(&[
+                "version 1 of almaty by beka",
+                &first_digest,
+                "review it and repeat",
+                "in force: almaty version 1, promoted by beka at 20",
+                "to build on it, pass --base 1",
+            ]),
         CommandCase::new(
             "a lost race as JSON",
             &["promote", &second_digest, "--base", "7", "--format", "json"],
--- a/crates/load/tests/judgement.rs
+++ b/crates/load/tests/judgement.rs
@@ -93,12 +93,12 @@
         RequestCase { kind: RequestKind::default(), head: "GET / localhost", key: None },
         RequestCase {
             kind: almaty_mix().swap_remove(0),
-            head: "GET /phase/42 phase-desk",
+            head: "GET /phases/42 calendar.example",
             key: None,
         },
         RequestCase {
             kind: viti_mix().swap_remove(1),
-            head: "POST /pledge/42 pledge-desk",
+            head: "POST /pledges/42 pledges.example",
             key: Some("key-7"),
         },
     ];
