--- a/crates/route/examples/choice_model.rs
+++ b/crates/route/examples/choice_model.rs
@@ -1,9 +1,8 @@
-//! Prints the latency of each policy in the model of `tests/model`, and of the project's own
+//! Prints the latency of each policy in the model of `examples/model`, and of the project's own
 //! policy with one constant changed at a time.
 //!
 //! Usage: `choice_model [NAME]` prints only the variants whose name contains `NAME`.
 
-#[path = "../tests/model/mod.rs"]
 mod model;
 
 use std::thread;
@@ -16,6 +15,8 @@
     servers: 12,
     slots: 6,
     vms: 15,
+    centres: 1,
+    round_trip_ms: 2.0,
     load: 0.7,
     work_ms: 10.0,
     noise_every_ms: 500.0,
@@ -29,6 +30,9 @@
 const TWO_SLOTS: ModelCase =
     ModelCase { name: "two-slot, 10 servers", servers: 10, slots: 2, ..SIX_SLOTS };
 
+const THREE_CENTRES: ModelCase =
+    ModelCase { name: "six-slot, 12 servers in 3 centres", centres: 3, ..SIX_SLOTS };
+
 const LAGS_MS: [f64; 3] = [0.0, 100.0, 2000.0];
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -143,7 +147,7 @@
     let filter = std::env::args().nth(1);
     thread::scope(|scope| {
         let mut runs = Vec::new();
-        for base in [SIX_SLOTS, TWO_SLOTS] {
+        for base in [SIX_SLOTS, THREE_CENTRES, TWO_SLOTS] {
             for lag_ms in LAGS_MS {
                 let filter = filter.as_deref();
                 let case = ModelCase { report_lag_ms: lag_ms, ..base };
--- a/crates/route/tests/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -23,6 +23,10 @@
     pub servers: usize,
     pub slots: u32,
     pub vms: usize,
+    /// Data centres, over which servers and VMs are spread in turn.
+    pub centres: usize,
+    /// Round trip between two data centres. It is added to the latency of calls to another one.
+    pub round_trip_ms: f64,
     /// Share of all slots that the offered work takes.
     pub load: f64,
     /// Mean work of a call, of which half is fixed and half exponential.
@@ -94,16 +98,28 @@
     collisions: usize,
 }
 
-/// Returns an environment with `servers` equal servers of [`SERVICE`].
-pub fn environment(servers: usize, slots: u32) -> EnvironmentMap {
-    let upstreams = (0..servers)
+fn centre_name(index: usize) -> SharedName {
+    SharedName::from(format!("centre-{index}"))
+}
+
+fn links(case: &ModelCase) -> Vec<LinkCost> {
+    let one_way = ClockSpan::from_millis_f64(case.round_trip_ms / 2.0);
+    let pairs = (0..case.centres).flat_map(|from| (0..from).map(move |to| (from, to)));
+    pairs
+        .map(|(from, to)| LinkCost { from: centre_name(from), to: centre_name(to), one_way })
+        .collect()
+}
+
+/// Returns the environment of a case.
+fn environment(case: &ModelCase) -> EnvironmentMap {
+    let upstreams = (0..case.servers)
         .map(|index| {
             Arc::new(UpstreamServer {
                 name: SharedName::from(format!("server-{index}")),
                 service: SharedName::from(SERVICE),
-                centre: SharedName::from("suva"),
+                centre: centre_name(index % case.centres),
                 address: ([127, 0, 0, 1], 9000 + index as u16).into(),
-                slots,
+                slots: case.slots,
                 connections: 200,
             })
         })
@@ -113,7 +129,7 @@
         version: 1,
         digest: SharedName::from("digest"),
         centres: Vec::new(),
-        links: Vec::new(),
+        links: links(case),
         contracts: Vec::new(),
         upstreams: [(SharedName::from(SERVICE), upstreams)].into(),
     }
@@ -137,14 +153,14 @@
 
 impl<'a> Model<'a> {
     fn new(case: &'a ModelCase, policy: PolicyKind, tuning: RouteTuning) -> Self {
-        let map = environment(case.servers, case.slots);
+        let map = environment(case);
         let mut random = RandomSource::from_seed(case.seed);
         let span_ms = case.calls as f64 / case.calls_per_ms();
         let servers =
             (0..case.servers).map(|_| ModelServer::new(case, span_ms, &mut random)).collect();
         let vms = (0..case.vms)
             .map(|index| {
-                let table = UpstreamTable::new(SharedName::from("suva"))
+                let table = UpstreamTable::new(centre_name(index % case.centres))
                     .with_vm(&format!("vm-{index}"))
                     .with_tuning(tuning);
                 table.apply(&map, ClockTime::ZERO);
@@ -256,12 +272,14 @@
             age: ClockSpan::ZERO,
             source: ReportSource::Response,
         };
-        let latency = ClockSpan::from_millis_f64(now_ms - entry.sent_ms);
+        let is_near = entry.vm % self.case.centres == server % self.case.centres;
+        let link_ms = if is_near { 0.0 } else { self.case.round_trip_ms };
+        let latency = ClockSpan::from_millis_f64(now_ms - entry.sent_ms + link_ms);
         let outcome = CallOutcome { latency, result: CallResult::Success, load: Some(load) };
         let now = ClockTime::ZERO + ClockSpan::from_millis_f64(now_ms);
         let ticket = entry.ticket.take().expect("a call ends once");
         let vm = entry.vm;
-        self.latencies.push(now_ms - entry.arrived_ms);
+        self.latencies.push(now_ms - entry.arrived_ms + link_ms);
         self.vms[vm].table.finish(ticket, outcome, now);
         self.dispatch(vm, now_ms);
     }
--- a/crates/route/tests/model_run.rs
+++ b/crates/route/tests/model_run.rs
@@ -1,5 +1,6 @@
 //! The project's own policy against simple ones in a seeded model of 15 VMs.
 
+#[path = "../examples/model/mod.rs"]
 mod model;
 
 use model::ModelCase;
@@ -10,6 +11,8 @@
     servers: 12,
     slots: 6,
     vms: 15,
+    centres: 1,
+    round_trip_ms: 2.0,
     load: 0.7,
     work_ms: 10.0,
     noise_every_ms: 500.0,
@@ -43,6 +46,7 @@
             STANDARD,
             true,
         ),
+        case("three data centres", ModelCase { centres: 3, ..SIX_SLOTS }, STANDARD, true),
         case("two-slot", TWO_SLOTS, STANDARD, true),
         case("two-slot, reports 2 s old", LAGGING, STANDARD, true),
         case("two-slot, reports 2 s old, no order of preference", LAGGING, NO_ORDER, false),
