Split the choice from the service's records and test shared use

Cause: service.rs held both the evidence and the choice, and no test used the table from several threads.

Change: candidates, refusals and ramp shares move to choice.rs without a change in behaviour; a test shares one table between four workers while the environment changes.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`UpstreamTable::merge`](table::UpstreamTable::merge), each with the current time.
 
 pub mod affinity;
+mod choice;
 pub mod cost;
 pub mod estimate;
 pub mod health;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -9,7 +9,8 @@
 use crate::cost::ExpectedCost;
 use crate::view::UpstreamView;
 
-/// Chooses an upstream for a call.
+/// Chooses an upstream for a call. The table calls it while the service is locked, so that it must
+/// neither block nor lock.
 pub trait ChoicePolicy {
     /// Returns the index of the chosen candidate, or `None` if there are none.
     fn choose(
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -166,9 +166,9 @@
         let mut notices = Vec::new();
         for service in snapshot.services.values() {
             let state = service.state.lock();
-            let listed = state.records().iter().filter(|record| record.listed);
+            let listed = state.records.iter().filter(|record| record.listed);
             notices.extend(listed.filter_map(|record| {
-                let notice = record.notice(now, state.tuning())?;
+                let notice = record.notice(now, &state.tuning)?;
                 Some((!notice.draining, record.exported_at, notice))
             }));
         }
@@ -207,8 +207,8 @@
         let mut states = Vec::new();
         for service in snapshot.services.values() {
             let state = service.state.lock();
-            let listed = state.records().iter().filter(|record| record.listed);
-            states.extend(listed.map(|record| UpstreamState::new(record, now, state.tuning())));
+            let listed = state.records.iter().filter(|record| record.listed);
+            states.extend(listed.map(|record| UpstreamState::new(record, now, &state.tuning)));
         }
         states.sort_by(|first, second| {
             (&first.service, &first.upstream).cmp(&(&second.service, &second.upstream))
--- a/crates/route/tests/reserve.rs
+++ b/crates/route/tests/reserve.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::thread;
 
 use base::prelude::*;
 use route::prelude::*;
@@ -207,3 +208,32 @@
         assert_eq!(policy.choose(&[], ClockTime::ZERO, &mut random), None, "{name}");
     }
 }
+
+/// Guards against counts that workers lose or a lock order that they break when they share the
+/// table.
+#[test]
+fn workers_share_the_table() {
+    const WORKERS: u64 = 4;
+    let vm = TestVm::new(FOUR, STANDARD);
+    let (table, now) = (&vm.table, vm.now);
+    thread::scope(|scope| {
+        for worker in 0..WORKERS {
+            scope.spawn(move || {
+                let mut random = RandomSource::from_seed(SEED + worker);
+                let policy = PolicyKind::default();
+                for call in 0..1000 {
+                    let ticket = table.reserve(&policy, SERVICE, &[], now, &mut random);
+                    let ticket = ticket.expect("24 slots for 4 workers");
+                    let latency = ClockSpan::from_millis(10);
+                    let outcome = CallOutcome { latency, result: CallResult::Success, load: None };
+                    table.finish(ticket, outcome, now);
+                    if call % 100 == worker {
+                        table.apply(&environment(2 + call, FOUR), now);
+                        table.export(now, 4);
+                    }
+                }
+            });
+        }
+    });
+    assert!(vm.table.states(now).iter().all(|state| state.own_in_flight == 0));
+}
