Model overload, capacity, probes and retries

Cause: the limit crate had no tests. The models showed five faults: aged work took 67 % of the turns from urgent work in a long queue, deferrable work was displaced before it could age, it aged no sooner than its usual deadline, a limit of 2.9 never counted as fully used and did not grow, and every operation scanned the whole queue. Change: at most one turn in eight goes to an aged waiter, a sixteenth of the queue is kept for each class, deferrable work ages in 20 wait units, growth compares whole calls, and deadlines are indexed. Newest first is the default order of a standing queue.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -120,7 +120,8 @@
         self.baseline = Some(baseline);
         let gradient = (tuning.tolerance * baseline / mean).clamp(tuning.gradient_min, 1.0);
         let target = self.limit * gradient + self.limit.sqrt();
-        let idle = f64::from(window.highest_use) < self.limit * tuning.growth_use;
+        // Only whole calls can be in use: a limit of 2.9 is fully used by two.
+        let idle = f64::from(window.highest_use) < self.limit.floor() * tuning.growth_use;
         let next = self.limit + (target - self.limit) * tuning.smoothing;
         if idle { next.min(self.limit) } else { next }
     }
--- a/crates/limit/src/lane.rs
+++ b/crates/limit/src/lane.rs
@@ -1,6 +1,6 @@
 //! The waiters of one class of one service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 pub struct ClassLane {
     waiters: BTreeMap<u64, Waiter>,
+    deadlines: BTreeSet<(ClockTime, u64)>,
     busy_since: Option<ClockTime>,
 }
 
@@ -24,15 +25,17 @@
 
     pub fn push(&mut self, id: u64, waiter: Waiter) {
         self.busy_since.get_or_insert(waiter.arrived);
+        self.deadlines.insert((waiter.deadline, id));
         self.waiters.insert(id, waiter);
     }
 
     pub fn remove(&mut self, id: u64) -> Option<Waiter> {
-        let waiter = self.waiters.remove(&id);
+        let waiter = self.waiters.remove(&id)?;
+        self.deadlines.remove(&(waiter.deadline, id));
         if self.waiters.is_empty() {
             self.busy_since = None;
         }
-        waiter
+        Some(waiter)
     }
 
     pub fn oldest(&self) -> Option<(u64, Waiter)> {
@@ -47,19 +50,25 @@
         self.waiters.keys().copied()
     }
 
-    /// Returns how many waiters arrived at `moment` or before.
-    pub fn count_until(&self, moment: ClockTime) -> usize {
-        self.waiters.values().take_while(|waiter| waiter.arrived <= moment).count()
+    /// Removes the waiters with a deadline of `moment` or before and returns their ids.
+    pub fn take_due(&mut self, moment: ClockTime) -> Vec<u64> {
+        let mut due = Vec::new();
+        while let Some((_, id)) = self.deadlines.first().filter(|(end, _)| *end <= moment).copied()
+        {
+            self.remove(id);
+            due.push(id);
+        }
+        due
     }
 
-    /// Removes the waiters for which `test` holds and returns their ids.
-    pub fn take_if(&mut self, test: impl Fn(&Waiter) -> bool) -> Vec<u64> {
-        let ids: Vec<u64> =
-            self.waiters.iter().filter(|(_, waiter)| test(waiter)).map(|(id, _)| *id).collect();
-        for id in &ids {
-            self.remove(*id);
+    /// Removes the waiters that have waited longer than `span` and returns their ids.
+    pub fn take_stale(&mut self, span: ClockSpan, now: ClockTime) -> Vec<u64> {
+        let mut stale = Vec::new();
+        while let Some((id, _)) = self.oldest().filter(|(_, own)| now.since(own.arrived) > span) {
+            self.remove(id);
+            stale.push(id);
         }
-        ids
+        stale
     }
 
     /// Returns whether the lane has held waiters without a break for `span`.
--- a/crates/limit/src/probe.rs
+++ b/crates/limit/src/probe.rs
@@ -29,11 +29,14 @@
     /// once: the budget of this span. Two seconds of the smallest contract in use (12 slots,
     /// 0.5 %, 16 VMs) are 7.5 ms, enough for several probes.
     pub saved_span: ClockSpan,
+    /// The share of the saved tokens that a service starts with, `0.0..=1.0`. Above zero, VMs
+    /// that restart often together exceed the budget.
+    pub start_share: f64,
 }
 
 impl Default for ProbeTuning {
     fn default() -> Self {
-        Self { saved_span: ClockSpan::from_secs(2) }
+        Self { saved_span: ClockSpan::from_secs(2), start_share: 0.0 }
     }
 }
 
@@ -97,15 +100,17 @@
         let mut state = self.state.lock();
         state.fill_all(self.tuning.saved_span, now);
         state.services.retain(|name, _| map.contract(name).is_some());
+        let counts = state.counts;
         for contract in &map.contracts {
             let upstreams = map.upstreams_of(&contract.name);
             let slots: u32 = upstreams.iter().map(|upstream| upstream.slots).sum();
             let budget = contract.probe_share.clamp(0.0, 1.0) * f64::from(slots);
-            let own = state.services.entry(contract.name.clone()).or_insert(SlotTokens {
-                budget,
-                ceiling: contract.vm_ceiling,
-                tokens: 0.0,
-                filled: now,
+            let own = state.services.entry(contract.name.clone()).or_insert_with(|| {
+                let mut new =
+                    SlotTokens { budget, ceiling: contract.vm_ceiling, tokens: 0.0, filled: now };
+                let saved = new.rate(counts) * self.tuning.saved_span.as_millis_f64();
+                new.tokens = saved * self.tuning.start_share;
+                new
             });
             own.budget = budget;
             own.ceiling = contract.vm_ceiling;
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -36,14 +36,21 @@
 pub struct QueueTuning {
     /// The order while a queue is standing.
     pub order: QueueOrder,
-    /// The head start that the most urgent class has over each class. A waiter overtakes more
-    /// urgent ones that arrive later than this after it.
-    pub class_delay: [ClockSpan; 3],
-    /// The longest wait while a queue is standing, in multiples of the objective's latency.
+    /// The head start that the most urgent class has over each class, in wait units. A waiter
+    /// overtakes more urgent ones that arrive later than this after it.
+    pub class_delay: [f64; 3],
+    /// The longest wait while a queue is standing, in wait units. It exceeds the delay of the
+    /// class and the longest wait of the most urgent one together, as waiters that are dropped
+    /// before they can overtake would starve.
     pub overload_wait: [f64; 3],
-    /// The shortest limit for a wait while a queue is standing, for objectives of a few
-    /// milliseconds.
-    pub overload_wait_floor: ClockSpan,
+    /// At most one turn in this many goes to a waiter that overtakes more urgent ones. Without
+    /// this limit, aged work takes all capacity from urgent work in a long overload.
+    pub aged_turns: u32,
+    /// The share of the queue in which waiters of each class cannot be displaced, `0.0..1.0`. In a
+    /// long overload, less urgent waiters would otherwise all be displaced before they age.
+    pub kept_share: f64,
+    /// The wait unit is the latency of the service's objective, but at least this.
+    pub wait_unit_min: ClockSpan,
     /// A queue that is not empty for this long is standing.
     pub standing_span: ClockSpan,
     /// Whether waiters whose deadline cannot be met are dropped before it passes.
@@ -61,14 +68,12 @@
 impl Default for QueueTuning {
     fn default() -> Self {
         Self {
-            order: QueueOrder::FirstIn,
-            class_delay: [
-                ClockSpan::ZERO,
-                ClockSpan::from_millis(200),
-                ClockSpan::from_millis(2000),
-            ],
-            overload_wait: [1.0, 2.0, 50.0],
-            overload_wait_floor: ClockSpan::from_millis(20),
+            order: QueueOrder::AdaptiveLast,
+            class_delay: [0.0, 4.0, 20.0],
+            overload_wait: [1.0, 6.0, 30.0],
+            aged_turns: 8,
+            kept_share: 0.0625,
+            wait_unit_min: ClockSpan::from_millis(20),
             standing_span: ClockSpan::from_millis(100),
             early_drop: true,
             sample_weight: 0.1,
@@ -86,6 +91,8 @@
     lanes: [ClassLane; 3],
     call_time: SpanAverage,
     turn_time: SpanAverage,
+    /// Turns since a waiter overtook more urgent ones.
+    since_aged: u32,
     /// When the last turn was given, or the queue began to fill.
     turned: ClockTime,
 }
@@ -98,6 +105,7 @@
             lanes: Default::default(),
             call_time: SpanAverage::default(),
             turn_time: SpanAverage::default(),
+            since_aged: u32::MAX,
             turned: ClockTime::ZERO,
         }
     }
@@ -113,19 +121,23 @@
         self.turn_time.value(now).max(idle)
     }
 
-    fn expected_wait(&self, tuning: &QueueTuning, class: WorkClass, now: ClockTime) -> ClockSpan {
-        let own_rank = now + tuning.class_delay[class.index()];
-        let ahead: usize = self
-            .lanes
-            .iter()
-            .zip(tuning.class_delay)
-            .map(|(lane, delay)| lane.count_until(own_rank - delay))
-            .sum();
+    /// Returns the expected wait of a new call. Waiters of less urgent classes that overtake it
+    /// by age are left out: they get few turns.
+    fn expected_wait(&self, class: WorkClass, now: ClockTime) -> ClockSpan {
+        let ahead: usize = self.lanes[..=class.index()].iter().map(ClassLane::len).sum();
         self.turn_span(now).scaled(ahead as f64)
     }
 
     fn overload_wait(&self, tuning: &QueueTuning, class: usize) -> ClockSpan {
-        self.objective.scaled(tuning.overload_wait[class]).max(tuning.overload_wait_floor)
+        self.wait_unit(tuning).scaled(tuning.overload_wait[class])
+    }
+
+    fn class_delay(&self, tuning: &QueueTuning, class: usize) -> ClockSpan {
+        self.wait_unit(tuning).scaled(tuning.class_delay[class])
+    }
+
+    fn wait_unit(&self, tuning: &QueueTuning) -> ClockSpan {
+        self.objective.max(tuning.wait_unit_min)
     }
 
     fn is_hopeless(&self, tuning: &QueueTuning, deadline: ClockTime, now: ClockTime) -> bool {
@@ -139,20 +151,20 @@
     /// first applies only to the most urgent waiting class: a class that is chosen because its
     /// oldest waiter has aged must serve that waiter.
     fn pick(&self, tuning: &QueueTuning, now: ClockTime) -> Option<(u64, usize)> {
-        let (class, oldest) = self
-            .lanes
-            .iter()
-            .enumerate()
-            .filter_map(|(class, lane)| lane.oldest().map(|(id, waiter)| (class, id, waiter)))
-            .min_by_key(|(class, _, waiter)| waiter.arrived + tuning.class_delay[*class])
-            .map(|(class, id, _)| (class, id))?;
-        let lane = &self.lanes[class];
-        let first_class = self.lanes.iter().position(|lane| lane.len() > 0) == Some(class);
-        let newest_first = tuning.order == QueueOrder::AdaptiveLast
-            && first_class
-            && lane.is_standing(tuning.standing_span, now);
-        let id = if newest_first { lane.newest().map_or(oldest, |(id, _)| id) } else { oldest };
-        Some((id, class))
+        let urgent = self.lanes.iter().position(|lane| lane.len() > 0)?;
+        let heads = self.lanes.iter().enumerate().filter_map(|(class, lane)| {
+            let (id, waiter) = lane.oldest()?;
+            Some((waiter.arrived + self.class_delay(tuning, class), class, id))
+        });
+        let (_, class, oldest) = heads.min()?;
+        if class != urgent && self.since_aged >= tuning.aged_turns.saturating_sub(1) {
+            return Some((oldest, class));
+        }
+        let lane = &self.lanes[urgent];
+        let newest_first =
+            tuning.order == QueueOrder::AdaptiveLast && lane.is_standing(tuning.standing_span, now);
+        let (id, _) = if newest_first { lane.newest()? } else { lane.oldest()? };
+        Some((id, urgent))
     }
 
     /// Removes waiters that cannot finish in time or waited too long in a standing queue.
@@ -162,10 +174,10 @@
         for class in 0..self.lanes.len() {
             let longest = self.overload_wait(tuning, class);
             let lane = &mut self.lanes[class];
-            let late = lane.take_if(|waiter| waiter.deadline <= now + needed);
+            let late = lane.take_due(now + needed);
             dropped.extend(late.into_iter().map(|id| (id, RefusalKind::DeadlineTooShort)));
             if lane.is_standing(tuning.standing_span, now) {
-                let stale = lane.take_if(|waiter| now.since(waiter.arrived) > longest);
+                let stale = lane.take_stale(longest, now);
                 dropped.extend(stale.into_iter().map(|id| (id, RefusalKind::Overloaded)));
             }
         }
@@ -233,11 +245,9 @@
         now: ClockTime,
     ) -> bool {
         let Some(queue) = self.services.get_mut(service) else { return false };
-        let Some(lane) =
-            queue.lanes[class.index() + 1..].iter_mut().rev().find(|lane| lane.len() > 0)
-        else {
-            return false;
-        };
+        let kept = (queue.limit as f64 * tuning.kept_share) as usize;
+        let mut lanes = queue.lanes[class.index() + 1..].iter_mut().rev();
+        let Some(lane) = lanes.find(|lane| lane.len() > kept) else { return false };
         let Some((id, _)) = lane.newest() else { return false };
         lane.remove(id);
         self.drop_waiter(tuning, service, id, RefusalKind::Displaced, now);
@@ -254,7 +264,7 @@
             return Some(RefusalKind::UnknownService);
         };
         let class = request.class;
-        let wait = queue.expected_wait(tuning, class, now);
+        let wait = queue.expected_wait(class, now);
         if queue.is_hopeless(tuning, request.deadline - wait, now) {
             return Some(RefusalKind::DeadlineTooShort);
         }
@@ -348,6 +358,8 @@
         state.sweep(&self.tuning, service, now);
         let queue = state.services.get_mut(service)?;
         let (id, class) = queue.pick(&self.tuning, now)?;
+        let overtakes = queue.lanes[..class].iter().any(|lane| lane.len() > 0);
+        queue.since_aged = if overtakes { 0 } else { queue.since_aged.saturating_add(1) };
         queue.lanes[class].remove(id);
         queue.turn_time.record(now.since(queue.turned), self.tuning.sample_weight, now);
         queue.turned = now;
--- /dev/null
+++ b/crates/limit/tests/capacity.rs
@@ -0,0 +1,197 @@
+//! The adaptive limit against servers whose capacity changes.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use common::{ServiceSetup, environment};
+use limit::prelude::*;
+
+const SERVICE: &str = ServiceSetup::BASE.name;
+const CALL_MS: f64 = 10.0;
+const PHASE_MS: u64 = 10_000;
+/// The limit is read in the last part of each phase.
+const SETTLED_MS: u64 = 5_000;
+
+/// What the servers do with more calls than they can run.
+#[derive(Clone, Copy, Debug)]
+enum Surplus {
+    /// They run all calls more slowly.
+    Slow,
+    /// They shed at once.
+    Shed,
+    /// They let calls time out after 100 ms.
+    TimeOut,
+}
+
+struct CapacityCase {
+    name: &'static str,
+    surplus: Surplus,
+    /// The capacity of each phase.
+    phases: [u32; 3],
+    tuning: fn() -> AdaptiveTuning,
+    follows: bool,
+}
+
+impl CapacityCase {
+    const BASE: Self = Self {
+        name: "",
+        surplus: Surplus::Slow,
+        phases: [40, 10, 40],
+        tuning: AdaptiveTuning::default,
+        follows: true,
+    };
+}
+
+const CAPACITY_CASES: &[CapacityCase] = &[
+    CapacityCase { name: "slow servers", ..CapacityCase::BASE },
+    CapacityCase { name: "shedding servers", surplus: Surplus::Shed, ..CapacityCase::BASE },
+    CapacityCase { name: "time-outs", surplus: Surplus::TimeOut, ..CapacityCase::BASE },
+    CapacityCase {
+        name: "slow servers, latency ignored",
+        tuning: || AdaptiveTuning { gradient_min: 1.0, ..AdaptiveTuning::default() },
+        follows: false,
+        ..CapacityCase::BASE
+    },
+    CapacityCase {
+        name: "shedding servers, signals ignored",
+        surplus: Surplus::Shed,
+        tuning: || AdaptiveTuning { backoff: 1.0, ..AdaptiveTuning::default() },
+        follows: false,
+        ..CapacityCase::BASE
+    },
+];
+
+/// Guards against a limit that stays high when capacity is lost, or low when it is back.
+#[test]
+fn limit_follows_capacity() {
+    for case in CAPACITY_CASES {
+        for seed in 1..=3 {
+            let means = limits(case, seed);
+            println!("{}, seed {seed}: capacity {:?}, limit {means:.1?}", case.name, case.phases);
+            // Latency doubles at twice the capacity, so the limit settles around that at most.
+            let follows = means
+                .iter()
+                .zip(case.phases)
+                .all(|(mean, capacity)| (0.5..=3.0).contains(&(mean / f64::from(capacity))));
+            assert_eq!(follows, case.follows, "{}, seed {seed}: {means:?}", case.name);
+        }
+    }
+}
+
+/// Returns the mean limit in the settled part of each phase, with more demand than any limit.
+fn limits(case: &CapacityCase, seed: u64) -> [f64; 3] {
+    let limit = AdaptiveLimit::new((case.tuning)());
+    let setup = ServiceSetup { upstreams: 20, slots: 6, ..ServiceSetup::BASE };
+    limit.apply(&environment(&[setup]), ClockTime::ZERO);
+    let mut random = RandomSource::from_seed(seed);
+    let mut running: BTreeMap<(ClockTime, u64), LimitSignal> = BTreeMap::new();
+    let (mut order, mut sums, mut reads) = (0, [0.0; 3], [0.0; 3]);
+    for millis in 0..PHASE_MS * 3 {
+        let now = ClockTime::from_millis(millis);
+        let phase = (millis / PHASE_MS) as usize;
+        while let Some(entry) = running.first_entry().filter(|entry| entry.key().0 <= now) {
+            limit.finish(SERVICE, entry.remove(), now);
+        }
+        // At most this many attempts a millisecond, as a shed call ends at once.
+        for _ in 0..20 {
+            if !limit.try_start(SERVICE, now) {
+                break;
+            }
+            order += 1;
+            let (span, signal) =
+                serve(case.surplus, running.len(), case.phases[phase], &mut random);
+            running.insert((now + span, order), signal);
+        }
+        if millis % PHASE_MS >= PHASE_MS - SETTLED_MS {
+            sums[phase] += f64::from(limit.limit(SERVICE));
+            reads[phase] += 1.0;
+        }
+    }
+    [0, 1, 2].map(|phase| sums[phase] / reads[phase])
+}
+
+fn serve(
+    surplus: Surplus,
+    in_flight: usize,
+    capacity: u32,
+    random: &mut RandomSource,
+) -> (ClockSpan, LimitSignal) {
+    let load = (in_flight + 1) as f64 / f64::from(capacity);
+    let usual = CALL_MS * (0.5 + random.unit());
+    let response = |millis: f64| {
+        let span = ClockSpan::from_millis_f64(millis);
+        (span, LimitSignal::Response(span))
+    };
+    match surplus {
+        Surplus::Slow => response(usual * load.max(1.0)),
+        Surplus::Shed if load > 1.0 => (ClockSpan::from_millis(1), LimitSignal::Shed),
+        Surplus::TimeOut if load > 1.0 => (ClockSpan::from_millis(100), LimitSignal::TimedOut),
+        Surplus::Shed | Surplus::TimeOut => response(usual),
+    }
+}
+
+struct BoundCase {
+    name: &'static str,
+    setup: ServiceSetup,
+    start: u32,
+    /// The limit after many shed calls.
+    floor: u32,
+    /// The limit after long use at a constant latency.
+    ceiling: u32,
+}
+
+/// Guards against a limit that locks a VM out, exceeds all slots, or leaks calls in flight.
+#[test]
+fn limit_has_floor_and_ceiling() {
+    let base = ServiceSetup::BASE;
+    let cases = [
+        BoundCase { name: "two slots", setup: base, start: 2, floor: 1, ceiling: 20 },
+        BoundCase {
+            name: "many slots",
+            setup: ServiceSetup { upstreams: 30, slots: 6, ..base },
+            start: 12,
+            floor: 3,
+            ceiling: 180,
+        },
+        BoundCase {
+            name: "one slot",
+            setup: ServiceSetup { upstreams: 1, slots: 1, ..base },
+            start: 1,
+            floor: 1,
+            ceiling: 1,
+        },
+    ];
+    for case in cases {
+        for (signal, expected) in [
+            (LimitSignal::Shed, case.floor),
+            (LimitSignal::Response(ClockSpan::from_millis(5)), case.ceiling),
+        ] {
+            let limit = AdaptiveLimit::new(AdaptiveTuning::default());
+            limit.apply(&environment(&[case.setup]), ClockTime::ZERO);
+            assert_eq!(limit.limit(SERVICE), case.start, "{}", case.name);
+            for millis in 0..20_000 {
+                let now = ClockTime::from_millis(millis);
+                let started = (0..1000).take_while(|_| limit.try_start(SERVICE, now)).count();
+                assert_eq!(limit.in_flight(SERVICE), limit.limit(SERVICE), "{}", case.name);
+                (0..started).for_each(|_| limit.finish(SERVICE, signal, now));
+                assert_eq!(limit.in_flight(SERVICE), 0, "{}", case.name);
+            }
+            assert_eq!(limit.limit(SERVICE), expected, "{}, {signal:?}", case.name);
+        }
+    }
+}
+
+/// Guards against a limit that grows while it is not used, and is then far too high at once.
+#[test]
+fn unused_limit_does_not_grow() {
+    let limit = AdaptiveLimit::new(AdaptiveTuning::default());
+    limit.apply(&environment(&[ServiceSetup::BASE]), ClockTime::ZERO);
+    for millis in 0..5000 {
+        let now = ClockTime::from_millis(millis);
+        assert!(limit.try_start(SERVICE, now));
+        limit.finish(SERVICE, LimitSignal::Response(ClockSpan::from_millis(5)), now);
+    }
+    assert_eq!(limit.limit(SERVICE), 2);
+}
--- /dev/null
+++ b/crates/limit/tests/probes.rs
@@ -0,0 +1,221 @@
+//! The measuring budget and the connection share.
+
+mod common;
+
+use base::prelude::*;
+use common::{ServiceSetup, environment};
+use limit::prelude::*;
+
+/// How the VMs behave in the model.
+#[derive(Clone, Copy)]
+struct ProbeCase {
+    name: &'static str,
+    vms: usize,
+    /// The ceiling in the contract.
+    ceiling: u32,
+    /// The chance that a VM restarts, per VM and millisecond.
+    restart_chance: f64,
+    /// Whether the counts that a VM sees are right; otherwise they are random and too small.
+    counts_right: bool,
+    tuning: fn() -> ProbeTuning,
+    /// Whether the sum may exceed the budget, as a mechanism is switched off.
+    exceeds: bool,
+}
+
+impl ProbeCase {
+    const BASE: Self = Self {
+        name: "",
+        vms: 16,
+        ceiling: 16,
+        restart_chance: 0.0,
+        counts_right: false,
+        tuning: ProbeTuning::default,
+        exceeds: false,
+    };
+}
+
+const PROBE_CASES: &[ProbeCase] = &[
+    ProbeCase { name: "all probe at once, wrong lists", ..ProbeCase::BASE },
+    ProbeCase { name: "restarts now and then", restart_chance: 0.0005, ..ProbeCase::BASE },
+    ProbeCase { name: "restarts all the time", restart_chance: 0.01, ..ProbeCase::BASE },
+    ProbeCase { name: "few VMs", vms: 3, restart_chance: 0.001, ..ProbeCase::BASE },
+    ProbeCase { name: "more VMs than the ceiling", vms: 30, counts_right: true, ..ProbeCase::BASE },
+    ProbeCase { name: "division by the list alone", ceiling: 1, exceeds: true, ..ProbeCase::BASE },
+    ProbeCase {
+        name: "full tokens at the start",
+        restart_chance: 0.01,
+        tuning: || ProbeTuning { start_share: 1.0, ..ProbeTuning::default() },
+        exceeds: true,
+        ..ProbeCase::BASE
+    },
+];
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+const RUN_MS: u64 = 10_000;
+
+/// Guards against the VMs together measuring more than agreed in any window: while they join, with
+/// wrong membership lists, with restarts, and when all probe at once.
+#[test]
+fn sum_of_probes_stays_within_the_budget_in_every_window() {
+    for case in PROBE_CASES {
+        let mut exceeded = false;
+        for seed in SEEDS {
+            let (excess, burst, use_share) = probe_model(case, seed);
+            println!(
+                "{}, seed {seed}: excess {excess:.1} of {burst:.1} ms, used {use_share:.2}",
+                case.name
+            );
+            exceeded |= excess > burst;
+            if case.restart_chance == 0.0 && case.vms >= 16 && !case.exceeds {
+                assert!(use_share > 0.8, "{}, seed {seed}: budget unused", case.name);
+            }
+        }
+        assert_eq!(exceeded, case.exceeds, "{}", case.name);
+    }
+}
+
+/// Runs VMs that probe whenever they may. Returns the largest excess over the budget of any
+/// window, the allowed burst, both in milliseconds of slot time, and the used share of the budget.
+fn probe_model(case: &ProbeCase, seed: u64) -> (f64, f64, f64) {
+    let mut random = RandomSource::from_seed(seed);
+    let setup = ServiceSetup { vm_ceiling: case.ceiling, ..ServiceSetup::BASE };
+    let map = environment(&[setup]);
+    let rate = setup.probe_share * f64::from(setup.upstreams * setup.slots);
+    let burst = rate * ProbeTuning::default().saved_span.as_millis_f64();
+    let start = |now: ClockTime| {
+        let budget = ProbeBudget::new((case.tuning)());
+        budget.apply(&map, now);
+        budget
+    };
+    let mut vms: Vec<_> = (0..case.vms).map(|_| start(ClockTime::ZERO)).collect();
+    // A window's excess is the rise of `spent - rate * time` from its start to its end.
+    let (mut spent, mut lowest, mut excess) = (0.0, 0.0_f64, 0.0_f64);
+    for millis in 0..RUN_MS {
+        let now = ClockTime::from_millis(millis);
+        // After a quiet time all VMs probe at once.
+        let quiet = (millis / 2500) % 4 == 3;
+        for vm in &mut vms {
+            if random.chance(case.restart_chance) {
+                *vm = start(now);
+            }
+            if random.chance(0.01) || (case.counts_right && millis == 0) {
+                vm.set_counts(counts(case, &mut random), now);
+            }
+            let cost = ClockSpan::from_millis_f64(0.5 + 2.0 * random.unit());
+            if !quiet && vm.allow(setup.name, cost, now) {
+                let before = spent - rate * millis as f64;
+                lowest = lowest.min(before);
+                spent += cost.as_millis_f64();
+                excess = excess.max(before + cost.as_millis_f64() - lowest);
+            }
+        }
+    }
+    // The quiet times leave a quarter of the budget unused, less what is saved up.
+    let usable = rate * RUN_MS as f64 * 0.75;
+    (excess, burst, spent / usable)
+}
+
+fn counts(case: &ProbeCase, random: &mut RandomSource) -> VmCounts {
+    if case.counts_right {
+        return VmCounts { listed: 0, reported: case.vms as u32 };
+    }
+    let mut wrong = || random.below(case.vms.min(8)) as u32;
+    VmCounts { listed: wrong(), reported: wrong() }
+}
+
+/// Guards against saved tokens that outlive a rise of the VM count.
+#[test]
+fn tokens_shrink_at_once_with_more_vms() {
+    let setup = ServiceSetup::BASE;
+    let budget = ProbeBudget::new(ProbeTuning::default());
+    budget.apply(&environment(&[setup]), ClockTime::ZERO);
+    let now = ClockTime::from_millis(60_000);
+    // 0.5 % of 20 slots over 16 VMs for 2 s are 12.5 ms, over 32 VMs 6.25 ms.
+    budget.set_counts(VmCounts { listed: 15, reported: 32 }, now);
+    assert!(!budget.allow(setup.name, ClockSpan::from_millis_f64(6.3), now));
+    assert!(budget.allow(setup.name, ClockSpan::from_millis_f64(6.2), now));
+}
+
+/// Guards against probes that take longer than allowed and cost nothing for it.
+#[test]
+fn excess_delays_later_probes() {
+    let setup = ServiceSetup::BASE;
+    let budget = ProbeBudget::new(ProbeTuning::default());
+    budget.apply(&environment(&[setup]), ClockTime::ZERO);
+    let cost = ClockSpan::from_millis(1);
+    let later = |millis: u64| ClockTime::from_millis(millis);
+    assert!(!budget.allow(setup.name, cost, later(159)), "starts empty");
+    assert!(budget.allow(setup.name, cost, later(160)));
+    budget.charge_excess(setup.name, ClockSpan::from_millis(2), later(160));
+    assert!(!budget.allow(setup.name, cost, later(480 + 159)));
+    assert!(budget.allow(setup.name, cost, later(480 + 161)));
+}
+
+struct ShareCase {
+    name: &'static str,
+    connections: u32,
+    ceiling: u32,
+    counts: VmCounts,
+    expected: ConnectionShare,
+}
+
+/// Guards against VMs that together open more connections than an upstream holds.
+#[test]
+fn connections_are_divided() {
+    let counts = |listed: u32, reported: u32| VmCounts { listed, reported };
+    let share = |calls: u32, probes: u32, oversubscribed: bool| ConnectionShare {
+        calls,
+        probes,
+        oversubscribed,
+    };
+    let cases = [
+        ShareCase {
+            name: "15 VMs",
+            connections: 200,
+            ceiling: 15,
+            counts: counts(15, 15),
+            expected: share(12, 1, false),
+        },
+        ShareCase {
+            name: "ceiling above the list",
+            connections: 200,
+            ceiling: 16,
+            counts: counts(3, 5),
+            expected: share(11, 1, false),
+        },
+        ShareCase {
+            name: "more VMs than the ceiling",
+            connections: 200,
+            ceiling: 16,
+            counts: counts(15, 100),
+            expected: share(1, 1, false),
+        },
+        ShareCase {
+            name: "one connection each",
+            connections: 200,
+            ceiling: 16,
+            counts: counts(200, 15),
+            expected: share(1, 0, false),
+        },
+        ShareCase {
+            name: "more VMs than connections",
+            connections: 200,
+            ceiling: 16,
+            counts: counts(201, 15),
+            expected: share(1, 0, true),
+        },
+        ShareCase {
+            name: "unknown counts",
+            connections: 200,
+            ceiling: 0,
+            counts: counts(0, 0),
+            expected: share(199, 1, false),
+        },
+    ];
+    for case in cases {
+        let own = ConnectionShare::of(case.connections, case.ceiling, case.counts);
+        assert_eq!(own, case.expected, "{}", case.name);
+        let divisor = case.counts.divisor(case.ceiling);
+        assert!(case.expected.oversubscribed || own.total() * divisor <= case.connections);
+    }
+}
--- /dev/null
+++ b/crates/limit/tests/queue.rs
@@ -0,0 +1,346 @@
+//! The wait queue, step by step.
+
+mod common;
+
+use base::prelude::*;
+use common::{ServiceSetup, environment, request};
+use limit::prelude::*;
+use world::prelude::*;
+
+const SERVICE: &str = ServiceSetup::BASE.name;
+const SEED: u64 = 1;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Enqueues a caller with this class and time left; the waiter gets the next number, from 0.
+    Join(WorkClass, ClockSpan),
+    /// As `Join`, and must be refused.
+    Denied(WorkClass, ClockSpan, RefusalKind),
+    /// A slot is free; the waiter with this number gets it.
+    Next(Option<usize>),
+    Cancel(usize, bool),
+    /// The waiters that were dropped.
+    Dropped(&'static [(usize, RefusalKind)]),
+    /// Calls take this long.
+    CallTime(ClockSpan),
+    Wait(ClockSpan),
+}
+
+use RefusalKind::{DeadlineTooShort, Displaced, Overloaded, QueueFull};
+use Step::{CallTime, Cancel, Denied, Dropped, Join, Next, Wait};
+use WorkClass::{Deferrable, Normal, Urgent};
+
+const LONG: ClockSpan = ClockSpan::from_secs(60);
+
+const fn millis(count: u64) -> ClockSpan {
+    ClockSpan::from_millis(count)
+}
+
+struct QueueCase {
+    name: &'static str,
+    limit: u32,
+    tuning: fn() -> QueueTuning,
+    steps: &'static [Step],
+}
+
+impl QueueCase {
+    const BASE: Self = Self { name: "", limit: 3, tuning: QueueTuning::default, steps: &[] };
+}
+
+fn no_early_drop() -> QueueTuning {
+    QueueTuning { early_drop: false, ..QueueTuning::default() }
+}
+
+fn no_ageing() -> QueueTuning {
+    QueueTuning { class_delay: [0.0, 1e6, 1e6], ..QueueTuning::default() }
+}
+
+fn newest_first() -> QueueTuning {
+    QueueTuning { order: QueueOrder::AdaptiveLast, ..QueueTuning::default() }
+}
+
+const QUEUE_CASES: &[QueueCase] = &[
+    QueueCase {
+        name: "by class, then by arrival",
+        limit: 4,
+        steps: &[
+            Join(Deferrable, LONG),
+            Join(Normal, LONG),
+            Join(Urgent, LONG),
+            Wait(millis(1)),
+            Join(Urgent, LONG),
+            Next(Some(2)),
+            Next(Some(3)),
+            Next(Some(1)),
+            Next(Some(0)),
+            Next(None),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "an aged waiter overtakes more urgent ones",
+        steps: &[
+            Join(Normal, LONG),
+            Wait(millis(90)),
+            Next(Some(0)),
+            Join(Deferrable, LONG),
+            Wait(millis(990)),
+            Join(Urgent, LONG),
+            Next(Some(2)),
+            Wait(millis(20)),
+            Join(Urgent, LONG),
+            Next(Some(1)),
+            Next(Some(3)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "without ageing it does not",
+        tuning: no_ageing,
+        steps: &[
+            Join(Deferrable, LONG),
+            Wait(millis(1010)),
+            Join(Urgent, LONG),
+            Next(Some(1)),
+            Next(Some(0)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a full queue refuses equals",
+        steps: &[
+            Join(Urgent, LONG),
+            Join(Normal, LONG),
+            Join(Normal, LONG),
+            Denied(Normal, LONG, QueueFull),
+            Denied(Deferrable, LONG, QueueFull),
+            Dropped(&[]),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a full queue gives up the newest of the least urgent",
+        steps: &[
+            Join(Deferrable, LONG),
+            Join(Deferrable, LONG),
+            Join(Normal, LONG),
+            Join(Urgent, LONG),
+            Dropped(&[(1, Displaced)]),
+            Join(Urgent, LONG),
+            Dropped(&[(0, Displaced)]),
+            Join(Urgent, LONG),
+            Dropped(&[(2, Displaced)]),
+            Denied(Urgent, LONG, QueueFull),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "no queue at all",
+        limit: 0,
+        steps: &[Denied(Urgent, LONG, QueueFull)],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "waiters that cannot finish are dropped before their deadline",
+        steps: &[
+            CallTime(millis(30)),
+            Join(Normal, millis(50)),
+            Join(Normal, LONG),
+            Wait(millis(19)),
+            Dropped(&[]),
+            Wait(millis(3)),
+            Dropped(&[(0, DeadlineTooShort)]),
+            Next(Some(1)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "without early drop they wait until the deadline",
+        tuning: no_early_drop,
+        steps: &[
+            CallTime(millis(30)),
+            Join(Normal, millis(50)),
+            Wait(millis(49)),
+            Dropped(&[]),
+            Wait(millis(1)),
+            Dropped(&[(0, DeadlineTooShort)]),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a late waiter gets no slot",
+        steps: &[
+            Join(Normal, millis(50)),
+            Wait(millis(50)),
+            Next(None),
+            Dropped(&[(0, DeadlineTooShort)]),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a call that could not finish does not wait",
+        steps: &[
+            CallTime(millis(30)),
+            Denied(Urgent, millis(30), DeadlineTooShort),
+            Join(Urgent, millis(31)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "one slow period does not refuse for good",
+        steps: &[
+            CallTime(millis(800)),
+            Denied(Urgent, millis(500), DeadlineTooShort),
+            Wait(millis(1000)),
+            Join(Urgent, millis(500)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a wait that exceeds the deadline is refused on arrival",
+        steps: &[
+            Join(Normal, LONG),
+            Join(Normal, LONG),
+            Wait(millis(40)),
+            Next(Some(0)),
+            // One waiter ahead and a turn every 40 ms.
+            Denied(Normal, millis(40), DeadlineTooShort),
+            Join(Normal, millis(41)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a standing queue drops those that waited too long",
+        steps: &[
+            Join(Urgent, LONG),
+            Wait(millis(60)),
+            Dropped(&[]),
+            Join(Urgent, LONG),
+            Wait(millis(40)),
+            Dropped(&[(0, Overloaded)]),
+            Wait(millis(10)),
+            Dropped(&[]),
+            Wait(millis(1)),
+            Dropped(&[(1, Overloaded)]),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "newest first in a standing queue only",
+        tuning: newest_first,
+        steps: &[
+            Join(Urgent, LONG),
+            Join(Urgent, LONG),
+            Wait(millis(1)),
+            Next(Some(0)),
+            Wait(millis(40)),
+            Join(Urgent, LONG),
+            Next(Some(1)),
+            Wait(millis(40)),
+            Join(Urgent, LONG),
+            Next(Some(2)),
+            Wait(millis(19)),
+            Join(Urgent, LONG),
+            Next(Some(4)),
+            Next(Some(3)),
+        ],
+        ..QueueCase::BASE
+    },
+    QueueCase {
+        name: "a caller that is gone gets no slot",
+        steps: &[
+            Join(Urgent, LONG),
+            Join(Urgent, LONG),
+            Cancel(0, true),
+            Cancel(0, false),
+            Next(Some(1)),
+            Cancel(1, false),
+            Next(None),
+        ],
+        ..QueueCase::BASE
+    },
+];
+
+/// Guards against a wrong order, lost waiters, and waiting in vain.
+#[test]
+fn waiters_take_turns() {
+    for case in QUEUE_CASES {
+        let queue = WaitQueue::new((case.tuning)(), SEED);
+        let setup = ServiceSetup { queue_limit: case.limit, ..ServiceSetup::BASE };
+        queue.apply(&environment(&[setup]), ClockTime::ZERO);
+        let mut now = ClockTime::from_millis(1000);
+        let mut waiters = Vec::new();
+        for (index, step) in case.steps.iter().enumerate() {
+            let label = format!("{}, step {index}: {step:?}", case.name);
+            apply(&queue, *step, &mut waiters, &mut now, &label);
+        }
+    }
+}
+
+fn apply(
+    queue: &WaitQueue,
+    step: Step,
+    waiters: &mut Vec<WaiterId>,
+    now: &mut ClockTime,
+    label: &str,
+) {
+    match step {
+        Join(class, left) => {
+            let joined = queue.enqueue(&request(SERVICE, class, *now + left), *now);
+            waiters.push(joined.unwrap_or_else(|reason| panic!("{label}: {reason}")));
+        }
+        Denied(class, left, kind) => {
+            let joined = queue.enqueue(&request(SERVICE, class, *now + left), *now);
+            assert_eq!(joined.map_err(|reason| reason.kind), Err(kind), "{label}");
+        }
+        Next(expected) => {
+            let turn = queue.next(SERVICE, *now);
+            assert_eq!(turn, expected.map(|index| waiters[index]), "{label}");
+        }
+        Cancel(index, expected) => {
+            assert_eq!(queue.cancel(waiters[index]), expected, "{label}");
+        }
+        Dropped(expected) => {
+            let dropped: Vec<_> = queue
+                .take_dropped(*now)
+                .into_iter()
+                .map(|dropped| (dropped.waiter, dropped.reason.kind))
+                .collect();
+            let expected: Vec<_> =
+                expected.iter().map(|(index, kind)| (waiters[*index], *kind)).collect();
+            assert_eq!(dropped, expected, "{label}");
+        }
+        CallTime(span) => queue.record_call(SERVICE, span, *now),
+        Wait(span) => *now = *now + span,
+    }
+}
+
+/// Guards against callers of a service that a new document removes waiting for ever.
+#[test]
+fn waiters_of_a_removed_service_are_dropped() {
+    let queue = WaitQueue::new(QueueTuning::default(), SEED);
+    let now = ClockTime::from_millis(1000);
+    queue.apply(&environment(&[ServiceSetup::BASE]), now);
+    let waiter = queue.enqueue(&request(SERVICE, Urgent, now + LONG), now).expect("room");
+    queue.apply(&environment(&[]), now);
+    assert_eq!(queue.expire(now), [waiter]);
+    let refused = queue.enqueue(&request(SERVICE, Urgent, now + LONG), now);
+    assert_eq!(refused.map_err(|reason| reason.kind), Err(RefusalKind::UnknownService));
+}
+
+/// Guards against refused callers that all come back at the same moment.
+#[test]
+fn repeat_times_are_spread() {
+    let queue = WaitQueue::new(QueueTuning::default(), SEED);
+    let setup = ServiceSetup { queue_limit: 0, ..ServiceSetup::BASE };
+    let now = ClockTime::from_millis(1000);
+    queue.apply(&environment(&[setup]), now);
+    let mut spans: Vec<_> = (0..100)
+        .map(|_| queue.enqueue(&request(SERVICE, Urgent, now + LONG), now))
+        .map(|refused| refused.expect_err("no queue").retry_after)
+        .collect();
+    spans.sort_unstable();
+    spans.dedup();
+    assert!(spans.len() > 90, "only {} different times", spans.len());
+    assert!(spans[0] >= millis(500) && spans[spans.len() - 1] <= millis(1500));
+}
