Tighten the adaptive limit and test the burst of probes again

Cause: the model of slow servers settled at 2.3 to 2.8 times their capacity. The shortened probe model ended with its quiet time, so that VMs never probed all at once after it. Change: the tolerance of the adaptive limit is 1.5 (was 2.0) and the test's bound 2.5 (was 3.0); a test of latency noise; quiet times of 2.5 s alternate with probing in the probe model.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -26,8 +26,7 @@
     pub window: ClockSpan,
     /// Samples that a window needs.
     pub window_samples: u32,
-    /// Latency may grow to this multiple of the baseline before the limit shrinks. Mean latency
-    /// doubles on a server whose slots are all taken once over.
+    /// Latency may grow to this multiple of the baseline before the limit shrinks.
     pub tolerance: f64,
     /// The strongest shrinking for latency in one window.
     pub gradient_min: f64,
@@ -49,7 +48,7 @@
         Self {
             window: ClockSpan::from_millis(100),
             window_samples: 5,
-            tolerance: 2.0,
+            tolerance: 1.5,
             gradient_min: 0.5,
             smoothing: 0.3,
             backoff: 0.7,
--- a/crates/limit/tests/capacity.rs
+++ b/crates/limit/tests/capacity.rs
@@ -70,11 +70,12 @@
         for seed in 1..=3 {
             let means = limits(case, seed);
             println!("{}, seed {seed}: capacity {:?}, limit {means:.1?}", case.name, case.phases);
-            // Latency doubles at twice the capacity, so the limit settles around that at most.
+            // Latency reaches the tolerance at 1.5 times the capacity, and the allowance for
+            // growth adds the square root of the limit.
             let follows = means
                 .iter()
                 .zip(case.phases)
-                .all(|(mean, capacity)| (0.5..=3.0).contains(&(mean / f64::from(capacity))));
+                .all(|(mean, capacity)| (0.5..=2.5).contains(&(mean / f64::from(capacity))));
             assert_eq!(follows, case.follows, "{}, seed {seed}: {means:?}", case.name);
         }
     }
@@ -183,6 +184,54 @@
     }
 }
 
+struct NoiseCase {
+    name: &'static str,
+    /// Calls in flight, a small part of the capacity of 120.
+    demand: u32,
+    call_ms: f64,
+}
+
+/// Guards against usual noise of latency that counts as overload: far below the capacity, calls
+/// with exponential latency must not be refused once the limit has grown to the demand.
+#[test]
+fn noise_does_not_shrink_the_limit() {
+    let cases = [
+        NoiseCase { name: "few slow calls", demand: 3, call_ms: 50.0 },
+        NoiseCase { name: "fast calls", demand: 15, call_ms: 10.0 },
+    ];
+    for case in cases {
+        for seed in 1..=5 {
+            assert_eq!(noise_refusals(&case, seed), 0, "{}, seed {seed}", case.name);
+        }
+    }
+}
+
+/// Returns how many attempts the limit refused after the first 5 s of a minute.
+fn noise_refusals(case: &NoiseCase, seed: u64) -> u32 {
+    let limit = AdaptiveLimit::new(AdaptiveTuning::default());
+    let setup = ServiceSetup { upstreams: 20, slots: 6, ..ServiceSetup::BASE };
+    limit.apply(&environment(&[setup]), ClockTime::ZERO);
+    let mut random = RandomSource::from_seed(seed);
+    let mut running: BTreeMap<(ClockTime, u64), LimitSignal> = BTreeMap::new();
+    let (mut order, mut refused) = (0, 0);
+    for millis in 0..60_000 {
+        let now = ClockTime::from_millis(millis);
+        while let Some(entry) = running.first_entry().filter(|entry| entry.key().0 <= now) {
+            limit.finish(SERVICE, entry.remove(), now);
+        }
+        while limit.in_flight(SERVICE) < case.demand {
+            if !limit.try_start(SERVICE, now) {
+                refused += u32::from(millis >= 5000);
+                break;
+            }
+            order += 1;
+            let span = ClockSpan::from_millis_f64(random.exponential(case.call_ms));
+            running.insert((now + span, order), LimitSignal::Response(span));
+        }
+    }
+    refused
+}
+
 /// Guards against a limit that grows while it is not used, and is then far too high at once.
 #[test]
 fn unused_limit_does_not_grow() {
--- a/crates/limit/tests/probes.rs
+++ b/crates/limit/tests/probes.rs
@@ -93,7 +93,7 @@
     for millis in 0..RUN_MS {
         let now = ClockTime::from_millis(millis);
         // After a quiet time all VMs probe at once.
-        let quiet = (millis / 2500) % 4 == 3;
+        let quiet = (millis / 2500) % 2 == 0;
         for vm in &mut vms {
             if random.chance(case.restart_chance) {
                 *vm = start(now);
@@ -110,8 +110,8 @@
             }
         }
     }
-    // The quiet times leave a quarter of the budget unused, less what is saved up.
-    let usable = rate * RUN_MS as f64 * 0.75;
+    // The quiet times leave half of the budget unused, less what is saved up.
+    let usable = rate * RUN_MS as f64 * 0.5;
     (excess, burst, spent / usable)
 }
 
