Test the demo's comparison with the upstreams' counts

Cause: the comparison was only covered by runs without a fault.

Change: the comparison takes counts and figures instead of the running parts, and a table of cases covers work that ran twice, on one or two upstreams, answers to work that did not run, and wrong answers.

Conclusion: the demo's failure path is tested without a faulty gateway.

--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -7,8 +7,9 @@
 use load::prelude::*;
 use serde::Serialize;
 use snafu::ensure;
+use stand::prelude::*;
 
-use crate::demo::bed::DemoBed;
+use crate::demo::bed::{DemoBed, DemoUpstream};
 use crate::demo::deployment::DemoDeployment;
 use crate::error::{CtlError, FaultySnafu};
 
@@ -66,12 +67,16 @@
 
 impl DeploymentReport {
     pub(super) fn new(deployment: &DemoDeployment, bed: &DemoBed, load: LoadReport) -> Self {
+        let kinds = deployment.mix.iter();
+        let work = kinds.filter_map(|kind| at_most_once(bed, kind)).collect();
+        let counted = |own: &DemoUpstream| (own.service.clone(), own.stand.counts());
+        let counts: Vec<_> = bed.upstreams.iter().map(counted).collect();
         Self {
             name: SharedName::from(deployment.name),
             gateways: bed.gates.len(),
             upstreams: bed.upstreams.len(),
             measuring: MeasuringCost::of(bed),
-            verdict: DeploymentVerdict::new(deployment, bed, &load),
+            verdict: DeploymentVerdict::compare(&work, &counts, &load),
             load,
         }
     }
@@ -98,19 +103,22 @@
 }
 
 impl DeploymentVerdict {
-    fn new(deployment: &DemoDeployment, bed: &DemoBed, load: &LoadReport) -> Self {
+    /// Compares what callers got with what the upstreams of each service counted. `work` maps the
+    /// kinds of requests that run at most once to their services.
+    pub fn compare(
+        work: &HashMap<SharedName, SharedName>,
+        counts: &[(SharedName, UpstreamCounts)],
+        load: &LoadReport,
+    ) -> Self {
         let errors = &load.overall.errors;
-        // The service of each kind whose rule lets the work run at most once.
-        let kinds: HashMap<_, _> =
-            deployment.mix.iter().filter_map(|kind| at_most_once(bed, kind)).collect();
-        let services: HashSet<&SharedName> = kinds.values().collect();
-        let mut runs: HashMap<SharedName, u64> = HashMap::new();
-        for upstream in bed.upstreams.iter().filter(|own| services.contains(&own.service)) {
-            for (key, count) in upstream.stand.counts().by_key {
-                *runs.entry(key).or_default() += u64::from(count);
+        let services: HashSet<&SharedName> = work.values().collect();
+        let mut runs: HashMap<&SharedName, u64> = HashMap::new();
+        for (_, counts) in counts.iter().filter(|(service, _)| services.contains(service)) {
+            for (key, count) in &counts.by_key {
+                *runs.entry(key).or_default() += u64::from(*count);
             }
         }
-        let rows = load.kinds.iter().filter(|row| kinds.contains_key(&row.name));
+        let rows = load.kinds.iter().filter(|row| work.contains_key(&row.name));
         let answered: u64 = rows.map(|row| row.good).sum();
         Self {
             wrong_answers: errors.wrong_nonce + errors.short_body + errors.wrong_status,
@@ -125,6 +133,7 @@
     }
 }
 
+/// Returns the kind and its service if the work runs at most once.
 fn at_most_once(bed: &DemoBed, kind: &RequestKind) -> Option<(SharedName, SharedName)> {
     let contract = bed.environment.contract_for(&kind.host, &kind.path)?;
     let rule = contract.rule_for(&kind.method, &kind.path)?;
--- a/crates/ctl/tests/demo.rs
+++ b/crates/ctl/tests/demo.rs
@@ -1,10 +1,12 @@
 //! The demo as a process, and the judgement of its result.
 
+use std::collections::HashMap;
 use std::process::Command;
 
 use ctl::demo::{DemoReport, DeploymentReport, DeploymentVerdict};
 use load::prelude::*;
 use serde_json::Value;
+use stand::prelude::*;
 
 /// Guards against a demo that does not end by itself, gives wrong answers or shows a deployment
 /// without calls.
@@ -70,3 +72,82 @@
         }
     }
 }
+
+struct CountCase {
+    /// The fault that the case guards against.
+    guards: &'static str,
+    /// Service, key and executions on each upstream.
+    runs: &'static [(&'static str, &'static str, u32)],
+    /// Good answers to bookings.
+    booked: u64,
+    errors: ErrorCounts,
+    verdict: DeploymentVerdict,
+}
+
+/// Guards against faults that the comparison with the upstreams' counts does not see.
+#[test]
+fn counts_are_compared() {
+    let clean = DeploymentVerdict::default;
+    let none = ErrorCounts::default;
+    let base = || CountCase {
+        guards: "work that ran once",
+        runs: &[("booking-desk", "a", 1), ("booking-desk", "b", 1)],
+        booked: 2,
+        errors: none(),
+        verdict: clean(),
+    };
+    let cases = [
+        base(),
+        CountCase {
+            guards: "work that ran on two upstreams",
+            runs: &[("booking-desk", "a", 1), ("booking-desk", "a", 1)],
+            booked: 1,
+            verdict: DeploymentVerdict { repeated_work: 1, ..clean() },
+            ..base()
+        },
+        CountCase {
+            guards: "work that ran twice on one upstream",
+            runs: &[("booking-desk", "a", 2), ("booking-desk", "b", 1)],
+            verdict: DeploymentVerdict { repeated_work: 1, ..clean() },
+            ..base()
+        },
+        CountCase {
+            guards: "a retried report, which is no fault",
+            runs: &[("grove-view", "c", 2)],
+            booked: 0,
+            ..base()
+        },
+        CountCase {
+            guards: "an answer to a booking that did not run",
+            booked: 3,
+            verdict: DeploymentVerdict { missing_work: 1, ..clean() },
+            ..base()
+        },
+        CountCase {
+            guards: "wrong answers of every kind",
+            errors: ErrorCounts { wrong_nonce: 1, short_body: 2, wrong_status: 4, ..none() },
+            verdict: DeploymentVerdict { wrong_answers: 7, ..clean() },
+            ..base()
+        },
+        CountCase {
+            guards: "refused calls, which are no wrong answers",
+            errors: ErrorCounts { not_run: 1, unknown: 1, timed_out: 1, ..none() },
+            ..base()
+        },
+    ];
+    let work = HashMap::from([("booking".into(), "booking-desk".into())]);
+    let kind = RequestKind { name: "booking".into(), ..RequestKind::default() };
+    let plan = LoadPlan { mix: vec![kind], ..LoadPlan::default() };
+    for case in cases {
+        let mut load = LoadReport::new(&plan, &[load::tally::KindTally::new()]);
+        load.kinds[0].good = case.booked;
+        load.overall.errors = case.errors;
+        let upstream = |(service, key, count): &(&str, &str, u32)| {
+            let by_key = HashMap::from([((*key).into(), *count)]);
+            ((*service).into(), UpstreamCounts { by_key, ..UpstreamCounts::default() })
+        };
+        let counts: Vec<_> = case.runs.iter().map(upstream).collect();
+        let verdict = DeploymentVerdict::compare(&work, &counts, &load);
+        assert_eq!(verdict, case.verdict, "{}", case.guards);
+    }
+}
