--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -23,7 +23,7 @@
 /// Goal for the own policy's p99 in multiples of that of random choice (design page, 5.2).
 const RANDOM_MULTIPLE: f64 = 0.5;
 /// Load as a share of all slot time without noise.
-const LOAD_SHARE: f64 = 0.7;
+pub(crate) const LOAD_SHARE: f64 = 0.7;
 const ROUNDS: u64 = 5;
 const WARM_UP_MS: u64 = 1000;
 const DURATION_MS: u64 = 3000;
@@ -156,6 +156,17 @@
         Ok(())
     }
 
+    /// Crashes one upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub fn crash(&self, upstream: usize) -> Result<(), BenchError> {
+        let Some(address) = self.admin_addresses().nth(upstream) else { return Ok(()) };
+        self.ask(Method::POST, address, "/admin/crash", Bytes::new())?;
+        Ok(())
+    }
+
     fn count(&self, address: SocketAddr) -> Result<UpstreamCounts, BenchError> {
         let path = "/admin/counts";
         let body = self.ask(Method::GET, address, path, Bytes::new())?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod closed;
 pub mod error;
+pub mod faults;
 pub mod figure;
 pub mod fleet;
 pub mod machine;
+pub mod memory;
 pub mod path;
 pub mod relay;
 pub mod site;
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -59,7 +59,7 @@
     p50_ms: f64,
     p99_ms: f64,
     processor_us: f64,
-    failed: u64,
+    errors: ErrorCounts,
 }
 
 /// One round over all three ways.
@@ -165,7 +165,7 @@
         p50_ms: report.overall.latency.p50_ms,
         p99_ms: report.overall.latency.p99_ms,
         processor_us: seconds * 1e6 / calls,
-        failed: report.overall.errors.total(),
+        errors: report.overall.errors,
     })
 }
 
@@ -217,9 +217,25 @@
     for (name, value, bound) in rows {
         sheet.print(name, value, "ms", bound);
     }
-    let failed = rounds.iter().flat_map(|round| [round.direct, round.relay, round.gate]);
-    let failed: u64 = failed.map(|sample| sample.failed).sum();
-    sheet.print("path.failed", failed as f64, "calls", FigureBound::AtMost(0.0));
+    print_failures(rounds, sheet);
+}
+
+fn print_failures(rounds: &[PathRound], sheet: &mut FigureSheet) {
+    let ways: [(&str, fn(&PathRound) -> ErrorCounts); 3] = [
+        ("direct", |round| round.direct.errors),
+        ("relay", |round| round.relay.errors),
+        ("gate", |round| round.gate.errors),
+    ];
+    for (way, errors) in ways {
+        let sum = |count: fn(&ErrorCounts) -> u64| {
+            rounds.iter().map(|round| count(&errors(round))).sum::<u64>() as f64
+        };
+        let refused = sum(|errors| errors.not_run + errors.unsent);
+        sheet.print(&format!("path.{way}.refused"), refused, "calls", FigureBound::None);
+        // No server is faulty and the load is half of the capacity, so every call must succeed.
+        let failed = sum(ErrorCounts::total);
+        sheet.print(&format!("path.{way}.failed"), failed, "calls", FigureBound::AtMost(0.0));
+    }
 }
 
 fn print_processor(rounds: &[PathRound], sheet: &mut FigureSheet) {
