--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -62,6 +62,9 @@
     errors: ErrorCounts,
 }
 
+/// Returns the errors of one way.
+type ErrorsOf = fn(&PathRound) -> ErrorCounts;
+
 /// One round over all three ways.
 #[derive(Clone, Copy, Debug)]
 struct PathRound {
@@ -221,7 +224,7 @@
 }
 
 fn print_failures(rounds: &[PathRound], sheet: &mut FigureSheet) {
-    let ways: [(&str, fn(&PathRound) -> ErrorCounts); 3] = [
+    let ways: [(&str, ErrorsOf); 3] = [
         ("direct", |round| round.direct.errors),
         ("relay", |round| round.relay.errors),
         ("gate", |round| round.gate.errors),
