--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use load::prelude::*;
 use serde::Deserialize;
+use serde_json::Value;
 use stand::prelude::*;
 use trial::prelude::*;
 use trial::process::{self, ChildProcess};
@@ -59,9 +60,12 @@
     p50_ms: f64,
     p99_ms: f64,
     processor_us: f64,
-    failed: u64,
+    errors: ErrorCounts,
 }
 
+/// Returns the errors of one way.
+type ErrorsOf = fn(&PathRound) -> ErrorCounts;
+
 /// One round over all three ways.
 #[derive(Clone, Copy, Debug)]
 struct PathRound {
@@ -108,12 +112,12 @@
             connections: STAND_CONNECTIONS,
             ..TrialService::idempotent(HOST, vec![("medeu", upstream.address)])
         };
-        let document = TrialDocument { services: vec![service] };
+        let document = single_vm(&TrialDocument { services: vec![service] });
         let gates = CAPACITY_WORKERS
             .iter()
             .map(|&workers| {
                 let settings = GateSettings { workers, ..GateSettings::default() };
-                GateProcess::start(&settings, &document)
+                GateProcess::start_with(&settings, &document)
             })
             .collect::<Result<_, _>>()?;
         Ok(Self { upstream, relay, gates })
@@ -137,6 +141,14 @@
     }
 }
 
+/// Returns a document for one VM. With the 15 VMs of the trial document, the gateway would start
+/// with a fifteenth of the slots, and the generator's 64 connections would wait in its queue.
+fn single_vm(document: &TrialDocument) -> Vec<u8> {
+    let mut document: Value = serde_json::from_slice(&document.to_bytes()).unwrap_or_default();
+    document["services"][0]["vm_ceiling"] = Value::from(1);
+    document.to_string().into_bytes()
+}
+
 /// Measures one way. The process is the first one on it.
 fn sample(
     (address, process): (SocketAddr, u32),
@@ -165,7 +177,7 @@
         p50_ms: report.overall.latency.p50_ms,
         p99_ms: report.overall.latency.p99_ms,
         processor_us: seconds * 1e6 / calls,
-        failed: report.overall.errors.total(),
+        errors: report.overall.errors,
     })
 }
 
@@ -217,9 +229,25 @@
     for (name, value, bound) in rows {
         sheet.print(name, value, "ms", bound);
     }
-    let failed = rounds.iter().flat_map(|round| [round.direct, round.relay, round.gate]);
-    let failed: u64 = failed.map(|sample| sample.failed).sum();
-    sheet.print("path.failed", failed as f64, "calls", FigureBound::AtMost(0.0));
+    print_failures(rounds, sheet);
+}
+
+fn print_failures(rounds: &[PathRound], sheet: &mut FigureSheet) {
+    let ways: [(&str, ErrorsOf); 3] = [
+        ("direct", |round| round.direct.errors),
+        ("relay", |round| round.relay.errors),
+        ("gate", |round| round.gate.errors),
+    ];
+    for (way, errors) in ways {
+        let sum = |count: fn(&ErrorCounts) -> u64| {
+            rounds.iter().map(|round| count(&errors(round))).sum::<u64>() as f64
+        };
+        let refused = sum(|errors| errors.not_run + errors.unsent);
+        sheet.print(&format!("path.{way}.refused"), refused, "calls", FigureBound::None);
+        // No server is faulty and the load is half of the capacity, so every call must succeed.
+        let failed = sum(ErrorCounts::total);
+        sheet.print(&format!("path.{way}.failed"), failed, "calls", FigureBound::AtMost(0.0));
+    }
 }
 
 fn print_processor(rounds: &[PathRound], sheet: &mut FigureSheet) {
