Test the member crate in a model of many VMs, and repair news by slices

Cause: the model found that a restarted VM took minutes to get its last missing news, that a cold start of 120 VMs delayed news, and that the records of dead VMs crowded out life signs. Change: a request names the items held in one differing slice; copies received reduce the resends of records; suspected peers get a few places in turn.

--- a/crates/member/examples/gossip_cost.rs
+++ b/crates/member/examples/gossip_cost.rs
@@ -15,6 +15,7 @@
 /// Time between two items. An ordinary day at the target scale has one every 40 s or so.
 const ITEM_PERIOD: ClockSpan = ClockSpan::from_millis(5000);
 const SETTLE: ClockSpan = ClockSpan::from_secs(30);
+const PARTITION: ClockSpan = ClockSpan::from_secs(3600);
 const WARM_UP: ClockSpan = ClockSpan::from_secs(60);
 const NODE_BYTES_BOUND: f64 = 10_000.0;
 const SPREAD_BOUND_MS: f64 = 3000.0;
@@ -58,7 +59,28 @@
     println!("spread_p50_{vms} {:.0} ms -", quantile(&spreads, 0.5));
     println!("spread_p999_{vms} {:.0} ms {SPREAD_BOUND_MS:.0}", quantile(&spreads, 0.999));
     println!("peer_state_{vms} {state} B {NODE_STATE_BOUND:.0}");
-    println!("false_suspects_{vms} {} pairs -", suspects);
+    println!("false_suspects_{vms} {suspects} pairs -");
+}
+
+/// Measures the rejoin of two regions after an hour, with the list empty.
+fn measure_rejoin(vms: usize) {
+    let mut model = Model::new(ModelSetup::new(vms, 1));
+    model.run(WARM_UP);
+    model.wrong_list = Some(Vec::new());
+    model.partitioned = true;
+    model.run(PARTITION);
+    model.partitioned = false;
+    let first = model.sample_count() - 1;
+    let start = model.now;
+    model.publish(0, ModelNews::drain_mark(0));
+    model.run(WARM_UP);
+    let spread = model.spread(0, start).unwrap_or(ClockSpan::MAX).as_millis_f64();
+    let (peak, messages) = (model.peak_bytes(first, 10), model.peak_messages(first, 1));
+    let live = model.pairs_in(&[PeerState::Live]);
+    println!("rejoin_spread_{vms} {spread:.0} ms {SPREAD_BOUND_MS:.0}");
+    println!("rejoin_peak_10s_bytes_{vms} {peak:.0} B/s {NODE_BYTES_BOUND:.0}");
+    println!("rejoin_peak_messages_{vms} {messages:.0} 1/s -");
+    println!("rejoin_live_{vms} {live} pairs {}", vms * (vms - 1));
 }
 
 fn main() {
@@ -66,5 +88,6 @@
     println!("vms_needed {} VMs -", CapacityPlan::TARGET.vm_count());
     for vms in [15, 45, 120] {
         measure(vms, items);
+        measure_rejoin(vms);
     }
 }
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -7,7 +7,7 @@
 
 use crate::budget::ByteBudget;
 use crate::message::{ExchangeMessage, NewsEnvelope};
-use crate::news::{NewsDigest, NewsItem, NewsStore};
+use crate::news::{HeldSlice, NewsDigest, NewsItem, NewsStore};
 use crate::peer::PeerEvent;
 use crate::table::{PeerTable, ReportRoom, TableState};
 use crate::tuning::GossipTuning;
@@ -22,6 +22,10 @@
 /// news after another leaves no room for life signs, and living peers are suspected.
 const ROUTINE_BYTES: usize = 640;
 
+/// Items in one response that show that this VM has missed a lot, for instance because it has just
+/// started. It then continues without waiting for the routine period.
+const BACKLOG_ITEMS: usize = 3;
+
 /// Why an exchange takes place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExchangePurpose {
@@ -86,6 +90,8 @@
     urgent_at: ClockTime,
     reconnect_at: ClockTime,
     order: Vec<SharedName>,
+    /// The slice to name in the next routine request.
+    held: Option<HeldSlice>,
 }
 
 /// The exchanges that are due.
@@ -111,6 +117,7 @@
             urgent_at: first,
             reconnect_at: first,
             order: Vec::new(),
+            held: None,
         };
         Self { state: RankedMutex::new(LockRank::PeerTable, state) }
     }
@@ -219,7 +226,16 @@
         now: ClockTime,
     ) -> ExchangeResult<N> {
         let overhead = self.with(|state| state.tuning.response_overhead);
-        self.absorb(table, response, overhead, now)
+        let result = self.absorb(table, response, overhead, now);
+        self.with(|state| {
+            if let Some(digest) = &response.digest {
+                state.held = state.news.held_slice(digest, now);
+            }
+            if result.fresh.len() >= BACKLOG_ITEMS {
+                state.hasten_routine(now);
+            }
+        });
+        result
     }
 
     /// Records that a request was not answered. Unless the peer is lost, the message may have been,
@@ -227,9 +243,7 @@
     pub fn failed(&self, table: &PeerTable, name: &str, now: ClockTime, random: &mut RandomSource) {
         let lost = table.with(|state| state.exchange_failed(name, now, random));
         if !lost {
-            self.with(|state| {
-                state.routine_at = state.routine_at.min(now + state.tuning.urgent_period);
-            });
+            self.with(|state| state.hasten_routine(now));
         }
     }
 
@@ -274,10 +288,11 @@
         });
         let left = room.saturating_sub(used + peers.encoded_size());
         self.with(|state| {
+            let held = state.held.take_if(|_| full && request.is_none());
             if full {
                 news.extend(state.take(left, false, request, now));
             }
-            let message = ExchangeMessage { peers, digest, news };
+            let message = ExchangeMessage { peers, digest, held, news };
             state.count_sent(message.encoded_size() + overhead, now);
             message
         })
@@ -285,6 +300,10 @@
 }
 
 impl<N: NewsItem> PlanState<N> {
+    fn hasten_routine(&mut self, now: ClockTime) {
+        self.routine_at = self.routine_at.min(now + self.tuning.urgent_period);
+    }
+
     fn learn(&mut self, item: N, age: ClockSpan, resends: u32, now: ClockTime) -> bool {
         let urgent = item.priority().is_urgent();
         let sends = if urgent { resends } else { self.tuning.sample_sends };
@@ -407,7 +426,14 @@
         let other = request.and_then(|message| message.digest);
         let Some(other) = other.filter(|_| self.tuning.anti_entropy) else { return Vec::new() };
         let skip = |key: &N::Key| taken.iter().any(|sent| sent.item.key() == *key);
-        self.news.repair(&other, room, now, skip)
+        let held = request.and_then(|message| message.held.as_ref());
+        let mut news =
+            held.map_or_else(Vec::new, |held| self.news.missing(held, room / 2, now, skip));
+        let used: usize = news.iter().map(NewsEnvelope::encoded_size).sum();
+        let unsent = |key: &N::Key| skip(key) || news.iter().any(|sent| sent.item.key() == *key);
+        let others = self.news.repair(&other, room.saturating_sub(used), now, unsent);
+        news.extend(others);
+        news
     }
 
     fn take(
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use world::prelude::*;
 
-use crate::news::{NewsDigest, NewsItem};
+use crate::news::{HeldSlice, NewsDigest, NewsItem};
 use crate::peer::VmPhase;
 
 /// Bytes of a record without its names: incarnation, address, phase, life sign and punctuation.
@@ -117,6 +117,8 @@
     pub peers: PeerReport,
     /// The digest of the sender's urgent news; absent in short messages.
     pub digest: Option<NewsDigest>,
+    /// What the sender has where its news last differed from a peer's; only in requests.
+    pub held: Option<HeldSlice>,
     /// News.
     pub news: Vec<NewsEnvelope<N>>,
 }
@@ -126,7 +128,8 @@
     pub fn encoded_size(&self) -> usize {
         let news: usize = self.news.iter().map(NewsEnvelope::encoded_size).sum();
         let digest = self.digest.as_ref().map_or(0, |parts| parts.len() * DIGEST_PART_BYTES);
-        self.peers.encoded_size() + digest + news
+        let held = self.held.as_ref().map_or(0, HeldSlice::encoded_size);
+        self.peers.encoded_size() + digest + held + news
     }
 }
 
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -124,17 +124,51 @@
     (part >> 32 << 32) | (hasher.finish() & u64::from(u32::MAX))
 }
 
+/// Most items that a request names in full, so that the response holds only others.
+const SLICE_ITEMS: usize = 32;
+/// Bytes of the hash of an item.
+const HASH_BYTES: usize = 11;
+
+/// The items that a VM has in one slice of one part whose digest differed, so that a peer can
+/// return those that are lacking. Digests alone only tell that something in a part is lacking.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct HeldSlice {
+    /// The part.
+    pub part: usize,
+    /// The slices into which the part is divided.
+    pub slices: usize,
+    /// The slice.
+    pub slice: usize,
+    /// Hashes of the items.
+    pub hashes: Vec<u32>,
+}
+
+impl HeldSlice {
+    /// Returns the bytes that the slice takes in a message.
+    pub fn encoded_size(&self) -> usize {
+        HASH_BYTES * (self.hashes.len() + 2)
+    }
+
+    fn covers<N: NewsItem>(&self, entry: &NewsEntry<N>) -> bool {
+        entry.part() == self.part && (entry.hash >> 40) as usize % self.slices.max(1) == self.slice
+    }
+}
+
 /// The items that one VM knows.
 pub struct NewsStore<N: NewsItem> {
     entries: HashMap<N::Key, NewsEntry<N>>,
     max_items: usize,
+    /// Position among the items of differing parts.
+    repair_cursor: usize,
+    /// Position among the parts and slices to name in full.
     cursor: usize,
 }
 
 impl<N: NewsItem> NewsStore<N> {
     /// Returns an empty store.
     pub fn new(max_items: usize) -> Self {
-        Self { entries: HashMap::new(), max_items, cursor: 0 }
+        Self { entries: HashMap::new(), max_items, repair_cursor: 0, cursor: 0 }
     }
 
     /// Returns the number of items.
@@ -281,13 +315,61 @@
         differing.drain(..newest);
         chosen.left += room - room / 2;
         if !differing.is_empty() {
-            let start = self.cursor % differing.len();
+            let start = self.repair_cursor % differing.len();
             differing.rotate_left(start);
-            self.cursor = self.cursor.wrapping_add(chosen.fill(differing.into_iter()));
+            let filled = chosen.fill(differing.into_iter());
+            self.repair_cursor = self.repair_cursor.wrapping_add(filled);
         }
         chosen.taken
     }
 
+    /// Returns one slice of the first part that differs from `other`, if one does. Parts and slices
+    /// have their turn.
+    pub fn held_slice(&mut self, other: &NewsDigest, now: ClockTime) -> Option<HeldSlice> {
+        let own = self.digest(now);
+        self.cursor = self.cursor.wrapping_add(1);
+        let part = (0..DIGEST_PARTS)
+            .map(|step| (self.cursor + step) % DIGEST_PARTS)
+            .find(|part| own[*part] != other[*part])?;
+        let urgent = || self.entries.values().filter(|entry| entry.item.priority().is_urgent());
+        let items = urgent().filter(|entry| entry.part() == part).count();
+        let slices = items.div_ceil(SLICE_ITEMS).max(1);
+        let slice = self.cursor / DIGEST_PARTS % slices;
+        let mut held = HeldSlice { part, slices, slice, hashes: Vec::new() };
+        held.hashes = urgent()
+            .filter(|entry| held.covers(entry) && !entry.expired(now))
+            .map(|entry| entry.hash as u32)
+            .collect();
+        held.hashes.sort_unstable();
+        Some(held)
+    }
+
+    /// Returns the items of a slice that `held` does not name, as many as fit in `room` bytes.
+    pub fn missing(
+        &self,
+        held: &HeldSlice,
+        room: usize,
+        now: ClockTime,
+        skip: impl Fn(&N::Key) -> bool,
+    ) -> Vec<NewsEnvelope<N>> {
+        let mut lacking: Vec<&NewsEntry<N>> = self
+            .entries
+            .iter()
+            .filter(|(key, entry)| {
+                entry.item.priority().is_urgent()
+                    && !entry.expired(now)
+                    && held.covers(entry)
+                    && !held.hashes.contains(&(entry.hash as u32))
+                    && !skip(key)
+            })
+            .map(|(_, entry)| entry)
+            .collect();
+        lacking.sort_by_key(|entry| (entry.item.priority(), entry.hash));
+        let mut chosen = Chosen { left: room, taken: Vec::new(), now };
+        chosen.fill(lacking.into_iter());
+        chosen.taken
+    }
+
     /// Returns the newest revision known for a key.
     pub fn revision(&self, key: &N::Key) -> Option<u64> {
         self.entries.get(key).map(|entry| entry.item.revision())
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -36,6 +36,7 @@
     centre_counts: BTreeMap<SharedName, CountWindow>,
     counted_at: Option<ClockTime>,
     record_cursor: usize,
+    suspect_cursor: usize,
     resends: u32,
 }
 
@@ -70,6 +71,7 @@
             centre_counts: BTreeMap::new(),
             counted_at: None,
             record_cursor: 0,
+            suspect_cursor: 0,
             resends: 0,
         };
         state.own_sends = state.resend_limit();
@@ -271,10 +273,14 @@
         // Phases of one incarnation only advance, so an old message cannot undo a leave.
         if notice.phase > record.phase {
             record.set_phase(notice.phase);
-            record.sends_left = resends;
+            // Only a leave is urgent; other phases also spread with the digests.
+            let leaving = notice.phase == VmPhase::Leaving;
+            record.sends_left = if leaving { resends } else { resends / 2 };
             let identity = record.identity.clone();
             return (notice.phase == VmPhase::Leaving).then_some(PeerEvent::Leaving(identity));
         }
+        // Each copy received shows that fewer VMs still lack the record.
+        record.sends_left = record.sends_left.saturating_sub(1);
         returned(record, before, grew, &self.tuning.peer, now)
     }
 
@@ -286,7 +292,7 @@
         restarted: bool,
     ) -> PeerEvent {
         let mut record = PeerRecord::from_notice(notice, seen_at, from);
-        record.sends_left = self.resends;
+        record.sends_left = self.resends / 2;
         record.listed =
             self.peers.get(&notice.identity.name).is_some_and(|previous| previous.listed);
         self.peers.insert(notice.identity.name.clone(), record);
@@ -396,7 +402,7 @@
     /// Adds life signs. A request carries those that grew last, which are news to most peers, and
     /// those that have not grown for longest, for which the response returns newer ones.
     fn add_beats(
-        &self,
+        &mut self,
         report: &mut PeerReport,
         asked: &[PeerBeat],
         mut left: usize,
@@ -419,14 +425,18 @@
         known.sort_by_key(|record| record.silence(now));
         let stale = if asked.is_empty() { most / 2 } else { 0 };
         let fresh = most.saturating_sub(chosen.len() + stale);
-        let suspected = known
-            .iter()
-            .rposition(|record| record.silence(now) < self.tuning.peer.gone_after)
-            .map_or(0, |last| last + 1);
-        let living = &known[..suspected];
-        let split = living.len().saturating_sub(stale);
-        chosen.extend(&living[split..]);
-        chosen.extend(living[..split].iter().take(fresh));
+        let silent = |limit| known.partition_point(|record| record.silence(now) < limit);
+        let recent = silent(self.tuning.peer.suspect_after);
+        let suspected = &known[recent..silent(self.tuning.peer.gone_after)];
+        // Suspected peers get a few places in turn. As the most silent ones they would otherwise
+        // take all of them once a data centre has failed.
+        let turns = suspected.len().min(stale / 4);
+        let start = self.suspect_cursor;
+        chosen.extend((0..turns).map(|step| suspected[(start + step) % suspected.len()]));
+        let split = recent.saturating_sub(stale - turns);
+        chosen.extend(&known[split..recent]);
+        chosen.extend(known[..split].iter().take(fresh));
+        self.suspect_cursor = start.wrapping_add(turns);
         for beat in chosen.into_iter().map(PeerRecord::beat) {
             let size = beat.encoded_size();
             if size > left {
