Spend the gossip budget on news that was sent least

Cause: while the byte budget was short, short responses had no room for news, and repeated sends of old items delayed new ones. Change: every message has room for some news; while less than half of the burst is left, an item is sent at most five times; the budget is 3.8 KB/s with a burst of 9 KB.

--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -18,9 +18,9 @@
 const NEWS_SHARE: f64 = 0.75;
 /// Bytes of a digest and a sender's record, reserved before news is added.
 const HEAD_BYTES: usize = 220;
-/// Payload that a routine message may have even if the budget is spent. Without it, a second of
-/// news after another leaves no room for life signs, and living peers are suspected.
-const ROUTINE_BYTES: usize = 640;
+/// Payload that a message may have even if the budget is spent. Without it, lasting news leaves no
+/// room for life signs, so that living peers are suspected, and responses pass on no news.
+const LEAST_BYTES: usize = 640;
 
 /// Items in one response that show that this VM has missed a lot, for instance because it has just
 /// started. It then continues without waiting for the routine period.
@@ -161,7 +161,11 @@
         let rumours = table.with(|state| state.has_rumours());
         self.with(|state| {
             let calm = state.routine_at.min(state.reconnect_at);
-            if rumours || state.news.has_rumours() { calm.min(state.urgent_at) } else { calm }
+            if rumours || state.news.has_rumours(u32::MAX) {
+                calm.min(state.urgent_at)
+            } else {
+                calm
+            }
         })
     }
 
@@ -325,6 +329,13 @@
         fresh
     }
 
+    /// Returns the sends of one item allowed now. While the budget is short, each send of an item
+    /// that was sent often delays one that was not.
+    fn most_sends(&mut self, now: ClockTime) -> u32 {
+        let short = (self.budget.room(now) as f64) < self.tuning.burst_bytes / 2.0;
+        if short { self.tuning.short_sends } else { u32::MAX }
+    }
+
     fn jittered(&self, period: ClockSpan, random: &mut RandomSource) -> ClockSpan {
         period.scaled(1.0 + self.tuning.jitter * (2.0 * random.unit() - 1.0))
     }
@@ -336,9 +347,10 @@
         random: &mut RandomSource,
     ) -> Option<ExchangeRound> {
         self.news.expire(now);
+        let most_sends = self.most_sends(now);
         let mut round = ExchangeRound { routine: false, urgent: 0, reconnect: false };
         round.routine = now >= self.routine_at;
-        if now >= self.urgent_at && (rumours || self.news.has_rumours()) {
+        if now >= self.urgent_at && (rumours || self.news.has_rumours(most_sends)) {
             self.urgent_at = now + self.jittered(self.tuning.urgent_period, random);
             round.urgent = self.tuning.urgent_fanout.saturating_sub(usize::from(round.routine));
         }
@@ -363,7 +375,7 @@
         let room = self.budget.room(now);
         let wanted = round.urgent + usize::from(round.routine) + usize::from(round.reconnect);
         round.routine &= room >= cost;
-        let reserve = self.tuning.request_overhead + ROUTINE_BYTES;
+        let reserve = self.tuning.request_overhead + LEAST_BYTES;
         let mut affordable = room.saturating_sub(reserve) / cost;
         round.urgent = round.urgent.min(affordable);
         affordable -= round.urgent;
@@ -405,10 +417,12 @@
         now: ClockTime,
     ) -> (usize, Option<NewsDigest>, Vec<NewsEnvelope<N>>) {
         let digest = (full && self.tuning.anti_entropy).then(|| self.news.digest(now));
-        let least = if full { ROUTINE_BYTES } else { HEAD_BYTES };
-        let room = self.tuning.message_bytes.min(self.budget.room(now).max(least));
-        let share = (room as f64 * NEWS_SHARE) as usize;
-        let share = share.saturating_sub(HEAD_BYTES);
+        let room = self.tuning.message_bytes.min(self.budget.room(now).max(LEAST_BYTES));
+        let share = if full {
+            ((room as f64 * NEWS_SHARE) as usize).saturating_sub(HEAD_BYTES)
+        } else {
+            room.saturating_sub(SHORT_PAYLOAD_BYTES)
+        };
         let mut news = self.take(share, true, request, now);
         let used: usize = news.iter().map(NewsEnvelope::encoded_size).sum();
         news.extend(self.repair(request, &news, share.saturating_sub(used), now));
@@ -448,7 +462,8 @@
             .flat_map(|message| &message.news)
             .map(|envelope| (envelope.item.key(), envelope.item.revision()))
             .collect();
-        let (news, cut) = self.news.take(room, urgent, now, |key, revision| {
+        let most_sends = self.most_sends(now);
+        let (news, cut) = self.news.take(room, urgent, most_sends, now, |key, revision| {
             received.get(key).is_some_and(|known| *known >= revision)
         });
         self.usage.cut_items += cut;
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -76,6 +76,14 @@
         self.item.lifetime().is_some_and(|lifetime| now.since(self.born) >= lifetime)
     }
 
+    fn is_urgent(&self) -> bool {
+        self.item.priority().is_urgent()
+    }
+
+    fn is_hot(&self, most_sends: u32) -> bool {
+        self.sends_left > 0 && self.sends < most_sends
+    }
+
     fn part(&self) -> usize {
         (self.hash >> 32) as usize % DIGEST_PARTS
     }
@@ -224,21 +232,21 @@
     /// Drops expired items, and samples that were sent often enough.
     pub fn expire(&mut self, now: ClockTime) {
         self.entries.retain(|_, entry| {
-            let spent = !entry.item.priority().is_urgent() && entry.sends_left == 0;
+            let spent = !entry.is_urgent() && entry.sends_left == 0;
             !spent && !entry.expired(now)
         });
     }
 
-    /// Returns whether urgent items are still to be sent.
-    pub fn has_rumours(&self) -> bool {
-        self.entries.values().any(|entry| entry.sends_left > 0 && entry.item.priority().is_urgent())
+    /// Returns whether urgent items that were sent fewer than `most_sends` times are to be sent.
+    pub fn has_rumours(&self, most_sends: u32) -> bool {
+        self.entries.values().any(|entry| entry.is_hot(most_sends) && entry.is_urgent())
     }
 
     /// Returns the digest of the urgent items.
     pub fn digest(&self, now: ClockTime) -> NewsDigest {
         let mut digest = [0; DIGEST_PARTS];
         for entry in self.entries.values() {
-            if entry.item.priority().is_urgent() && !entry.expired(now) {
+            if entry.is_urgent() && !entry.expired(now) {
                 digest[entry.part()] ^= entry.hash as u32;
             }
         }
@@ -246,12 +254,13 @@
     }
 
     /// Takes the urgent items, or the samples, to send next that fit in `room` bytes, least sent
-    /// first and among those most urgent first. Items for which `skip` holds are left out. Returns
+    /// first and among those most urgent first. Items sent `most_sends` times and items for which `skip` holds are left out. Returns
     /// the items and the number left out for lack of room.
     pub fn take(
         &mut self,
         room: usize,
         urgent: bool,
+        most_sends: u32,
         now: ClockTime,
         skip: impl Fn(&N::Key, u64) -> bool,
     ) -> (Vec<NewsEnvelope<N>>, u64) {
@@ -259,8 +268,8 @@
             .entries
             .iter_mut()
             .filter(|(key, entry)| {
-                entry.sends_left > 0
-                    && entry.item.priority().is_urgent() == urgent
+                entry.is_hot(most_sends)
+                    && entry.is_urgent() == urgent
                     && !entry.expired(now)
                     && !skip(key, entry.item.revision())
             })
@@ -299,7 +308,7 @@
             .entries
             .iter()
             .filter(|(key, entry)| {
-                entry.item.priority().is_urgent()
+                entry.is_urgent()
                     && !entry.expired(now)
                     && !skip(key)
                     && own[entry.part()] != other[entry.part()]
@@ -331,7 +340,7 @@
         let part = (0..DIGEST_PARTS)
             .map(|step| (self.cursor + step) % DIGEST_PARTS)
             .find(|part| own[*part] != other[*part])?;
-        let urgent = || self.entries.values().filter(|entry| entry.item.priority().is_urgent());
+        let urgent = || self.entries.values().filter(|entry| entry.is_urgent());
         let items = urgent().filter(|entry| entry.part() == part).count();
         let slices = items.div_ceil(SLICE_ITEMS).max(1);
         let slice = self.cursor / DIGEST_PARTS % slices;
@@ -356,7 +365,7 @@
             .entries
             .iter()
             .filter(|(key, entry)| {
-                entry.item.priority().is_urgent()
+                entry.is_urgent()
                     && !entry.expired(now)
                     && held.covers(entry)
                     && !held.hashes.contains(&(entry.hash as u32))
--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -54,6 +54,8 @@
     /// Retransmissions of a news item by one VM, as a multiple of log2 of the VM count.
     /// `f64::INFINITY` switches the bound off.
     pub resend_factor: f64,
+    /// Sends of one item by one VM while less than half of the burst is left.
+    pub short_sends: u32,
     /// Age from which news found by anti-entropy gets half of the retransmissions.
     pub fresh_age: ClockSpan,
     /// Whether digests are exchanged and differing news is sent.
@@ -87,13 +89,14 @@
             urgent_fanout: 2,
             jitter: 0.2,
             resend_factor: 2.5,
+            short_sends: 5,
             fresh_age: ClockSpan::from_secs(10),
             anti_entropy: true,
             beats_per_message: 16,
             records_per_message: 8,
             message_bytes: 1200,
-            bytes_per_second: 4000.0,
-            burst_bytes: 6000.0,
+            bytes_per_second: 3800.0,
+            burst_bytes: 9000.0,
             request_overhead: 320,
             response_overhead: 200,
             max_news: 2048,
