--- a/crates/member/examples/gossip_cost.rs
+++ b/crates/member/examples/gossip_cost.rs
@@ -12,9 +12,11 @@
 
 /// News items whose spread is measured for each number of VMs.
 const ITEMS: u64 = 3000;
-/// Time between two items. An ordinary day at the target scale has one every 40 s or so.
-const ITEM_PERIOD: ClockSpan = ClockSpan::from_millis(5000);
+/// Default time between two items. 980 configuration changes and 172 restarts a day are one item
+/// every 75 s.
+const ITEM_PERIOD_MS: u64 = 5000;
 const SETTLE: ClockSpan = ClockSpan::from_secs(30);
+const PARTITION: ClockSpan = ClockSpan::from_secs(3600);
 const WARM_UP: ClockSpan = ClockSpan::from_secs(60);
 const NODE_BYTES_BOUND: f64 = 10_000.0;
 const SPREAD_BOUND_MS: f64 = 3000.0;
@@ -25,7 +27,7 @@
     sorted[rank.clamp(1, sorted.len()) - 1]
 }
 
-fn measure(vms: usize, items: u64) {
+fn measure(vms: usize, items: u64, period: ClockSpan) {
     let mut model = Model::new(ModelSetup::new(vms, 1));
     model.run(WARM_UP);
     let first = model.sample_count() - 1;
@@ -37,7 +39,7 @@
         starts.push(model.now);
         let origin = model.random.below(vms);
         model.publish(origin, ModelNews::drain_mark(id));
-        model.run(ITEM_PERIOD);
+        model.run(period);
     }
     let (bytes, messages) = model.mean_rates(first);
     let peak = model.peak_bytes(first, 10);
@@ -58,13 +60,41 @@
     println!("spread_p50_{vms} {:.0} ms -", quantile(&spreads, 0.5));
     println!("spread_p999_{vms} {:.0} ms {SPREAD_BOUND_MS:.0}", quantile(&spreads, 0.999));
     println!("peer_state_{vms} {state} B {NODE_STATE_BOUND:.0}");
-    println!("false_suspects_{vms} {} pairs -", suspects);
+    println!("false_suspects_{vms} {suspects} pairs -");
+}
+
+/// Measures the rejoin of two regions after an hour, with the list empty.
+fn measure_rejoin(vms: usize) {
+    let mut model = Model::new(ModelSetup::new(vms, 1));
+    model.run(WARM_UP);
+    model.wrong_list = Some(Vec::new());
+    model.partitioned = true;
+    model.run(PARTITION);
+    model.partitioned = false;
+    let first = model.sample_count() - 1;
+    let start = model.now;
+    model.publish(0, ModelNews::drain_mark(0));
+    model.run(WARM_UP);
+    let spread = model.spread(0, start).unwrap_or(ClockSpan::MAX).as_millis_f64();
+    let (peak, messages) = (model.peak_bytes(first, 10), model.peak_messages(first, 1));
+    let live = model.pairs_in(&[PeerState::Live]);
+    println!("rejoin_spread_{vms} {spread:.0} ms {SPREAD_BOUND_MS:.0}");
+    println!("rejoin_peak_10s_bytes_{vms} {peak:.0} B/s {NODE_BYTES_BOUND:.0}");
+    println!("rejoin_peak_messages_{vms} {messages:.0} 1/s -");
+    println!("rejoin_live_{vms} {live} pairs {}", vms * (vms - 1));
 }
 
 fn main() {
-    let items = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(ITEMS);
+    let argument = |index, default| {
+        std::env::args().nth(index).map_or(Some(default), |text| text.parse().ok())
+    };
+    let (Some(items), Some(period)) = (argument(1, ITEMS), argument(2, ITEM_PERIOD_MS)) else {
+        eprintln!("arguments must be numbers: gossip_cost [ITEMS] [PERIOD_MS]");
+        return;
+    };
     println!("vms_needed {} VMs -", CapacityPlan::TARGET.vm_count());
     for vms in [15, 45, 120] {
-        measure(vms, items);
+        measure(vms, items, ClockSpan::from_millis(period));
+        measure_rejoin(vms);
     }
 }
