Test that non-idempotent work needs a proven connection

Cause: the rule was covered only after an idempotent call had found the fault. Change: a test in two cases, with and without the rule, behind the fault proxy. Figures: with the rule both bookings run; without it the second ends unknown. Conclusion: the rule is needed.

--- /dev/null
+++ b/crates/gate/tests/silence.rs
@@ -0,0 +1,70 @@
+//! Idle connections that stopped responding.
+
+mod common;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use common::{environment, options};
+use gate::process::RunningGate;
+use gate::state::GateState;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use stand::prelude::*;
+
+struct ProofCase {
+    name: &'static str,
+    /// How recently a connection must have carried an answer.
+    proof: ClockSpan,
+    status: StatusCode,
+    executed: u64,
+}
+
+const CASES: [ProofCase; 2] = [
+    ProofCase {
+        name: "no connection is recent enough",
+        proof: ClockSpan::ZERO,
+        status: StatusCode::OK,
+        executed: 2,
+    },
+    ProofCase {
+        name: "any connection is recent enough",
+        proof: ClockSpan::MAX,
+        status: StatusCode::GATEWAY_TIMEOUT,
+        executed: 1,
+    },
+];
+
+/// Guards against non-idempotent work on an idle connection that no longer responds. The second
+/// case shows that the work would be lost without the rule.
+#[tokio::test]
+async fn non_idempotent_work_needs_a_proven_connection() {
+    for case in CASES {
+        let upstream =
+            UpstreamStand::start(UpstreamPlan::default()).await.expect("upstream starts");
+        let plan = ProxyPlan { target: upstream.address(), ..ProxyPlan::default() };
+        let proxy = FaultProxy::start(plan).await.expect("the proxy starts");
+        let mut map = environment(proxy.address());
+        Arc::make_mut(&mut map.contracts[0]).rules[0].idempotent = false;
+        let mut options = options();
+        options.timeouts.connection_proof = case.proof;
+        let gate = RunningGate::start(Arc::new(GateState::new(options, map)));
+        let gate = gate.expect("gateway starts");
+        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let book = || {
+            let request = Request::post(format!("http://{}/book", gate.caller_address))
+                .header("agateroad-deadline-ms", 1_000)
+                .body(Full::default())
+                .expect("a valid request");
+            client.request(request)
+        };
+        assert_eq!(book().await.expect("an answer").status(), StatusCode::OK, "{}", case.name);
+        proxy.silence_open();
+        let answer = book().await.expect("an answer");
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        assert_eq!(upstream.counts().executed, case.executed, "{}", case.name);
+    }
+}
