Measure the path for one VM and document the benchmarks

Cause: the path's document allowed 15 VMs, so that its gateway started with a fifteenth of the slots; at a load average of 18 it refused 7,052 calls at half of its capacity. Change: the path's document names one VM; docs/benchmarks.md explains all figures and docs/CAPACITY.md derives the needs of each role from the measured slopes.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use load::prelude::*;
 use serde::Deserialize;
+use serde_json::Value;
 use stand::prelude::*;
 use trial::prelude::*;
 use trial::process::{self, ChildProcess};
@@ -111,12 +112,12 @@
             connections: STAND_CONNECTIONS,
             ..TrialService::idempotent(HOST, vec![("medeu", upstream.address)])
         };
-        let document = TrialDocument { services: vec![service] };
+        let document = single_vm(&TrialDocument { services: vec![service] });
         let gates = CAPACITY_WORKERS
             .iter()
             .map(|&workers| {
                 let settings = GateSettings { workers, ..GateSettings::default() };
-                GateProcess::start(&settings, &document)
+                GateProcess::start_with(&settings, &document)
             })
             .collect::<Result<_, _>>()?;
         Ok(Self { upstream, relay, gates })
@@ -140,6 +141,14 @@
     }
 }
 
+/// Returns a document for one VM. With the 15 VMs of the trial document, the gateway would start
+/// with a fifteenth of the slots, and the generator's 64 connections would wait in its queue.
+fn single_vm(document: &TrialDocument) -> Vec<u8> {
+    let mut document: Value = serde_json::from_slice(&document.to_bytes()).unwrap_or_default();
+    document["services"][0]["vm_ceiling"] = Value::from(1);
+    document.to_string().into_bytes()
+}
+
 /// Measures one way. The process is the first one on it.
 fn sample(
     (address, process): (SocketAddr, u32),
