--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -26,8 +26,7 @@
     pub window: ClockSpan,
     /// Samples that a window needs.
     pub window_samples: u32,
-    /// Latency may grow to this multiple of the baseline before the limit shrinks. Mean latency
-    /// doubles on a server whose slots are all taken once over.
+    /// Latency may grow to this multiple of the baseline before the limit shrinks.
     pub tolerance: f64,
     /// The strongest shrinking for latency in one window.
     pub gradient_min: f64,
@@ -49,7 +48,7 @@
         Self {
             window: ClockSpan::from_millis(100),
             window_samples: 5,
-            tolerance: 2.0,
+            tolerance: 1.5,
             gradient_min: 0.5,
             smoothing: 0.3,
             backoff: 0.7,
@@ -120,7 +119,8 @@
         self.baseline = Some(baseline);
         let gradient = (tuning.tolerance * baseline / mean).clamp(tuning.gradient_min, 1.0);
         let target = self.limit * gradient + self.limit.sqrt();
-        let idle = f64::from(window.highest_use) < self.limit * tuning.growth_use;
+        // Only whole calls can be in use: a limit of 2.9 is fully used by two.
+        let idle = f64::from(window.highest_use) < self.limit.floor() * tuning.growth_use;
         let next = self.limit + (target - self.limit) * tuning.smoothing;
         if idle { next.min(self.limit) } else { next }
     }
