Remember attempt ids in the platform stand-in

Cause: the stand-in applied a repeated transaction again, so that lost answers could not be resolved against it, and it gave a version to deletions, which the protocol numbers 0. Change: committed attempt ids are remembered for 10 minutes of the stand-in's clock, and a repeat gets the first answer.

--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -104,6 +104,8 @@
     pub member_reads: u64,
     /// Transactions that were committed.
     pub committed: u64,
+    /// Transactions whose attempt id had committed before.
+    pub repeated: u64,
     /// Transactions that were rejected by an expectation.
     pub conflicts: u64,
     /// Rows written by committed transactions.
@@ -354,8 +356,11 @@
         let answer = {
             let mut guard = self.state.lock();
             let state = &mut *guard;
-            let answer = state.tables.transact(&call.writes);
+            let now = self.clock.now();
+            let repeated = state.tables.has_committed(&call.attempt);
+            let answer = state.tables.commit(&call.attempt, &call.writes, now);
             match &answer {
+                TransactAnswer::Committed { .. } if repeated => state.counts.repeated += 1,
                 TransactAnswer::Committed { versions, .. } => {
                     state.counts.committed += 1;
                     state.counts.rows_written += versions.len() as u64;
--- a/crates/stand/src/table.rs
+++ b/crates/stand/src/table.rs
@@ -1,6 +1,6 @@
 //! Tables and objects of the platform stand-in, without I/O.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::ops::Bound;
 
 use base::prelude::*;
@@ -10,6 +10,9 @@
     RowConflict, RowExpectation, RowName, RowWrite, ScannedRow, StoredRow, TransactAnswer,
 };
 
+/// How long the id of a committed transaction is remembered. The protocol requires 10 minutes.
+const ATTEMPT_MEMORY: ClockSpan = ClockSpan::from_secs(600);
+
 type RowMap = BTreeMap<SharedName, StoredRow>;
 
 /// The outcome of storing an object.
@@ -26,11 +29,49 @@
 pub struct PlatformTables {
     tables: HashMap<SharedName, RowMap>,
     objects: HashMap<SharedName, Bytes>,
+    /// The versions of each committed transaction by its attempt id.
+    attempts: HashMap<SharedName, Vec<u64>>,
+    /// The attempt ids in the order of their commits.
+    attempt_order: VecDeque<(ClockTime, SharedName)>,
     /// The version of the last write. Versions are never used again, also after a deletion.
     version: u64,
 }
 
 impl PlatformTables {
+    /// Carries out a transaction, unless its attempt id has committed; then the first answer is
+    /// repeated. A transaction without writes takes the place of one that has not arrived.
+    pub fn commit(
+        &mut self,
+        attempt: &SharedName,
+        writes: &[RowWrite],
+        now: ClockTime,
+    ) -> TransactAnswer {
+        self.forget_attempts(now);
+        if let Some(versions) = self.attempts.get(attempt) {
+            return TransactAnswer::Committed { committed: true, versions: versions.clone() };
+        }
+        let answer = self.transact(writes);
+        if let TransactAnswer::Committed { versions, .. } = &answer {
+            self.attempts.insert(attempt.clone(), versions.clone());
+            self.attempt_order.push_back((now, attempt.clone()));
+        }
+        answer
+    }
+
+    /// Returns whether the id of a committed transaction is remembered.
+    pub fn has_committed(&self, attempt: &str) -> bool {
+        self.attempts.contains_key(attempt)
+    }
+
+    fn forget_attempts(&mut self, now: ClockTime) {
+        while let Some((time, attempt)) = self.attempt_order.front()
+            && now.since(*time) > ATTEMPT_MEMORY
+        {
+            self.attempts.remove(attempt);
+            self.attempt_order.pop_front();
+        }
+    }
+
     /// Carries out all writes, or none if an expectation is not met.
     pub fn transact(&mut self, writes: &[RowWrite]) -> TransactAnswer {
         let conflicts: Vec<RowConflict> = writes
@@ -103,11 +144,12 @@
         match write.value.clone() {
             Some(value) => {
                 rows.insert(write.key.clone(), StoredRow { version, value });
+                version
             }
             None => {
                 rows.remove(&write.key);
+                0
             }
         }
-        version
     }
 }
--- a/crates/stand/src/wire.rs
+++ b/crates/stand/src/wire.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
 pub struct TransactCall {
-    /// The caller's id of this attempt. The store does not interpret it.
+    /// The caller's id of this attempt. An id that has committed is not applied again.
     pub attempt: SharedName,
     /// The writes, all of which happen or none.
     pub writes: Vec<RowWrite>,
@@ -70,7 +70,7 @@
     Committed {
         /// Always true.
         committed: bool,
-        /// The new version of each row.
+        /// The new version of each row, 0 for a deletion.
         versions: Vec<u64>,
     },
     /// No write happened.
