Name the environment in the process settings

Cause: a gateway that learns its document from the platform has to know which environment it serves.

--- a/crates/border/src/settings.rs
+++ b/crates/border/src/settings.rs
@@ -97,6 +97,8 @@
 pub struct ProcessSettings {
     /// The name of the VM.
     pub vm_name: SharedName,
+    /// The environment whose document the VM serves.
+    pub environment: SharedName,
     /// The data centre that the VM runs in.
     pub centre: SharedName,
     /// The listener for callers.
@@ -136,6 +138,8 @@
 
 fn review(document: &SettingsDocument, problems: &mut ProblemList) -> Option<ProcessSettings> {
     let vm_name = field::name(&FieldPath::top("vm_name"), &document.vm_name, problems);
+    let environment_path = FieldPath::top("environment");
+    let environment = field::name(&environment_path, &document.environment, problems);
     let centre = field::name(&FieldPath::top("data_centre"), &document.data_centre, problems);
     let addresses = review_listeners(document, problems);
     let platform_path = FieldPath::top("platform_address");
@@ -150,6 +154,7 @@
     let [caller_address, control_address, metrics_address] = addresses?;
     Some(ProcessSettings {
         vm_name,
+        environment,
         centre,
         caller_address,
         control_address,
--- a/crates/border/tests/settings.rs
+++ b/crates/border/tests/settings.rs
@@ -11,6 +11,7 @@
 fn example_loads() {
     let settings = load_settings(SETTINGS).unwrap();
     assert_eq!((settings.vm_name.as_str(), settings.centre.as_str()), ("almaty-vm-01", "medeu"));
+    assert_eq!(settings.environment, "almaty");
     assert_eq!(settings.control_address, ([127, 0, 0, 1], 8081).into());
     let secrets: Vec<&str> = settings.peer_secrets.iter().map(|secret| secret.as_str()).collect();
     assert_eq!(secrets, ["replace-this-peer-secret-2", "replace-this-peer-secret-1"]);
@@ -64,6 +65,7 @@
         &["operator_secrets[0]"],
     ),
     at_field("VM name", "/vm_name", r#""VM 1""#),
+    at_field("environment", "/environment", r#""The Environment""#),
     at_field("data centre", "/data_centre", r#""""#),
     at_field("host name for a listener", "/caller_address", r#""localhost:80""#),
     at_field("shared listener address", "/control_address", r#""127.0.0.1:8080""#),
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -96,6 +96,7 @@
     fn to_bytes(&self) -> Vec<u8> {
         let settings = json!({
             "vm_name": self.vm_name,
+            "environment": "trial",
             "data_centre": self.centre,
             "caller_address": "127.0.0.1:0",
             "control_address": "127.0.0.1:0",
