Learn the environment from the platform, claim keyed work and leave gracefully

Cause: the gateway served a document from a file only, dispatched bookings without a claim, and cut calls off when it was stopped. A non-idempotent call with a key runs under a claim and its answer is kept. On a signal readiness goes off, calls in flight end and outcomes are stored.

--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -1,6 +1,7 @@
 //! The path of one call through the gateway.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer::{AnswerBody, CallFate, CallRefusal, RunningCall};
+use crate::claims;
 use crate::head::{self, AnswerMarks, HeadFacts};
 use crate::link::{LinkConnection, LinkError, SendError};
 use crate::relay::{self, RelayBody, RelayError};
@@ -30,16 +32,16 @@
 const DEFAULT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
 
 /// A call that was checked and matched to its contract.
-struct PlannedCall {
-    request: CallerRequest,
-    method: Method,
-    uri: Uri,
+pub(crate) struct PlannedCall {
+    pub(crate) request: CallerRequest,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
     headers: HeaderMap,
-    id: HeaderValue,
+    pub(crate) id: HeaderValue,
 }
 
 /// The body of a call, as far as it is needed for further attempts.
-enum CallBody {
+pub(crate) enum CallBody {
     Empty,
     Held(Bytes),
     Streamed(Option<RelayBody>),
@@ -62,6 +64,7 @@
     parts: Parts,
     body: RequestBody,
 ) -> Response<AnswerBody> {
+    let _running = state.calls.enter();
     let id = state.next_id();
     match run(state, parts, body, &id).await {
         Ok(answer) => answer,
@@ -81,6 +84,9 @@
     let facts = head::check_head(&parts)
         .map_err(|error| CallRefusal::not_run(StatusCode::BAD_REQUEST, error).closing())?;
     let call = plan(state, parts, &facts, id)?;
+    if claims::is_needed(&call.request) {
+        return claims::run(state, call, &facts, body).await;
+    }
     let body = prepare_body(state, &facts, body).await?;
     run_attempts(state, &call, body).await
 }
@@ -91,6 +97,11 @@
     facts: &HeadFacts,
     id: &HeaderValue,
 ) -> Result<PlannedCall, CallRefusal> {
+    if state.waiting.load(Ordering::Acquire) {
+        let message = "the gateway has no configuration yet; repeat the request elsewhere";
+        let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+        return Err(refusal.retry_after(DEFAULT_RETRY_AFTER));
+    }
     let environment = state.environment.load();
     let path = parts.uri.path();
     let contract = environment.contract_for(&facts.host, path).ok_or_else(|| {
@@ -146,7 +157,7 @@
     }
 }
 
-fn refuse_body(error: RelayError) -> CallRefusal {
+pub(crate) fn refuse_body(error: RelayError) -> CallRefusal {
     let status = match error {
         RelayError::Truncated => StatusCode::BAD_REQUEST,
         RelayError::TooSlow => StatusCode::REQUEST_TIMEOUT,
@@ -171,7 +182,7 @@
     }
 }
 
-async fn run_attempts(
+pub(crate) async fn run_attempts(
     state: &Arc<GateState>,
     call: &PlannedCall,
     mut body: CallBody,
@@ -241,6 +252,9 @@
     let reserved = worker::with_random(|random| {
         state.upstreams.reserve(policy, &call.request.service, avoid, now, random)
     });
+    if reserved.is_ok() {
+        state.calls.start();
+    }
     reserved.map_err(|error| {
         let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, error);
         Box::new(FailedAttempt {
--- /dev/null
+++ b/crates/gate/src/claims.rs
@@ -0,0 +1,235 @@
+//! The path of a call that runs at most once.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::{Bytes, BytesMut};
+use claim::prelude::*;
+use futures_util::future::poll_fn;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Response, StatusCode};
+use platform::prelude::*;
+use world::prelude::*;
+use xitca_web::body::{Body as _, Frame, RequestBody};
+
+use crate::access::{GateClaims, GateStore};
+use crate::answer::{AnswerBody, AnswerError, CallFate, CallRefusal};
+use crate::call::{self, CallBody, PlannedCall};
+use crate::head::{self, HeadFacts};
+use crate::relay;
+use crate::state::GateState;
+
+/// Present with the answer to an earlier request with the same key.
+pub const REPEAT: HeaderName = HeaderName::from_static("agateroad-repeat");
+
+/// The longest request body of claimed work. It is read before the claim, which holds its digest.
+const REQUEST_LIMIT_BYTES: usize = 1024 * 1024;
+/// The longest answer of claimed work. The claims of a VM keep 4 MiB of answers in memory.
+const ANSWER_LIMIT_BYTES: usize = 1024 * 1024;
+/// When to repeat a request whose work is in progress or whose claim was not stored.
+const RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
+
+/// Headers that describe one transfer and are not kept for repeats.
+const NOT_KEPT: [HeaderName; 4] =
+    [header::CONTENT_LENGTH, header::DATE, header::SERVER, head::REQUEST_ID];
+
+type GateGrant = ClaimGrant<GateStore, RealClock>;
+
+/// Returns whether a call needs a claim before it is dispatched. Work without a key cannot be
+/// recognised when it is repeated.
+pub fn is_needed(request: &CallerRequest) -> bool {
+    !request.idempotent && request.key.is_some()
+}
+
+/// Claims the work of a call and runs it, or answers from an earlier claim.
+///
+/// # Errors
+///
+/// Returns why there is no answer, and whether the work may have run.
+pub(crate) async fn run(
+    state: &Arc<GateState>,
+    call: PlannedCall,
+    facts: &HeadFacts,
+    body: RequestBody,
+) -> Result<Response<AnswerBody>, CallRefusal> {
+    let Some(claims) = state.claims.get() else {
+        let message = "this gateway has no platform for claims; repeat the request elsewhere";
+        return Err(CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
+    };
+    let body = read_body(state, facts, body).await?;
+    match begin(claims, &call, &body).await {
+        ClaimDecision::Dispatch(grant) => dispatch(state, call, body, grant).await,
+        ClaimDecision::Kept(answer) => Ok(repeated(&answer, &call.id)),
+        ClaimDecision::Refused(reason) => Err(refused(reason)),
+        ClaimDecision::Unknown => {
+            let message = "an earlier request with this key may have run; it is not run again";
+            Err(CallRefusal::unknown(StatusCode::CONFLICT, message))
+        }
+        ClaimDecision::InProgress => {
+            let message = "an earlier request with this key is running; repeat the request later";
+            Err(CallRefusal::unknown(StatusCode::CONFLICT, message).retry_after(RETRY_AFTER))
+        }
+    }
+}
+
+async fn read_body(
+    state: &GateState,
+    facts: &HeadFacts,
+    body: RequestBody,
+) -> Result<Bytes, CallRefusal> {
+    if !facts.has_body {
+        return Ok(Bytes::new());
+    }
+    let announced = facts.body_length.is_some_and(|length| length > REQUEST_LIMIT_BYTES as u64);
+    let pause = state.options.timeouts.request_body;
+    let bytes = match announced {
+        true => None,
+        false => {
+            relay::read_whole(body, REQUEST_LIMIT_BYTES, pause).await.map_err(call::refuse_body)?
+        }
+    };
+    bytes.ok_or_else(|| {
+        let message = format!(
+            "the body of a request with an idempotency-key has at most {REQUEST_LIMIT_BYTES} bytes; send a shorter one"
+        );
+        CallRefusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, message).closing()
+    })
+}
+
+async fn begin(
+    claims: &GateClaims,
+    call: &PlannedCall,
+    body: &[u8],
+) -> ClaimDecision<GateStore, RealClock> {
+    let request = &call.request;
+    let key = claim_key(&request.service, request.key.as_deref().unwrap_or_default());
+    claims.begin(key, request_digest(call, body), request).await
+}
+
+/// Returns the digest of everything that a repeat must have in common with the first request.
+fn request_digest(call: &PlannedCall, body: &[u8]) -> SharedName {
+    let target = call.uri.path_and_query().map_or("/", |target| target.as_str());
+    let mut bytes = Vec::with_capacity(target.len() + body.len() + 16);
+    for part in [call.method.as_str().as_bytes(), target.as_bytes()] {
+        bytes.extend_from_slice(part);
+        bytes.push(0);
+    }
+    bytes.extend_from_slice(body);
+    content_digest(&bytes)
+}
+
+/// Runs the work in a task of its own, so that its outcome is kept even if the caller leaves.
+async fn dispatch(
+    state: &Arc<GateState>,
+    call: PlannedCall,
+    body: Bytes,
+    grant: GateGrant,
+) -> Result<Response<AnswerBody>, CallRefusal> {
+    let state = Arc::clone(state);
+    let work = tokio::task::spawn_local(async move {
+        let _running = state.calls.enter();
+        run_granted(&state, &call, body, grant).await
+    });
+    work.await.unwrap_or_else(|_| {
+        let message = "the gateway stopped while the work ran; repeat the request with its key";
+        Err(CallRefusal::unknown(StatusCode::BAD_GATEWAY, message))
+    })
+}
+
+async fn run_granted(
+    state: &Arc<GateState>,
+    call: &PlannedCall,
+    body: Bytes,
+    grant: GateGrant,
+) -> Result<Response<AnswerBody>, CallRefusal> {
+    let body = if body.is_empty() { CallBody::Empty } else { CallBody::Held(body) };
+    match call::run_attempts(state, call, body).await {
+        Ok(answer) if answer.headers().contains_key(head::OUTCOME) => {
+            grant.release(NotRunProof::Shed);
+            Ok(answer)
+        }
+        Ok(answer) => keep(grant, answer).await,
+        Err(refusal) => {
+            match refusal.fate {
+                CallFate::NotRun => grant.release(NotRunProof::NeverSent),
+                CallFate::Unknown => grant.unknown(),
+            }
+            Err(refusal)
+        }
+    }
+}
+
+/// Reads the whole answer and keeps it for repeats. The caller gets it afterwards, so that what is
+/// kept is what the caller got.
+async fn keep(
+    grant: GateGrant,
+    answer: Response<AnswerBody>,
+) -> Result<Response<AnswerBody>, CallRefusal> {
+    let (parts, body) = answer.into_parts();
+    let message = match read_answer(body).await {
+        Ok(Some(body)) => {
+            let headers = kept_headers(&parts.headers);
+            let status = parts.status.as_u16();
+            grant.finish(KeptAnswer { status, headers, body: body.clone() });
+            return Ok(Response::from_parts(parts, AnswerBody::full(body)));
+        }
+        Ok(None) => {
+            format!("the work ran, but its answer has more than {ANSWER_LIMIT_BYTES} bytes")
+        }
+        Err(error) => error.to_string(),
+    };
+    grant.unknown();
+    Err(CallRefusal::unknown(StatusCode::BAD_GATEWAY, message))
+}
+
+async fn read_answer(mut body: AnswerBody) -> Result<Option<Bytes>, AnswerError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = poll_fn(|context| Pin::new(&mut body).poll_frame(context)).await {
+        if let Frame::Data(bytes) = frame? {
+            if whole.len() + bytes.len() > ANSWER_LIMIT_BYTES {
+                return Ok(None);
+            }
+            whole.extend_from_slice(&bytes);
+        }
+    }
+    Ok(Some(whole.freeze()))
+}
+
+fn kept_headers(headers: &HeaderMap) -> Vec<(SharedName, String)> {
+    let kept = headers.iter().filter(|(name, _)| !NOT_KEPT.contains(name));
+    kept.filter_map(|(name, value)| {
+        Some((SharedName::from(name.as_str()), value.to_str().ok()?.to_owned()))
+    })
+    .collect()
+}
+
+fn repeated(kept: &KeptAnswer, id: &HeaderValue) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::full(kept.body.clone()));
+    *answer.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    let headers = answer.headers_mut();
+    for (name, value) in &kept.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(REPEAT, HeaderValue::from_static("1"));
+    headers.insert(head::REQUEST_ID, id.clone());
+    answer
+}
+
+fn refused(reason: RefusalReason) -> CallRefusal {
+    match reason {
+        RefusalReason::OtherBody => CallRefusal::not_run(StatusCode::UNPROCESSABLE_ENTITY, reason),
+        RefusalReason::Unreadable => {
+            CallRefusal::not_run(StatusCode::INTERNAL_SERVER_ERROR, reason)
+        }
+        RefusalReason::StoreDown
+        | RefusalReason::StoreSlow
+        | RefusalReason::Full
+        | RefusalReason::Stopping => {
+            CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(RETRY_AFTER)
+        }
+    }
+}
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -4,15 +4,21 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use base::prelude::*;
 use border::{DocumentError, LogFormat, LogLevel, ProcessSettings, SettingsError};
 use bpaf::Bpaf;
+use config::prelude::NoPeers;
+use gate::access::PlatformAccess;
 use gate::event;
+use gate::leave;
+use gate::observe::ObserveServer;
 use gate::options::GateOptions;
 use gate::process::RunningGate;
 use gate::state::GateState;
+use platform::prelude::HttpSettings;
 use route::prelude::*;
 use snafu::{ResultExt, Snafu};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tracing_subscriber::EnvFilter;
 use world::prelude::*;
 
@@ -43,8 +49,6 @@
     Settings { path: PathBuf, source: SettingsError },
     #[snafu(display("could not load {}: {source}", path.display()))]
     Document { path: PathBuf, source: DocumentError },
-    #[snafu(display("no environment document; pass one with --document"))]
-    NoDocument,
     #[snafu(display(
         "could not start the listeners; check that their addresses are free: {source}"
     ))]
@@ -68,21 +72,46 @@
 fn start(arguments: &GateArguments) -> Result<(), GateError> {
     let settings = read_settings(&arguments.settings)?;
     start_log(&settings);
-    let path = arguments.document.as_ref().ok_or(GateError::NoDocument)?;
-    let environment = read_document(path)?;
     let options = GateOptions::from_settings(&settings, arguments.policy);
-    let state = Arc::new(GateState::new(options, environment));
+    let state = match &arguments.document {
+        Some(path) => GateState::new(options, read_document(path)?),
+        None => GateState::unconfigured(options),
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(1)
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    let gate = RunningGate::start(state).context(ListenSnafu)?;
+    let followed = arguments.document.is_none().then(|| settings.environment.clone());
+    runtime.block_on(serve(&settings, Arc::new(state), followed))
+}
+
+/// Serves until a signal and leaves. A second signal ends the process at once.
+async fn serve(
+    settings: &ProcessSettings,
+    state: Arc<GateState>,
+    followed: Option<SharedName>,
+) -> Result<(), GateError> {
+    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
+    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
+    let observe = observe.await.context(ListenSnafu)?;
+    let gate = RunningGate::start(Arc::clone(&state)).context(ListenSnafu)?;
+    let store = HttpSettings::new(settings.platform_address, rand::random());
+    let platform = PlatformAccess::start(&state, store, followed, NoPeers);
     let address = gate.caller_address;
     tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
-    println!("{}", serde_json::json!({ "caller_address": address }));
-    runtime.block_on(wait_for_signal()).context(RuntimeSnafu)?;
-    drop(gate);
+    let ready = serde_json::json!({
+        "caller_address": address,
+        "metrics_address": observe.address,
+    });
+    println!("{ready}");
+    signals.next().await;
+    tokio::select! {
+        () = leave::leave(&gate, platform, settings.timeouts.leave) => {}
+        () = signals.next() => {
+            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
+        }
+    }
     tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
     Ok(())
 }
@@ -114,12 +143,22 @@
     }
 }
 
-async fn wait_for_signal() -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that ask the process to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> std::io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Self { terminate, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/gate/src/process.rs
+++ b/crates/gate/src/process.rs
@@ -35,6 +35,11 @@
             .spawn(move || front.future.wait())?;
         Ok(Self { state, caller_address, handle, thread: Some(thread) })
     }
+
+    /// Accepts no further connections. Calls in flight go on.
+    pub fn stop_accepting(&self) {
+        self.handle.stop(true);
+    }
 }
 
 impl Drop for RunningGate {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -1,7 +1,8 @@
 //! The tables that all workers share.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
 use base::prelude::*;
@@ -9,6 +10,8 @@
 use route::prelude::*;
 use world::prelude::*;
 
+use crate::access::GateClaims;
+use crate::leave::CallCount;
 use crate::link::LinkTable;
 use crate::options::GateOptions;
 
@@ -26,6 +29,12 @@
     pub links: LinkTable,
     /// Whether the gateway is leaving.
     pub draining: AtomicBool,
+    /// Whether the gateway waits for its first configuration.
+    pub waiting: AtomicBool,
+    /// The claims of this VM, once it uses the platform.
+    pub claims: OnceLock<GateClaims>,
+    /// The calls in flight.
+    pub calls: CallCount,
     next_call: AtomicU64,
 }
 
@@ -41,16 +50,48 @@
             upstreams,
             links: LinkTable::default(),
             draining: AtomicBool::new(false),
+            waiting: AtomicBool::new(false),
+            claims: OnceLock::new(),
+            calls: CallCount::default(),
             next_call: AtomicU64::new(1),
         };
         state.refresh_tables();
         state
     }
 
+    /// Returns the state of a gateway that waits for its first configuration.
+    pub fn unconfigured(options: GateOptions) -> Self {
+        let environment = EnvironmentMap {
+            name: SharedName::from(""),
+            version: 0,
+            digest: SharedName::from(""),
+            centres: Vec::new(),
+            links: Vec::new(),
+            contracts: Vec::new(),
+            upstreams: HashMap::new(),
+        };
+        let state = Self::new(options, environment);
+        state.waiting.store(true, Ordering::Release);
+        state
+    }
+
+    /// Returns whether the gateway wants new calls.
+    pub fn is_ready(&self) -> bool {
+        !self.waiting.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns the longest time that a call may take.
+    pub fn longest_deadline(&self) -> ClockSpan {
+        let environment = self.environment.load();
+        let deadlines = environment.contracts.iter().map(|contract| contract.deadline);
+        deadlines.max().unwrap_or(ClockSpan::ZERO)
+    }
+
     /// Puts a configuration in force. Calls that have started keep the previous one.
     pub fn apply(&self, environment: EnvironmentMap) {
         self.environment.store(Arc::new(environment));
         self.refresh_tables();
+        self.waiting.store(false, Ordering::Release);
     }
 
     fn refresh_tables(&self) {
@@ -70,6 +111,7 @@
     /// Records the outcome of a call and frees its place.
     pub fn finish_call(&self, ticket: UpstreamTicket, outcome: CallOutcome) {
         self.upstreams.finish(ticket, outcome, self.clock.now());
+        self.calls.finish();
     }
 }
 
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -21,6 +21,8 @@
     pub vm_name: String,
     /// The data centre of the VM.
     pub centre: &'static str,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
     /// The number of workers.
     pub workers: u32,
     /// The time limits, in the form of the settings.
@@ -34,6 +36,8 @@
         Self {
             vm_name: "vm-1".to_owned(),
             centre: "medeu",
+            // Nothing listens there.
+            platform_address: ([127, 0, 0, 1], 1).into(),
             workers: 2,
             timeouts: json!({}),
             arguments: Vec::new(),
@@ -46,6 +50,8 @@
 pub struct GateProcess {
     /// Where callers connect.
     pub caller_address: SocketAddr,
+    /// Where metrics and readiness are served.
+    pub metrics_address: SocketAddr,
     /// The process.
     pub process: ChildProcess,
     folder: PathBuf,
@@ -55,6 +61,7 @@
 #[derive(Deserialize)]
 struct ReadyLine {
     caller_address: SocketAddr,
+    metrics_address: SocketAddr,
 }
 
 impl GateProcess {
@@ -64,18 +71,32 @@
     ///
     /// Fails if the process does not start.
     pub fn start(settings: &GateSettings, document: &TrialDocument) -> Result<Self, TrialError> {
-        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
-        let name = format!("agateroad-trial-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
-        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        let folder = new_folder()?;
         let document_path = write(&folder, "document.json", &document.to_bytes())?;
-        let mut arguments =
-            vec!["--settings".to_owned(), settings_path, "--document".to_owned(), document_path];
+        Self::launch(settings, folder, vec!["--document".to_owned(), document_path])
+    }
+
+    /// Starts a gateway that learns its document from the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub fn follow(settings: &GateSettings) -> Result<Self, TrialError> {
+        Self::launch(settings, new_folder()?, Vec::new())
+    }
+
+    fn launch(
+        settings: &GateSettings,
+        folder: PathBuf,
+        mut arguments: Vec<String>,
+    ) -> Result<Self, TrialError> {
+        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        arguments.extend(["--settings".to_owned(), settings_path]);
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
         let (process, ready): (_, ReadyLine) = ChildProcess::start(&path, &arguments)?;
-        Ok(Self { caller_address: ready.caller_address, process, folder })
+        let ReadyLine { caller_address, metrics_address } = ready;
+        Ok(Self { caller_address, metrics_address, process, folder })
     }
 }
 
@@ -86,6 +107,14 @@
     }
 }
 
+fn new_folder() -> Result<PathBuf, TrialError> {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("agateroad-trial-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
+    Ok(folder)
+}
+
 fn write(folder: &std::path::Path, name: &str, bytes: &[u8]) -> Result<String, TrialError> {
     let path = folder.join(name);
     std::fs::write(&path, bytes).context(WriteFileSnafu { path: &path })?;
@@ -101,7 +130,7 @@
             "caller_address": "127.0.0.1:0",
             "control_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
-            "platform_address": "127.0.0.1:1",
+            "platform_address": self.platform_address,
             "peer_secrets": ["a-peer-secret-of-the-tests"],
             "operator_secrets": ["an-operator-secret-of-the-tests"],
             "worker_count": self.workers,
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod prelude {
     //! The types that most tests need.
 
+    pub use rustix::process::Signal;
+
     pub use crate::client::{CallAnswer, TestClient};
     pub use crate::document::{TrialDocument, TrialService};
     pub use crate::error::TrialError;
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
 
@@ -62,6 +63,14 @@
         let _ = self.child.wait();
     }
 
+    /// Sends a signal to the process, which has not been waited for.
+    pub fn signal(&self, signal: Signal) {
+        // Fails only if the process has ended already.
+        if let Some(id) = i32::try_from(self.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
     /// Waits until the process ends by itself and returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
         self.child.wait().is_ok_and(|status| status.success())
--- /dev/null
+++ b/crates/trial/tests/at_most_once.rs
@@ -0,0 +1,192 @@
+//! Non-idempotent work through gateways in processes of their own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::prelude::*;
+use http::{Method, StatusCode};
+use platform::prelude::*;
+use serde_json::json;
+use stand::prelude::*;
+use trial::prelude::*;
+
+const HOST: &str = "booking-desk";
+/// Between two looks at a gateway's readiness, which callers learn by asking only.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+
+/// Accepts every document; the gateways check them.
+struct AnyDocument;
+
+impl DocumentCheck for AnyDocument {
+    fn check(&self, _document: &[u8]) -> Result<(), Vec<DocumentProblem>> {
+        Ok(())
+    }
+}
+
+/// A platform, an upstream, and gateways that learn their document from the platform.
+struct TestBed {
+    platform: PlatformStand,
+    upstream: UpstreamStand,
+    gates: Vec<GateProcess>,
+    client: TestClient,
+}
+
+impl TestBed {
+    async fn start(plan: UpstreamPlan, gates: usize) -> Self {
+        let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+        let upstream = UpstreamStand::start(plan).await.expect("an upstream");
+        let bed = Self { platform, upstream, gates: Vec::new(), client: TestClient::default() };
+        bed.promote().await;
+        let start = |index| {
+            let settings = GateSettings {
+                vm_name: format!("vm-{index}"),
+                platform_address: bed.platform.address(),
+                timeouts: json!({ "leave_ms": 100 }),
+                ..GateSettings::default()
+            };
+            GateProcess::follow(&settings).expect("a gateway")
+        };
+        let gates: Vec<GateProcess> = (0..gates).map(start).collect();
+        for gate in &gates {
+            while bed.ready(gate.metrics_address).await != StatusCode::OK {
+                tokio::time::sleep(READY_PERIOD).await;
+            }
+        }
+        Self { gates, ..bed }
+    }
+
+    async fn promote(&self) {
+        let rules = json!([{ "path_prefix": "/", "idempotent": false, "class": "normal" }]);
+        let service = TrialService::idempotent(HOST, vec![("medeu", self.upstream.address())]);
+        let document = TrialDocument { services: vec![TrialService { rules, ..service }] };
+        let clock = RealClock::new();
+        let store = HttpStore::new(HttpSettings::new(self.platform.address(), 1), clock);
+        let operator = ConfigOperator::new(store, clock, "beka".into(), "session".into(), 0);
+        let document = Bytes::from(document.to_bytes());
+        let row = operator.try_document(&AnyDocument, &"trial".into(), document, None).await;
+        row.expect("the version is in force");
+    }
+
+    async fn ready(&self, address: SocketAddr) -> StatusCode {
+        let answer = self.client.get(address, "metrics", "/ready").await;
+        answer.map_or(StatusCode::SERVICE_UNAVAILABLE, |answer| answer.status)
+    }
+
+    async fn book(&self, gate: usize, key: &str, body: Bytes) -> Result<CallAnswer, String> {
+        let address = self.gates[gate].caller_address;
+        let headers = [("idempotency-key", key)];
+        self.client.call(Method::POST, address, HOST, "/bookings", &headers, body).await
+    }
+}
+
+struct RepeatCase {
+    name: &'static str,
+    gate: usize,
+    key: &'static str,
+    body: &'static str,
+    status: u16,
+    /// The values of `agateroad-outcome` and `agateroad-repeat`.
+    marks: (&'static str, &'static str),
+    /// Executions of the key after the request.
+    executions: u32,
+}
+
+/// Guards against a booking that runs twice, and against a repeat that does not get the first
+/// answer.
+#[tokio::test]
+async fn repeats_get_the_first_answer() {
+    let case = |name, gate, key, body, status, marks, executions| RepeatCase {
+        name,
+        gate,
+        key,
+        body,
+        status,
+        marks,
+        executions,
+    };
+    let cases = [
+        case("first", 0, "k1", "square 1", 200, ("", ""), 1),
+        case("repeat", 0, "k1", "square 1", 200, ("", "1"), 1),
+        case("repeat elsewhere", 1, "k1", "square 1", 200, ("", "1"), 1),
+        case("other body", 0, "k1", "square 2", 422, ("not-run", ""), 1),
+        case("other body elsewhere", 1, "k1", "square 2", 422, ("not-run", ""), 1),
+        case("other key", 1, "k2", "square 1", 200, ("", ""), 1),
+    ];
+    let bed = TestBed::start(UpstreamPlan::default(), 2).await;
+    let mut first = None;
+    for case in cases {
+        let name = case.name;
+        let answer = bed.book(case.gate, case.key, case.body.into()).await.expect(name);
+        assert_eq!(answer.status.as_u16(), case.status, "{name}: {:?}", answer.body);
+        let marks = (answer.header("agateroad-outcome"), answer.header("agateroad-repeat"));
+        assert_eq!(marks, case.marks, "{name}");
+        assert_eq!(bed.upstream.counts().of_key(case.key), case.executions, "{name}");
+        if case.key == "k1" && case.status == 200 {
+            let first = first.get_or_insert_with(|| answer.body.clone());
+            assert_eq!(answer.body, *first, "{name}");
+        }
+    }
+}
+
+/// Guards against work that is run without a claim.
+#[tokio::test]
+async fn work_without_a_claim_is_not_run() {
+    let bed = TestBed::start(UpstreamPlan::default(), 1).await;
+    let long = Bytes::from(vec![b'x'; 1024 * 1024 + 1]);
+    let answer = bed.book(0, "long", long).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(answer.header("agateroad-outcome"), "not-run");
+    bed.platform.update(|plan| plan.outage = Some(PlatformOutage::Refuse));
+    bed.platform.wait_listening(false).await;
+    for index in 0..5 {
+        let answer = bed.book(0, &format!("down-{index}"), Bytes::new()).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(answer.header("agateroad-outcome"), "not-run");
+        assert_ne!(answer.header("retry-after"), "");
+    }
+    assert_eq!(bed.upstream.counts().executed, 0);
+}
+
+/// Guards against a second execution after the gateway was killed while the work ran.
+#[tokio::test]
+async fn work_of_a_killed_gateway_is_not_run_again() {
+    let service = ServiceTime::Fixed { ms: 3_600_000.0 };
+    let mut bed = TestBed::start(UpstreamPlan { service, ..UpstreamPlan::default() }, 2).await;
+    let answer = tokio::select! {
+        answer = bed.book(0, "k1", Bytes::new()) => Some(answer),
+        () = bed.upstream.wait_for(|counts, _| counts.executed == 1) => None,
+    };
+    assert!(answer.is_none(), "the work runs: {answer:?}");
+    bed.gates[0].process.kill();
+    let answer = bed.book(1, "k1", Bytes::new()).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::CONFLICT);
+    assert_eq!(answer.header("agateroad-outcome"), "unknown");
+    assert_eq!(bed.upstream.counts().of_key("k1"), 1);
+}
+
+/// Guards against a graceful stop that interrupts a call or loses its outcome, and against a
+/// gateway that stays ready while it leaves.
+#[tokio::test]
+async fn a_leaving_gateway_finishes_its_calls() {
+    let service = ServiceTime::Fixed { ms: 500.0 };
+    let mut bed = TestBed::start(UpstreamPlan { service, ..UpstreamPlan::default() }, 2).await;
+    let stopped = async {
+        bed.upstream.wait_for(|counts, _| counts.executed == 1).await;
+        bed.gates[0].process.signal(Signal::TERM);
+        while bed.ready(bed.gates[0].metrics_address).await == StatusCode::OK {
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+    };
+    let (answer, ()) = tokio::join!(bed.book(0, "k1", Bytes::new()), stopped);
+    let answer = answer.expect("a whole answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.header("connection"), "close");
+    let mut process = bed.gates.remove(0);
+    let ended = tokio::task::spawn_blocking(move || process.process.wait()).await;
+    assert!(ended.expect("no panic"), "the gateway ends without an error");
+    let repeat = bed.book(0, "k1", Bytes::new()).await.expect("an answer");
+    assert_eq!((repeat.header("agateroad-repeat"), &repeat.body), ("1", &answer.body));
+    assert_eq!(bed.upstream.counts().of_key("k1"), 1);
+}
