--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -1,15 +1,17 @@
 //! This VM's use of the platform: claims, the configuration and the membership list.
 
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
 use bytes::Bytes;
 use claim::prelude::*;
 use config::prelude::*;
+use peer::prelude::*;
 use platform::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::control::{GateControl, GatePeers, PeerLink};
 use crate::event;
 use crate::state::GateState;
 
@@ -21,38 +23,75 @@
 /// The time between reads of the membership list, which lags by 30 s in any case.
 const MEMBER_PERIOD: ClockSpan = ClockSpan::from_secs(5);
 
-/// The tasks that use the platform. They end when this is dropped.
+/// The configuration of this VM.
+pub type GateFollower = ConfigFollower<GateStore, RealClock, GatePeers<GateStore>, GateTarget>;
+
+/// How this VM reaches the platform and its peers.
+pub struct AccessOptions {
+    /// The platform.
+    pub store: HttpSettings,
+    /// The environment to follow, or `None` if the document is fixed.
+    pub environment: Option<SharedName>,
+    /// Calls peers.
+    pub client: PeerClient,
+}
+
+/// The tasks that use the platform and the peers. They end when this is dropped.
 pub struct PlatformAccess {
     claims: GateClaims,
     driver: JoinHandle<()>,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
+    link: Arc<PeerLink>,
+    follower: Arc<OnceLock<GateFollower>>,
 }
 
 impl PlatformAccess {
-    /// Starts to follow the environment and to take claims.
-    pub fn start<P: PeerSource>(
-        state: &Arc<GateState>,
-        settings: HttpSettings,
-        environment: Option<SharedName>,
-        peers: P,
-    ) -> Self {
-        let store = HttpStore::new(settings, state.clock);
+    /// Starts to follow the environment, to take claims and to exchange notices with peers.
+    pub fn start(state: &Arc<GateState>, options: AccessOptions) -> Self {
+        let AccessOptions { store, environment, client } = options;
+        let store = HttpStore::new(store, state.clock);
         let vm = state.options.vm.clone();
+        let own = vm.name.clone();
         let epoch_ms = epoch_ms(state.clock.now());
         let table = ClaimTable::new(vm, epoch_ms, ClaimTuning::default(), rand::random());
         let (claims, driver) = ClaimRunner::new(table, store.clone(), state.clock);
         // The claims are set once, by the only start.
         let _ = state.claims.set(claims.clone());
+        let link = Arc::new(PeerLink::default());
+        let follower = Arc::new(OnceLock::new());
         let mut tasks = JoinSet::new();
-        tasks.spawn(watch_members(store.clone(), claims.clone()));
+        let watch = MemberWatch {
+            store: store.clone(),
+            claims: claims.clone(),
+            link: Arc::clone(&link),
+            own: own.clone(),
+        };
+        tasks.spawn(watch.run());
         if let Some(environment) = environment {
-            let target = GateTarget { state: Arc::downgrade(state) };
+            let peers = GatePeers {
+                link: Arc::clone(&link),
+                client: client.clone(),
+                store: store.clone(),
+                own,
+            };
+            let target = GateTarget { state: Arc::downgrade(state), link: Arc::clone(&link) };
             let parts = (store, state.clock, peers, target);
             let tuning = TrackerTuning::default();
-            let follower = ConfigFollower::new(parts, environment, tuning, rand::random());
-            tasks.spawn(follower.run());
+            let following = ConfigFollower::new(parts, environment, tuning, rand::random());
+            let _ = follower.set(following.clone());
+            tasks.spawn(following.run());
         }
-        Self { claims, driver: tokio::spawn(driver.run()), _tasks: tasks }
+        let driver = tokio::spawn(driver.run());
+        let mut access = Self { claims, driver, tasks, link, follower };
+        let control = access.control(state);
+        access.tasks.spawn(control.run(client));
+        access
+    }
+
+    /// Returns what answers peers and operators.
+    pub fn control(&self, state: &Arc<GateState>) -> GateControl {
+        let (link, follower) = (Arc::clone(&self.link), Arc::clone(&self.follower));
+        GateControl { state: Arc::clone(state), link, follower }
     }
 
     /// Takes no further claims and waits until every outcome is stored.
@@ -69,20 +108,33 @@
     (since_epoch.as_millis() as u64).saturating_sub(now.as_millis())
 }
 
-async fn watch_members(store: GateStore, claims: GateClaims) {
-    loop {
-        match store.members().await {
-            Ok(list) => claims.update_members(&list),
-            Err(error) => tracing::debug!(event = event::MEMBERS_UNREAD, %error),
+/// Reads the membership list.
+struct MemberWatch {
+    store: GateStore,
+    claims: GateClaims,
+    link: Arc<PeerLink>,
+    own: SharedName,
+}
+
+impl MemberWatch {
+    async fn run(self) {
+        loop {
+            match self.store.members().await {
+                Ok(list) => {
+                    self.claims.update_members(&list);
+                    self.link.apply_list(&list, &self.own);
+                }
+                Err(error) => tracing::debug!(event = event::MEMBERS_UNREAD, %error),
+            }
+            tokio::time::sleep(MEMBER_PERIOD.to_duration()).await;
         }
-        tokio::time::sleep(MEMBER_PERIOD.to_duration()).await;
     }
 }
 
 /// Puts documents into force on this VM.
-#[derive(Debug)]
-struct GateTarget {
+pub struct GateTarget {
     state: Weak<GateState>,
+    link: Arc<PeerLink>,
 }
 
 impl DocumentTarget for GateTarget {
@@ -91,6 +143,7 @@
         let environment =
             border::load_document(document, mark.version).map_err(|error| error.to_string())?;
         state.apply(environment);
+        self.link.set_document(mark, document);
         Ok(())
     }
 }
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -5,16 +5,16 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use border::{DocumentError, LogFormat, LogLevel, ProcessSettings, SettingsError};
+use border::{DocumentError, LogFormat, LogLevel, ProcessSettings, SettingsError, SharedSecret};
 use bpaf::Bpaf;
-use config::prelude::NoPeers;
-use gate::access::PlatformAccess;
+use gate::access::{AccessOptions, PlatformAccess};
 use gate::event;
 use gate::leave;
 use gate::observe::ObserveServer;
 use gate::options::GateOptions;
 use gate::process::RunningGate;
 use gate::state::GateState;
+use peer::prelude::*;
 use platform::prelude::HttpSettings;
 use route::prelude::*;
 use snafu::{ResultExt, Snafu};
@@ -96,12 +96,17 @@
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
     let observe = observe.await.context(ListenSnafu)?;
     let gate = RunningGate::start(Arc::clone(&state)).context(ListenSnafu)?;
-    let store = HttpSettings::new(settings.platform_address, rand::random());
-    let platform = PlatformAccess::start(&state, store, followed, NoPeers);
+    let counts = Arc::new(ControlCounts::default());
+    let platform = PlatformAccess::start(&state, access_options(settings, followed, &counts));
+    let control = platform.control(&state);
+    let address = settings.control_address;
+    let control = ControlServer::start(address, secret_table(settings), counts, control);
+    let control = control.await.context(ListenSnafu)?;
     let address = gate.caller_address;
     tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
     let ready = serde_json::json!({
         "caller_address": address,
+        "control_address": control.address,
         "metrics_address": observe.address,
     });
     println!("{ready}");
@@ -116,6 +121,23 @@
     Ok(())
 }
 
+fn access_options(
+    settings: &ProcessSettings,
+    environment: Option<SharedName>,
+    counts: &Arc<ControlCounts>,
+) -> AccessOptions {
+    let store = HttpSettings::new(settings.platform_address, rand::random());
+    // The settings have at least one peer secret, and the first one signs.
+    let secret = settings.peer_secrets.first().map_or("", SharedSecret::as_str);
+    let client = PeerClient::new(secret, settings.timeouts.peer, Arc::clone(counts));
+    AccessOptions { store, environment, client }
+}
+
+fn secret_table(settings: &ProcessSettings) -> SecretTable {
+    let peers = settings.peer_secrets.iter().map(SharedSecret::as_str);
+    SecretTable::new(peers, settings.operator_secrets.iter().map(SharedSecret::as_str))
+}
+
 fn read_settings(path: &PathBuf) -> Result<ProcessSettings, GateError> {
     let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
     border::load_settings(&bytes).context(SettingsSnafu { path })
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -18,3 +18,5 @@
 pub const DRAIN_ABANDONED: u32 = 1012;
 /// Outcomes of claims were not stored before the process ended.
 pub const OUTCOMES_LEFT: u32 = 1013;
+/// A peer did not answer an exchange.
+pub const EXCHANGE_FAILED: u32 = 1014;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod call;
 pub mod claims;
+pub mod control;
 pub mod event;
 pub mod front;
 pub mod head;
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,113 @@
+//! Calls to the control listeners of peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderValue};
+use jsonrpsee::core::client::{ClientT, Error as RpcError};
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+use crate::counts::ControlCounts;
+use crate::message::{DOCUMENT, EXCHANGE, ExchangeNotice, STATUS, StatusReport};
+use crate::secret;
+
+/// Why a call to a peer failed.
+#[derive(Debug, Snafu)]
+pub enum PeerError {
+    /// The peer did not answer, or answered with an error.
+    #[snafu(display("no answer from {address}: {source}; check the address and the secrets"))]
+    Call {
+        /// The peer.
+        address: SocketAddr,
+        /// The library's error.
+        source: RpcError,
+    },
+}
+
+/// Calls control listeners with one secret.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    headers: HeaderMap,
+    timeout: ClockSpan,
+    counts: Arc<ControlCounts>,
+}
+
+impl PeerClient {
+    /// Returns a client that shows `secret`.
+    pub fn new(secret: &str, timeout: ClockSpan, counts: Arc<ControlCounts>) -> Self {
+        let mut headers = HeaderMap::new();
+        // The settings accept visible ASCII only.
+        if let Ok(mut value) = HeaderValue::from_str(&secret::authorization(secret)) {
+            value.set_sensitive(true);
+            headers.insert(header::AUTHORIZATION, value);
+        }
+        Self { headers, timeout, counts }
+    }
+
+    /// Exchanges what two VMs know.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        notice: &ExchangeNotice,
+    ) -> Result<ExchangeNotice, PeerError> {
+        self.call(address, EXCHANGE, Some(notice)).await
+    }
+
+    /// Fetches a document.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not answer or does not have the document.
+    pub async fn document(
+        &self,
+        address: SocketAddr,
+        digest: &SharedName,
+    ) -> Result<Bytes, PeerError> {
+        let text: String = self.call(address, DOCUMENT, Some(digest)).await?;
+        Ok(Bytes::from(text))
+    }
+
+    /// Returns the state of a VM. Needs the secret of an operator.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn status(&self, address: SocketAddr) -> Result<StatusReport, PeerError> {
+        self.call(address, STATUS, None::<&()>).await
+    }
+
+    async fn call<Q: Serialize + Sync, A: DeserializeOwned + Serialize>(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        question: Option<&Q>,
+    ) -> Result<A, PeerError> {
+        let client = HttpClientBuilder::default()
+            .request_timeout(self.timeout.to_duration())
+            .set_headers(self.headers.clone())
+            .build(format!("http://{address}"))
+            .context(CallSnafu { address })?;
+        self.counts.add_sent(json_length(&question));
+        let answer = match question {
+            Some(question) => client.request(method, rpc_params![question]).await,
+            None => client.request(method, rpc_params![]).await,
+        };
+        let answer: A = answer.context(CallSnafu { address })?;
+        self.counts.add_received(json_length(&answer));
+        Ok(answer)
+    }
+}
+
+fn json_length<T: Serialize>(value: &T) -> u64 {
+    serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64)
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,21 @@
-//! Messages between VMs.
+//! Messages between VMs and from operators, over JSON-RPC.
+//!
+//! [`server::ControlServer`] answers both, [`client::PeerClient`] calls a peer. The crate carries
+//! messages; what follows from them is decided by the crates that own them.
+
+mod auth;
+pub mod client;
+pub mod counts;
+pub mod message;
+pub mod secret;
+pub mod server;
+
+pub mod prelude {
+    //! The types that the gate needs.
+
+    pub use crate::client::{PeerClient, PeerError};
+    pub use crate::counts::{ControlCounts, ControlUsage};
+    pub use crate::message::{ExchangeNotice, StatusReport};
+    pub use crate::secret::{ControlRole, SecretTable};
+    pub use crate::server::{ControlHandler, ControlServer};
+}
--- /dev/null
+++ b/crates/peer/src/secret.rs
@@ -0,0 +1,65 @@
+//! Who may call the control listener.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+
+const SCHEME: &str = "Bearer ";
+
+type SecretDigest = [u8; 32];
+
+/// Whom a secret belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ControlRole {
+    /// Another VM.
+    Peer,
+    /// An operator.
+    Operator,
+}
+
+/// The secrets that are accepted. Only digests are kept, so that all comparisons take equally long.
+#[derive(Clone)]
+pub struct SecretTable {
+    peers: Vec<SecretDigest>,
+    operators: Vec<SecretDigest>,
+}
+
+impl fmt::Debug for SecretTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SecretTable(hidden)")
+    }
+}
+
+impl SecretTable {
+    /// Returns a table of the accepted secrets.
+    pub fn new<'a>(
+        peers: impl IntoIterator<Item = &'a str>,
+        operators: impl IntoIterator<Item = &'a str>,
+    ) -> Self {
+        let digests = |secret: &str| SecretDigest::from(Sha256::digest(secret));
+        let peers = peers.into_iter().map(digests).collect();
+        Self { peers, operators: operators.into_iter().map(digests).collect() }
+    }
+
+    /// Returns whom the secret in an `authorization` header belongs to.
+    pub fn role(&self, authorization: &[u8]) -> Option<ControlRole> {
+        let secret = authorization.strip_prefix(SCHEME.as_bytes())?;
+        let digest = SecretDigest::from(Sha256::digest(secret));
+        // Every secret is compared, so that the time does not tell which list or place matched.
+        let matches = |list: &[SecretDigest]| -> bool {
+            let found = list.iter().fold(Choice::from(0), |found, own| found | own.ct_eq(&digest));
+            found.into()
+        };
+        match (matches(&self.peers), matches(&self.operators)) {
+            (true, _) => Some(ControlRole::Peer),
+            (false, true) => Some(ControlRole::Operator),
+            (false, false) => None,
+        }
+    }
+}
+
+/// Returns the `authorization` header that carries a secret.
+pub fn authorization(secret: &str) -> String {
+    format!("{SCHEME}{secret}")
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,115 @@
+//! The control listener.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::server::{BatchRequestConfig, RpcModule, Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::{Extensions, types::Params};
+
+use crate::auth::AuthLayer;
+use crate::counts::ControlCounts;
+use crate::message::{DOCUMENT, EXCHANGE, ExchangeNotice, STATUS, StatusReport};
+use crate::secret::{ControlRole, SecretTable};
+
+/// The longest request. An exchange has less than 4 KiB.
+const REQUEST_LIMIT_BYTES: u32 = 64 * 1024;
+/// The longest answer, for documents.
+const ANSWER_LIMIT_BYTES: u32 = 4 * 1024 * 1024;
+/// The most connections at once: more than 170 VMs and their operators.
+const MAX_CONNECTIONS: u32 = 256;
+
+const NOT_PERMITTED: i32 = -32001;
+const NOT_FOUND: i32 = -32004;
+
+/// What answers the methods of the control listener.
+pub trait ControlHandler: Send + Sync + 'static {
+    /// Takes in what a peer knows and returns what this VM knows.
+    fn exchange(&self, notice: ExchangeNotice) -> ExchangeNotice;
+
+    /// Returns a document, if it is the one in force here.
+    fn document(&self, digest: &SharedName) -> Option<Bytes>;
+
+    /// Returns the state of this VM.
+    fn status(&self) -> StatusReport;
+}
+
+/// A running control listener. It stops when it is dropped.
+#[derive(Debug)]
+pub struct ControlServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    _handle: ServerHandle,
+}
+
+impl ControlServer {
+    /// Starts the listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start<H: ControlHandler>(
+        address: SocketAddr,
+        secrets: SecretTable,
+        counts: Arc<ControlCounts>,
+        handler: H,
+    ) -> io::Result<Self> {
+        let config = ServerConfig::builder()
+            .http_only()
+            .max_connections(MAX_CONNECTIONS)
+            .max_request_body_size(REQUEST_LIMIT_BYTES)
+            .max_response_body_size(ANSWER_LIMIT_BYTES)
+            .set_batch_request_config(BatchRequestConfig::Disabled)
+            .build();
+        let auth = AuthLayer { secrets: Arc::new(secrets), counts };
+        let server = Server::builder()
+            .set_config(config)
+            .set_http_middleware(tower::ServiceBuilder::new().layer(auth))
+            .build(address)
+            .await?;
+        let address = server.local_addr()?;
+        let methods = methods(handler).map_err(io::Error::other)?;
+        Ok(Self { address, _handle: server.start(methods) })
+    }
+}
+
+fn methods<H: ControlHandler>(handler: H) -> Result<RpcModule<H>, RegisterMethodError> {
+    let mut module = RpcModule::new(handler);
+    module.register_method(EXCHANGE, |params, handler, extensions| {
+        permit(extensions, ControlRole::Peer)?;
+        let notice: ExchangeNotice = one(&params)?;
+        Ok::<_, ErrorObjectOwned>(handler.exchange(notice))
+    })?;
+    module.register_method(DOCUMENT, |params, handler, extensions| {
+        permit(extensions, ControlRole::Peer)?;
+        let digest: SharedName = one(&params)?;
+        let document = handler.document(&digest);
+        // Documents are JSON and therefore text.
+        let text = document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
+        text.ok_or_else(|| error(NOT_FOUND, "the document is not in force here; ask another vm"))
+    })?;
+    module.register_method(STATUS, |_params, handler, extensions| {
+        permit(extensions, ControlRole::Operator)?;
+        Ok::<_, ErrorObjectOwned>(handler.status())
+    })?;
+    Ok(module)
+}
+
+fn permit(extensions: &Extensions, role: ControlRole) -> Result<(), ErrorObjectOwned> {
+    if extensions.get::<ControlRole>() == Some(&role) {
+        return Ok(());
+    }
+    Err(error(NOT_PERMITTED, "the secret does not permit this method; use one of the other list"))
+}
+
+fn one<T: serde::de::DeserializeOwned>(params: &Params<'_>) -> Result<T, ErrorObjectOwned> {
+    params.one()
+}
+
+fn error(code: i32, message: &'static str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(code, message, None::<()>)
+}
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -12,6 +12,11 @@
 use crate::error::{TrialError, WriteFileSnafu};
 use crate::process::{self, ChildProcess};
 
+/// The secret that peers show.
+pub const PEER_SECRET: &str = "a-peer-secret-of-the-tests";
+/// The secret that operators show.
+pub const OPERATOR_SECRET: &str = "an-operator-secret-of-the-tests";
+
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
 /// What differs between gateways of a test.
@@ -23,6 +28,8 @@
     pub centre: &'static str,
     /// Where the platform listens.
     pub platform_address: SocketAddr,
+    /// The secrets of peers.
+    pub peer_secrets: Vec<&'static str>,
     /// The number of workers.
     pub workers: u32,
     /// The time limits, in the form of the settings.
@@ -38,6 +45,7 @@
             centre: "medeu",
             // Nothing listens there.
             platform_address: ([127, 0, 0, 1], 1).into(),
+            peer_secrets: vec![PEER_SECRET],
             workers: 2,
             timeouts: json!({}),
             arguments: Vec::new(),
@@ -50,6 +58,8 @@
 pub struct GateProcess {
     /// Where callers connect.
     pub caller_address: SocketAddr,
+    /// Where peers and operators connect.
+    pub control_address: SocketAddr,
     /// Where metrics and readiness are served.
     pub metrics_address: SocketAddr,
     /// The process.
@@ -61,6 +71,7 @@
 #[derive(Deserialize)]
 struct ReadyLine {
     caller_address: SocketAddr,
+    control_address: SocketAddr,
     metrics_address: SocketAddr,
 }
 
@@ -95,8 +106,8 @@
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
         let (process, ready): (_, ReadyLine) = ChildProcess::start(&path, &arguments)?;
-        let ReadyLine { caller_address, metrics_address } = ready;
-        Ok(Self { caller_address, metrics_address, process, folder })
+        let ReadyLine { caller_address, control_address, metrics_address } = ready;
+        Ok(Self { caller_address, control_address, metrics_address, process, folder })
     }
 }
 
@@ -131,8 +142,8 @@
             "control_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
             "platform_address": self.platform_address,
-            "peer_secrets": ["a-peer-secret-of-the-tests"],
-            "operator_secrets": ["an-operator-secret-of-the-tests"],
+            "peer_secrets": self.peer_secrets,
+            "operator_secrets": [OPERATOR_SECRET],
             "worker_count": self.workers,
             "log_format": "text",
             "log_level": "warn",
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -17,6 +17,6 @@
     pub use crate::client::{CallAnswer, TestClient};
     pub use crate::document::{TrialDocument, TrialService};
     pub use crate::error::TrialError;
-    pub use crate::gate::{GateProcess, GateSettings};
+    pub use crate::gate::{GateProcess, GateSettings, OPERATOR_SECRET, PEER_SECRET};
     pub use crate::stand::UpstreamProcess;
 }
--- a/crates/trial/tests/at_most_once.rs
+++ b/crates/trial/tests/at_most_once.rs
@@ -1,84 +1,17 @@
 //! Non-idempotent work through gateways in processes of their own.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+mod support;
 
-use base::prelude::*;
 use bytes::Bytes;
-use config::prelude::*;
 use http::{Method, StatusCode};
-use platform::prelude::*;
-use serde_json::json;
 use stand::prelude::*;
+use support::{HOST, READY_PERIOD, TestBed};
 use trial::prelude::*;
 
-const HOST: &str = "booking-desk";
-/// Between two looks at a gateway's readiness, which callers learn by asking only.
-const READY_PERIOD: Duration = Duration::from_millis(20);
-
-/// Accepts every document; the gateways check them.
-struct AnyDocument;
-
-impl DocumentCheck for AnyDocument {
-    fn check(&self, _document: &[u8]) -> Result<(), Vec<DocumentProblem>> {
-        Ok(())
-    }
-}
-
-/// A platform, an upstream, and gateways that learn their document from the platform.
-struct TestBed {
-    platform: PlatformStand,
-    upstream: UpstreamStand,
-    gates: Vec<GateProcess>,
-    client: TestClient,
-}
-
-impl TestBed {
-    async fn start(plan: UpstreamPlan, gates: usize) -> Self {
-        let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
-        let upstream = UpstreamStand::start(plan).await.expect("an upstream");
-        let bed = Self { platform, upstream, gates: Vec::new(), client: TestClient::default() };
-        bed.promote().await;
-        let start = |index| {
-            let settings = GateSettings {
-                vm_name: format!("vm-{index}"),
-                platform_address: bed.platform.address(),
-                timeouts: json!({ "leave_ms": 100 }),
-                ..GateSettings::default()
-            };
-            GateProcess::follow(&settings).expect("a gateway")
-        };
-        let gates: Vec<GateProcess> = (0..gates).map(start).collect();
-        for gate in &gates {
-            while bed.ready(gate.metrics_address).await != StatusCode::OK {
-                tokio::time::sleep(READY_PERIOD).await;
-            }
-        }
-        Self { gates, ..bed }
-    }
-
-    async fn promote(&self) {
-        let rules = json!([{ "path_prefix": "/", "idempotent": false, "class": "normal" }]);
-        let service = TrialService::idempotent(HOST, vec![("medeu", self.upstream.address())]);
-        let document = TrialDocument { services: vec![TrialService { rules, ..service }] };
-        let clock = RealClock::new();
-        let store = HttpStore::new(HttpSettings::new(self.platform.address(), 1), clock);
-        let operator = ConfigOperator::new(store, clock, "beka".into(), "session".into(), 0);
-        let document = Bytes::from(document.to_bytes());
-        let row = operator.try_document(&AnyDocument, &"trial".into(), document, None).await;
-        row.expect("the version is in force");
-    }
-
-    async fn ready(&self, address: SocketAddr) -> StatusCode {
-        let answer = self.client.get(address, "metrics", "/ready").await;
-        answer.map_or(StatusCode::SERVICE_UNAVAILABLE, |answer| answer.status)
-    }
-
-    async fn book(&self, gate: usize, key: &str, body: Bytes) -> Result<CallAnswer, String> {
-        let address = self.gates[gate].caller_address;
-        let headers = [("idempotency-key", key)];
-        self.client.call(Method::POST, address, HOST, "/bookings", &headers, body).await
-    }
+async fn book(bed: &TestBed, gate: usize, key: &str, body: Bytes) -> Result<CallAnswer, String> {
+    let address = bed.gates[gate].caller_address;
+    let headers = [("idempotency-key", key)];
+    bed.client.call(Method::POST, address, HOST, "/bookings", &headers, body).await
 }
 
 struct RepeatCase {
@@ -118,7 +51,7 @@
     let mut first = None;
     for case in cases {
         let name = case.name;
-        let answer = bed.book(case.gate, case.key, case.body.into()).await.expect(name);
+        let answer = book(&bed, case.gate, case.key, case.body.into()).await.expect(name);
         assert_eq!(answer.status.as_u16(), case.status, "{name}: {:?}", answer.body);
         let marks = (answer.header("agateroad-outcome"), answer.header("agateroad-repeat"));
         assert_eq!(marks, case.marks, "{name}");
@@ -135,13 +68,14 @@
 async fn work_without_a_claim_is_not_run() {
     let bed = TestBed::start(UpstreamPlan::default(), 1).await;
     let long = Bytes::from(vec![b'x'; 1024 * 1024 + 1]);
-    let answer = bed.book(0, "long", long).await.expect("an answer");
+    let answer = book(&bed, 0, "long", long).await.expect("an answer");
     assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
     assert_eq!(answer.header("agateroad-outcome"), "not-run");
     bed.platform.update(|plan| plan.outage = Some(PlatformOutage::Refuse));
     bed.platform.wait_listening(false).await;
     for index in 0..5 {
-        let answer = bed.book(0, &format!("down-{index}"), Bytes::new()).await.expect("an answer");
+        let answer =
+            book(&bed, 0, &format!("down-{index}"), Bytes::new()).await.expect("an answer");
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(answer.header("agateroad-outcome"), "not-run");
         assert_ne!(answer.header("retry-after"), "");
@@ -155,12 +89,12 @@
     let service = ServiceTime::Fixed { ms: 3_600_000.0 };
     let mut bed = TestBed::start(UpstreamPlan { service, ..UpstreamPlan::default() }, 2).await;
     let answer = tokio::select! {
-        answer = bed.book(0, "k1", Bytes::new()) => Some(answer),
+        answer = book(&bed, 0, "k1", Bytes::new()) => Some(answer),
         () = bed.upstream.wait_for(|counts, _| counts.executed == 1) => None,
     };
     assert!(answer.is_none(), "the work runs: {answer:?}");
     bed.gates[0].process.kill();
-    let answer = bed.book(1, "k1", Bytes::new()).await.expect("an answer");
+    let answer = book(&bed, 1, "k1", Bytes::new()).await.expect("an answer");
     assert_eq!(answer.status, StatusCode::CONFLICT);
     assert_eq!(answer.header("agateroad-outcome"), "unknown");
     assert_eq!(bed.upstream.counts().of_key("k1"), 1);
@@ -179,14 +113,14 @@
             tokio::time::sleep(READY_PERIOD).await;
         }
     };
-    let (answer, ()) = tokio::join!(bed.book(0, "k1", Bytes::new()), stopped);
+    let (answer, ()) = tokio::join!(book(&bed, 0, "k1", Bytes::new()), stopped);
     let answer = answer.expect("a whole answer");
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.header("connection"), "close");
     let mut process = bed.gates.remove(0);
     let ended = tokio::task::spawn_blocking(move || process.process.wait()).await;
     assert!(ended.expect("no panic"), "the gateway ends without an error");
-    let repeat = bed.book(0, "k1", Bytes::new()).await.expect("an answer");
+    let repeat = book(&bed, 0, "k1", Bytes::new()).await.expect("an answer");
     assert_eq!((repeat.header("agateroad-repeat"), &repeat.body), ("1", &answer.body));
     assert_eq!(bed.upstream.counts().of_key("k1"), 1);
 }
--- /dev/null
+++ b/crates/trial/tests/control.rs
@@ -0,0 +1,100 @@
+//! The control listener, and versions of the configuration, with real processes.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::Method;
+use peer::prelude::*;
+use stand::prelude::*;
+use support::{HOST, NEXT_PEER_SECRET, READY_PERIOD, TestBed};
+use trial::prelude::*;
+
+struct AccessCase {
+    name: &'static str,
+    secret: Option<&'static str>,
+    method: &'static str,
+    status: u16,
+    /// Whether the method is carried out.
+    done: bool,
+}
+
+async fn call(bed: &TestBed, address: SocketAddr, case: &AccessCase) -> CallAnswer {
+    let authorization = case.secret.map(|secret| format!("Bearer {secret}"));
+    let mut headers = vec![("content-type", "application/json")];
+    if let Some(authorization) = &authorization {
+        headers.push(("authorization", authorization));
+    }
+    let body = format!(
+        r#"{{"jsonrpc":"2.0","id":1,"method":"{}","params":[{{"version":null}}]}}"#,
+        case.method
+    );
+    let answer = bed.client.call(Method::POST, address, HOST, "/", &headers, Bytes::from(body));
+    answer.await.expect(case.name)
+}
+
+/// Guards against control methods that can be called without the right secret or by callers.
+#[tokio::test]
+async fn control_methods_need_their_secret() {
+    let case =
+        |name, secret, method, status, done| AccessCase { name, secret, method, status, done };
+    let cases = [
+        case("no secret", None, "peer_exchange", 401, false),
+        case("wrong secret", Some("a-wrong-secret-of-the-tests"), "peer_exchange", 401, false),
+        case("start of a secret", Some("a-peer-secret"), "peer_exchange", 401, false),
+        case("empty secret", Some(""), "operator_status", 401, false),
+        case("peer", Some(PEER_SECRET), "peer_exchange", 200, true),
+        case("peer with the next secret", Some(NEXT_PEER_SECRET), "peer_exchange", 200, true),
+        case("operator", Some(OPERATOR_SECRET), "operator_status", 200, true),
+        case("peer as operator", Some(PEER_SECRET), "operator_status", 200, false),
+        case("operator as peer", Some(OPERATOR_SECRET), "peer_exchange", 200, false),
+        case("unknown method", Some(OPERATOR_SECRET), "operator_shell", 200, false),
+    ];
+    let bed = TestBed::start(UpstreamPlan::default(), 1).await;
+    for case in &cases {
+        let answer = call(&bed, bed.gates[0].control_address, case).await;
+        assert_eq!(answer.status.as_u16(), case.status, "{}: {:?}", case.name, answer.body);
+        let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        assert_eq!(value.get("result").is_some(), case.done, "{}: {value}", case.name);
+    }
+    for address in [bed.gates[0].caller_address, bed.gates[0].metrics_address] {
+        let answer = call(&bed, address, &cases[4]).await;
+        let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        assert!(value.get("result").is_none(), "{address}: {value}");
+    }
+}
+
+/// Waits until a gateway has `version` in force and checks that its version never falls.
+async fn wait_for_version(operator: &PeerClient, address: SocketAddr, version: u64) {
+    let mut last = 0;
+    while last < version {
+        let report = operator.status(address).await.expect("a status");
+        let active = report.version.map_or(0, |mark| mark.version);
+        assert!(active >= last, "version {active} after {last}");
+        last = active;
+        tokio::time::sleep(READY_PERIOD).await;
+    }
+}
+
+/// Guards against a gateway that misses a version, against one that cannot start while the tables
+/// are down although its peers have the document, and against one that serves an older version.
+#[tokio::test]
+async fn versions_spread_and_outlive_the_tables() {
+    let mut bed = TestBed::start(UpstreamPlan::default(), 2).await;
+    let counts = Arc::new(ControlCounts::default());
+    let operator = PeerClient::new(OPERATOR_SECRET, ClockSpan::from_secs(5), counts);
+    let row = bed.promote().await;
+    assert_eq!(row.version, 2);
+    for gate in &bed.gates {
+        wait_for_version(&operator, gate.control_address, 2).await;
+    }
+    // The tables and objects answer nothing; the membership list still does.
+    bed.platform.update(|plan| plan.reads_per_second = Some(0));
+    bed.add_gate(2).await;
+    let report = operator.status(bed.gates[2].control_address).await.expect("a status");
+    assert_eq!(report.version, Some(row.to_mark()));
+    assert!(report.ready);
+}
--- /dev/null
+++ b/crates/trial/tests/support/mod.rs
@@ -0,0 +1,96 @@
+//! A platform, an upstream and gateways that learn their document from the platform.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::prelude::*;
+use http::StatusCode;
+use platform::prelude::*;
+use serde_json::json;
+use stand::prelude::*;
+use trial::prelude::*;
+
+/// The service of the document.
+pub const HOST: &str = "booking-desk";
+/// A peer secret that is being rolled in.
+pub const NEXT_PEER_SECRET: &str = "the-next-peer-secret-of-the-tests";
+/// Between two looks at a gateway's readiness, which callers learn by asking only.
+pub const READY_PERIOD: Duration = Duration::from_millis(20);
+
+/// Accepts every document; the gateways check them.
+struct AnyDocument;
+
+impl DocumentCheck for AnyDocument {
+    fn check(&self, _document: &[u8]) -> Result<(), Vec<DocumentProblem>> {
+        Ok(())
+    }
+}
+
+/// A platform, an upstream, and gateways that learn their document from the platform.
+pub struct TestBed {
+    pub platform: PlatformStand,
+    pub upstream: UpstreamStand,
+    pub gates: Vec<GateProcess>,
+    pub client: TestClient,
+}
+
+impl TestBed {
+    pub async fn start(plan: UpstreamPlan, gates: usize) -> Self {
+        let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+        let upstream = UpstreamStand::start(plan).await.expect("an upstream");
+        let client = TestClient::default();
+        let mut bed = Self { platform, upstream, gates: Vec::new(), client };
+        bed.promote().await;
+        for index in 0..gates {
+            bed.add_gate(index).await;
+        }
+        bed
+    }
+
+    /// Starts a gateway, waits until it is ready and puts it on the membership list.
+    pub async fn add_gate(&mut self, index: usize) {
+        let settings = GateSettings {
+            vm_name: format!("vm-{index}"),
+            platform_address: self.platform.address(),
+            peer_secrets: vec![PEER_SECRET, NEXT_PEER_SECRET],
+            timeouts: json!({ "leave_ms": 100 }),
+            ..GateSettings::default()
+        };
+        let gate = GateProcess::follow(&settings).expect("a gateway");
+        while self.ready(gate.metrics_address).await != StatusCode::OK {
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+        let member = PlatformMember {
+            name: SharedName::from(settings.vm_name),
+            incarnation: 1,
+            centre: "medeu".into(),
+            peer_address: SharedName::from(gate.control_address.to_string()),
+            leaving: false,
+        };
+        self.platform.change_members(|list| list.push(member));
+        self.gates.push(gate);
+    }
+
+    /// Puts the document into force as a new version.
+    pub async fn promote(&self) -> VersionRow {
+        let rules = json!([{ "path_prefix": "/", "idempotent": false, "class": "normal" }]);
+        let service = TrialService::idempotent(HOST, vec![("medeu", self.upstream.address())]);
+        let document = TrialDocument { services: vec![TrialService { rules, ..service }] };
+        let clock = RealClock::new();
+        let store = HttpStore::new(HttpSettings::new(self.platform.address(), 1), clock);
+        let operator = ConfigOperator::new(store, clock, "beka".into(), "session".into(), 0);
+        let document = Bytes::from(document.to_bytes());
+        let row = operator.try_document(&AnyDocument, &"trial".into(), document, None).await;
+        row.expect("the version is in force")
+    }
+
+    pub async fn ready(&self, address: SocketAddr) -> StatusCode {
+        let answer = self.client.get(address, "metrics", "/ready").await;
+        answer.map_or(StatusCode::SERVICE_UNAVAILABLE, |answer| answer.status)
+    }
+}
