--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -83,7 +83,9 @@
         let document = TrialDocument { services: vec![TrialService { rules, ..service }] };
         let clock = RealClock::new();
         let store = HttpStore::new(HttpSettings::new(self.platform.address(), 1), clock);
-        let operator = ConfigOperator::new(store, clock, "beka".into(), "session".into(), 0);
+        // Attempt ids of two operators must differ, or the platform repeats the first answer.
+        let session = SharedName::from(format!("session-{}", self.platform.counts().committed));
+        let operator = ConfigOperator::new(store, clock, "beka".into(), session, 0);
         let document = Bytes::from(document.to_bytes());
         let row = operator.try_document(&AnyDocument, &"trial".into(), document, None).await;
         row.expect("the version is in force")
