Test a claim whose holder is stopped and continued

Cause: no test stopped the holder of a claim while its work ran. Change: a gateway gets SIGSTOP after dispatch and SIGCONT after a repeat elsewhere.

--- a/crates/trial/tests/at_most_once.rs
+++ b/crates/trial/tests/at_most_once.rs
@@ -124,3 +124,27 @@
     assert_eq!((repeat.header("agateroad-repeat"), &repeat.body), ("1", &answer.body));
     assert_eq!(bed.upstream.counts().of_key("k1"), 1);
 }
+
+/// Guards against a second execution while the holder of a claim is stopped, and against a holder
+/// that loses the answer when it continues.
+#[tokio::test]
+async fn work_of_a_stopped_gateway_is_not_run_again() {
+    let service = ServiceTime::Fixed { ms: 200.0 };
+    let bed = TestBed::start(UpstreamPlan { service, ..UpstreamPlan::default() }, 2).await;
+    let repeated = async {
+        bed.upstream.wait_for(|counts, _| counts.executed == 1).await;
+        bed.gates[0].process.signal(Signal::STOP);
+        bed.upstream.wait_for(|counts, _| counts.completed == 1).await;
+        let repeat = book(&bed, 1, "k1", Bytes::new()).await.expect("an answer");
+        bed.gates[0].process.signal(Signal::CONT);
+        repeat
+    };
+    let (first, repeat) = tokio::join!(book(&bed, 0, "k1", Bytes::new()), repeated);
+    let first = first.expect("the first answer");
+    assert_eq!(first.status, StatusCode::OK);
+    assert_eq!(repeat.status, StatusCode::CONFLICT);
+    assert_eq!(repeat.header("agateroad-outcome"), "unknown");
+    let last = book(&bed, 1, "k1", Bytes::new()).await.expect("an answer");
+    assert_eq!((last.header("agateroad-repeat"), &last.body), ("1", &first.body));
+    assert_eq!(bed.upstream.counts().of_key("k1"), 1);
+}
