--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -1,6 +1,7 @@
 //! The path of one call through the gateway.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 
 use crate::answer::{AnswerBody, CallFate, CallRefusal};
 use crate::attempt::{CallAttempt, FailedAttempt, NextStep, PlannedCall};
+use crate::claims;
 use crate::desk::ServiceDesk;
 use crate::head::{self, HeadFacts};
 use crate::metrics::CallEnd;
@@ -27,8 +29,11 @@
 /// When a refused suspect may come back. By then its isolated run may be free.
 const SUSPECT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
 
+/// When to come back to a gateway that has no configuration yet.
+const START_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
+
 /// The body of a call, as far as it is needed for further attempts.
-enum CallBody {
+pub(crate) enum CallBody {
     Empty,
     Held(Bytes),
     Streamed(Option<RelayBody>),
@@ -40,6 +45,7 @@
     parts: Parts,
     body: RequestBody,
 ) -> Response<AnswerBody> {
+    let _running = state.calls.enter();
     let id = state.next_id();
     match run(state, parts, body, &id).await {
         Ok(answer) => answer,
@@ -64,17 +70,35 @@
         let message = "the service was removed from the environment; repeat the request";
         CallRefusal::not_run(StatusCode::NOT_FOUND, message)
     })?;
+    let class = call.request.class;
+    let result = if claims::is_needed(&call.request) {
+        claims::run(state, &desk, call, avoid, &facts, body).await
+    } else {
+        run_unclaimed(state, &desk, &mut call, avoid, &facts, body, arrived).await
+    };
+    desk.meters.count_call(class, end_of(&result));
+    result
+}
+
+async fn run_unclaimed(
+    state: &Arc<GateState>,
+    desk: &Arc<ServiceDesk>,
+    call: &mut PlannedCall,
+    avoid: Vec<SharedName>,
+    facts: &HeadFacts,
+    body: RequestBody,
+    arrived: ClockTime,
+) -> Result<Response<AnswerBody>, CallRefusal> {
     let mut upstream_time = ClockSpan::ZERO;
     let body_started = state.clock.now();
-    let body = prepare_body(state, &facts, body, call.request.deadline).await;
+    let body = prepare_body(state, facts, body, call.request.deadline).await;
     let body_time = state.clock.now().since(body_started);
     let result = match body {
-        Ok(body) => run_reviewed(state, &desk, &mut call, avoid, body, &mut upstream_time).await,
+        Ok(body) => run_reviewed(state, desk, call, avoid, body, &mut upstream_time).await,
         Err(refusal) => Err(refusal),
     };
     let spent = state.clock.now().since(arrived);
     desk.meters.record_residence(spent.saturating_sub(upstream_time + body_time));
-    desk.meters.count_call(call.request.class, end_of(&result));
     result
 }
 
@@ -96,6 +120,11 @@
     id: &HeaderValue,
     now: ClockTime,
 ) -> Result<(PlannedCall, Vec<SharedName>), CallRefusal> {
+    if state.waiting.load(Ordering::Acquire) {
+        let message = "the gateway has no configuration yet; repeat the request elsewhere";
+        let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+        return Err(refusal.retry_after(START_RETRY_AFTER));
+    }
     let environment = state.environment.load();
     let path = parts.uri.path();
     let contract = environment.contract_for(&facts.host, path).ok_or_else(|| {
@@ -160,7 +189,7 @@
     }
 }
 
-fn refuse_body(error: RelayError) -> CallRefusal {
+pub(crate) fn refuse_body(error: RelayError) -> CallRefusal {
     CallRefusal::not_run(error.status(), error).closing()
 }
 
@@ -199,7 +228,7 @@
 }
 
 /// Runs a call if it is not suspected of crashing upstreams.
-async fn run_reviewed(
+pub(crate) async fn run_reviewed(
     state: &Arc<GateState>,
     desk: &Arc<ServiceDesk>,
     call: &mut PlannedCall,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -26,3 +26,13 @@
 pub const UPSTREAM_CRASHED: u32 = 1401;
 /// A request is confirmed to crash upstreams.
 pub const SUSPECT_CONFIRMED: u32 = 1402;
+/// Calls were still in flight when the longest deadline had passed.
+pub const DRAIN_CUT: u32 = 1010;
+/// The membership list could not be read.
+pub const MEMBERS_UNREAD: u32 = 1011;
+/// A second signal ended the process while it was leaving.
+pub const DRAIN_ABANDONED: u32 = 1012;
+/// Outcomes of claims were not stored before the process ended.
+pub const OUTCOMES_LEFT: u32 = 1013;
+/// A peer did not answer an exchange.
+pub const EXCHANGE_FAILED: u32 = 1014;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,17 +1,22 @@
 //! The gateway process: listeners, connections to upstreams and the path of a call.
 
+pub mod access;
 pub mod answer;
 pub mod attempt;
 pub mod call;
 pub mod cancel;
+pub mod claims;
+pub mod control;
 pub mod crash;
 pub mod desk;
 pub mod event;
 pub mod front;
 pub mod head;
+pub mod leave;
 pub mod link;
 pub mod maintenance;
 pub mod metrics;
+pub mod observe;
 pub mod options;
 pub mod probe;
 pub mod process;
--- a/crates/gate/src/slot.rs
+++ b/crates/gate/src/slot.rs
@@ -51,6 +51,7 @@
         });
         match reserved {
             Ok(ticket) => {
+                state.calls.start();
                 let (state, desk) = (Arc::clone(state), Arc::clone(desk));
                 Ok(Self { state, desk, ticket: Some(ticket) })
             }
@@ -109,6 +110,7 @@
 
 impl Drop for CallSlot {
     fn drop(&mut self) {
+        self.state.calls.finish();
         if let Some(ticket) = self.ticket.take() {
             drop(ticket);
             let now = self.state.clock.now();
--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -87,6 +87,8 @@
     pub member_reads: u64,
     /// Transactions that were committed.
     pub committed: u64,
+    /// Transactions whose attempt id had committed before.
+    pub repeated: u64,
     /// Transactions that were rejected by an expectation.
     pub conflicts: u64,
     /// Rows written by committed transactions.
--- a/crates/stand/src/protocol.rs
+++ b/crates/stand/src/protocol.rs
@@ -178,8 +178,10 @@
         let answer = {
             let mut guard = self.state.lock();
             let state = &mut *guard;
-            let answer = state.tables.transact(&call.writes);
+            let repeated = state.tables.has_committed(&call.attempt);
+            let answer = state.tables.commit(&call.attempt, &call.writes, self.clock.now());
             match &answer {
+                TransactAnswer::Committed { .. } if repeated => state.counts.repeated += 1,
                 TransactAnswer::Committed { versions, .. } => {
                     state.counts.committed += 1;
                     state.counts.rows_written += versions.len() as u64;
@@ -202,10 +204,13 @@
     }
 
     fn scan(&self, table: &str, query: &str) -> Response<StandBody> {
+        let Ok(table) = percent_encoding::percent_decode_str(table).decode_utf8() else {
+            return malformed(self);
+        };
         let after = web::query_value(query, "after").filter(|after| !after.is_empty());
         let limit = web::query_value(query, "limit").and_then(|text| text.parse().ok());
         let limit = limit.unwrap_or(SCAN_LIMIT).min(SCAN_LIMIT);
-        let rows = self.state.lock().tables.scan(table, after.as_deref(), limit);
+        let rows = self.state.lock().tables.scan(&table, after.as_deref(), limit);
         web::json(StatusCode::OK, &ScanAnswer { rows })
     }
 
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -14,6 +14,10 @@
 
 /// The file in the folder of a gateway that holds its log.
 const LOG_FILE: &str = "log";
+/// The secret that peers show.
+pub const PEER_SECRET: &str = "a-peer-secret-of-the-tests";
+/// The secret that operators show.
+pub const OPERATOR_SECRET: &str = "an-operator-secret-of-the-tests";
 
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
@@ -24,12 +28,14 @@
     pub vm_name: String,
     /// The data centre of the VM.
     pub centre: &'static str,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
+    /// The secrets of peers.
+    pub peer_secrets: Vec<&'static str>,
     /// The number of workers.
     pub workers: u32,
     /// The time limits, in the form of the settings.
     pub timeouts: Value,
-    /// Where the platform answers.
-    pub platform_address: SocketAddr,
     /// More command-line arguments.
     pub arguments: Vec<String>,
 }
@@ -39,8 +45,10 @@
         Self {
             vm_name: "vm-1".to_owned(),
             centre: "medeu",
+            peer_secrets: vec![PEER_SECRET],
             workers: 2,
             timeouts: json!({}),
+            // Nothing listens there.
             platform_address: ([127, 0, 0, 1], 1).into(),
             arguments: Vec::new(),
         }
@@ -52,6 +60,10 @@
 pub struct GateProcess {
     /// Where callers connect.
     pub caller_address: SocketAddr,
+    /// Where peers and operators connect.
+    pub control_address: SocketAddr,
+    /// Where metrics and readiness are served.
+    pub metrics_address: SocketAddr,
     /// The process.
     pub process: ChildProcess,
     folder: PathBuf,
@@ -61,6 +73,8 @@
 #[derive(Deserialize)]
 struct ReadyLine {
     caller_address: SocketAddr,
+    control_address: SocketAddr,
+    metrics_address: SocketAddr,
 }
 
 impl GateProcess {
@@ -79,19 +93,33 @@
     ///
     /// Fails if the process does not start.
     pub fn start_with(settings: &GateSettings, document: &[u8]) -> Result<Self, TrialError> {
-        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
-        let name = format!("agateroad-trial-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
-        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        let folder = new_folder()?;
         let document_path = write(&folder, "document.json", document)?;
-        let mut arguments =
-            vec!["--settings".to_owned(), settings_path, "--document".to_owned(), document_path];
+        Self::launch(settings, folder, vec!["--document".to_owned(), document_path])
+    }
+
+    /// Starts a gateway that learns its document from the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process does not start.
+    pub fn follow(settings: &GateSettings) -> Result<Self, TrialError> {
+        Self::launch(settings, new_folder()?, Vec::new())
+    }
+
+    fn launch(
+        settings: &GateSettings,
+        folder: PathBuf,
+        mut arguments: Vec<String>,
+    ) -> Result<Self, TrialError> {
+        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        arguments.extend(["--settings".to_owned(), settings_path]);
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
         let log = folder.join(LOG_FILE);
         let (process, ready): (_, ReadyLine) = ChildProcess::start_logged(&path, &arguments, &log)?;
-        Ok(Self { caller_address: ready.caller_address, process, folder })
+        let ReadyLine { caller_address, control_address, metrics_address } = ready;
+        Ok(Self { caller_address, control_address, metrics_address, process, folder })
     }
 }
 
@@ -118,6 +146,14 @@
     }
 }
 
+fn new_folder() -> Result<PathBuf, TrialError> {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("agateroad-trial-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).context(WriteFileSnafu { path: &folder })?;
+    Ok(folder)
+}
+
 fn write(folder: &std::path::Path, name: &str, bytes: &[u8]) -> Result<String, TrialError> {
     let path = folder.join(name);
     std::fs::write(&path, bytes).context(WriteFileSnafu { path: &path })?;
@@ -128,13 +164,14 @@
     fn to_bytes(&self) -> Vec<u8> {
         let settings = json!({
             "vm_name": self.vm_name,
+            "environment": "trial",
             "data_centre": self.centre,
             "caller_address": "127.0.0.1:0",
             "control_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
             "platform_address": self.platform_address,
-            "peer_secrets": ["a-peer-secret-of-the-tests"],
-            "operator_secrets": ["an-operator-secret-of-the-tests"],
+            "peer_secrets": self.peer_secrets,
+            "operator_secrets": [OPERATOR_SECRET],
             "worker_count": self.workers,
             "log_format": "json",
             "log_level": "warn",
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod prelude {
     //! The types that most tests need.
 
+    pub use rustix::process::Signal;
+
     pub use crate::client::{CallAnswer, TestClient};
     pub use crate::document::{TrialDocument, TrialService};
     pub use crate::error::TrialError;
-    pub use crate::gate::{GateProcess, GateSettings};
+    pub use crate::gate::{GateProcess, GateSettings, OPERATOR_SECRET, PEER_SECRET};
     pub use crate::stand::{UpstreamGroup, UpstreamProcess};
 }
