--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -86,7 +86,8 @@
     }
 
     fn is_known_red(&self, name: &str) -> bool {
-        self.known_red.split_whitespace().any(|word| word == name)
+        let listed = |line: &str| line.split_whitespace().any(|word| word == name);
+        self.known_red.lines().filter_map(|line| line.strip_prefix("figure:")).any(listed)
     }
 }
 
