--- a/crates/gate/tests/events.rs
+++ b/crates/gate/tests/events.rs
@@ -38,9 +38,14 @@
         for path in files(&folder.expect("a crate").path().join("src"), "rs") {
             let text = fs::read_to_string(&path).expect("a source file");
             numbers.extend(numbers_after(&text, "event = "));
-            if path.ends_with("event.rs") {
+            if path.ends_with("event.rs") || text.contains("_EVENT: u32 = ") {
                 numbers.extend(numbers_after(&text, ": u32 = "));
             }
+            // Typed events return their numbers from a method of this name.
+            if let Some((_, arms)) = text.split_once("fn event_number(") {
+                let arms = arms.split_once("\n    }\n").map_or(arms, |(arms, _)| arms);
+                numbers.extend(numbers_after(arms, "=> "));
+            }
         }
     }
     numbers
