Share suspects between VMs and measure burn in the gateway

Crash notices stayed on the VM that saw the crash, so that 15 VMs could each lose upstreams to one request, and the burn table was not fed.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// Steps in a millisecond. The added-latency target of 0.42 ms needs two decimals.
 const STEPS_PER_MS: u64 = 100;
 const NANOS_PER_STEP: u64 = 1_000_000 / STEPS_PER_MS;
@@ -14,8 +16,10 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ClockTime(u64);
 
-/// A length of time.
+/// A length of time. Messages carry it as a count of hundredths of a millisecond.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
 pub struct ClockSpan(u64);
 
 impl ClockTime {
--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -7,11 +7,12 @@
 use bytes::Bytes;
 use claim::prelude::*;
 use config::prelude::*;
+use limit::prelude::VmCounts;
 use peer::prelude::*;
 use platform::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::control::{GateControl, GatePeers, PeerLink};
+use crate::control::{GateControl, GatePeers, GrantClient, PeerLink};
 use crate::event;
 use crate::state::GateState;
 
@@ -60,7 +61,10 @@
         let link = Arc::new(PeerLink::default());
         let follower = Arc::new(OnceLock::new());
         let mut tasks = JoinSet::new();
+        // As above.
+        let _ = state.grants.set(GrantClient { link: Arc::clone(&link), client: client.clone() });
         let watch = MemberWatch {
+            state: Arc::downgrade(state),
             store: store.clone(),
             claims: claims.clone(),
             link: Arc::clone(&link),
@@ -84,7 +88,9 @@
         let driver = tokio::spawn(driver.run());
         let mut access = Self { claims, driver, tasks, link, follower };
         let control = access.control(state);
-        access.tasks.spawn(control.run(client));
+        access.tasks.spawn(control.run(client.clone()));
+        let control = access.control(state);
+        access.tasks.spawn(control.spread_suspects(client));
         access
     }
 
@@ -110,6 +116,7 @@
 
 /// Reads the membership list.
 struct MemberWatch {
+    state: Weak<GateState>,
     store: GateStore,
     claims: GateClaims,
     link: Arc<PeerLink>,
@@ -123,6 +130,7 @@
                 Ok(list) => {
                     self.claims.update_members(&list);
                     self.link.apply_list(&list, &self.own);
+                    self.apply_members(&list);
                 }
                 Err(error) => tracing::debug!(event = event::MEMBERS_UNREAD, %error),
             }
@@ -131,6 +139,20 @@
     }
 }
 
+impl MemberWatch {
+    /// Passes the VMs on to the tables whose budgets and owners depend on them.
+    fn apply_members(&self, list: &MemberList) {
+        let Some(state) = self.state.upgrade() else { return };
+        let others = list.members.iter().map(|member| &member.name);
+        let mut names: Vec<SharedName> =
+            others.filter(|name| **name != self.own).cloned().collect();
+        names.push(self.own.clone());
+        let counts = VmCounts { listed: names.len() as u32, reported: 0 };
+        state.tables.probes.set_counts(counts, state.clock.now());
+        state.tables.suspects.set_members(names);
+    }
+}
+
 /// Puts documents into force on this VM.
 pub struct GateTarget {
     state: Weak<GateState>,
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -76,7 +76,11 @@
     } else {
         run_unclaimed(state, &desk, &mut call, avoid, &facts, body, arrived).await
     };
-    desk.meters.count_call(class, end_of(&result));
+    let end = end_of(&result);
+    desk.meters.count_call(class, end);
+    let now = state.clock.now();
+    let success = matches!(end, CallEnd::Answered);
+    state.tables.burn.record(&desk.name, class, now.since(arrived), success, now);
     result
 }
 
@@ -227,6 +231,21 @@
     }
 }
 
+/// Reviews a fingerprint. The owner of a suspect is asked for an isolated run.
+async fn review(state: &GateState, fingerprint: u64) -> SuspectVerdict {
+    let suspects = &state.tables.suspects;
+    let verdict = suspects.review(fingerprint, state.clock.now());
+    match state.grants.get() {
+        Some(grants) if verdict == SuspectVerdict::Refused => {
+            if grants.ask(state, fingerprint).await {
+                return suspects.review(fingerprint, state.clock.now());
+            }
+            verdict
+        }
+        _ => verdict,
+    }
+}
+
 /// Runs a call if it is not suspected of crashing upstreams.
 pub(crate) async fn run_reviewed(
     state: &Arc<GateState>,
@@ -237,7 +256,7 @@
     upstream_time: &mut ClockSpan,
 ) -> Result<Response<AnswerBody>, CallRefusal> {
     let fingerprint = call.request.fingerprint;
-    let verdict = state.tables.suspects.review(fingerprint, state.clock.now());
+    let verdict = review(state, fingerprint).await;
     let guard = match verdict {
         SuspectVerdict::Clear => None,
         SuspectVerdict::Isolated => Some(IsolationGuard { state, fingerprint }),
--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -7,7 +7,9 @@
 use std::thread::JoinHandle;
 
 use base::prelude::*;
+use report::prelude::*;
 use tokio_util::sync::CancellationToken;
+use world::prelude::*;
 
 use crate::link::UpstreamLink;
 use crate::state::GateState;
@@ -20,6 +22,8 @@
 const LINK_TICK: ClockSpan = ClockSpan::from_secs(1);
 /// Time between two looks at the states of the upstreams.
 const WATCH_TICK: ClockSpan = ClockSpan::from_millis(500);
+/// Time between two looks at the service-level objectives.
+const BURN_TICK: ClockSpan = ClockSpan::from_secs(1);
 /// Time between two rounds of probes.
 const PROBE_TICK: ClockSpan = ClockSpan::from_millis(200);
 /// The most probes in a round. Ten a second of about 500 bytes are 5 KB/s, half of the limit of
@@ -67,6 +71,7 @@
         () = keep_links(state) => {}
         () = watch_upstreams(state) => {}
         () = probe_upstreams(state) => {}
+        () = watch_objectives(state) => {}
     }
 }
 
@@ -101,6 +106,29 @@
     }
 }
 
+async fn watch_objectives(state: &GateState) {
+    loop {
+        tokio::time::sleep(BURN_TICK.to_duration()).await;
+        for alert in state.tables.burn.evaluate(state.clock.now()) {
+            log_alert(&alert);
+        }
+    }
+}
+
+fn log_alert(alert: &BurnAlert) {
+    let BurnAlert { service, class, kind, rule, change, burn, bad, total } = alert;
+    let class = class.map_or("all", WorkClass::as_str);
+    let event = alert.event_number();
+    match change {
+        AlertChange::Raised => {
+            tracing::error!(event, %service, class, ?kind, ?rule, burn, bad, total, "alert raised");
+        }
+        AlertChange::Cleared => {
+            tracing::info!(event, %service, class, ?kind, ?rule, burn, "alert cleared");
+        }
+    }
+}
+
 async fn watch_upstreams(state: &GateState) {
     let mut watch = UpstreamWatch::default();
     loop {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -12,6 +12,7 @@
 use world::prelude::*;
 
 use crate::access::GateClaims;
+use crate::control::GrantClient;
 use crate::leave::CallCount;
 use crate::link::LinkTable;
 use crate::options::GateOptions;
@@ -37,6 +38,8 @@
     pub waiting: AtomicBool,
     /// The claims of this VM, once it uses the platform.
     pub claims: OnceLock<GateClaims>,
+    /// Asks other VMs for isolated runs of suspects, once this VM knows its peers.
+    pub grants: OnceLock<GrantClient>,
     /// The calls in flight.
     pub calls: CallCount,
     next_call: AtomicU64,
@@ -58,6 +61,7 @@
             draining: AtomicBool::new(false),
             waiting: AtomicBool::new(false),
             claims: OnceLock::new(),
+            grants: OnceLock::new(),
             calls: CallCount::default(),
             next_call: AtomicU64::new(1),
         };
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use limit::prelude::*;
+use report::prelude::*;
 use suspect::prelude::*;
 use world::prelude::*;
 
@@ -26,6 +27,8 @@
     pub probes: ProbeBudget,
     /// Requests that crash upstreams.
     pub suspects: SuspectTable,
+    /// Calls against the service-level objectives.
+    pub burn: BurnTable,
     /// State of each service.
     pub desks: DeskTable,
     /// The metrics of the process.
@@ -42,6 +45,7 @@
             retries: RetryBudget::new(RetryTuning::default()),
             probes: ProbeBudget::new(ProbeTuning::default()),
             suspects: SuspectTable::new(vm.name.clone(), SuspectTuning::default()),
+            burn: BurnTable::new(BurnTuning::default()),
             desks: DeskTable::default(),
             metrics: GateMetrics::new(),
             crash_notices: RankedMutex::new(LockRank::SuspectTable, Vec::new()),
@@ -55,6 +59,7 @@
         self.retries.apply(environment, now);
         self.probes.apply(environment, now);
         self.suspects.apply(environment, now);
+        self.burn.apply(environment, now);
         self.desks.apply(environment, &self.metrics);
     }
 
@@ -66,8 +71,10 @@
         kept.drain(..surplus);
     }
 
-    /// Returns the notices of crashes since the last call, to be sent to all VMs.
-    pub fn take_crash_notices(&self) -> Vec<SuspectNotice> {
-        std::mem::take(&mut self.crash_notices.lock())
+    /// Returns the notices about suspects since the last call, to be sent to all VMs.
+    pub fn take_suspect_notices(&self, now: ClockTime) -> Vec<SuspectNotice> {
+        let mut notices = std::mem::take(&mut *self.crash_notices.lock());
+        notices.extend(self.suspects.take_notices(now));
+        notices
     }
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -9,12 +9,17 @@
 use jsonrpsee::core::client::{ClientT, Error as RpcError};
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
+use report::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
+use suspect::prelude::*;
 
 use crate::counts::ControlCounts;
-use crate::message::{DOCUMENT, EXCHANGE, ExchangeNotice, STATUS, StatusReport};
+use crate::message::{
+    BURN, DOCUMENT, EXCHANGE, ExchangeNotice, GRANT, GRANT_END, GrantEnd, GrantQuestion, RELEASE,
+    STATUS, SUSPECTS, StatusReport,
+};
 use crate::secret;
 
 /// Why a call to a peer failed.
@@ -86,6 +91,56 @@
         self.call(address, STATUS, None::<&()>).await
     }
 
+    /// Asks the owner of a suspect for an isolated run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the owner does not answer.
+    pub async fn grant(
+        &self,
+        address: SocketAddr,
+        question: &GrantQuestion,
+    ) -> Result<bool, PeerError> {
+        self.call(address, GRANT, Some(question)).await
+    }
+
+    /// Tells the owner of a suspect how an isolated run ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the owner does not answer.
+    pub async fn end_grant(&self, address: SocketAddr, end: &GrantEnd) -> Result<(), PeerError> {
+        self.call(address, GRANT_END, Some(end)).await
+    }
+
+    /// Returns the requests that are suspected of crashing upstreams. Needs the secret of an
+    /// operator.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn suspects(&self, address: SocketAddr) -> Result<Vec<SuspectEntry>, PeerError> {
+        self.call(address, SUSPECTS, None::<&()>).await
+    }
+
+    /// Releases such a request on every VM. Needs the secret of an operator.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn release(&self, address: SocketAddr, fingerprint: u64) -> Result<(), PeerError> {
+        self.call(address, RELEASE, Some(&fingerprint)).await
+    }
+
+    /// Returns a VM's counts of calls against the objectives. Needs the secret of an operator.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn burn(&self, address: SocketAddr) -> Result<BurnExport, PeerError> {
+        self.call(address, BURN, None::<&()>).await
+    }
+
     async fn call<Q: Serialize + Sync, A: DeserializeOwned + Serialize>(
         &self,
         address: SocketAddr,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,14 +4,25 @@
 use config::prelude::*;
 use route::prelude::*;
 use serde::{Deserialize, Serialize};
+use suspect::prelude::*;
 use world::prelude::*;
 
 /// The method with which VMs exchange what they know.
 pub const EXCHANGE: &str = "peer_exchange";
 /// The method with which a VM fetches a document from a peer.
 pub const DOCUMENT: &str = "peer_document";
+/// The method with which a VM asks the owner of a suspect for an isolated run.
+pub const GRANT: &str = "peer_grant";
+/// The method with which a VM tells the owner of a suspect how an isolated run ended.
+pub const GRANT_END: &str = "peer_grant_end";
 /// The method with which operators look at a VM.
 pub const STATUS: &str = "operator_status";
+/// The method with which operators list the requests that are suspected of crashing upstreams.
+pub const SUSPECTS: &str = "operator_suspects";
+/// The method with which operators release such a request on every VM.
+pub const RELEASE: &str = "operator_release";
+/// The method with which operators read a VM's counts of calls against the objectives.
+pub const BURN: &str = "operator_burn";
 
 /// What one VM tells another, as a request and as its answer.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -22,6 +33,29 @@
     /// Drain marks and load samples.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub upstreams: Vec<UpstreamNotice>,
+    /// Requests that crash upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectNotice>,
+}
+
+/// A VM's question to the owner of a suspect.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GrantQuestion {
+    /// The fingerprint of the suspect.
+    pub fingerprint: u64,
+    /// The VM that asks.
+    pub vm: SharedName,
+}
+
+/// How a VM's isolated run ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GrantEnd {
+    /// The run.
+    pub report: GrantReport,
+    /// The VM that performed it.
+    pub vm: SharedName,
 }
 
 /// What a VM says about itself to operators.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -10,10 +10,15 @@
 use jsonrpsee::server::{BatchRequestConfig, RpcModule, Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{Extensions, types::Params};
+use report::prelude::*;
+use suspect::prelude::*;
 
 use crate::auth::AuthLayer;
 use crate::counts::ControlCounts;
-use crate::message::{DOCUMENT, EXCHANGE, ExchangeNotice, STATUS, StatusReport};
+use crate::message::{
+    BURN, DOCUMENT, EXCHANGE, ExchangeNotice, GRANT, GRANT_END, GrantEnd, GrantQuestion, RELEASE,
+    STATUS, SUSPECTS, StatusReport,
+};
 use crate::secret::{ControlRole, SecretTable};
 
 /// The longest request. An exchange has less than 4 KiB.
@@ -34,8 +39,23 @@
     /// Returns a document, if it is the one in force here.
     fn document(&self, digest: &SharedName) -> Option<Bytes>;
 
+    /// Returns whether a VM may perform an isolated run of a suspect now.
+    fn grant(&self, question: &GrantQuestion) -> bool;
+
+    /// Takes in how an isolated run ended.
+    fn end_grant(&self, end: &GrantEnd);
+
     /// Returns the state of this VM.
     fn status(&self) -> StatusReport;
+
+    /// Returns the requests that are suspected of crashing upstreams.
+    fn suspects(&self) -> Vec<SuspectEntry>;
+
+    /// Releases such a request on every VM.
+    fn release(&self, fingerprint: u64);
+
+    /// Returns this VM's counts of calls against the objectives.
+    fn burn(&self) -> BurnExport;
 }
 
 /// A running control listener. It stops when it is dropped.
@@ -92,10 +112,35 @@
         let text = document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
         text.ok_or_else(|| error(NOT_FOUND, "the document is not in force here; ask another vm"))
     })?;
+    module.register_method(GRANT, |params, handler, extensions| {
+        permit(extensions, ControlRole::Peer)?;
+        let question: GrantQuestion = one(&params)?;
+        Ok::<_, ErrorObjectOwned>(handler.grant(&question))
+    })?;
+    module.register_method(GRANT_END, |params, handler, extensions| {
+        permit(extensions, ControlRole::Peer)?;
+        let end: GrantEnd = one(&params)?;
+        handler.end_grant(&end);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
     module.register_method(STATUS, |_params, handler, extensions| {
         permit(extensions, ControlRole::Operator)?;
         Ok::<_, ErrorObjectOwned>(handler.status())
     })?;
+    module.register_method(SUSPECTS, |_params, handler, extensions| {
+        permit(extensions, ControlRole::Operator)?;
+        Ok::<_, ErrorObjectOwned>(handler.suspects())
+    })?;
+    module.register_method(RELEASE, |params, handler, extensions| {
+        permit(extensions, ControlRole::Operator)?;
+        let fingerprint: u64 = one(&params)?;
+        handler.release(fingerprint);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
+    module.register_method(BURN, |_params, handler, extensions| {
+        permit(extensions, ControlRole::Operator)?;
+        Ok::<_, ErrorObjectOwned>(handler.burn())
+    })?;
     Ok(module)
 }
 
--- a/crates/report/src/table.rs
+++ b/crates/report/src/table.rs
@@ -1,6 +1,7 @@
 //! The table of calls as their callers saw them.
 
 use std::collections::HashMap;
+use std::fmt;
 
 use base::prelude::*;
 use hdrhistogram::Histogram;
@@ -47,6 +48,12 @@
     alerts: AlertStates,
 }
 
+impl fmt::Debug for BurnTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("BurnTable").finish_non_exhaustive()
+    }
+}
+
 impl BurnTable {
     /// Returns a table without services.
     pub fn new(tuning: BurnTuning) -> Self {
--- a/crates/suspect/src/notice.rs
+++ b/crates/suspect/src/notice.rs
@@ -1,9 +1,11 @@
 //! What VMs tell each other about suspects.
 
 use base::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// A crash of one upstream while a fingerprint was in flight on it.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CrashIncident {
     /// The upstream.
     pub upstream: SharedName,
@@ -20,6 +22,7 @@
 /// All that a VM knows about one fingerprint. Receivers may merge notices in any order and more
 /// than once.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SuspectNotice {
     /// The fingerprint.
     pub fingerprint: u64,
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -1,6 +1,7 @@
 //! What this VM knows about one fingerprint.
 
 use base::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::notice::{CrashIncident, SuspectNotice};
 use crate::tuning::SuspectTuning;
@@ -76,6 +77,8 @@
 
 /// What follows from a record.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum SuspectStanding {
     /// Released, cleared or expired.
     Cleared,
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use serde::{Deserialize, Serialize};
 use world::prelude::*;
 
 use crate::evidence::CrashEvidence;
@@ -35,6 +36,7 @@
 
 /// A fingerprint in the table, for operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SuspectEntry {
     /// The fingerprint.
     pub fingerprint: u64,
@@ -48,6 +50,7 @@
 
 /// The end of an isolated run that another VM allowed. The gate sends it to the owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GrantReport {
     /// The VM that allowed the run.
     pub owner: SharedName,
