Ask VMs for their status with the operators' methods

Cause: agatectl asked for a JSON-RPC method "status", which gateways do not have, so that promote, rollback and status never saw a confirmed version. Change: ControlQuery uses PeerClient. The tests ask a ControlServer instead of a server with the command's own idea of the method. Conclusion: all cases of tests/spread.rs pass against the control listener.

--- a/crates/ctl/src/spread.rs
+++ b/crates/ctl/src/spread.rs
@@ -76,10 +76,10 @@
     /// Takes what a VM answered.
     pub fn record(&mut self, vm: SharedName, answer: Result<VmStatus, VmError>) {
         let state = match answer {
-            Ok(VmStatus { version: Some(version) }) if version >= self.version => {
+            Ok(VmStatus { version: Some(version), .. }) if version >= self.version => {
                 VmState::Active { version }
             }
-            Ok(VmStatus { version }) => VmState::Behind { version },
+            Ok(VmStatus { version, .. }) => VmState::Behind { version },
             Err(error) => VmState::Silent { reason: error.to_string() },
         };
         self.vms.insert(vm, state);
--- a/crates/ctl/src/vm.rs
+++ b/crates/ctl/src/vm.rs
@@ -2,25 +2,22 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::prelude::*;
 use bpaf::Bpaf;
-use http::{HeaderMap, HeaderValue, header};
-use jsonrpsee::core::client::ClientT;
-use jsonrpsee::http_client::HttpClientBuilder;
-use jsonrpsee::rpc_params;
-use serde::Deserialize;
+use peer::prelude::*;
+use report::prelude::*;
 use snafu::Snafu;
+use suspect::prelude::*;
 
 use crate::error::CtlError;
 use crate::file;
 
-/// The operators' method that returns what a VM has in force.
-const STATUS_METHOD: &str = "status";
 /// The longest that one question may take.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(1000);
+const QUERY_TIMEOUT: ClockSpan = ClockSpan::from_millis(1000);
 /// Twice the 5 s within which a version is to be active on every VM.
 const DEFAULT_WAIT_MS: u64 = 10_000;
 
@@ -48,18 +45,26 @@
     ///
     /// Fails if the file with the secret cannot be read.
     pub fn to_query(&self) -> Result<ControlQuery, CtlError> {
-        let secret = self.secret_file.as_deref().map(file::read).transpose()?;
-        let secret = secret.map(|bytes| String::from_utf8_lossy(&bytes).trim().to_owned());
-        Ok(ControlQuery { secret: secret.map(SharedName::from) })
+        ControlQuery::from_file(self.secret_file.as_deref())
     }
 }
 
 /// What a VM says about itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize)]
 pub struct VmStatus {
     /// The version in force, or `None` if the VM has none yet.
     pub version: Option<u64>,
+    /// Whether it wants new calls.
+    pub ready: bool,
+    /// Calls in flight.
+    pub calls: u64,
+}
+
+impl From<StatusReport> for VmStatus {
+    fn from(report: StatusReport) -> Self {
+        let StatusReport { version, ready, calls, .. } = report;
+        Self { version: version.map(|mark| mark.version), ready, calls }
+    }
 }
 
 /// Why a VM gave no answer.
@@ -100,19 +105,63 @@
     secret: Option<SharedName>,
 }
 
+impl ControlQuery {
+    /// Returns a query with the secret in a file. Without a file, every question fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read.
+    pub fn from_file(path: Option<&Path>) -> Result<Self, CtlError> {
+        let secret = path.map(file::read).transpose()?;
+        let secret = secret.map(|bytes| String::from_utf8_lossy(&bytes).trim().to_owned());
+        Ok(Self { secret: secret.map(SharedName::from) })
+    }
+
+    /// Returns what a VM suspects of crashing upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn suspects(&self, address: SocketAddr) -> Result<Vec<SuspectEntry>, VmError> {
+        self.to_client()?.suspects(address).await.map_err(VmError::from)
+    }
+
+    /// Releases a suspect on a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not confirm it.
+    pub async fn release(&self, address: SocketAddr, fingerprint: u64) -> Result<(), VmError> {
+        self.to_client()?.release(address, fingerprint).await.map_err(VmError::from)
+    }
+
+    /// Returns a VM's counts of calls against the objectives.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not answer.
+    pub async fn burn(&self, address: SocketAddr) -> Result<BurnExport, VmError> {
+        self.to_client()?.burn(address).await.map_err(VmError::from)
+    }
+
+    fn to_client(&self) -> Result<PeerClient, VmError> {
+        let secret = self.secret.as_ref().ok_or(VmError::NoSecret)?;
+        if !secret.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(VmError::Secret);
+        }
+        Ok(PeerClient::new(secret, QUERY_TIMEOUT, Arc::default()))
+    }
+}
+
+impl From<PeerError> for VmError {
+    fn from(error: PeerError) -> Self {
+        let PeerError::Call { source, .. } = error;
+        Self::NoAnswer { reason: source.to_string() }
+    }
+}
+
 impl VmQuery for ControlQuery {
     async fn status(&self, address: SocketAddr) -> Result<VmStatus, VmError> {
-        let secret = self.secret.as_ref().ok_or(VmError::NoSecret)?;
-        let mut value =
-            HeaderValue::try_from(format!("Bearer {secret}")).map_err(|_| VmError::Secret)?;
-        value.set_sensitive(true);
-        let failed =
-            |error: jsonrpsee::core::ClientError| VmError::NoAnswer { reason: error.to_string() };
-        let client = HttpClientBuilder::default()
-            .request_timeout(QUERY_TIMEOUT)
-            .set_headers(HeaderMap::from_iter([(header::AUTHORIZATION, value)]))
-            .build(format!("http://{address}"))
-            .map_err(failed)?;
-        client.request(STATUS_METHOD, rpc_params![]).await.map_err(failed)
+        Ok(self.to_client()?.status(address).await?.into())
     }
 }
--- a/crates/ctl/tests/spread.rs
+++ b/crates/ctl/tests/spread.rs
@@ -2,27 +2,11 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
 use border::document_digest;
-use jsonrpsee::RpcModule;
-use jsonrpsee::server::{Server, ServerHandle};
-use serde_json::json;
 use stand::prelude::*;
+use support::vm::{SECRET, TestVm};
 use support::{document, operator_command, run};
 
-const SECRET: &str = "an-operator-secret-of-the-tests";
-
-/// A VM's control listener, as far as `status` needs it.
-async fn start_vm(version: Option<u64>) -> (SocketAddr, ServerHandle) {
-    let server = Server::builder().build("127.0.0.1:0").await.expect("a listener");
-    let address = server.local_addr().expect("an address");
-    let mut module = RpcModule::new(());
-    let answer = json!({ "version": version, "vm": "a field for later releases" });
-    module.register_method("status", move |_, _, _| answer.clone()).expect("a method");
-    (address, server.start(module))
-}
-
 fn member(name: &str, address: impl ToString, leaving: bool) -> PlatformMember {
     PlatformMember {
         name: name.into(),
@@ -46,10 +30,14 @@
 /// Guards against a promotion that claims success while VMs have not confirmed the version.
 #[tokio::test(flavor = "multi_thread")]
 async fn vms_are_listed_with_their_versions() {
-    let (current, _current) = start_vm(Some(1)).await;
-    let (newer, _newer) = start_vm(Some(2)).await;
-    let (behind, _behind) = start_vm(Some(0)).await;
-    let (empty, _empty) = start_vm(None).await;
+    let current_vm = TestVm::new("current", Some(1)).start().await;
+    let current = current_vm.address;
+    let newer_vm = TestVm::new("newer", Some(2)).start().await;
+    let newer = newer_vm.address;
+    let behind_vm = TestVm::new("behind", Some(0)).start().await;
+    let behind = behind_vm.address;
+    let empty_vm = TestVm::new("empty", None).start().await;
+    let empty = empty_vm.address;
     // Nothing listens on port 1 of a loopback address.
     let gone = "127.0.0.1:1";
     let base = || SpreadCase {
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Runs the command against a platform inside the test.
 #![allow(dead_code, reason = "each test file uses a part of the support")]
 
+pub mod vm;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
