Add members, burn, suspects and suspects release to agatectl

Cause: operators could not see burn or suspects over all VMs, and could release a refused request only by calling each VM themselves. Change: one module each for members, burn, suspects and its release; survey asks all VMs at once, from the platform's list or from --vm. Exit code 4 now stands for every change that not all VMs have confirmed; a release that no VM confirmed ends with 3, or with 1 if it was not sent.

--- a/crates/ctl/src/cmd.rs
+++ b/crates/ctl/src/cmd.rs
@@ -6,23 +6,27 @@
 use bpaf::{Args, Bpaf, ParseFailure};
 use serde::Serialize;
 
+use crate::burn::{self, BurnArguments, burn_arguments};
 use crate::check::{self, CheckArguments, SettingsArguments, check_arguments, settings_arguments};
 use crate::demo::{self, DemoArguments, demo_arguments};
 use crate::error::{CtlError, CtlExit};
 use crate::history::{self, HistoryArguments, history_arguments};
 use crate::load::{self, LoadArguments, load_arguments};
+use crate::members::{self, MembersArguments, members_arguments};
 use crate::output::{self, OutputFormat};
 use crate::promote::{self, PromoteArguments, promote_arguments};
+use crate::release;
 use crate::rollback::{self, RollbackArguments, rollback_arguments};
 use crate::stand::{self, StandArguments, stand_arguments};
 use crate::status::{self, StatusArguments, status_arguments};
+use crate::suspects::{self, SuspectsArguments, suspects_arguments};
 use crate::trial::{self, TryArguments, try_arguments};
 
 /// Columns of help and error texts.
 const TEXT_WIDTH: usize = 100;
 const EXIT_CODES: &str = "Exit codes: 0 success; 1 the operation was refused or failed; \
     2 wrong usage; 3 it is not known whether the change was made; \
-    4 the version is in force, but not every VM has confirmed it.";
+    4 the change was made, but not every VM has confirmed it.";
 
 /// Operates environments of agateroad gateways.
 #[derive(Bpaf, Clone, Debug)]
@@ -52,6 +56,15 @@
     /// List the versions of an environment, newest first
     #[bpaf(command("history"))]
     History(#[bpaf(external(history_arguments))] HistoryArguments),
+    /// List the VMs, and ask each for its version and calls in flight
+    #[bpaf(command("members"))]
+    Members(#[bpaf(external(members_arguments))] MembersArguments),
+    /// Show how fast services use up their error budgets, over all VMs
+    #[bpaf(command("burn"))]
+    Burn(#[bpaf(external(burn_arguments))] BurnArguments),
+    /// List the requests that are suspected of crashing upstreams, or release one
+    #[bpaf(command("suspects"))]
+    Suspects(#[bpaf(external(suspects_arguments))] SuspectsArguments),
     /// Send load to gateways at a rate that does not depend on their answers
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_arguments))] LoadArguments),
@@ -105,6 +118,17 @@
             Self::History(arguments) => {
                 finish(arguments.output_arguments.format, history::run(arguments), succeed)
             }
+            Self::Members(arguments) => {
+                finish(arguments.output_arguments.format, members::run(arguments), succeed)
+            }
+            Self::Burn(arguments) => finish(arguments.to_output(), burn::run(arguments), succeed),
+            Self::Suspects(SuspectsArguments::List(arguments)) => {
+                finish(arguments.output_arguments.format, suspects::run(arguments), succeed)
+            }
+            Self::Suspects(SuspectsArguments::Release(arguments)) => {
+                let format = arguments.output_arguments.format;
+                finish(format, release::run(arguments), |report| Ok(report.to_exit()))
+            }
             Self::Load(arguments) => {
                 let format = arguments.output_arguments.format;
                 finish(format, load::run(arguments), |result| result.verify().map(done))
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -6,6 +6,7 @@
 use border::FieldProblem;
 use config::prelude::*;
 use load::prelude::LoadError;
+use platform::prelude::StoreError;
 use serde::Serialize;
 use serde_json::{Value, json};
 use snafu::Snafu;
@@ -62,6 +63,15 @@
     /// No stand-in was named.
     #[snafu(display("nothing to run; name a document, or a platform with --platform"))]
     NoStand,
+    /// There is no VM to ask.
+    #[snafu(display("there is no VM to ask; name VMs with --vm, or a platform that lists them"))]
+    NoVms,
+    /// The list of VMs could not be read.
+    #[snafu(display("cannot read the list of VMs: {source}; name VMs with --vm"), context(false))]
+    Members {
+        /// Why.
+        source: StoreError,
+    },
     /// A gateway could not start.
     #[snafu(display("cannot start a gateway: {source}; check the limit on open files"))]
     Gate {
@@ -99,7 +109,7 @@
     Usage = 2,
     /// It is not known whether the change was made.
     Unclear = 3,
-    /// The version is in force, but not every VM has confirmed it.
+    /// The change was made, but not every VM has confirmed it.
     Unconfirmed = 4,
 }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`cmd`] parses the command line, every subcommand returns a report that [`output`] prints as
 //! text or JSON, and [`error::CtlError`] decides on the exit code.
 
+pub mod burn;
 pub mod change;
 pub mod check;
 pub mod cmd;
@@ -11,12 +12,16 @@
 pub mod file;
 pub mod history;
 pub mod load;
+pub mod members;
 pub mod operator;
 pub mod output;
 pub mod promote;
+pub mod release;
 pub mod rollback;
 pub mod spread;
 pub mod stand;
 pub mod status;
+pub mod survey;
+pub mod suspects;
 pub mod trial;
 pub mod vm;
--- /dev/null
+++ b/crates/ctl/src/members.rs
@@ -0,0 +1,96 @@
+//! `members`: the VMs, and what each says about itself.
+
+use std::fmt;
+
+use base::prelude::*;
+use bpaf::Bpaf;
+use serde::Serialize;
+
+use crate::error::CtlError;
+use crate::output::{OutputArguments, output_arguments};
+use crate::survey::{SurveyArguments, survey_arguments};
+use crate::vm::{ControlQuery, VmQuery};
+
+/// Arguments of `members`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct MembersArguments {
+    #[bpaf(external)]
+    pub(crate) output_arguments: OutputArguments,
+    #[bpaf(external)]
+    survey_arguments: SurveyArguments,
+}
+
+/// What a VM answered.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+enum MemberState {
+    Answered { version: Option<u64>, ready: bool, calls: u64 },
+    Silent { reason: String },
+}
+
+/// A VM.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct MemberLine {
+    name: SharedName,
+    address: SharedName,
+    leaving: bool,
+    #[serde(flatten)]
+    state: MemberState,
+}
+
+impl fmt::Display for MemberLine {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { name, address, leaving, state } = self;
+        let leaving = if *leaving { " (leaving)" } else { "" };
+        write!(formatter, "{name} {address}{leaving}: ")?;
+        match state {
+            MemberState::Answered { version, ready, calls } => {
+                let ready = if *ready { "ready" } else { "not ready" };
+                match version {
+                    Some(version) => write!(formatter, "version {version}")?,
+                    None => write!(formatter, "no version yet")?,
+                }
+                write!(formatter, ", {ready}, {calls} calls in flight")
+            }
+            MemberState::Silent { reason } => write!(formatter, "did not answer: {reason}"),
+        }
+    }
+}
+
+/// The VMs.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct MembersReport {
+    members: Vec<MemberLine>,
+}
+
+impl fmt::Display for MembersReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.members.iter().try_for_each(|member| writeln!(formatter, "{member}"))
+    }
+}
+
+/// Asks every VM for its status.
+///
+/// # Errors
+///
+/// Fails if there is no VM to ask or the list of VMs cannot be read.
+pub fn run(arguments: &MembersArguments) -> Result<MembersReport, CtlError> {
+    let ask = |query: ControlQuery, address| async move { query.status(address).await };
+    let answers = arguments.survey_arguments.ask(ask)?;
+    let members = answers.into_iter().map(|(target, answer)| {
+        let state = match answer {
+            Ok(status) => MemberState::Answered {
+                version: status.version,
+                ready: status.ready,
+                calls: status.calls,
+            },
+            Err(error) => MemberState::Silent { reason: error.to_string() },
+        };
+        MemberLine { name: target.name, address: target.address, leaving: target.leaving, state }
+    });
+    Ok(MembersReport { members: members.collect() })
+}
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -89,9 +89,8 @@
     pub fn to_link(&self) -> OperatorLink {
         let clock = RealClock::new();
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let seed = epoch.as_nanos() as u64 ^ u64::from(std::process::id());
         let session = format!("{}-{}-{:x}", self.author, std::process::id(), epoch.as_nanos());
-        let store = HttpStore::new(HttpSettings::new(self.platform, seed), clock);
+        let store = connect(self.platform);
         let (author, epoch_ms) = (self.author.clone(), epoch.as_millis() as u64);
         let operator =
             ConfigOperator::new(store.clone(), clock, author, SharedName::from(session), epoch_ms);
@@ -99,6 +98,13 @@
     }
 }
 
+/// Returns a connection to the platform, which connects when it is first used.
+pub fn connect(platform: SocketAddr) -> HttpStore<RealClock> {
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let seed = epoch.as_nanos() as u64 ^ u64::from(std::process::id());
+    HttpStore::new(HttpSettings::new(platform, seed), RealClock::new())
+}
+
 /// Returns the event loop of a command that talks to the platform.
 ///
 /// # Errors
--- a/crates/ctl/tests/help.rs
+++ b/crates/ctl/tests/help.rs
@@ -17,15 +17,19 @@
         "rollback",
         "status",
         "history",
+        "members",
+        "burn",
+        "suspects",
+        "suspects release",
         "load",
         "stand",
     ];
     for subcommand in subcommands {
-        let arguments: Vec<&str> =
-            [subcommand, "--help"].into_iter().filter(|part| !part.is_empty()).collect();
+        let arguments: Vec<&str> = subcommand.split_whitespace().chain(["--help"]).collect();
         let ended = run(command(&arguments));
         assert_eq!(ended.code, Some(0), "{subcommand}");
         let name = if subcommand.is_empty() { "agatectl" } else { subcommand };
+        let name = name.replace(' ', "-");
         insta::assert_snapshot!(name, ended.stdout);
     }
 }
--- a/crates/ctl/tests/spread.rs
+++ b/crates/ctl/tests/spread.rs
@@ -4,19 +4,9 @@
 
 use border::document_digest;
 use stand::prelude::*;
-use support::vm::{SECRET, TestVm};
+use support::vm::{SECRET, TestVm, member};
 use support::{document, operator_command, run};
 
-fn member(name: &str, address: impl ToString, leaving: bool) -> PlatformMember {
-    PlatformMember {
-        name: name.into(),
-        incarnation: 1,
-        centre: "medeu".into(),
-        peer_address: address.to_string().into(),
-        leaving,
-    }
-}
-
 struct SpreadCase {
     /// The fault that the case guards against.
     guards: &'static str,
--- a/crates/ctl/tests/support/vm.rs
+++ b/crates/ctl/tests/support/vm.rs
@@ -7,6 +7,7 @@
 use config::prelude::*;
 use peer::prelude::*;
 use report::prelude::*;
+use stand::prelude::*;
 use suspect::prelude::*;
 use world::prelude::*;
 
@@ -74,3 +75,14 @@
         self.burn.clone()
     }
 }
+
+/// Returns a VM on the platform's list.
+pub fn member(name: &str, address: impl ToString, leaving: bool) -> PlatformMember {
+    PlatformMember {
+        name: name.into(),
+        incarnation: 1,
+        centre: "medeu".into(),
+        peer_address: address.to_string().into(),
+        leaving,
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/survey.rs
@@ -0,0 +1,198 @@
+//! Commands that ask all VMs: members, burn, suspects and the release of a suspect.
+
+mod support;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use stand::prelude::*;
+use support::vm::{SECRET, TestVm, member};
+use support::{command, operator_command, run};
+use suspect::prelude::*;
+
+const FINGERPRINT: u64 = 0x00ab_cdef_0123_4567;
+const LISTED: &str = "00abcdef01234567";
+/// Nothing listens on port 1 of a loopback address.
+const GONE: &str = "127.0.0.1:1";
+
+#[derive(Default)]
+struct SurveyCase {
+    /// The fault that the case guards against.
+    guards: &'static str,
+    arguments: Vec<&'static str>,
+    /// Whether `vm-3`, which does not answer, is on the list.
+    with_gone: bool,
+    without_secret: bool,
+    code: i32,
+    printed: Vec<&'static str>,
+    explained: Vec<&'static str>,
+    /// How many VMs released the suspect.
+    releases: usize,
+}
+
+fn suspect(standing: SuspectStanding, upstream: &str, seconds: u64) -> SuspectEntry {
+    let age = ClockSpan::from_millis(seconds * 1000);
+    SuspectEntry { fingerprint: FINGERPRINT, standing, upstreams: vec![upstream.into()], age }
+}
+
+fn vm(name: &str, version: Option<u64>, entry: SuspectEntry) -> TestVm {
+    TestVm { suspects: vec![entry], ..TestVm::new(name, version) }
+}
+
+/// Guards against answers of VMs that are lost, merged wrongly, or missing without notice.
+#[tokio::test(flavor = "multi_thread")]
+async fn vms_are_asked_and_their_answers_merged() {
+    let cases = [
+        SurveyCase {
+            guards: "a status that is not shown, and a VM that does not answer",
+            arguments: vec!["members"],
+            with_gone: true,
+            printed: vec![
+                ": version 4, ready, 7 calls in flight",
+                ": no version yet, ready, 7 calls in flight",
+                "vm-3 127.0.0.1:1 (leaving): did not answer",
+            ],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "members for programs",
+            arguments: vec!["members", "--format", "json"],
+            printed: vec!["\"state\":\"answered\",\"version\":4,\"ready\":true,\"calls\":7"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a missing secret",
+            arguments: vec!["members"],
+            without_secret: true,
+            printed: vec!["did not answer: no operators' secret"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a burn report that hides a VM",
+            arguments: vec!["burn", "--format", "json"],
+            with_gone: true,
+            printed: vec!["\"answered\":[\"vm-1\",\"vm-2\"],\"missing\":[\"vm-3\"]"],
+            explained: vec!["vm-3: did not answer"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "burn for people",
+            arguments: vec!["burn"],
+            with_gone: true,
+            printed: vec!["vm-3"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "burn for a browser",
+            arguments: vec!["burn", "--format", "html"],
+            with_gone: true,
+            printed: vec!["<html", "vm-3"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a VM that is named by its address",
+            arguments: vec!["burn", "--format", "json", "--vm", GONE],
+            printed: vec!["\"answered\":[],\"missing\":[\"127.0.0.1:1\"]"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "an unknown format",
+            arguments: vec!["burn", "--format", "pdf"],
+            code: 2,
+            explained: vec!["use text, json or html"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a merge that loses the strictest standing, an upstream or the newest event",
+            arguments: vec!["suspects"],
+            with_gone: true,
+            printed: vec![
+                "00abcdef01234567 confirmed 5 s ago, crashed: u-1, u-2; listed by: vm-1, vm-2",
+                "vm-3: did not answer",
+            ],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a release that does not reach every VM",
+            arguments: vec!["suspects", "release", LISTED],
+            printed: vec!["vm-1: released 00abcdef01234567", "vm-2: released 00abcdef01234567"],
+            releases: 2,
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a release that claims success without every VM",
+            arguments: vec!["suspects", "release", LISTED],
+            with_gone: true,
+            code: 4,
+            printed: vec!["vm-1: released", "vm-3: did not answer"],
+            releases: 2,
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a release that no VM confirmed",
+            arguments: vec!["suspects", "release", LISTED, "--vm", GONE],
+            code: 3,
+            printed: vec!["127.0.0.1:1: did not answer"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a release that was not sent but is reported as perhaps made",
+            arguments: vec!["suspects", "release", LISTED],
+            without_secret: true,
+            code: 1,
+            printed: vec!["vm-1: did not answer: no operators' secret"],
+            ..SurveyCase::default()
+        },
+        SurveyCase {
+            guards: "a shortened fingerprint",
+            arguments: vec!["suspects", "release", "abcdef01234567"],
+            code: 2,
+            explained: vec!["16 hexadecimal digits"],
+            ..SurveyCase::default()
+        },
+    ];
+    let secret_file = support::write_file("survey", "secret", SECRET);
+    for case in cases {
+        let one = vm("vm-1", Some(4), suspect(SuspectStanding::Confirmed, "u-2", 9));
+        let two = vm("vm-2", None, suspect(SuspectStanding::Suspected, "u-1", 5));
+        let released = [Arc::clone(&one.released), Arc::clone(&two.released)];
+        let (one, two) = (one.start().await, two.start().await);
+        let mut members =
+            vec![member("vm-1", one.address, false), member("vm-2", two.address, false)];
+        if case.with_gone {
+            members.push(member("vm-3", GONE, true));
+        }
+        let plan = PlatformPlan { members, ..PlatformPlan::default() };
+        let platform = PlatformStand::start(plan).await.expect("a platform");
+        let mut command = operator_command(platform.address(), "beka", &case.arguments);
+        if !case.without_secret {
+            command.env("AGATECTL_SECRET_FILE", &secret_file);
+        }
+        let ended = run(command);
+        assert_eq!(ended.code, Some(case.code), "{}: {ended:?}", case.guards);
+        for part in case.printed {
+            assert!(ended.stdout.contains(part), "{}: no {part:?} in {ended:?}", case.guards);
+        }
+        for part in case.explained {
+            assert!(ended.stderr.contains(part), "{}: no {part:?} in {ended:?}", case.guards);
+        }
+        let released: Vec<u64> =
+            released.iter().flat_map(|list| list.lock().expect("no panic").clone()).collect();
+        assert_eq!(released, vec![FINGERPRINT; case.releases], "{}", case.guards);
+    }
+}
+
+/// Guards against a report without VMs that looks like one without faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_vm_to_ask_is_an_error() {
+    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let commands =
+        [vec!["members"], vec!["burn"], vec!["suspects"], vec!["suspects", "release", LISTED]];
+    for arguments in commands {
+        let empty = run(operator_command(platform.address(), "beka", &arguments));
+        for ended in [empty, run(command(&arguments))] {
+            assert_eq!(ended.code, Some(1), "{arguments:?}: {ended:?}");
+            assert!(ended.stderr.contains("there is no VM to ask"), "{arguments:?}: {ended:?}");
+        }
+    }
+}
