Check the merged burn figures of agatectl burn

Cause: the cases of burn had exports without calls, so that a lost merge went unseen. Change: two VMs export 100 and 200 calls; the report must have all 300. Conclusion: calls of a VM that are left out fail the test.

--- a/crates/ctl/tests/survey.rs
+++ b/crates/ctl/tests/survey.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use report::prelude::*;
+use report::ring::CallCounts;
 use stand::prelude::*;
 use support::vm::{SECRET, TestVm, member};
 use support::{command, operator_command, run};
 use suspect::prelude::*;
+use world::prelude::*;
 
 const FINGERPRINT: u64 = 0x00ab_cdef_0123_4567;
 const LISTED: &str = "00abcdef01234567";
@@ -35,8 +38,24 @@
     SuspectEntry { fingerprint: FINGERPRINT, standing, upstreams: vec![upstream.into()], age }
 }
 
-fn vm(name: &str, version: Option<u64>, entry: SuspectEntry) -> TestVm {
-    TestVm { suspects: vec![entry], ..TestVm::new(name, version) }
+/// Returns the export of a VM with the same calls in each window.
+fn export(vm: &str, total: u64, failed: u64) -> BurnExport {
+    let counts = CallCounts { total, failed, slow: 0 };
+    let objective =
+        BurnObjective { version: 1, latency: 2000, latency_share: 0.99, success_share: 0.99 };
+    let service = ServiceBurn {
+        service: "phase-desk".into(),
+        class: WorkClass::Urgent,
+        objective,
+        windows: vec![counts; WINDOWS.len()],
+        timeline: Vec::new(),
+        latencies: vec![(1000, total - failed)],
+    };
+    BurnExport { vm: vm.into(), services: vec![service], dropped: 0 }
+}
+
+fn vm(name: &str, version: Option<u64>, entry: SuspectEntry, burn: BurnExport) -> TestVm {
+    TestVm { suspects: vec![entry], burn, ..TestVm::new(name, version) }
 }
 
 /// Guards against answers of VMs that are lost, merged wrongly, or missing without notice.
@@ -75,11 +94,17 @@
             explained: vec!["vm-3: did not answer"],
             ..SurveyCase::default()
         },
+        SurveyCase {
+            guards: "a burn report that leaves out the calls of a VM",
+            arguments: vec!["burn", "--format", "json"],
+            printed: vec!["\"counts\":{\"total\":300,\"failed\":5,\"slow\":0}"],
+            ..SurveyCase::default()
+        },
         SurveyCase {
             guards: "burn for people",
             arguments: vec!["burn"],
             with_gone: true,
-            printed: vec!["vm-3"],
+            printed: vec!["2 of 3 VMs answered; no answer from vm-3", "phase-desk"],
             ..SurveyCase::default()
         },
         SurveyCase {
@@ -153,8 +178,14 @@
     ];
     let secret_file = support::write_file("survey", "secret", SECRET);
     for case in cases {
-        let one = vm("vm-1", Some(4), suspect(SuspectStanding::Confirmed, "u-2", 9));
-        let two = vm("vm-2", None, suspect(SuspectStanding::Suspected, "u-1", 5));
+        let one = vm(
+            "vm-1",
+            Some(4),
+            suspect(SuspectStanding::Confirmed, "u-2", 9),
+            export("vm-1", 100, 5),
+        );
+        let two =
+            vm("vm-2", None, suspect(SuspectStanding::Suspected, "u-1", 5), export("vm-2", 200, 0));
         let released = [Arc::clone(&one.released), Arc::clone(&two.released)];
         let (one, two) = (one.start().await, two.start().await);
         let mut members =
