Show suspects without known crashes as such

Cause: a released request without crashes was listed with "crashed: ;". Change: the line says "none". Conclusion: every line of the list can be read.

--- a/crates/ctl/src/suspects.rs
+++ b/crates/ctl/src/suspects.rs
@@ -87,7 +87,9 @@
                 SuspectStanding::Suspected => "suspected",
                 SuspectStanding::Confirmed => "confirmed",
             };
-            let (seconds, upstreams) = (age_ms / 1000, upstreams.join(", "));
+            let seconds = age_ms / 1000;
+            let upstreams =
+                if upstreams.is_empty() { "none".to_owned() } else { upstreams.join(", ") };
             let vms = vms.join(", ");
             writeln!(
                 formatter,
--- a/crates/ctl/tests/survey.rs
+++ b/crates/ctl/tests/survey.rs
@@ -15,6 +15,8 @@
 
 const FINGERPRINT: u64 = 0x00ab_cdef_0123_4567;
 const LISTED: &str = "00abcdef01234567";
+/// A second request, without known crashes.
+const RELEASED: u64 = 1;
 /// Nothing listens on port 1 of a loopback address.
 const GONE: &str = "127.0.0.1:1";
 
@@ -55,7 +57,8 @@
 }
 
 fn vm(name: &str, version: Option<u64>, entry: SuspectEntry, burn: BurnExport) -> TestVm {
-    TestVm { suspects: vec![entry], burn, ..TestVm::new(name, version) }
+    let released = SuspectEntry { fingerprint: RELEASED, upstreams: Vec::new(), ..entry.clone() };
+    TestVm { suspects: vec![entry, released], burn, ..TestVm::new(name, version) }
 }
 
 /// Guards against answers of VMs that are lost, merged wrongly, or missing without notice.
@@ -132,6 +135,7 @@
             arguments: vec!["suspects"],
             with_gone: true,
             printed: vec![
+                "0000000000000001 confirmed 5 s ago, crashed: none; listed by: vm-1, vm-2",
                 "00abcdef01234567 confirmed 5 s ago, crashed: u-1, u-2; listed by: vm-1, vm-2",
                 "vm-3: did not answer",
             ],
