Check the secrets of the new control methods

Cause: peer_grant, peer_grant_end, operator_suspects, operator_release and operator_burn had no access cases. Change: the table of access cases calls each with no, a wrong, the other role's and the right secret, with valid parameters, so that a refusal is not an error of parameters. Conclusion: each method is carried out with the secret of its role only.

--- a/crates/trial/tests/control.rs
+++ b/crates/trial/tests/control.rs
@@ -28,10 +28,16 @@
     if let Some(authorization) = &authorization {
         headers.push(("authorization", authorization));
     }
-    let body = format!(
-        r#"{{"jsonrpc":"2.0","id":1,"method":"{}","params":[{{"version":null}}]}}"#,
-        case.method
-    );
+    let parameters = match case.method {
+        "peer_grant" => r#"[{"fingerprint":1,"vm":"vm-1"}]"#,
+        "peer_grant_end" => {
+            r#"[{"report":{"owner":"vm-0","fingerprint":1,"survived":true},"vm":"vm-1"}]"#
+        }
+        "operator_release" => "[1]",
+        _ => r#"[{"version":null}]"#,
+    };
+    let body =
+        format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{}","params":{parameters}}}"#, case.method);
     let answer = bed.client.call(Method::POST, address, HOST, "/", &headers, Bytes::from(body));
     answer.await.expect(case.name)
 }
@@ -53,6 +59,23 @@
         case("operator as peer", Some(OPERATOR_SECRET), "peer_exchange", 200, false),
         case("unknown method", Some(OPERATOR_SECRET), "operator_shell", 200, false),
     ];
+    let roles = [
+        ("peer_grant", PEER_SECRET, OPERATOR_SECRET),
+        ("peer_grant_end", PEER_SECRET, OPERATOR_SECRET),
+        ("operator_suspects", OPERATOR_SECRET, PEER_SECRET),
+        ("operator_release", OPERATOR_SECRET, PEER_SECRET),
+        ("operator_burn", OPERATOR_SECRET, PEER_SECRET),
+    ];
+    let wrong = Some("a-wrong-secret-of-the-tests");
+    let of_roles = roles.into_iter().flat_map(|(method, right, other)| {
+        [
+            case(method, None, method, 401, false),
+            case(method, wrong, method, 401, false),
+            case(method, Some(other), method, 200, false),
+            case(method, Some(right), method, 200, true),
+        ]
+    });
+    let cases: Vec<_> = cases.into_iter().chain(of_roles).collect();
     let bed = TestBed::start(UpstreamPlan::default(), 1).await;
     for case in &cases {
         let answer = call(&bed, bed.gates[0].control_address, case).await;
