Test requests that crash upstreams through 15 gateways

Cause: the limit of three crashes from one request (section 5.4) was shown in the model only, and nothing showed that a gateway logs the alerts of its objectives. A service whose calls fail every second time must raise event 1901 or 1902. The test bed can start several upstreams.

--- /dev/null
+++ b/crates/trial/tests/crash.rs
@@ -0,0 +1,166 @@
+//! Requests that crash upstreams, and calls that fail, through gateways in processes of their own.
+
+mod support;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use futures_util::future::join_all;
+use http::StatusCode;
+use peer::prelude::*;
+use stand::prelude::*;
+use support::{HOST, READY_PERIOD, TestBed};
+use suspect::prelude::*;
+use trial::prelude::*;
+
+const GATES: usize = 15;
+const UPSTREAMS: usize = 6;
+/// Section 5.4 of the design allows this many crashes from one request.
+const CRASH_LIMIT: u64 = 3;
+const CRASHING: &str = "/phase?crash=1";
+const INNOCENT: &str = "/phase?square=1";
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Arrival {
+    /// Through one gateway after the other.
+    InTurn,
+    /// Through all gateways at the same time.
+    AtOnce,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CrashCase {
+    arrival: Arrival,
+    /// Times that the request is sent through every gateway.
+    rounds: usize,
+    idempotent: bool,
+}
+
+fn operator() -> PeerClient {
+    PeerClient::new(OPERATOR_SECRET, ClockSpan::from_secs(5), Arc::new(ControlCounts::default()))
+}
+
+fn crashes(bed: &TestBed) -> u64 {
+    bed.upstreams().map(|stand| stand.counts().crashes).sum()
+}
+
+async fn wait_for_restarts(bed: &TestBed) {
+    for stand in bed.upstreams() {
+        stand.wait_listening(true).await;
+    }
+}
+
+async fn send(bed: &TestBed, gate: usize, path: &str) -> CallAnswer {
+    let address = bed.gates[gate].caller_address;
+    bed.client.get(address, HOST, path).await.expect("an answer")
+}
+
+/// Sends a request through the gateways in turn until it succeeds.
+async fn send_until_answered(bed: &TestBed, path: &str) {
+    for gate in (0..bed.gates.len()).cycle() {
+        if send(bed, gate, path).await.status == StatusCode::OK {
+            return;
+        }
+        tokio::time::sleep(READY_PERIOD).await;
+    }
+}
+
+async fn send_crashing(bed: &TestBed, case: CrashCase) {
+    for round in 0..case.rounds {
+        match case.arrival {
+            Arrival::InTurn => {
+                for gate in 0..bed.gates.len() {
+                    wait_for_restarts(bed).await;
+                    send(bed, gate, CRASHING).await;
+                }
+            }
+            Arrival::AtOnce => {
+                wait_for_restarts(bed).await;
+                join_all((0..bed.gates.len()).map(|gate| send(bed, gate, CRASHING))).await;
+            }
+        }
+        let crashes = crashes(bed);
+        assert!(crashes <= CRASH_LIMIT, "{case:?}: {crashes} crashes after round {round}");
+    }
+}
+
+async fn confirmed(operator: &PeerClient, gate: &GateProcess) -> Vec<u64> {
+    let entries = operator.suspects(gate.control_address).await.expect("a list");
+    let confirmed = entries.iter().filter(|entry| entry.standing == SuspectStanding::Confirmed);
+    confirmed.map(|entry| entry.fingerprint).collect()
+}
+
+/// Returns whether a gateway lists crashes of a request that was not released.
+async fn is_suspect(operator: &PeerClient, gate: &GateProcess, fingerprint: u64) -> bool {
+    let entries = operator.suspects(gate.control_address).await.expect("a list");
+    let own = entries.iter().find(|entry| entry.fingerprint == fingerprint);
+    own.is_some_and(|entry| entry.standing != SuspectStanding::Cleared)
+}
+
+async fn check_crashes(case: CrashCase) {
+    // The service time lets other calls be in flight when an upstream crashes.
+    let service = ServiceTime::Fixed { ms: 50.0 };
+    let plan = UpstreamPlan { service, ..UpstreamPlan::default() };
+    let bed = TestBed::start_wide(plan, UPSTREAMS, GATES, case.idempotent).await;
+    tokio::join!(send_crashing(&bed, case), send_until_answered(&bed, INNOCENT));
+    let operator = operator();
+    let mut listed = confirmed(&operator, &bed.gates[0]).await;
+    while listed.is_empty() {
+        // Further repeats, until an isolated run or a second upstream confirms the request.
+        send_crashing(&bed, CrashCase { rounds: 1, ..case }).await;
+        listed = confirmed(&operator, &bed.gates[0]).await;
+    }
+    assert_eq!(listed.len(), 1, "{case:?}: the innocent request is not confirmed");
+    for gate in &bed.gates {
+        while confirmed(&operator, gate).await != listed {
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+    }
+    for gate in 0..GATES {
+        let answer = send(&bed, gate, CRASHING).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{case:?}: {:?}", answer.body);
+    }
+    let crashes = crashes(&bed);
+    assert!(crashes <= CRASH_LIMIT, "{case:?}: {crashes} crashes");
+    println!("{case:?}: {crashes} crashes");
+    send_until_answered(&bed, INNOCENT).await;
+    operator.release(bed.gates[0].control_address, listed[0]).await.expect("a release");
+    for gate in &bed.gates {
+        while is_suspect(&operator, gate, listed[0]).await {
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+    }
+}
+
+/// Guards against a caller that repeats a crashing request at one gateway after the other and so
+/// crashes more upstreams than allowed, and against a release that does not reach every VM.
+#[tokio::test]
+async fn requests_that_crash_in_turn_are_contained() {
+    for idempotent in [false, true] {
+        check_crashes(CrashCase { arrival: Arrival::InTurn, rounds: 2, idempotent }).await;
+    }
+}
+
+/// Guards against copies of a crashing request that arrive everywhere before any VM knows it.
+#[tokio::test]
+async fn requests_that_crash_at_once_are_contained() {
+    for idempotent in [false, true] {
+        check_crashes(CrashCase { arrival: Arrival::AtOnce, rounds: 4, idempotent }).await;
+    }
+}
+
+/// Guards against a gateway that does not measure its calls or does not log the alert.
+#[tokio::test]
+async fn failing_calls_raise_an_alert() {
+    let bed = TestBed::start(UpstreamPlan::default(), 1).await;
+    let gate = &bed.gates[0];
+    let mut mode = UpstreamMode::Serve;
+    while gate.logged(1901) + gate.logged(1902) == 0 {
+        mode = match mode {
+            UpstreamMode::Serve => UpstreamMode::FailFast,
+            _ => UpstreamMode::Serve,
+        };
+        bed.upstream.update(|plan| plan.mode = mode);
+        send(&bed, 0, INNOCENT).await;
+    }
+}
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -35,16 +35,34 @@
 pub struct TestBed {
     pub platform: PlatformStand,
     pub upstream: UpstreamStand,
+    /// Further upstreams of the service.
+    pub others: Vec<UpstreamStand>,
+    /// Whether calls of the service are idempotent.
+    pub idempotent: bool,
     pub gates: Vec<GateProcess>,
     pub client: TestClient,
 }
 
 impl TestBed {
     pub async fn start(plan: UpstreamPlan, gates: usize) -> Self {
+        Self::start_wide(plan, 1, gates, false).await
+    }
+
+    /// Starts several upstreams with the same plan.
+    pub async fn start_wide(
+        plan: UpstreamPlan,
+        upstreams: usize,
+        gates: usize,
+        idempotent: bool,
+    ) -> Self {
         let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
-        let upstream = UpstreamStand::start(plan).await.expect("an upstream");
+        let upstream = UpstreamStand::start(plan.clone()).await.expect("an upstream");
+        let mut others = Vec::new();
+        for _ in 1..upstreams {
+            others.push(UpstreamStand::start(plan.clone()).await.expect("an upstream"));
+        }
         let client = TestClient::default();
-        let mut bed = Self { platform, upstream, gates: Vec::new(), client };
+        let mut bed = Self { platform, upstream, others, idempotent, gates: Vec::new(), client };
         bed.promote().await;
         for index in 0..gates {
             bed.add_gate(index).await;
@@ -78,8 +96,10 @@
 
     /// Puts the document into force as a new version.
     pub async fn promote(&self) -> VersionRow {
-        let rules = json!([{ "path_prefix": "/", "idempotent": false, "class": "normal" }]);
-        let service = TrialService::idempotent(HOST, vec![("medeu", self.upstream.address())]);
+        let rules =
+            json!([{ "path_prefix": "/", "idempotent": self.idempotent, "class": "normal" }]);
+        let upstreams = self.upstreams().map(|stand| ("medeu", stand.address())).collect();
+        let service = TrialService::idempotent(HOST, upstreams);
         let document = TrialDocument { services: vec![TrialService { rules, ..service }] };
         let clock = RealClock::new();
         let store = HttpStore::new(HttpSettings::new(self.platform.address(), 1), clock);
@@ -91,6 +111,11 @@
         row.expect("the version is in force")
     }
 
+    /// Returns every upstream of the service.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamStand> {
+        std::iter::once(&self.upstream).chain(&self.others)
+    }
+
     pub async fn ready(&self, address: SocketAddr) -> StatusCode {
         let answer = self.client.get(address, "metrics", "/ready").await;
         answer.map_or(StatusCode::SERVICE_UNAVAILABLE, |answer| answer.status)
