--- a/crates/trial/tests/crash.rs
+++ b/crates/trial/tests/crash.rs
@@ -19,6 +19,8 @@
 const CRASH_LIMIT: u64 = 3;
 const CRASHING: &str = "/phase?crash=1";
 const INNOCENT: &str = "/phase?square=1";
+/// Different innocent requests, enough for each upstream to run several when it crashes.
+const INNOCENTS: usize = 24;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Arrival {
@@ -102,7 +104,9 @@
     let service = ServiceTime::Fixed { ms: 50.0 };
     let plan = UpstreamPlan { service, ..UpstreamPlan::default() };
     let bed = TestBed::start_wide(plan, UPSTREAMS, GATES, case.idempotent).await;
-    tokio::join!(send_crashing(&bed, case), send_until_answered(&bed, INNOCENT));
+    let paths: Vec<_> = (1..=INNOCENTS).map(|square| format!("/phase?square={square}")).collect();
+    let innocents = join_all(paths.iter().map(|path| send_until_answered(&bed, path)));
+    tokio::join!(innocents, send_crashing(&bed, case));
     let operator = operator();
     let mut listed = confirmed(&operator, &bed.gates[0]).await;
     while listed.is_empty() {
@@ -110,7 +114,7 @@
         send_crashing(&bed, CrashCase { rounds: 1, ..case }).await;
         listed = confirmed(&operator, &bed.gates[0]).await;
     }
-    assert_eq!(listed.len(), 1, "{case:?}: the innocent request is not confirmed");
+    assert_eq!(listed.len(), 1, "{case:?}: innocent requests are not confirmed");
     for gate in &bed.gates {
         while confirmed(&operator, gate).await != listed {
             tokio::time::sleep(READY_PERIOD).await;
@@ -123,7 +127,7 @@
     let crashes = crashes(&bed);
     assert!(crashes <= CRASH_LIMIT, "{case:?}: {crashes} crashes");
     println!("{case:?}: {crashes} crashes");
-    send_until_answered(&bed, INNOCENT).await;
+    join_all(paths.iter().map(|path| send_until_answered(&bed, path))).await;
     operator.release(bed.gates[0].control_address, listed[0]).await.expect("a release");
     for gate in &bed.gates {
         while is_suspect(&operator, gate, listed[0]).await {
