Let VMs learn of one another before the membership list shows them

A VM that starts was unknown to its peers until their next read of the list, which also lags, so that it missed notices of crashes. Exchanges now carry the sender and some VMs that were heard from lately, and a VM that starts makes itself known to every listed peer.

--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -1,5 +1,6 @@
 //! This VM's use of the platform: claims, the configuration and the membership list.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -58,7 +59,7 @@
         let (claims, driver) = ClaimRunner::new(table, store.clone(), state.clock);
         // The claims are set once, by the only start.
         let _ = state.claims.set(claims.clone());
-        let link = Arc::new(PeerLink::default());
+        let link = Arc::new(PeerLink::new(own));
         let follower = Arc::new(OnceLock::new());
         let mut tasks = JoinSet::new();
         // As above.
@@ -68,7 +69,6 @@
             store: store.clone(),
             claims: claims.clone(),
             link: Arc::clone(&link),
-            own: own.clone(),
         };
         tasks.spawn(watch.run());
         if let Some(environment) = environment {
@@ -76,7 +76,7 @@
                 link: Arc::clone(&link),
                 client: client.clone(),
                 store: store.clone(),
-                own,
+                clock: state.clock,
             };
             let target = GateTarget { state: Arc::downgrade(state), link: Arc::clone(&link) };
             let parts = (store, state.clock, peers, target);
@@ -94,6 +94,11 @@
         access
     }
 
+    /// Tells peers from now on where they reach this VM.
+    pub fn announce(&self, address: SocketAddr) {
+        self.link.set_own_address(address);
+    }
+
     /// Returns what answers peers and operators.
     pub fn control(&self, state: &Arc<GateState>) -> GateControl {
         let (link, follower) = (Arc::clone(&self.link), Arc::clone(&self.follower));
@@ -120,7 +125,6 @@
     store: GateStore,
     claims: GateClaims,
     link: Arc<PeerLink>,
-    own: SharedName,
 }
 
 impl MemberWatch {
@@ -129,7 +133,6 @@
             match self.store.members().await {
                 Ok(list) => {
                     self.claims.update_members(&list);
-                    self.link.apply_list(&list, &self.own);
                     self.apply_members(&list);
                 }
                 Err(error) => tracing::debug!(event = event::MEMBERS_UNREAD, %error),
@@ -143,12 +146,12 @@
     /// Passes the VMs on to the tables whose budgets and owners depend on them.
     fn apply_members(&self, list: &MemberList) {
         let Some(state) = self.state.upgrade() else { return };
-        let others = list.members.iter().map(|member| &member.name);
-        let mut names: Vec<SharedName> =
-            others.filter(|name| **name != self.own).cloned().collect();
-        names.push(self.own.clone());
-        let counts = VmCounts { listed: names.len() as u32, reported: 0 };
-        state.tables.probes.set_counts(counts, state.clock.now());
+        let now = state.clock.now();
+        self.link.apply_list(list, now);
+        let names = self.link.names();
+        let listed = list.members.len() as u32;
+        let counts = VmCounts { listed, reported: names.len() as u32 };
+        state.tables.probes.set_counts(counts, now);
         state.tables.suspects.set_members(names);
     }
 }
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -102,6 +102,7 @@
     let address = settings.control_address;
     let control = ControlServer::start(address, secret_table(settings), counts, control);
     let control = control.await.context(ListenSnafu)?;
+    platform.announce(control.address);
     let address = gate.caller_address;
     tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
     let ready = serde_json::json!({
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,7 +15,7 @@
 
     pub use crate::client::{PeerClient, PeerError};
     pub use crate::counts::{ControlCounts, ControlUsage};
-    pub use crate::message::{ExchangeNotice, GrantEnd, GrantQuestion, StatusReport};
+    pub use crate::message::{ExchangeNotice, GrantEnd, GrantQuestion, PeerContact, StatusReport};
     pub use crate::secret::{ControlRole, SecretTable};
     pub use crate::server::{ControlHandler, ControlServer};
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,5 +1,7 @@
 //! What VMs and operators say to each other.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use config::prelude::*;
 use route::prelude::*;
@@ -24,10 +26,26 @@
 /// The method with which operators read a VM's counts of calls against the objectives.
 pub const BURN: &str = "operator_burn";
 
+/// A VM and its control listener.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PeerContact {
+    /// The VM.
+    pub vm: SharedName,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// The time since it was last heard from.
+    pub age: ClockSpan,
+}
+
 /// What one VM tells another, as a request and as its answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct ExchangeNotice {
+    /// The sender and VMs that it heard from lately. The platform's list lags, so that a VM that
+    /// starts would otherwise miss what its peers tell one another.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contacts: Vec<PeerContact>,
     /// The version in force at the sender.
     pub version: Option<VersionMark>,
     /// Drain marks and load samples.
