Let the demo's gateways claim work that runs at most once

The demo's gateways had no access to the platform, so that every booking, correction, pledge and certificate was refused as not run while the demo reported no fault. They now use the embedded platform, and the test requires good answers of every kind.

--- a/crates/ctl/src/demo/bed.rs
+++ b/crates/ctl/src/demo/bed.rs
@@ -6,9 +6,11 @@
 use base::prelude::*;
 use bytes::Bytes;
 use config::prelude::*;
+use gate::access::{AccessOptions, PlatformAccess};
 use gate::options::{GateOptions, GateTimeouts};
 use gate::process::RunningGate;
 use gate::state::GateState;
+use peer::prelude::*;
 use platform::prelude::*;
 use route::prelude::*;
 use serde_json::{Value, json};
@@ -23,6 +25,10 @@
 /// Worker threads of each gateway.
 const GATE_WORKERS: usize = 1;
 
+/// The gateways of the demo have no control listener, so that nobody uses the secret.
+const DEMO_SECRET: &str = "secret-of-the-demo";
+const PEER_TIMEOUT: ClockSpan = ClockSpan::from_secs(1);
+
 /// An upstream and the service that it belongs to.
 pub struct DemoUpstream {
     /// The service.
@@ -43,6 +49,7 @@
     pub started: ClockTime,
     /// The clock of the bed.
     pub clock: RealClock,
+    _accesses: Vec<PlatformAccess>,
     _platform: PlatformStand,
 }
 
@@ -58,8 +65,10 @@
         let centres = environment.centres.iter();
         let gates = centres
             .map(|centre| start_gate(&centre.name, &environment))
-            .collect::<Result<_, _>>()?;
-        Ok(Self { gates, upstreams, environment, started, clock, _platform: platform })
+            .collect::<Result<Vec<_>, _>>()?;
+        let accesses = gates.iter().map(|gate| start_access(gate, platform.address()));
+        let _accesses = accesses.collect();
+        Ok(Self { gates, upstreams, environment, started, clock, _accesses, _platform: platform })
     }
 }
 
@@ -104,6 +113,17 @@
         .map_err(|error| CtlError::DemoStopped { reason: error.to_string() })
 }
 
+/// Lets a gateway claim work that runs at most once.
+fn start_access(gate: &RunningGate, address: SocketAddr) -> PlatformAccess {
+    let counts = Arc::new(ControlCounts::default());
+    let options = AccessOptions {
+        store: HttpSettings::new(address, 0),
+        environment: None,
+        client: PeerClient::new(DEMO_SECRET, PEER_TIMEOUT, counts),
+    };
+    PlatformAccess::start(&gate.state, options)
+}
+
 fn start_gate(centre: &SharedName, environment: &EnvironmentMap) -> Result<RunningGate, CtlError> {
     let name = SharedName::from(format!("{centre}-vm"));
     let options = GateOptions {
--- a/crates/ctl/tests/demo.rs
+++ b/crates/ctl/tests/demo.rs
@@ -24,6 +24,10 @@
         assert_eq!(deployment["gateways"], 3);
         assert!(deployment["load"]["overall"]["good"].as_u64() > Some(0), "{deployment}");
         assert_eq!(deployment["load"]["kinds"].as_array().map(Vec::len), Some(4));
+        // Without claims, work that runs at most once was refused throughout.
+        for kind in deployment["load"]["kinds"].as_array().expect("kinds") {
+            assert!(kind["good"].as_u64().is_some_and(|good| good > 0), "{kind}");
+        }
         assert_eq!(deployment["measuring"].as_array().map(Vec::len), Some(3));
         for count in ["wrong_answers", "repeated_work", "missing_work"] {
             assert_eq!(deployment["verdict"][count], 0, "{name}");
