Wait with a timer in the queue tests and sort the event numbers

The tests of the queue spun on yield_now while they waited for a count, and the merged event constants were out of order. The wait now sleeps for 1 ms between looks; no check is changed.

--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -12,6 +12,16 @@
 pub const STOPPED: u32 = 1005;
 /// Old connections to an upstream stopped responding while a new one works.
 pub const SILENT_CONNECTIONS: u32 = 1006;
+/// Calls were still in flight when the longest deadline had passed.
+pub const DRAIN_CUT: u32 = 1010;
+/// The membership list could not be read.
+pub const MEMBERS_UNREAD: u32 = 1011;
+/// A second signal ended the process while it was leaving.
+pub const DRAIN_ABANDONED: u32 = 1012;
+/// Outcomes of claims were not stored before the process ended.
+pub const OUTCOMES_LEFT: u32 = 1013;
+/// A peer did not answer an exchange.
+pub const EXCHANGE_FAILED: u32 = 1014;
 /// An upstream is ejected because of failures.
 pub const UPSTREAM_EJECTED: u32 = 1201;
 /// An ejected upstream takes calls again.
@@ -26,13 +36,3 @@
 pub const UPSTREAM_CRASHED: u32 = 1401;
 /// A request is confirmed to crash upstreams.
 pub const SUSPECT_CONFIRMED: u32 = 1402;
-/// Calls were still in flight when the longest deadline had passed.
-pub const DRAIN_CUT: u32 = 1010;
-/// The membership list could not be read.
-pub const MEMBERS_UNREAD: u32 = 1011;
-/// A second signal ended the process while it was leaving.
-pub const DRAIN_ABANDONED: u32 = 1012;
-/// Outcomes of claims were not stored before the process ended.
-pub const OUTCOMES_LEFT: u32 = 1013;
-/// A peer did not answer an exchange.
-pub const EXCHANGE_FAILED: u32 = 1014;
--- a/crates/gate/tests/queue.rs
+++ b/crates/gate/tests/queue.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -60,11 +61,14 @@
     (status, outcome)
 }
 
+/// The time between two looks at a count that has no event to wait for.
+const WAIT_POLL: Duration = Duration::from_millis(1);
+
 /// Waits until as many calls wait.
 async fn until_waiting(state: &GateState, count: u32) {
     let desk = state.tables.desks.desk(SERVICE).expect("the service");
     while desk.waiting.load(Ordering::Relaxed) != count {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(WAIT_POLL).await;
     }
 }
 
