Rename the store crate and add routes, retry windows and incarnations to the world

Cause: the platform describes calls by routes with prefixes and weights and gives upstreams an incarnation and a warm-up, which the world could not express. The crate platform is renamed to store, because the folder platform/ will hold the codec of the users' platform. Ruled out: a second environment type beside EnvironmentMap, since every decision crate would have to know both.

--- a/crates/border/src/document.rs
+++ b/crates/border/src/document.rs
@@ -97,5 +97,15 @@
     }
     centre_table.check_missing_links(&links, problems);
     let centres = centre_table.centres;
-    EnvironmentMap { name, version, digest, centres, links, contracts, upstreams }
+    EnvironmentMap {
+        name,
+        version,
+        digest,
+        centres,
+        links,
+        contracts,
+        upstreams,
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
+    }
 }
--- a/crates/border/src/service.rs
+++ b/crates/border/src/service.rs
@@ -80,6 +80,8 @@
             vm_ceiling: entry.vm_ceiling,
             retry_ratio: entry.retry_ratio,
             queue_limit: entry.queue_limit,
+            health_path: None,
+            retry_window: None,
         };
         ReviewedService { contract: Arc::new(contract), upstreams }
     }
@@ -196,6 +198,8 @@
             address,
             slots: entry.slots,
             connections: entry.connections,
+            incarnation: 0,
+            warm_up: ClockSpan::ZERO,
         })
     }
 
--- a/crates/claim/src/answer.rs
+++ b/crates/claim/src/answer.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::digest::content_digest;
+use store::digest::content_digest;
 use serde::{Deserialize, Serialize};
 
 /// A complete answer to a caller.
--- a/crates/claim/src/deferred.rs
+++ b/crates/claim/src/deferred.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use base::prelude::*;
-use platform::row::{RowEntry, RowExpect, RowKey, RowWrite};
+use store::row::{RowEntry, RowExpect, RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::Snafu;
--- a/crates/claim/src/entry.rs
+++ b/crates/claim/src/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use platform::row::RowExpect;
+use store::row::RowExpect;
 
 use crate::answer::KeptAnswer;
 use crate::event::TicketId;
--- a/crates/claim/src/event.rs
+++ b/crates/claim/src/event.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::row::{RowConflict, RowEntry, RowKey, RowWrite};
+use store::row::{RowConflict, RowEntry, RowKey, RowWrite};
 use snafu::Snafu;
 
 use crate::answer::{FoundAnswer, KeptAnswer};
--- a/crates/claim/src/group.rs
+++ b/crates/claim/src/group.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
-use platform::row::{RowExpect, RowWrite};
+use store::row::{RowExpect, RowWrite};
 
 use crate::event::GroupId;
 use crate::row::ClaimRow;
--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
-use platform::row::{RowConflict, RowEntry, RowExpect, RowKey};
+use store::row::{RowConflict, RowEntry, RowExpect, RowKey};
 use world::vm::VmIdentity;
 
 use crate::answer::FoundAnswer;
--- a/crates/claim/src/row.rs
+++ b/crates/claim/src/row.rs
@@ -1,7 +1,7 @@
 //! Claims as the table service keeps them.
 
 use base::prelude::*;
-use platform::row::{RowEntry, RowKey};
+use store::row::{RowEntry, RowKey};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
--- a/crates/claim/src/runner.rs
+++ b/crates/claim/src/runner.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use world::request::CallerRequest;
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -1,7 +1,7 @@
 //! The claims of one VM, shared by its workers.
 
 use base::prelude::*;
-use platform::row::{RowExpect, RowWrite, ScanRow};
+use store::row::{RowExpect, RowWrite, ScanRow};
 use world::vm::VmIdentity;
 
 use crate::event::{ClaimAction, ClaimEvent};
--- a/crates/claim/tests/deferred.rs
+++ b/crates/claim/tests/deferred.rs
@@ -10,7 +10,7 @@
     concluded, plan,
 };
 use claim::prelude::{AcceptRefusal, DeferredLease, DeferredQueue, DeferredRequest, LeaseError};
-use platform::prelude::*;
+use store::prelude::*;
 use world::vm::VmIdentity;
 
 const SERVICE: &str = "cert-house";
--- a/crates/claim/tests/groups.rs
+++ b/crates/claim/tests/groups.rs
@@ -4,9 +4,9 @@
 
 use base::prelude::*;
 use claim::prelude::*;
-use platform::memory::MemoryStore;
-use platform::row::RowWrite;
-use platform::wire::TransactRequest;
+use store::memory::MemoryStore;
+use store::row::RowWrite;
+use store::wire::TransactRequest;
 use world::vm::VmIdentity;
 
 const KEYS: u64 = 5;
--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -10,7 +10,7 @@
 use claim::event::{GroupId, TicketId};
 use claim::members::VmRun;
 use claim::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use serde_json::Value;
 use world::vm::VmIdentity;
 
--- a/crates/claim/tests/random.rs
+++ b/crates/claim/tests/random.rs
@@ -8,8 +8,8 @@
 use claim::event::TicketId;
 use claim::members::VmRun;
 use claim::prelude::*;
-use platform::memory::MemoryStore;
-use platform::wire::TransactRequest;
+use store::memory::MemoryStore;
+use store::wire::TransactRequest;
 use world::vm::VmIdentity;
 
 const VMS: usize = 3;
--- a/crates/claim/tests/runner.rs
+++ b/crates/claim/tests/runner.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use claim::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use world::contract::WorkClass;
@@ -42,6 +42,7 @@
         idempotent: false,
         deadline: ClockTime::MAX,
         attempt: 1,
+        attempt_limit: None,
         depth: 0,
         key: Some("k".into()),
         fingerprint: 0,
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -1,8 +1,8 @@
 //! Decisions on a change of an environment's version.
 
 use base::prelude::*;
-use platform::row::{RowEntry, RowExpect, RowKey, RowWrite};
-use platform::store::StoreError;
+use store::row::{RowEntry, RowExpect, RowKey, RowWrite};
+use store::store::StoreError;
 
 use crate::error::ConfigError;
 use crate::row::{ChangeCause, VersionRow};
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,7 +1,7 @@
 //! Why a change was not made.
 
 use base::prelude::*;
-use platform::store::StoreError;
+use store::store::StoreError;
 use snafu::Snafu;
 
 use crate::check::DocumentProblem;
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::sync::{Mutex, Notify};
 
 use crate::row::{VersionMark, VersionRow};
--- a/crates/config/src/operator.rs
+++ b/crates/config/src/operator.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::prelude::*;
+use store::prelude::*;
 use serde::Deserialize;
 
 use crate::change::{
--- a/crates/config/tests/model.rs
+++ b/crates/config/tests/model.rs
@@ -8,7 +8,7 @@
 use config::change::{ChangeAction, ChangeEvent, ChangeMachine};
 use config::prelude::*;
 use config::row::HISTORY_TABLE;
-use platform::prelude::*;
+use store::prelude::*;
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/crates/config/tests/operator.rs
+++ b/crates/config/tests/operator.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use config::prelude::*;
 use parking_lot::Mutex;
-use platform::prelude::*;
+use store::prelude::*;
 
 struct NoBraces;
 
--- a/crates/ctl/src/demo/bed.rs
+++ b/crates/ctl/src/demo/bed.rs
@@ -11,7 +11,7 @@
 use gate::process::RunningGate;
 use gate::state::GateState;
 use peer::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use route::prelude::*;
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt};
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -6,7 +6,7 @@
 use border::FieldProblem;
 use config::prelude::*;
 use load::prelude::LoadError;
-use platform::prelude::StoreError;
+use store::prelude::StoreError;
 use serde::Serialize;
 use serde_json::{Value, json};
 use snafu::Snafu;
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use bpaf::Bpaf;
 use config::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use snafu::ResultExt;
 use tokio::runtime::Runtime;
 
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use bpaf::Bpaf;
-use platform::prelude::*;
+use store::prelude::*;
 use serde::Serialize;
 
 use crate::change::{ChangeReport, VersionLine};
--- a/crates/ctl/src/spread.rs
+++ b/crates/ctl/src/spread.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use serde::Serialize;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
--- a/crates/ctl/src/survey.rs
+++ b/crates/ctl/src/survey.rs
@@ -7,7 +7,7 @@
 
 use base::prelude::*;
 use bpaf::Bpaf;
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::task::JoinSet;
 
 use crate::error::CtlError;
--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -10,7 +10,7 @@
 use config::prelude::*;
 use limit::prelude::VmCounts;
 use peer::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::control::{GateControl, GatePeers, GrantClient, PeerLink};
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -150,6 +150,7 @@
         idempotent: rule.idempotent,
         deadline: now + span,
         attempt: 1,
+        attempt_limit: None,
         depth: facts.depth,
         key: facts.key.clone(),
         fingerprint: fingerprint(&parts, facts),
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -9,7 +9,7 @@
 use futures_util::future::poll_fn;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Response, StatusCode};
-use platform::prelude::*;
+use store::prelude::*;
 use tokio::time::timeout_at;
 use world::prelude::*;
 use xitca_web::body::{Body as _, Frame, RequestBody};
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -15,7 +15,7 @@
 use gate::process::RunningGate;
 use gate::state::GateState;
 use peer::prelude::*;
-use platform::prelude::HttpSettings;
+use store::prelude::HttpSettings;
 use route::prelude::*;
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
--- a/crates/gate/src/control.rs
+++ b/crates/gate/src/control.rs
@@ -9,7 +9,7 @@
 use config::prelude::*;
 use futures_util::future::join_all;
 use peer::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use report::prelude::*;
 use suspect::prelude::*;
 
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -79,6 +79,8 @@
             links: Vec::new(),
             contracts: Vec::new(),
             upstreams: HashMap::new(),
+            routes: RouteTable::default(),
+            caller_limits: CallerLimits::default(),
         };
         let state = Self::new(options, environment);
         state.waiting.store(true, Ordering::Release);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -33,6 +33,8 @@
         vm_ceiling: 15,
         retry_ratio: 0.1,
         queue_limit: 100,
+        health_path: None,
+        retry_window: None,
     };
     let server = UpstreamServer {
         name: "phase-1".into(),
@@ -41,6 +43,8 @@
         address: upstream,
         slots: 6,
         connections: 200,
+        incarnation: 0,
+        warm_up: ClockSpan::ZERO,
     };
     EnvironmentMap {
         name: "almaty".into(),
@@ -50,6 +54,8 @@
         links: vec![],
         contracts: vec![Arc::new(contract)],
         upstreams: HashMap::from([(service, vec![Arc::new(server)])]),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/limit/tests/common/mod.rs
+++ b/crates/limit/tests/common/mod.rs
@@ -48,6 +48,8 @@
             vm_ceiling: self.vm_ceiling,
             retry_ratio: self.retry_ratio,
             queue_limit: self.queue_limit,
+            health_path: None,
+            retry_window: None,
         }
     }
 
@@ -60,6 +62,8 @@
                 address: SocketAddr::from(([127, 0, 0, 1], 9)),
                 slots: self.slots,
                 connections: 200,
+                incarnation: 0,
+                warm_up: ClockSpan::ZERO,
             })
         };
         (0..self.upstreams).map(server).collect()
@@ -77,6 +81,8 @@
         links: Vec::new(),
         contracts: setups.iter().map(|setup| Arc::new(setup.contract())).collect(),
         upstreams,
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
@@ -89,6 +95,7 @@
         idempotent: true,
         deadline,
         attempt: 1,
+        attempt_limit: None,
         depth: 0,
         key: None,
         fingerprint: 1,
--- a/crates/report/tests/alerts.rs
+++ b/crates/report/tests/alerts.rs
@@ -26,6 +26,8 @@
         vm_ceiling: 15,
         retry_ratio: 0.1,
         queue_limit: 100,
+        health_path: None,
+        retry_window: None,
     };
     EnvironmentMap {
         name: "test".into(),
@@ -35,6 +37,8 @@
         links: Vec::new(),
         contracts: vec![Arc::new(contract)],
         upstreams: HashMap::new(),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/report/tests/windows.rs
+++ b/crates/report/tests/windows.rs
@@ -29,6 +29,8 @@
             vm_ceiling: 15,
             retry_ratio: 0.1,
             queue_limit: 100,
+            health_path: None,
+            retry_window: None,
         })
     };
     EnvironmentMap {
@@ -39,6 +41,8 @@
         links: Vec::new(),
         contracts: services.iter().map(contract).collect(),
         upstreams: HashMap::new(),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/route/examples/choice_cost.rs
+++ b/crates/route/examples/choice_cost.rs
@@ -54,6 +54,8 @@
         links: Vec::new(),
         contracts: Vec::new(),
         upstreams: Default::default(),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     };
     for index in 0..upstreams {
         let service = SharedName::from(format!("service-{}", index % services));
@@ -64,6 +66,8 @@
             address: ([127, 0, 0, 1], 10_000 + index as u16).into(),
             slots: 6,
             connections: 200,
+            incarnation: 0,
+            warm_up: ClockSpan::ZERO,
         };
         map.upstreams.entry(service).or_default().push(Arc::new(server));
     }
--- a/crates/route/examples/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -121,6 +121,8 @@
                 address: ([127, 0, 0, 1], 9000 + index as u16).into(),
                 slots: case.slots,
                 connections: 200,
+                incarnation: 0,
+                warm_up: ClockSpan::ZERO,
             })
         })
         .collect();
@@ -132,6 +134,8 @@
         links: links(case),
         contracts: Vec::new(),
         upstreams: [(SharedName::from(SERVICE), upstreams)].into(),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -45,6 +45,8 @@
                 address: ([127, 0, 0, 1], port).into(),
                 slots: spec.slots,
                 connections: 200,
+                incarnation: 0,
+                warm_up: ClockSpan::ZERO,
             })
         })
         .collect();
@@ -63,6 +65,8 @@
         vm_ceiling: 15,
         retry_ratio: 0.1,
         queue_limit: 100,
+        health_path: None,
+        retry_window: None,
     };
     EnvironmentMap {
         name: SharedName::from("trial"),
@@ -76,6 +80,8 @@
         }],
         contracts: vec![Arc::new(contract)],
         upstreams: [(SharedName::from(SERVICE), upstreams)].into(),
+        routes: RouteTable::default(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/platform/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use platform::prelude::*;
-use platform::wire::TransactRequest;
+use store::prelude::*;
+use store::wire::TransactRequest;
 use serde_json::json;
 
 mod script;
--- a/crates/platform/tests/pacing.rs
+++ b/crates/store/tests/pacing.rs
@@ -1,10 +1,10 @@
 //! The breaker, the budget and the in-memory store.
 
 use base::prelude::*;
-use platform::breaker::{BreakerTuning, StoreBreaker};
-use platform::budget::{BudgetTuning, CallCost, StoreBudget};
-use platform::prelude::*;
-use platform::wire::TransactRequest;
+use store::breaker::{BreakerTuning, StoreBreaker};
+use store::budget::{BudgetTuning, CallCost, StoreBudget};
+use store::prelude::*;
+use store::wire::TransactRequest;
 use serde_json::json;
 
 /// Guards against VMs that make trial calls at the same time or too often during an outage.
--- a/crates/platform/tests/script/mod.rs
+++ b/crates/store/tests/script/mod.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
-use platform::memory::MemoryStore;
-use platform::wire::{ReadRequest, ReadResponse, TransactRequest};
+use store::memory::MemoryStore;
+use store::wire::{ReadRequest, ReadResponse, TransactRequest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
--- a/crates/suspect/tests/sharing.rs
+++ b/crates/suspect/tests/sharing.rs
@@ -30,6 +30,8 @@
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             slots: 2,
             connections: 200,
+            incarnation: 0,
+            warm_up: ClockSpan::ZERO,
         })
     };
     (0..count).map(server).collect()
--- a/crates/suspect/tests/storm.rs
+++ b/crates/suspect/tests/storm.rs
@@ -128,6 +128,8 @@
                 address: SocketAddr::from(([127, 0, 0, 1], 9)),
                 slots: 2,
                 connections: 200,
+                incarnation: 0,
+                warm_up: ClockSpan::ZERO,
             })
         };
         Self {
--- a/crates/trial/tests/claim_store.rs
+++ b/crates/trial/tests/claim_store.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use claim::prelude::*;
-use platform::prelude::*;
+use store::prelude::*;
 use stand::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 use world::prelude::*;
@@ -99,6 +99,7 @@
         idempotent: false,
         deadline: clock.now() + ClockSpan::from_secs(5),
         attempt: 1,
+        attempt_limit: None,
         depth: 0,
         key: Some(key.clone()),
         fingerprint: index as u64,
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use config::prelude::*;
 use http::StatusCode;
-use platform::prelude::*;
+use store::prelude::*;
 use serde_json::json;
 use stand::prelude::*;
 use trial::prelude::*;
--- a/crates/world/src/contract.rs
+++ b/crates/world/src/contract.rs
@@ -20,6 +20,15 @@
     /// Every class, most urgent first.
     pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Deferrable];
 
+    /// Returns the class of a priority, of which 0 is the most urgent.
+    pub const fn from_priority(priority: u32) -> Self {
+        match priority {
+            0 => Self::Urgent,
+            1 => Self::Normal,
+            _ => Self::Deferrable,
+        }
+    }
+
     /// Returns the position in [`WorkClass::ALL`].
     pub const fn index(self) -> usize {
         self as usize
@@ -92,6 +101,22 @@
     pub retry_ratio: f64,
     /// Calls that may wait on one VM.
     pub queue_limit: u32,
+    /// The path of health checks, or `None` for the one of the product's own interface.
+    pub health_path: Option<SharedName>,
+    /// Bounds the retries of all VMs in a sliding window, in place of `retry_ratio`.
+    pub retry_window: Option<RetryWindow>,
+}
+
+/// A bound on the arrivals at a service beyond the first one of each call, over all VMs: at most
+/// `ratio` times the calls plus `slack` in any `span`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryWindow {
+    /// Further arrivals for each call.
+    pub ratio: f64,
+    /// Further arrivals in each window on top.
+    pub slack: f64,
+    /// The length of the window.
+    pub span: ClockSpan,
 }
 
 impl ServiceContract {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod contract;
 pub mod environment;
 pub mod request;
+pub mod route;
 pub mod upstream;
 pub mod vm;
 
@@ -11,9 +12,10 @@
     //! The types that almost every module needs.
 
     pub use crate::centre::{DataCentre, LinkCost};
-    pub use crate::contract::{ServiceContract, ServiceObjective, WorkClass, WorkRule};
-    pub use crate::environment::EnvironmentMap;
+    pub use crate::contract::{RetryWindow, ServiceContract, ServiceObjective, WorkClass, WorkRule};
+    pub use crate::environment::{CallPlan, CallerLimits, EnvironmentMap};
     pub use crate::request::CallerRequest;
+    pub use crate::route::{CallRoute, RouteTable, RouteTarget};
     pub use crate::upstream::UpstreamServer;
     pub use crate::vm::VmIdentity;
 }
--- a/crates/world/src/request.rs
+++ b/crates/world/src/request.rs
@@ -20,6 +20,8 @@
     pub deadline: ClockTime,
     /// The number of this attempt, from 1.
     pub attempt: u32,
+    /// The most upstreams that the call may reach, or `None` for the default of the retry budget.
+    pub attempt_limit: Option<u32>,
     /// How many calls stand above this one.
     pub depth: u32,
     /// The caller's idempotency key.
--- a/crates/world/src/upstream.rs
+++ b/crates/world/src/upstream.rs
@@ -19,4 +19,8 @@
     pub slots: u32,
     /// Connections that it holds over all VMs, probes included.
     pub connections: u32,
+    /// Differs after every start of the server, so that evidence on an earlier start is dropped.
+    pub incarnation: u64,
+    /// How much longer the server is cold after it was listed.
+    pub warm_up: ClockSpan,
 }
