Add the pace to load reports and notices

Cause: upstreams on the platform tell in a fourth figure how long work takes at the moment; the evidence had no place for it. Optional, in percent, so that reports stay comparable. No policy uses it yet.

--- a/crates/claim/src/answer.rs
+++ b/crates/claim/src/answer.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use store::digest::content_digest;
 use serde::{Deserialize, Serialize};
+use store::digest::content_digest;
 
 /// A complete answer to a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/claim/src/deferred.rs
+++ b/crates/claim/src/deferred.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 
 use base::prelude::*;
-use store::row::{RowEntry, RowExpect, RowKey, RowWrite};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::Snafu;
+use store::row::{RowEntry, RowExpect, RowKey, RowWrite};
 use world::vm::VmIdentity;
 
 use crate::answer::AnswerRow;
--- a/crates/claim/src/event.rs
+++ b/crates/claim/src/event.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use store::row::{RowConflict, RowEntry, RowKey, RowWrite};
 use snafu::Snafu;
+use store::row::{RowConflict, RowEntry, RowKey, RowWrite};
 
 use crate::answer::{FoundAnswer, KeptAnswer};
 use crate::members::VmRun;
--- a/crates/claim/src/queue.rs
+++ b/crates/claim/src/queue.rs
@@ -5,8 +5,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use store::prelude::*;
 use snafu::Snafu;
+use store::prelude::*;
 use world::vm::VmIdentity;
 
 use crate::deferred::{
--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -10,8 +10,8 @@
 use claim::event::{GroupId, TicketId};
 use claim::members::VmRun;
 use claim::prelude::*;
-use store::prelude::*;
 use serde_json::Value;
+use store::prelude::*;
 use world::vm::VmIdentity;
 
 const KEY: &str = "booking-desk/k1";
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,8 +1,8 @@
 //! Why a change was not made.
 
 use base::prelude::*;
-use store::store::StoreError;
 use snafu::Snafu;
+use store::store::StoreError;
 
 use crate::check::DocumentProblem;
 use crate::row::VersionRow;
--- a/crates/config/src/operator.rs
+++ b/crates/config/src/operator.rs
@@ -5,8 +5,8 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use store::prelude::*;
 use serde::Deserialize;
+use store::prelude::*;
 
 use crate::change::{
     ChangeAction, ChangeEvent, ChangeGuards, ChangeKind, ChangeMachine, ChangeRequest,
--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -1,9 +1,9 @@
 //! Versions as the table service keeps them.
 
 use base::prelude::*;
-use store::row::{RowEntry, RowKey};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use store::row::{RowEntry, RowKey};
 
 use crate::error::ConfigError;
 
--- a/crates/config/tests/model.rs
+++ b/crates/config/tests/model.rs
@@ -8,9 +8,9 @@
 use config::change::{ChangeAction, ChangeEvent, ChangeMachine};
 use config::prelude::*;
 use config::row::HISTORY_TABLE;
-use store::prelude::*;
 use serde::Deserialize;
 use serde_json::Value;
+use store::prelude::*;
 
 const PRODUCTION: &str = "production";
 const TRIAL: &str = "trial";
--- a/crates/ctl/src/demo/bed.rs
+++ b/crates/ctl/src/demo/bed.rs
@@ -11,11 +11,11 @@
 use gate::process::RunningGate;
 use gate::state::GateState;
 use peer::prelude::*;
-use store::prelude::*;
 use route::prelude::*;
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt};
 use stand::prelude::*;
+use store::prelude::*;
 use world::prelude::*;
 
 use crate::check::BorderCheck;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -6,11 +6,11 @@
 use border::FieldProblem;
 use config::prelude::*;
 use load::prelude::LoadError;
-use store::prelude::StoreError;
 use serde::Serialize;
 use serde_json::{Value, json};
 use snafu::Snafu;
 use stand::prelude::StandError;
+use store::prelude::StoreError;
 
 use crate::change::VersionLine;
 
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -6,8 +6,8 @@
 use base::prelude::*;
 use bpaf::Bpaf;
 use config::prelude::*;
-use store::prelude::*;
 use snafu::ResultExt;
+use store::prelude::*;
 use tokio::runtime::Runtime;
 
 use crate::error::{CtlError, RuntimeSnafu};
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -4,8 +4,8 @@
 
 use base::prelude::*;
 use bpaf::Bpaf;
-use store::prelude::*;
 use serde::Serialize;
+use store::prelude::*;
 
 use crate::change::{ChangeReport, VersionLine};
 use crate::error::{CtlError, CtlExit};
--- a/crates/ctl/src/spread.rs
+++ b/crates/ctl/src/spread.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use store::prelude::*;
 use serde::Serialize;
+use store::prelude::*;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
--- a/crates/gate/src/control.rs
+++ b/crates/gate/src/control.rs
@@ -9,8 +9,8 @@
 use config::prelude::*;
 use futures_util::future::join_all;
 use peer::prelude::*;
-use store::prelude::*;
 use report::prelude::*;
+use store::prelude::*;
 use suspect::prelude::*;
 
 use crate::access::GateFollower;
--- a/crates/gate/src/head.rs
+++ b/crates/gate/src/head.rs
@@ -318,7 +318,15 @@
 
 fn report(in_flight: u32, slots: u32, queued: u32, draining: bool) -> LoadReport {
     let age = ClockSpan::ZERO;
-    LoadReport { in_flight, slots, queued, draining, age, source: ReportSource::Response }
+    LoadReport {
+        in_flight,
+        slots,
+        queued,
+        pace_percent: None,
+        draining,
+        age,
+        source: ReportSource::Response,
+    }
 }
 
 fn parse_load(text: &str) -> Option<(u32, u32, u32)> {
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -151,6 +151,7 @@
             in_flight: body.in_flight,
             slots: body.slots,
             queued: body.queued,
+            pace_percent: None,
             draining: body.draining || marked,
             age: ClockSpan::ZERO,
             source: ReportSource::Probe,
--- a/crates/route/examples/choice_cost.rs
+++ b/crates/route/examples/choice_cost.rs
@@ -85,6 +85,7 @@
         in_flight: index as u32 % 6 + 1,
         slots: 6,
         queued: 0,
+        pace_percent: None,
         draining: false,
         age: ClockSpan::ZERO,
         source: ReportSource::Response,
--- a/crates/route/examples/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -272,6 +272,7 @@
             in_flight: running,
             slots: self.case.slots,
             queued,
+            pace_percent: None,
             draining: false,
             age: ClockSpan::ZERO,
             source: ReportSource::Response,
--- a/crates/route/src/notice.rs
+++ b/crates/route/src/notice.rs
@@ -13,6 +13,9 @@
     pub slots: u32,
     /// Calls that wait at the server.
     pub queued: u32,
+    /// How long work takes at the moment, in percent of the usual time.
+    #[serde(default)]
+    pub pace_percent: Option<u32>,
     /// Age of the load when the notice was made.
     pub age_ms: u32,
 }
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -59,6 +59,9 @@
     pub slots: u32,
     /// Calls that wait for a slot at the server.
     pub queued: u32,
+    /// How long work takes on the server's machine at the moment, in percent of the usual time, if
+    /// the server says so.
+    pub pace_percent: Option<u32>,
     /// Whether the server is leaving.
     pub draining: bool,
     /// The age of the report when it is passed on.
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -251,6 +251,7 @@
                 in_flight: load.report.in_flight,
                 slots: load.report.slots,
                 queued: load.report.queued,
+                pace_percent: load.report.pace_percent,
                 age_ms: age_ms(now.since(load.made_at)),
             }),
         })
@@ -272,6 +273,7 @@
             in_flight: load.in_flight,
             slots: load.slots,
             queued: load.queued,
+            pace_percent: load.pace_percent,
             draining: notice.draining,
             age: ClockSpan::from_millis(u64::from(load.age_ms)),
             source: ReportSource::Peer,
--- a/crates/route/tests/evidence.rs
+++ b/crates/route/tests/evidence.rs
@@ -187,7 +187,7 @@
 }
 
 fn notice(draining: bool, drain_age_ms: u32, in_flight: u32, age_ms: u32) -> UpstreamNotice {
-    let load = Some(LoadNotice { in_flight, slots: 2, queued: 0, age_ms });
+    let load = Some(LoadNotice { in_flight, slots: 2, queued: 0, pace_percent: None, age_ms });
     UpstreamNotice { upstream: SharedName::from("a"), draining, drain_age_ms, load }
 }
 
--- a/crates/route/tests/properties.rs
+++ b/crates/route/tests/properties.rs
@@ -33,6 +33,7 @@
             in_flight,
             slots,
             queued,
+            pace_percent: None,
             draining,
             age: ClockSpan::from_millis(age_ms),
             source,
@@ -91,6 +92,7 @@
                         in_flight: *in_flight,
                         slots: 2,
                         queued: 0,
+                        pace_percent: None,
                         age_ms: *age_ms,
                     }),
                 };
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -105,6 +105,7 @@
         in_flight,
         slots,
         queued,
+        pace_percent: None,
         draining: false,
         age: ClockSpan::ZERO,
         source: ReportSource::Response,
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -2,9 +2,9 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use serde_json::json;
 use store::prelude::*;
 use store::wire::TransactRequest;
-use serde_json::json;
 
 mod script;
 use script::{ScriptServer, ScriptStep};
--- a/crates/store/tests/pacing.rs
+++ b/crates/store/tests/pacing.rs
@@ -1,11 +1,11 @@
 //! The breaker, the budget and the in-memory store.
 
 use base::prelude::*;
+use serde_json::json;
 use store::breaker::{BreakerTuning, StoreBreaker};
 use store::budget::{BudgetTuning, CallCost, StoreBudget};
 use store::prelude::*;
 use store::wire::TransactRequest;
-use serde_json::json;
 
 /// Guards against VMs that make trial calls at the same time or too often during an outage.
 #[test]
--- a/crates/trial/tests/claim_store.rs
+++ b/crates/trial/tests/claim_store.rs
@@ -5,8 +5,8 @@
 use base::prelude::*;
 use bytes::Bytes;
 use claim::prelude::*;
-use store::prelude::*;
 use stand::prelude::*;
+use store::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 use world::prelude::*;
 
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -10,9 +10,9 @@
 use bytes::Bytes;
 use config::prelude::*;
 use http::StatusCode;
-use store::prelude::*;
 use serde_json::json;
 use stand::prelude::*;
+use store::prelude::*;
 use trial::prelude::*;
 
 /// The service of the document.
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -12,7 +12,9 @@
     //! The types that almost every module needs.
 
     pub use crate::centre::{DataCentre, LinkCost};
-    pub use crate::contract::{RetryWindow, ServiceContract, ServiceObjective, WorkClass, WorkRule};
+    pub use crate::contract::{
+        RetryWindow, ServiceContract, ServiceObjective, WorkClass, WorkRule,
+    };
     pub use crate::environment::{CallPlan, CallerLimits, EnvironmentMap};
     pub use crate::request::CallerRequest;
     pub use crate::route::{CallRoute, RouteTable, RouteTarget};
