Add the codec, directory and platform crates and one store client for every protocol

Cause: the request path knew the headers of the product's own interface, and the store client could speak one protocol only. Change: codec::CallCodec with the own interface as its first implementation, store::RowCodec on the same client, directory::EntryCodec, and platform/ with the names of the users' platform. Ruled out: a second store client and a second set of header rules inside the gateway.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod name;
 pub mod prelude;
 pub mod random;
+pub mod socket;
--- /dev/null
+++ b/crates/codec/src/native.rs
@@ -0,0 +1,204 @@
+//! The product's own interface.
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{Response, StatusCode};
+use route::prelude::*;
+use serde::Deserialize;
+use world::prelude::*;
+use world::request::MAX_CALL_DEPTH;
+
+use crate::call::{AnswerMarks, AnswerVerdict, CallCodec, CheckFacts, RequestFacts, RequestMark};
+use crate::head::{self, HeadError, MAX_KEY_BYTES};
+use crate::refusal::CallRefusal;
+
+/// Milliseconds that the caller still waits.
+pub const DEADLINE: HeaderName = HeaderName::from_static("agateroad-deadline-ms");
+/// The number of the attempt, from 1.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("agateroad-attempt");
+/// The number of calls above this one.
+pub const DEPTH: HeaderName = HeaderName::from_static("agateroad-depth");
+/// The id by which a call can be cancelled.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("agateroad-request-id");
+/// Whether a failed call was run: `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("agateroad-outcome");
+/// Load of the upstream: `in_flight/slots/queued`.
+pub const LOAD: HeaderName = HeaderName::from_static("agateroad-load");
+/// Present while the upstream leaves.
+pub const DRAIN: HeaderName = HeaderName::from_static("agateroad-drain");
+/// Present with status 503 when the upstream did not run the call.
+pub const SHED: HeaderName = HeaderName::from_static("agateroad-shed");
+/// Names a non-idempotent piece of work.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that a caller must not pass on to an upstream.
+const GATEWAY_ONLY: [HeaderName; 6] = [ATTEMPT, REQUEST_ID, OUTCOME, LOAD, DRAIN, SHED];
+
+/// The path of the load endpoint.
+const LOAD_PATH: &str = "/agateroad/load";
+
+/// The body of an answer of the load endpoint.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct LoadBody {
+    in_flight: u32,
+    slots: u32,
+    queued: u32,
+    draining: bool,
+}
+
+/// The product's own interface, whose headers begin with `agateroad-`.
+#[derive(Clone, Copy, Debug)]
+pub struct NativeCodec;
+
+impl CallCodec for NativeCodec {
+    const CONFIRMS_CANCELS: bool = true;
+
+    fn read_request(parts: &Parts) -> Result<RequestFacts, HeadError> {
+        let (host, body) = head::check_frame(parts)?;
+        let headers = &parts.headers;
+        let deadline = head::number(headers, &DEADLINE, HeadError::Deadline)?;
+        Ok(RequestFacts {
+            host,
+            id: None,
+            deadline: deadline.map(ClockSpan::from_millis),
+            depth: depth(headers)?,
+            key: key(headers)?,
+            body,
+        })
+    }
+
+    fn clean_request(headers: &mut HeaderMap) {
+        head::remove_hop_by_hop(headers);
+        headers.remove(header::EXPECT);
+        for name in &GATEWAY_ONLY {
+            headers.remove(name);
+        }
+    }
+
+    fn mark_request(headers: &mut HeaderMap, mark: &RequestMark<'_>) {
+        headers.insert(DEADLINE, HeaderValue::from(mark.remaining.as_millis()));
+        headers.insert(ATTEMPT, HeaderValue::from(mark.attempt));
+        headers.insert(DEPTH, HeaderValue::from(mark.depth + 1));
+        headers.insert(REQUEST_ID, mark.id.clone());
+    }
+
+    fn read_answer(status: StatusCode, headers: &mut HeaderMap, _id: &HeaderValue) -> AnswerMarks {
+        head::remove_hop_by_hop(headers);
+        headers.remove(OUTCOME);
+        let draining = headers.remove(DRAIN).is_some();
+        let shed = headers.remove(SHED).is_some();
+        let load = headers.remove(LOAD).and_then(|value| parse_load(value.to_str().ok()?));
+        let load = match load {
+            Some((in_flight, slots, queued)) => Some(report(in_flight, slots, queued, draining)),
+            None if draining => Some(report(0, 0, 0, draining)),
+            None => None,
+        };
+        let verdict = match status {
+            StatusCode::SERVICE_UNAVAILABLE if shed => AnswerVerdict::NotRun,
+            status if status.is_server_error() => AnswerVerdict::Failed,
+            _ => AnswerVerdict::Accepted,
+        };
+        AnswerMarks { load, verdict, passable: true }
+    }
+
+    fn mark_answer(headers: &mut HeaderMap, verdict: AnswerVerdict, id: &HeaderValue) {
+        headers.insert(REQUEST_ID, id.clone());
+        if verdict == AnswerVerdict::NotRun {
+            headers.insert(OUTCOME, HeaderValue::from_static("not-run"));
+            headers.entry(header::RETRY_AFTER).or_insert(HeaderValue::from_static("1"));
+        }
+    }
+
+    fn refuse(refusal: &CallRefusal, id: &HeaderValue) -> Response<Bytes> {
+        let body = serde_json::json!({
+            "outcome": refusal.fate.as_str(),
+            "error": refusal.message,
+        });
+        let mut answer = Response::new(Bytes::from(body.to_string()));
+        *answer.status_mut() = refusal.status;
+        let headers = answer.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(OUTCOME, HeaderValue::from_static(refusal.fate.as_str()));
+        headers.insert(REQUEST_ID, id.clone());
+        if let Some(span) = refusal.retry_after {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(to_whole_seconds(span)));
+        }
+        answer
+    }
+
+    fn check_path(_contract: &ServiceContract) -> &str {
+        LOAD_PATH
+    }
+
+    fn read_check(
+        status: StatusCode,
+        headers: &mut HeaderMap,
+        body: &[u8],
+        _upstream: &str,
+    ) -> CheckFacts {
+        let marked = Self::read_answer(status, headers, &HeaderValue::from_static("")).load;
+        let body = match status {
+            StatusCode::OK => serde_json::from_slice::<LoadBody>(body).ok(),
+            _ => None,
+        };
+        let load = match body {
+            Some(LoadBody { in_flight, slots, queued, draining }) => {
+                let draining = draining || marked.is_some_and(|load| load.draining);
+                Some(report(in_flight, slots, queued, draining))
+            }
+            None => marked,
+        };
+        let load = load.map(|load| LoadReport { source: ReportSource::Probe, ..load });
+        CheckFacts { load, misdirected: false }
+    }
+}
+
+/// Rounds up, because callers must not come back early.
+fn to_whole_seconds(span: ClockSpan) -> u64 {
+    span.as_millis().div_ceil(1000).max(1)
+}
+
+fn depth(headers: &HeaderMap) -> Result<u32, HeadError> {
+    let depth = head::number(headers, &DEPTH, HeadError::Depth)?.unwrap_or(0);
+    if depth > u64::from(MAX_CALL_DEPTH) {
+        return Err(HeadError::TooDeep);
+    }
+    Ok(depth as u32)
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<SharedName>, HeadError> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(HeadError::Key);
+    }
+    let text = value.to_str().map_err(|_| HeadError::Key)?;
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.is_empty() || text.len() > MAX_KEY_BYTES || !visible {
+        return Err(HeadError::Key);
+    }
+    Ok(Some(SharedName::from(text)))
+}
+
+fn report(in_flight: u32, slots: u32, queued: u32, draining: bool) -> LoadReport {
+    let age = ClockSpan::ZERO;
+    LoadReport {
+        in_flight,
+        slots,
+        queued,
+        pace_percent: None,
+        draining,
+        age,
+        source: ReportSource::Response,
+    }
+}
+
+fn parse_load(text: &str) -> Option<(u32, u32, u32)> {
+    let mut fields = text.splitn(3, '/').map(|field| field.parse().ok());
+    Some((fields.next()??, fields.next()??, fields.next()??))
+}
--- /dev/null
+++ b/crates/directory/src/entry.rs
@@ -0,0 +1,92 @@
+//! Decoded rows.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use world::prelude::*;
+
+/// Why a row cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("the row cannot be read ({detail}); check what wrote it"))]
+pub struct EntryError {
+    /// What is wrong with it.
+    pub detail: String,
+}
+
+impl EntryError {
+    /// Returns an error that names what is wrong.
+    pub fn new(detail: impl ToString) -> Self {
+        Self { detail: detail.to_string() }
+    }
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// The server. `warm_up` is the time that it stays cold from now on.
+    pub server: UpstreamServer,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A service in the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceEntry {
+    /// The name.
+    pub name: SharedName,
+    /// The path of health checks.
+    pub health_path: SharedName,
+    /// Connections that each of its upstreams holds over all VMs.
+    pub connections: u32,
+}
+
+/// A version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigEntry {
+    /// The version, which grows in uneven steps.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<CallRoute>,
+    /// The services.
+    pub services: Vec<ServiceEntry>,
+    /// What callers may send.
+    pub caller_limits: CallerLimits,
+}
+
+/// What a VM says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct VmEntry {
+    /// The VM and its incarnation.
+    pub vm: VmIdentity,
+    /// Where it takes datagrams of peers.
+    pub exchange_address: SocketAddr,
+    /// Where it takes control calls.
+    pub control_address: SocketAddr,
+}
+
+/// Decodes rows that the platform and the operators write, and names their tables.
+pub trait EntryCodec: Copy + Send + Sync + 'static {
+    /// The table of the upstreams; the key is the upstream's name.
+    const UPSTREAM_TABLE: &'static str;
+    /// The table of the configuration.
+    const CONFIG_TABLE: &'static str;
+    /// The key of the configuration in its table.
+    const CONFIG_KEY: &'static str;
+
+    /// Decodes the row of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row names no upstream that can be used.
+    fn decode_upstream(key: &str, value: &[u8]) -> Result<UpstreamEntry, EntryError>;
+
+    /// Decodes the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is not a complete configuration.
+    fn decode_config(value: &[u8]) -> Result<ConfigEntry, EntryError>;
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,205 @@
+//! One client for every protocol of the platform's services: connections, time limits, breaker and
+//! budget.
+
+use std::net::SocketAddr;
+
+use ::http::StatusCode;
+use base::prelude::*;
+
+use crate::breaker::{BreakerPass, BreakerTuning, StoreBreaker};
+use crate::budget::{BudgetTuning, CallCost, StoreBudget};
+use crate::connection::{CallFailure, StoreAnswer, StoreCall, StoreConnection};
+use crate::store::StoreError;
+
+/// Idle connections that are kept. One VM has few calls in flight, because claims are grouped.
+const IDLE_CONNECTIONS: usize = 8;
+/// Bytes of a refusal that are kept for its message.
+const MESSAGE_BYTES: usize = 200;
+
+/// How this VM reaches the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpSettings {
+    /// Where the platform listens.
+    pub address: SocketAddr,
+    /// The longest that opening a connection may take.
+    pub connect_timeout: ClockSpan,
+    /// The longest that a call may take, from sending to the end of the answer.
+    pub call_timeout: ClockSpan,
+    /// A connection that was silent for longer is not used again, since it may no longer respond.
+    pub idle_limit: ClockSpan,
+    /// The largest answer that is accepted.
+    pub answer_bytes: usize,
+    /// When calls fail at once.
+    pub breaker: BreakerTuning,
+    /// This VM's share of the platform's capacity.
+    pub budget: BudgetTuning,
+    /// The seed of the jitter. VMs need different seeds.
+    pub seed: u64,
+}
+
+impl HttpSettings {
+    /// Returns the usual settings for a platform at `address`.
+    pub fn new(address: SocketAddr, seed: u64) -> Self {
+        Self {
+            address,
+            connect_timeout: ClockSpan::from_millis(250),
+            call_timeout: ClockSpan::from_millis(1000),
+            idle_limit: ClockSpan::from_millis(1000),
+            answer_bytes: 16 * 1024 * 1024,
+            breaker: BreakerTuning::default(),
+            budget: BudgetTuning::default(),
+            seed,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: StoreConnection,
+    since: ClockTime,
+}
+
+#[derive(Debug)]
+struct StoreState {
+    idle: Vec<IdleConnection>,
+    breaker: StoreBreaker,
+    budget: StoreBudget,
+    random: RandomSource,
+}
+
+#[derive(Debug)]
+pub(crate) struct StoreClient<C> {
+    settings: HttpSettings,
+    clock: C,
+    state: RankedMutex<StoreState>,
+}
+
+impl<C: ClockSource> StoreClient<C> {
+    /// Returns a client that connects when it is first used.
+    pub(crate) fn new(settings: HttpSettings, clock: C) -> Self {
+        let state = StoreState {
+            idle: Vec::new(),
+            breaker: StoreBreaker::new(settings.breaker),
+            budget: StoreBudget::new(settings.budget, clock.now()),
+            random: RandomSource::from_seed(settings.seed),
+        };
+        let state = RankedMutex::new(LockRank::ConnectionPool, state);
+        Self { settings, clock, state }
+    }
+
+    /// Returns whether the platform is known to be down.
+    pub(crate) fn is_down(&self) -> bool {
+        self.state.lock().breaker.is_open()
+    }
+
+    /// Makes a call when the breaker and the budget allow it.
+    pub(crate) async fn call(
+        &self,
+        call: StoreCall,
+        cost: CallCost,
+    ) -> Result<StoreAnswer, CallFailure> {
+        let (pass, wait) = self.admit(cost)?;
+        if wait > ClockSpan::ZERO {
+            tokio::time::sleep(wait.to_duration()).await;
+        }
+        let result = self.exchange(call).await;
+        self.record(pass, &result);
+        result
+    }
+
+    fn admit(&self, cost: CallCost) -> Result<(BreakerPass, ClockSpan), CallFailure> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let pass = state.breaker.admit(now).map_err(|wait| {
+            let reason = format!("no answers lately, next trial in {wait}");
+            CallFailure::refused(StoreError::Unavailable { reason })
+        })?;
+        let wait = state
+            .budget
+            .reserve(cost, now)
+            .map_err(|wait| CallFailure::refused(StoreError::Throttled { wait }))?;
+        Ok((pass, wait))
+    }
+
+    fn record(&self, pass: BreakerPass, result: &Result<StoreAnswer, CallFailure>) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let StoreState { breaker, random, .. } = &mut *state;
+        match result {
+            Ok(answer) if !answer.status.is_server_error() => {
+                if breaker.record_success() {
+                    tracing::info!(event = 1802, "platform answers again");
+                }
+            }
+            _ => {
+                if breaker.record_failure(pass, now, random) {
+                    tracing::warn!(event = 1801, "platform is down, calls fail at once");
+                }
+            }
+        }
+    }
+
+    async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
+        if let Some(connection) = self.take_idle() {
+            match self.send(connection, call.clone()).await {
+                Err(failure) if !failure.sent || call.repeatable => self.close_idle(),
+                result => return result,
+            }
+        }
+        let settings = &self.settings;
+        let connection =
+            StoreConnection::connect(settings.address, settings.connect_timeout).await?;
+        self.send(connection, call).await
+    }
+
+    async fn send(
+        &self,
+        mut connection: StoreConnection,
+        call: StoreCall,
+    ) -> Result<StoreAnswer, CallFailure> {
+        let settings = &self.settings;
+        let timeout = settings.call_timeout + call.hold;
+        let result = connection.send(call, timeout, settings.answer_bytes).await;
+        match &result {
+            Ok(_) => self.keep_idle(connection),
+            Err(_) => self.close_idle(),
+        }
+        result
+    }
+
+    fn take_idle(&self) -> Option<StoreConnection> {
+        let now = self.clock.now();
+        let limit = self.settings.idle_limit;
+        let mut state = self.state.lock();
+        state.idle.retain(|entry| now.since(entry.since) <= limit && entry.connection.is_open());
+        state.idle.pop().map(|entry| entry.connection)
+    }
+
+    fn keep_idle(&self, connection: StoreConnection) {
+        let since = self.clock.now();
+        let mut state = self.state.lock();
+        if state.idle.len() < IDLE_CONNECTIONS {
+            state.idle.push(IdleConnection { connection, since });
+        }
+    }
+
+    /// Closes all idle connections: when one stops responding, the others may have as well.
+    pub(crate) fn close_idle(&self) {
+        let idle = std::mem::take(&mut self.state.lock().idle);
+        drop(idle);
+    }
+}
+
+/// Returns the error that a status reports.
+pub(crate) fn status_error(answer: &StoreAnswer) -> StoreError {
+    let status = answer.status;
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        return StoreError::Throttled { wait: ClockSpan::from_secs(1) };
+    }
+    if status.is_server_error() {
+        return StoreError::Unavailable { reason: format!("status {}", status.as_u16()) };
+    }
+    let start = &answer.body[..answer.body.len().min(MESSAGE_BYTES)];
+    let message = String::from_utf8_lossy(start).into_owned();
+    StoreError::Rejected { status: status.as_u16(), message }
+}
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -4,6 +4,7 @@
 
 use ::http::{Method, Request, StatusCode, header};
 use base::prelude::*;
+use base::socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,19 +16,45 @@
 
 /// A call in the form in which it is sent.
 #[derive(Clone, Debug)]
-pub(crate) struct StoreCall {
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) body: Bytes,
+pub struct StoreCall {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
     /// Whether the call may be sent twice.
-    pub(crate) repeatable: bool,
+    pub repeatable: bool,
+    /// The time for which the platform may hold the answer back.
+    pub hold: ClockSpan,
+}
+
+impl StoreCall {
+    /// Returns a call that is sent once and answered at once.
+    pub fn new(method: Method, path: String, body: Bytes) -> Self {
+        Self { method, path, body, repeatable: false, hold: ClockSpan::ZERO }
+    }
+
+    /// Allows the call to be sent twice.
+    #[must_use]
+    pub fn repeatable(self) -> Self {
+        Self { repeatable: true, ..self }
+    }
+
+    /// Lets the platform hold the answer back for `hold`.
+    #[must_use]
+    pub fn held(self, hold: ClockSpan) -> Self {
+        Self { hold, ..self }
+    }
 }
 
 /// A complete answer.
 #[derive(Clone, Debug)]
-pub(crate) struct StoreAnswer {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Bytes,
+pub struct StoreAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
 }
 
 /// Why there is no complete answer.
@@ -73,6 +100,7 @@
         let opening = async {
             let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
             stream.set_nodelay(true).map_err(|error| error.to_string())?;
+            socket::detect_silence(&stream).map_err(|error| error.to_string())?;
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())
         };
         let (sender, driver) = tokio::time::timeout(timeout.to_duration(), opening)
--- /dev/null
+++ b/crates/store/src/feed.rs
@@ -0,0 +1,141 @@
+//! Tables of a row store: read whole, followed by their changes, written row by row.
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use ::http::StatusCode;
+use base::prelude::*;
+use bytes::Bytes;
+
+use crate::budget::CallCost;
+use crate::client::{HttpSettings, StoreClient, status_error};
+use crate::connection::{StoreAnswer, StoreCall};
+use crate::store::StoreError;
+
+/// Rows that are asked for in one call.
+const PAGE_ROWS: usize = 500;
+
+/// A row of a table, or the news that it was removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TableRow {
+    /// The key within the table.
+    pub key: SharedName,
+    /// The version, which grows with each change.
+    pub version: u64,
+    /// The value, or `None` if the row was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Rows that one answer brings.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RowPage {
+    /// The rows.
+    pub rows: Vec<TableRow>,
+    /// The position from which changes are to be followed.
+    pub position: u64,
+    /// Whether the table has further rows.
+    pub truncated: bool,
+}
+
+/// Encodes the calls of a row store and decodes their answers.
+pub trait RowCodec: Copy + Send + Sync + 'static {
+    /// Returns the call that reads up to `limit` rows with keys from `from` on.
+    fn read_call(table: &str, from: &str, limit: usize) -> StoreCall;
+
+    /// Returns the call that reads the changes after `position`. The store may hold its answer
+    /// back for `hold` until there is one.
+    fn feed_call(table: &str, position: u64, hold: ClockSpan) -> StoreCall;
+
+    /// Returns the call that writes a row, whatever it was before.
+    fn write_call(table: &str, key: &str, value: &[u8]) -> StoreCall;
+
+    /// Decodes the answer to a read or to a question for changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is not what the protocol describes.
+    fn decode_page(body: &[u8]) -> Result<RowPage, StoreError>;
+}
+
+/// The tables of a row store. Clones share connections, breaker and budget.
+#[derive(Debug)]
+pub struct RowStore<C, K> {
+    client: Arc<StoreClient<C>>,
+    codec: PhantomData<K>,
+}
+
+impl<C, K> Clone for RowStore<C, K> {
+    fn clone(&self) -> Self {
+        Self { client: Arc::clone(&self.client), codec: PhantomData }
+    }
+}
+
+impl<C: ClockSource, K: RowCodec> RowStore<C, K> {
+    /// Returns a store that connects when it is first used.
+    pub fn new(settings: HttpSettings, clock: C) -> Self {
+        Self { client: Arc::new(StoreClient::new(settings, clock)), codec: PhantomData }
+    }
+
+    /// Returns whether the store is known to be down.
+    pub fn is_down(&self) -> bool {
+        self.client.is_down()
+    }
+
+    /// Reads a whole table. The position is that of the first part, so that changes during the
+    /// read are seen again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part of the table cannot be read.
+    pub async fn read_table(&self, table: &str) -> Result<RowPage, StoreError> {
+        let mut whole = self.page(K::read_call(table, "", PAGE_ROWS)).await?;
+        let mut truncated = whole.truncated;
+        while let Some(last) = whole.rows.last().filter(|_| truncated) {
+            // The range includes its first key, which is dropped again.
+            let call = K::read_call(table, &last.key, PAGE_ROWS);
+            let next = self.page(call).await?;
+            let known = last.key.clone();
+            truncated = next.truncated && next.rows.len() > 1;
+            whole.rows.extend(next.rows.into_iter().filter(|row| row.key > known));
+        }
+        whole.truncated = false;
+        Ok(whole)
+    }
+
+    /// Reads the changes of a table after `position`, waiting up to `hold` for one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::HistoryLost`] if the changes are no longer available.
+    pub async fn changes(
+        &self,
+        table: &str,
+        position: u64,
+        hold: ClockSpan,
+    ) -> Result<RowPage, StoreError> {
+        self.page(K::feed_call(table, position, hold)).await
+    }
+
+    /// Writes a row without a condition, so that a write whose answer was lost can be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not confirm the write.
+    pub async fn write_row(&self, table: &str, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        self.call(K::write_call(table, key, value), CallCost::Write).await.map(|_| ())
+    }
+
+    async fn page(&self, call: StoreCall) -> Result<RowPage, StoreError> {
+        let answer = self.call(call, CallCost::Read).await?;
+        K::decode_page(&answer.body)
+    }
+
+    async fn call(&self, call: StoreCall, cost: CallCost) -> Result<StoreAnswer, StoreError> {
+        let answer = self.client.call(call, cost).await.map_err(|failure| failure.error)?;
+        match answer.status {
+            StatusCode::OK => Ok(answer),
+            StatusCode::GONE => Err(StoreError::HistoryLost),
+            _ => Err(status_error(&answer)),
+        }
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,5 @@
 //! The platform over HTTP/1.1 and JSON.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use ::http::{Method, StatusCode};
@@ -9,9 +8,9 @@
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 
-use crate::breaker::{BreakerPass, BreakerTuning, StoreBreaker};
-use crate::budget::{BudgetTuning, CallCost, StoreBudget};
-use crate::connection::{CallFailure, StoreAnswer, StoreCall, StoreConnection};
+use crate::budget::CallCost;
+use crate::client::{HttpSettings, StoreClient, status_error};
+use crate::connection::{CallFailure, StoreAnswer, StoreCall};
 use crate::digest::content_digest;
 use crate::row::{RowEntry, RowKey, RowWrite, ScanRow};
 use crate::store::{MemberList, PlatformStore, StoreError, TransactOutcome};
@@ -21,69 +20,6 @@
 
 /// Calls made to learn the outcome of a transaction whose answer was lost.
 const RESOLVE_ATTEMPTS: u32 = 2;
-/// Idle connections that are kept. One VM has few calls in flight, because claims are grouped.
-const IDLE_CONNECTIONS: usize = 8;
-/// Bytes of a refusal that are kept for its message.
-const MESSAGE_BYTES: usize = 200;
-
-/// How this VM reaches the platform.
-#[derive(Clone, Copy, Debug)]
-pub struct HttpSettings {
-    /// Where the platform listens.
-    pub address: SocketAddr,
-    /// The longest that opening a connection may take.
-    pub connect_timeout: ClockSpan,
-    /// The longest that a call may take, from sending to the end of the answer.
-    pub call_timeout: ClockSpan,
-    /// A connection that was silent for longer is not used again, since it may no longer respond.
-    pub idle_limit: ClockSpan,
-    /// The largest answer that is accepted.
-    pub answer_bytes: usize,
-    /// When calls fail at once.
-    pub breaker: BreakerTuning,
-    /// This VM's share of the platform's capacity.
-    pub budget: BudgetTuning,
-    /// The seed of the jitter. VMs need different seeds.
-    pub seed: u64,
-}
-
-impl HttpSettings {
-    /// Returns the usual settings for a platform at `address`.
-    pub fn new(address: SocketAddr, seed: u64) -> Self {
-        Self {
-            address,
-            connect_timeout: ClockSpan::from_millis(250),
-            call_timeout: ClockSpan::from_millis(1000),
-            idle_limit: ClockSpan::from_millis(1000),
-            answer_bytes: 16 * 1024 * 1024,
-            breaker: BreakerTuning::default(),
-            budget: BudgetTuning::default(),
-            seed,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct IdleConnection {
-    connection: StoreConnection,
-    since: ClockTime,
-}
-
-#[derive(Debug)]
-struct StoreState {
-    idle: Vec<IdleConnection>,
-    breaker: StoreBreaker,
-    budget: StoreBudget,
-    random: RandomSource,
-}
-
-#[derive(Debug)]
-struct StoreClient<C> {
-    settings: HttpSettings,
-    clock: C,
-    state: RankedMutex<StoreState>,
-}
-
 /// The platform over HTTP. Clones share connections, breaker and budget.
 #[derive(Clone, Debug)]
 pub struct HttpStore<C> {
@@ -93,19 +29,12 @@
 impl<C: ClockSource> HttpStore<C> {
     /// Returns a store that connects when it is first used.
     pub fn new(settings: HttpSettings, clock: C) -> Self {
-        let state = StoreState {
-            idle: Vec::new(),
-            breaker: StoreBreaker::new(settings.breaker),
-            budget: StoreBudget::new(settings.budget, clock.now()),
-            random: RandomSource::from_seed(settings.seed),
-        };
-        let state = RankedMutex::new(LockRank::ConnectionPool, state);
-        Self { client: Arc::new(StoreClient { settings, clock, state }) }
+        Self { client: Arc::new(StoreClient::new(settings, clock)) }
     }
 
     /// Returns whether the platform is known to be down.
     pub fn is_down(&self) -> bool {
-        self.client.state.lock().breaker.is_open()
+        self.client.is_down()
     }
 
     async fn transact_once(
@@ -171,107 +100,14 @@
         path: String,
         body: Bytes,
     ) -> Result<StoreAnswer, StoreError> {
-        let call = StoreCall { method, path, body, repeatable: true };
+        let call = StoreCall::new(method, path, body).repeatable();
         self.client.call(call, CallCost::Read).await.map_err(|failure| failure.error)
     }
 }
 
-impl<C: ClockSource> StoreClient<C> {
-    async fn call(&self, call: StoreCall, cost: CallCost) -> Result<StoreAnswer, CallFailure> {
-        let (pass, wait) = self.admit(cost)?;
-        if wait > ClockSpan::ZERO {
-            tokio::time::sleep(wait.to_duration()).await;
-        }
-        let result = self.exchange(call).await;
-        self.record(pass, &result);
-        result
-    }
-
-    fn admit(&self, cost: CallCost) -> Result<(BreakerPass, ClockSpan), CallFailure> {
-        let now = self.clock.now();
-        let mut state = self.state.lock();
-        let pass = state.breaker.admit(now).map_err(|wait| {
-            let reason = format!("no answers lately, next trial in {wait}");
-            CallFailure::refused(StoreError::Unavailable { reason })
-        })?;
-        let wait = state
-            .budget
-            .reserve(cost, now)
-            .map_err(|wait| CallFailure::refused(StoreError::Throttled { wait }))?;
-        Ok((pass, wait))
-    }
-
-    fn record(&self, pass: BreakerPass, result: &Result<StoreAnswer, CallFailure>) {
-        let now = self.clock.now();
-        let mut state = self.state.lock();
-        let StoreState { breaker, random, .. } = &mut *state;
-        match result {
-            Ok(answer) if !answer.status.is_server_error() => {
-                if breaker.record_success() {
-                    tracing::info!(event = 1802, "platform answers again");
-                }
-            }
-            _ => {
-                if breaker.record_failure(pass, now, random) {
-                    tracing::warn!(event = 1801, "platform is down, calls fail at once");
-                }
-            }
-        }
-    }
-
-    async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
-        if let Some(connection) = self.take_idle() {
-            match self.send(connection, call.clone()).await {
-                Err(failure) if !failure.sent || call.repeatable => self.close_idle(),
-                result => return result,
-            }
-        }
-        let settings = &self.settings;
-        let connection =
-            StoreConnection::connect(settings.address, settings.connect_timeout).await?;
-        self.send(connection, call).await
-    }
-
-    async fn send(
-        &self,
-        mut connection: StoreConnection,
-        call: StoreCall,
-    ) -> Result<StoreAnswer, CallFailure> {
-        let settings = &self.settings;
-        let result = connection.send(call, settings.call_timeout, settings.answer_bytes).await;
-        match &result {
-            Ok(_) => self.keep_idle(connection),
-            Err(_) => self.close_idle(),
-        }
-        result
-    }
-
-    fn take_idle(&self) -> Option<StoreConnection> {
-        let now = self.clock.now();
-        let limit = self.settings.idle_limit;
-        let mut state = self.state.lock();
-        state.idle.retain(|entry| now.since(entry.since) <= limit && entry.connection.is_open());
-        state.idle.pop().map(|entry| entry.connection)
-    }
-
-    fn keep_idle(&self, connection: StoreConnection) {
-        let since = self.clock.now();
-        let mut state = self.state.lock();
-        if state.idle.len() < IDLE_CONNECTIONS {
-            state.idle.push(IdleConnection { connection, since });
-        }
-    }
-
-    /// Closes all idle connections: when one stops responding, the others may have as well.
-    fn close_idle(&self) {
-        let idle = std::mem::take(&mut self.state.lock().idle);
-        drop(idle);
-    }
-}
-
 fn transact_call(body: Bytes) -> StoreCall {
     let path = "/v1/transact".to_owned();
-    StoreCall { method: Method::POST, path, body, repeatable: false }
+    StoreCall::new(Method::POST, path, body)
 }
 
 fn transact_body(attempt: &SharedName, writes: Vec<RowWrite>) -> Bytes {
@@ -323,19 +159,6 @@
         .map_err(|error| StoreError::Malformed { detail: error.to_string() })
 }
 
-fn status_error(answer: &StoreAnswer) -> StoreError {
-    let status = answer.status;
-    if status == StatusCode::TOO_MANY_REQUESTS {
-        return StoreError::Throttled { wait: ClockSpan::from_secs(1) };
-    }
-    if status.is_server_error() {
-        return StoreError::Unavailable { reason: format!("status {}", status.as_u16()) };
-    }
-    let start = &answer.body[..answer.body.len().min(MESSAGE_BYTES)];
-    let message = String::from_utf8_lossy(start).into_owned();
-    StoreError::Rejected { status: status.as_u16(), message }
-}
-
 impl<C: ClockSource> PlatformStore for HttpStore<C> {
     async fn transact(&self, attempt: &SharedName, writes: Vec<RowWrite>) -> TransactOutcome {
         let count = writes.len();
@@ -382,7 +205,7 @@
     async fn put_object(&self, digest: &SharedName, bytes: Bytes) -> Result<(), StoreError> {
         let path = format!("/v1/objects/{digest}");
         // Objects are named by their digest, so that storing one twice is harmless.
-        let call = StoreCall { method: Method::PUT, path, body: bytes, repeatable: true };
+        let call = StoreCall::new(Method::PUT, path, bytes).repeatable();
         let answer = self.client.call(call, CallCost::Write).await.map_err(|f| f.error)?;
         match answer.status {
             StatusCode::OK | StatusCode::CREATED => Ok(()),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -35,6 +35,9 @@
         /// The start of the answer's body.
         message: String,
     },
+    /// The changes since the given position are no longer available.
+    #[snafu(display("the platform has dropped these changes; read the whole table"))]
+    HistoryLost,
     /// The answer is not what the protocol describes.
     #[snafu(display(
         "platform answer is malformed ({detail}); check what answers at the platform's address"
