Add the paced policy with its evidence, the shortlist and outcomes without a ticket

Cause: on the platform the pace of an upstream changes every few hundred milliseconds, and nothing used the reported pace, the incarnation or the warm-up of an upstream. Change: a record keeps the freshest pace, the service its mean; another incarnation is a new record; PacedChoice ranks by expected time; shortlist names the upstreams to probe; note_quiet and judge record unanswered health checks and outcomes without a reservation. The parts of the cost that both policies need are in estimate.rs, view.rs and policy.rs. Ruled out: deriving the penalty after a single failure from the failure rate, which one failure among many successes hardly moves; the view carries the time of the last failure instead.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -9,6 +9,7 @@
 use crate::record::UpstreamRecord;
 use crate::refusal::NoUpstream;
 use crate::service::{RecordKey, ServiceState};
+use crate::shortlist::ShortlistEntry;
 use crate::view::UpstreamView;
 
 /// How many upstreams cannot take a call, and why.
@@ -33,9 +34,7 @@
         now: ClockTime,
         random: &mut RandomSource,
     ) -> Result<(RecordKey, Arc<UpstreamServer>), NoUpstream> {
-        let mut count = self.count(now);
-        let panicking = self.is_panicking(&count);
-        self.collect(avoid, panicking, now, &mut count);
+        let count = self.collect(avoid, now);
         let chosen = self.choose(policy, now, random).ok_or_else(|| refusal(service, &count))?;
         let index = self.candidate_indexes[chosen];
         let record = &mut self.records[index];
@@ -43,6 +42,28 @@
         Ok((RecordKey { index, id: record.id, sent_at: now }, Arc::clone(&record.server)))
     }
 
+    /// Returns the best `limit` candidates in order, chosen one after the other, and reserves
+    /// nothing.
+    pub fn shortlist<P: ChoicePolicy>(
+        &mut self,
+        policy: &P,
+        avoid: &[SharedName],
+        limit: usize,
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Vec<ShortlistEntry> {
+        self.collect(avoid, now);
+        let mut entries = Vec::with_capacity(limit.min(self.candidates.len()));
+        while entries.len() < limit && !self.candidates.is_empty() {
+            let Some(chosen) = self.choose(policy, now, random) else { break };
+            self.candidates.swap_remove(chosen);
+            let record = &self.records[self.candidate_indexes.swap_remove(chosen)];
+            let (server, evidence_at) = (Arc::clone(&record.server), record.reported_at());
+            entries.push(ShortlistEntry { server, evidence_at });
+        }
+        entries
+    }
+
     fn count(&self, now: ClockTime) -> RefusalCount {
         let mut count = RefusalCount::default();
         for record in &self.records {
@@ -69,17 +90,15 @@
     }
 
     /// Collects the candidates. Avoided servers are used only if there is no other usable one.
-    fn collect(
-        &mut self,
-        avoid: &[SharedName],
-        panicking: bool,
-        now: ClockTime,
-        count: &mut RefusalCount,
-    ) {
-        self.collect_where(panicking, now, count, |record| !avoid.contains(&record.server.name));
+    fn collect(&mut self, avoid: &[SharedName], now: ClockTime) -> RefusalCount {
+        let mut count = self.count(now);
+        let panicking = self.is_panicking(&count);
+        let is_allowed = |record: &UpstreamRecord| !avoid.contains(&record.server.name);
+        self.collect_where(panicking, now, &mut count, is_allowed);
         if self.candidates.is_empty() && count.full == 0 && !avoid.is_empty() {
-            self.collect_where(panicking, now, count, |_| true);
+            self.collect_where(panicking, now, &mut count, |_| true);
         }
+        count
     }
 
     fn collect_where(
@@ -89,6 +108,7 @@
         count: &mut RefusalCount,
         allowed: impl Fn(&UpstreamRecord) -> bool,
     ) {
+        let means = self.means();
         self.candidates.clear();
         self.candidate_indexes.clear();
         for (index, record) in self.records.iter().enumerate() {
@@ -106,7 +126,7 @@
                 continue;
             }
             let ramp = if ejected { 1.0 } else { record.health.ramp(now, &self.tuning) };
-            self.candidates.push(record.view(ramp, self.latency.value, self.load.value));
+            self.candidates.push(record.view(ramp, &means));
             self.candidate_indexes.push(index);
         }
     }
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 
-use crate::estimate::decay;
-use crate::policy::{ChoicePolicy, least_by};
+use crate::estimate::{age_ms, aged, decay, rate};
+use crate::policy::{ChoicePolicy, least_jittered};
 use crate::tuning::CostTuning;
 use crate::view::UpstreamView;
 
@@ -22,8 +22,7 @@
     }
 }
 
-/// The constants of one choice, with time constants turned into rates, because a division for
-/// each candidate and each kind of evidence would take most of the time of a choice.
+/// The constants of one choice, with time constants turned into rates.
 struct CostRates<'a> {
     tuning: &'a CostTuning,
     report_rate_min: f64,
@@ -78,17 +77,13 @@
     /// response does.
     fn slowness(&self, view: &UpstreamView, per_ms: f64, now: ClockTime) -> f64 {
         let tuning = self.tuning;
-        let mut cost = 0.0;
-        if let Some(oldest_at) = view.oldest_at {
-            let waited = (age_ms(now, oldest_at) - view.round_trip_ms) * per_ms;
-            cost += tuning.overdue_weight * (waited - tuning.overdue_after).max(0.0);
-        }
+        let mut cost = tuning.overdue_weight * view.overdue(tuning.overdue_after, per_ms, now);
         if let Some(sampled_at) = view.sampled_at {
             let tail_ms = (view.tail_ms - view.latency_ms).max(0.0);
             let measured = (view.latency_ms + tuning.tail_weight * tail_ms) * per_ms;
             let excess = measured - tuning.slow_from;
             if excess > 0.0 {
-                cost += tuning.slow_weight * excess * self.aged(now, sampled_at, self.slow_rate);
+                cost += tuning.slow_weight * excess * aged(now, sampled_at, self.slow_rate);
             }
         }
         cost
@@ -96,32 +91,11 @@
 
     fn penalty(&self, view: &UpstreamView, now: ClockTime) -> f64 {
         let tuning = self.tuning;
-        let mut penalty = tuning.preference_weight * view.preference;
-        if view.failure_rate > 0.0 {
-            let weight = self.aged(now, view.judged_at, self.failure_rate);
-            penalty += tuning.failure_weight * view.failure_rate * weight;
-        }
-        let heard = view.heard_at.map_or(0.0, |heard_at| self.aged(now, heard_at, self.stale_rate));
-        penalty + tuning.stale_weight * (1.0 - heard)
+        let heard = view.heard_at.map_or(0.0, |heard_at| aged(now, heard_at, self.stale_rate));
+        tuning.preference_weight * view.preference
+            + tuning.failure_weight * view.failure_share(self.failure_rate, now)
+            + tuning.stale_weight * (1.0 - heard)
     }
-
-    fn aged(&self, now: ClockTime, made_at: ClockTime, rate: f64) -> f64 {
-        decay(age_ms(now, made_at) * rate)
-    }
-}
-
-/// The shortest time constant, which keeps rates finite.
-const MIN_MEMORY_MS: f64 = 0.01;
-
-fn rate(memory: ClockSpan) -> f64 {
-    memory.as_millis_f64().max(MIN_MEMORY_MS).recip()
-}
-
-/// Returns an age in milliseconds. The detour over a signed number compiles to one instruction
-/// instead of a branch; ages stay far below its range.
-fn age_ms(now: ClockTime, made_at: ClockTime) -> f64 {
-    const MS_PER_STEP: f64 = 0.01;
-    now.since(made_at).as_hundredths() as i64 as f64 * MS_PER_STEP
 }
 
 impl ChoicePolicy for ExpectedCost {
@@ -132,8 +106,6 @@
         random: &mut RandomSource,
     ) -> Option<usize> {
         let rates = CostRates::new(&self.tuning);
-        least_by(candidates, random, |view, random| {
-            rates.cost_ms(view, now) * (1.0 + self.tuning.cost_jitter * random.unit())
-        })
+        least_jittered(candidates, random, self.tuning.cost_jitter, |view| rates.cost_ms(view, now))
     }
 }
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -22,6 +22,28 @@
     growth.recip()
 }
 
+/// The shortest time constant, which keeps rates finite.
+const MIN_MEMORY_MS: f64 = 0.01;
+
+/// Returns the rate of a time constant, in e-folds for each millisecond. A choice turns its time
+/// constants into rates once, because a division for each candidate and each kind of evidence
+/// would take most of its time.
+pub fn rate(memory: ClockSpan) -> f64 {
+    memory.as_millis_f64().max(MIN_MEMORY_MS).recip()
+}
+
+/// Returns an age in milliseconds. The detour over a signed number compiles to one instruction
+/// instead of a branch; ages stay far below its range.
+pub fn age_ms(now: ClockTime, made_at: ClockTime) -> f64 {
+    const MS_PER_STEP: f64 = 0.01;
+    now.since(made_at).as_hundredths() as i64 as f64 * MS_PER_STEP
+}
+
+/// Returns the weight that evidence from `made_at` keeps at a rate of forgetting.
+pub fn aged(now: ClockTime, made_at: ClockTime, rate: f64) -> f64 {
+    decay(age_ms(now, made_at) * rate)
+}
+
 /// A mean that weights samples by the time that they stand for. The first samples count equally,
 /// so that one of them does not bias the mean for the whole of its memory.
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,6 +64,11 @@
         self.value += weight.max(1.0 / f64::from(self.samples)) * (sample - self.value);
         self.sampled_at = Some(now.max(before));
     }
+
+    /// Returns the mean, or `default` before the first sample.
+    pub fn value_or(&self, default: f64) -> f64 {
+        if self.sampled_at.is_some() { self.value } else { default }
+    }
 }
 
 /// A peak that returns to the mean.
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -14,6 +14,7 @@
     run: f64,
     judged_at: ClockTime,
     lost_at: Option<ClockTime>,
+    failed_at: Option<ClockTime>,
     ejected_until: Option<ClockTime>,
     ejections: u32,
     ramp_from: Option<ClockTime>,
@@ -77,6 +78,7 @@
         self.outcomes += weight;
         self.failures += weight;
         self.run += run;
+        self.failed_at = Some(self.failed_at.map_or(now, |before| before.max(now)));
     }
 
     fn decay(&mut self, now: ClockTime, tuning: &RouteTuning) {
@@ -149,6 +151,11 @@
         self.failures / (self.outcomes + 1.0)
     }
 
+    /// Returns when the last failure was recorded.
+    pub fn failed_at(&self) -> Option<ClockTime> {
+        self.failed_at
+    }
+
     /// Returns when the failure rate last changed.
     pub fn judged_at(&self) -> ClockTime {
         self.judged_at
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! The crate performs no I/O and reads no clock. Evidence arrives through
 //! [`UpstreamTable::finish`](table::UpstreamTable::finish),
-//! [`UpstreamTable::observe`](table::UpstreamTable::observe) and
-//! [`UpstreamTable::merge`](table::UpstreamTable::merge), each with the current time.
+//! [`UpstreamTable::observe`](table::UpstreamTable::observe),
+//! [`UpstreamTable::merge`](table::UpstreamTable::merge),
+//! [`UpstreamTable::judge`](table::UpstreamTable::judge) and
+//! [`UpstreamTable::note_quiet`](table::UpstreamTable::note_quiet), each with the current time.
 
 pub mod affinity;
 mod choice;
@@ -12,10 +14,12 @@
 pub mod health;
 pub mod notice;
 pub mod outcome;
+pub mod paced;
 pub mod policy;
 mod record;
 pub mod refusal;
 mod service;
+pub mod shortlist;
 pub mod table;
 pub mod tuning;
 pub mod view;
@@ -26,11 +30,13 @@
     pub use crate::cost::ExpectedCost;
     pub use crate::notice::{LoadNotice, UpstreamNotice};
     pub use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+    pub use crate::paced::PacedChoice;
     pub use crate::policy::{
         ChoicePolicy, LeastInFlight, PolicyKind, RandomChoice, TwoChoices, UnknownPolicy,
     };
     pub use crate::refusal::NoUpstream;
+    pub use crate::shortlist::ShortlistEntry;
     pub use crate::table::{UpstreamState, UpstreamTable, UpstreamTicket};
-    pub use crate::tuning::{CostTuning, RouteTuning};
+    pub use crate::tuning::{CostTuning, PacedTuning, RouteTuning};
     pub use crate::view::UpstreamView;
 }
--- /dev/null
+++ b/crates/route/src/paced.rs
@@ -0,0 +1,114 @@
+//! The policy for servers whose pace changes every few hundred milliseconds.
+
+use base::prelude::*;
+
+use crate::estimate::{age_ms, aged, rate};
+use crate::policy::{ChoicePolicy, least_jittered};
+use crate::tuning::PacedTuning;
+use crate::view::UpstreamView;
+
+/// Chooses the upstream with the lowest expected time in milliseconds: the call at the expected
+/// pace and load, the wait for a slot, the link, and penalties for failures and silence.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PacedChoice {
+    /// The constants of the cost.
+    pub tuning: PacedTuning,
+}
+
+impl PacedChoice {
+    /// Returns the expected cost of a call to `view`, in milliseconds.
+    pub fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        PacedRates::new(&self.tuning).cost_ms(view, now)
+    }
+}
+
+/// The constants of one choice, with time constants turned into rates.
+struct PacedRates<'a> {
+    tuning: &'a PacedTuning,
+    pace_rate: f64,
+    load_rate: f64,
+    busy_slope: f64,
+    failure_rate: f64,
+    share_rate: f64,
+    quiet_rate: f64,
+}
+
+impl<'a> PacedRates<'a> {
+    fn new(tuning: &'a PacedTuning) -> Self {
+        Self {
+            tuning,
+            pace_rate: rate(tuning.pace_memory),
+            load_rate: rate(tuning.load_memory),
+            busy_slope: (tuning.full_factor - 1.0) / (1.0 - tuning.busy_from),
+            failure_rate: rate(tuning.failure_memory),
+            share_rate: rate(tuning.share_memory),
+            quiet_rate: rate(tuning.quiet_hold),
+        }
+    }
+
+    fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        let known = view.service_ms > 0.0;
+        let service_ms = if known { view.service_ms } else { self.tuning.unknown_time_ms };
+        let slots = f64::from(view.slots.max(1));
+        let taken = f64::from(view.own_in_flight) + self.others(view, now) + 1.0;
+        let call_ms = service_ms
+            * self.pace(view, now)
+            * self.load_factor(taken / slots)
+            * self.cold_factor(view, now);
+        // Each slot ends a call once in the time of a call.
+        let wait_ms = call_ms * (taken - slots).max(0.0) / slots;
+        let penalty_ms = service_ms * self.penalty(view, service_ms.recip(), now);
+        call_ms + wait_ms + self.link_ms(view) + penalty_ms
+    }
+
+    fn pace(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        let weight = view.paced_at.map_or(0.0, |paced_at| aged(now, paced_at, self.pace_rate));
+        view.pace_mean + weight * (view.pace - view.pace_mean)
+    }
+
+    fn others(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        let reported = view.reported_at.map(|reported_at| aged(now, reported_at, self.load_rate));
+        view.others_mean + reported.unwrap_or(0.0) * (view.others - view.others_mean)
+    }
+
+    /// Returns how much longer work takes when a share of the slots is taken.
+    fn load_factor(&self, share: f64) -> f64 {
+        1.0 + self.busy_slope * (share.min(1.0) - self.tuning.busy_from).max(0.0)
+    }
+
+    fn cold_factor(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        let cold = view.cold_until.is_some_and(|cold_until| cold_until > now);
+        if cold { self.tuning.cold_factor } else { 1.0 }
+    }
+
+    /// Only links between data centres have a round trip.
+    fn link_ms(&self, view: &UpstreamView) -> f64 {
+        let remote = view.round_trip_ms > 0.0;
+        view.round_trip_ms + if remote { self.tuning.remote_ms } else { 0.0 }
+    }
+
+    /// Returns the penalties in mean calls of the service.
+    fn penalty(&self, view: &UpstreamView, per_ms: f64, now: ClockTime) -> f64 {
+        let tuning = self.tuning;
+        let recent = view.failed_at.map_or(0.0, |at| aged(now, at, self.failure_rate));
+        let failure = recent.max(view.failure_share(self.share_rate, now));
+        let quiet = view
+            .quiet_at
+            .map_or(0.0, |quiet_at| (1.0 - age_ms(now, quiet_at) * self.quiet_rate).max(0.0));
+        tuning.failure_weight * failure
+            + tuning.quiet_weight * quiet
+            + tuning.overdue_weight * view.overdue(tuning.overdue_after, per_ms, now)
+    }
+}
+
+impl ChoicePolicy for PacedChoice {
+    fn choose(
+        &self,
+        candidates: &[UpstreamView],
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Option<usize> {
+        let rates = PacedRates::new(&self.tuning);
+        least_jittered(candidates, random, self.tuning.cost_jitter, |view| rates.cost_ms(view, now))
+    }
+}
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 
 use crate::cost::ExpectedCost;
+use crate::paced::PacedChoice;
 use crate::view::UpstreamView;
 
 /// Chooses an upstream for a call. The table calls it while the service is locked, so that it must
@@ -102,6 +103,17 @@
     Some(best)
 }
 
+/// Returns the index of the candidate with the lowest cost after a random relative change of up to
+/// `jitter`, which keeps VMs with the same evidence apart.
+pub(crate) fn least_jittered(
+    candidates: &[UpstreamView],
+    random: &mut RandomSource,
+    jitter: f64,
+    cost: impl Fn(&UpstreamView) -> f64,
+) -> Option<usize> {
+    least_by(candidates, random, |view, random| cost(view) * (1.0 + jitter * random.unit()))
+}
+
 /// A policy that is selected by name and called without dynamic dispatch.
 #[derive(Clone, Copy, Debug)]
 pub enum PolicyKind {
@@ -113,12 +125,14 @@
     TwoChoices(TwoChoices),
     /// `expected-cost`, the default
     ExpectedCost(ExpectedCost),
+    /// `paced`
+    Paced(PacedChoice),
 }
 
 impl PolicyKind {
     /// The names of all policies.
-    pub const NAMES: [&'static str; 4] =
-        ["random", "least-in-flight", "two-choices", "expected-cost"];
+    pub const NAMES: [&'static str; 5] =
+        ["random", "least-in-flight", "two-choices", "expected-cost", "paced"];
 
     /// Returns the name that selects the policy.
     pub const fn name(&self) -> &'static str {
@@ -127,6 +141,7 @@
             Self::LeastInFlight(_) => "least-in-flight",
             Self::TwoChoices(_) => "two-choices",
             Self::ExpectedCost(_) => "expected-cost",
+            Self::Paced(_) => "paced",
         }
     }
 }
@@ -149,6 +164,7 @@
             Self::LeastInFlight(policy) => policy.choose(candidates, now, random),
             Self::TwoChoices(policy) => policy.choose(candidates, now, random),
             Self::ExpectedCost(policy) => policy.choose(candidates, now, random),
+            Self::Paced(policy) => policy.choose(candidates, now, random),
         }
     }
 }
@@ -156,7 +172,7 @@
 /// The name of a policy that does not exist.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 #[snafu(display(
-    "unknown policy {name:?}: use random, least-in-flight, two-choices or expected-cost"
+    "unknown policy {name:?}: use random, least-in-flight, two-choices, expected-cost or paced"
 ))]
 pub struct UnknownPolicy {
     /// The name that was given.
@@ -172,6 +188,7 @@
             "least-in-flight" => Ok(Self::LeastInFlight(LeastInFlight)),
             "two-choices" => Ok(Self::TwoChoices(TwoChoices)),
             "expected-cost" => Ok(Self::default()),
+            "paced" => Ok(Self::Paced(PacedChoice::default())),
             _ => Err(UnknownPolicy { name: name.to_owned() }),
         }
     }
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -10,6 +10,7 @@
 use crate::health::HealthRecord;
 use crate::notice::{LoadNotice, UpstreamNotice};
 use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+use crate::service::ServiceMeans;
 use crate::tuning::RouteTuning;
 use crate::view::UpstreamView;
 
@@ -24,6 +25,27 @@
     others: f64,
 }
 
+/// The last pace that was believed.
+#[derive(Clone, Copy, Debug)]
+struct PaceRecord {
+    pace: f64,
+    made_at: ClockTime,
+}
+
+/// What a load report adds to the means of the service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadNews {
+    /// Calls of others at the server for each slot, if the load was news.
+    pub load: Option<f64>,
+    /// The pace, if it was news.
+    pub pace: Option<f64>,
+}
+
+/// The range of a pace that is believed. A wrong figure must neither draw all calls nor keep a
+/// server idle for long.
+const PACE_RANGE: (f64, f64) = (0.1, 100.0);
+const PERCENT: f64 = 100.0;
+
 /// The last evidence on draining.
 #[derive(Clone, Copy, Debug)]
 struct DrainMark {
@@ -46,6 +68,9 @@
     pub health: HealthRecord,
     pub exported_at: Option<ClockTime>,
     load: Option<LoadRecord>,
+    pace: Option<PaceRecord>,
+    cold_until: Option<ClockTime>,
+    quiet_at: Option<ClockTime>,
     drain: Option<DrainMark>,
     busy_until: ClockTime,
     latency: DecayingMean,
@@ -54,9 +79,10 @@
 }
 
 impl UpstreamRecord {
-    pub fn new(id: u64, server: Arc<UpstreamServer>) -> Self {
+    pub fn new(id: u64, server: Arc<UpstreamServer>, now: ClockTime) -> Self {
         Self {
             id,
+            cold_until: cold_until(&server, now),
             server,
             listed: true,
             sent: SmallVec::new(),
@@ -65,6 +91,8 @@
             health: HealthRecord::default(),
             exported_at: None,
             load: None,
+            pace: None,
+            quiet_at: None,
             drain: None,
             busy_until: ClockTime::ZERO,
             latency: DecayingMean::default(),
@@ -73,6 +101,23 @@
         }
     }
 
+    /// Returns whether `server` is the same start of the same machine.
+    pub fn is_same(&self, server: &UpstreamServer) -> bool {
+        self.server.name == server.name
+            && self.server.address == server.address
+            && self.server.incarnation == server.incarnation
+    }
+
+    /// Lists a newer description of the same server. A changed warm-up counts from now; an
+    /// unchanged one has been running since it was first listed.
+    pub fn list(&mut self, server: &Arc<UpstreamServer>, now: ClockTime) {
+        if self.server.warm_up != server.warm_up {
+            self.cold_until = cold_until(server, now);
+        }
+        self.listed = true;
+        self.server = Arc::clone(server);
+    }
+
     /// Returns the calls of this VM in flight.
     pub fn own_in_flight(&self) -> u32 {
         self.sent.len() as u32
@@ -110,20 +155,30 @@
         (self.busy_until > now).then(|| self.busy_until.since(now))
     }
 
-    /// Records a load report or drain mark. Returns the calls at the server per slot if the load
-    /// was news.
+    /// Records a load report or drain mark, and returns what was news.
     pub fn observe(
         &mut self,
         report: LoadReport,
         now: ClockTime,
         tuning: &RouteTuning,
-    ) -> Option<f64> {
+    ) -> LoadNews {
         let made_at = now - report.age;
         if report.source != ReportSource::Peer {
             self.hear(now);
         }
         self.mark_drain(report.draining, made_at, now, tuning);
-        self.note_load(report, made_at, tuning)
+        self.note_report(report, made_at, tuning)
+    }
+
+    fn note_report(
+        &mut self,
+        report: LoadReport,
+        made_at: ClockTime,
+        tuning: &RouteTuning,
+    ) -> LoadNews {
+        let load = self.note_load(report, made_at, tuning);
+        let pace = report.pace_percent.and_then(|percent| self.note_pace(percent, made_at));
+        LoadNews { load, pace }
     }
 
     /// Follows drain evidence that is at least as fresh as the present mark; at the same age a
@@ -166,6 +221,15 @@
         Some(others / f64::from(slots.max(1)))
     }
 
+    fn note_pace(&mut self, percent: u32, made_at: ClockTime) -> Option<f64> {
+        if self.pace.is_some_and(|pace| pace.made_at > made_at) {
+            return None;
+        }
+        let pace = (f64::from(percent) / PERCENT).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        self.pace = Some(PaceRecord { pace, made_at });
+        Some(pace)
+    }
+
     /// Records the end of a call, while the call is still counted in flight. Returns the server's
     /// own time in milliseconds if the call measured it.
     pub fn record_latency(
@@ -193,8 +257,19 @@
         self.busy_until = self.busy_until.max(now + tuning.shed_hold);
     }
 
+    /// Notes that the server did not answer a health check in time.
+    pub fn note_quiet(&mut self, now: ClockTime) {
+        self.quiet_at = Some(self.quiet_at.map_or(now, |before| before.max(now)));
+    }
+
+    /// Returns when the freshest load report was made.
+    pub fn reported_at(&self) -> Option<ClockTime> {
+        self.load.map(|load| load.made_at)
+    }
+
     /// Notes first-hand news of the server.
     pub fn hear(&mut self, now: ClockTime) {
+        self.quiet_at = self.quiet_at.filter(|quiet_at| *quiet_at > now);
         self.heard_at = Some(self.heard_at.map_or(now, |before| before.max(now)));
         self.health.hear(now);
     }
@@ -212,20 +287,26 @@
         self.tail.value
     }
 
-    pub fn view(&self, ramp: f64, service_ms: f64, service_load: f64) -> UpstreamView {
+    pub fn view(&self, ramp: f64, means: &ServiceMeans) -> UpstreamView {
         UpstreamView {
             own_in_flight: self.own_in_flight(),
             oldest_at: self.sent.first().copied(),
             slots: self.server.slots,
             others: self.load.map_or(0.0, |load| load.others),
-            others_mean: service_load * f64::from(self.server.slots),
-            reported_at: self.load.map(|load| load.made_at),
+            others_mean: means.load * f64::from(self.server.slots),
+            reported_at: self.reported_at(),
+            pace: self.pace.map_or(means.pace, |record| record.pace),
+            paced_at: self.pace.map(|record| record.made_at),
+            pace_mean: means.pace,
+            cold_until: self.cold_until,
+            quiet_at: self.quiet_at,
             latency_ms: self.latency.value,
             tail_ms: self.tail.value,
             sampled_at: self.latency.sampled_at,
-            service_ms,
+            service_ms: means.latency_ms,
             failure_rate: self.health.failure_rate(),
             judged_at: self.health.judged_at(),
+            failed_at: self.health.failed_at(),
             heard_at: self.heard_at,
             round_trip_ms: self.round_trip.as_millis_f64(),
             ramp,
@@ -263,12 +344,12 @@
         notice: &UpstreamNotice,
         now: ClockTime,
         tuning: &RouteTuning,
-    ) -> Option<f64> {
+    ) -> LoadNews {
         let made_at = |age_ms: u32| {
             now - (ClockSpan::from_millis(u64::from(age_ms)) + tuning.transit_allowance)
         };
         self.mark_drain(notice.draining, made_at(notice.drain_age_ms), now, tuning);
-        let load = notice.load?;
+        let Some(load) = notice.load else { return LoadNews::default() };
         let report = LoadReport {
             in_flight: load.in_flight,
             slots: load.slots,
@@ -278,10 +359,15 @@
             age: ClockSpan::from_millis(u64::from(load.age_ms)),
             source: ReportSource::Peer,
         };
-        self.note_load(report, made_at(load.age_ms), tuning)
+        self.note_report(report, made_at(load.age_ms), tuning)
     }
 }
 
+/// Returns until when a server that is listed now is cold.
+fn cold_until(server: &UpstreamServer, now: ClockTime) -> Option<ClockTime> {
+    (server.warm_up > ClockSpan::ZERO).then(|| now + server.warm_up)
+}
+
 /// Returns an age in whole milliseconds, rounded up so that evidence never becomes fresher.
 fn age_ms(age: ClockSpan) -> u32 {
     u32::try_from(age.as_millis().saturating_add(1)).unwrap_or(u32::MAX)
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -10,7 +10,7 @@
 use crate::estimate::DecayingMean;
 use crate::notice::UpstreamNotice;
 use crate::outcome::{CallOutcome, CallResult, LoadReport};
-use crate::record::UpstreamRecord;
+use crate::record::{LoadNews, UpstreamRecord};
 use crate::tuning::RouteTuning;
 use crate::view::UpstreamView;
 
@@ -35,13 +35,28 @@
     pub sent_at: ClockTime,
 }
 
+/// Means over the upstreams of a service, to which old evidence on one of them returns.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceMeans {
+    /// Time of a call in milliseconds, or 0.0 before the first one.
+    pub latency_ms: f64,
+    /// Calls of others for each slot.
+    pub load: f64,
+    /// Pace; 1.0 is the usual time.
+    pub pace: f64,
+}
+
+/// The pace that is assumed before any server has told its own.
+const USUAL_PACE: f64 = 1.0;
+
 /// The evidence on the upstreams of one service.
 #[derive(Debug)]
 pub struct ServiceState {
     pub tuning: RouteTuning,
     pub records: Vec<UpstreamRecord>,
-    pub latency: DecayingMean,
-    pub load: DecayingMean,
+    latency: DecayingMean,
+    load: DecayingMean,
+    pace: DecayingMean,
     random: RandomSource,
     next_id: u64,
     version: Option<u64>,
@@ -57,6 +72,7 @@
             records: Vec::new(),
             latency: DecayingMean::default(),
             load: DecayingMean::default(),
+            pace: DecayingMean::default(),
             random: RandomSource::from_seed(seed),
             next_id: 0,
             version: None,
@@ -65,6 +81,15 @@
         }
     }
 
+    /// Returns the means over the service's upstreams.
+    pub fn means(&self) -> ServiceMeans {
+        ServiceMeans {
+            latency_ms: self.latency.value,
+            load: self.load.value,
+            pace: self.pace.value_or(USUAL_PACE),
+        }
+    }
+
     /// Returns whether calls to the service are in flight.
     pub fn is_in_use(&self) -> bool {
         self.records.iter().any(|record| record.own_in_flight() > 0)
@@ -99,18 +124,15 @@
         self.candidate_indexes.reserve(self.records.len());
     }
 
-    /// Lists a server and returns its index. A server with another address is another machine.
+    /// Lists a server and returns its index. A server with another address or incarnation is
+    /// another one, of which nothing is known.
     fn list(&mut self, server: &Arc<UpstreamServer>, first: bool, now: ClockTime) -> usize {
-        let known = self.records.iter().position(|record| {
-            record.server.name == server.name && record.server.address == server.address
-        });
+        let known = self.records.iter().position(|record| record.is_same(server));
         if let Some(index) = known {
-            let record = &mut self.records[index];
-            record.listed = true;
-            record.server = Arc::clone(server);
+            self.records[index].list(server, now);
             return index;
         }
-        let mut record = UpstreamRecord::new(self.next_id, Arc::clone(server));
+        let mut record = UpstreamRecord::new(self.next_id, Arc::clone(server), now);
         self.next_id += 1;
         if !first {
             record.health.start_ramp(now);
@@ -166,20 +188,48 @@
         let tuning = self.tuning;
         let Some(index) = self.find(key) else { return };
         let record = &mut self.records[index];
-        let load = outcome.load.and_then(|report| record.observe(report, now, &tuning));
+        let news = outcome.load.map(|report| record.observe(report, now, &tuning));
         let latency = record.record_latency(outcome, now, &tuning);
-        if outcome.result == CallResult::Shed {
-            record.note_shed(now, &tuning);
-        }
         if outcome.result.is_answered() {
             record.hear(now);
         }
-        let bad = record.health.record(outcome.result, key.sent_at, now, &tuning);
-        self.add_to_service(load, latency, now);
-        if bad && self.records[index].listed && self.ejected(now) < self.ejection_cap() {
+        self.add_to_service(news.unwrap_or_default(), latency, now);
+        self.record_result(index, outcome.result, key.sent_at, now);
+        self.release(key);
+    }
+
+    /// Records the result of a call that was sent at `sent_at`, and ejects the server if its
+    /// results call for it and the cap allows it.
+    fn record_result(
+        &mut self,
+        index: usize,
+        result: CallResult,
+        sent_at: ClockTime,
+        now: ClockTime,
+    ) {
+        let tuning = self.tuning;
+        let record = &mut self.records[index];
+        if result == CallResult::Shed {
+            record.note_shed(now, &tuning);
+        }
+        let bad = record.health.record(result, sent_at, now, &tuning);
+        if bad && record.listed && self.ejected(now) < self.ejection_cap() {
             self.records[index].health.eject(now, &tuning, &mut self.random);
         }
-        self.release(key);
+    }
+
+    /// Records a result that has no reservation.
+    pub fn judge(&mut self, upstream: &str, result: CallResult, now: ClockTime) {
+        if let Some(index) = self.position(upstream) {
+            self.record_result(index, result, now, now);
+        }
+    }
+
+    /// Notes that an upstream did not answer a health check in time.
+    pub fn note_quiet(&mut self, upstream: &str, now: ClockTime) {
+        if let Some(record) = self.named(upstream) {
+            record.note_quiet(now);
+        }
     }
 
     /// Releases a reservation without an outcome.
@@ -200,29 +250,32 @@
         self.records.iter().position(|record| record.id == key.id)
     }
 
-    fn add_to_service(&mut self, load: Option<f64>, latency: Option<f64>, now: ClockTime) {
+    fn add_to_service(&mut self, news: LoadNews, latency: Option<f64>, now: ClockTime) {
         let RouteTuning { service_memory, sample_share, .. } = self.tuning;
-        if let Some(load) = load {
-            self.load.add(load, now, service_memory, sample_share);
-        }
-        if let Some(latency) = latency {
-            self.latency.add(latency, now, service_memory, sample_share);
+        let samples = [
+            (&mut self.load, news.load),
+            (&mut self.pace, news.pace),
+            (&mut self.latency, latency),
+        ];
+        for (mean, sample) in samples {
+            if let Some(sample) = sample {
+                mean.add(sample, now, service_memory, sample_share);
+            }
         }
     }
 
     /// Records a load report or drain mark.
     pub fn observe(&mut self, upstream: &str, report: LoadReport, now: ClockTime) {
         let tuning = self.tuning;
-        let load = self.named(upstream).and_then(|record| record.observe(report, now, &tuning));
-        self.add_to_service(load, None, now);
+        let news = self.named(upstream).map(|record| record.observe(report, now, &tuning));
+        self.add_to_service(news.unwrap_or_default(), None, now);
     }
 
     /// Takes over fresher evidence of a peer.
     pub fn merge(&mut self, notice: &UpstreamNotice, now: ClockTime) {
         let tuning = self.tuning;
-        let load =
-            self.named(&notice.upstream).and_then(|record| record.merge(notice, now, &tuning));
-        self.add_to_service(load, None, now);
+        let news = self.named(&notice.upstream).map(|record| record.merge(notice, now, &tuning));
+        self.add_to_service(news.unwrap_or_default(), None, now);
     }
 
     /// Notes that the evidence on an upstream was exported.
@@ -232,7 +285,11 @@
         }
     }
 
+    fn position(&self, upstream: &str) -> Option<usize> {
+        self.records.iter().position(|record| record.listed && record.server.name == *upstream)
+    }
+
     fn named(&mut self, upstream: &str) -> Option<&mut UpstreamRecord> {
-        self.records.iter_mut().find(|record| record.listed && record.server.name == *upstream)
+        self.position(upstream).map(|index| &mut self.records[index])
     }
 }
--- /dev/null
+++ b/crates/route/src/shortlist.rs
@@ -0,0 +1,16 @@
+//! The best upstreams for a call, before one is reserved.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use world::prelude::*;
+
+/// An upstream that a policy would choose, with the age of what is known of it.
+#[derive(Clone, Debug)]
+pub struct ShortlistEntry {
+    /// The server.
+    pub server: Arc<UpstreamServer>,
+    /// When the freshest report of its load and pace was made, by the server itself or passed on
+    /// by a peer, or `None` if there was none.
+    pub evidence_at: Option<ClockTime>,
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -10,11 +10,12 @@
 
 use crate::affinity;
 use crate::notice::UpstreamNotice;
-use crate::outcome::{CallOutcome, LoadReport};
+use crate::outcome::{CallOutcome, CallResult, LoadReport};
 use crate::policy::ChoicePolicy;
 use crate::record::UpstreamRecord;
 use crate::refusal::NoUpstream;
 use crate::service::{RecordKey, ServiceState, ServiceTable};
+use crate::shortlist::ShortlistEntry;
 use crate::tuning::RouteTuning;
 
 /// Services and upstreams by name. Replaced as a whole, so that calls look names up without a
@@ -144,6 +145,23 @@
         Ok(UpstreamTicket { table: Some(Arc::clone(table)), key, server })
     }
 
+    /// Returns the best `count` upstreams of `service` in order, by choosing repeatedly by the same
+    /// rules as [`reserve`](Self::reserve), and reserves nothing. A service without a usable
+    /// upstream yields no entry.
+    pub fn shortlist<P: ChoicePolicy>(
+        &self,
+        policy: &P,
+        service: &str,
+        avoid: &[SharedName],
+        count: usize,
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> Vec<ShortlistEntry> {
+        let snapshot = self.snapshot.load();
+        let Some(table) = snapshot.services.get(service) else { return Vec::new() };
+        table.state.lock().shortlist(policy, avoid, count, now, random)
+    }
+
     /// Releases a reservation and records how the call ended.
     pub fn finish(&self, mut ticket: UpstreamTicket, outcome: CallOutcome, now: ClockTime) {
         if let Some(table) = ticket.table.take() {
@@ -159,6 +177,23 @@
         }
     }
 
+    /// Records an outcome that has no ticket: a refused connection that a probe met, or a failure
+    /// that a peer reported. It counts as the outcome of an own call does, towards ejection as
+    /// well, but not as a sign of life. Outcomes of unknown upstreams are ignored.
+    pub fn judge(&self, upstream: &str, result: CallResult, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(upstream) {
+            entry.service.state.lock().judge(upstream, result, now);
+        }
+    }
+
+    /// Notes that `upstream` did not answer a health check in time, until it is heard of first
+    /// hand again. Unknown upstreams are ignored.
+    pub fn note_quiet(&self, upstream: &str, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(upstream) {
+            entry.service.state.lock().note_quiet(upstream, now);
+        }
+    }
+
     /// Returns at most `limit` notices for other VMs: drain marks first, then the load that was
     /// exported longest ago.
     pub fn export(&self, now: ClockTime, limit: usize) -> Vec<UpstreamNotice> {
--- a/crates/route/src/tuning.rs
+++ b/crates/route/src/tuning.rs
@@ -174,3 +174,77 @@
         Self::STANDARD
     }
 }
+
+/// Constants of [`PacedChoice`](crate::paced::PacedChoice). Weights are in units of the service's
+/// mean latency.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PacedTuning {
+    /// Time constant with which a pace returns to the mean of the service.
+    pub pace_memory: ClockSpan,
+    /// Time constant with which the calls of others return to the mean of the service.
+    pub load_memory: ClockSpan,
+    /// Share of the slots, the new call included, from which work takes longer.
+    pub busy_from: f64,
+    /// Factor on the time of a call when all slots are taken; 1.0 turns the rule off.
+    pub full_factor: f64,
+    /// Factor on the time of a call to a cold server; 1.0 turns the rule off.
+    pub cold_factor: f64,
+    /// Charge for a call to another data centre, in milliseconds.
+    pub remote_ms: f64,
+    /// Age from which an own call in flight counts as overdue, in units of the service's latency.
+    pub overdue_after: f64,
+    /// Cost of each unit of time that the oldest own call is overdue; zero turns this off.
+    pub overdue_weight: f64,
+    /// Cost of a certain failure; zero ignores failures.
+    pub failure_weight: f64,
+    /// Time constant with which the last failure loses its weight.
+    pub failure_memory: ClockSpan,
+    /// Time constant with which a failure rate loses its weight.
+    pub share_memory: ClockSpan,
+    /// Cost of a server that has just left a health check unanswered; zero ignores silence.
+    pub quiet_weight: f64,
+    /// Time in which that cost fades to nothing.
+    pub quiet_hold: ClockSpan,
+    /// Time of a call that is assumed before any has ended, in milliseconds.
+    pub unknown_time_ms: f64,
+    /// Relative random change of each cost, which keeps VMs with equal evidence apart.
+    pub cost_jitter: f64,
+}
+
+impl PacedTuning {
+    /// The values in production.
+    pub const STANDARD: Self = Self {
+        // Half of the time for which a pace usually lasts (300 ms).
+        pace_memory: ClockSpan::from_millis(150),
+        // About the time of a call, in which slots change hands.
+        load_memory: ClockSpan::from_millis(100),
+        // Stated for the upstreams of the platform, with the factor at full slots.
+        busy_from: 0.8,
+        full_factor: 1.7,
+        // A cold server takes about twice as long.
+        cold_factor: 2.0,
+        // Bytes between data centres are dear; a third of the shortest common call (73 ms).
+        remote_ms: 25.0,
+        // The same allowance and weight as in the expected cost.
+        overdue_after: 2.0,
+        overdue_weight: 1.0,
+        // One second after a failure, the penalty (4.1) still exceeds that of a pace of 4 (3.0).
+        failure_weight: 8.0,
+        failure_memory: ClockSpan::from_millis(1500),
+        // The memory of the failure rate itself.
+        share_memory: ClockSpan::from_secs(5),
+        // Halfway through the hold, the penalty (5.0) still exceeds that of a pace of 4 (3.0).
+        quiet_weight: 10.0,
+        quiet_hold: ClockSpan::from_millis(300),
+        // The middle of the services on the platform (51 to 480 ms).
+        unknown_time_ms: 100.0,
+        // Below the difference that a tenth of the pace makes.
+        cost_jitter: 0.02,
+    };
+}
+
+impl Default for PacedTuning {
+    fn default() -> Self {
+        Self::STANDARD
+    }
+}
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -2,6 +2,8 @@
 
 use base::prelude::*;
 
+use crate::estimate::{age_ms, aged};
+
 /// One upstream as a candidate for a call. Times are absolute, so that the policy ages the
 /// evidence at the moment of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +20,18 @@
     pub others_mean: f64,
     /// When the last load report was made, or `None` if there was none.
     pub reported_at: Option<ClockTime>,
+    /// How long work took on the server's machine at the last report of its pace; 1.0 is the usual
+    /// time.
+    pub pace: f64,
+    /// When that report was made, or `None` if there was none.
+    pub paced_at: Option<ClockTime>,
+    /// Mean pace over the service's upstreams, to which an old pace returns.
+    pub pace_mean: f64,
+    /// When the server stops being cold, or `None` if it was listed as warm.
+    pub cold_until: Option<ClockTime>,
+    /// When a health check was last found to be unanswered, or `None` if the server was heard of
+    /// first hand since then.
+    pub quiet_at: Option<ClockTime>,
     /// Decaying mean of the server's own time for a call, in milliseconds.
     pub latency_ms: f64,
     /// Decaying peak of the server's own time for a call, in milliseconds.
@@ -30,6 +44,8 @@
     pub failure_rate: f64,
     /// When `failure_rate` last changed.
     pub judged_at: ClockTime,
+    /// When the last failure was recorded, or `None` if there was none.
+    pub failed_at: Option<ClockTime>,
     /// When the server was last heard of first hand, or `None` if never.
     pub heard_at: Option<ClockTime>,
     /// Round trip to the server's data centre, in milliseconds.
@@ -50,16 +66,40 @@
             others: 0.0,
             others_mean: 0.0,
             reported_at: None,
+            pace: 1.0,
+            paced_at: None,
+            pace_mean: 1.0,
+            cold_until: None,
+            quiet_at: None,
             latency_ms: 0.0,
             tail_ms: 0.0,
             sampled_at: None,
             service_ms: 0.0,
             failure_rate: 0.0,
             judged_at: ClockTime::ZERO,
+            failed_at: None,
             heard_at: None,
             round_trip_ms: 0.0,
             ramp: 1.0,
             preference: 0.0,
         }
     }
+
+    /// Returns by how much the oldest own call exceeds `allowance`, both in mean calls of the
+    /// service, of which one millisecond is `per_ms`.
+    pub(crate) fn overdue(&self, allowance: f64, per_ms: f64, now: ClockTime) -> f64 {
+        self.oldest_at.map_or(0.0, |oldest_at| {
+            let waited = (age_ms(now, oldest_at) - self.round_trip_ms) * per_ms;
+            (waited - allowance).max(0.0)
+        })
+    }
+
+    /// Returns the share of failures, which loses its weight at `rate`.
+    pub(crate) fn failure_share(&self, rate: f64, now: ClockTime) -> f64 {
+        if self.failure_rate > 0.0 {
+            self.failure_rate * aged(now, self.judged_at, rate)
+        } else {
+            0.0
+        }
+    }
 }
