Add the upstream directory, the configuration tracker and the environment builder

Cause: the rows of the store became no upstreams yet. An entry that is missing while the store is in trouble must stay usable, and other VMs must hear of changes without every heartbeat. Change: UpstreamDirectory, ConfigTracker and build_environment, without I/O. Removed rows are forgotten once the position has passed them, because a row of an unknown key that is not newer than the position can only be an outdated one. Ruled out: telling peers the position from which a read was asked for as the start of its news; a peer's message may have advanced the directory in the meantime, and the news would lack its rows.

--- /dev/null
+++ b/crates/directory/src/environment.rs
@@ -0,0 +1,149 @@
+//! The environment that follows from the configuration and the upstreams.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use base::prelude::*;
+use world::prelude::*;
+
+use crate::entry::{ConfigEntry, ServiceEntry};
+use crate::upstreams::UpstreamDirectory;
+
+/// The share of calls within the latency, as the users' own documents have it.
+const LATENCY_SHARE: f64 = 0.99;
+/// The share of calls that succeed, as the users' own documents have it.
+const SUCCESS_SHARE: f64 = 0.999;
+/// Latency and deadline of a service without a route. No call reaches it, and its contract serves
+/// health checks only.
+const UNROUTED_SPAN: ClockSpan = ClockSpan::from_secs(1);
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1000.0;
+
+/// What the process settings say of the VMs and their data centres. The configuration does not.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetBounds {
+    /// The name of the environment.
+    pub name: SharedName,
+    /// The data centres.
+    pub centres: Vec<DataCentre>,
+    /// The links between data centres.
+    pub links: Vec<LinkCost>,
+    /// The most gateway VMs that may run at once.
+    pub vm_ceiling: u32,
+    /// Bounds further arrivals at each service.
+    pub retry_window: RetryWindow,
+    /// Health checks of each upstream a second, over all VMs.
+    pub probe_rate: f64,
+    /// Slot time that a health check counts as.
+    pub probe_cost: ClockSpan,
+    /// Calls of each service that may wait on one VM.
+    pub queue_limit: u32,
+}
+
+/// Returns the environment of a configuration and the usable upstreams. Upstreams of services that
+/// the configuration does not name are left out.
+///
+/// Upstreams whose data is the same in `previous` keep their `Arc`; the directory's own cannot be
+/// used, because the connections come from the configuration.
+pub fn build_environment(
+    config: &ConfigEntry,
+    directory: &UpstreamDirectory,
+    bounds: &FleetBounds,
+    previous: Option<&EnvironmentMap>,
+) -> EnvironmentMap {
+    let upstreams = place_upstreams(config, directory, previous);
+    let contract = |service: &ServiceEntry| {
+        let own = upstreams.get(&service.name).map_or(&[][..], Vec::as_slice);
+        Arc::new(build_contract(service, &config.routes, own, bounds))
+    };
+    EnvironmentMap {
+        name: bounds.name.clone(),
+        version: config.version,
+        digest: SharedName::from(""),
+        centres: bounds.centres.clone(),
+        links: bounds.links.clone(),
+        contracts: config.services.iter().map(contract).collect(),
+        routes: RouteTable::new(config.routes.iter().cloned()),
+        caller_limits: config.caller_limits,
+        upstreams,
+    }
+}
+
+fn place_upstreams(
+    config: &ConfigEntry,
+    directory: &UpstreamDirectory,
+    previous: Option<&EnvironmentMap>,
+) -> HashMap<SharedName, Vec<Arc<UpstreamServer>>> {
+    let services: HashMap<&str, &ServiceEntry> =
+        config.services.iter().map(|service| (service.name.as_str(), service)).collect();
+    let mut upstreams: HashMap<SharedName, Vec<Arc<UpstreamServer>>> = HashMap::new();
+    for server in directory.servers() {
+        let Some(service) = services.get(server.service.as_str()) else { continue };
+        let own = upstreams.entry(service.name.clone()).or_default();
+        own.push(place_server(server, service.connections, previous));
+    }
+    upstreams
+}
+
+fn place_server(
+    server: &UpstreamServer,
+    connections: u32,
+    previous: Option<&EnvironmentMap>,
+) -> Arc<UpstreamServer> {
+    let server = UpstreamServer { connections, ..server.clone() };
+    // The directory yields upstreams by name, so that those of a service are sorted.
+    let known = previous.and_then(|map| {
+        let own = map.upstreams_of(&server.service);
+        let index = own.binary_search_by(|known| known.name.cmp(&server.name)).ok()?;
+        Some(&own[index])
+    });
+    match known {
+        Some(known) if **known == server => Arc::clone(known),
+        _ => Arc::new(server),
+    }
+}
+
+/// Returns the contract of a service. It has no rules, so that calls are planned by route only.
+fn build_contract(
+    service: &ServiceEntry,
+    routes: &[CallRoute],
+    upstreams: &[Arc<UpstreamServer>],
+    bounds: &FleetBounds,
+) -> ServiceContract {
+    let own = || routes.iter().filter(|route| leads_to(route, &service.name));
+    let latency = own().map(|route| route.objective).min().unwrap_or(UNROUTED_SPAN);
+    ServiceContract {
+        name: service.name.clone(),
+        hosts: Vec::new(),
+        path_prefixes: Vec::new(),
+        rules: Vec::new(),
+        deadline: own().map(|route| route.timeout).max().unwrap_or(UNROUTED_SPAN),
+        objective: ServiceObjective {
+            latency,
+            latency_share: LATENCY_SHARE,
+            success_share: SUCCESS_SHARE,
+        },
+        probe_share: probe_share(upstreams, bounds),
+        vm_ceiling: bounds.vm_ceiling,
+        retry_ratio: bounds.retry_window.ratio,
+        queue_limit: bounds.queue_limit,
+        health_path: Some(service.health_path.clone()),
+        retry_window: Some(bounds.retry_window),
+    }
+}
+
+fn leads_to(route: &CallRoute, service: &SharedName) -> bool {
+    route.targets.iter().any(|target| target.service == *service)
+}
+
+/// Returns the share of slot time at which each upstream gets `probe_rate` checks on average. The
+/// measuring budget multiplies it with the slots of all upstreams, hence their mean.
+fn probe_share(upstreams: &[Arc<UpstreamServer>], bounds: &FleetBounds) -> f64 {
+    let slots: u32 = upstreams.iter().map(|server| server.slots).sum();
+    if slots == 0 {
+        return 0.0;
+    }
+    let mean_slots = f64::from(slots) / upstreams.len() as f64;
+    let busy_slots = bounds.probe_rate * bounds.probe_cost.as_millis_f64() / MILLIS_PER_SECOND;
+    (busy_slots / mean_slots).clamp(0.0, 1.0)
+}
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -3,13 +3,27 @@
 //!
 //! The crate performs no I/O and reads no clock. Rows arrive from the store or from peers; what
 //! follows from them is an [`EnvironmentMap`](world::environment::EnvironmentMap).
+//!
+//! [`upstreams::UpstreamDirectory`] turns rows into usable upstreams, [`config::ConfigTracker`]
+//! keeps the newest configuration, and [`environment::build_environment`] joins both.
 
+pub mod config;
 pub mod entry;
+pub mod environment;
+mod leaving;
+mod record;
+mod trouble;
+pub mod upstreams;
 
 pub mod prelude {
     //! The types that the gate needs.
 
+    pub use crate::config::{ConfigOffer, ConfigTracker};
     pub use crate::entry::{
         ConfigEntry, EntryCodec, EntryError, ServiceEntry, UpstreamEntry, VmEntry,
     };
+    pub use crate::environment::{FleetBounds, build_environment};
+    pub use crate::upstreams::{
+        DirectoryChange, DirectoryTuning, PositionGap, UnreadableRow, UpstreamDirectory,
+    };
 }
--- /dev/null
+++ b/crates/directory/src/upstreams.rs
@@ -0,0 +1,297 @@
+//! What this VM knows of the upstreams.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+use base::prelude::*;
+use snafu::{Snafu, ensure};
+use store::prelude::*;
+use world::prelude::*;
+
+use crate::entry::{EntryCodec, EntryError};
+use crate::leaving::LeavingMarks;
+use crate::record::{RowState, UpstreamRecord};
+use crate::trouble::StoreTrouble;
+
+/// Constants of the directory.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectoryTuning {
+    /// How long after the store has answered again a missing entry does not count as gone.
+    pub return_span: ClockSpan,
+    /// Incarnations that are remembered as leaving. The oldest are forgotten first.
+    pub leaving_marks: usize,
+}
+
+impl Default for DirectoryTuning {
+    fn default() -> Self {
+        Self {
+            // Rule 9 in docs/platform-deployment.md.
+            return_span: ClockSpan::from_secs(2),
+            // More than two starts of each of the 730 upstreams at the target scale.
+            leaving_marks: 2048,
+        }
+    }
+}
+
+/// What changed in the directory.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct DirectoryChange {
+    /// Whether the usable upstreams changed.
+    pub upstreams_changed: bool,
+    /// Rows that other VMs need to know, as the store has them.
+    pub news: Vec<TableRow>,
+    /// The position from which the news leads to the present one. It can be newer than the
+    /// position from which the changes were read, because a peer may have told of some of them
+    /// in the meantime. `None` if the page was ignored or is the first one.
+    pub since: Option<u64>,
+    /// Rows that have become unreadable.
+    pub unreadable: Vec<UnreadableRow>,
+}
+
+/// A row that names no upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableRow {
+    /// Its key.
+    pub key: SharedName,
+    /// Why it cannot be used.
+    pub error: EntryError,
+}
+
+/// Changes are missing between the known position and the first change of a page.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display(
+    "the changes start after position {from} and the directory ends at {known:?}; read the \
+     changes from there or the whole table"
+))]
+pub struct PositionGap {
+    /// The position after which the changes of the page start.
+    pub from: u64,
+    /// The position of the directory.
+    pub known: Option<u64>,
+}
+
+/// What this VM knows of the upstreams.
+///
+/// Everything up to [`position`](Self::position) is known, so that a row of an unknown key that is
+/// not newer is a row that was removed since. Versions and the position never fall.
+#[derive(Clone, Debug)]
+pub struct UpstreamDirectory {
+    tuning: DirectoryTuning,
+    position: Option<u64>,
+    records: BTreeMap<SharedName, UpstreamRecord>,
+    marks: LeavingMarks,
+    trouble: StoreTrouble,
+}
+
+impl UpstreamDirectory {
+    /// Returns a directory that knows nothing.
+    pub fn new(tuning: DirectoryTuning) -> Self {
+        Self {
+            tuning,
+            position: None,
+            records: BTreeMap::new(),
+            marks: LeavingMarks::new(tuning.leaving_marks),
+            trouble: StoreTrouble::default(),
+        }
+    }
+
+    /// Returns the position from which changes are to be followed, or `None` until the whole table
+    /// has been read.
+    pub fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    /// Returns the usable upstreams in the order of their names.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<UpstreamServer>> {
+        self.records.values().filter_map(UpstreamRecord::usable)
+    }
+
+    /// Returns the table as far as it is known, for a VM that cannot read it from the store. A row
+    /// can have an older version than in the store, but then differs in counters only.
+    pub fn table(&self) -> Option<RowPage> {
+        let row = |(key, record): (&SharedName, &UpstreamRecord)| TableRow {
+            key: key.clone(),
+            version: record.version,
+            value: record.value.clone(),
+        };
+        let listed = self.records.iter().filter(|(_, record)| record.value.is_some());
+        let rows = listed.map(row).collect();
+        Some(RowPage { rows, position: self.position?, truncated: false })
+    }
+
+    /// Takes over a whole read of the table. Rows that are missing from it count as removed, unless
+    /// they are newer than the read. A truncated page removes nothing and is no whole read.
+    ///
+    /// The first read yields no news, since there is no position that news could lead on from.
+    pub fn replace<C: EntryCodec>(&mut self, page: &RowPage, now: ClockTime) -> DirectoryChange {
+        let known = self.position;
+        let mut change = DirectoryChange { since: known, ..DirectoryChange::default() };
+        // A read that was overtaken by changes still has rows that were removed by them.
+        let outdated = known.filter(|known| *known > page.position);
+        for row in &page.rows {
+            self.apply::<C>(row, outdated, now, &mut change);
+        }
+        if !page.truncated {
+            self.remove_missing::<C>(page, now, &mut change);
+            self.position = known.max(Some(page.position));
+        }
+        if known.is_none() {
+            change.news.clear();
+        }
+        self.conclude(now, &mut change);
+        change
+    }
+
+    fn remove_missing<C: EntryCodec>(
+        &mut self,
+        page: &RowPage,
+        now: ClockTime,
+        change: &mut DirectoryChange,
+    ) {
+        let present: HashSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
+        // A row of exactly this version was removed while later parts of the table were read; the
+        // next changes tell of that.
+        let missing = self.records.iter().filter(|(key, record)| {
+            record.state != RowState::Removed
+                && record.version < page.position
+                && !present.contains(key.as_str())
+        });
+        // The read does not tell the version of a removal, only that it is not newer than this.
+        let removals: Vec<TableRow> = missing
+            .map(|(key, _)| TableRow { key: key.clone(), version: page.position, value: None })
+            .collect();
+        for row in removals {
+            self.apply::<C>(&row, None, now, change);
+        }
+    }
+
+    /// Takes over the changes after `from`. A page that ends no later than the present position is
+    /// ignored, and so are rows older than the known version of the same key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if changes are missing between the present position and `from`, or if the whole table
+    /// has not been read yet.
+    pub fn follow<C: EntryCodec>(
+        &mut self,
+        from: u64,
+        page: &RowPage,
+        now: ClockTime,
+    ) -> Result<DirectoryChange, PositionGap> {
+        let known = self.position;
+        ensure!(Some(from) <= known, PositionGapSnafu { from, known });
+        if Some(page.position) <= known {
+            return Ok(DirectoryChange::default());
+        }
+        let mut change = DirectoryChange { since: known, ..DirectoryChange::default() };
+        for row in &page.rows {
+            self.apply::<C>(row, known, now, &mut change);
+        }
+        self.position = Some(page.position);
+        self.conclude(now, &mut change);
+        Ok(change)
+    }
+
+    /// Applies a row unless it is outdated. Rows of unknown keys are if their version is at most
+    /// `outdated`.
+    fn apply<C: EntryCodec>(
+        &mut self,
+        row: &TableRow,
+        outdated: Option<u64>,
+        now: ClockTime,
+        change: &mut DirectoryChange,
+    ) {
+        let is_newer = match self.records.get(&row.key) {
+            Some(record) => row.version > record.version,
+            None => row.value.is_some() && Some(row.version) > outdated,
+        };
+        if !is_newer {
+            return;
+        }
+        let troubled = !self.trouble.is_over(now);
+        let record = self.records.entry(row.key.clone()).or_default();
+        let before = record.usable().cloned();
+        record.version = row.version;
+        record.value = row.value.clone();
+        let entry = row.value.as_ref().map(|value| C::decode_upstream(&row.key, value));
+        let is_news = match entry {
+            Some(Ok(entry)) => {
+                let leaving = self.marks.contains(&row.key, entry.server.incarnation);
+                record.take_entry(entry, leaving, now)
+            }
+            Some(Err(error)) => {
+                let is_news = record.take_loss(RowState::Unreadable, troubled);
+                if is_news {
+                    change.unreadable.push(UnreadableRow { key: row.key.clone(), error });
+                }
+                is_news
+            }
+            None => record.take_loss(RowState::Removed, troubled),
+        };
+        change.upstreams_changed |= !is_same(before.as_ref(), record.usable());
+        if is_news {
+            change.news.push(row.clone());
+        }
+    }
+
+    /// Carries out what is due and forgets removed rows.
+    fn conclude(&mut self, now: ClockTime, change: &mut DirectoryChange) {
+        change.upstreams_changed |= self.settle(now);
+        if let Some(position) = self.position {
+            self.records.retain(|_, record| !record.is_obsolete(position));
+        }
+    }
+
+    /// Records that a call to the store failed. From now on, a removed entry stays usable. Returns
+    /// whether the usable upstreams changed, because the time of some entries had passed before.
+    #[must_use]
+    pub fn note_failure(&mut self, now: ClockTime) -> bool {
+        let changed = self.settle(now);
+        self.trouble.fail();
+        changed
+    }
+
+    /// Records that the store answered a call.
+    pub fn note_answer(&mut self, now: ClockTime) {
+        self.trouble.answer(self.tuning.return_span, now);
+    }
+
+    /// Records that an upstream is leaving, as a peer or an answer says. That is final for its
+    /// incarnation. Returns whether the usable upstreams changed.
+    pub fn note_leaving(&mut self, upstream: &str, incarnation: u64, now: ClockTime) -> bool {
+        let mut changed = self.settle(now);
+        self.marks.add(SharedName::from(upstream), incarnation);
+        if let Some(record) = self.records.get_mut(upstream) {
+            let was_usable = record.usable().is_some();
+            record.mark_leaving(incarnation);
+            changed |= was_usable && record.usable().is_none();
+        }
+        changed
+    }
+
+    /// Returns when [`settle`](Self::settle) is to be called, or `None` while nothing is due.
+    pub fn next_due(&self) -> Option<ClockTime> {
+        let over_at = self.trouble.over_at()?;
+        self.records.values().any(UpstreamRecord::is_kept).then_some(over_at)
+    }
+
+    /// Removes entries that are still missing after the store's trouble is over. Returns whether
+    /// the usable upstreams changed.
+    pub fn settle(&mut self, now: ClockTime) -> bool {
+        if !self.trouble.is_over(now) {
+            return false;
+        }
+        let mut changed = false;
+        for record in self.records.values_mut() {
+            changed |= record.let_go();
+        }
+        changed
+    }
+}
+
+fn is_same(before: Option<&Arc<UpstreamServer>>, after: Option<&Arc<UpstreamServer>>) -> bool {
+    match (before, after) {
+        (Some(before), Some(after)) => Arc::ptr_eq(before, after),
+        (before, after) => before.is_none() && after.is_none(),
+    }
+}
