Add the interface, the data centres and the fleet bounds to the settings

Cause: a process could serve the product's own interface only, and learnt data centres and budgets from an environment document that the users' platform does not have. Change: the settings name the interface, the address for datagrams of peers, the region of every data centre, the latency between them, and bounds over all VMs, each with a default and a range. With the interface platform the environment may be absent, the address for datagrams is required, and leave_ms defaults to 2600 and has to stay below stop_limit_ms, as calls in flight would otherwise be cut off. settings_change tells which changed fields a reload applies at once. Ruled out: a second settings file for the platform, since most fields are the same; and refusing platform fields with the own interface, since one file could then not be switched.

--- a/crates/border/src/centre.rs
+++ b/crates/border/src/centre.rs
@@ -10,11 +10,11 @@
 use crate::problem::{FieldPath, ProblemList, quoted};
 
 /// The most data centres. Links between all pairs of them are listed in the document.
-const MAX_CENTRES: usize = 64;
+pub(crate) const MAX_CENTRES: usize = 64;
 /// The most links: one for each pair of data centres.
 const MAX_LINKS: usize = MAX_CENTRES * (MAX_CENTRES - 1) / 2;
 /// The longest latency of a link, in milliseconds.
-const MAX_ONE_WAY_MS: f64 = 10_000.0;
+pub(crate) const MAX_ONE_WAY_MS: f64 = 10_000.0;
 
 /// The data centres of a document and which of them hold upstreams.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/crates/border/src/change.rs
@@ -0,0 +1,71 @@
+//! What changes when a process reads its settings again.
+
+use crate::settings::ProcessSettings;
+
+/// The fields that differ between two versions of the settings, by their JSON path.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SettingsChange {
+    /// Fields that take effect at once.
+    pub live: Vec<&'static str>,
+    /// Fields that take effect when the process starts again.
+    pub restart: Vec<&'static str>,
+}
+
+impl SettingsChange {
+    /// Returns whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty() && self.restart.is_empty()
+    }
+}
+
+/// Returns the fields that differ between the settings in force and newly read ones.
+pub fn settings_change(old: &ProcessSettings, new: &ProcessSettings) -> SettingsChange {
+    SettingsChange { live: live_fields(old, new), restart: restart_fields(old, new) }
+}
+
+fn live_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
+    let (times, new_times) = (&old.timeouts, &new.timeouts);
+    let (fleet, new_fleet) = (&old.fleet, &new.fleet);
+    let (retry, new_retry) = (&fleet.retry, &new_fleet.retry);
+    changed(&[
+        ("peer_secrets", old.peer_secrets != new.peer_secrets),
+        ("operator_secrets", old.operator_secrets != new.operator_secrets),
+        ("log_level", old.log_level != new.log_level),
+        ("timeouts.head_ms", times.head != new_times.head),
+        ("timeouts.caller_idle_ms", times.caller_idle != new_times.caller_idle),
+        ("timeouts.body_idle_ms", times.body_idle != new_times.body_idle),
+        ("timeouts.connect_ms", times.connect != new_times.connect),
+        ("timeouts.upstream_idle_ms", times.upstream_idle != new_times.upstream_idle),
+        ("timeouts.platform_ms", times.platform != new_times.platform),
+        ("timeouts.peer_ms", times.peer != new_times.peer),
+        ("timeouts.leave_ms", times.leave != new_times.leave),
+        ("fleet.retry_ratio", retry.ratio != new_retry.ratio),
+        ("fleet.retry_slack", retry.slack != new_retry.slack),
+        ("fleet.retry_window_ms", retry.span != new_retry.span),
+        ("fleet.probe_rate", fleet.probe_rate != new_fleet.probe_rate),
+        ("fleet.drain_ms", fleet.drain != new_fleet.drain),
+        ("fleet.stop_limit_ms", fleet.stop_limit != new_fleet.stop_limit),
+    ])
+}
+
+fn restart_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
+    changed(&[
+        ("vm_name", old.vm_name != new.vm_name),
+        ("interface", old.interface != new.interface),
+        ("environment", old.environment != new.environment),
+        ("data_centre", old.centre != new.centre),
+        ("regions", old.centres != new.centres),
+        ("data_centre_latency_ms", old.centre_latency != new.centre_latency),
+        ("caller_address", old.caller_address != new.caller_address),
+        ("control_address", old.control_address != new.control_address),
+        ("metrics_address", old.metrics_address != new.metrics_address),
+        ("exchange_address", old.exchange_address != new.exchange_address),
+        ("platform_address", old.platform_address != new.platform_address),
+        ("worker_count", old.worker_count != new.worker_count),
+        ("log_format", old.log_format != new.log_format),
+    ])
+}
+
+fn changed(fields: &[(&'static str, bool)]) -> Vec<&'static str> {
+    fields.iter().filter(|(_, differs)| *differs).map(|(name, _)| *name).collect()
+}
--- a/crates/border/src/field.rs
+++ b/crates/border/src/field.rs
@@ -102,6 +102,21 @@
     Some(address)
 }
 
+/// Checks an address that the process listens on and that other VMs send to. Port 0 lets the
+/// system choose a free port.
+pub(crate) fn shared_address(
+    path: &FieldPath,
+    text: &str,
+    problems: &mut ProblemList,
+) -> Option<SocketAddr> {
+    let address = listener_address(path, text, problems)?;
+    if address.ip().is_unspecified() || address.ip().is_multicast() {
+        let reason = format!("other VMs cannot send to {address}");
+        problems.report(path, reason, "give the IP address of this VM that its peers use");
+    }
+    Some(address)
+}
+
 /// Checks that a value is in a range.
 pub(crate) fn within<T>(
     path: &FieldPath,
@@ -119,6 +134,18 @@
     }
 }
 
+/// Checks a time in milliseconds.
+pub(crate) fn span(
+    path: &FieldPath,
+    millis: u32,
+    least: u32,
+    problems: &mut ProblemList,
+) -> ClockSpan {
+    let remedy = "give a time in milliseconds, at most one hour";
+    within(path, millis, least..=MAX_TIME_MS, remedy, problems);
+    ClockSpan::from_millis(millis.into())
+}
+
 /// Checks a share that must leave something on both sides.
 pub(crate) fn open_share(path: &FieldPath, value: f64, problems: &mut ProblemList) {
     if !(value > 0.0 && value < 1.0) {
--- a/crates/border/src/generated.rs
+++ b/crates/border/src/generated.rs
@@ -6,6 +6,7 @@
 #[allow(clippy::all, missing_docs)]
 #[rustfmt::skip]
 pub mod environment;
-#[allow(clippy::all, missing_docs)]
+// `typify` writes functions for defaults of every number type once one field has a fraction.
+#[allow(clippy::all, dead_code, missing_docs)]
 #[rustfmt::skip]
 pub mod settings;
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -5,20 +5,25 @@
 //! document is either accepted as a whole or not at all.
 
 mod centre;
+pub mod change;
 mod coverage;
 pub mod difference;
 pub mod document;
 mod field;
+pub mod fleet;
 mod generated;
 pub mod parse;
 pub mod problem;
+mod region;
 mod rule;
 mod service;
 pub mod settings;
 
+pub use crate::change::{SettingsChange, settings_change};
 pub use crate::difference::{MapChange, difference};
 pub use crate::document::{DocumentError, document_digest, load_document};
-pub use crate::generated::settings::{LogFormat, LogLevel};
+pub use crate::fleet::FleetSettings;
+pub use crate::generated::settings::{InterfaceKind, LogFormat, LogLevel};
 pub use crate::parse::ParseError;
 pub use crate::problem::FieldProblem;
 pub use crate::settings::{
--- a/crates/border/src/settings.rs
+++ b/crates/border/src/settings.rs
@@ -7,11 +7,16 @@
 
 use base::prelude::*;
 use snafu::Snafu;
+use world::prelude::*;
 
 use crate::field;
-use crate::generated::settings::{LogFormat, LogLevel, SettingsDocument, TimeoutsEntry};
+use crate::fleet::{FleetSettings, review_fleet};
+use crate::generated::settings::{
+    InterfaceKind, LogFormat, LogLevel, SettingsDocument, TimeoutsEntry,
+};
 use crate::parse::{ParseError, ParseLimits};
 use crate::problem::{FieldPath, FieldProblem, ProblemList, to_lines};
+use crate::region::{review_centres, review_latency};
 
 const PEER_SECRETS: &str = "peer_secrets";
 const OPERATOR_SECRETS: &str = "operator_secrets";
@@ -26,6 +31,13 @@
 const MAX_SECRET_CHARS: usize = 256;
 /// The most worker threads.
 const MAX_WORKERS: u32 = 1_024;
+/// The name of an environment whose document the platform keeps without a name.
+const PLATFORM_ENVIRONMENT: &str = "platform";
+/// The default of `leave_ms`, longer than a load balancer with checks every few seconds needs.
+const AGATEROAD_LEAVE_MS: u32 = 10_000;
+/// The default of `leave_ms` with the interface platform, whose load balancer notices after two
+/// missed checks one second apart; the rest is for the checks' own time.
+const PLATFORM_LEAVE_MS: u32 = 2_600;
 
 /// Rejected settings.
 #[derive(Debug, Snafu)]
@@ -93,21 +105,30 @@
 }
 
 /// The settings of one gateway process.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ProcessSettings {
     /// The name of the VM.
     pub vm_name: SharedName,
+    /// The protocol that callers, upstreams and the store speak.
+    pub interface: InterfaceKind,
     /// The environment whose document the VM serves.
     pub environment: SharedName,
     /// The data centre that the VM runs in.
     pub centre: SharedName,
+    /// The data centres of the deployment by name, `centre` included, for the interface platform.
+    /// The environment document names those of the product's own interface.
+    pub centres: Vec<DataCentre>,
+    /// The latency in one direction between data centres of one region.
+    pub centre_latency: ClockSpan,
     /// The listener for callers.
     pub caller_address: SocketAddr,
     /// The listener for peers and operators.
     pub control_address: SocketAddr,
     /// The listener for metrics and readiness.
     pub metrics_address: SocketAddr,
-    /// The platform's store and membership list.
+    /// Where peers send datagrams to; present with the interface platform.
+    pub exchange_address: Option<SocketAddr>,
+    /// The platform's store and membership list, or its row store with the interface platform.
     pub platform_address: SocketAddr,
     /// Secrets shared by all VMs, at least one. The first one signs; all of them are accepted.
     pub peer_secrets: Vec<SharedSecret>,
@@ -121,6 +142,8 @@
     pub log_level: LogLevel,
     /// The time limits.
     pub timeouts: ProcessTimeouts,
+    /// The bounds that hold over all VMs.
+    pub fleet: FleetSettings,
 }
 
 /// Returns the settings of a process.
@@ -137,11 +160,14 @@
 }
 
 fn review(document: &SettingsDocument, problems: &mut ProblemList) -> Option<ProcessSettings> {
+    let interface = document.interface.unwrap_or_default();
     let vm_name = field::name(&FieldPath::top("vm_name"), &document.vm_name, problems);
-    let environment_path = FieldPath::top("environment");
-    let environment = field::name(&environment_path, &document.environment, problems);
+    let environment = review_environment(document, interface, problems);
     let centre = field::name(&FieldPath::top("data_centre"), &document.data_centre, problems);
+    let centres = review_centres(document, problems);
+    let centre_latency = review_latency(document.data_centre_latency_ms, problems);
     let addresses = review_listeners(document, problems);
+    let exchange_address = review_exchange(document, interface, problems);
     let platform_path = FieldPath::top("platform_address");
     let platform = field::remote_address(&platform_path, &document.platform_address, problems);
     let (peer_secrets, operator_secrets) = review_secrets(document, problems);
@@ -150,15 +176,22 @@
         let path = FieldPath::top("worker_count");
         field::within(&path, count, 1..=MAX_WORKERS, remedy, problems);
     }
-    let timeouts = review_timeouts(document.timeouts.clone().unwrap_or_default(), problems);
+    let entry = document.timeouts.clone().unwrap_or_default();
+    let timeouts = review_timeouts(&entry, interface, problems);
+    let fleet = review_fleet(&document.fleet.clone().unwrap_or_default(), problems);
+    check_leave(interface, &timeouts, &fleet, problems);
     let [caller_address, control_address, metrics_address] = addresses?;
     Some(ProcessSettings {
         vm_name,
-        environment,
+        interface,
+        environment: environment?,
         centre,
+        centres,
+        centre_latency,
         caller_address,
         control_address,
         metrics_address,
+        exchange_address,
         platform_address: platform?,
         peer_secrets,
         operator_secrets,
@@ -166,9 +199,60 @@
         log_format: document.log_format.unwrap_or_default(),
         log_level: document.log_level.unwrap_or_default(),
         timeouts,
+        fleet,
     })
 }
 
+/// Checks the name of the environment. The platform keeps one document without a name.
+fn review_environment(
+    document: &SettingsDocument,
+    interface: InterfaceKind,
+    problems: &mut ProblemList,
+) -> Option<SharedName> {
+    let path = FieldPath::top("environment");
+    match (&document.environment, interface) {
+        (Some(text), _) => Some(field::name(&path, text, problems)),
+        (None, InterfaceKind::Platform) => Some(PLATFORM_ENVIRONMENT.into()),
+        (None, InterfaceKind::Agateroad) => {
+            let reason = "is missing, and the interface agateroad needs it";
+            problems.report(&path, reason, "name the environment whose document the VM serves");
+            None
+        }
+    }
+}
+
+/// Checks the address for datagrams of peers. It shares no port with the other listeners, which
+/// use TCP.
+fn review_exchange(
+    document: &SettingsDocument,
+    interface: InterfaceKind,
+    problems: &mut ProblemList,
+) -> Option<SocketAddr> {
+    let path = FieldPath::top("exchange_address");
+    if document.exchange_address.is_none() && interface == InterfaceKind::Platform {
+        let reason = "is missing, and the interface platform needs it";
+        problems.report(&path, reason, "give the IP address and port for datagrams of peers");
+    }
+    let text = document.exchange_address.as_ref()?;
+    field::shared_address(&path, text, problems)
+}
+
+/// Checks that a leaving process has time left for its last calls.
+fn check_leave(
+    interface: InterfaceKind,
+    timeouts: &ProcessTimeouts,
+    fleet: &FleetSettings,
+    problems: &mut ProblemList,
+) {
+    if interface == InterfaceKind::Platform && timeouts.leave >= fleet.stop_limit {
+        let (leave, limit) = (timeouts.leave.as_millis(), fleet.stop_limit.as_millis());
+        let reason =
+            format!("{leave} leaves no time for calls in flight before SIGKILL at {limit}");
+        let path = FieldPath::top("timeouts").field("leave_ms");
+        problems.report(&path, reason, "give less than fleet.stop_limit_ms");
+    }
+}
+
 /// Checks the listeners for callers, for peers and operators, and for metrics.
 fn review_listeners(
     document: &SettingsDocument,
@@ -233,13 +317,17 @@
     }
 }
 
-fn review_timeouts(entry: TimeoutsEntry, problems: &mut ProblemList) -> ProcessTimeouts {
+fn review_timeouts(
+    entry: &TimeoutsEntry,
+    interface: InterfaceKind,
+    problems: &mut ProblemList,
+) -> ProcessTimeouts {
     let timeouts = FieldPath::top("timeouts");
-    let mut span = |name: &str, millis: u32, least: u32| {
-        let remedy = "give a time in milliseconds, at most one hour";
-        let range = least..=field::MAX_TIME_MS;
-        field::within(&timeouts.field(name), millis, range, remedy, problems);
-        ClockSpan::from_millis(millis.into())
+    let mut span =
+        |name: &str, millis, least| field::span(&timeouts.field(name), millis, least, problems);
+    let default_leave = match interface {
+        InterfaceKind::Agateroad => AGATEROAD_LEAVE_MS,
+        InterfaceKind::Platform => PLATFORM_LEAVE_MS,
     };
     ProcessTimeouts {
         head: span("head_ms", entry.head_ms, 1),
@@ -249,6 +337,6 @@
         upstream_idle: span("upstream_idle_ms", entry.upstream_idle_ms, 1),
         platform: span("platform_ms", entry.platform_ms, 1),
         peer: span("peer_ms", entry.peer_ms, 1),
-        leave: span("leave_ms", entry.leave_ms, 0),
+        leave: span("leave_ms", entry.leave_ms.unwrap_or(default_leave), 0),
     }
 }
--- a/crates/border/tests/docs.rs
+++ b/crates/border/tests/docs.rs
@@ -29,7 +29,11 @@
     },
     SchemaCase {
         schema: include_str!("../schema/settings.json"),
-        sections: &[("", "## Process settings"), ("/definitions/TimeoutsEntry", "### Timeouts:")],
+        sections: &[
+            ("", "## Process settings"),
+            ("/definitions/TimeoutsEntry", "### Timeouts:"),
+            ("/definitions/FleetEntry", "### Fleet:"),
+        ],
     },
 ];
 
