--- /dev/null
+++ b/crates/directory/tests/random.rs
@@ -0,0 +1,206 @@
+//! Random events against a model of the rules.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use directory::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use store::prelude::*;
+use support::*;
+
+const KEYS: [&str; 4] = ["a", "b", "c", "d"];
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A row in the notation of the tests, without its version.
+    Write(String),
+    Fail,
+    Answer,
+    Leaving(&'static str, u64),
+    /// Changes from a position this far before (or, if negative, after) the present one.
+    Follow(i64),
+    /// A whole read whose answer comes this many versions late.
+    Whole(u64),
+    /// Whether the other VM hears of news from now on. If it misses some, it takes the table.
+    Link(bool),
+    Advance(u64),
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let key = || prop::sample::select(&KEYS[..]);
+    let kinds = [":1", ":2", ":3", ":1", ":2", ":3", ":1~", ":2~", "!", "-", "-", "-", "-"];
+    let kind = prop::sample::select(kinds.to_vec());
+    prop_oneof![
+        13 => (key(), kind).prop_map(|(key, kind)| Event::Write(format!("{key}{kind}"))),
+        2 => Just(Event::Fail),
+        3 => Just(Event::Answer),
+        1 => (key(), 1..4_u64).prop_map(|(key, start)| Event::Leaving(key, start)),
+        8 => (-1..6_i64).prop_map(Event::Follow),
+        2 => (0..6_u64).prop_map(Event::Whole),
+        1 => any::<bool>().prop_map(Event::Link),
+        6 => (1..1500_u64).prop_map(Event::Advance),
+    ]
+}
+
+/// Every row that was written to the store, with versions 1, 2 and so on.
+#[derive(Default)]
+struct StoreModel(Vec<String>);
+
+impl StoreModel {
+    fn end(&self) -> u64 {
+        self.0.len() as u64
+    }
+
+    /// Returns the newest row of each key in `from + 1..=end`.
+    fn newest(&self, from: u64, end: u64) -> BTreeMap<&str, &str> {
+        let rows = &self.0[from as usize..end as usize];
+        rows.iter().map(|text| text.split_at(1)).collect()
+    }
+
+    fn changes(&self, from: u64, end: u64) -> RowPage {
+        let rows =
+            (from..end).map(|index| row(&format!("{}@{}", self.0[index as usize], index + 1)));
+        let newest: BTreeMap<SharedName, TableRow> =
+            rows.map(|row| (row.key.clone(), row)).collect();
+        page(end, newest.into_values().collect())
+    }
+}
+
+/// What a directory may use, from the rules alone.
+#[derive(Default)]
+struct UseModel {
+    usable: BTreeMap<&'static str, String>,
+    leaving: Vec<String>,
+    failing: bool,
+    over_at: ClockTime,
+}
+
+impl UseModel {
+    /// Takes over the table at `position`.
+    fn update(&mut self, store: &StoreModel, position: u64, now: ClockTime) -> String {
+        let table = store.newest(0, position);
+        let troubled = self.failing || now < self.over_at;
+        for key in KEYS {
+            let kept = self.usable.remove(key).filter(|_| troubled);
+            let label = match table.get(key) {
+                Some(kind) if kind.ends_with('~') => None,
+                Some(kind) if kind.starts_with(':') => Some(format!("{key}{kind}")),
+                _ => kept,
+            };
+            if let Some(label) = label.filter(|label| !self.leaving.contains(label)) {
+                self.usable.insert(key, label);
+            }
+        }
+        self.labels()
+    }
+
+    fn labels(&self) -> String {
+        self.usable.values().cloned().collect::<Vec<_>>().join(" ")
+    }
+}
+
+/// A VM that reads the store, and one that only hears its news.
+struct TwoVms {
+    store: StoreModel,
+    model: UseModel,
+    reader: UpstreamDirectory,
+    listener: UpstreamDirectory,
+    linked: bool,
+    now: ClockTime,
+}
+
+impl TwoVms {
+    /// Carries out an event. Returns whether the reader reported a change.
+    fn act(&mut self, event: &Event) -> bool {
+        let (now, end) = (self.now, self.store.end());
+        match event {
+            Event::Write(text) => self.store.0.push(text.clone()),
+            Event::Fail => {
+                self.model.failing = true;
+                return self.reader.note_failure(now);
+            }
+            Event::Answer => {
+                if std::mem::take(&mut self.model.failing) {
+                    self.model.over_at = now + ClockSpan::from_secs(2);
+                }
+                self.reader.note_answer(now);
+            }
+            Event::Leaving(key, start) => {
+                self.model.leaving.push(format!("{key}:{start}"));
+                return self.reader.note_leaving(key, *start, now);
+            }
+            Event::Follow(back) => {
+                let known = self.reader.position();
+                let from = known.unwrap_or(0).saturating_add_signed(-back).min(end);
+                let changes = self.store.changes(from, end);
+                let change = self.reader.follow::<TestCodec>(from, &changes, now);
+                assert_eq!(change.is_err(), Some(from) > known);
+                return change.is_ok_and(|change| self.tell(change));
+            }
+            Event::Whole(late) => {
+                let mut whole = self.store.changes(0, end.saturating_sub(*late));
+                whole.rows.retain(|row| row.value.is_some());
+                let change = self.reader.replace::<TestCodec>(&whole, now);
+                return self.tell(change);
+            }
+            Event::Link(linked) => self.linked = *linked,
+            Event::Advance(millis) => {
+                self.now = now + ClockSpan::from_millis(*millis);
+                let due = self.reader.next_due().filter(|due| *due <= self.now);
+                return due.is_some_and(|due| self.reader.settle(due));
+            }
+        }
+        false
+    }
+
+    fn tell(&mut self, change: DirectoryChange) -> bool {
+        if let Some(table) = self.reader.table().filter(|_| self.linked) {
+            let news = page(table.position, change.news);
+            let follow = |since| self.listener.follow::<TestCodec>(since, &news, self.now);
+            if !matches!(change.since.map(follow), Some(Ok(_))) {
+                self.listener.replace::<TestCodec>(&table, self.now);
+            }
+        }
+        change.upstreams_changed
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: prop::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against upstreams that are usable later than they may be or lost too early, versions
+    /// and positions that fall, and news from which another VM cannot tell the same upstreams.
+    #[test]
+    fn directory_follows_the_model(events in vec(events(), 1..80)) {
+        let directory = || UpstreamDirectory::new(DirectoryTuning::default());
+        let (reader, listener, now) = (directory(), directory(), ClockTime::ZERO);
+        let (store, model) = Default::default();
+        let mut vms = TwoVms { store, model, reader, listener, linked: true, now };
+        let mut versions: BTreeMap<SharedName, u64> = BTreeMap::new();
+        for event in events {
+            let (known, before) = (vms.reader.position(), vms.model.labels());
+            let reported = vms.act(&event);
+            let position = vms.reader.position();
+            prop_assert!(position >= known, "position fell after {:?}", event);
+            let expected = vms.model.update(&vms.store, position.unwrap_or(0), vms.now);
+            prop_assert_eq!(usable(&vms.reader), &expected[..], "after {:?}", event);
+            prop_assert_eq!(reported, before != expected, "report of {:?}", event);
+            let heard = vms.listener.position().unwrap_or(0);
+            let expected = UseModel::default().update(&vms.store, heard, vms.now);
+            prop_assert_eq!(usable(&vms.listener), expected, "news of {:?}", event);
+            for row in vms.reader.table().into_iter().flat_map(|table| table.rows) {
+                let newest = versions.entry(row.key).or_default();
+                prop_assert!(row.version >= *newest, "version fell after {:?}", event);
+                *newest = row.version;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/tests/upstreams.rs
@@ -0,0 +1,149 @@
+//! Removals around trouble of the store, whole reads, gaps and unreadable rows.
+
+mod support;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use directory::prelude::*;
+use serde_json::json;
+use store::prelude::*;
+use support::*;
+
+/// Steps of a directory that knows upstream a, ready in incarnation 1, at position 10.
+struct DirectoryCase {
+    name: &'static str,
+    /// `time in ms, event, = usable upstreams`; `follow` has the positions before and after its
+    /// rows, `whole` the one after.
+    steps: &'static str,
+}
+
+fn run(case: &DirectoryCase) {
+    let mut directory = UpstreamDirectory::new(DirectoryTuning::default());
+    directory.replace::<TestCodec>(&page(10, vec![row("a:1@9")]), at(0));
+    for step in case.steps.split(';').map(str::trim) {
+        let (event, expected) = step.split_once('=').expect("a step has a result");
+        let before = usable(&directory);
+        let changed = act(&mut directory, &event.split_whitespace().collect::<Vec<_>>());
+        let after = usable(&directory);
+        assert_eq!(after, expected.trim(), "{}: {step}", case.name);
+        assert_eq!(changed, before != after, "{}: report of {step}", case.name);
+    }
+}
+
+fn act(directory: &mut UpstreamDirectory, words: &[&str]) -> bool {
+    let number = |index: usize| words[index].parse::<u64>().expect("a number");
+    let rows = |from: usize| words[from..].iter().map(|text| row(text)).collect();
+    let now = at(number(0));
+    match words[1] {
+        "fail" => directory.note_failure(now),
+        "answer" => {
+            directory.note_answer(now);
+            false
+        }
+        "settle" => directory.settle(now),
+        "leaving" => directory.note_leaving("a", number(2), now),
+        "whole" => directory.replace::<TestCodec>(&page(number(2), rows(3)), now).upstreams_changed,
+        _ => directory
+            .follow::<TestCodec>(number(2), &page(number(3), rows(4)), now)
+            .is_ok_and(|change| change.upstreams_changed),
+    }
+}
+
+/// Guards against upstreams that are lost with the store, gone ones that stay in use, reads that
+/// arrive late or leave out changes, and a row that harms others.
+#[test]
+fn upstreams_follow_the_rows_and_the_state_of_the_store() {
+    let cases = [
+        DirectoryCase { name: "removed while calm", steps: "0 follow 10 11 a-@11 =; 1 fail =" },
+        DirectoryCase {
+            name: "removed while the store is down",
+            steps: "0 fail = a:1; 0 follow 10 11 a-@11 = a:1; 60000 settle = a:1;
+                60000 answer = a:1; 61000 answer = a:1; 61999 settle = a:1; 62000 settle =",
+        },
+        DirectoryCase {
+            name: "removed after the store is back, and returned",
+            steps: "0 fail = a:1; 100 answer = a:1; 2099 follow 10 11 a-@11 = a:1;
+                2100 follow 11 12 a:1@12 = a:1; 2200 settle = a:1; 2300 follow 12 13 a-@13 =",
+        },
+        DirectoryCase {
+            name: "removed when the time has passed",
+            steps: "0 fail = a:1; 100 answer = a:1; 2100 follow 10 11 a-@11 =",
+        },
+        DirectoryCase {
+            name: "trouble twice in a row",
+            steps: "0 fail = a:1; 0 answer = a:1; 9 follow 10 11 a-@11 = a:1; 1999 fail = a:1;
+                2500 answer = a:1; 4499 settle = a:1; 4500 settle =",
+        },
+        DirectoryCase {
+            name: "trouble again after the time has passed",
+            steps: "0 fail = a:1; 0 answer = a:1; 9 follow 10 11 a-@11 = a:1; 2000 fail =",
+        },
+        DirectoryCase {
+            name: "removed while draining",
+            steps: "0 follow 10 11 a:1~@11 =; 0 fail =; 0 follow 11 12 a-@12 =",
+        },
+        DirectoryCase {
+            name: "draining after the removal",
+            steps: "0 fail = a:1; 0 follow 10 11 a-@11 = a:1; 1 follow 11 12 a:1~@12 =",
+        },
+        DirectoryCase {
+            name: "leaving after the removal",
+            steps: "0 fail = a:1; 0 whole 11 = a:1; 1 leaving 2 = a:1; 1 leaving 1 =",
+        },
+        DirectoryCase {
+            name: "leaving is final for the incarnation",
+            steps: "0 leaving 1 =; 1 follow 10 11 a:1@11 =; 2 follow 11 12 a-@12 =;
+                3 follow 12 13 a:1@13 =; 4 follow 13 14 a:2@14 = a:2",
+        },
+        DirectoryCase { name: "missing from a whole read", steps: "0 whole 20 b:1@15 = b:1" },
+        DirectoryCase {
+            name: "whole read overtaken by changes",
+            steps: "0 follow 10 30 a-@25 b:1@28 = b:1; 1 whole 20 a:1@9 = b:1; 2 follow 30 31 = b:1",
+        },
+        DirectoryCase { name: "gap", steps: "0 follow 11 30 a-@25 = a:1; 1 follow 10 30 a-@25 =" },
+        DirectoryCase {
+            name: "older pages and versions",
+            steps: "0 follow 5 10 a-@10 = a:1; 1 follow 10 20 a:3@18 a:2@12 = a:3;
+                2 follow 9 21 a:2@12 old:1@19 = a:3",
+        },
+        DirectoryCase {
+            name: "unreadable rows",
+            steps: "0 follow 10 20 x!@12 b:1@13 = a:1 b:1; 1 follow 20 21 a!@21 = b:1;
+                2 follow 21 22 a:1@22 = a:1 b:1; 3 fail = a:1 b:1;
+                3 follow 22 23 a!@23 x!@23 = a:1 b:1; 4 answer = a:1 b:1; 2004 settle = b:1",
+        },
+    ];
+    cases.iter().for_each(run);
+}
+
+/// Guards against heartbeats that are passed on or give servers a new object, and against news that
+/// leaves out what a peer told during the read.
+#[test]
+fn only_changes_are_news() {
+    let cold = |version, port, cold_ms| {
+        let value = Some(value(json!(["maps", port, 2, 1, cold_ms, false, version])));
+        TableRow { value, ..row(&format!("a-@{version}")) }
+    };
+    let mut directory = UpstreamDirectory::new(DirectoryTuning::default());
+    let first = directory.replace::<TestCodec>(&page(10, vec![cold(9, 1, 3000)]), at(0));
+    assert_eq!((first.since, first.news.len(), first.upstreams_changed), (None, 0, true));
+    let object = directory.servers().next().cloned().expect("a is usable");
+    let mut follow = |from, row: TableRow, millis| {
+        let page = page(row.version, vec![row]);
+        let change = directory.follow::<TestCodec>(from, &page, at(millis)).expect("no gap");
+        (change, directory.servers().next().cloned())
+    };
+
+    let (change, beaten) = follow(10, cold(11, 1, 1500), 1500);
+    assert_eq!(change, DirectoryChange { since: Some(10), ..DirectoryChange::default() });
+    assert!(beaten.is_some_and(|beaten| Arc::ptr_eq(&object, &beaten)));
+    let (change, moved) = follow(9, cold(12, 2, 1200), 2000);
+    assert_eq!((change.since, change.news), (Some(11), vec![cold(12, 2, 1200)]));
+    let moved = moved.map(|server| (server.address.port(), server.warm_up));
+    assert_eq!(moved, Some((2, ClockSpan::from_secs(1))));
+    for (version, count) in [(13, 1), (14, 0)] {
+        let (change, _) = follow(version - 1, row(&format!("a!@{version}")), 2000);
+        assert_eq!((change.news.len(), change.unreadable.len()), (count, count));
+    }
+}
