Test due times, lost news, healing reads and parts of a table

Cause: trial mutations of the directory showed that the tests did not notice a wrong due time, news with too early a start, or a partial read taken for a whole one. Change: cases for these, and a model that tells when entries are due. A check of the version in remove_missing is dropped, because apply makes it for every row. Ruled out: nothing.

--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -149,14 +149,11 @@
         change: &mut DirectoryChange,
     ) {
         let present: HashSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
-        // A row of exactly this version was removed while later parts of the table were read; the
-        // next changes tell of that.
         let missing = self.records.iter().filter(|(key, record)| {
-            record.state != RowState::Removed
-                && record.version < page.position
-                && !present.contains(key.as_str())
+            record.state != RowState::Removed && !present.contains(key.as_str())
         });
-        // The read does not tell the version of a removal, only that it is not newer than this.
+        // The read does not tell the version of a removal, only that it is not newer than this. A
+        // known row that is newer than the read stays, because its version is higher.
         let removals: Vec<TableRow> = missing
             .map(|(key, _)| TableRow { key: key.clone(), version: page.position, value: None })
             .collect();
--- a/crates/directory/tests/environment.rs
+++ b/crates/directory/tests/environment.rs
@@ -11,10 +11,10 @@
 use support::*;
 use world::prelude::*;
 
-fn fleet(version: u64) -> Bytes {
+fn fleet(version: u64, connections: u32) -> Bytes {
     let routes =
         json!([["x", 200, 1500, "maps"], ["y", 100, 1000, "maps"], ["z", 50, 5000, "pay"]]);
-    value(json!([version, routes, [["maps", 220], ["idle", 10]]]))
+    value(json!([version, routes, [["maps", connections], ["idle", 10]]]))
 }
 
 /// Guards against an older configuration in place of a newer one, and against one that cannot be
@@ -23,10 +23,12 @@
 fn configuration_versions_only_rise() {
     let mut tracker = ConfigTracker::new();
     assert!(tracker.is_behind());
-    // Version, whether it is taken over, whether the tracker is behind once version 7 is heard of.
-    let offers = [(5, true, true), (4, false, true), (7, true, false), (7, false, false)];
-    for (version, taken, behind) in offers {
-        let offer = tracker.offer::<TestCodec>(&fleet(version));
+    // Version, connections, whether it is taken over, whether the tracker is behind once version 7
+    // is heard of.
+    let offers =
+        [(5, 1, true, true), (4, 1, false, true), (7, 1, true, false), (7, 2, false, false)];
+    for (version, connections, taken, behind) in offers {
+        let offer = tracker.offer::<TestCodec>(&fleet(version, connections));
         assert_eq!(matches!(offer, ConfigOffer::Newer(_)), taken, "version {version}");
         assert_eq!(matches!(offer, ConfigOffer::Known), !taken, "version {version}");
         let broken = tracker.offer::<TestCodec>(&Bytes::from_static(b"["));
@@ -36,14 +38,14 @@
         assert_eq!(tracker.is_behind(), behind, "version {version}");
     }
     assert_eq!(tracker.current().map(|config| config.version), Some(7));
-    assert_eq!(tracker.document(), Some(&fleet(7)));
+    assert_eq!(tracker.document(), Some(&fleet(7, 1)));
 }
 
 /// Guards against contracts that promise less than a route, against a measuring budget above the
 /// bound, and against upstreams that get a new object with each environment.
 #[test]
 fn environment_joins_configuration_and_upstreams() {
-    let config = TestCodec::decode_config(&fleet(5)).expect("the configuration is readable");
+    let config = TestCodec::decode_config(&fleet(5, 220)).expect("the configuration is readable");
     let mut bounds = FleetBounds {
         name: "test".into(),
         centres: Vec::new(),
--- a/crates/directory/tests/random.rs
+++ b/crates/directory/tests/random.rs
@@ -20,12 +20,11 @@
     Fail,
     Answer,
     Leaving(&'static str, u64),
-    /// Changes from a position this far before (or, if negative, after) the present one.
-    Follow(i64),
+    /// Changes from a position this far before (or, if negative, after) the present one, and
+    /// whether the other VM hears the news. If it has missed some, it takes the table.
+    Follow(i64, bool),
     /// A whole read whose answer comes this many versions late.
     Whole(u64),
-    /// Whether the other VM hears of news from now on. If it misses some, it takes the table.
-    Link(bool),
     Advance(u64),
 }
 
@@ -38,9 +37,8 @@
         2 => Just(Event::Fail),
         3 => Just(Event::Answer),
         1 => (key(), 1..4_u64).prop_map(|(key, start)| Event::Leaving(key, start)),
-        8 => (-1..6_i64).prop_map(Event::Follow),
+        8 => (-1..6_i64, any::<bool>()).prop_map(|(back, heard)| Event::Follow(back, heard)),
         2 => (0..6_u64).prop_map(Event::Whole),
-        1 => any::<bool>().prop_map(Event::Link),
         6 => (1..1500_u64).prop_map(Event::Advance),
     ]
 }
@@ -76,6 +74,8 @@
     leaving: Vec<String>,
     failing: bool,
     over_at: ClockTime,
+    /// When entries that are kept without a row are due.
+    due: Option<ClockTime>,
 }
 
 impl UseModel {
@@ -83,12 +83,15 @@
     fn update(&mut self, store: &StoreModel, position: u64, now: ClockTime) -> String {
         let table = store.newest(0, position);
         let troubled = self.failing || now < self.over_at;
+        self.due = None;
         for key in KEYS {
             let kept = self.usable.remove(key).filter(|_| troubled);
             let label = match table.get(key) {
                 Some(kind) if kind.ends_with('~') => None,
                 Some(kind) if kind.starts_with(':') => Some(format!("{key}{kind}")),
-                _ => kept,
+                _ => kept.filter(|label| !self.leaving.contains(label)).inspect(|_| {
+                    self.due = Some(self.over_at).filter(|_| !self.failing);
+                }),
             };
             if let Some(label) = label.filter(|label| !self.leaving.contains(label)) {
                 self.usable.insert(key, label);
@@ -108,7 +111,6 @@
     model: UseModel,
     reader: UpstreamDirectory,
     listener: UpstreamDirectory,
-    linked: bool,
     now: ClockTime,
 }
 
@@ -132,21 +134,20 @@
                 self.model.leaving.push(format!("{key}:{start}"));
                 return self.reader.note_leaving(key, *start, now);
             }
-            Event::Follow(back) => {
+            Event::Follow(back, heard) => {
                 let known = self.reader.position();
                 let from = known.unwrap_or(0).saturating_add_signed(-back).min(end);
                 let changes = self.store.changes(from, end);
                 let change = self.reader.follow::<TestCodec>(from, &changes, now);
                 assert_eq!(change.is_err(), Some(from) > known);
-                return change.is_ok_and(|change| self.tell(change));
+                return change.is_ok_and(|change| self.tell(change, *heard));
             }
             Event::Whole(late) => {
                 let mut whole = self.store.changes(0, end.saturating_sub(*late));
                 whole.rows.retain(|row| row.value.is_some());
                 let change = self.reader.replace::<TestCodec>(&whole, now);
-                return self.tell(change);
+                return self.tell(change, true);
             }
-            Event::Link(linked) => self.linked = *linked,
             Event::Advance(millis) => {
                 self.now = now + ClockSpan::from_millis(*millis);
                 let due = self.reader.next_due().filter(|due| *due <= self.now);
@@ -156,8 +157,8 @@
         false
     }
 
-    fn tell(&mut self, change: DirectoryChange) -> bool {
-        if let Some(table) = self.reader.table().filter(|_| self.linked) {
+    fn tell(&mut self, change: DirectoryChange, heard: bool) -> bool {
+        if let Some(table) = self.reader.table().filter(|_| heard) {
             let news = page(table.position, change.news);
             let follow = |since| self.listener.follow::<TestCodec>(since, &news, self.now);
             if !matches!(change.since.map(follow), Some(Ok(_))) {
@@ -183,7 +184,7 @@
         let directory = || UpstreamDirectory::new(DirectoryTuning::default());
         let (reader, listener, now) = (directory(), directory(), ClockTime::ZERO);
         let (store, model) = Default::default();
-        let mut vms = TwoVms { store, model, reader, listener, linked: true, now };
+        let mut vms = TwoVms { store, model, reader, listener, now };
         let mut versions: BTreeMap<SharedName, u64> = BTreeMap::new();
         for event in events {
             let (known, before) = (vms.reader.position(), vms.model.labels());
@@ -192,6 +193,7 @@
             prop_assert!(position >= known, "position fell after {:?}", event);
             let expected = vms.model.update(&vms.store, position.unwrap_or(0), vms.now);
             prop_assert_eq!(usable(&vms.reader), &expected[..], "after {:?}", event);
+            prop_assert_eq!(vms.reader.next_due(), vms.model.due, "due after {:?}", event);
             prop_assert_eq!(reported, before != expected, "report of {:?}", event);
             let heard = vms.listener.position().unwrap_or(0);
             let expected = UseModel::default().update(&vms.store, heard, vms.now);
--- a/crates/directory/tests/upstreams.rs
+++ b/crates/directory/tests/upstreams.rs
@@ -14,7 +14,7 @@
 struct DirectoryCase {
     name: &'static str,
     /// `time in ms, event, = usable upstreams`; `follow` has the positions before and after its
-    /// rows, `whole` the one after.
+    /// rows, `whole` and `part` (of the table) the one after.
     steps: &'static str,
 }
 
@@ -43,7 +43,10 @@
         }
         "settle" => directory.settle(now),
         "leaving" => directory.note_leaving("a", number(2), now),
-        "whole" => directory.replace::<TestCodec>(&page(number(2), rows(3)), now).upstreams_changed,
+        "whole" | "part" => {
+            let page = RowPage { truncated: words[1] == "part", ..page(number(2), rows(3)) };
+            directory.replace::<TestCodec>(&page, now).upstreams_changed
+        }
         _ => directory
             .follow::<TestCodec>(number(2), &page(number(3), rows(4)), now)
             .is_ok_and(|change| change.upstreams_changed),
@@ -75,6 +78,10 @@
             steps: "0 fail = a:1; 0 answer = a:1; 9 follow 10 11 a-@11 = a:1; 1999 fail = a:1;
                 2500 answer = a:1; 4499 settle = a:1; 4500 settle =",
         },
+        DirectoryCase {
+            name: "read when the time has passed",
+            steps: "0 fail = a:1; 0 answer = a:1; 9 follow 10 11 a-@11 = a:1; 2000 follow 11 12 =",
+        },
         DirectoryCase {
             name: "trouble again after the time has passed",
             steps: "0 fail = a:1; 0 answer = a:1; 9 follow 10 11 a-@11 = a:1; 2000 fail =",
@@ -89,7 +96,8 @@
         },
         DirectoryCase {
             name: "leaving after the removal",
-            steps: "0 fail = a:1; 0 whole 11 = a:1; 1 leaving 2 = a:1; 1 leaving 1 =",
+            steps: "0 fail = a:1; 0 whole 11 = a:1; 1 leaving 2 = a:1; 1 leaving 1 =;
+                2 answer =; 2002 settle =",
         },
         DirectoryCase {
             name: "leaving is final for the incarnation",
@@ -101,6 +109,12 @@
             name: "whole read overtaken by changes",
             steps: "0 follow 10 30 a-@25 b:1@28 = b:1; 1 whole 20 a:1@9 = b:1; 2 follow 30 31 = b:1",
         },
+        DirectoryCase { name: "whole read that heals", steps: "0 whole 20 a:1@9 b:1@5 = a:1 b:1" },
+        DirectoryCase { name: "part of the table", steps: "0 part 20 b:1@15 = a:1 b:1" },
+        DirectoryCase {
+            name: "removal beyond the end of its page",
+            steps: "0 follow 10 11 a-@20 =; 1 follow 11 15 a:1@14 =; 2 follow 15 21 a:1@21 = a:1",
+        },
         DirectoryCase { name: "gap", steps: "0 follow 11 30 a-@25 = a:1; 1 follow 10 30 a-@25 =" },
         DirectoryCase {
             name: "older pages and versions",
@@ -121,12 +135,12 @@
 /// leaves out what a peer told during the read.
 #[test]
 fn only_changes_are_news() {
-    let cold = |version, port, cold_ms| {
-        let value = Some(value(json!(["maps", port, 2, 1, cold_ms, false, version])));
+    let cold = |version, port, start, cold_ms| {
+        let value = Some(value(json!(["maps", port, 2, start, cold_ms, false, version])));
         TableRow { value, ..row(&format!("a-@{version}")) }
     };
     let mut directory = UpstreamDirectory::new(DirectoryTuning::default());
-    let first = directory.replace::<TestCodec>(&page(10, vec![cold(9, 1, 3000)]), at(0));
+    let first = directory.replace::<TestCodec>(&page(10, vec![cold(9, 1, 1, 3000)]), at(0));
     assert_eq!((first.since, first.news.len(), first.upstreams_changed), (None, 0, true));
     let object = directory.servers().next().cloned().expect("a is usable");
     let mut follow = |from, row: TableRow, millis| {
@@ -135,14 +149,16 @@
         (change, directory.servers().next().cloned())
     };
 
-    let (change, beaten) = follow(10, cold(11, 1, 1500), 1500);
+    let (change, beaten) = follow(10, cold(11, 1, 1, 1500), 1500);
     assert_eq!(change, DirectoryChange { since: Some(10), ..DirectoryChange::default() });
     assert!(beaten.is_some_and(|beaten| Arc::ptr_eq(&object, &beaten)));
-    let (change, moved) = follow(9, cold(12, 2, 1200), 2000);
-    assert_eq!((change.since, change.news), (Some(11), vec![cold(12, 2, 1200)]));
+    let (change, moved) = follow(9, cold(12, 2, 1, 1200), 2000);
+    assert_eq!((change.since, change.news), (Some(11), vec![cold(12, 2, 1, 1200)]));
     let moved = moved.map(|server| (server.address.port(), server.warm_up));
     assert_eq!(moved, Some((2, ClockSpan::from_secs(1))));
-    for (version, count) in [(13, 1), (14, 0)] {
+    let (_, restarted) = follow(12, cold(13, 2, 2, 700), 2000);
+    assert_eq!(restarted.map(|server| server.warm_up), Some(ClockSpan::from_millis(700)));
+    for (version, count) in [(14, 1), (15, 0)] {
         let (change, _) = follow(version - 1, row(&format!("a!@{version}")), 2000);
         assert_eq!((change.news.len(), change.unreadable.len()), (count, count));
     }
