--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -1,20 +1,30 @@
 //! The command line of the gateway.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use base::prelude::*;
-use border::{DocumentError, LogFormat, LogLevel, ProcessSettings, SettingsError, SharedSecret};
+use border::{
+    DocumentError, InterfaceKind, LogFormat, LogLevel, ProcessSettings, SettingsError, SharedSecret,
+};
 use bpaf::Bpaf;
+use directory::prelude::*;
 use gate::access::{AccessOptions, PlatformAccess};
+use gate::control::GateControl;
+use gate::discovery::{DiscoveryOptions, DiscoveryTasks};
 use gate::event;
+use gate::exchange::ExchangeOptions;
 use gate::leave;
 use gate::observe::ObserveServer;
-use gate::options::GateOptions;
+use gate::options::{CallTuning, GateOptions};
+use gate::peers::PeerLink;
+use gate::probe::PROBE_COST;
 use gate::process::RunningGate;
 use gate::state::GateState;
 use peer::prelude::*;
+use platform::PlatformCodec;
 use route::prelude::*;
 use snafu::{ResultExt, Snafu};
 use store::prelude::HttpSettings;
@@ -22,6 +32,13 @@
 use tracing_subscriber::EnvFilter;
 use world::prelude::*;
 
+/// Gateway VMs that may run at once, until more are known. A quarter more than the largest
+/// deployment of 15 VMs.
+const VM_CEILING: u32 = 19;
+/// The part of the allowed health checks that VMs make. The rest is for VMs that are not known yet.
+const PROBE_MARGIN: f64 = 0.9;
+/// Calls of a service that may wait on one VM: several times what one VM gets in a second.
+const QUEUE_LIMIT: u32 = 200;
 /// The version of a document that is read from a file and was never promoted.
 const FILE_VERSION: u64 = 1;
 
@@ -35,9 +52,9 @@
     /// An environment document to serve without a promotion, for trials on one machine
     #[bpaf(argument("FILE"), optional)]
     document: Option<PathBuf>,
-    /// How upstreams are chosen: random, least-in-flight, two-choices or expected-cost
-    #[bpaf(argument("NAME"), fallback(PolicyKind::default()), hide)]
-    policy: PolicyKind,
+    /// How upstreams are chosen: random, least-in-flight, two-choices, expected-cost or paced
+    #[bpaf(argument("NAME"), optional, hide)]
+    policy: Option<PolicyKind>,
 }
 
 /// Why the gateway did not start or stopped.
@@ -72,22 +89,32 @@
 fn start(arguments: &GateArguments) -> Result<(), GateError> {
     let settings = read_settings(&arguments.settings)?;
     start_log(&settings);
-    let options = GateOptions::from_settings(&settings, arguments.policy);
+    let options = gate_options(&settings, arguments.policy);
     let state = match &arguments.document {
         Some(path) => GateState::new(options, read_document(path)?),
         None => GateState::unconfigured(options),
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .context(RuntimeSnafu)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let state = Arc::new(state);
     let followed = arguments.document.is_none().then(|| settings.environment.clone());
-    runtime.block_on(serve(&settings, Arc::new(state), followed))
+    match settings.interface {
+        InterfaceKind::Agateroad => runtime.block_on(serve_native(&settings, state, followed)),
+        InterfaceKind::Platform => runtime.block_on(serve_platform(&settings, state)),
+    }
+}
+
+fn gate_options(settings: &ProcessSettings, policy: Option<PolicyKind>) -> GateOptions {
+    let native = settings.interface == InterfaceKind::Agateroad;
+    let usual =
+        if native { PolicyKind::default() } else { PolicyKind::Paced(PacedChoice::default()) };
+    let tuning = if native { CallTuning::default() } else { CallTuning::shared_machines() };
+    let options = GateOptions::from_settings(settings, policy.unwrap_or(usual));
+    GateOptions { tuning, ..options }
 }
 
-/// Serves until a signal and leaves. A second signal ends the process at once.
-async fn serve(
+/// Serves the product's own interface until a signal and leaves.
+async fn serve_native(
     settings: &ProcessSettings,
     state: Arc<GateState>,
     followed: Option<SharedName>,
@@ -103,14 +130,7 @@
     let control = ControlServer::start(address, secret_table(settings), counts, control);
     let control = control.await.context(ListenSnafu)?;
     platform.announce(control.address);
-    let address = gate.caller_address;
-    tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
-    let ready = serde_json::json!({
-        "caller_address": address,
-        "control_address": control.address,
-        "metrics_address": observe.address,
-    });
-    println!("{ready}");
+    announce(settings, &gate, &control, &observe);
     signals.next().await;
     tokio::select! {
         () = leave::leave(&gate, platform, settings.timeouts.leave) => {}
@@ -122,6 +142,58 @@
     Ok(())
 }
 
+/// Serves the interface of the users' platform until a signal and leaves.
+async fn serve_platform(
+    settings: &ProcessSettings,
+    state: Arc<GateState>,
+) -> Result<(), GateError> {
+    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
+    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
+    let observe = observe.await.context(ListenSnafu)?;
+    let gate = RunningGate::start_with::<PlatformCodec>(Arc::clone(&state)).context(ListenSnafu)?;
+    let link = Arc::new(PeerLink::new(settings.vm_name.clone()));
+    let counts = Arc::new(ControlCounts::default());
+    let control = GateControl {
+        state: Arc::clone(&state),
+        link: Arc::clone(&link),
+        follower: Arc::default(),
+    };
+    let address = settings.control_address;
+    let control = ControlServer::start(address, secret_table(settings), counts, control);
+    let control = control.await.context(ListenSnafu)?;
+    let options = discovery_options(settings, control.address);
+    let discovery = DiscoveryTasks::start::<PlatformCodec>(&state, options);
+    let discovery = discovery.await.context(ListenSnafu)?;
+    announce(settings, &gate, &control, &observe);
+    signals.next().await;
+    tokio::select! {
+        () = leave::leave_within(&gate, settings.timeouts.leave, settings.fleet.stop_limit) => {}
+        () = signals.next() => {
+            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
+        }
+    }
+    drop(discovery);
+    tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
+    Ok(())
+}
+
+/// Tells where the process listens, in the log and as one line of JSON.
+fn announce(
+    settings: &ProcessSettings,
+    gate: &RunningGate,
+    control: &ControlServer,
+    observe: &ObserveServer,
+) {
+    let address = gate.caller_address;
+    tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
+    let ready = serde_json::json!({
+        "caller_address": address,
+        "control_address": control.address,
+        "metrics_address": observe.address,
+    });
+    println!("{ready}");
+}
+
 fn access_options(
     settings: &ProcessSettings,
     environment: Option<SharedName>,
@@ -134,6 +206,34 @@
     AccessOptions { store, environment, client }
 }
 
+fn discovery_options(settings: &ProcessSettings, _control: SocketAddr) -> DiscoveryOptions {
+    let fleet = &settings.fleet;
+    let store = HttpSettings::new(settings.platform_address, rand::random());
+    let exchange = settings.exchange_address.unwrap_or(settings.control_address);
+    DiscoveryOptions {
+        store: HttpSettings { call_timeout: settings.timeouts.platform, ..store },
+        bounds: FleetBounds {
+            name: settings.environment.clone(),
+            centres: settings.centres.clone(),
+            links: centre_links(&settings.centres, settings.centre_latency),
+            vm_ceiling: VM_CEILING,
+            retry_window: fleet.retry,
+            probe_rate: fleet.probe_rate * PROBE_MARGIN,
+            probe_cost: PROBE_COST,
+            queue_limit: QUEUE_LIMIT,
+        },
+        exchange: ExchangeOptions { address: exchange },
+    }
+}
+
+/// Returns links between all data centres, with the same latency each.
+fn centre_links(centres: &[DataCentre], one_way: ClockSpan) -> Vec<LinkCost> {
+    let pairs = centres.iter().enumerate().flat_map(|(index, from)| {
+        centres[index + 1..].iter().map(move |to| (from.name.clone(), to.name.clone()))
+    });
+    pairs.map(|(from, to)| LinkCost { from, to, one_way }).collect()
+}
+
 fn secret_table(settings: &ProcessSettings) -> SecretTable {
     let peers = settings.peer_secrets.iter().map(SharedSecret::as_str);
     SecretTable::new(peers, settings.operator_secrets.iter().map(SharedSecret::as_str))
@@ -158,7 +258,7 @@
         LogLevel::Trace => "trace",
     };
     // The HTTP library logs each connection; its level stays fixed.
-    let filter = EnvFilter::new(format!("{level},xitca_server=warn,xitca_http=error"));
+    let filter = EnvFilter::new(format!("{level},hyper=error"));
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match settings.log_format {
         LogFormat::Json => log.json().init(),
--- a/crates/gate/src/leave.rs
+++ b/crates/gate/src/leave.rs
@@ -29,3 +29,21 @@
         tracing::warn!(event = event::OUTCOMES_LEFT, "outcomes were not stored and become unknown");
     }
 }
+
+/// The time that is kept for the end of the process itself.
+const END_SPAN: ClockSpan = ClockSpan::from_millis(300);
+
+/// Leaves within `limit`: readiness off, `lag` of further accepting, then no new connections, and
+/// the calls in flight.
+pub async fn leave_within(gate: &RunningGate, lag: ClockSpan, limit: ClockSpan) {
+    let state = &gate.state;
+    tracing::info!(event = event::DRAIN_STARTED, vm = %state.options.vm.name, "leaving");
+    state.draining.store(true, Ordering::SeqCst);
+    tokio::time::sleep(lag.to_duration()).await;
+    gate.stop_accepting();
+    let left = limit.saturating_sub(lag + END_SPAN).to_duration();
+    if tokio::time::timeout(left, state.calls.wait_idle()).await.is_err() {
+        let calls = state.calls.running();
+        tracing::warn!(event = event::DRAIN_CUT, calls, "calls are interrupted");
+    }
+}
