Add a row store stand-in without a protocol of its own

Tests of the gateway need a store whose rows can be followed, and whose faults are switched in one step. The engine keeps tables, parts, one version counter and a history that can be dropped. Faults apply to some sources and kinds of calls: silent, refused, reset, slow, lost answers and late execution. The encoding is left to a dialect, so that no name of an outside protocol is needed here. A handler may end an exchange with a script of raw bytes, which is how connections are reset.

--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -19,7 +19,13 @@
 pub mod proxy;
 pub mod rate;
 mod relay;
+mod row_core;
+pub mod row_dialect;
+pub mod row_plan;
+pub mod row_stand;
+pub mod rows;
 pub mod scan;
+pub mod script;
 pub mod service;
 mod signal;
 pub mod slot;
@@ -39,6 +45,12 @@
     };
     pub use crate::platform::{PlatformCounts, PlatformOutage, PlatformPlan, PlatformStand};
     pub use crate::proxy::{FaultProxy, ProxyCounts, ProxyPlan};
+    pub use crate::row_dialect::RowDialect;
+    pub use crate::row_plan::{
+        AnswerLoss, RowCallCounts, RowCallKind, RowCounts, RowFault, RowOutage, RowPlan,
+    };
+    pub use crate::row_stand::{RowHandle, RowStand};
+    pub use crate::rows::{HistoryKeep, RowPlace};
     pub use crate::service::ServiceTime;
     pub use crate::upstream::UpstreamStand;
     pub use crate::wire::PlatformMember;
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -1,6 +1,7 @@
 //! HTTP over a [`StandPort`].
 
 use std::borrow::Cow;
+use std::error::Error;
 use std::fmt;
 use std::future::Future;
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use crate::body::StandBody;
 use crate::error::{PlanSnafu, StandError};
 use crate::port::{CutSignal, PortControl, StandPort};
+use crate::script::RawScript;
 
 /// Bounds the bodies of admin and platform calls.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
@@ -53,6 +55,40 @@
     }
 }
 
+/// Serves one connection until it ends, is cut, or `idle` completes. A handler that fails with a
+/// script takes the connection over.
+pub(crate) async fn serve_scripted<F, R>(
+    stream: TcpStream,
+    mut cut: CutSignal,
+    idle: impl Future<Output = ()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> R + Unpin,
+    R: Future<Output = Result<Response<StandBody>, RawScript>>,
+{
+    let stream = TokioIo::new(stream);
+    let mut connection = http1::Builder::new().serve_connection(stream, service_fn(handler));
+    let end = tokio::select! {
+        biased;
+        () = cut.wait() => return,
+        () = idle => return,
+        end = &mut connection => end,
+    };
+    let script = end.err().and_then(|error| script_of(&error));
+    if let Some(script) = script {
+        let stream = connection.into_parts().io.into_inner();
+        tokio::select! {
+            biased;
+            () = cut.wait() => {}
+            () = script.play(stream) => {}
+        }
+    }
+}
+
+fn script_of(error: &hyper::Error) -> Option<RawScript> {
+    error.source()?.downcast_ref::<RawScript>().cloned()
+}
+
 /// Serves every connection of a port. The port closes with its control, which therefore lives as
 /// long.
 pub(crate) async fn serve_port<S, F, R>(
