Let the upstream stand-in speak any interface and send faulty answers

The stand-in knew the heads of the product's own interface only. A dialect now reads and marks heads, with static dispatch; the product's own one is the default, so that existing tests are unchanged. Rules in the plan make answers go wrong: extra bytes, a second answer in place of the next one, a foreign id, a truncated or unframed body, early answers, silence, resets, missing proof, and connections that close. Ordinary answers go through the HTTP library; a faulty one takes the connection over as a script of bytes, since the library cannot send it. A server of our own for all answers was ruled out: it would have changed the behaviour that existing tests rely on. If the plan asks for it, arrivals, runs, bodies and callers that left are kept for each request id.

--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -1,25 +1,31 @@
 //! Answers of an upstream stand-in to requests and admin calls.
 
-use std::fmt::Write;
 use std::sync::Arc;
 
 use base::prelude::*;
 use http::header::HeaderValue;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::request::Parts;
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use serde::Serialize;
 
 use crate::body::StandBody;
+use crate::counts::BodyRecord;
+use crate::deliver::{deliver, planned_status};
+use crate::dialect::{AnswerFate, AnswerMark, RequestLabel, UpstreamCall, UpstreamDialect};
+use crate::fault::{AnswerFault, FaultTarget};
 use crate::hold::SlotHold;
 use crate::plan::{UpstreamMode, UpstreamPlan};
 use crate::scan::{CRASH_MARKER, MarkerScan};
+use crate::script::RawScript;
 use crate::state::{Admission, QueueFate, UpstreamCore, WorkLabel};
 use crate::web::{self, ConnectionCut};
 
-const CANCEL_PREFIX: &str = "/agateroad/cancel/";
 const BYTES_PREFIX: &str = "/bytes/";
 const NONCE: &str = "x-test-nonce";
+/// The id on answers of which the fault says that they belong to another request.
+const FOREIGN_REQUEST: &str = "another-request";
 
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug)]
@@ -54,74 +60,105 @@
     confirmed: bool,
 }
 
+/// An answer without its marks.
+type Unmarked = (Response<StandBody>, AnswerFate);
+
 /// Answers a request on the service port.
-pub(crate) async fn serve(
+pub(crate) async fn serve<D: UpstreamDialect>(
     core: Arc<UpstreamCore>,
     request: Request<Incoming>,
-) -> Result<Response<StandBody>, ConnectionCut> {
+) -> Result<Response<StandBody>, RawScript> {
     let plan = core.plan();
     if plan.mode == UpstreamMode::Freeze {
         core.count(|counts| counts.frozen += 1);
         return std::future::pending().await;
     }
-    let path = request.uri().path();
-    let mut answer = if path == "/agateroad/health" {
-        health(&core, &plan).await
-    } else if path == "/agateroad/load" {
-        load(&core, &plan).await
-    } else if let Some(id) = path.strip_prefix(CANCEL_PREFIX) {
-        web::json(StatusCode::OK, &CancelBody { confirmed: core.cancel(id) })
-    } else {
-        work(&core, &plan, request).await
+    let label = D::read(request.headers());
+    let path = request.uri().path().to_owned();
+    let health_path = plan.health_path.as_deref().unwrap_or(D::HEALTH_PATH);
+    let (unmarked, fault) = match D::call(request.method(), &path, health_path) {
+        UpstreamCall::Health => {
+            let fault = core.draw_fault(&path, FaultTarget::Checks);
+            (fail(health(&core, &plan).await, fault), fault)
+        }
+        UpstreamCall::Load => (load(&core, &plan).await, None),
+        UpstreamCall::Cancel(id) => {
+            let body = CancelBody { confirmed: core.cancel(id) };
+            ((web::json(StatusCode::OK, &body), AnswerFate::Unproven), None)
+        }
+        UpstreamCall::Work => work(&core, &plan, &label, request).await,
     };
-    mark(&core, &plan, answer.headers_mut());
-    Ok(answer)
+    let answer = mark::<D>(&core, &plan, &label, unmarked, fault);
+    deliver(answer, fault).await
 }
 
 /// Adds the headers that every answer of an upstream carries.
-fn mark(core: &UpstreamCore, plan: &UpstreamPlan, headers: &mut HeaderMap) {
+fn mark<D: UpstreamDialect>(
+    core: &UpstreamCore,
+    plan: &UpstreamPlan,
+    label: &RequestLabel,
+    (mut answer, fate): Unmarked,
+    fault: Option<AnswerFault>,
+) -> Response<StandBody> {
+    let headers = answer.headers_mut();
     if let Ok(name) = HeaderValue::from_str(plan.name.as_str()) {
         headers.insert("x-test-upstream", name);
     }
-    if let Some(figures) = core.reported() {
-        let mut text = String::with_capacity(16);
-        let _ = write!(text, "{}/{}/{}", figures.in_flight, figures.slots, figures.queued);
-        if let Ok(value) = HeaderValue::try_from(text) {
-            headers.insert("agateroad-load", value);
+    let not_run = matches!(fate, AnswerFate::NotRun | AnswerFate::Misdirected);
+    let request = label.request.as_deref();
+    let mark = AnswerMark {
+        name: &plan.name,
+        request: if fault == Some(AnswerFault::Foreign) { Some(FOREIGN_REQUEST) } else { request },
+        fate,
+        load: core.reported(),
+        draining: plan.drain.is_some(),
+        retry_after: plan.retry_after_ms.filter(|_| not_run).map(ClockSpan::from_millis),
+    };
+    D::mark(headers, &mark);
+    answer
+}
+
+/// Changes the status and the proof of an answer as its fault demands.
+fn fail((mut answer, fate): Unmarked, fault: Option<AnswerFault>) -> Unmarked {
+    match fault {
+        Some(AnswerFault::Status { status }) => {
+            *answer.status_mut() = planned_status(status);
+            (answer, AnswerFate::Unproven)
         }
-    }
-    if plan.drain.is_some() {
-        headers.insert("agateroad-drain", HeaderValue::from_static("1"));
+        Some(AnswerFault::Unsigned) => (answer, AnswerFate::Unproven),
+        _ => (answer, fate),
     }
 }
 
-async fn health(core: &Arc<UpstreamCore>, plan: &UpstreamPlan) -> Response<StandBody> {
+async fn health(core: &Arc<UpstreamCore>, plan: &UpstreamPlan) -> Unmarked {
     if !probe(core, plan).await {
         return refuse(NotRun::Shed);
     }
-    if core.drain_state().unhealthy {
+    let answer = if core.drain_state().unhealthy {
         web::plain(StatusCode::SERVICE_UNAVAILABLE, "draining")
     } else {
         web::plain(StatusCode::OK, "ok")
-    }
+    };
+    (answer, AnswerFate::Check)
 }
 
-async fn load(core: &Arc<UpstreamCore>, plan: &UpstreamPlan) -> Response<StandBody> {
+async fn load(core: &Arc<UpstreamCore>, plan: &UpstreamPlan) -> Unmarked {
     if !probe(core, plan).await {
         return refuse(NotRun::Shed);
     }
-    match core.reported() {
-        Some(figures) => {
+    let answer = match core.reported() {
+        Some(load) => {
             let body = LoadBody {
-                in_flight: figures.in_flight,
-                slots: figures.slots,
-                queued: figures.queued,
+                in_flight: load.figures.in_flight,
+                slots: load.figures.slots,
+                queued: load.figures.queued,
                 draining: core.drain_state().draining,
             };
             web::json(StatusCode::OK, &body)
         }
         None => web::plain(StatusCode::NOT_FOUND, "no load report"),
-    }
+    };
+    (answer, AnswerFate::Unproven)
 }
 
 /// Runs a probe in a slot if the plan says so. Returns false if it was shed.
@@ -139,59 +176,135 @@
     }
 }
 
+/// Runs a request, unless something speaks against it.
 async fn work(
     core: &Arc<UpstreamCore>,
     plan: &UpstreamPlan,
+    label: &RequestLabel,
     request: Request<Incoming>,
-) -> Response<StandBody> {
+) -> (Unmarked, Option<AnswerFault>) {
+    if let Some(unmarked) = arrive(core, plan, label) {
+        return (unmarked, None);
+    }
+    let fault = core.draw_fault(request.uri().path(), FaultTarget::Work);
+    let (head, body) = request.into_parts();
+    if let Some(AnswerFault::Early { status }) = fault {
+        return (early(core, &head, label, status), fault);
+    }
+    (fail(run(core, plan, label, &head, body).await, fault), fault)
+}
+
+/// Counts an arrival and returns the answer of an upstream that does not look at the request.
+fn arrive(core: &UpstreamCore, plan: &UpstreamPlan, label: &RequestLabel) -> Option<Unmarked> {
     let drain = core.drain_state();
-    let fails = plan.mode == UpstreamMode::FailFast;
+    let misdirected = label.expected.as_ref().is_some_and(|expected| *expected != plan.name);
+    let fails = plan.mode == UpstreamMode::FailFast && !misdirected;
+    let refuses = drain.refusing && !fails && !misdirected;
     core.count(|counts| {
         counts.arrived += 1;
-        counts.arrived_draining += u64::from(drain.draining);
+        counts.arrived_draining += u64::from(drain.draining && !misdirected);
+        counts.misdirected += u64::from(misdirected);
         counts.failed_fast += u64::from(fails);
-        counts.shed += u64::from(drain.refusing && !fails);
+        counts.shed += u64::from(refuses);
+        if plan.record_requests {
+            counts.record(label.request.as_deref(), plan.count_limit, |record| {
+                record.arrived += 1;
+                record.remaining_ms.extend(label.remaining.map(ClockSpan::as_millis));
+            });
+        }
     });
+    if misdirected {
+        let answer = web::plain(StatusCode::MISDIRECTED_REQUEST, "another instance");
+        return Some((answer, AnswerFate::Misdirected));
+    }
     if fails {
-        return web::plain(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        let answer = web::plain(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        return Some((answer, AnswerFate::Unproven));
     }
-    if drain.refusing {
-        return refuse(NotRun::Shed);
+    refuses.then(|| refuse(NotRun::Shed))
+}
+
+/// Answers before the body was read.
+fn early(core: &UpstreamCore, head: &Parts, label: &RequestLabel, status: u16) -> Unmarked {
+    let mut answer = web::plain(planned_status(status), "early");
+    pass_nonce(head, &mut answer);
+    if !answer.status().is_success() {
+        return (answer, AnswerFate::NotRun);
     }
-    let (head, body) = request.into_parts();
-    let label = label_of(&head.headers, core.now());
+    core.count_run(&work_label(head, label, core.now()));
+    (answer, AnswerFate::Run)
+}
+
+async fn run(
+    core: &Arc<UpstreamCore>,
+    plan: &UpstreamPlan,
+    label: &RequestLabel,
+    head: &Parts,
+    body: Incoming,
+) -> Unmarked {
+    let label = work_label(head, label, core.now());
+    let path = head.uri.path();
     let marked = head.uri.query().is_some_and(|query| query.contains(CRASH_MARKER))
-        || web::header(&head.headers, "x-test-crash") == Some("1");
-    let echoes = head.method == Method::POST && head.uri.path() == "/echo";
-    let (echo, marked) = if echoes {
-        (Some(body), marked)
-    } else {
-        match read_body(body).await {
-            Some(found) => (None, marked || found),
-            None => {
-                core.count(|counts| counts.broken_bodies += 1);
-                return web::plain(StatusCode::BAD_REQUEST, "broken body");
-            }
-        }
+        || web::header(&head.headers, "x-test-crash") == Some("1")
+        || plan.crash_paths.iter().any(|crashing| *crashing == *path);
+    let echoes = head.method == Method::POST && path == "/echo";
+    let Some((echo, found)) = receive(core, plan, &label, body, echoes).await else {
+        core.count(|counts| counts.broken_bodies += 1);
+        return (web::plain(StatusCode::BAD_REQUEST, "broken body"), AnswerFate::Unproven);
     };
     let hold = match slot(core, label).await {
         Ok(hold) => hold,
         Err(reason) => return refuse(reason),
     };
-    if marked {
-        drop(hold);
+    if marked || found {
+        // The crash comes first, so that the request does not count as one that its caller left.
         core.crash();
+        drop(hold);
         return std::future::pending().await;
     }
     hold.run().await;
     let mut answer = Response::new(match echo {
-        Some(body) => StandBody::Echo(body),
-        None => StandBody::Fill(answer_length(plan, head.uri.path())),
+        Some(body) => body,
+        None => StandBody::Fill(answer_length(plan, path)),
     });
+    pass_nonce(head, &mut answer);
+    (answer, AnswerFate::Run)
+}
+
+fn pass_nonce(head: &Parts, answer: &mut Response<StandBody>) {
     if let Some(nonce) = head.headers.get(NONCE) {
         answer.headers_mut().insert(NONCE, nonce.clone());
     }
-    answer
+}
+
+/// Receives the body of a request. Returns the body to echo, if any, and whether the rest contained
+/// the crash marker, or `None` if the body broke.
+async fn receive(
+    core: &UpstreamCore,
+    plan: &UpstreamPlan,
+    label: &WorkLabel,
+    body: Incoming,
+    echoes: bool,
+) -> Option<(Option<StandBody>, bool)> {
+    if !plan.record_requests {
+        return if echoes {
+            Some((Some(StandBody::Echo(body)), false))
+        } else {
+            read_body(body).await.map(|found| (None, found))
+        };
+    }
+    let whole = web::read_all(body).await?;
+    let record = BodyRecord::of(&whole);
+    core.count(|counts| {
+        let request = label.request.as_deref();
+        counts.record(request, plan.count_limit, |own| own.bodies.push(record));
+    });
+    if echoes {
+        return Some((Some(StandBody::from(whole)), false));
+    }
+    let mut scan = MarkerScan::default();
+    scan.push(&whole);
+    Some((None, scan.found()))
 }
 
 /// Waits for a slot.
@@ -224,16 +337,12 @@
     Some(scan.found())
 }
 
-fn label_of(headers: &HeaderMap, now: ClockTime) -> WorkLabel {
-    let name = |header: &str| web::header(headers, header).map(SharedName::from);
-    let deadline = web::header(headers, "agateroad-deadline-ms")
-        .and_then(|text| text.parse().ok())
-        .map(|millis| now + ClockSpan::from_millis(millis));
+fn work_label(head: &Parts, label: &RequestLabel, now: ClockTime) -> WorkLabel {
     WorkLabel {
-        key: name("idempotency-key"),
-        nonce: name(NONCE),
-        request: name("agateroad-request-id"),
-        deadline,
+        key: label.key.clone(),
+        nonce: web::header(&head.headers, NONCE).map(SharedName::from),
+        request: label.request.clone(),
+        deadline: label.remaining.map(|remaining| now + remaining),
         probe: false,
     }
 }
@@ -243,10 +352,9 @@
 }
 
 /// Returns the answer to a request that was not run.
-fn refuse(reason: NotRun) -> Response<StandBody> {
-    let mut answer = web::plain(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
-    answer.headers_mut().insert("agateroad-shed", HeaderValue::from_static("1"));
-    answer
+fn refuse(reason: NotRun) -> Unmarked {
+    let answer = web::plain(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
+    (answer, AnswerFate::NotRun)
 }
 
 /// Answers a call on the admin port.
--- a/crates/stand/src/counts.rs
+++ b/crates/stand/src/counts.rs
@@ -4,6 +4,41 @@
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The body of a request as it arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct BodyRecord {
+    /// Its length in bytes.
+    pub bytes: u64,
+    /// Its XXH3 digest.
+    pub digest: u64,
+}
+
+impl BodyRecord {
+    /// Returns the record of a body.
+    pub fn of(body: &[u8]) -> Self {
+        Self { bytes: body.len() as u64, digest: xxh3_64(body) }
+    }
+}
+
+/// What happened to the requests with one id.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default)]
+pub struct RequestRecord {
+    /// How often a head arrived.
+    pub arrived: u32,
+    /// How often it was run.
+    pub runs: u32,
+    /// The bodies that arrived whole.
+    pub bodies: Vec<BodyRecord>,
+    /// The time that was left at each arrival that named one, in milliseconds.
+    pub remaining_ms: Vec<u64>,
+    /// For each run that its caller left, how long it had run, in milliseconds.
+    pub abandoned_ms: Vec<f64>,
+}
 
 /// Counters since the start of the stand-in. They survive its simulated crashes.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -34,6 +69,14 @@
     pub broken_bodies: u64,
     /// Requests that arrived after the drain began.
     pub arrived_draining: u64,
+    /// Requests that were meant for another instance.
+    pub misdirected: u64,
+    /// Answers that went wrong because of a rule.
+    pub faults: u64,
+    /// Runs during which the connection of their caller closed.
+    pub abandoned: u64,
+    /// Connections closed because they were idle.
+    pub idle_closed: u64,
     /// Crashes.
     pub crashes: u64,
     /// Restarts after crashes.
@@ -56,12 +99,14 @@
     pub connections_peak: u64,
     /// The most requests that ran at one time.
     pub in_flight_peak: u64,
-    /// Executions whose key or nonce was not counted because of `count_limit`.
+    /// Executions and events that were not counted by name because of `count_limit`.
     pub uncounted: u64,
     /// Executions of each `idempotency-key`.
     pub by_key: HashMap<SharedName, u32>,
     /// Executions of each `x-test-nonce`.
     pub by_nonce: HashMap<SharedName, u32>,
+    /// What happened to each request id, if the plan asks for it.
+    pub by_request: HashMap<SharedName, RequestRecord>,
 }
 
 impl UpstreamCounts {
@@ -75,6 +120,11 @@
         self.by_nonce.get(nonce).copied().unwrap_or(0)
     }
 
+    /// Returns what happened to the requests with an id.
+    pub fn of_request(&self, request: &str) -> RequestRecord {
+        self.by_request.get(request).cloned().unwrap_or_default()
+    }
+
     /// Returns the keys that were executed more than once.
     pub fn repeated_keys(&self) -> Vec<SharedName> {
         self.by_key.iter().filter(|(_, count)| **count > 1).map(|(key, _)| key.clone()).collect()
@@ -94,4 +144,21 @@
             }
         }
     }
+
+    /// Records an event of a request id.
+    pub(crate) fn record(
+        &mut self,
+        request: Option<&str>,
+        limit: usize,
+        event: impl FnOnce(&mut RequestRecord),
+    ) {
+        let Some(request) = request else { return };
+        if let Some(record) = self.by_request.get_mut(request) {
+            event(record);
+        } else if self.by_request.len() < limit {
+            event(self.by_request.entry(SharedName::from(request)).or_default());
+        } else {
+            self.uncounted += 1;
+        }
+    }
 }
--- a/crates/stand/src/hold.rs
+++ b/crates/stand/src/hold.rs
@@ -7,33 +7,34 @@
 
 use crate::state::{QueueFate, UpstreamCore};
 
-/// A slot that a request holds. Work whose caller goes away keeps its slot to the end of the
-/// service time, as a server that does not notice would.
+/// The work that a slot is held for.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldWork {
+    pub(crate) epoch: u64,
+    pub(crate) length: ClockSpan,
+    pub(crate) probe: bool,
+    pub(crate) began: ClockTime,
+    pub(crate) request: Option<SharedName>,
+}
+
+/// A slot that a request holds. Unless the plan says otherwise, work whose caller goes away keeps
+/// its slot to the end of the service time, as a server that does not notice would.
 #[derive(Debug)]
 pub(crate) struct SlotHold {
     core: Arc<UpstreamCore>,
-    epoch: u64,
-    length: ClockSpan,
-    probe: bool,
-    began: ClockTime,
-    /// Whether dropping the hold leaves the rest of the work to a task.
+    work: HeldWork,
+    /// Whether dropping the hold means that the caller went away.
     persistent: bool,
 }
 
 impl SlotHold {
-    pub(crate) fn new(
-        core: Arc<UpstreamCore>,
-        epoch: u64,
-        length: ClockSpan,
-        probe: bool,
-        began: ClockTime,
-    ) -> Self {
-        Self { core, epoch, length, probe, began, persistent: true }
+    pub(crate) fn new(core: Arc<UpstreamCore>, work: HeldWork) -> Self {
+        Self { core, work, persistent: true }
     }
 
     /// Works for the service time and releases the slot.
     pub(crate) async fn run(self) {
-        let length = self.length;
+        let length = self.work.length;
         self.run_for(length).await;
     }
 
@@ -44,35 +45,23 @@
         self.release();
     }
 
-    fn left(&self) -> ClockSpan {
-        self.length.saturating_sub(self.core.now().since(self.began))
-    }
-
     fn release(&mut self) {
         self.persistent = false;
-        let core = self.core.clone();
-        core.release(self.epoch, self.length, self.probe);
+        self.core.release(&self.work);
     }
 }
 
 impl Drop for SlotHold {
     fn drop(&mut self) {
-        if !self.persistent {
+        if !self.persistent || self.core.abandon(&self.work) {
             return;
         }
         // Without a runtime the stand-in is being torn down and nobody needs the slot. A runtime
         // that shuts down drops the task at once, so the rest must not start another one.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            let rest = Self {
-                core: self.core.clone(),
-                epoch: self.epoch,
-                length: self.length,
-                probe: self.probe,
-                began: self.began,
-                persistent: false,
-            };
-            let left = self.left();
-            runtime.spawn(rest.run_for(left));
+            let rest = Self { core: self.core.clone(), work: self.work.clone(), persistent: false };
+            let done = self.core.now().since(self.work.began);
+            runtime.spawn(rest.run_for(self.work.length.saturating_sub(done)));
         }
     }
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -7,10 +7,14 @@
 mod answer;
 pub mod body;
 pub mod counts;
+mod deliver;
+pub mod dialect;
 pub mod error;
+pub mod fault;
 mod hold;
 pub mod launch;
 pub mod member;
+pub mod native;
 pub mod noise;
 pub mod plan;
 pub mod platform;
@@ -38,8 +42,11 @@
 pub mod prelude {
     //! The types that most tests need.
 
-    pub use crate::counts::UpstreamCounts;
+    pub use crate::counts::{BodyRecord, RequestRecord, UpstreamCounts};
+    pub use crate::dialect::UpstreamDialect;
     pub use crate::error::StandError;
+    pub use crate::fault::{AnswerFault, FaultRule, FaultTarget};
+    pub use crate::native::NativeDialect;
     pub use crate::plan::{
         ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
     };
--- /dev/null
+++ b/crates/stand/src/native.rs
@@ -0,0 +1,66 @@
+//! Heads of the product's own interface.
+
+use std::fmt::Write;
+
+use base::prelude::*;
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Method};
+
+use crate::dialect::{AnswerFate, AnswerMark, RequestLabel, UpstreamCall, UpstreamDialect};
+use crate::web;
+
+const LOAD_PATH: &str = "/agateroad/load";
+const CANCEL_PREFIX: &str = "/agateroad/cancel/";
+/// Milliseconds in the unit of retry delays.
+const MS_PER_SECOND: u64 = 1000;
+
+/// The product's own interface.
+#[derive(Clone, Copy, Debug)]
+pub struct NativeDialect;
+
+impl UpstreamDialect for NativeDialect {
+    const HEALTH_PATH: &'static str = "/agateroad/health";
+
+    fn call<'a>(_method: &Method, path: &'a str, health_path: &str) -> UpstreamCall<'a> {
+        if path == health_path {
+            UpstreamCall::Health
+        } else if path == LOAD_PATH {
+            UpstreamCall::Load
+        } else {
+            path.strip_prefix(CANCEL_PREFIX).map_or(UpstreamCall::Work, UpstreamCall::Cancel)
+        }
+    }
+
+    fn read(headers: &HeaderMap) -> RequestLabel {
+        let name = |header: &str| web::header(headers, header).map(SharedName::from);
+        RequestLabel {
+            request: name("agateroad-request-id"),
+            key: name("idempotency-key"),
+            remaining: web::header(headers, "agateroad-deadline-ms")
+                .and_then(|text| text.parse().ok())
+                .map(ClockSpan::from_millis),
+            expected: None,
+        }
+    }
+
+    fn mark(headers: &mut HeaderMap, mark: &AnswerMark<'_>) {
+        if let Some(load) = mark.load {
+            let figures = load.figures;
+            let mut text = String::with_capacity(16);
+            let _ = write!(text, "{}/{}/{}", figures.in_flight, figures.slots, figures.queued);
+            if let Ok(value) = HeaderValue::try_from(text) {
+                headers.insert("agateroad-load", value);
+            }
+        }
+        if mark.draining {
+            headers.insert("agateroad-drain", HeaderValue::from_static("1"));
+        }
+        if mark.fate == AnswerFate::NotRun {
+            headers.insert("agateroad-shed", HeaderValue::from_static("1"));
+        }
+        if let Some(span) = mark.retry_after {
+            let seconds = span.as_millis().div_ceil(MS_PER_SECOND);
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+    }
+}
--- a/crates/stand/src/plan.rs
+++ b/crates/stand/src/plan.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::fault::FaultRule;
 use crate::service::ServiceTime;
 
 /// Connections that one upstream of the users' services holds.
@@ -22,7 +23,8 @@
 #[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct UpstreamPlan {
-    /// The name, sent as `x-test-upstream` on every answer.
+    /// The name, sent as `x-test-upstream` on every answer. Where requests name the instance that
+    /// is meant to run them, those that name another one are refused.
     pub name: SharedName,
     /// Where requests are accepted. Read at the start only.
     pub listen: SocketAddr,
@@ -57,8 +59,27 @@
     pub probe_ms: u64,
     /// Bytes of the body of an ordinary answer.
     pub answer_bytes: u64,
-    /// The most distinct keys and nonces whose executions are counted.
+    /// The most distinct keys, nonces and request ids that are counted.
     pub count_limit: usize,
+    /// The path of health checks, or `null` for the usual one.
+    pub health_path: Option<SharedName>,
+    /// How long work takes, in percent of the service time, and what is reported of it. A noisy
+    /// neighbour adds to it.
+    pub pace_percent: Option<u32>,
+    /// When callers whose requests were not run are told to try again.
+    pub retry_after_ms: Option<u64>,
+    /// Answers that go wrong. The first rule that applies decides.
+    pub faults: Vec<FaultRule>,
+    /// Paths that crash the upstream when they are run.
+    pub crash_paths: Vec<SharedName>,
+    /// Whether running work ends when its caller goes away.
+    pub ends_with_caller: bool,
+    /// Time after which an idle connection is closed without notice. A change applies from the next
+    /// request of a connection.
+    pub idle_ms: Option<u64>,
+    /// Whether arrivals, runs and bodies are counted for each request id. Bodies are then read
+    /// whole before they are echoed.
+    pub record_requests: bool,
 }
 
 impl Default for UpstreamPlan {
@@ -82,6 +103,14 @@
             probe_ms: 0,
             answer_bytes: 16,
             count_limit: DEFAULT_COUNT_LIMIT,
+            health_path: None,
+            pace_percent: None,
+            retry_after_ms: None,
+            faults: Vec::new(),
+            crash_paths: Vec::new(),
+            ends_with_caller: false,
+            idle_ms: None,
+            record_requests: false,
         }
     }
 }
@@ -125,6 +154,18 @@
         /// The age of the figures.
         lag_ms: u64,
     },
+    /// Always the same figures.
+    Fixed {
+        /// Requests that run.
+        in_flight: u32,
+        /// Requests that wait.
+        queued: u32,
+        /// Slots.
+        slots: u32,
+        /// How long work takes, in percent of the usual time.
+        #[serde(default)]
+        pace_percent: Option<u32>,
+    },
     /// Always idle.
     Idle,
     /// No figures at all; the load endpoint answers 404.
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -4,17 +4,22 @@
 
 use base::prelude::*;
 use parking_lot::Mutex;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::AbortHandle;
 
 use crate::counts::UpstreamCounts;
-use crate::hold::{ConnectionMark, QueueSeat, SlotHold};
+use crate::dialect::LoadSample;
+use crate::fault::{AnswerFault, FaultTarget};
+use crate::hold::{ConnectionMark, HeldWork, QueueSeat, SlotHold};
 use crate::noise::NoiseSchedule;
 use crate::plan::{LoadAnswer, NoisePlan, UpstreamPlan};
 use crate::port::PortControl;
 use crate::signal::ChangeSignal;
 use crate::slot::{LoadFigures, QueueExit, SlotTable};
 
+/// The pace of an upstream without neighbours, in percent.
+const USUAL_PACE: u32 = 100;
+
 /// What the core needs to know about a request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkLabel {
@@ -70,8 +75,13 @@
 }
 
 impl UpstreamState {
-    /// Counts the start of a request and returns its service time.
-    fn begin(&mut self, label: &WorkLabel, now: ClockTime) -> ClockSpan {
+    /// Counts the start of a request and draws its service time.
+    fn begin(&mut self, label: &WorkLabel, now: ClockTime) -> HeldWork {
+        let (length, request) = (self.count_start(label, now), label.request.clone());
+        HeldWork { epoch: self.epoch, length, probe: label.probe, began: now, request }
+    }
+
+    fn count_start(&mut self, label: &WorkLabel, now: ClockTime) -> ClockSpan {
         let in_flight = u64::from(self.table.figures().in_flight);
         self.counts.in_flight_peak = self.counts.in_flight_peak.max(in_flight);
         if label.probe {
@@ -79,8 +89,18 @@
         }
         let (key, nonce) = (label.key.as_deref(), label.nonce.as_deref());
         self.counts.execute(key, nonce, self.plan.count_limit);
+        if self.plan.record_requests {
+            let request = label.request.as_deref();
+            self.counts.record(request, self.plan.count_limit, |record| record.runs += 1);
+        }
         let cold = self.plan.cold.map_or(1.0, |cold| cold.factor_at(now.since(self.started)));
-        self.plan.service.draw(&mut self.random).scaled(cold * self.noise_factor)
+        self.plan.service.draw(&mut self.random).scaled(cold * self.pace())
+    }
+
+    /// Returns how long work takes, as a factor on the service time of a warm upstream.
+    fn pace(&self) -> f64 {
+        f64::from(self.plan.pace_percent.unwrap_or(USUAL_PACE)) / f64::from(USUAL_PACE)
+            * self.noise_factor
     }
 }
 
@@ -90,6 +110,8 @@
     clock: RealClock,
     port: PortControl,
     changed: ChangeSignal,
+    /// Changes when idle connections have to be closed.
+    idle_cuts: watch::Sender<u64>,
     state: Mutex<UpstreamState>,
 }
 
@@ -114,6 +136,7 @@
             clock,
             port,
             changed: ChangeSignal::default(),
+            idle_cuts: watch::Sender::new(0),
             state: Mutex::new(state),
         });
         core.update(|own| *own = plan);
@@ -166,7 +189,7 @@
             let plan = state.plan.clone();
             let lag = match plan.load {
                 LoadAnswer::Honest { lag_ms } => ClockSpan::from_millis(lag_ms),
-                LoadAnswer::Idle | LoadAnswer::Silent => ClockSpan::ZERO,
+                LoadAnswer::Fixed { .. } | LoadAnswer::Idle | LoadAnswer::Silent => ClockSpan::ZERO,
             };
             state.table.resize(plan.slots, plan.queue_limit, now);
             state.table.set_lag(lag, now);
@@ -235,15 +258,69 @@
     }
 
     /// Returns the load that answers report, or `None` if they report none.
-    pub(crate) fn reported(&self) -> Option<LoadFigures> {
+    pub(crate) fn reported(&self) -> Option<LoadSample> {
         let mut state = self.state.lock();
+        let pace_percent =
+            state.plan.pace_percent.map(|_| (state.pace() * f64::from(USUAL_PACE)).round() as u32);
         match state.plan.load {
-            LoadAnswer::Honest { .. } => Some(state.table.reported(self.clock.now())),
-            LoadAnswer::Idle => Some(LoadFigures { slots: state.plan.slots, ..Default::default() }),
+            LoadAnswer::Honest { .. } => {
+                let figures = state.table.reported(self.clock.now());
+                Some(LoadSample { figures, pace_percent })
+            }
+            LoadAnswer::Fixed { in_flight, queued, slots, pace_percent } => {
+                let figures = LoadFigures { in_flight, slots, queued };
+                Some(LoadSample { figures, pace_percent })
+            }
+            LoadAnswer::Idle => {
+                let figures = LoadFigures { slots: state.plan.slots, ..Default::default() };
+                Some(LoadSample { figures, pace_percent })
+            }
             LoadAnswer::Silent => None,
         }
     }
 
+    /// Returns the fault of an answer and counts it.
+    pub(crate) fn draw_fault(&self, path: &str, target: FaultTarget) -> Option<AnswerFault> {
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let (rules, random) = (&state.plan.faults, &mut state.random);
+        let index = rules.iter().position(|rule| {
+            rule.applies(path, target) && (rule.share >= 1.0 || random.chance(rule.share))
+        })?;
+        let rule = &mut Arc::make_mut(&mut state.plan).faults[index];
+        rule.next = rule.next.map(|left| left - 1);
+        state.counts.faults += 1;
+        Some(rule.fault)
+    }
+
+    /// Closes connections that have no request.
+    pub(crate) fn cut_idle(&self) {
+        self.idle_cuts.send_modify(|cuts| *cuts += 1);
+    }
+
+    /// Completes when a connection has been idle for too long. `busy` tells whether it has a
+    /// request.
+    pub(crate) async fn idle(&self, mut busy: watch::Receiver<bool>) {
+        let mut cuts = self.idle_cuts.subscribe();
+        // An error means that the connection has ended, which nobody waits for any more.
+        while busy.wait_for(|busy| !busy).await.is_ok() {
+            cuts.mark_unchanged();
+            let limit = self.plan().idle_ms.map(ClockSpan::from_millis);
+            let too_long = async {
+                match limit {
+                    Some(limit) => tokio::time::sleep(limit.to_duration()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                _ = busy.changed() => {}
+                _ = cuts.changed() => return self.count(|counts| counts.idle_closed += 1),
+                () = too_long => return self.count(|counts| counts.idle_closed += 1),
+            }
+        }
+    }
+
     /// Takes a slot or a place in the queue.
     pub(crate) fn admit(self: &Arc<Self>, label: WorkLabel) -> Admission {
         let admission = {
@@ -251,8 +328,7 @@
             let state = &mut *guard;
             let now = self.clock.now();
             if state.table.try_start(now) {
-                let length = state.begin(&label, now);
-                Admission::Started(self.hold(state.epoch, length, label.probe, now))
+                Admission::Started(SlotHold::new(self.clone(), state.begin(&label, now)))
             } else {
                 let (sender, receiver) = oneshot::channel();
                 let (request, deadline) = (label.request.clone(), label.deadline);
@@ -272,6 +348,16 @@
         admission
     }
 
+    /// Counts the run of a request that takes no slot.
+    pub(crate) fn count_run(&self, label: &WorkLabel) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.count_start(label, now);
+        state.counts.completed += 1;
+        drop(state);
+        self.changed.announce();
+    }
+
     /// Cancels a queued request and returns whether this is confirmed.
     pub(crate) fn cancel(&self, request: &str) -> bool {
         let waiter = {
@@ -360,16 +446,6 @@
         accepted.then(|| ConnectionMark::new(self.clone()))
     }
 
-    fn hold(
-        self: &Arc<Self>,
-        epoch: u64,
-        length: ClockSpan,
-        probe: bool,
-        began: ClockTime,
-    ) -> SlotHold {
-        SlotHold::new(self.clone(), epoch, length, probe, began)
-    }
-
     /// Lets requests leave the queue.
     fn pump(self: &Arc<Self>, state: &mut UpstreamState) -> Fates {
         let now = self.clock.now();
@@ -377,8 +453,7 @@
         while let Some(exit) = state.table.next_exit(now) {
             match exit {
                 QueueExit::Started(waiter) => {
-                    let length = state.begin(&waiter.label, now);
-                    let hold = self.hold(state.epoch, length, waiter.label.probe, now);
+                    let hold = SlotHold::new(self.clone(), state.begin(&waiter.label, now));
                     fates.push((waiter.sender, QueueFate::Started(hold)));
                 }
                 QueueExit::Expired(waiter) => {
@@ -398,16 +473,16 @@
         self.changed.announce();
     }
 
-    pub(crate) fn release(self: &Arc<Self>, epoch: u64, length: ClockSpan, probe: bool) {
+    pub(crate) fn release(self: &Arc<Self>, work: &HeldWork) {
         let fates = {
             let mut guard = self.state.lock();
             let state = &mut *guard;
-            if state.epoch != epoch {
+            if state.epoch != work.epoch {
                 return;
             }
             state.table.finish(self.clock.now());
-            let millis = length.as_millis_f64();
-            if probe {
+            let millis = work.length.as_millis_f64();
+            if work.probe {
                 state.counts.probe_slot_ms += millis;
             } else {
                 state.counts.completed += 1;
@@ -418,6 +493,35 @@
         self.announce(fates);
     }
 
+    /// Counts work whose caller has gone and returns whether it has ended.
+    pub(crate) fn abandon(self: &Arc<Self>, work: &HeldWork) -> bool {
+        let (ends, fates) = {
+            let mut guard = self.state.lock();
+            let state = &mut *guard;
+            if state.epoch != work.epoch {
+                return true;
+            }
+            let now = self.clock.now();
+            let (ran, limit) = (now.since(work.began).as_millis_f64(), state.plan.count_limit);
+            if !work.probe {
+                state.counts.abandoned += 1;
+            }
+            if state.plan.record_requests {
+                let request = work.request.as_deref();
+                state.counts.record(request, limit, |record| record.abandoned_ms.push(ran));
+            }
+            if state.plan.ends_with_caller {
+                state.table.finish(now);
+                state.counts.slot_ms += ran;
+                (true, self.pump(state))
+            } else {
+                (false, Fates::new())
+            }
+        };
+        self.announce(fates);
+        ends
+    }
+
     /// Removes a request from the queue and returns whether it was still there.
     pub(crate) fn withdraw(&self, ticket: u64, expired: bool) -> bool {
         let removed = {
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -1,43 +1,60 @@
 //! An upstream server whose faults are switched at run time.
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::answer;
 use crate::counts::UpstreamCounts;
+use crate::dialect::UpstreamDialect;
 use crate::error::StandError;
+use crate::native::NativeDialect;
 use crate::plan::UpstreamPlan;
 use crate::port::StandPort;
 use crate::slot::LoadFigures;
 use crate::state::UpstreamCore;
 use crate::web;
 
-/// A running upstream stand-in. It stops when it is dropped.
+/// A running upstream stand-in of an interface, the product's own by default. It stops when it is
+/// dropped.
 #[derive(Debug)]
-pub struct UpstreamStand {
+pub struct UpstreamStand<D = NativeDialect> {
     core: Arc<UpstreamCore>,
     address: SocketAddr,
     admin_address: SocketAddr,
     tasks: JoinSet<()>,
+    dialect: PhantomData<D>,
 }
 
 impl UpstreamStand {
-    /// Starts an upstream in the current tokio runtime.
+    /// Starts an upstream of the product's own interface in the current tokio runtime.
     ///
     /// # Errors
     ///
     /// Fails if one of the two addresses cannot be bound.
     pub async fn start(plan: UpstreamPlan) -> Result<Self, StandError> {
+        Self::start_as(plan).await
+    }
+}
+
+impl<D: UpstreamDialect> UpstreamStand<D> {
+    /// Starts an upstream of the interface `D` in the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the two addresses cannot be bound.
+    pub async fn start_as(plan: UpstreamPlan) -> Result<Self, StandError> {
         let (port, control) = StandPort::open(plan.listen)?;
         let (admin_port, admin_control) = StandPort::open(plan.admin_listen)?;
         let (address, admin_address) = (port.address(), admin_port.address());
         let core = UpstreamCore::new(plan, control);
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(core.clone(), port));
+        tasks.spawn(accept::<D>(core.clone(), port));
         tasks.spawn(web::serve_port(admin_port, admin_control, core.clone(), answer::administer));
-        Ok(Self { core, address, admin_address, tasks })
+        Ok(Self { core, address, admin_address, tasks, dialect: PhantomData })
     }
 
     /// Returns the address for requests.
@@ -85,6 +102,11 @@
         self.core.crash();
     }
 
+    /// Closes the connections that have no request, without notice.
+    pub fn close_idle(&self) {
+        self.core.cut_idle();
+    }
+
     /// Waits until the upstream accepts connections, or until it refuses them.
     pub async fn wait_listening(&self, listening: bool) {
         self.core.port().wait_listening(listening).await;
@@ -102,18 +124,26 @@
     }
 }
 
-impl Drop for UpstreamStand {
+impl<D> Drop for UpstreamStand<D> {
     fn drop(&mut self) {
         self.core.stop();
     }
 }
 
-async fn accept(core: Arc<UpstreamCore>, port: StandPort) {
+async fn accept<D: UpstreamDialect>(core: Arc<UpstreamCore>, port: StandPort) {
     port.run(|stream, cut| {
         let Some(mark) = core.connect() else { return };
         let core = core.clone();
+        let busy = watch::Sender::new(false);
         tokio::spawn(async move {
-            web::serve(stream, cut, |request| answer::serve(core.clone(), request)).await;
+            let idle = core.idle(busy.subscribe());
+            let handler = |request| async {
+                busy.send_replace(true);
+                let answer = answer::serve::<D>(core.clone(), request).await;
+                busy.send_replace(false);
+                answer
+            };
+            web::serve_scripted(stream, cut, idle, handler).await;
             drop(mark);
         });
     })
