Test the row store engine and the faults of the upstream stand-in

Tables of cases for transactions, ranges, history, each fault as its bytes, the choice of requests by rules, records by request id, callers that leave, crashes by path and idle connections. Idle connections are closed by the epoch in which they became idle; a signal alone could be missed between the end of a request and the wait.

--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -298,13 +298,18 @@
         self.idle_cuts.send_modify(|cuts| *cuts += 1);
     }
 
-    /// Completes when a connection has been idle for too long. `busy` tells whether it has a
-    /// request.
-    pub(crate) async fn idle(&self, mut busy: watch::Receiver<bool>) {
+    /// Returns how often idle connections had to be closed.
+    pub(crate) fn idle_epoch(&self) -> u64 {
+        *self.idle_cuts.borrow()
+    }
+
+    /// Completes when a connection has been idle for too long or idle ones have to be closed.
+    /// `idle_since` has the epoch in which the connection became idle, or `None` while it is busy.
+    pub(crate) async fn idle(&self, mut idle_since: watch::Receiver<Option<u64>>) {
         let mut cuts = self.idle_cuts.subscribe();
         // An error means that the connection has ended, which nobody waits for any more.
-        while busy.wait_for(|busy| !busy).await.is_ok() {
-            cuts.mark_unchanged();
+        while idle_since.wait_for(Option::is_some).await.is_ok() {
+            let Some(epoch) = *idle_since.borrow_and_update() else { continue };
             let limit = self.plan().idle_ms.map(ClockSpan::from_millis);
             let too_long = async {
                 match limit {
@@ -314,10 +319,11 @@
             };
             tokio::select! {
                 biased;
-                _ = busy.changed() => {}
-                _ = cuts.changed() => return self.count(|counts| counts.idle_closed += 1),
-                () = too_long => return self.count(|counts| counts.idle_closed += 1),
+                _ = idle_since.changed() => continue,
+                _ = cuts.wait_for(|cut| *cut > epoch) => {}
+                () = too_long => {}
             }
+            return self.count(|counts| counts.idle_closed += 1);
         }
     }
 
--- a/crates/stand/src/upstream.rs
+++ b/crates/stand/src/upstream.rs
@@ -132,15 +132,15 @@
 
 async fn accept<D: UpstreamDialect>(core: Arc<UpstreamCore>, port: StandPort) {
     port.run(|stream, cut| {
+        let idle_since = watch::Sender::new(Some(core.idle_epoch()));
         let Some(mark) = core.connect() else { return };
         let core = core.clone();
-        let busy = watch::Sender::new(false);
         tokio::spawn(async move {
-            let idle = core.idle(busy.subscribe());
+            let idle = core.idle(idle_since.subscribe());
             let handler = |request| async {
-                busy.send_replace(true);
+                idle_since.send_replace(None);
                 let answer = answer::serve::<D>(core.clone(), request).await;
-                busy.send_replace(false);
+                idle_since.send_replace(Some(core.idle_epoch()));
                 answer
             };
             web::serve_scripted(stream, cut, idle, handler).await;
--- /dev/null
+++ b/crates/stand/tests/faults.rs
@@ -0,0 +1,287 @@
+//! Each fault of an upstream's answers, as the bytes and the end that its caller sees.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use stand::prelude::*;
+use support::{Call, Caller, call};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Longer than any test runs.
+const HOUR: ServiceTime = ServiceTime::Fixed { ms: 3_600_000.0 };
+const REQUEST: &str = "GET /phase HTTP/1.1\r\nhost: t\r\nx-test-nonce: n1\r\n\r\n";
+const WORK: Call = Call::get("/phase");
+const BODY: &str = "aaaaaaaaaaaaaaaa";
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WireEnd {
+    Open,
+    Closed,
+    Reset,
+}
+
+/// A connection whose bytes are seen as they are.
+struct WireCaller {
+    stream: TcpStream,
+    seen: String,
+}
+
+impl WireCaller {
+    async fn connect(address: SocketAddr) -> Self {
+        Self { stream: TcpStream::connect(address).await.unwrap(), seen: String::new() }
+    }
+
+    /// Sends a request and reads until the answer has `end`, or the connection ends.
+    async fn exchange(&mut self, request: &str, end: &str) -> WireEnd {
+        self.stream.write_all(request.as_bytes()).await.unwrap();
+        self.seen.clear();
+        let mut buffer = [0; 4096];
+        while end.is_empty() || !self.seen.ends_with(end) {
+            match self.stream.read(&mut buffer).await {
+                Ok(0) => return WireEnd::Closed,
+                Err(_) => return WireEnd::Reset,
+                Ok(length) => {
+                    self.seen.push_str(std::str::from_utf8(&buffer[..length]).unwrap());
+                }
+            }
+        }
+        WireEnd::Open
+    }
+
+    fn has_header(&self, name: &str) -> bool {
+        self.seen.to_lowercase().contains(&format!("\r\n{name}: "))
+    }
+}
+
+struct FaultCase {
+    fault: AnswerFault,
+    request: &'static str,
+    /// The end of what the caller sees; empty reads to the end of the connection.
+    sees: &'static str,
+    end: WireEnd,
+    executed: u64,
+    check: fn(&WireCaller) -> bool,
+}
+
+/// Guards against a fault that shows itself as another one, or as a correct answer.
+#[tokio::test]
+async fn faults_look_as_planned() {
+    use AnswerFault::*;
+    const LONG: &str = "POST /b HTTP/1.1\r\nhost: t\r\ncontent-length: 9000000\r\n\r\n";
+    let case = |fault, sees, end, executed, check: fn(&WireCaller) -> bool| FaultCase {
+        fault,
+        request: REQUEST,
+        sees,
+        end,
+        executed,
+        check,
+    };
+    let (open, closed, reset) = (WireEnd::Open, WireEnd::Closed, WireEnd::Reset);
+    let cases = [
+        case(Extra { bytes: 3 }, "aaaxxx", open, 1, |wire| wire.has_header("content-length")),
+        case(Truncated { bytes: 4 }, "", closed, 1, |wire| {
+            wire.seen.ends_with("\r\n\r\naaaa") && wire.seen.contains("content-length: 16")
+        }),
+        case(Unframed, "", closed, 1, |wire| {
+            wire.seen.ends_with(BODY)
+                && !wire.has_header("content-length")
+                && !wire.has_header("transfer-encoding")
+        }),
+        // A reset may overtake the bytes before it.
+        case(UnframedReset { bytes: 4 }, "", reset, 1, |_| true),
+        case(Reset, "", reset, 1, |wire| wire.seen.is_empty()),
+        case(Close, "", closed, 1, |wire| {
+            wire.seen.ends_with(BODY) && wire.has_header("connection")
+        }),
+        case(Status { status: 503 }, BODY, open, 1, |wire| {
+            wire.seen.starts_with("HTTP/1.1 503") && !wire.has_header("agateroad-shed")
+        }),
+        FaultCase {
+            request: LONG,
+            ..case(Early { status: 429 }, "early", open, 0, |wire| {
+                wire.seen.starts_with("HTTP/1.1 429") && wire.has_header("agateroad-shed")
+            })
+        },
+        FaultCase {
+            request: LONG,
+            ..case(Early { status: 200 }, "early", open, 1, |wire| {
+                wire.seen.starts_with("HTTP/1.1 200") && !wire.has_header("agateroad-shed")
+            })
+        },
+    ];
+    for case in cases {
+        let plan =
+            UpstreamPlan { faults: vec![FaultRule::next(case.fault, 1)], ..Default::default() };
+        let stand = UpstreamStand::start(plan).await.unwrap();
+        let mut wire = WireCaller::connect(stand.address()).await;
+        let end = wire.exchange(case.request, case.sees).await;
+        assert_eq!(end, case.end, "{:?}: {}", case.fault, wire.seen);
+        assert!((case.check)(&wire), "{:?}: {}", case.fault, wire.seen);
+        let counts = stand.counts();
+        assert_eq!((counts.executed, counts.faults), (case.executed, 1), "{:?}", case.fault);
+        let next = call(stand.address(), WORK).await.unwrap();
+        assert_eq!((next.status.as_u16(), &next.body[..]), (200, BODY.as_bytes()), "one only");
+    }
+}
+
+/// Guards against a late answer that comes before the next request, or with the next one's marks.
+#[tokio::test]
+async fn late_answers_take_the_place_of_the_next() {
+    let faults = vec![FaultRule::next(AnswerFault::Second, 1)];
+    let stand = UpstreamStand::start(UpstreamPlan { faults, ..Default::default() }).await.unwrap();
+    let mut wire = WireCaller::connect(stand.address()).await;
+    assert_eq!(wire.exchange(REQUEST, BODY).await, WireEnd::Open);
+    let first = wire.seen.clone();
+    assert_eq!(wire.exchange(&REQUEST.replace("n1", "n2"), BODY).await, WireEnd::Open);
+    assert_eq!(wire.seen, first);
+    assert_eq!((stand.counts().of_nonce("n1"), stand.counts().of_nonce("n2")), (1, 0));
+}
+
+struct RuleCase {
+    name: &'static str,
+    rule: FaultRule,
+    /// Faults among four calls to `/phase` and four health checks.
+    work: u64,
+    checks: u64,
+}
+
+/// Guards against a rule that hits other requests than it names.
+#[tokio::test]
+async fn rules_choose_their_requests() {
+    let all = || FaultRule { fault: AnswerFault::Status { status: 500 }, ..Default::default() };
+    let case = |name, rule, work, checks| RuleCase { name, rule, work, checks };
+    let cases = [
+        case("all work", all(), 4, 0),
+        case("checks", FaultRule { on: FaultTarget::Checks, ..all() }, 0, 4),
+        case("next three", FaultRule { next: Some(3), ..all() }, 3, 0),
+        case("path", FaultRule { path: "/pha".into(), ..all() }, 4, 0),
+        case("other path", FaultRule { path: "/booking".into(), ..all() }, 0, 0),
+        case("no share", FaultRule { share: 0.0, ..all() }, 0, 0),
+    ];
+    for case in cases {
+        let plan = UpstreamPlan { faults: vec![case.rule], ..Default::default() };
+        let stand = UpstreamStand::start(plan).await.unwrap();
+        let mut failed = [0, 0];
+        for _ in 0..4 {
+            for (index, path) in ["/phase", "/agateroad/health"].into_iter().enumerate() {
+                let reply = call(stand.address(), Call::get(path)).await.unwrap();
+                failed[index] += u64::from(reply.status == 500);
+            }
+        }
+        assert_eq!(failed, [case.work, case.checks], "{}", case.name);
+        assert_eq!(stand.counts().faults, case.work + case.checks, "{}", case.name);
+    }
+}
+
+/// Guards against a record that loses an arrival, a run or a changed byte.
+#[tokio::test]
+async fn requests_are_recorded_by_their_id() {
+    let plan = UpstreamPlan { record_requests: true, ..Default::default() };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    let headers = &[("agateroad-request-id", "r1"), ("agateroad-deadline-ms", "700")];
+    for path in ["/echo", "/booking"] {
+        let reply = call(stand.address(), Call::post(path, "body").with(headers)).await.unwrap();
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.body == "body", path == "/echo");
+    }
+    stand.update(|plan| plan.mode = UpstreamMode::FailFast);
+    call(stand.address(), WORK.with(headers)).await.unwrap();
+    let expected = RequestRecord {
+        arrived: 3,
+        runs: 2,
+        bodies: vec![BodyRecord::of(b"body"); 2],
+        remaining_ms: vec![700; 3],
+        abandoned_ms: vec![],
+    };
+    assert_eq!(stand.counts().of_request("r1"), expected);
+    assert_ne!(BodyRecord::of(b"body"), BodyRecord::of(b"bodY"));
+    assert_eq!(stand.counts().of_request("r2"), RequestRecord::default());
+}
+
+struct LeaverCase {
+    ends: bool,
+    in_flight: u32,
+}
+
+/// Guards against a caller that leaves unnoticed, and against work that ends, or does not end,
+/// against the plan.
+#[tokio::test]
+async fn work_may_end_with_its_caller() {
+    for case in [LeaverCase { ends: true, in_flight: 0 }, LeaverCase { ends: false, in_flight: 1 }]
+    {
+        let plan = UpstreamPlan {
+            service: HOUR,
+            ends_with_caller: case.ends,
+            record_requests: true,
+            ..Default::default()
+        };
+        let stand = UpstreamStand::start(plan).await.unwrap();
+        let headers = &[("agateroad-request-id", "r1")];
+        let task = tokio::spawn(call(stand.address(), WORK.with(headers)));
+        stand.wait_for(|_, figures| figures.in_flight == 1).await;
+        assert_eq!(stand.counts().abandoned, 0);
+        task.abort();
+        stand.wait_for(|counts, _| counts.abandoned == 1).await;
+        assert_eq!(stand.figures().in_flight, case.in_flight, "ends: {}", case.ends);
+        assert_eq!(stand.counts().of_request("r1").abandoned_ms.len(), 1);
+        assert_eq!(stand.counts().completed, 0);
+    }
+}
+
+/// Guards against a crash that only query, header or body can cause, and against one that counts as
+/// a caller that left.
+#[tokio::test]
+async fn paths_crash_the_upstream() {
+    let plan = UpstreamPlan {
+        crash_paths: vec!["/bad".into()],
+        restart_ms: None,
+        record_requests: true,
+        ..Default::default()
+    };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    assert!(call(stand.address(), Call::get("/bad/not")).await.is_some());
+    assert!(call(stand.address(), Call::get("/bad")).await.is_none());
+    stand.wait_listening(false).await;
+    stand.wait_for(|counts, _| counts.connections == 0).await;
+    let counts = stand.counts();
+    assert_eq!((counts.crashes, counts.abandoned, counts.executed), (1, 0, 2));
+    stand.restart();
+    stand.wait_listening(true).await;
+    assert!(call(stand.address(), WORK).await.is_some());
+}
+
+/// Guards against a busy connection that is closed for being idle, and an idle one that stays.
+#[tokio::test]
+async fn idle_connections_are_closed_without_notice() {
+    let plan = UpstreamPlan { service: HOUR, ..Default::default() };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    let mut idle = Caller::connect(stand.address()).await.unwrap();
+    let busy = tokio::spawn(call(stand.address(), WORK));
+    stand.wait_for(|counts, figures| counts.connections == 2 && figures.in_flight == 1).await;
+    stand.close_idle();
+    stand.wait_for(|counts, _| counts.connections == 1).await;
+    assert!(idle.call(WORK).await.is_none());
+    assert_eq!((stand.counts().idle_closed, busy.is_finished()), (1, false));
+    busy.abort();
+    stand.wait_for(|counts, _| counts.connections == 0).await;
+    stand.update(|plan| plan.idle_ms = Some(1));
+    let mut next = Caller::connect(stand.address()).await.unwrap();
+    stand.wait_for(|counts, _| counts.idle_closed == 2).await;
+    assert!(next.call(WORK).await.is_none());
+}
+
+/// Guards against a pace that is reported and not spent.
+#[tokio::test]
+async fn the_pace_stretches_the_work() {
+    let plan = UpstreamPlan {
+        service: ServiceTime::Fixed { ms: 1.0 },
+        pace_percent: Some(250),
+        ..Default::default()
+    };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    call(stand.address(), WORK).await.unwrap();
+    assert_eq!(stand.counts().slot_ms, ClockSpan::from_millis_f64(2.5).as_millis_f64());
+}
--- /dev/null
+++ b/crates/stand/tests/rows.rs
@@ -0,0 +1,185 @@
+//! Tables, ranges and history of the row store stand-in, on virtual time.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use bytes::Bytes;
+use stand::prelude::*;
+use stand::rows::{RowCondition, RowRange, RowTables, RowTransaction};
+
+const SEED: u64 = 11;
+
+fn condition(key: &str, version: Option<u64>) -> RowCondition {
+    RowCondition { place: RowPlace::new("t", key), version }
+}
+
+fn write(key: &str) -> (RowPlace, Bytes) {
+    (RowPlace::new("t", key), Bytes::from_static(b"v"))
+}
+
+struct CommitCase {
+    name: &'static str,
+    conditions: &'static [(&'static str, Option<u64>)],
+    writes: &'static [&'static str],
+    deletes: &'static [&'static str],
+    /// The version of the store after the transaction.
+    version: Option<u64>,
+}
+
+/// Guards against a transaction that happens in part or ignores a condition, and against a version
+/// that is used twice.
+#[test]
+fn transactions_are_conditional_and_whole() {
+    let case = |name, conditions, writes, deletes, version| CommitCase {
+        name,
+        conditions,
+        writes,
+        deletes,
+        version,
+    };
+    let cases = [
+        case("no condition", &[], &["a"], &[], Some(1)),
+        case("present row is not absent", &[("a", None)], &["a"], &[], None),
+        case("absent row", &[("b", None)], &["a", "b"], &[], Some(2)),
+        case("right version of an unwritten row", &[("a", Some(2))], &["c"], &[], Some(3)),
+        case("one wrong condition", &[("a", Some(2)), ("c", Some(2))], &["a"], &["c"], None),
+        case("deletion", &[("c", Some(3))], &[], &["c"], Some(4)),
+        case("deletion of an absent row", &[], &[], &["c"], Some(4)),
+        case("version of a deleted row", &[("c", Some(3))], &["c"], &[], None),
+        case("created again", &[("c", None)], &["c"], &[], Some(5)),
+    ];
+    let mut tables = RowTables::default();
+    for case in cases {
+        let transaction = RowTransaction {
+            conditions: case.conditions.iter().map(|(key, v)| condition(key, *v)).collect(),
+            writes: case.writes.iter().map(|key| write(key)).collect(),
+            deletes: case.deletes.iter().map(|key| RowPlace::new("t", key)).collect(),
+        };
+        let before = tables.version();
+        let outcome = tables.commit(&transaction, ClockTime::ZERO);
+        assert_eq!(outcome, case.version, "{}", case.name);
+        assert_eq!(tables.version(), case.version.unwrap_or(before), "{}", case.name);
+    }
+}
+
+struct RangeCase {
+    name: &'static str,
+    part: Option<&'static str>,
+    from: &'static str,
+    limit: usize,
+    keys: &'static [&'static str],
+    truncated: bool,
+}
+
+/// Guards against a page that skips a row, has rows of another part, or hides that there are more.
+#[test]
+fn ranges_are_read_in_pages() {
+    let case = |name, part, from, limit, keys, truncated| RangeCase {
+        name,
+        part,
+        from,
+        limit,
+        keys,
+        truncated,
+    };
+    let cases = [
+        case("whole part", Some(""), "", 9, &["a", "b", "c"], false),
+        case("exact limit", Some(""), "", 3, &["a", "b", "c"], false),
+        case("first page", Some(""), "", 2, &["a", "b"], true),
+        case("next page starts with its first key", Some(""), "b", 2, &["b", "c"], false),
+        case("other part", Some("p"), "", 9, &["z"], false),
+        case("all parts", None, "", 9, &["a", "b", "c", "z"], false),
+        case("past the end", Some(""), "d", 9, &[], false),
+        case("no rows asked for", Some(""), "", 0, &[], true),
+    ];
+    let mut tables = RowTables::default();
+    let mut places: Vec<RowPlace> = ["c", "a", "b"].map(|key| RowPlace::new("t", key)).into();
+    places.push(RowPlace { part: "p".into(), ..RowPlace::new("t", "z") });
+    places.push(RowPlace::new("u", "a"));
+    let writes = places.into_iter().map(|place| (place, Bytes::new())).collect();
+    tables.commit(&RowTransaction { writes, ..Default::default() }, ClockTime::ZERO);
+    for case in cases {
+        let range = RowRange {
+            table: "t".into(),
+            part: case.part.map(SharedName::from),
+            from: case.from.into(),
+            limit: case.limit,
+        };
+        let page = tables.read(&range);
+        let keys: Vec<&str> = page.rows.iter().map(|row| row.place.key.as_str()).collect();
+        assert_eq!((keys.as_slice(), page.truncated), (case.keys, case.truncated), "{}", case.name);
+    }
+}
+
+struct HistoryCase {
+    name: &'static str,
+    keep: HistoryKeep,
+    after: u64,
+    /// The versions of the changes, or `None` if they are lost.
+    versions: Option<&'static [u64]>,
+}
+
+/// Guards against a gap in the history that looks like no change.
+#[test]
+fn history_is_whole_or_lost() {
+    let for_ms = |ms| HistoryKeep::For { ms };
+    let case = |name, keep, after, versions| HistoryCase { name, keep, after, versions };
+    // Versions 1 to 4 are written at 0, 10, 20 and 30 ms; version 3 is in another table.
+    let cases = [
+        case("all", HistoryKeep::All, 0, Some(&[1, 2, 4])),
+        case("after the last", HistoryKeep::All, 4, Some(&[])),
+        case("all old enough to drop but one", for_ms(5), 3, Some(&[4])),
+        case("first dropped change is needed", for_ms(5), 2, None),
+        case("dropped changes of other tables count too", for_ms(15), 1, None),
+        case("none kept, up to date", HistoryKeep::Nothing, 4, Some(&[])),
+        case("none kept", HistoryKeep::Nothing, 3, None),
+    ];
+    for case in cases {
+        let mut tables = RowTables::default();
+        for (index, table) in ["t", "t", "u", "t"].into_iter().enumerate() {
+            let writes = vec![(RowPlace::new(table, "k"), Bytes::new())];
+            let now = ClockTime::from_millis(index as u64 * 10);
+            tables.commit(&RowTransaction { writes, ..Default::default() }, now);
+        }
+        tables.prune(case.keep, ClockTime::from_millis(31));
+        let changes = tables.changes("t", case.after);
+        let versions =
+            changes.map(|all| all.iter().map(|change| change.version).collect::<Vec<_>>());
+        assert_eq!(versions.as_deref(), case.versions, "{}", case.name);
+    }
+}
+
+/// Guards against a change that followers miss or see in the wrong order: whoever applies the
+/// changes since any version has the same rows as the store.
+#[test]
+fn followers_have_the_rows_of_the_store() {
+    let mut random = RandomSource::from_seed(SEED);
+    let mut tables = RowTables::default();
+    let mut replicas: Vec<(u64, BTreeMap<SharedName, Bytes>)> = vec![(0, BTreeMap::new()); 5];
+    for step in 0..2000_u64 {
+        let mut transaction = RowTransaction::default();
+        for _ in 0..=random.below(3) {
+            let place = RowPlace::new("t", ["a", "b", "c", "d"][random.below(4)]);
+            if random.chance(0.3) {
+                transaction.deletes.push(place);
+            } else {
+                transaction.writes.push((place, Bytes::from(step.to_string())));
+            }
+        }
+        tables.commit(&transaction, ClockTime::from_millis(step));
+        let replica = random.below(replicas.len());
+        let (after, rows) = &mut replicas[replica];
+        for change in tables.changes("t", *after).expect("the history is kept") {
+            match change.value {
+                Some(value) => rows.insert(change.place.key, value),
+                None => rows.remove(&change.place.key),
+            };
+        }
+        *after = tables.version();
+        let range = RowRange { table: "t".into(), part: None, from: "".into(), limit: 9 };
+        let page = tables.read(&range).rows.into_iter();
+        let stored: BTreeMap<_, _> =
+            page.map(|row| (row.place.key, row.value.unwrap_or_default())).collect();
+        assert_eq!(*rows, stored, "seed {SEED}, step {step}");
+    }
+}
