--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,7 +1,8 @@
-//! Test doubles: upstream, platform and fault proxy.
+//! Test doubles: upstream, platform, row store and fault proxy.
 //!
 //! Each of them runs inside a tokio runtime as an owned value that stops when it is dropped, or as
-//! a process of its own through the example `stand`. Each keeps its state behind one lock, which is
+//! a process of its own through the example `stand`. The row store has no protocol of its own and
+//! needs a [`RowDialect`](row_dialect::RowDialect), which is also why the example lacks it. Each keeps its state behind one lock, which is
 //! never held while another lock is taken or across an await, so the lock order has one level.
 
 mod answer;
--- a/crates/stand/src/row_core.rs
+++ b/crates/stand/src/row_core.rs
@@ -12,7 +12,7 @@
 use crate::rate::RateLimit;
 use crate::row_dialect::{FeedCall, RowAnswer, RowCall, RowDialect};
 use crate::row_plan::{AnswerLoss, RowCallCounts, RowCallKind, RowCounts, RowOutage, RowPlan};
-use crate::rows::{HistoryKeep, RowPlace, RowTables, RowTransaction};
+use crate::rows::{RowPlace, RowTables, RowTransaction};
 use crate::script::{RawScript, ScriptEnd};
 use crate::signal::ChangeSignal;
 use crate::web;
@@ -94,29 +94,26 @@
     /// Waits until a row meets a condition.
     pub(crate) async fn wait_row(&self, place: &RowPlace, met: impl Fn(Option<&[u8]>) -> bool) {
         let check = || {
-            let row = self.tables(|tables, _, _| tables.row(place));
+            let row = self.tables(|tables, _| tables.row(place));
             met(row.and_then(|row| row.value).as_deref())
         };
         self.changed.wait_until(check).await;
     }
 
     /// Uses the tables, whose history is pruned before and after.
-    pub(crate) fn tables<T>(
-        &self,
-        action: impl FnOnce(&mut RowTables, HistoryKeep, ClockTime) -> T,
-    ) -> T {
+    pub(crate) fn tables<T>(&self, action: impl FnOnce(&mut RowTables, ClockTime) -> T) -> T {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let keep = state.plan.history;
         state.tables.prune(keep, now);
-        let outcome = action(&mut state.tables, keep, now);
+        let outcome = action(&mut state.tables, now);
         state.tables.prune(keep, now);
         outcome
     }
 
     /// Carries out a transaction and wakes those who wait for changes.
     pub(crate) fn commit(&self, transaction: &RowTransaction) -> Option<u64> {
-        let version = self.tables(|tables, _, now| tables.commit(transaction, now));
+        let version = self.tables(|tables, now| tables.commit(transaction, now));
         self.changed.announce();
         version
     }
@@ -164,7 +161,7 @@
         match call {
             RowCall::Read(mut range) => {
                 range.limit = range.limit.min(self.state.lock().plan.page_rows);
-                RowAnswer::Range(self.tables(|tables, _, _| tables.read(&range)))
+                RowAnswer::Range(self.tables(|tables, _| tables.read(&range)))
             }
             RowCall::Feed(feed) => {
                 let answer = self.follow(source, &feed).await;
@@ -201,14 +198,14 @@
     async fn follow(&self, source: IpAddr, feed: &FeedCall) -> RowAnswer {
         let limit = ClockSpan::from_millis(self.state.lock().plan.hold_ms);
         let news = || {
-            let changes = self.tables(|tables, _, _| tables.changes(&feed.table, feed.after));
+            let changes = self.tables(|tables, _| tables.changes(&feed.table, feed.after));
             changes.is_none_or(|changes| !changes.is_empty())
                 || self.outage(source, RowCallKind::Feed).is_some()
         };
         // A wait that ends without a change has an empty answer.
         let hold = feed.hold.min(limit).to_duration();
         let _ = tokio::time::timeout(hold, self.changed.wait_until(news)).await;
-        self.tables(|tables, _, _| match tables.changes(&feed.table, feed.after) {
+        self.tables(|tables, _| match tables.changes(&feed.table, feed.after) {
             Some(changes) => RowAnswer::Changes { changes, version: tables.version() },
             None => RowAnswer::HistoryLost,
         })
--- a/crates/stand/src/row_stand.rs
+++ b/crates/stand/src/row_stand.rs
@@ -44,12 +44,12 @@
 
     /// Returns a row.
     pub fn row(&self, place: &RowPlace) -> Option<RowChange> {
-        self.core.tables(|tables, _, _| tables.row(place))
+        self.core.tables(|tables, _| tables.row(place))
     }
 
     /// Returns the version of the store.
     pub fn version(&self) -> u64 {
-        self.core.tables(|tables, _, _| tables.version())
+        self.core.tables(|tables, _| tables.version())
     }
 
     /// Waits until the value of a row, or its absence, meets a condition.
@@ -105,7 +105,7 @@
 
     /// Drops the history up to now. Later changes are kept as the plan says.
     pub fn drop_history(&self) {
-        self.core.tables(|tables, _, _| tables.drop_history());
+        self.core.tables(|tables, _| tables.drop_history());
         // Those who wait for a change after an older version must learn of the loss.
         self.core.update(|_| {});
     }
