--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,16 +1,21 @@
-//! Test doubles: upstream, platform and fault proxy.
+//! Test doubles: upstream, platform, row store and fault proxy.
 //!
 //! Each of them runs inside a tokio runtime as an owned value that stops when it is dropped, or as
-//! a process of its own through the example `stand`. Each keeps its state behind one lock, which is
+//! a process of its own through the example `stand`. The row store has no protocol of its own and
+//! needs a [`RowDialect`](row_dialect::RowDialect), which is also why the example lacks it. Each keeps its state behind one lock, which is
 //! never held while another lock is taken or across an await, so the lock order has one level.
 
 mod answer;
 pub mod body;
 pub mod counts;
+mod deliver;
+pub mod dialect;
 pub mod error;
+pub mod fault;
 mod hold;
 pub mod launch;
 pub mod member;
+pub mod native;
 pub mod noise;
 pub mod plan;
 pub mod platform;
@@ -19,7 +24,13 @@
 pub mod proxy;
 pub mod rate;
 mod relay;
+mod row_core;
+pub mod row_dialect;
+pub mod row_plan;
+pub mod row_stand;
+pub mod rows;
 pub mod scan;
+pub mod script;
 pub mod service;
 mod signal;
 pub mod slot;
@@ -32,13 +43,22 @@
 pub mod prelude {
     //! The types that most tests need.
 
-    pub use crate::counts::UpstreamCounts;
+    pub use crate::counts::{BodyRecord, RequestRecord, UpstreamCounts};
+    pub use crate::dialect::UpstreamDialect;
     pub use crate::error::StandError;
+    pub use crate::fault::{AnswerFault, FaultRule, FaultTarget};
+    pub use crate::native::NativeDialect;
     pub use crate::plan::{
         ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
     };
     pub use crate::platform::{PlatformCounts, PlatformOutage, PlatformPlan, PlatformStand};
     pub use crate::proxy::{FaultProxy, ProxyCounts, ProxyPlan};
+    pub use crate::row_dialect::RowDialect;
+    pub use crate::row_plan::{
+        AnswerLoss, RowCallCounts, RowCallKind, RowCounts, RowFault, RowOutage, RowPlan,
+    };
+    pub use crate::row_stand::{RowHandle, RowStand};
+    pub use crate::rows::{HistoryKeep, RowPlace};
     pub use crate::service::ServiceTime;
     pub use crate::upstream::UpstreamStand;
     pub use crate::wire::PlatformMember;
