Bound retries over all VMs in a sliding window

Cause: the platform counts the arrivals beyond the first one of each call over all VMs in any window of 10 s; the tokens of a VM bound neither a window nor the sum. Change: for contracts with a retry window a VM counts its first and further arrivals in 20 slices and causes a further one only within nine tenths of the ratio and its part of half of the slack. The limit of a call replaces the attempts of the tuning, and arrivals that did not happen can be refunded. Ruled out: spreading the share evenly over the window, which would refuse most retries in the first second after an upstream fails. Contracts without a window keep their tokens.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod share;
+mod window;
 
 pub mod prelude {
     //! The types that the gate needs.
--- a/crates/limit/src/retry.rs
+++ b/crates/limit/src/retry.rs
@@ -1,4 +1,4 @@
-//! Retry tokens of services.
+//! Retry budgets of services.
 
 use std::collections::HashMap;
 
@@ -7,6 +7,8 @@
 use world::request::MAX_CALL_DEPTH;
 
 use crate::average::SpanAverage;
+use crate::probe::VmCounts;
+use crate::window::ArrivalWindow;
 
 /// Constants of the retry budget.
 #[derive(Clone, Debug)]
@@ -21,10 +23,19 @@
     pub reserve: f64,
     /// Tokens at the start of a service at depth 0. Deeper levels start empty.
     pub start_tokens: f64,
-    /// Attempts of a call at depth 0, the first included.
+    /// Attempts of a call at depth 0 that names no limit, the first included.
     pub attempts: u32,
-    /// Attempts of a deeper call, the first included.
+    /// Attempts of a deeper call that names no limit, the first included.
     pub deep_attempts: u32,
+    /// The share of a window's ratio that a VM spends, `0.0..=1.0`.
+    pub window_ratio_share: f64,
+    /// The share that a VM spends until it has run for a window, as it does not know what it spent
+    /// before a restart. If all VMs restart, one window can hold the arrivals of both runs, so both
+    /// shares together are at most 1.
+    pub young_ratio_share: f64,
+    /// The share of a window's slack that all VMs together spend, `0.0..=1.0`. The rest covers
+    /// VMs above the number by which the slack is divided, and calls that the window counts late.
+    pub window_slack_share: f64,
     /// Weight of a new sample in the average call time.
     pub sample_weight: f64,
 }
@@ -38,6 +49,9 @@
             start_tokens: 1.0,
             attempts: 3,
             deep_attempts: 2,
+            window_ratio_share: 0.9,
+            young_ratio_share: 0.1,
+            window_slack_share: 0.5,
             sample_weight: 0.1,
         }
     }
@@ -45,78 +59,194 @@
 
 const LEVELS: usize = MAX_CALL_DEPTH as usize + 1;
 
+/// A bound over all VMs, and what this VM has spent of it.
 #[derive(Debug)]
-struct ServiceTokens {
-    ratio: f64,
-    tokens: [f64; LEVELS],
+struct WindowShare {
+    bound: RetryWindow,
+    ceiling: u32,
+    arrivals: ArrivalWindow,
+}
+
+impl WindowShare {
+    /// Returns whether this VM may cause a further arrival now.
+    fn has_room(&mut self, tuning: &RetryTuning, counts: VmCounts, now: ClockTime) -> bool {
+        let (share, slack) = if self.arrivals.is_young(now) {
+            (tuning.young_ratio_share, 0.0)
+        } else {
+            let vms = f64::from(counts.divisor(self.ceiling));
+            let slack = tuning.window_slack_share * self.bound.slack / vms;
+            (tuning.window_ratio_share, slack)
+        };
+        let first = f64::from(self.arrivals.first(now));
+        let further = f64::from(self.arrivals.further(now));
+        further + 1.0 <= share * self.bound.ratio * first + slack
+    }
+}
+
+/// What this VM may still cause at one service.
+#[derive(Debug)]
+enum ServiceAllowance {
+    /// Tokens of each depth, for contracts without a window.
+    Tokens { ratio: f64, tokens: [f64; LEVELS] },
+    /// A share of a bound over all VMs.
+    Window(WindowShare),
+}
+
+#[derive(Debug)]
+struct ServiceRetries {
+    allowance: ServiceAllowance,
     call_time: SpanAverage,
 }
 
-/// Retry tokens per service and call depth.
+impl ServiceRetries {
+    fn new(contract: &ServiceContract, tuning: &RetryTuning, now: ClockTime) -> Self {
+        let allowance = match contract.retry_window {
+            Some(bound) => ServiceAllowance::Window(WindowShare {
+                bound,
+                ceiling: contract.vm_ceiling,
+                arrivals: ArrivalWindow::new(bound.span, now),
+            }),
+            None => {
+                let mut tokens = [0.0; LEVELS];
+                tokens[0] = tuning.start_tokens;
+                ServiceAllowance::Tokens { ratio: 0.0, tokens }
+            }
+        };
+        Self { allowance, call_time: SpanAverage::default() }
+    }
+
+    /// Takes over a contract. What was spent stays, unless the kind of the bound changes.
+    fn apply(&mut self, contract: &ServiceContract, tuning: &RetryTuning, now: ClockTime) {
+        match (&mut self.allowance, contract.retry_window) {
+            (ServiceAllowance::Tokens { ratio, .. }, None) => {
+                *ratio = contract.retry_ratio.clamp(0.0, tuning.ratio_max);
+            }
+            (ServiceAllowance::Window(share), Some(bound)) => {
+                share.arrivals.set_span(bound.span, now);
+                share.bound = bound;
+                share.ceiling = contract.vm_ceiling;
+            }
+            _ => {
+                self.allowance = Self::new(contract, tuning, now).allowance;
+                if contract.retry_window.is_none() {
+                    self.apply(contract, tuning, now);
+                }
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RetryState {
+    counts: VmCounts,
+    services: HashMap<SharedName, ServiceRetries>,
+}
+
+/// This VM's part of the retries of each service: tokens per depth, or a share of a bound over all
+/// VMs where the contract names a window. Hedged copies spend from the same budget.
 ///
 /// Each depth has its own tokens. With one pool, the first attempts of all levels of a recursive
 /// call would pay for retries at the top, each of which repeats the whole chain.
 #[derive(Debug)]
 pub struct RetryBudget {
     tuning: RetryTuning,
-    state: RankedMutex<HashMap<SharedName, ServiceTokens>>,
+    state: RankedMutex<RetryState>,
 }
 
 impl RetryBudget {
     /// Returns a budget without services.
     pub fn new(tuning: RetryTuning) -> Self {
-        Self { tuning, state: RankedMutex::new(LockRank::RetryBudget, HashMap::new()) }
+        Self { tuning, state: RankedMutex::new(LockRank::RetryBudget, RetryState::default()) }
     }
 
-    /// Takes over the contracts of `map`. Services that stay keep their tokens.
-    pub fn apply(&self, map: &EnvironmentMap, _now: ClockTime) {
+    /// Takes over the contracts of `map`. Services that stay keep what they have spent.
+    pub fn apply(&self, map: &EnvironmentMap, now: ClockTime) {
         let mut state = self.state.lock();
-        state.retain(|name, _| map.contract(name).is_some());
+        state.services.retain(|name, _| map.contract(name).is_some());
         for contract in &map.contracts {
-            let service = state.entry(contract.name.clone()).or_insert_with(|| {
-                let mut tokens = [0.0; LEVELS];
-                tokens[0] = self.tuning.start_tokens;
-                ServiceTokens { ratio: 0.0, tokens, call_time: SpanAverage::default() }
-            });
-            service.ratio = contract.retry_ratio.clamp(0.0, self.tuning.ratio_max);
+            let new = || ServiceRetries::new(contract, &self.tuning, now);
+            let service = state.services.entry(contract.name.clone()).or_insert_with(new);
+            service.apply(contract, &self.tuning, now);
         }
     }
 
+    /// Takes over new counts of VMs, by which the slack of windows is divided.
+    pub fn set_counts(&self, counts: VmCounts, _now: ClockTime) {
+        self.state.lock().counts = counts;
+    }
+
     /// Records the first attempt of a call at depth 0.
     pub fn record_first(&self, service: &str, now: ClockTime) {
         self.record_first_at(service, 0, now);
     }
 
     /// Records the first attempt of a call at `depth`.
-    pub fn record_first_at(&self, service: &str, depth: u32, _now: ClockTime) {
+    pub fn record_first_at(&self, service: &str, depth: u32, now: ClockTime) {
         let Some(level) = Self::level(depth) else { return };
-        if let Some(own) = self.state.lock().get_mut(service) {
-            let share = self.share(level);
-            let cap = (self.tuning.reserve * share).max(1.0);
-            own.tokens[level] = (own.tokens[level] + own.ratio * share).min(cap);
+        let mut state = self.state.lock();
+        let Some(own) = state.services.get_mut(service) else { return };
+        match &mut own.allowance {
+            ServiceAllowance::Tokens { ratio, tokens } => {
+                let gained = *ratio * self.share(level);
+                tokens[level] = (tokens[level] + gained).min(self.most_tokens(level));
+            }
+            ServiceAllowance::Window(share) => share.arrivals.add_first(now),
         }
     }
 
     /// Records the time that a finished call took at its upstream.
     pub fn record_call(&self, service: &str, latency: ClockSpan, now: ClockTime) {
-        if let Some(own) = self.state.lock().get_mut(service) {
+        if let Some(own) = self.state.lock().services.get_mut(service) {
             own.call_time.record(latency, self.tuning.sample_weight, now);
         }
     }
 
-    /// Returns whether the call may be tried once more after the attempt that `request` names,
-    /// and spends a token if so. Whether a repeat is safe is the caller's decision.
+    /// Returns whether the call may be sent once more after the attempt that `request` names, and
+    /// spends the arrival if so. Whether a repeat is safe is the caller's decision.
     pub fn allow_retry(&self, request: &CallerRequest, now: ClockTime) -> bool {
         let Some(level) = Self::level(request.depth) else { return false };
-        let attempts = if level == 0 { self.tuning.attempts } else { self.tuning.deep_attempts };
+        let default = if level == 0 { self.tuning.attempts } else { self.tuning.deep_attempts };
         let mut state = self.state.lock();
-        let Some(own) = state.get_mut(&request.service) else { return false };
+        let counts = state.counts;
+        let Some(own) = state.services.get_mut(&request.service) else { return false };
         let in_time = request.deadline > now + own.call_time.value(now);
-        let allowed = request.attempt < attempts && in_time && own.tokens[level] >= 1.0;
-        if allowed {
-            own.tokens[level] -= 1.0;
+        if request.attempt >= request.attempt_limit.unwrap_or(default) || !in_time {
+            return false;
+        }
+        match &mut own.allowance {
+            ServiceAllowance::Tokens { tokens, .. } => {
+                let allowed = tokens[level] >= 1.0;
+                tokens[level] -= if allowed { 1.0 } else { 0.0 };
+                allowed
+            }
+            ServiceAllowance::Window(share) => {
+                let allowed = share.has_room(&self.tuning, counts, now);
+                if allowed {
+                    share.arrivals.add_further(now);
+                }
+                allowed
+            }
+        }
+    }
+
+    /// Gives back an arrival of a call at depth 0 that `allow_retry` spent and that reached no
+    /// upstream.
+    pub fn refund(&self, service: &str, now: ClockTime) {
+        self.refund_at(service, 0, now);
+    }
+
+    /// Gives back an arrival of a call at `depth` that `allow_retry` spent and that reached no
+    /// upstream.
+    pub fn refund_at(&self, service: &str, depth: u32, now: ClockTime) {
+        let Some(level) = Self::level(depth) else { return };
+        let mut state = self.state.lock();
+        let Some(own) = state.services.get_mut(service) else { return };
+        match &mut own.allowance {
+            ServiceAllowance::Tokens { tokens, .. } => {
+                tokens[level] = (tokens[level] + 1.0).min(self.most_tokens(level));
+            }
+            ServiceAllowance::Window(share) => share.arrivals.remove_further(now),
         }
-        allowed
     }
 
     fn level(depth: u32) -> Option<usize> {
@@ -126,4 +256,9 @@
     fn share(&self, level: usize) -> f64 {
         self.tuning.depth_factor.powi(level as i32)
     }
+
+    /// Returns the tokens that a level may save up, at least one.
+    fn most_tokens(&self, level: usize) -> f64 {
+        (self.tuning.reserve * self.share(level)).max(1.0)
+    }
 }
--- a/crates/limit/tests/common/mod.rs
+++ b/crates/limit/tests/common/mod.rs
@@ -18,6 +18,7 @@
     pub retry_ratio: f64,
     pub queue_limit: u32,
     pub objective: ClockSpan,
+    pub retry_window: Option<RetryWindow>,
 }
 
 impl ServiceSetup {
@@ -30,6 +31,7 @@
         retry_ratio: 0.1,
         queue_limit: 200,
         objective: ClockSpan::from_millis(50),
+        retry_window: None,
     };
 
     fn contract(&self) -> ServiceContract {
@@ -49,7 +51,7 @@
             retry_ratio: self.retry_ratio,
             queue_limit: self.queue_limit,
             health_path: None,
-            retry_window: None,
+            retry_window: self.retry_window,
         }
     }
 
