Let the adaptive limit be switched off and repeats come sooner

Cause: on the platform a VM sends a few calls a second to a service, too few samples for a limit, and refused callers accept fractions of a second, while deadlines are 1 to 2 s. Change: AdaptiveTuning::enabled, with which the limit only counts if it is off, and QueueTuning::short_waits with 50 ms to 2 s before a repeat. The defaults stay. Ruled out: an infinite limit in the tuning, since the limit would still move and be reported.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -22,6 +22,9 @@
 /// Constants of the adaptive limit.
 #[derive(Clone, Debug)]
 pub struct AdaptiveTuning {
+    /// Whether the limit holds calls back. A VM that sends a few calls a second to a service has
+    /// too few samples for a limit, and its upstreams shed what they cannot run.
+    pub enabled: bool,
     /// Samples are averaged over a window of at least this length.
     pub window: ClockSpan,
     /// Samples that a window needs.
@@ -46,6 +49,7 @@
 impl Default for AdaptiveTuning {
     fn default() -> Self {
         Self {
+            enabled: true,
             window: ClockSpan::from_millis(100),
             window_samples: 5,
             tolerance: 1.5,
@@ -166,11 +170,12 @@
         }
     }
 
-    /// Counts one more call in flight if the limit allows it.
+    /// Counts one more call in flight if the limit allows it. Without a limit every call may
+    /// start.
     pub fn try_start(&self, service: &str, _now: ClockTime) -> bool {
         let mut state = self.state.lock();
-        let Some(own) = state.get_mut(service) else { return false };
-        let allowed = own.in_flight < own.allowed();
+        let Some(own) = state.get_mut(service) else { return !self.tuning.enabled };
+        let allowed = !self.tuning.enabled || own.in_flight < own.allowed();
         if allowed {
             own.in_flight += 1;
             own.window.highest_use = own.window.highest_use.max(own.in_flight);
@@ -184,12 +189,18 @@
         let Some(own) = state.get_mut(service) else { return };
         own.window.highest_use = own.window.highest_use.max(own.in_flight);
         own.in_flight = own.in_flight.saturating_sub(1);
-        own.record(signal);
-        own.update(&self.tuning, now);
+        if self.tuning.enabled {
+            own.record(signal);
+            own.update(&self.tuning, now);
+        }
     }
 
-    /// Returns the limit of a service, zero if it is unknown.
+    /// Returns the limit of a service, zero if it is unknown, or the largest number if there is no
+    /// limit.
     pub fn limit(&self, service: &str) -> u32 {
+        if !self.tuning.enabled {
+            return u32::MAX;
+        }
         self.state.lock().get(service).map_or(0, ServiceLimit::allowed)
     }
 
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -84,6 +84,20 @@
     }
 }
 
+impl QueueTuning {
+    /// Returns constants for interfaces whose callers accept fractions of a second as the time
+    /// before a repeat. Calls have deadlines of 1 to 2 s there, so that a repeat after the usual
+    /// second often comes too late. A slot is free again after the time of a call, 50 ms for the
+    /// shortest ones; later than 2 s no caller waits.
+    pub fn short_waits() -> Self {
+        Self {
+            retry_after_min: ClockSpan::from_millis(50),
+            retry_after_max: ClockSpan::from_secs(2),
+            ..Self::default()
+        }
+    }
+}
+
 #[derive(Debug)]
 struct ServiceQueue {
     limit: usize,
--- a/crates/limit/tests/capacity.rs
+++ b/crates/limit/tests/capacity.rs
@@ -244,3 +244,20 @@
     }
     assert_eq!(limit.limit(SERVICE), 2);
 }
+
+/// Guards against a limit that holds calls back although it is switched off, and against calls that
+/// are no longer counted then.
+#[test]
+fn disabled_limit_only_counts() {
+    let limits = AdaptiveLimit::new(AdaptiveTuning { enabled: false, ..AdaptiveTuning::default() });
+    let now = ClockTime::from_millis(1000);
+    assert!(limits.try_start("unknown", now));
+    limits.apply(&environment(&[ServiceSetup::BASE]), now);
+    for in_flight in 1..=100 {
+        assert!(limits.try_start(SERVICE, now));
+        assert_eq!(limits.in_flight(SERVICE), in_flight);
+    }
+    let later = now + ClockSpan::from_secs(1);
+    (0..99).for_each(|_| limits.finish(SERVICE, LimitSignal::Shed, later));
+    assert_eq!((limits.in_flight(SERVICE), limits.limit(SERVICE)), (1, u32::MAX));
+}
--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -328,19 +328,32 @@
     assert_eq!(refused.map_err(|reason| reason.kind), Err(RefusalKind::UnknownService));
 }
 
-/// Guards against refused callers that all come back at the same moment.
+struct RepeatCase {
+    tuning: QueueTuning,
+    least: ClockSpan,
+    most: ClockSpan,
+}
+
+/// Guards against refused callers that all come back at the same moment, or after the deadlines of
+/// an interface with short ones.
 #[test]
 fn repeat_times_are_spread() {
-    let queue = WaitQueue::new(QueueTuning::default(), SEED);
-    let setup = ServiceSetup { queue_limit: 0, ..ServiceSetup::BASE };
-    let now = ClockTime::from_millis(1000);
-    queue.apply(&environment(&[setup]), now);
-    let mut spans: Vec<_> = (0..100)
-        .map(|_| queue.enqueue(&request(SERVICE, Urgent, now + LONG), now))
-        .map(|refused| refused.expect_err("no queue").retry_after)
-        .collect();
-    spans.sort_unstable();
-    spans.dedup();
-    assert!(spans.len() > 90, "only {} different times", spans.len());
-    assert!(spans[0] >= millis(500) && spans[spans.len() - 1] <= millis(1500));
+    let cases = [
+        RepeatCase { tuning: QueueTuning::default(), least: millis(500), most: millis(1500) },
+        RepeatCase { tuning: QueueTuning::short_waits(), least: millis(25), most: millis(75) },
+    ];
+    for case in cases {
+        let queue = WaitQueue::new(case.tuning, SEED);
+        let setup = ServiceSetup { queue_limit: 0, ..ServiceSetup::BASE };
+        let now = ClockTime::from_millis(1000);
+        queue.apply(&environment(&[setup]), now);
+        let mut spans: Vec<_> = (0..100)
+            .map(|_| queue.enqueue(&request(SERVICE, Urgent, now + LONG), now))
+            .map(|refused| refused.expect_err("no queue").retry_after)
+            .collect();
+        spans.sort_unstable();
+        spans.dedup();
+        assert!(spans.len() > 90, "only {} different times", spans.len());
+        assert!(spans[0] >= case.least && spans[spans.len() - 1] <= case.most, "{spans:?}");
+    }
 }
