Add datagrams between VMs to the peer crate

Cause: VMs share reads of the store, load and crash suspects several times a second; JSON-RPC over TCP costs too many bytes and switches for that. Lists are split, a directory message that does not fit goes without its rows. Nothing is decoded before the digest matches.

--- /dev/null
+++ b/crates/peer/src/datagram/message.rs
@@ -0,0 +1,150 @@
+//! What VMs tell one another in datagrams.
+
+use base::prelude::*;
+use directory::entry::VmEntry;
+use serde::{Deserialize, Serialize};
+use store::prelude::TableRow;
+use suspect::prelude::SuspectNotice;
+
+/// A message and its sender.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PeerEnvelope {
+    /// The VM that sends.
+    pub sender: SharedName,
+    /// The incarnation of the sender.
+    pub incarnation: u64,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// What one VM tells others. The order of the variants is part of the format.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum PeerMessage {
+    /// Who the sender is.
+    Hello(HelloMessage),
+    /// What the sender read from the store's table of upstreams.
+    Directory(DirectoryMessage),
+    /// What the sender observed of upstreams.
+    Load(LoadMessage),
+    /// Requests that crash upstreams.
+    Suspects(SuspectMessage),
+}
+
+/// A sign of life with everything that a peer needs to answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct HelloMessage {
+    /// The sender and its addresses.
+    pub entry: VmEntry,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// Whether the sender asks for a hello in return. An answer never asks for one.
+    pub answer_wanted: bool,
+    /// The version of the configuration in force at the sender.
+    pub config_version: u64,
+}
+
+/// The changes that one read of the table of upstreams brought.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DirectoryMessage {
+    /// The position in the table after which changes were read. A receiver whose own position is
+    /// lower misses changes and has to read for itself.
+    pub from: u64,
+    /// The position in the table after the read.
+    pub position: u64,
+    /// The time since the read in milliseconds.
+    pub age_ms: u32,
+    /// The rows that changed; one without a value was removed.
+    #[serde(with = "row_list")]
+    pub rows: Vec<TableRow>,
+    /// Whether the rows are missing because they do not fit into a datagram.
+    pub rows_omitted: bool,
+    /// The version of the configuration in force at the sender.
+    pub config_version: u64,
+}
+
+/// What a VM observed of upstreams.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LoadMessage {
+    /// One sample for each upstream.
+    pub notices: Vec<LoadSample>,
+}
+
+/// What a VM observed of one upstream. The widths suffice for a VM's connections to an upstream
+/// (220) and for ages that still count as evidence (65 s).
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LoadSample {
+    /// The upstream.
+    pub upstream: SharedName,
+    /// The incarnation of the upstream.
+    pub incarnation: u64,
+    /// The time since the observation in milliseconds.
+    pub age_ms: u16,
+    /// Calls that the upstream runs.
+    pub in_flight: u16,
+    /// Calls that wait at the upstream.
+    pub queued: u16,
+    /// Calls that the upstream can run at a time.
+    pub slots: u16,
+    /// How long work takes at the moment, as a percentage of the usual time.
+    pub pace_percent: Option<u16>,
+    /// Calls that failed lately.
+    pub failures: u8,
+}
+
+/// Requests that crash upstreams.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SuspectMessage {
+    /// What is known of each of them.
+    pub notices: Vec<SuspectNotice>,
+}
+
+/// The form of table rows in messages. The store's own type has no serialised form, because every
+/// protocol of a store brings its own.
+mod row_list {
+    use base::prelude::*;
+    use bytes::Bytes;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use store::prelude::TableRow;
+
+    #[derive(Deserialize, Serialize)]
+    struct RowMirror {
+        key: SharedName,
+        version: u64,
+        value: Option<Vec<u8>>,
+    }
+
+    impl From<&TableRow> for RowMirror {
+        fn from(row: &TableRow) -> Self {
+            let value = row.value.as_ref().map(|value| value.to_vec());
+            Self { key: row.key.clone(), version: row.version, value }
+        }
+    }
+
+    impl From<RowMirror> for TableRow {
+        fn from(mirror: RowMirror) -> Self {
+            let RowMirror { key, version, value } = mirror;
+            Self { key, version, value: value.map(Bytes::from) }
+        }
+    }
+
+    pub(super) fn serialize<S: Serializer>(
+        rows: &[TableRow],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(rows.iter().map(RowMirror::from))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<TableRow>, D::Error> {
+        let mirrors = Vec::<RowMirror>::deserialize(deserializer)?;
+        Ok(mirrors.into_iter().map(TableRow::from).collect())
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/datagrams.rs
@@ -0,0 +1,297 @@
+//! Datagrams between VMs: what they carry, how long they get, and what is not accepted.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use directory::entry::VmEntry;
+use hmac::{Hmac, Mac};
+use peer::datagram::DATAGRAM_BYTES;
+use peer::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sha2::Sha256;
+use store::prelude::TableRow;
+use suspect::prelude::*;
+use world::prelude::VmIdentity;
+
+const SEED: u64 = 17;
+const HEAD_BYTES: usize = 17;
+
+fn codec() -> DatagramCodec {
+    DatagramCodec::new(["new secret", "old secret"])
+}
+
+fn envelope(message: PeerMessage) -> PeerEnvelope {
+    PeerEnvelope {
+        sender: SharedName::from("gateway-007"),
+        incarnation: 1_790_000_000_000,
+        message,
+    }
+}
+
+fn hello(name: &str) -> PeerEnvelope {
+    let name = SharedName::from(name);
+    let centre = SharedName::from("medeu");
+    let entry = VmEntry {
+        vm: VmIdentity { name, incarnation: 1_790_000_000_000, centre },
+        exchange_address: SocketAddr::from(([10, 0, 0, 7], 7400)),
+        control_address: "[fd00::7]:7401".parse().expect("an address"),
+    };
+    let message =
+        HelloMessage { entry, leaving: true, answer_wanted: false, config_version: u64::MAX };
+    envelope(PeerMessage::Hello(message))
+}
+
+/// Returns rows as upstreams on the platform write them; every fourth one was removed.
+fn directory(rows: u64) -> PeerEnvelope {
+    let row = |number| {
+        let value = format!(
+            r#"{{"service":"phase-desk","address":"10.0.1.{number}:8000","zone":"bostandyk","version":"3","slots":6,"state":"ready","warmupLeft":0,"seq":{},"born":1790000000000}}"#,
+            number + 4000
+        );
+        let value = (number % 4 != 3).then(|| value.into());
+        let key = SharedName::from(format!("phase-desk-{number}"));
+        TableRow { key, version: 120_000 + number, value }
+    };
+    envelope(PeerMessage::Directory(DirectoryMessage {
+        from: 119_999,
+        position: 120_000 + rows,
+        age_ms: 7,
+        rows: (0..rows).map(row).collect(),
+        rows_omitted: false,
+        config_version: 530,
+    }))
+}
+
+fn load(samples: u64) -> PeerEnvelope {
+    let sample = |number| LoadSample {
+        upstream: SharedName::from(format!("phase-desk-{number}")),
+        incarnation: 1_790_000_000_000 + number,
+        age_ms: number as u16,
+        in_flight: 3,
+        queued: u16::MAX,
+        slots: 6,
+        pace_percent: (number % 2 == 0).then_some(140),
+        failures: u8::MAX,
+    };
+    envelope(PeerMessage::Load(LoadMessage { notices: (0..samples).map(sample).collect() }))
+}
+
+fn suspects(notices: u64, incidents: u64) -> PeerEnvelope {
+    let incident = |number| CrashIncident {
+        upstream: SharedName::from(format!("phase-desk-{number}")),
+        count: number + 1,
+        age: ClockSpan::from_millis(number),
+        proven: number % 2 == 0,
+        isolated: number % 3 == 0,
+    };
+    let notice = |fingerprint| SuspectNotice {
+        fingerprint: u64::MAX - fingerprint,
+        epoch: 2,
+        cleared_age: ClockSpan::MAX,
+        incidents: (0..incidents).map(incident).collect(),
+        renewals: 4,
+        renewed_age: ClockSpan::from_secs(3),
+    };
+    envelope(PeerMessage::Suspects(SuspectMessage { notices: (0..notices).map(notice).collect() }))
+}
+
+/// Joins what was split, as a receiver does that takes every part.
+fn joined(parts: Vec<PeerEnvelope>) -> Option<PeerEnvelope> {
+    let mut parts = parts.into_iter();
+    let mut whole = parts.next()?;
+    for part in parts {
+        match (&mut whole.message, part.message) {
+            (PeerMessage::Load(own), PeerMessage::Load(more)) => own.notices.extend(more.notices),
+            (PeerMessage::Suspects(own), PeerMessage::Suspects(more)) => {
+                for notice in more.notices {
+                    match own.notices.last_mut() {
+                        Some(last) if last.fingerprint == notice.fingerprint => {
+                            last.incidents.extend(notice.incidents);
+                        }
+                        _ => own.notices.push(notice),
+                    }
+                }
+            }
+            (own, more) => panic!("{more:?} follows {own:?}"),
+        }
+    }
+    Some(whole)
+}
+
+struct LengthCase {
+    name: &'static str,
+    sent: PeerEnvelope,
+    result: LengthResult,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LengthResult {
+    Whole,
+    Split,
+    WithoutRows,
+    NotSent,
+}
+
+fn case(name: &'static str, sent: PeerEnvelope, result: LengthResult) -> LengthCase {
+    LengthCase { name, sent, result }
+}
+
+impl LengthCase {
+    fn run(self) {
+        let Self { name, sent: mut expected, result } = self;
+        let codec = codec();
+        let datagrams = codec.encode(&expected);
+        let bytes: Vec<_> = datagrams.iter().map(Vec::len).collect();
+        println!("{name}: {bytes:?} bytes");
+        assert!(bytes.iter().all(|length| *length <= DATAGRAM_BYTES), "{name}");
+        // The content of two neighbours does not fit into one.
+        assert!(bytes.windows(2).all(|pair| pair[0] + pair[1] > DATAGRAM_BYTES), "{name}");
+        let parts = datagrams.iter().map(|datagram| codec.decode(datagram));
+        let received = joined(parts.collect::<Result<_, _>>().expect("signed by the codec"));
+        if result == LengthResult::NotSent {
+            assert_eq!((received, codec.oversized()), (None, 1), "{name}");
+            return;
+        }
+        assert_eq!(datagrams.len() > 1, result == LengthResult::Split, "{name}");
+        if let (LengthResult::WithoutRows, PeerMessage::Directory(directory)) =
+            (result, &mut expected.message)
+        {
+            directory.rows.clear();
+            directory.rows_omitted = true;
+        }
+        assert_eq!((received, codec.oversized()), (Some(expected), 0), "{name}");
+    }
+}
+
+/// Guards against datagrams above the bound, entries that are lost or changed when a list is
+/// split, more datagrams than the content needs, and rows that are left out without a mark.
+#[test]
+fn messages_keep_the_bound_of_length_and_their_content() {
+    use LengthResult::{NotSent, Split, Whole, WithoutRows};
+    let long_name = "n".repeat(2 * DATAGRAM_BYTES);
+    let cases = [
+        case("hello", hello("gateway-007"), Whole),
+        case("a hello longer than a datagram", hello(&long_name), NotSent),
+        case("no rows", directory(0), Whole),
+        case("six rows", directory(6), Whole),
+        case("twelve rows, as 0.6 s bring of 29 upstreams", directory(12), WithoutRows),
+        case("a thousand rows", directory(1000), WithoutRows),
+        case("no samples", load(0), Whole),
+        case("29 samples", load(29), Whole),
+        case("60 samples", load(60), Split),
+        case("2000 samples", load(2000), Split),
+        case("no suspects", suspects(0, 0), Whole),
+        case("three suspects with three crashes", suspects(3, 3), Whole),
+        case("40 suspects with three crashes", suspects(40, 3), Split),
+        case("300 suspects without a crash", suspects(300, 0), Split),
+        case("two suspects with 300 crashes", suspects(2, 300), Split),
+    ];
+    for case in cases {
+        case.run();
+    }
+}
+
+struct SecretCase {
+    name: &'static str,
+    sender: &'static [&'static str],
+    receiver: &'static [&'static str],
+    accepted: bool,
+}
+
+/// Guards against a change of the secret that cuts VMs off from one another, and against
+/// datagrams that are accepted without a common secret.
+#[test]
+fn the_first_secret_signs_and_all_are_accepted() {
+    let cases = [
+        SecretCase { name: "same", sender: &["a"], receiver: &["a"], accepted: true },
+        SecretCase { name: "old sender", sender: &["a"], receiver: &["b", "a"], accepted: true },
+        SecretCase {
+            name: "new sender",
+            sender: &["b", "a"],
+            receiver: &["a", "b"],
+            accepted: true,
+        },
+        SecretCase { name: "unknown", sender: &["b", "a"], receiver: &["a"], accepted: false },
+        SecretCase { name: "no secret here", sender: &["a"], receiver: &[], accepted: false },
+        SecretCase { name: "empty here", sender: &["a"], receiver: &[""], accepted: false },
+    ];
+    for SecretCase { name, sender, receiver, accepted } in cases {
+        let datagrams = DatagramCodec::new(sender.iter().copied()).encode(&hello("gateway-007"));
+        let receiver = DatagramCodec::new(receiver.iter().copied());
+        let result = receiver.decode(&datagrams[0]);
+        assert_eq!(result.is_ok(), accepted, "{name}: {result:?}");
+    }
+    for secrets in [&[][..], &[""]] {
+        let codec = DatagramCodec::new(secrets.iter().copied());
+        assert!(codec.encode(&hello("gateway-007")).is_empty());
+    }
+}
+
+fn sealed(body: &[u8]) -> Vec<u8> {
+    let key = Hmac::<Sha256>::new_from_slice(b"new secret").expect("any length is a key");
+    let tag = key.chain_update([1]).chain_update(body).finalize().into_bytes();
+    [&[1], &tag[..16], body].concat()
+}
+
+fn samples() -> Vec<Vec<u8>> {
+    let envelopes = [hello("gateway-007"), directory(5), load(20), suspects(3, 3)];
+    envelopes.iter().flat_map(|envelope| codec().encode(envelope)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against random bytes that stop a VM or are taken for a message.
+    #[test]
+    fn random_bytes_are_not_accepted(bytes in vec(any::<u8>(), 0..1400), format in any::<bool>()) {
+        let mut bytes = bytes;
+        if let Some(first) = bytes.first_mut().filter(|_| format) {
+            *first = 1;
+        }
+        prop_assert!(codec().decode(&bytes).is_err());
+    }
+
+    /// Guards against datagrams that were changed, cut short or extended and still accepted.
+    #[test]
+    fn altered_datagrams_are_not_accepted(
+        sample in 0..4_usize,
+        place in any::<prop::sample::Index>(),
+        change in 1..=u8::MAX,
+        extra in vec(any::<u8>(), 1..8),
+    ) {
+        let datagram = samples().swap_remove(sample);
+        let place = place.index(datagram.len());
+        let mut changed = datagram.clone();
+        changed[place] ^= change;
+        prop_assert!(codec().decode(&changed).is_err());
+        prop_assert!(codec().decode(&datagram[..place]).is_err());
+        prop_assert!(codec().decode(&[&datagram[..], &extra[..]].concat()).is_err());
+    }
+
+    /// Guards against a peer of another release, whose signed datagrams are no messages here, that
+    /// stops a VM; and against bytes after a message, which another release may have meant.
+    #[test]
+    fn signed_bytes_that_are_no_message_do_no_harm(
+        random in vec(any::<u8>(), 1..1100),
+        sample in 0..4_usize,
+        place in any::<prop::sample::Index>(),
+        change in 1..=u8::MAX,
+    ) {
+        let _ = codec().decode(&sealed(&random));
+        let mut body = samples().swap_remove(sample).split_off(HEAD_BYTES);
+        prop_assert!(codec().decode(&sealed(&body)).is_ok());
+        let longer = [&body[..], &[0]].concat();
+        prop_assert!(codec().decode(&sealed(&longer)).is_err());
+        let place = place.index(body.len());
+        prop_assert!(codec().decode(&sealed(&body[..place])).is_err());
+        body[place] ^= change;
+        let _ = codec().decode(&sealed(&body));
+    }
+}
