--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -49,16 +49,18 @@
     /// A body that is held in memory.
     Full(Bytes),
     /// A body that arrives from an upstream.
-    Relayed {
-        /// The part that was read before.
-        head: Bytes,
-        /// The upstream's body.
-        incoming: Incoming,
-        /// The call that it answers.
-        call: RunningCall,
-        /// Ends the answer at the deadline. Set only once the answer makes its reader wait.
-        timer: Option<Pin<Box<Sleep>>>,
-    },
+    Relayed(Box<RelayedAnswer>),
+}
+
+/// An answer that is passed on while it arrives.
+#[derive(Debug)]
+pub struct RelayedAnswer {
+    /// The part that was read before.
+    head: Bytes,
+    incoming: Incoming,
+    call: RunningCall,
+    /// Ends the answer at the deadline. Set only once the answer makes its reader wait.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl AnswerBody {
@@ -79,12 +81,12 @@
 
     /// Returns the body of an upstream's answer, of which `head` was read before.
     pub fn relayed(head: Bytes, incoming: Incoming, call: RunningCall) -> Self {
-        Self::Relayed { head, incoming, call, timer: None }
+        Self::Relayed(Box::new(RelayedAnswer { head, incoming, call, timer: None }))
     }
 
     /// Reads the rest of the body if it is short, so that the connection can be used again.
     pub fn discard(self) {
-        if matches!(self, Self::Relayed { .. }) {
+        if matches!(self, Self::Relayed(_)) {
             tokio::spawn(self.read_to_end());
         }
     }
@@ -103,9 +105,8 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        let Self::Relayed { head, incoming, call, timer } = self else {
-            return Poll::Ready(None);
-        };
+        let Self::Relayed(relayed) = self else { return Poll::Ready(None) };
+        let RelayedAnswer { head, incoming, call, timer } = &mut **relayed;
         if !head.is_empty() {
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(head)))));
         }
@@ -156,7 +157,7 @@
                 *body = Self::Empty;
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
-            Self::Relayed { .. } => body.poll_relayed(context),
+            Self::Relayed(_) => body.poll_relayed(context),
         }
     }
 
@@ -168,8 +169,8 @@
         match self {
             Self::Empty => SizeHint::with_exact(0),
             Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Relayed { head, incoming, .. } => match incoming.size_hint().exact() {
-                Some(length) => SizeHint::with_exact(length + head.len() as u64),
+            Self::Relayed(relayed) => match relayed.incoming.size_hint().exact() {
+                Some(length) => SizeHint::with_exact(length + relayed.head.len() as u64),
                 None => SizeHint::default(),
             },
         }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -457,7 +457,7 @@
             answer.extensions_mut().insert(CallFate::NotRun);
         }
         match marks.verdict {
-            AnswerVerdict::Accepted => return Ok(answer),
+            AnswerVerdict::Accepted if marks.passable => return Ok(answer),
             AnswerVerdict::Misdirected => {
                 // Every connection leads to the server that has the address now.
                 if let Some(link) = self.state.links.link(&upstream) {
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -180,7 +180,7 @@
     }
 
     /// Returns the body for the next attempt, or `None` if it cannot be sent again.
-    pub fn next(&mut self) -> Option<SendBody> {
+    pub fn next_copy(&mut self) -> Option<SendBody> {
         match self {
             Self::Empty => Some(SendBody::Empty),
             Self::Held(bytes) => Some(SendBody::Full(bytes.clone())),
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Returns whether `next` will return a body.
+    /// Returns whether `next_copy` will return a body.
     pub const fn is_available(&self) -> bool {
         !matches!(self, Self::Streamed(None))
     }
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -86,8 +86,8 @@
             probe_charge: ProbeCharge::Count,
             // About the time of one call of the quickest services.
             retry_after: ClockSpan::from_millis(100),
-            limits: AdaptiveTuning::default(),
-            queue: QueueTuning::default(),
+            limits: AdaptiveTuning { enabled: false, ..AdaptiveTuning::default() },
+            queue: QueueTuning::short_waits(),
             suspects: SuspectTuning::default(),
         }
     }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -47,8 +47,10 @@
     Misdirected,
     /// The upstream does not accept connections.
     Refused,
-    /// There was no answer in time.
+    /// There was no answer in time on a new connection.
     Silent,
+    /// There was no answer in time on a connection that was opened before, which may be to blame.
+    Unproven,
     /// This VM's share of connections or of the budget is used up.
     NotMade,
 }
@@ -135,8 +137,8 @@
     timeout: ClockSpan,
 ) -> CheckEnd {
     let name = &link.server().name;
-    let proven_since = state.clock.now() - state.options.timeouts.connection_proof;
-    let connection = match link.take_idle(proven_since) {
+    // The answer proves the connection, so that any idle one will do.
+    let connection = match link.take_idle(ClockTime::ZERO) {
         Some(connection) => connection,
         None => match connect(state, link, timeout).await {
             Ok(connection) => connection,
@@ -149,8 +151,9 @@
         },
     };
     let path = check_path::<C>(state, &desk.name);
+    let reused = connection.is_pooled();
     let Some(mut answer) = ask(connection, Method::GET, &path, timeout).await else {
-        return CheckEnd::Silent;
+        return if reused { CheckEnd::Unproven } else { CheckEnd::Silent };
     };
     let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, name);
     if facts.misdirected {
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -61,11 +61,11 @@
         let now = self.state.clock.now();
         self.state.tables.retries.record_first_at(&request.service, request.depth, now);
         loop {
-            let Some(current) = body.next() else {
+            let Some(current) = body.next_copy() else {
                 let message = "the request body cannot be sent again; repeat the request";
                 return Err(self.record.refuse(message));
             };
-            let copy = body.is_repeatable().then(|| body.next()).flatten();
+            let copy = body.is_repeatable().then(|| body.next_copy()).flatten();
             let mut failure = match self.attempt(current, copy).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
--- a/crates/gate/src/survey.rs
+++ b/crates/gate/src/survey.rs
@@ -19,9 +19,13 @@
 use crate::state::GateState;
 use crate::worker;
 
-/// Upstreams that are checked before a call. The best of two avoids 15 of 16 slow moments if a
+/// Upstreams that are checked at the same time. The best of two avoids 15 of 16 slow moments if a
 /// quarter of the machines is slow, and each further check costs as much as the second.
 const SURVEY_COUNT: usize = 2;
+/// Rounds of checks before a call. A round that shows the best upstreams to be slow is followed by
+/// one with the next best: with two slots, the model of `route` serves 2.8 points more calls within
+/// their objective with up to three rounds than with one.
+const MAX_ROUNDS: usize = 3;
 /// Evidence up to this age needs no check: a sixth of the time for which the pace of a shared
 /// machine usually stays the same.
 const FRESH_SPAN: ClockSpan = ClockSpan::from_millis(50);
@@ -38,6 +42,10 @@
 }
 
 impl UpstreamSurvey {
+    fn has(&self, upstream: &str) -> bool {
+        self.checked.iter().any(|connection| connection.link().server().name == *upstream)
+    }
+
     /// Takes the connection to `upstream`, if it was checked, and returns the others to their
     /// links.
     pub fn take(self, state: &GateState, upstream: &str) -> Option<LinkConnection> {
@@ -60,26 +68,35 @@
     }
 }
 
-/// Checks the best upstreams for a call if the evidence on the best one is old.
+/// Checks the best upstreams for a call until the evidence on the best one is fresh.
 pub async fn survey<C: CallCodec>(
     state: &GateState,
     desk: &ServiceDesk,
     avoid: &[SharedName],
     idempotent: bool,
 ) -> UpstreamSurvey {
-    let now = state.clock.now();
-    let policy = &state.options.policy;
-    let shortlist = worker::with_random(|random| {
-        state.upstreams.shortlist(policy, &desk.name, avoid, SURVEY_COUNT, now, random)
-    });
-    let Some(best) = shortlist.first() else { return UpstreamSurvey::default() };
-    let fresh = best.evidence_at.is_some_and(|at| now.since(at) <= FRESH_SPAN);
-    if fresh && (idempotent || is_proven(state, best, now)) {
-        return UpstreamSurvey::default();
+    let mut survey = UpstreamSurvey::default();
+    for _ in 0..MAX_ROUNDS {
+        let now = state.clock.now();
+        let policy = &state.options.policy;
+        let shortlist = worker::with_random(|random| {
+            state.upstreams.shortlist(policy, &desk.name, avoid, SURVEY_COUNT, now, random)
+        });
+        let Some(best) = shortlist.first() else { break };
+        let fresh = best.evidence_at.is_some_and(|at| now.since(at) <= FRESH_SPAN);
+        let proven = idempotent || survey.has(&best.server.name) || is_proven(state, best, now);
+        if fresh && proven {
+            break;
+        }
+        let unchecked = shortlist.iter().filter(|entry| !survey.has(&entry.server.name));
+        let links = unchecked.filter_map(|entry| state.links.link(&entry.server.name));
+        let checks = join_all(links.map(|link| check::<C>(state, desk, link))).await;
+        if checks.is_empty() {
+            break;
+        }
+        survey.checked.extend(checks.into_iter().flatten());
     }
-    let links = shortlist.iter().filter_map(|entry| state.links.link(&entry.server.name));
-    let checks = join_all(links.map(|link| check::<C>(state, desk, link))).await;
-    UpstreamSurvey { checked: checks.into_iter().flatten().collect() }
+    survey
 }
 
 fn is_proven(state: &GateState, entry: &ShortlistEntry, now: ClockTime) -> bool {
@@ -103,6 +120,11 @@
         }
         CheckEnd::Refused => state.upstreams.judge(name, CallResult::ConnectFailed, now),
         CheckEnd::Silent => state.upstreams.note_quiet(name, now),
+        CheckEnd::Unproven => {
+            // The other connections of the same time may be silent as well.
+            link.retire(now);
+            state.upstreams.note_quiet(name, now);
+        }
         CheckEnd::NotMade => {}
     }
     None
