Let new requests use every upstream where home sets leave too few

Cause: on the platform nearly every request has a path of its own, so home upstreams would leave nearly all requests a few upstreams. Change: SuspectTuning::unpinned, with which a suspect avoids only the upstreams that it may have crashed. Two crashes of different upstreams still confirm. Ruled out: home upstreams for a service with a recent crash only, since a VM that has not heard of the crash would not apply them, and the sends in question go through such VMs.

--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -317,7 +317,8 @@
     /// A fingerprint that is not proven may use only its home upstreams, the same ones through
     /// every VM, so that copies which arrive everywhere at once crash no more than these. For a
     /// while after a crash there are fewer of them. A suspect avoids the upstreams that it may have
-    /// crashed.
+    /// crashed. Without [`SuspectTuning::pin_homes`] that is all, and a suspect that may have
+    /// crashed every upstream avoids none.
     pub fn avoid(
         &self,
         fingerprint: u64,
@@ -331,10 +332,14 @@
             return Vec::new();
         }
         let names = || upstreams.iter().map(|upstream| &upstream.name);
+        let record = state.records.get(&fingerprint).filter(|_| suspected);
         let crashed_by = |name: &SharedName| {
-            let record = state.records.get(&fingerprint).filter(|_| suspected);
             record.is_some_and(|record| record.upstreams().any(|upstream| upstream == name))
         };
+        if !self.tuning.pin_homes {
+            let avoided: Vec<_> = names().filter(|name| crashed_by(name)).cloned().collect();
+            return if avoided.len() < upstreams.len() { avoided } else { Vec::new() };
+        }
         let usable = |name: &&SharedName| !state.is_down(name, &self.tuning, now);
         let guarded = suspected || state.is_guarded(upstreams, &self.tuning, now);
         let count = if guarded { self.tuning.home_upstreams } else { self.tuning.calm_upstreams };
--- a/crates/suspect/src/tuning.rs
+++ b/crates/suspect/src/tuning.rs
@@ -36,6 +36,9 @@
     pub proven_span: ClockSpan,
     /// Proven fingerprints that are remembered, in each of two generations.
     pub proven_entries: usize,
+    /// Whether a fingerprint that is not proven may use only its home upstreams. Where every
+    /// request has a path of its own, nearly all of them are new and would be left a few upstreams.
+    pub pin_homes: bool,
     /// Upstreams that may run copies of a fingerprint that is not proven.
     pub home_upstreams: usize,
     /// Upstreams that may run them while no upstream of the service has crashed lately. Copies that
@@ -67,6 +70,7 @@
             proven_runs: 3,
             proven_span: ClockSpan::from_secs(600),
             proven_entries: 16_384,
+            pin_homes: true,
             home_upstreams: 2,
             calm_upstreams: 3,
             guard_span: ClockSpan::from_secs(60),
@@ -75,3 +79,11 @@
         }
     }
 }
+
+impl SuspectTuning {
+    /// Returns constants for interfaces on which nearly every request is new. Copies of one that
+    /// arrive before the notice of a crash may then crash any upstream.
+    pub fn unpinned() -> Self {
+        Self { pin_homes: false, ..Self::default() }
+    }
+}
--- a/crates/suspect/tests/sharing.rs
+++ b/crates/suspect/tests/sharing.rs
@@ -329,6 +329,40 @@
     }
 }
 
+struct UnpinnedCase {
+    name: &'static str,
+    upstreams: usize,
+    /// The positions of the upstreams that the request may have crashed.
+    crashed: &'static [usize],
+    avoided: &'static [usize],
+}
+
+/// Guards against new requests that are left a few upstreams where nearly all requests are new, and
+/// against a suspect that returns to the upstream which it may have crashed.
+#[test]
+fn unpinned_requests_avoid_only_what_they_may_have_crashed() {
+    let cases = [
+        UnpinnedCase { name: "new", upstreams: 10, crashed: &[], avoided: &[] },
+        UnpinnedCase { name: "suspected", upstreams: 10, crashed: &[3], avoided: &[3] },
+        UnpinnedCase { name: "no other upstream", upstreams: 1, crashed: &[0], avoided: &[] },
+        UnpinnedCase { name: "confirmed", upstreams: 10, crashed: &[3, 4], avoided: &[] },
+    ];
+    for case in cases {
+        let own = SuspectTable::new("vm".into(), SuspectTuning::unpinned());
+        let servers = upstreams(case.upstreams);
+        let now = ClockTime::from_millis(1000);
+        for index in case.crashed {
+            crash(&own, SUSPECT, &servers[*index].name, now);
+        }
+        let expected: Vec<_> =
+            case.avoided.iter().map(|index| servers[*index].name.clone()).collect();
+        assert_eq!(own.avoid(SUSPECT, &servers, now), expected, "{}", case.name);
+        assert!(own.avoid(SUSPECT + 1, &servers, now).is_empty(), "{}: another", case.name);
+        let refused = own.review(SUSPECT, now) == SuspectVerdict::Refused;
+        assert_eq!(refused, !case.crashed.is_empty(), "{}", case.name);
+    }
+}
+
 /// Guards against a home set that moves on while notices travel, and against one that stays on a
 /// dead upstream.
 #[test]
--- a/crates/suspect/tests/storm.rs
+++ b/crates/suspect/tests/storm.rs
@@ -44,6 +44,10 @@
     upstreams: usize,
     /// The greatest delay of a notice, in milliseconds.
     delay_ms: usize,
+    /// Whether every notice takes the greatest delay.
+    fixed_delay: bool,
+    /// The time from a failure to the repeat of a sequential caller, in milliseconds.
+    repeat_ms: f64,
     /// The share of messages that are lost.
     loss: f64,
     /// Whether calls avoid the upstreams that the table names.
@@ -59,6 +63,8 @@
         repeats: Repeats::Random,
         upstreams: 10,
         delay_ms: 200,
+        fixed_delay: false,
+        repeat_ms: 1.0,
         loss: 0.3,
         placement: true,
         sharing: true,
@@ -100,12 +106,15 @@
     down_until: Vec<ClockTime>,
     calls: BTreeMap<u64, Call>,
     killer_crashes: usize,
+    /// Sends of the killer after its third crash.
+    late_sends: usize,
     frequent_refused: usize,
 }
 
 #[derive(Debug)]
 struct StormResult {
     crashes: usize,
+    late_sends: usize,
     confirmed: Vec<u64>,
     /// Innocent fingerprints that some VM still suspects at the end.
     suspected: usize,
@@ -144,6 +153,7 @@
             down_until: vec![ClockTime::ZERO; case.upstreams],
             calls: BTreeMap::new(),
             killer_crashes: 0,
+            late_sends: 0,
             frequent_refused: 0,
         }
     }
@@ -243,7 +253,11 @@
         }
         let shared: Rc<[SuspectNotice]> = notices.into();
         for vm in (0..VMS).filter(|vm| *vm != from) {
-            let delay = self.random.below(self.case.delay_ms) as f64 + self.random.unit();
+            let delay = if self.case.fixed_delay {
+                self.case.delay_ms as f64
+            } else {
+                self.random.below(self.case.delay_ms) as f64 + self.random.unit()
+            };
             if !self.random.chance(self.case.loss) {
                 self.after(delay, Event::Deliver { vm, notices: shared.clone() });
             }
@@ -320,6 +334,7 @@
         self.calls.insert(id, call);
         let millis = 1.0 + self.random.exponential(8.0);
         let event = if fingerprint == KILLER {
+            self.late_sends += usize::from(self.killer_crashes >= MOST_CRASHES);
             Event::Crash { upstream }
         } else {
             Event::End { vm, call: id }
@@ -338,7 +353,7 @@
     fn repeat_killer(&mut self) {
         if matches!(self.case.repeats, Repeats::Sequential) {
             let vm = self.random.below(VMS);
-            self.after(1.0, Event::Arrive { fingerprint: KILLER, vm });
+            self.after(self.case.repeat_ms, Event::Arrive { fingerprint: KILLER, vm });
         }
     }
 
@@ -393,6 +408,7 @@
         });
         StormResult {
             crashes: self.killer_crashes,
+            late_sends: self.late_sends,
             confirmed,
             suspected: suspected.count(),
             frequent_refused: self.frequent_refused,
@@ -522,3 +538,57 @@
         assert!(worst(&case) > MOST_CRASHES, "{}", case.name);
     }
 }
+
+const UNPINNED: StormCase = StormCase {
+    repeats: Repeats::Sequential,
+    fixed_delay: true,
+    loss: 0.0,
+    tuning: SuspectTuning::unpinned,
+    ..StormCase::BASE
+};
+/// Sends of a request after its third crash that the platform allows, over all VMs.
+const MOST_LATE_SENDS: usize = 3;
+
+fn check_late_sends(case: &StormCase) {
+    for seed in SEEDS {
+        let result = Storm::new(case, seed).run();
+        let label = format!("{}, seed {seed}: {result:?}", case.name);
+        println!("{label}");
+        assert!(result.late_sends <= MOST_LATE_SENDS, "{label}");
+        assert!(result.confirmed.contains(&KILLER), "{label}");
+    }
+}
+
+/// Guards against a request that goes on crashing upstreams where home upstreams do not hold it.
+#[test]
+fn unpinned_request_is_sent_at_most_three_times_after_the_third_crash() {
+    let cases = [
+        StormCase { name: "unpinned, bursts", repeats: Repeats::Bursts, ..UNPINNED },
+        StormCase { name: "unpinned, repeats after 50 ms", repeat_ms: 50.0, ..UNPINNED },
+        StormCase { name: "unpinned, repeats after 250 ms", repeat_ms: 250.0, ..UNPINNED },
+        // The round trip to a caller takes 16 ms.
+        StormCase {
+            name: "unpinned, repeats after a round trip, 50 ms delay",
+            repeat_ms: 16.0,
+            delay_ms: 50,
+            ..UNPINNED
+        },
+        StormCase {
+            name: "unpinned, random repeats, 20 ms delay",
+            repeats: Repeats::Random,
+            delay_ms: 20,
+            ..UNPINNED
+        },
+    ];
+    cases.iter().for_each(check_late_sends);
+}
+
+/// Guards against the same where a caller repeats at once and notices take 200 ms.
+#[test]
+fn unpinned_request_of_a_fast_caller_is_sent_at_most_three_times_after_the_third_crash() {
+    check_late_sends(&StormCase {
+        name: "unpinned, after a round trip",
+        repeat_ms: 16.0,
+        ..UNPINNED
+    });
+}
