Detect that the process or the machine stood still

Cause: after a pause, evidence on upstreams is out of date although the monotonic clock, which stops while the machine is suspended, says that it is fresh. Change: BootClock reads CLOCK_BOOTTIME, and PauseDetector decides from two successive ticks: the time beyond the expected tick plus the time by which the boot clock ran ahead. Ruled out: the wall clock, which is set back and forth.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod lock;
 pub mod name;
+pub mod pause;
 pub mod prelude;
 pub mod random;
 pub mod socket;
--- /dev/null
+++ b/crates/base/src/pause.rs
@@ -0,0 +1,56 @@
+//! Detects that the process or the machine stood still.
+
+use rustix::time::{ClockId, clock_gettime};
+
+use crate::clock::{ClockSpan, ClockTime};
+
+/// A pause longer than this is told: load and pace of upstreams are out of date after it, and
+/// several heartbeats of 1.5 s may have been missed. Shorter ones are usual on small VMs.
+const DEFAULT_LIMIT: ClockSpan = ClockSpan::from_secs(1);
+
+/// The system clock that goes on while the machine is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Returns the time since the machine started, suspended time included.
+    pub fn elapsed(self) -> ClockSpan {
+        let time = clock_gettime(ClockId::Boottime);
+        let whole = ClockSpan::from_secs(time.tv_sec.unsigned_abs());
+        whole + ClockSpan::from(std::time::Duration::from_nanos(time.tv_nsec.unsigned_abs()))
+    }
+}
+
+/// Tells from regular ticks whether the process or the machine stood still between two of them.
+#[derive(Clone, Debug)]
+pub struct PauseDetector {
+    tick: ClockSpan,
+    limit: ClockSpan,
+    last: Option<(ClockTime, ClockSpan)>,
+}
+
+impl PauseDetector {
+    /// Returns a detector for ticks that are `tick` apart, with a limit of 1 s.
+    pub fn new(tick: ClockSpan) -> Self {
+        Self { tick, limit: DEFAULT_LIMIT, last: None }
+    }
+
+    /// Returns the detector with another limit.
+    #[must_use]
+    pub fn with_limit(self, limit: ClockSpan) -> Self {
+        Self { limit, ..self }
+    }
+
+    /// Records a tick and returns the length of the pause before it, if it exceeds the limit.
+    ///
+    /// `now` is the time of the monotonic clock, which goes on while the process is frozen, and
+    /// `boot` that of [`BootClock`], which goes on while the machine is suspended as well.
+    pub fn observe(&mut self, now: ClockTime, boot: ClockSpan) -> Option<ClockSpan> {
+        let (last_now, last_boot) = self.last.replace((now, boot))?;
+        let running = now.since(last_now);
+        let frozen = running.saturating_sub(self.tick);
+        let suspended = boot.saturating_sub(last_boot).saturating_sub(running);
+        let pause = frozen + suspended;
+        (pause > self.limit).then_some(pause)
+    }
+}
--- /dev/null
+++ b/crates/base/tests/pause.rs
@@ -0,0 +1,75 @@
+//! Detection of pauses.
+
+use base::prelude::*;
+
+struct PauseCase {
+    name: &'static str,
+    /// Milliseconds of the monotonic clock and of the boot clock at each tick.
+    ticks: &'static [(u64, u64)],
+    /// The pause in milliseconds that the last tick tells.
+    pause: Option<u64>,
+}
+
+const TICK: ClockSpan = ClockSpan::from_millis(250);
+
+const CASES: &[PauseCase] = &[
+    PauseCase { name: "first tick", ticks: &[(50_000, 90_000)], pause: None },
+    PauseCase { name: "regular", ticks: &[(0, 9_000), (250, 9_250), (500, 9_500)], pause: None },
+    PauseCase { name: "late by the limit", ticks: &[(0, 9_000), (1_250, 10_250)], pause: None },
+    PauseCase { name: "frozen", ticks: &[(0, 9_000), (1_251, 10_251)], pause: Some(1_001) },
+    PauseCase { name: "suspended for the limit", ticks: &[(0, 9_000), (250, 10_250)], pause: None },
+    PauseCase { name: "suspended", ticks: &[(0, 9_000), (250, 10_251)], pause: Some(1_001) },
+    PauseCase {
+        name: "suspended before an early tick",
+        ticks: &[(0, 9_000), (10, 10_011)],
+        pause: Some(1_001),
+    },
+    PauseCase {
+        name: "frozen and suspended, each within the limit",
+        ticks: &[(0, 9_000), (850, 10_500)],
+        pause: Some(1_250),
+    },
+    PauseCase {
+        name: "suspended for an hour",
+        ticks: &[(0, 9_000), (250, 3_609_250)],
+        pause: Some(3_600_000),
+    },
+    PauseCase {
+        name: "regular after a pause",
+        ticks: &[(0, 9_000), (5_000, 14_000), (5_250, 14_250)],
+        pause: None,
+    },
+    PauseCase {
+        name: "suspended long before",
+        ticks: &[(0, 60_000), (250, 60_250), (500, 60_500)],
+        pause: None,
+    },
+    PauseCase { name: "boot clock read first", ticks: &[(0, 9_000), (250, 9_249)], pause: None },
+];
+
+/// Guards against evidence that counts as fresh after the process or the machine stood still, and
+/// against ticks that are merely late.
+#[test]
+fn pauses_are_told() {
+    for case in CASES {
+        let mut detector = PauseDetector::new(TICK);
+        let mut pause = None;
+        for (now, boot) in case.ticks {
+            let now = ClockTime::from_millis(*now);
+            pause = detector.observe(now, ClockSpan::from_millis(*boot));
+        }
+        assert_eq!(pause, case.pause.map(ClockSpan::from_millis), "{}", case.name);
+    }
+    let mut strict = PauseDetector::new(TICK).with_limit(ClockSpan::ZERO);
+    strict.observe(ClockTime::ZERO, ClockSpan::ZERO);
+    let pause = strict.observe(ClockTime::from_millis(251), ClockSpan::from_millis(251));
+    assert_eq!(pause, Some(ClockSpan::from_millis(1)));
+}
+
+/// Guards against a boot clock that runs backwards or cannot be read.
+#[test]
+fn boot_clock_goes_on() {
+    let first = BootClock.elapsed();
+    let later = BootClock.elapsed();
+    assert!(first > ClockSpan::ZERO && later >= first, "{first}, {later}");
+}
