Add the plan of the exchange of datagrams between VMs

Cause: VMs on the platform learn of one another from rows and hellos, share the reads of the upstreams' table, and need to know whom to tell. Contact with a VM after 3 s of silence makes hellos due to all silent VMs, and given-up VMs together get up to two hellos a second. Ruled out: a uniform draw to the power of 1/N, because many VMs then read together at its end; a fixed 30 s between hellos to a given-up VM, with which a partition of more than 10 s heals late; hellos that stop once the peer is heard, because hearing a VM does not mean being heard by it.

--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -186,6 +186,109 @@
     }
 }
 
+/// Who is sent hellos and other datagrams, and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MeshTuning {
+    /// Silence after which a VM is sent a hello, and the longest time between two hellos to a VM
+    /// that has not been given up. The deployment page sets it.
+    pub hello_period: ClockSpan,
+    /// Share of the period that is added at random, `0.0..1.0`. Otherwise both VMs of a pair send
+    /// at once, and each hello is answered as well.
+    pub hello_jitter: f64,
+    /// Time until the first hello without an answer is repeated; doubles up to `retry_cap`.
+    pub first_retry: ClockSpan,
+    /// Longest time between two of the quick tries.
+    pub retry_cap: ClockSpan,
+    /// Tries before the longer period counts. They take just under the 3 s within which VMs have
+    /// to know one another: with 10% of the datagrams lost, a question and its answer fail in 19%
+    /// of the tries, which leaves 1 pair in 600,000 without contact.
+    pub quick_tries: u32,
+    /// Hellos to a VM that is new or was lost, even if it is heard meanwhile: to hear a VM does not
+    /// mean to be heard by it. All three are lost in 1 of 1,000 cases.
+    pub introductions: u32,
+    /// Silence that shows a broken network rather than lost datagrams: at least two hellos in each
+    /// direction had no answer.
+    pub lost_after: ClockSpan,
+    /// Silence after which a VM is sent no messages other than hellos.
+    pub give_up: ClockSpan,
+    /// Longest time between two hellos to a VM that was given up.
+    pub lost_period: ClockSpan,
+    /// Time between two hellos to any of the VMs that were given up, as far as `lost_period` and
+    /// `hello_period` allow. The first contact after a partition is then made in about 1 s, for
+    /// 300 bytes a second.
+    pub lost_spacing: ClockSpan,
+    /// Most hellos at a time. 32 fit into a socket buffer of the usual 200 KB several times over,
+    /// with the answers.
+    pub hello_batch: usize,
+    /// Silence after which a VM is forgotten. Covers an hour's partition.
+    pub forget_after: ClockSpan,
+    /// Most VMs kept; the one silent longest is removed first.
+    pub max_vms: usize,
+    /// Reads of the table of upstreams.
+    pub read: ReadTuning,
+}
+
+impl Default for MeshTuning {
+    fn default() -> Self {
+        Self {
+            hello_period: ClockSpan::from_secs(2),
+            hello_jitter: 0.25,
+            first_retry: ClockSpan::from_millis(100),
+            retry_cap: ClockSpan::from_millis(400),
+            quick_tries: 8,
+            introductions: 3,
+            lost_after: ClockSpan::from_secs(3),
+            give_up: ClockSpan::from_secs(10),
+            lost_period: ClockSpan::from_secs(30),
+            lost_spacing: ClockSpan::from_millis(500),
+            hello_batch: 32,
+            forget_after: ClockSpan::from_secs(2 * 3600),
+            max_vms: 512,
+            read: ReadTuning::default(),
+        }
+    }
+}
+
+/// When a VM reads the table of upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadTuning {
+    /// Age of the newest known read before which no VM reads. The deployment page sets it.
+    pub earliest: ClockSpan,
+    /// Mean time from then on until the first of all VMs reads. Reads are then 0.5 s apart; within
+    /// the 5 ms until a read is known elsewhere, 1 in 20 is made twice.
+    pub mean_extra: ClockSpan,
+    /// Start of the range from which the latest age is drawn. 1.8% of the intervals get that long.
+    pub latest_from: ClockSpan,
+    /// End of that range. Leaves time for the read itself within the second in which a VM without
+    /// peers has to read.
+    pub latest_to: ClockSpan,
+    /// Delay after the first failed read; doubles with each further one.
+    pub failure_base: ClockSpan,
+    /// Longest delay after a failed read.
+    pub failure_cap: ClockSpan,
+    /// Share by which a delay after a failure varies in either direction, `0.0..1.0`, so that VMs
+    /// do not return together after an outage.
+    pub failure_jitter: f64,
+    /// Time after which a read without a result no longer keeps the next one back. Longer than the
+    /// store's 4 ms by far, and short against the drain bound of 2 s.
+    pub answer_limit: ClockSpan,
+}
+
+impl Default for ReadTuning {
+    fn default() -> Self {
+        Self {
+            earliest: ClockSpan::from_millis(400),
+            mean_extra: ClockSpan::from_millis(100),
+            latest_from: ClockSpan::from_millis(800),
+            latest_to: ClockSpan::from_millis(950),
+            failure_base: ClockSpan::from_millis(500),
+            failure_cap: ClockSpan::from_secs(2),
+            failure_jitter: 0.2,
+            answer_limit: ClockSpan::from_secs(1),
+        }
+    }
+}
+
 /// Everything that a VM's membership decisions are tuned by.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MemberTuning {
