--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -13,7 +13,7 @@
 use directory::prelude::*;
 use gate::access::{AccessOptions, PlatformAccess};
 use gate::control::GateControl;
-use gate::discovery::{DiscoveryOptions, DiscoveryTasks};
+use gate::discovery::{BoundsHandle, DiscoveryOptions, DiscoveryTasks};
 use gate::event;
 use gate::exchange::ExchangeOptions;
 use gate::leave;
@@ -22,6 +22,7 @@
 use gate::peers::PeerLink;
 use gate::probe::PROBE_COST;
 use gate::process::RunningGate;
+use gate::reload::{SettingsTarget, SettingsWatch};
 use gate::state::GateState;
 use peer::prelude::*;
 use platform::PlatformCodec;
@@ -29,7 +30,10 @@
 use snafu::{ResultExt, Snafu};
 use store::prelude::HttpSettings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tracing_subscriber::EnvFilter;
+use tokio_util::task::AbortOnDropHandle;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{EnvFilter, Registry, reload};
 use world::prelude::*;
 
 /// Gateway VMs that may run at once, until more are known. A quarter more than the largest
@@ -88,7 +92,8 @@
 
 fn start(arguments: &GateArguments) -> Result<(), GateError> {
     let settings = read_settings(&arguments.settings)?;
-    start_log(&settings);
+    let log = start_log(&settings);
+    let path = arguments.settings.clone();
     let options = gate_options(&settings, arguments.policy);
     let state = match &arguments.document {
         Some(path) => GateState::new(options, read_document(path)?),
@@ -99,8 +104,11 @@
     let state = Arc::new(state);
     let followed = arguments.document.is_none().then(|| settings.environment.clone());
     match settings.interface {
-        InterfaceKind::Agateroad => runtime.block_on(serve_native(&settings, state, followed)),
-        InterfaceKind::Platform => runtime.block_on(serve_platform(&settings, state)),
+        InterfaceKind::Agateroad => {
+            let reload = LiveSettings { log, bounds: None };
+            runtime.block_on(serve_native(&settings, state, followed, path, reload))
+        }
+        InterfaceKind::Platform => runtime.block_on(serve_platform(&settings, state, path, log)),
     }
 }
 
@@ -118,7 +126,11 @@
     settings: &ProcessSettings,
     state: Arc<GateState>,
     followed: Option<SharedName>,
+    path: PathBuf,
+    reload: LiveSettings,
 ) -> Result<(), GateError> {
+    let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
     let observe = observe.await.context(ListenSnafu)?;
@@ -146,6 +158,8 @@
 async fn serve_platform(
     settings: &ProcessSettings,
     state: Arc<GateState>,
+    path: PathBuf,
+    log: LogHandle,
 ) -> Result<(), GateError> {
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
@@ -159,11 +173,14 @@
         follower: Arc::default(),
     };
     let address = settings.control_address;
-    let control = ControlServer::start(address, secret_table(settings), counts, control);
+    let server_counts = Arc::clone(&counts);
+    let control = ControlServer::start(address, secret_table(settings), server_counts, control);
     let control = control.await.context(ListenSnafu)?;
-    let options = discovery_options(settings, control.address);
-    let discovery = DiscoveryTasks::start::<PlatformCodec>(&state, options);
-    let discovery = discovery.await.context(ListenSnafu)?;
+    let options = discovery_options(settings, &state, control.address, counts, link);
+    let discovery = DiscoveryTasks::start(&state, options).await.context(ListenSnafu)?;
+    let reload = LiveSettings { log, bounds: Some(discovery.bounds()) };
+    let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
     announce(settings, &gate, &control, &observe);
     signals.next().await;
     tokio::select! {
@@ -206,23 +223,37 @@
     AccessOptions { store, environment, client }
 }
 
-fn discovery_options(settings: &ProcessSettings, _control: SocketAddr) -> DiscoveryOptions {
-    let fleet = &settings.fleet;
-    let store = HttpSettings::new(settings.platform_address, rand::random());
-    let exchange = settings.exchange_address.unwrap_or(settings.control_address);
+fn discovery_options(
+    settings: &ProcessSettings,
+    state: &GateState,
+    control_address: SocketAddr,
+    counts: Arc<ControlCounts>,
+    link: Arc<PeerLink>,
+) -> DiscoveryOptions {
+    let AccessOptions { store, client, .. } = access_options(settings, None, &counts);
+    let exchange_address = settings.exchange_address.unwrap_or(settings.control_address);
+    let own = VmEntry { vm: state.options.vm.clone(), exchange_address, control_address };
+    let secrets = settings.peer_secrets.iter().map(|own| SharedName::from(own.as_str()));
     DiscoveryOptions {
         store: HttpSettings { call_timeout: settings.timeouts.platform, ..store },
-        bounds: FleetBounds {
-            name: settings.environment.clone(),
-            centres: settings.centres.clone(),
-            links: centre_links(&settings.centres, settings.centre_latency),
-            vm_ceiling: VM_CEILING,
-            retry_window: fleet.retry,
-            probe_rate: fleet.probe_rate * PROBE_MARGIN,
-            probe_cost: PROBE_COST,
-            queue_limit: QUEUE_LIMIT,
-        },
-        exchange: ExchangeOptions { address: exchange },
+        bounds: fleet_bounds(settings),
+        exchange: ExchangeOptions { own, secrets: secrets.collect() },
+        client,
+        link,
+    }
+}
+
+fn fleet_bounds(settings: &ProcessSettings) -> FleetBounds {
+    let fleet = &settings.fleet;
+    FleetBounds {
+        name: settings.environment.clone(),
+        centres: settings.centres.clone(),
+        links: centre_links(&settings.centres, settings.centre_latency),
+        vm_ceiling: VM_CEILING,
+        retry_window: fleet.retry,
+        probe_rate: fleet.probe_rate * PROBE_MARGIN,
+        probe_cost: PROBE_COST,
+        queue_limit: QUEUE_LIMIT,
     }
 }
 
@@ -249,7 +280,21 @@
     border::load_document(&bytes, FILE_VERSION).context(DocumentSnafu { path })
 }
 
-fn start_log(settings: &ProcessSettings) {
+/// Changes the level of the log.
+type LogHandle = reload::Handle<EnvFilter, Registry>;
+
+fn start_log(settings: &ProcessSettings) -> LogHandle {
+    let (filter, handle) = reload::Layer::new(log_filter(settings));
+    let log = tracing_subscriber::fmt::layer().with_writer(std::io::stderr);
+    let registry = tracing_subscriber::registry().with(filter);
+    match settings.log_format {
+        LogFormat::Json => registry.with(log.json()).init(),
+        LogFormat::Text => registry.with(log).init(),
+    }
+    handle
+}
+
+fn log_filter(settings: &ProcessSettings) -> EnvFilter {
     let level = match settings.log_level {
         LogLevel::Error => "error",
         LogLevel::Warn => "warn",
@@ -258,11 +303,22 @@
         LogLevel::Trace => "trace",
     };
     // The HTTP library logs each connection; its level stays fixed.
-    let filter = EnvFilter::new(format!("{level},hyper=error"));
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match settings.log_format {
-        LogFormat::Json => log.json().init(),
-        LogFormat::Text => log.init(),
+    EnvFilter::new(format!("{level},hyper=error"))
+}
+
+/// What takes effect while the process runs.
+struct LiveSettings {
+    log: LogHandle,
+    bounds: Option<BoundsHandle<PlatformCodec>>,
+}
+
+impl SettingsTarget for LiveSettings {
+    fn apply(&mut self, settings: &ProcessSettings) {
+        // The handle fails only after the log was dropped, which ends with the process.
+        let _ = self.log.reload(log_filter(settings));
+        if let Some(bounds) = &self.bounds {
+            bounds.set(fleet_bounds(settings));
+        }
     }
 }
 
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -1,16 +1,19 @@
 //! Follows the configuration and the upstreams through the tables of the platform's store.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Weak};
 
 use base::prelude::*;
+use bytes::Bytes;
 use directory::prelude::*;
+use peer::prelude::*;
 use store::prelude::*;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
 use crate::event;
 use crate::exchange::{ExchangeOptions, VmExchange};
+use crate::peers::PeerLink;
 use crate::state::GateState;
 
 /// The longest time for which the store holds back its answer to a question for changes of the
@@ -23,14 +26,23 @@
 /// The pause after a failed call, before jitter.
 const FAILURE_PAUSE: ClockSpan = ClockSpan::from_millis(400);
 
+/// The name of the copy of the configuration that peers may ask for.
+const CONFIG_COPY: &str = "configuration";
+/// The name of the copy of the table of upstreams that peers may ask for.
+const UPSTREAM_COPY: &str = "upstreams";
+
 /// How a VM finds its configuration, its upstreams and its peers.
 pub struct DiscoveryOptions {
     /// The platform's store.
     pub store: HttpSettings,
     /// What holds over all VMs.
     pub bounds: FleetBounds,
-    /// How this VM speaks to its peers.
+    /// How this VM speaks to its peers in datagrams.
     pub exchange: ExchangeOptions,
+    /// Calls the control listeners of peers.
+    pub client: PeerClient,
+    /// Holds what peers may ask for.
+    pub link: Arc<PeerLink>,
 }
 
 /// What this VM has learnt.
@@ -42,21 +54,19 @@
 }
 
 /// The tasks that follow the store. They end when this is dropped.
-pub struct DiscoveryTasks {
+pub struct DiscoveryTasks<K> {
+    core: Arc<DiscoveryCore<K>>,
     _tasks: JoinSet<()>,
 }
 
-impl DiscoveryTasks {
+impl<K: EntryCodec + RowCodec> DiscoveryTasks<K> {
     /// Starts to follow the store and to exchange news with peers.
     ///
     /// # Errors
     ///
     /// Fails if the address for datagrams of peers cannot be bound.
-    pub async fn start<K: EntryCodec + RowCodec>(
-        state: &Arc<GateState>,
-        options: DiscoveryOptions,
-    ) -> std::io::Result<Self> {
-        let DiscoveryOptions { store, bounds, exchange } = options;
+    pub async fn start(state: &Arc<GateState>, options: DiscoveryOptions) -> std::io::Result<Self> {
+        let DiscoveryOptions { store, bounds, exchange, client, link } = options;
         let tables = DirectoryTables {
             upstreams: UpstreamDirectory::new(DirectoryTuning::default()),
             config: ConfigTracker::new(),
@@ -68,6 +78,8 @@
             rows,
             tables: RankedMutex::new(LockRank::PeerTable, tables),
             exchange: VmExchange::bind(exchange, state.clock).await?,
+            client,
+            link,
             config_wanted: Notify::new(),
             upstreams_wanted: Notify::new(),
         });
@@ -76,8 +88,27 @@
         tasks.spawn(Arc::clone(&core).follow_upstreams());
         tasks.spawn(Arc::clone(&core).announce());
         tasks.spawn(Arc::clone(&core).greet());
-        tasks.spawn(core.receive());
-        Ok(Self { _tasks: tasks })
+        tasks.spawn(Arc::clone(&core).receive());
+        Ok(Self { core, _tasks: tasks })
+    }
+
+    /// Returns what changes the bounds that hold over all VMs.
+    pub fn bounds(&self) -> BoundsHandle<K> {
+        BoundsHandle { core: Arc::downgrade(&self.core) }
+    }
+}
+
+/// Changes the bounds that hold over all VMs.
+pub struct BoundsHandle<K> {
+    core: Weak<DiscoveryCore<K>>,
+}
+
+impl<K: EntryCodec + RowCodec> BoundsHandle<K> {
+    /// Puts other bounds into force.
+    pub fn set(&self, bounds: FleetBounds) {
+        let Some(core) = self.core.upgrade() else { return };
+        core.tables.lock().bounds = bounds;
+        core.apply();
     }
 }
 
@@ -87,6 +118,8 @@
     pub(crate) rows: RowStore<RealClock, K>,
     tables: RankedMutex<DirectoryTables>,
     pub(crate) exchange: VmExchange,
+    client: PeerClient,
+    link: Arc<PeerLink>,
     /// Wakes the task that follows the configuration, because a peer has a newer one.
     config_wanted: Notify,
     /// Wakes the task that follows the upstreams, because changes are missing.
@@ -109,12 +142,16 @@
             match read {
                 Ok(page) => {
                     position = Some(page.position);
-                    self.note_store(true);
                     self.take_config(&page);
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
                 Err(StoreError::HistoryLost) => position = None,
-                Err(error) => self.pause_after(&error).await,
+                Err(error) => {
+                    tracing::debug!(event = event::STORE_UNREAD, %error);
+                    self.copy_config().await;
+                    let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
+                    tokio::time::sleep(pause.to_duration()).await;
+                }
             }
         }
     }
@@ -131,7 +168,8 @@
                         version,
                         "configuration in force"
                     );
-                    self.exchange.set_config(version, value);
+                    self.exchange.set_config(version);
+                    self.link.set_copy(CONFIG_COPY, value.clone());
                     self.apply();
                 }
                 ConfigOffer::Known => {}
@@ -142,6 +180,12 @@
         }
     }
 
+    /// Reads everything again, because what is known may be old.
+    pub(crate) fn refresh(&self) {
+        self.config_wanted.notify_one();
+        self.upstreams_wanted.notify_one();
+    }
+
     /// Learns that a peer has a version of the configuration.
     pub(crate) fn hear_config(&self, version: u64) {
         let behind = {
@@ -165,8 +209,7 @@
                 continue;
             }
             if let Err(error) = self.read_upstreams().await {
-                self.exchange.note_failed_read();
-                self.pause_after(&error).await;
+                self.note_failed_read(&error);
             }
         }
     }
@@ -179,7 +222,12 @@
         let until = self.state.clock.to_instant(next).into();
         tokio::select! {
             () = tokio::time::sleep_until(until) => {}
-            () = self.upstreams_wanted.notified() => self.exchange.want_read(),
+            () = self.upstreams_wanted.notified() => {
+                if let Err(error) = self.read_upstreams().await {
+                    self.note_failed_read(&error);
+                    self.copy_upstreams().await;
+                }
+            }
         }
     }
 
@@ -194,10 +242,10 @@
             Err(StoreError::HistoryLost) => (self.rows.read_table(K::UPSTREAM_TABLE).await?, true),
             read => (read?, false),
         };
-        self.note_store(true);
         let now = self.state.clock.now();
         let change = {
             let upstreams = &mut self.tables.lock().upstreams;
+            upstreams.note_answer(now);
             match known.filter(|_| !whole) {
                 Some(from) => upstreams.follow::<K>(from, &page, now).unwrap_or_default(),
                 None => upstreams.replace::<K>(&page, now),
@@ -205,12 +253,13 @@
         };
         self.report(&change);
         self.exchange.note_read(page.position, asked);
-        if let Some(since) = change.since {
-            self.exchange.send_directory(since, page.position, asked, change.news).await;
-        }
         if change.upstreams_changed || known.is_none() {
             self.apply();
         }
+        if let Some(since) = change.since {
+            let news = RowPage { rows: change.news, ..page };
+            self.exchange.send_directory(since, &news, asked).await;
+        }
         Ok(())
     }
 
@@ -219,6 +268,8 @@
         let now = self.state.clock.now();
         let followed = {
             let upstreams = &mut self.tables.lock().upstreams;
+            // The store answered the peer, whatever it answers to this VM.
+            upstreams.note_answer(now);
             if upstreams.position().is_some_and(|known| known >= page.position) {
                 Ok(DirectoryChange::default())
             } else if complete {
@@ -249,21 +300,61 @@
         self.tables.lock().upstreams.settle(self.state.clock.now())
     }
 
-    fn note_store(&self, answered: bool) {
+    fn note_failed_read(&self, error: &StoreError) {
+        tracing::debug!(event = event::STORE_UNREAD, %error);
         let now = self.state.clock.now();
-        let upstreams = &mut self.tables.lock().upstreams;
-        if answered {
-            upstreams.note_answer(now);
-        } else if upstreams.note_failure(now) {
-            self.upstreams_wanted.notify_one();
+        if self.tables.lock().upstreams.note_failure(now) {
+            self.apply();
         }
+        self.exchange.note_failed_read();
     }
 
-    async fn pause_after(&self, error: &StoreError) {
-        tracing::debug!(event = event::STORE_UNREAD, %error);
-        self.note_store(false);
-        let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
-        tokio::time::sleep(pause.to_duration()).await;
+    /// Takes the configuration from a peer if one has a newer version.
+    async fn copy_config(&self) {
+        if !self.tables.lock().config.is_behind() {
+            return;
+        }
+        let Some(value) = self.fetch_copy(CONFIG_COPY).await else { return };
+        let row = TableRow { key: K::CONFIG_KEY.into(), version: 0, value: Some(value) };
+        self.take_config(&RowPage { rows: vec![row], ..RowPage::default() });
+    }
+
+    /// Takes the table of upstreams from a peer if this VM has none or misses changes.
+    async fn copy_upstreams(&self) {
+        let Some(bytes) = self.fetch_copy(UPSTREAM_COPY).await else { return };
+        let Ok(copy) = serde_json::from_slice::<TableCopy>(&bytes) else { return };
+        let page = copy.into_page();
+        let now = self.state.clock.now();
+        let change = {
+            let upstreams = &mut self.tables.lock().upstreams;
+            if upstreams.position() >= Some(page.position) {
+                return;
+            }
+            upstreams.replace::<K>(&page, now)
+        };
+        self.report(&change);
+        self.apply();
+    }
+
+    /// Asks a random peer for a copy of what it has.
+    async fn fetch_copy(&self, name: &str) -> Option<Bytes> {
+        let peers = self.exchange.control_addresses();
+        let address = *peers.get(rand::random_range(0..peers.len().max(1)))?;
+        match self.client.document(address, &SharedName::from(name)).await {
+            Ok(copy) => Some(copy),
+            Err(error) => {
+                tracing::debug!(event = event::EXCHANGE_FAILED, %error);
+                None
+            }
+        }
+    }
+
+    /// Keeps the table of upstreams for peers that the store refuses.
+    fn publish_upstreams(&self) {
+        let copy = self.tables.lock().upstreams.table().map(TableCopy::from_page);
+        if let Some(bytes) = copy.and_then(|copy| serde_json::to_vec(&copy).ok()) {
+            self.link.set_copy(UPSTREAM_COPY, Bytes::from(bytes));
+        }
     }
 
     /// Puts what is known into force, once both the configuration and the upstreams are known.
@@ -281,5 +372,6 @@
         let behind = self.tables.lock().config.is_behind();
         self.state.behind.store(behind, Ordering::Release);
         self.state.apply(environment);
+        self.publish_upstreams();
     }
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -34,6 +34,16 @@
 pub const UPSTREAM_UNREADABLE: u32 = 1019;
 /// The platform's store did not answer a read.
 pub const STORE_UNREAD: u32 = 1020;
+/// The row of a VM cannot be read.
+pub const VM_UNREADABLE: u32 = 1021;
+/// A datagram is not a peer's.
+pub const DATAGRAM_REFUSED: u32 = 1022;
+/// The settings file changed.
+pub const SETTINGS_CHANGED: u32 = 1023;
+/// The changed settings file cannot be used.
+pub const SETTINGS_REFUSED: u32 = 1024;
+/// The process or the machine stood still.
+pub const PAUSE_SEEN: u32 = 1025;
 /// An upstream is ejected because of failures.
 pub const UPSTREAM_EJECTED: u32 = 1201;
 /// An ejected upstream takes calls again.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other VMs as this VM reaches them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
@@ -62,6 +63,8 @@
     own_address: OnceLock<SocketAddr>,
     addresses: ArcSwap<Vec<PeerAddress>>,
     document: ArcSwapOption<ActiveDocument>,
+    /// Copies of tables and documents, by name.
+    copies: ArcSwap<HashMap<SharedName, Bytes>>,
 }
 
 impl PeerLink {
@@ -72,6 +75,7 @@
             own_address: OnceLock::new(),
             addresses: ArcSwap::default(),
             document: ArcSwapOption::default(),
+            copies: ArcSwap::default(),
         }
     }
 
@@ -180,8 +184,20 @@
         self.addresses.load().iter().map(|peer| peer.address).collect()
     }
 
-    /// Returns the document in force if it has the given digest.
+    /// Keeps a copy that peers may ask for by its name.
+    pub(crate) fn set_copy(&self, name: &str, bytes: Bytes) {
+        self.copies.rcu(|copies| {
+            let mut copies = HashMap::clone(copies);
+            copies.insert(SharedName::from(name), bytes.clone());
+            copies
+        });
+    }
+
+    /// Returns the copy with the given name, or the document in force if it has that digest.
     pub(crate) fn document(&self, digest: &str) -> Option<Bytes> {
+        if let Some(copy) = self.copies.load().get(digest) {
+            return Some(copy.clone());
+        }
         let active = self.document.load();
         let active = active.as_ref().filter(|active| active.mark.digest == *digest)?;
         Some(active.bytes.clone())
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,7 +21,9 @@
         DatagramCodec, DatagramError, DirectoryMessage, HelloMessage, LoadMessage, LoadSample,
         PeerEnvelope, PeerMessage, SuspectMessage,
     };
-    pub use crate::message::{ExchangeNotice, GrantEnd, GrantQuestion, PeerContact, StatusReport};
+    pub use crate::message::{
+        ExchangeNotice, GrantEnd, GrantQuestion, PeerContact, RowCopy, StatusReport, TableCopy,
+    };
     pub use crate::secret::{ControlRole, SecretTable};
     pub use crate::server::{ControlHandler, ControlServer};
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,6 +6,7 @@
 use config::prelude::*;
 use route::prelude::*;
 use serde::{Deserialize, Serialize};
+use store::prelude::{RowPage, TableRow};
 use suspect::prelude::*;
 use world::prelude::*;
 
@@ -91,3 +92,47 @@
     /// Calls in flight.
     pub calls: u64,
 }
+
+/// A table of the platform's store as a VM knows it, for peers that the store refuses.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct TableCopy {
+    /// The position from which changes are to be followed.
+    pub position: u64,
+    /// The rows.
+    pub rows: Vec<RowCopy>,
+}
+
+/// A row of a [`TableCopy`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RowCopy {
+    /// The key.
+    pub key: SharedName,
+    /// The version.
+    pub version: u64,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+impl TableCopy {
+    /// Returns the copy of a whole table.
+    pub fn from_page(page: RowPage) -> Self {
+        let copy = |row: TableRow| {
+            let value = row.value?.to_vec();
+            Some(RowCopy { key: row.key, version: row.version, value })
+        };
+        Self { position: page.position, rows: page.rows.into_iter().filter_map(copy).collect() }
+    }
+
+    /// Returns the table.
+    pub fn into_page(self) -> RowPage {
+        let row = |copy: RowCopy| TableRow {
+            key: copy.key,
+            version: copy.version,
+            value: Some(copy.value.into()),
+        };
+        let rows = self.rows.into_iter().map(row).collect();
+        RowPage { rows, position: self.position, truncated: false }
+    }
+}
