Log the reads of the store's tables

Cause: 419 store calls in 11 s at Almaty had no explanation in the log. Change: one debug event for each read, with table, rows and position.

--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -142,6 +142,7 @@
             match read {
                 Ok(page) => {
                     position = Some(page.position);
+                    log_read(K::CONFIG_TABLE, &page);
                     self.take_config(&page);
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
@@ -242,6 +243,7 @@
             Err(StoreError::HistoryLost) => (self.rows.read_table(K::UPSTREAM_TABLE).await?, true),
             read => (read?, false),
         };
+        log_read(K::UPSTREAM_TABLE, &page);
         let now = self.state.clock.now();
         let change = {
             let upstreams = &mut self.tables.lock().upstreams;
@@ -375,3 +377,8 @@
         self.publish_upstreams();
     }
 }
+
+fn log_read(table: &str, page: &RowPage) {
+    let (rows, position) = (page.rows.len(), page.position);
+    tracing::debug!(event = event::TABLE_READ, table, rows, position);
+}
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -44,6 +44,8 @@
 pub const SETTINGS_REFUSED: u32 = 1024;
 /// The process or the machine stood still.
 pub const PAUSE_SEEN: u32 = 1025;
+/// A table of the platform's store was read.
+pub const TABLE_READ: u32 = 1026;
 /// An upstream is ejected because of failures.
 pub const UPSTREAM_EJECTED: u32 = 1201;
 /// An ejected upstream takes calls again.
