Let one VM read the upstreams for all, with held reads

Change: the VM whose read is due goes on to read for all with reads held for 600 ms and tells peers of each; others read 0.75 to 1.15 s after its last news.

--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -19,6 +19,10 @@
 /// The longest time for which the store holds back its answer to a question for changes of the
 /// configuration. A connection that goes silent meanwhile is noticed by its keep-alive.
 const CONFIG_HOLD: ClockSpan = ClockSpan::from_secs(10);
+/// The longest time for which the store holds back its answer to the VM that reads the upstreams
+/// for all. If that VM fails, another one reads 0.75 to 1.15 s after its last news, which is well
+/// below the 2 s in which a leaving upstream must get no more calls.
+pub(crate) const READ_HOLD: ClockSpan = ClockSpan::from_millis(600);
 /// The shortest time between two questions for changes of the configuration. Versions that follow
 /// each other within it cost one call, and it is a fraction of the time in which one must be in
 /// force.
@@ -206,12 +210,29 @@
             if self.settle() {
                 self.apply();
             }
-            if !self.exchange.read_due() {
-                continue;
+            if self.exchange.read_due() {
+                self.read_for_all().await;
             }
-            if let Err(error) = self.read_upstreams().await {
+        }
+    }
+
+    /// Reads the upstreams and tells the peers, over and over, until a read fails or a peer that
+    /// comes first in the order of names reads as well. The store holds its answers back until
+    /// there is a change, so that every VM hears of a change within milliseconds.
+    async fn read_for_all(&self) {
+        let mut hold = ClockSpan::ZERO;
+        loop {
+            if let Err(error) = self.read_upstreams(hold).await {
                 self.note_failed_read(&error);
+                return;
             }
+            if self.settle() {
+                self.apply();
+            }
+            if self.exchange.has_earlier_reader() {
+                return;
+            }
+            hold = READ_HOLD;
         }
     }
 
@@ -224,7 +245,7 @@
         tokio::select! {
             () = tokio::time::sleep_until(until) => {}
             () = self.upstreams_wanted.notified() => {
-                if let Err(error) = self.read_upstreams().await {
+                if let Err(error) = self.read_upstreams(ClockSpan::ZERO).await {
                     self.note_failed_read(&error);
                     self.copy_upstreams().await;
                 }
@@ -232,11 +253,11 @@
         }
     }
 
-    async fn read_upstreams(&self) -> Result<(), StoreError> {
+    async fn read_upstreams(&self, hold: ClockSpan) -> Result<(), StoreError> {
         let asked = self.state.clock.now();
         let known = self.tables.lock().upstreams.position();
         let read = match known {
-            Some(position) => self.rows.changes(K::UPSTREAM_TABLE, position, ClockSpan::ZERO).await,
+            Some(position) => self.rows.changes(K::UPSTREAM_TABLE, position, hold).await,
             None => Err(StoreError::HistoryLost),
         };
         let (page, whole) = match read {
@@ -254,14 +275,15 @@
             }
         };
         self.report(&change);
-        self.exchange.note_read(page.position, asked);
+        // An answer that was held back tells the state at its end.
+        let made_at = if hold == ClockSpan::ZERO { asked } else { now };
+        self.exchange.note_read(page.position, made_at);
         if change.upstreams_changed || known.is_none() {
             self.apply();
         }
-        if let Some(since) = change.since {
-            let news = RowPage { rows: change.news, ..page };
-            self.exchange.send_directory(since, &news, asked).await;
-        }
+        let since = change.since.unwrap_or(page.position);
+        let news = RowPage { rows: change.news, ..page };
+        self.exchange.send_directory(since, &news, made_at).await;
         Ok(())
     }
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -13,7 +13,7 @@
 use store::prelude::*;
 use tokio::net::UdpSocket;
 
-use crate::discovery::DiscoveryCore;
+use crate::discovery::{DiscoveryCore, READ_HOLD};
 use crate::event;
 
 /// The table in which VMs announce themselves, by name.
@@ -42,6 +42,18 @@
     mesh: RankedMutex<MeshPlan>,
     /// The version of the configuration in force.
     config_version: AtomicU64,
+    /// The peer that last told of a read of the upstreams, and when.
+    peer_read: RankedMutex<Option<(SharedName, ClockTime)>>,
+}
+
+/// A VM reads only after the one that reads for all was silent for longer than it holds its reads.
+fn read_tuning() -> ReadTuning {
+    ReadTuning {
+        earliest: READ_HOLD + ClockSpan::from_millis(150),
+        latest_from: READ_HOLD + ClockSpan::from_millis(400),
+        latest_to: READ_HOLD + ClockSpan::from_millis(550),
+        ..ReadTuning::default()
+    }
 }
 
 impl VmExchange {
@@ -50,13 +62,15 @@
         let ExchangeOptions { own, secrets } = options;
         let socket = UdpSocket::bind(own.exchange_address).await?;
         let own = VmEntry { exchange_address: socket.local_addr()?, ..own };
-        let mesh = MeshPlan::new(own, MeshTuning::default(), rand::random());
+        let tuning = MeshTuning { read: read_tuning(), ..MeshTuning::default() };
+        let mesh = MeshPlan::new(own, tuning, rand::random());
         Ok(Self {
             clock,
             socket,
             codec: DatagramCodec::new(secrets.iter().map(SharedName::as_str)),
             mesh: RankedMutex::new(LockRank::PeerTable, mesh),
             config_version: AtomicU64::new(0),
+            peer_read: RankedMutex::new(LockRank::PeerTable, None),
         })
     }
 
@@ -85,6 +99,14 @@
         self.mesh.lock().note_read(position, made_at, self.clock.now());
     }
 
+    /// Returns whether a peer that comes before this VM in the order of names reads for all, too.
+    pub(crate) fn has_earlier_reader(&self) -> bool {
+        let own = self.mesh.lock().own().vm.name.clone();
+        let now = self.clock.now();
+        let peer_read = self.peer_read.lock();
+        peer_read.as_ref().is_some_and(|(peer, at)| *peer < own && now.since(*at) <= READ_HOLD)
+    }
+
     /// Tells all peers what a read of the upstreams brought.
     pub(crate) async fn send_directory(&self, from: u64, page: &RowPage, made_at: ClockTime) {
         let age = self.clock.now().since(made_at).as_millis();
@@ -237,6 +259,7 @@
                 let complete = !message.rows_omitted;
                 let page =
                     RowPage { rows: message.rows, position: message.position, truncated: false };
+                *self.exchange.peer_read.lock() = Some((sender, now));
                 self.take_peer_rows(message.from, &page, complete, age);
                 self.hear_config(message.config_version);
             }
