--- a/crates/gate/src/front.rs
+++ b/crates/gate/src/front.rs
@@ -201,7 +201,7 @@
         }
     };
     if let Err(error) = result {
-        tracing::trace!(event = event::CALLER_LOST, %error);
+        tracing::debug!(event = event::CALLER_LOST, %error);
     }
 }
 
