--- a/crates/border/src/change.rs
+++ b/crates/border/src/change.rs
@@ -24,31 +24,20 @@
 }
 
 fn live_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
-    let (times, new_times) = (&old.timeouts, &new.timeouts);
     let (fleet, new_fleet) = (&old.fleet, &new.fleet);
     let (retry, new_retry) = (&fleet.retry, &new_fleet.retry);
     changed(&[
-        ("peer_secrets", old.peer_secrets != new.peer_secrets),
-        ("operator_secrets", old.operator_secrets != new.operator_secrets),
         ("log_level", old.log_level != new.log_level),
-        ("timeouts.head_ms", times.head != new_times.head),
-        ("timeouts.caller_idle_ms", times.caller_idle != new_times.caller_idle),
-        ("timeouts.body_idle_ms", times.body_idle != new_times.body_idle),
-        ("timeouts.connect_ms", times.connect != new_times.connect),
-        ("timeouts.upstream_idle_ms", times.upstream_idle != new_times.upstream_idle),
-        ("timeouts.platform_ms", times.platform != new_times.platform),
-        ("timeouts.peer_ms", times.peer != new_times.peer),
-        ("timeouts.leave_ms", times.leave != new_times.leave),
         ("fleet.retry_ratio", retry.ratio != new_retry.ratio),
         ("fleet.retry_slack", retry.slack != new_retry.slack),
         ("fleet.retry_window_ms", retry.span != new_retry.span),
         ("fleet.probe_rate", fleet.probe_rate != new_fleet.probe_rate),
-        ("fleet.drain_ms", fleet.drain != new_fleet.drain),
-        ("fleet.stop_limit_ms", fleet.stop_limit != new_fleet.stop_limit),
     ])
 }
 
 fn restart_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
+    let (times, new_times) = (&old.timeouts, &new.timeouts);
+    let (fleet, new_fleet) = (&old.fleet, &new.fleet);
     changed(&[
         ("vm_name", old.vm_name != new.vm_name),
         ("interface", old.interface != new.interface),
@@ -63,6 +52,18 @@
         ("platform_address", old.platform_address != new.platform_address),
         ("worker_count", old.worker_count != new.worker_count),
         ("log_format", old.log_format != new.log_format),
+        ("peer_secrets", old.peer_secrets != new.peer_secrets),
+        ("operator_secrets", old.operator_secrets != new.operator_secrets),
+        ("timeouts.head_ms", times.head != new_times.head),
+        ("timeouts.caller_idle_ms", times.caller_idle != new_times.caller_idle),
+        ("timeouts.body_idle_ms", times.body_idle != new_times.body_idle),
+        ("timeouts.connect_ms", times.connect != new_times.connect),
+        ("timeouts.upstream_idle_ms", times.upstream_idle != new_times.upstream_idle),
+        ("timeouts.platform_ms", times.platform != new_times.platform),
+        ("timeouts.peer_ms", times.peer != new_times.peer),
+        ("timeouts.leave_ms", times.leave != new_times.leave),
+        ("fleet.drain_ms", fleet.drain != new_fleet.drain),
+        ("fleet.stop_limit_ms", fleet.stop_limit != new_fleet.stop_limit),
     ])
 }
 
