Cut the circles of the call path and split the attempt

Cause: of the gateway's modules, call, claims and sequence imported each other, and attempt.rs had grown to 534 lines. No behaviour changes.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -41,6 +41,14 @@
     }
 }
 
+/// The answer to a call, or why there is none.
+pub type CallResponse = Result<Response<AnswerBody>, CallRefusal>;
+
+/// Returns whether an upstream's answer says that it did not run the call.
+pub fn is_not_run(answer: &Response<AnswerBody>) -> bool {
+    answer.extensions().get() == Some(&CallFate::NotRun)
+}
+
 /// The body of an answer to a caller.
 #[derive(Debug)]
 pub enum AnswerBody {
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 
 use base::prelude::*;
-use bytes::Bytes;
 use codec::prelude::*;
 use http::{Request, Response, StatusCode, Uri, Version};
 use hyper::body::Incoming;
@@ -15,7 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::answer::AnswerBody;
-use crate::body::{self, BodyError, SendBody};
+use crate::body::{BodyError, SendBody};
 use crate::cancel::{self, CancelGuard};
 use crate::connection::{LinkConnection, SendError};
 use crate::crash;
@@ -55,13 +54,13 @@
 }
 
 impl FailedAttempt {
-    fn ended(refusal: CallRefusal) -> Box<Self> {
+    pub(crate) fn ended(refusal: CallRefusal) -> Box<Self> {
         let fate = refusal.fate;
         let next = NextStep::End;
         Box::new(Self { upstream: None, fate, refusal, answer: None, unsent: None, next })
     }
 
-    fn at(upstream: SharedName, refusal: CallRefusal, next: NextStep) -> Box<Self> {
+    pub(crate) fn at(upstream: SharedName, refusal: CallRefusal, next: NextStep) -> Box<Self> {
         Box::new(Self { upstream: Some(upstream), next, ..*Self::ended(refusal) })
     }
 }
@@ -207,7 +206,7 @@
     }
 
     /// Returns the refusal of a call that no upstream got.
-    fn refuse(&self, message: &str) -> CallRefusal {
+    pub(crate) fn refuse(&self, message: &str) -> CallRefusal {
         let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
         refusal.retry_after(self.state.options.tuning.retry_after)
     }
@@ -410,7 +409,7 @@
         request
     }
 
-    fn timeout_refusal(&self, cancelled: bool) -> CallRefusal {
+    pub(crate) fn timeout_refusal(&self, cancelled: bool) -> CallRefusal {
         let status = StatusCode::GATEWAY_TIMEOUT;
         if cancelled {
             let message = "the call waited at the upstream until its deadline and was cancelled";
@@ -420,110 +419,6 @@
             CallRefusal::unknown(status, "the upstream did not answer within the deadline")
         }
     }
-
-    /// Judges an answer, and passes it on or returns it with the failure that it reports.
-    async fn finish(
-        &self,
-        response: Response<Incoming>,
-        mut running: RunningCall,
-    ) -> AttemptResult {
-        let (mut parts, mut incoming) = response.into_parts();
-        let marks = C::read_answer(parts.status, &mut parts.headers, &self.call.id);
-        running.load = marks.load;
-        running.result = call_result(marks.verdict);
-        let upstream = running.upstream.clone();
-        if marks.verdict == AnswerVerdict::Foreign {
-            return Err(self.foreign_answer(running));
-        }
-        let (head, whole) = self.read_head(&mut incoming, &mut running).await?;
-        C::mark_answer(&mut parts.headers, marks.verdict, &self.call.id);
-        let body = if whole {
-            running.complete().await;
-            AnswerBody::full(head)
-        } else {
-            AnswerBody::relayed(head, incoming, running)
-        };
-        let mut answer = Response::from_parts(parts, body);
-        if marks.verdict == AnswerVerdict::NotRun {
-            answer.extensions_mut().insert(CallFate::NotRun);
-        }
-        match marks.verdict {
-            AnswerVerdict::Accepted if marks.passable => return Ok(answer),
-            AnswerVerdict::Misdirected => {
-                // Every connection leads to the server that has the address now.
-                if let Some(link) = self.state.links.link(&upstream) {
-                    link.retire(self.state.clock.now());
-                }
-            }
-            _ => {}
-        }
-        let refusal = match marks.verdict {
-            AnswerVerdict::NotRun => self.refuse("the upstream refused the call; repeat it"),
-            AnswerVerdict::Misdirected => self.refuse("the upstream has moved; repeat the call"),
-            _ => CallRefusal::unknown(StatusCode::BAD_GATEWAY, "the upstream reported an error"),
-        };
-        let failure = FailedAttempt::at(upstream, refusal, NextStep::Retry);
-        let replaced = match marks.verdict {
-            AnswerVerdict::Misdirected => true,
-            AnswerVerdict::NotRun => self.state.options.tuning.own_refusals,
-            _ => false,
-        };
-        let passable = marks.passable && !replaced;
-        let answer = if passable { Some(answer) } else { discard(answer) };
-        Err(Box::new(FailedAttempt { answer, ..*failure }))
-    }
-
-    /// Reads the start of an answer, as far as answers are held. Returns whether that is all.
-    async fn read_head(
-        &self,
-        incoming: &mut Incoming,
-        running: &mut RunningCall,
-    ) -> Result<(Bytes, bool), Box<FailedAttempt>> {
-        let limit = self.state.options.tuning.held_answer_bytes;
-        let length = http_body::Body::size_hint(incoming).exact();
-        if limit == 0 || length.is_some_and(|length| length > limit as u64) {
-            return Ok((Bytes::new(), false));
-        }
-        let deadline = self.state.clock.to_instant(self.call.request.deadline).into();
-        match timeout_at(deadline, body::read_answer(incoming, limit)).await {
-            Ok(Ok(read)) => Ok(read),
-            Ok(Err(source)) => {
-                let upstream = running.upstream.clone();
-                running.report(CallResult::ConnectionLost);
-                let message = format!("the upstream's answer ended early: {source}");
-                let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
-                Err(FailedAttempt::at(upstream, refusal, NextStep::RetryAfterLoss))
-            }
-            Err(_) => {
-                running.report(CallResult::TimedOut);
-                Err(FailedAttempt::ended(self.timeout_refusal(false)))
-            }
-        }
-    }
-
-    /// Ends an attempt whose connection carried something else than its answer.
-    fn foreign_answer(&self, mut running: RunningCall) -> Box<FailedAttempt> {
-        let upstream = running.upstream.clone();
-        running.connection = None;
-        running.report(CallResult::ServerError);
-        let message = "the upstream sent something else than the answer to this call";
-        let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
-        FailedAttempt::at(upstream, refusal, NextStep::Retry)
-    }
-}
-
-fn discard(answer: Response<AnswerBody>) -> Option<Response<AnswerBody>> {
-    answer.into_body().discard();
-    None
-}
-
-const fn call_result(verdict: AnswerVerdict) -> CallResult {
-    match verdict {
-        AnswerVerdict::Accepted => CallResult::Success,
-        AnswerVerdict::NotRun => CallResult::Shed,
-        AnswerVerdict::Misdirected => CallResult::ConnectFailed,
-        AnswerVerdict::Failed | AnswerVerdict::Foreign => CallResult::ServerError,
-    }
 }
 
 fn origin_form(uri: &Uri) -> Uri {
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -40,6 +40,11 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
         }
     }
+
+    /// Returns the refusal of the call. The rest of its body cannot be told from a next request.
+    pub fn into_refusal(self) -> CallRefusal {
+        CallRefusal::not_run(self.status(), self).closing()
+    }
 }
 
 /// A request body in the form in which an upstream gets it.
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -7,25 +7,18 @@
 use http::request::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use suspect::prelude::*;
 use tokio::time::timeout_at;
 
-use crate::answer::AnswerBody;
+use crate::answer::{self, AnswerBody, CallResponse};
 use crate::body::{BodyError, CallBody};
 use crate::claims;
 use crate::desk::ServiceDesk;
 use crate::metrics::CallEnd;
 use crate::plan::{self, PlannedCall};
-use crate::sequence::AttemptSequence;
+use crate::review;
 use crate::state::GateState;
 use crate::time::UpstreamTime;
 
-/// When a refused suspect may come back. By then its isolated run may be free.
-const SUSPECT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
-
-/// The answer to a call, or why there is none.
-pub type CallResponse = Result<Response<AnswerBody>, CallRefusal>;
-
 /// Serves one request.
 pub async fn serve<C: CallCodec>(
     state: &Arc<GateState>,
@@ -90,10 +83,10 @@
     let receiving = CallBody::receive(body, facts.body, limit_bytes, pause);
     let deadline = state.clock.to_instant(call.request.deadline).into();
     let body = timeout_at(deadline, receiving).await.unwrap_or(Err(BodyError::TooSlow));
-    let body = body.map_err(refuse_body)?;
+    let body = body.map_err(BodyError::into_refusal)?;
     let body_time = state.clock.now().since(body_started);
     let time = UpstreamTime::default();
-    let result = run_reviewed::<C>(state, desk, call, body, &time).await;
+    let result = review::run_reviewed::<C>(state, desk, call, body, &time).await;
     let spent = state.clock.now().since(arrived);
     desk.meters.record_residence(spent.saturating_sub(time.total() + body_time));
     result
@@ -102,77 +95,9 @@
 fn end_of(result: &CallResponse) -> CallEnd {
     match result {
         Ok(answer) if !answer.status().is_server_error() => CallEnd::Answered,
-        Ok(answer) if is_not_run(answer) => CallEnd::NotRun,
+        Ok(answer) if answer::is_not_run(answer) => CallEnd::NotRun,
         Ok(_) => CallEnd::UpstreamError,
         Err(refusal) if refusal.fate == CallFate::NotRun => CallEnd::NotRun,
         Err(_) => CallEnd::Unknown,
     }
 }
-
-/// Returns whether an upstream's answer says that it did not run the call.
-pub fn is_not_run(answer: &Response<AnswerBody>) -> bool {
-    answer.extensions().get() == Some(&CallFate::NotRun)
-}
-
-/// Returns the refusal of a call whose body did not arrive as announced.
-pub fn refuse_body(error: BodyError) -> CallRefusal {
-    CallRefusal::not_run(error.status(), error).closing()
-}
-
-/// Gives back a reserved isolated run that did not start.
-struct IsolationGuard<'a> {
-    state: &'a GateState,
-    fingerprint: u64,
-}
-
-impl Drop for IsolationGuard<'_> {
-    fn drop(&mut self) {
-        self.state.tables.suspects.abandon(self.fingerprint, self.state.clock.now());
-    }
-}
-
-/// Reviews a fingerprint. The owner of a suspect is asked for an isolated run.
-async fn review(state: &GateState, fingerprint: u64) -> SuspectVerdict {
-    let suspects = &state.tables.suspects;
-    let now = state.clock.now();
-    let verdict = suspects.review(fingerprint, now);
-    match state.grants.get() {
-        Some(grants) if verdict == SuspectVerdict::Refused => {
-            if grants.ask(suspects, fingerprint, now).await {
-                return suspects.review(fingerprint, state.clock.now());
-            }
-            verdict
-        }
-        _ => verdict,
-    }
-}
-
-/// Runs a call if it is not suspected of crashing upstreams.
-///
-/// # Errors
-///
-/// Returns why there is no answer, and whether the call may have run.
-pub async fn run_reviewed<C: CallCodec>(
-    state: &Arc<GateState>,
-    desk: &Arc<ServiceDesk>,
-    call: &mut PlannedCall,
-    body: CallBody,
-    time: &UpstreamTime,
-) -> CallResponse {
-    let fingerprint = call.request.fingerprint;
-    let guard = match review(state, fingerprint).await {
-        SuspectVerdict::Clear => None,
-        SuspectVerdict::Isolated => Some(IsolationGuard { state, fingerprint }),
-        SuspectVerdict::Refused => {
-            desk.meters.count_suspect();
-            let message = "upstreams crashed while they ran this request; repeat it later, or have \
-                           an operator release it";
-            // An innocent suspect is cleared after a while, so the status must not say that a
-            // repeat is useless.
-            let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
-            return Err(refusal.retry_after(SUSPECT_RETRY_AFTER));
-        }
-    };
-    let sequence = AttemptSequence::<C>::new(state, desk, call, guard.is_some(), time);
-    sequence.run(body).await
-}
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -15,11 +15,11 @@
 use tokio::time::timeout_at;
 use world::prelude::*;
 
-use crate::answer::AnswerBody;
+use crate::answer::{self, AnswerBody, CallResponse};
 use crate::body::{self, BodyError, CallBody};
-use crate::call::{self, CallResponse};
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
+use crate::review;
 use crate::state::{GateClaims, GateState, GateStore};
 use crate::time::UpstreamTime;
 
@@ -103,7 +103,7 @@
             );
             CallRefusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, message).closing()
         }
-        error => call::refuse_body(error),
+        error => error.into_refusal(),
     })
 }
 
@@ -161,8 +161,8 @@
     let ClaimedWork { desk, mut call, body } = work;
     let body = if body.is_empty() { CallBody::Empty } else { CallBody::Held(body) };
     let time = UpstreamTime::default();
-    match call::run_reviewed::<C>(state, &desk, &mut call, body, &time).await {
-        Ok(answer) if call::is_not_run(&answer) => {
+    match review::run_reviewed::<C>(state, &desk, &mut call, body, &time).await {
+        Ok(answer) if answer::is_not_run(&answer) => {
             grant.release(NotRunProof::Shed);
             Ok(answer)
         }
--- /dev/null
+++ b/crates/gate/src/review.rs
@@ -0,0 +1,77 @@
+//! The review of calls that may crash upstreams, before their first attempt.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use codec::prelude::*;
+use http::StatusCode;
+use suspect::prelude::*;
+
+use crate::answer::CallResponse;
+use crate::body::CallBody;
+use crate::desk::ServiceDesk;
+use crate::plan::PlannedCall;
+use crate::sequence::AttemptSequence;
+use crate::state::GateState;
+use crate::time::UpstreamTime;
+
+/// When a refused suspect may come back. By then its isolated run may be free.
+const SUSPECT_RETRY_AFTER: ClockSpan = ClockSpan::from_secs(1);
+
+/// Gives back a reserved isolated run that did not start.
+struct IsolationGuard<'a> {
+    state: &'a GateState,
+    fingerprint: u64,
+}
+
+impl Drop for IsolationGuard<'_> {
+    fn drop(&mut self) {
+        self.state.tables.suspects.abandon(self.fingerprint, self.state.clock.now());
+    }
+}
+
+/// Reviews a fingerprint. The owner of a suspect is asked for an isolated run.
+async fn review(state: &GateState, fingerprint: u64) -> SuspectVerdict {
+    let suspects = &state.tables.suspects;
+    let now = state.clock.now();
+    let verdict = suspects.review(fingerprint, now);
+    match state.grants.get() {
+        Some(grants) if verdict == SuspectVerdict::Refused => {
+            if grants.ask(suspects, fingerprint, now).await {
+                return suspects.review(fingerprint, state.clock.now());
+            }
+            verdict
+        }
+        _ => verdict,
+    }
+}
+
+/// Runs a call if it is not suspected of crashing upstreams.
+///
+/// # Errors
+///
+/// Returns why there is no answer, and whether the call may have run.
+pub async fn run_reviewed<C: CallCodec>(
+    state: &Arc<GateState>,
+    desk: &Arc<ServiceDesk>,
+    call: &mut PlannedCall,
+    body: CallBody,
+    time: &UpstreamTime,
+) -> CallResponse {
+    let fingerprint = call.request.fingerprint;
+    let guard = match review(state, fingerprint).await {
+        SuspectVerdict::Clear => None,
+        SuspectVerdict::Isolated => Some(IsolationGuard { state, fingerprint }),
+        SuspectVerdict::Refused => {
+            desk.meters.count_suspect();
+            let message = "upstreams crashed while they ran this request; repeat it later, or have \
+                           an operator release it";
+            // An innocent suspect is cleared after a while, so the status must not say that a
+            // repeat is useless.
+            let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+            return Err(refusal.retry_after(SUSPECT_RETRY_AFTER));
+        }
+    };
+    let sequence = AttemptSequence::<C>::new(state, desk, call, guard.is_some(), time);
+    sequence.run(body).await
+}
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -6,9 +6,9 @@
 use base::prelude::*;
 use codec::prelude::*;
 
+use crate::answer::CallResponse;
 use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
 use crate::body::{CallBody, SendBody};
-use crate::call::CallResponse;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
 use crate::retry::{NextStep, RetryRecord};
