Test the platform's interface against upstreams that fail

Cause: no test ran the gateway as a process with the interface of the users' platform, so that its promises to callers were checked in parts only. The store stand-in tells up to which version each table was followed, so that tests wait for the gateway to take a change over; the platform's stand-ins know a caller's head. Ruled out: a policy or plan that steers calls to the failing upstream, because the choice is free to change; calls are made until one meets the fault.

--- a/crates/stand/src/row_core.rs
+++ b/crates/stand/src/row_core.rs
@@ -123,6 +123,11 @@
         self.counted.announce();
     }
 
+    fn arrive(&self, source: IpAddr, call: &RowCall) {
+        self.state.lock().counts.arrive(source, call);
+        self.counted.announce();
+    }
+
     fn outage(&self, source: IpAddr, kind: RowCallKind) -> Option<RowOutage> {
         self.state.lock().plan.fault(source, kind)?.down
     }
@@ -258,7 +263,7 @@
         return Ok(D::encode(&RowAnswer::Malformed));
     };
     let kind = call.kind();
-    core.count(source, |counts| counts.arrive(kind));
+    core.arrive(source, &call);
     if let Some(outage) = core.outage(source, kind) {
         return core.fail::<D>(source, outage).await;
     }
--- a/crates/stand/src/row_plan.rs
+++ b/crates/stand/src/row_plan.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
+use base::prelude::*;
 use serde::{Deserialize, Serialize};
 
 use crate::plan::ANY_LOOPBACK;
+use crate::row_dialect::RowCall;
 use crate::rows::HistoryKeep;
 
 /// The longest key in bytes that the users' store takes.
@@ -188,6 +190,9 @@
     pub all: RowCallCounts,
     /// Of each source.
     pub by_source: BTreeMap<IpAddr, RowCallCounts>,
+    /// The newest version after which changes of each table were asked for. Whoever asks for the
+    /// changes after a version has taken over everything up to it.
+    pub followed: BTreeMap<SharedName, u64>,
 }
 
 impl RowCounts {
@@ -196,6 +201,20 @@
         self.by_source.get(&source).copied().unwrap_or_default()
     }
 
+    /// Returns the newest version after which changes of a table were asked for.
+    pub fn followed(&self, table: &str) -> u64 {
+        self.followed.get(table).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn arrive(&mut self, source: IpAddr, call: &RowCall) {
+        let kind = call.kind();
+        self.count(source, |counts| counts.arrive(kind));
+        if let RowCall::Feed(feed) = call {
+            let followed = self.followed.entry(feed.table.clone()).or_default();
+            *followed = feed.after.max(*followed);
+        }
+    }
+
     pub(crate) fn count(&mut self, source: IpAddr, change: impl Fn(&mut RowCallCounts)) {
         change(&mut self.all);
         change(self.by_source.entry(source).or_default());
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -26,6 +26,8 @@
 pub struct GateSettings {
     /// The name of the VM.
     pub vm_name: String,
+    /// The protocol that callers, upstreams and the store speak.
+    pub interface: &'static str,
     /// The data centre of the VM.
     pub centre: &'static str,
     /// Where the platform listens.
@@ -36,6 +38,8 @@
     pub workers: u32,
     /// The time limits, in the form of the settings.
     pub timeouts: Value,
+    /// The bounds over all VMs, in the form of the settings.
+    pub fleet: Value,
     /// More command-line arguments.
     pub arguments: Vec<String>,
 }
@@ -44,10 +48,12 @@
     fn default() -> Self {
         Self {
             vm_name: "vm-1".to_owned(),
+            interface: "agateroad",
             centre: "medeu",
             peer_secrets: vec![PEER_SECRET],
             workers: 2,
             timeouts: json!({}),
+            fleet: json!({}),
             // Nothing listens there.
             platform_address: ([127, 0, 0, 1], 1).into(),
             arguments: Vec::new(),
@@ -164,11 +170,13 @@
     fn to_bytes(&self) -> Vec<u8> {
         let settings = json!({
             "vm_name": self.vm_name,
+            "interface": self.interface,
             "environment": "trial",
             "data_centre": self.centre,
             "caller_address": "127.0.0.1:0",
             "control_address": "127.0.0.1:0",
             "metrics_address": "127.0.0.1:0",
+            "exchange_address": "127.0.0.1:0",
             "platform_address": self.platform_address,
             "peer_secrets": self.peer_secrets,
             "operator_secrets": [OPERATOR_SECRET],
@@ -176,6 +184,7 @@
             "log_format": "json",
             "log_level": "warn",
             "timeouts": self.timeouts,
+            "fleet": self.fleet,
         });
         settings.to_string().into_bytes()
     }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Every process ends with the value that represents it.
 
+pub mod caller;
 pub mod client;
 pub mod document;
 pub mod error;
@@ -14,6 +15,7 @@
 
     pub use rustix::process::Signal;
 
+    pub use crate::caller::{CallerConnection, PartBody, PartSender};
     pub use crate::client::{CallAnswer, TestClient};
     pub use crate::document::{TrialDocument, TrialService};
     pub use crate::error::TrialError;
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Returns whether the process succeeded, or `None` while it runs.
+    pub fn ended(&mut self) -> Option<bool> {
+        match self.child.try_wait() {
+            Ok(status) => status.map(|status| status.success()),
+            Err(_) => Some(false),
+        }
+    }
+
     /// Waits until the process ends by itself and returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
         self.child.wait().is_ok_and(|status| status.success())
--- /dev/null
+++ b/crates/trial/tests/support/platform.rs
@@ -0,0 +1,346 @@
+//! A store, upstreams and one gateway with the interface of the users' platform.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use directory::prelude::*;
+use http::{Method, Request, StatusCode};
+use platform::PlatformCodec;
+use platform::stand::{ServerStand, StoreStand, UpstreamWriter, mark_call, write_config};
+use serde_json::json;
+use stand::prelude::*;
+use trial::prelude::*;
+use world::prelude::*;
+
+/// The host of all routes.
+pub const HOST: &str = "desk.example";
+/// The service of the first routes.
+pub const SERVICE: &str = "desk";
+/// The data centre of everything.
+pub const CENTRE: &str = "medeu";
+/// Paths of idempotent calls start with this.
+pub const LOOK: &str = "/look";
+/// Paths of calls that must not run twice start with this.
+pub const BOOK: &str = "/book";
+/// Never passes within a test.
+pub const LONG: ClockSpan = ClockSpan::from_secs(600);
+/// The most upstreams that a call may reach.
+pub const ATTEMPTS: u32 = 3;
+/// Connections of an upstream, as the users' services have.
+const CONNECTIONS: u32 = 220;
+/// The longest body of a request, above any in these tests.
+const BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// Bytes of the body of an ordinary answer.
+pub const ANSWER_BYTES: u64 = 16;
+/// An event that has not come by now never will. No verdict depends on it otherwise.
+const EVENT_LIMIT: Duration = Duration::from_secs(60);
+/// Between two questions for what can only be learnt by asking.
+const ASK_PERIOD: Duration = Duration::from_millis(10);
+/// Calls that fill the retry budget. With `RETRY_RATIO` and the share of a VM that has just
+/// started, a tenth, they allow ten further arrivals.
+const BUDGET_CALLS: usize = 100;
+/// The most that the settings allow.
+const RETRY_RATIO: f64 = 1.0;
+/// Longer than any test, so that all calls of a test count.
+const RETRY_WINDOW_MS: u64 = 3_600_000;
+/// Health checks of an upstream a second, the most that the settings allow: one VM gets only a
+/// small part of them.
+const CHECK_RATE: f64 = 10_000.0;
+/// Accepting goes on for this long after SIGTERM. Long against the few milliseconds in which the
+/// test opens its connection.
+pub const LEAVE_MS: u64 = 5_000;
+
+/// Waits for an event.
+pub async fn event<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let event = tokio::time::timeout(EVENT_LIMIT, future).await;
+    event.unwrap_or_else(|_| panic!("this has not happened: {what}"))
+}
+
+/// Asks until a condition is met.
+pub async fn until(what: &str, mut met: impl AsyncFnMut() -> bool) {
+    event(what, async {
+        while !met().await {
+            tokio::time::sleep(ASK_PERIOD).await;
+        }
+    })
+    .await;
+}
+
+/// What differs between beds.
+#[derive(Clone, Debug)]
+pub struct BedPlan {
+    /// Upstreams of the service.
+    pub upstreams: usize,
+    /// The plan of each, but for its name.
+    pub upstream: UpstreamPlan,
+    /// The longest time for a call.
+    pub timeout: ClockSpan,
+    /// The latency that counts as good.
+    pub objective: ClockSpan,
+    /// Whether the gateway may check upstreams.
+    pub checks: bool,
+    /// Faults of the store from the start.
+    pub store_faults: Vec<RowFault>,
+}
+
+impl Default for BedPlan {
+    fn default() -> Self {
+        let upstream = UpstreamPlan {
+            answer_bytes: ANSWER_BYTES,
+            record_requests: true,
+            ends_with_caller: true,
+            ..UpstreamPlan::default()
+        };
+        Self {
+            upstreams: 2,
+            upstream,
+            timeout: LONG,
+            objective: LONG,
+            checks: true,
+            store_faults: Vec::new(),
+        }
+    }
+}
+
+/// An upstream and the writer of its row.
+#[derive(Debug)]
+pub struct ListedUpstream {
+    pub stand: ServerStand,
+    pub writer: UpstreamWriter,
+}
+
+/// What all upstreams together did with a request.
+#[derive(Clone, Debug, Default)]
+pub struct RequestHistory {
+    /// Runs.
+    pub runs: u32,
+    /// The most runs at one upstream.
+    pub runs_at_one: u32,
+    /// Arrivals.
+    pub arrived: u32,
+    /// The time that each arrival had left, in milliseconds.
+    pub remaining_ms: Vec<u64>,
+}
+
+/// A store, upstreams of one service, and one gateway.
+pub struct PlatformBed {
+    pub store: StoreStand,
+    pub upstreams: Vec<ListedUpstream>,
+    pub gate: GateProcess,
+    pub client: TestClient,
+    config: ConfigEntry,
+    plan: BedPlan,
+}
+
+impl PlatformBed {
+    /// Starts everything and waits until the gateway is ready.
+    pub async fn start(plan: BedPlan) -> Self {
+        let bed = Self::start_unready(plan).await;
+        bed.wait_ready(true).await;
+        bed
+    }
+
+    /// Starts everything.
+    pub async fn start_unready(plan: BedPlan) -> Self {
+        let rows = RowPlan { faults: plan.store_faults.clone(), ..RowPlan::default() };
+        let store = StoreStand::start(rows).await.expect("a store");
+        let config = config(&plan);
+        write_config(&store.handle(), &config);
+        let mut upstreams = Vec::new();
+        for _ in 0..plan.upstreams {
+            let name = format!("{SERVICE}-{}", upstreams.len());
+            upstreams.push(list_upstream(&store, &name, SERVICE, &plan.upstream).await);
+        }
+        let gate = GateProcess::follow(&gate_settings(&store, plan.checks)).expect("a gateway");
+        Self { store, upstreams, gate, client: TestClient::default(), config, plan }
+    }
+
+    /// Waits until the gateway is ready, or until it is not.
+    pub async fn wait_ready(&self, ready: bool) {
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        until("readiness changes", async || self.readiness().await == Some(status)).await;
+    }
+
+    /// Returns the status of the readiness path, or `None` if there is no answer.
+    pub async fn readiness(&self) -> Option<StatusCode> {
+        let answer = self.client.get(self.gate.metrics_address, "metrics", "/ready").await;
+        answer.ok().map(|answer| answer.status)
+    }
+
+    /// Makes a call with an id.
+    pub async fn call(&self, path: &str, id: &str) -> Result<CallAnswer, String> {
+        let method = if path.starts_with(BOOK) { Method::POST } else { Method::GET };
+        let request = request(method, path, id, None, ());
+        let (head, ()) = request.into_parts();
+        let headers: Vec<(&str, &str)> = head
+            .headers
+            .iter()
+            .filter(|(name, _)| *name != http::header::HOST)
+            .map(|(name, value)| (name.as_str(), value.to_str().expect("a text")))
+            .collect();
+        let address = self.gate.caller_address;
+        event(path, self.client.call(head.method, address, HOST, path, &headers, Bytes::new()))
+            .await
+    }
+
+    /// Makes calls that fill the retry budget.
+    pub async fn fill_budget(&self) {
+        for index in 0..BUDGET_CALLS {
+            let path = format!("{LOOK}/budget/{index}");
+            let answer = self.call(&path, &format!("budget-{index}")).await.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+        }
+    }
+
+    /// Returns what the upstreams did with a request.
+    pub fn history(&self, id: &str) -> RequestHistory {
+        let mut history = RequestHistory::default();
+        for upstream in &self.upstreams {
+            let record = upstream.stand.counts().of_request(id);
+            history.runs += record.runs;
+            history.runs_at_one = history.runs_at_one.max(record.runs);
+            history.arrived += record.arrived;
+            history.remaining_ms.extend(record.remaining_ms);
+        }
+        history
+    }
+
+    /// Adds an upstream of a service and waits until the gateway knows it.
+    pub async fn add_upstream(&mut self, name: &str, service: &str) {
+        self.upstreams.push(list_upstream(&self.store, name, service, &self.plan.upstream).await);
+        self.wait_rows(self.store.handle().version()).await;
+    }
+
+    /// Puts a new version of the configuration into force and waits until the gateway has it.
+    pub async fn configure(&mut self, change: impl FnOnce(&mut ConfigEntry)) {
+        change(&mut self.config);
+        // Versions grow in uneven steps.
+        self.config.version += 3;
+        let version = write_config(&self.store.handle(), &self.config);
+        self.wait_followed(PlatformCodec::CONFIG_TABLE, version).await;
+    }
+
+    /// Waits until the gateway has taken over the upstreams' rows up to a version of the store.
+    pub async fn wait_rows(&self, version: u64) {
+        self.wait_followed(PlatformCodec::UPSTREAM_TABLE, version).await;
+    }
+
+    async fn wait_followed(&self, table: &str, version: u64) {
+        let followed = self.store.wait_for(|counts| counts.followed(table) >= version);
+        event("the gateway has a version", followed).await;
+    }
+}
+
+/// Returns a route to one service.
+pub fn route(name: &str, path: &str, service: &str, plan: &BedPlan) -> CallRoute {
+    CallRoute {
+        name: name.into(),
+        host: HOST.into(),
+        path_prefix: path.into(),
+        idempotent: path != BOOK,
+        class: WorkClass::Urgent,
+        timeout: plan.timeout,
+        objective: plan.objective,
+        attempts: ATTEMPTS,
+        targets: vec![RouteTarget { service: service.into(), weight: 1.0 }],
+    }
+}
+
+/// Returns a service.
+pub fn service(name: &str) -> ServiceEntry {
+    ServiceEntry { name: name.into(), health_path: "/health".into(), connections: CONNECTIONS }
+}
+
+fn config(plan: &BedPlan) -> ConfigEntry {
+    ConfigEntry {
+        version: 1,
+        routes: vec![
+            route("look", LOOK, SERVICE, plan),
+            route("book", BOOK, SERVICE, plan),
+            route("bytes", "/bytes", SERVICE, plan),
+        ],
+        services: vec![service(SERVICE)],
+        caller_limits: CallerLimits { body_bytes: BODY_BYTES },
+    }
+}
+
+async fn list_upstream(
+    store: &StoreStand,
+    name: &str,
+    service: &str,
+    plan: &UpstreamPlan,
+) -> ListedUpstream {
+    let plan = UpstreamPlan { name: name.into(), ..plan.clone() };
+    let slots = plan.slots;
+    let stand = ServerStand::start_as(plan).await.expect("an upstream");
+    let server = UpstreamServer {
+        name: name.into(),
+        service: service.into(),
+        centre: CENTRE.into(),
+        address: stand.address(),
+        slots,
+        connections: 0,
+        incarnation: 1,
+        warm_up: ClockSpan::ZERO,
+    };
+    let entry = UpstreamEntry { server, draining: false };
+    ListedUpstream { stand, writer: UpstreamWriter::start(store.handle(), entry) }
+}
+
+fn gate_settings(store: &StoreStand, checks: bool) -> GateSettings {
+    GateSettings {
+        interface: "platform",
+        centre: CENTRE,
+        platform_address: store.address(),
+        workers: 1,
+        timeouts: json!({
+            "body_idle_ms": LONG.as_millis(),
+            "leave_ms": LEAVE_MS,
+            "platform_ms": 500,
+        }),
+        fleet: json!({
+            "retry_ratio": RETRY_RATIO,
+            "retry_window_ms": RETRY_WINDOW_MS,
+            "probe_rate": if checks { CHECK_RATE } else { 0.0 },
+            "stop_limit_ms": LONG.as_millis(),
+        }),
+        ..GateSettings::default()
+    }
+}
+
+/// Returns a caller's request.
+pub fn request<B>(
+    method: Method,
+    path: &str,
+    id: &str,
+    remaining: Option<ClockSpan>,
+    body: B,
+) -> Request<B> {
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("a path");
+    let headers = request.headers_mut();
+    headers.insert(http::header::HOST, HOST.parse().expect("a host"));
+    headers.insert("x-test-nonce", id.parse().expect("a nonce"));
+    mark_call(headers, id, remaining);
+    request
+}
+
+/// Opens a connection to a gateway.
+pub async fn open(address: SocketAddr) -> CallerConnection {
+    CallerConnection::open(address).await.expect("the gateway accepts connections")
+}
+
+/// Counts answers by status. Calls without a complete answer have the status 0.
+pub fn tally(answers: &[Result<CallAnswer, String>]) -> BTreeMap<u16, usize> {
+    let mut tally = BTreeMap::new();
+    for answer in answers {
+        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+        *tally.entry(status).or_default() += 1;
+    }
+    tally
+}
