Test bodies, outages, routes and shutdown through the platform's interface

Cause: the table of failing upstreams covers single calls; nothing tested the process when callers leave, when the store is down, when rows or the configuration change, or when it is stopped. Change: tests for callers that leave, bodies held and passed on, a store that is down at the start and later, unreadable rows, draining, new and old versions of the configuration, a split route and SIGTERM. Calls in flight are held by their own bodies, so that no test depends on how long a call takes. Ruled out: an upper bound on times; the only times that tests check are lower bounds, which a stall cannot break: the route's timeout and the 2 s for which a vanished upstream stays in use.

--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -7,24 +7,41 @@
 use std::ops::RangeInclusive;
 
 use base::prelude::*;
-use bed::{ANSWER_BYTES, ATTEMPTS, BOOK, BedPlan, LONG, LOOK, PlatformBed, event};
-use platform::stand::{ServerStand, answered_id, is_signed};
+use bed::*;
+use bytes::Bytes;
+use directory::prelude::*;
+use http::{Method, StatusCode};
+use platform::PlatformCodec;
+use platform::stand::{ServerStand, upstream_value};
 use stand::prelude::*;
 use trial::prelude::*;
+use world::prelude::*;
 
-/// Calls until one meets the fault of an upstream. With two upstreams of the same cost, the chance
-/// that all go to the other one is below 1 in 10^60.
-const MEETING_CALLS: usize = 200;
 /// Calls after one that met a fault, and calls to a service with a fault that lasts.
 const FURTHER_CALLS: usize = 5;
 /// A timeout that passes in a test.
 const SHORT: ClockSpan = ClockSpan::from_millis(300);
 /// An objective at whose half a slow idempotent call is sent to a second upstream.
 const SOON: ClockSpan = ClockSpan::from_millis(200);
-/// Answers of this length are passed on while they arrive.
-const LONG_ANSWER_BYTES: u64 = 1_000_000;
-/// Statuses that promise that a call was not run.
-const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Calls of the gateway that a store which is down must have seen.
+const OUTAGE_CALLS: u64 = 3;
+/// How long an upstream whose row disappeared stays in use after the store is back, as rule 9 in
+/// docs/platform-deployment.md has it.
+const RETURN_SPAN: ClockSpan = ClockSpan::from_secs(2);
+/// Calls while an upstream is draining. If it were a candidate as good as the other one, the chance
+/// that none reaches it would be below 1 in 10^12.
+const DRAIN_CALLS: usize = 40;
+/// Half of a body that is too long to be held, so that it is passed on while it arrives.
+const HELD_BYTES: usize = 100_000;
+/// A second service.
+const ANNEX: &str = "annex";
+/// Calls to a split route, and the share and bound of its smaller part, as rule 12 in
+/// docs/platform-deployment.md has it.
+const SPLIT_CALLS: u64 = 400;
+const SPLIT_SHARE: f64 = 0.1;
+const SPLIT_BOUND: f64 = 0.1;
+/// The number of the log event for a row that cannot be read.
+const UPSTREAM_UNREADABLE: u32 = 1019;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug)]
@@ -43,15 +60,6 @@
     EveryMoved,
 }
 
-/// What the caller gets.
-#[derive(Clone, Debug)]
-struct CallEnd {
-    /// The statuses that are allowed; 0 stands for an answer that is not complete.
-    statuses: &'static [u16],
-    /// How often the upstreams may run the request.
-    runs: RangeInclusive<u32>,
-}
-
 /// A fault, the kind of route, and what must become of calls that meet it.
 #[derive(Clone, Debug)]
 struct FaultCase {
@@ -74,7 +82,7 @@
         runs: RangeInclusive<u32>,
     ) -> Self {
         let end = CallEnd { statuses, runs };
-        let after = CallEnd { statuses: &[200], runs: 1..=1 };
+        let after = CallEnd::SERVED;
         Self { name, fault, path, timeout: LONG, objective: LONG, end, after }
     }
 }
@@ -221,16 +229,16 @@
             let id = format!("meet-{index}");
             let answer = self.call(&id).await;
             if self.bed.upstreams[0].stand.counts().faults > 0 {
-                return self.check(&id, &answer, end);
+                return self.bed.check(self.case.path, &id, &answer, end);
             }
-            self.check(&id, &answer, &usual)?;
+            self.bed.check(self.case.path, &id, &answer, &usual)?;
         }
         Err(format!("no call of {MEETING_CALLS} met the fault"))
     }
 
     async fn judge(&self, id: &str, end: &CallEnd) -> Result<(), String> {
         let answer = self.call(id).await;
-        self.check(id, &answer, end)
+        self.bed.check(self.case.path, id, &answer, end)
     }
 
     async fn call(&self, id: &str) -> Result<CallAnswer, String> {
@@ -241,42 +249,6 @@
         }
         answer
     }
-
-    fn check(
-        &self,
-        id: &str,
-        answer: &Result<CallAnswer, String>,
-        end: &CallEnd,
-    ) -> Result<(), String> {
-        let history = self.bed.history(id);
-        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
-        let shown = answer.as_ref().map(|answer| String::from_utf8_lossy(&answer.body));
-        let seen = || format!("{id}: {status} {:.200?}, {history:?}", shown);
-        let require =
-            |met: bool, what: &str| if met { Ok(()) } else { Err(format!("{what}: {}", seen())) };
-        require(end.statuses.contains(&status), "status")?;
-        require(end.runs.contains(&history.runs), "runs")?;
-        require(history.runs_at_one <= 1, "runs at one upstream")?;
-        require(history.arrived <= ATTEMPTS, "arrivals")?;
-        require(!PROMISES.contains(&status) || history.runs == 0, "promise")?;
-        let longest = self.case.timeout.as_millis();
-        require(history.remaining_ms.iter().all(|left| *left <= longest), "remaining time")?;
-        let Ok(answer) = answer else { return Ok(()) };
-        require(answered_id(&answer.headers) == Some(id), "id of the answer")?;
-        let retry_after = !answer.header("retry-after").is_empty();
-        require(status != 503 || retry_after, "time to retry")?;
-        if status == 200 {
-            require(is_signed(&answer.headers), "signature")?;
-            require(answer.header("x-test-nonce") == id, "nonce")?;
-            require(is_whole(self.case.path, &answer.body), "body")?;
-        }
-        Ok(())
-    }
-}
-
-fn is_whole(path: &str, body: &[u8]) -> bool {
-    let length = if path.starts_with("/bytes") { LONG_ANSWER_BYTES } else { ANSWER_BYTES };
-    body.len() as u64 == length && body.iter().all(|byte| *byte == b'a')
 }
 
 /// Ends an upstream, and waits until its connections are closed and new ones are refused.
@@ -310,3 +282,344 @@
 async fn failing_upstreams_without_checks() {
     run_cases(false).await;
 }
+
+/// Guards against work that goes on at an upstream after its caller closed the connection, and
+/// against work that is sent again then.
+#[tokio::test]
+async fn work_ends_when_its_caller_leaves() {
+    for path in [LOOK, BOOK] {
+        let service = ServiceTime::Fixed { ms: LONG.as_millis_f64() };
+        let usual = BedPlan::default();
+        let upstream = UpstreamPlan { service, ..usual.upstream.clone() };
+        let bed = PlatformBed::start(BedPlan { upstream, ..usual }).await;
+        let mut connection = open(bed.gate.caller_address).await;
+        let call = tokio::spawn(async move {
+            connection.call(request(Method::POST, path, "left", None, PartBody::none())).await
+        });
+        until("the call runs", async || bed.history("left").runs == 1).await;
+        call.abort();
+        until("the work ends", async || !bed.history("left").abandoned_ms.is_empty()).await;
+        let history = bed.history("left");
+        // The work ended before its own end and before the route's timeout.
+        assert!(history.abandoned_ms[0] < LONG.as_millis_f64(), "{path}: {history:?}");
+        assert_eq!((history.arrived, history.runs), (1, 1), "{path}: {history:?}");
+        let completed: u64 = bed.upstreams.iter().map(|own| own.stand.counts().completed).sum();
+        assert_eq!(completed, 0, "{path}");
+    }
+}
+
+struct BodyCase {
+    name: &'static str,
+    path: &'static str,
+    chunked: bool,
+    /// The lengths of the parts.
+    parts: &'static [usize],
+}
+
+/// Guards against bodies that change on their way, whether they are held or passed on while they
+/// arrive.
+#[tokio::test]
+async fn bodies_arrive_unchanged() {
+    let case = |name, path, chunked, parts| BodyCase { name, path, chunked, parts };
+    let cases = [
+        case("empty chunks", BOOK, true, &[]),
+        case("short chunks", BOOK, true, &[1, 2_000, 7]),
+        case("short chunks, idempotent", LOOK, true, &[1, 2_000, 7]),
+        case("long chunks", BOOK, true, &[50_000, 70_000, 1, 300_000]),
+        case("long chunks, idempotent", LOOK, true, &[50_000, 70_000, 1, 300_000]),
+        case("short", BOOK, false, &[2_000]),
+        case("long", BOOK, false, &[1_000_000, 3_000_000]),
+        case("long, idempotent", LOOK, false, &[1_000_000, 3_000_000]),
+    ];
+    let bed = PlatformBed::start(BedPlan::default()).await;
+    for case in cases {
+        let length: usize = case.parts.iter().sum();
+        let whole: Bytes = (0..length).map(|index| (index * 31 % 251) as u8).collect();
+        let (sender, body) =
+            if case.chunked { PartBody::chunked() } else { PartBody::announced(length as u64) };
+        let mut rest = whole.clone();
+        for part in case.parts {
+            sender.send(rest.split_to(*part)).expect("the body is open");
+        }
+        drop(sender);
+        let mut connection = open(bed.gate.caller_address).await;
+        let answer = connection.call(request(Method::POST, case.path, case.name, None, body));
+        let answer = event("an answer", answer).await;
+        bed.check(case.path, case.name, &answer, &CallEnd::SERVED).expect(case.name);
+        assert_eq!(bed.history(case.name).bodies, [BodyRecord::of(&whole)], "{}", case.name);
+    }
+}
+
+struct OutageCase {
+    name: &'static str,
+    outage: RowOutage,
+    /// Counts the calls that the outage hit.
+    hit: fn(&RowCallCounts) -> u64,
+}
+
+fn outages() -> [OutageCase; 3] {
+    let case = |name, outage, hit| OutageCase { name, outage, hit };
+    [
+        case("refused", RowOutage::Refused { status: 503 }, |counts| counts.refused),
+        case("reset", RowOutage::Reset, |counts| counts.reset),
+        case("silent", RowOutage::Silent, |counts| counts.silenced),
+    ]
+}
+
+fn down(outage: RowOutage) -> Vec<RowFault> {
+    vec![RowFault { down: Some(outage), ..RowFault::default() }]
+}
+
+/// Guards against a gateway that takes calls before it knows the configuration and the upstreams,
+/// and against one that never recovers from a store that was down at its start.
+#[tokio::test]
+async fn calls_wait_for_a_store_that_is_down_at_the_start() {
+    for case in outages() {
+        let plan = BedPlan { store_faults: down(case.outage), ..BedPlan::default() };
+        let bed = PlatformBed::start_unready(plan).await;
+        let hit = bed.store.wait_for(|counts| (case.hit)(&counts.all) >= OUTAGE_CALLS);
+        event(case.name, hit).await;
+        assert_eq!(bed.readiness().await, Some(StatusCode::SERVICE_UNAVAILABLE), "{}", case.name);
+        for path in [LOOK, BOOK] {
+            let id = format!("early{path}");
+            bed.judge(path, &id, &CallEnd::LATER).await.expect(case.name);
+        }
+        bed.fail_store(Vec::new());
+        bed.wait_ready(true).await;
+        bed.serve_calls("late", FURTHER_CALLS).await;
+    }
+}
+
+/// Guards against calls that fail because the store is down, and against an upstream that is
+/// dropped too early, or never, because its row disappeared meanwhile.
+#[tokio::test]
+async fn calls_go_on_while_the_store_is_down() {
+    for case in outages() {
+        let bed = PlatformBed::start(BedPlan { upstreams: 1, ..BedPlan::default() }).await;
+        bed.serve_calls("before", FURTHER_CALLS).await;
+        bed.fail_store(down(case.outage));
+        let hit = bed.store.wait_for(|counts| (case.hit)(&counts.all) >= OUTAGE_CALLS);
+        event(case.name, hit).await;
+        bed.serve_calls("down", FURTHER_CALLS).await;
+        let removed = bed.upstreams[0].writer.remove();
+        bed.serve_calls("removed", FURTHER_CALLS).await;
+        let back = tokio::time::Instant::now();
+        bed.fail_store(Vec::new());
+        let mut served = 0;
+        until("the upstream is gone", async || {
+            served += 1;
+            let id = format!("back-{served}");
+            let end = CallEnd { statuses: &[200, 503], runs: 0..=1 };
+            let answer = bed.call(LOOK, &id).await;
+            bed.check(LOOK, &id, &answer, &end).expect(case.name);
+            answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+        })
+        .await;
+        // A stall can only lengthen this.
+        let kept = back.elapsed();
+        assert!(kept >= RETURN_SPAN.to_duration(), "{}: gone after {kept:?}", case.name);
+        bed.wait_rows(removed).await;
+        bed.judge(BOOK, "gone", &CallEnd::LATER).await.expect(case.name);
+        bed.wait_rows(bed.upstreams[0].writer.change(|_| {})).await;
+        bed.serve_calls("listed", FURTHER_CALLS).await;
+    }
+}
+
+/// Guards against rows that cannot be read and keep the gateway from reading the others, or that
+/// are taken for upstreams.
+#[tokio::test]
+async fn unreadable_rows_do_no_harm() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    let entry = upstream_entry("other", SERVICE, bed.gate.metrics_address, 0);
+    let without_slots = upstream_value(&entry, 1);
+    let cut = without_slots[..without_slots.len() / 2].to_vec();
+    let values =
+        [b"".to_vec(), b"{}".to_vec(), b"[1]".to_vec(), vec![0xff, 0xfe], without_slots, cut];
+    let handle = bed.store.handle();
+    for (index, value) in values.iter().enumerate() {
+        // Sorts before and after the rows of the upstreams.
+        let key = if index % 2 == 0 { format!("a{index}") } else { format!("z{index}") };
+        handle.put(RowPlace::new(PlatformCodec::UPSTREAM_TABLE, &key), value.clone());
+    }
+    bed.wait_rows(handle.version()).await;
+    assert_eq!(bed.gate.logged(UPSTREAM_UNREADABLE), values.len());
+    bed.serve_calls("beside", FURTHER_CALLS).await;
+    bed.add_upstream("desk-9", SERVICE).await;
+    bed.reach(&bed.upstreams[2], "reach").await;
+    assert_eq!(bed.readiness().await, Some(StatusCode::OK));
+}
+
+/// A call that runs until the rest of its body is sent.
+struct HeldCall {
+    id: String,
+    path: &'static str,
+    sender: PartSender,
+    call: tokio::task::JoinHandle<Result<CallAnswer, String>>,
+}
+
+impl HeldCall {
+    /// Sends a call without the end of its body, and waits until it arrives at an upstream.
+    async fn start(bed: &PlatformBed, path: &'static str, id: &str) -> Self {
+        let (sender, body) = PartBody::announced(2 * HELD_BYTES as u64);
+        sender.send(Bytes::from(vec![b'h'; HELD_BYTES])).expect("the body is open");
+        let mut connection = open(bed.gate.caller_address).await;
+        let request = request(Method::POST, path, id, None, body);
+        let call = tokio::spawn(async move { connection.call(request).await });
+        until("the call arrives", async || bed.history(id).arrived == 1).await;
+        Self { id: id.to_owned(), path, sender, call }
+    }
+
+    /// Sends the rest of the body, and requires that the call runs once and succeeds.
+    async fn finish(self, bed: &PlatformBed) -> CallAnswer {
+        self.sender.send(Bytes::from(vec![b'h'; HELD_BYTES])).expect("the call goes on");
+        let answer = event("the call ends", self.call).await.expect("no panic");
+        bed.check(self.path, &self.id, &answer, &CallEnd::SERVED).expect("the call is served");
+        answer.expect("an answer")
+    }
+}
+
+/// Guards against calls to an upstream that is leaving, against calls in flight that its leaving
+/// interrupts, and against a new start that gets no calls.
+#[tokio::test]
+async fn a_draining_upstream_gets_no_calls() {
+    let bed = PlatformBed::start(BedPlan::default()).await;
+    let held = HeldCall::start(&bed, BOOK, "held").await;
+    let has_held = |own: &&ListedUpstream| own.stand.counts().arrived == 1;
+    let leaving = bed.upstreams.iter().find(has_held).expect("an upstream has the call");
+    bed.wait_rows(leaving.writer.drain()).await;
+    bed.serve_calls("others", DRAIN_CALLS).await;
+    assert_eq!(leaving.stand.counts().arrived, 1, "calls after the notice");
+    held.finish(&bed).await;
+    let started = leaving.writer.change(|entry| {
+        entry.draining = false;
+        entry.server.incarnation += 1;
+    });
+    bed.wait_rows(started).await;
+    bed.reach(leaving, "again").await;
+}
+
+struct RouteCase {
+    path: &'static str,
+    /// The service that runs calls, or `None` if there is no route.
+    before: Option<&'static str>,
+    after: Option<&'static str>,
+}
+
+const ROUTES: [RouteCase; 4] = [
+    RouteCase { path: LOOK, before: Some(SERVICE), after: Some(ANNEX) },
+    RouteCase { path: BOOK, before: Some(SERVICE), after: None },
+    RouteCase { path: "/bytes/7", before: Some(SERVICE), after: Some(SERVICE) },
+    RouteCase { path: "/new", before: None, after: Some(ANNEX) },
+];
+
+/// Makes a call and requires that an upstream of a service runs it, or that there is no route.
+async fn require_route(bed: &PlatformBed, path: &str, id: &str, service: Option<&str>) {
+    let end = if service.is_some() { CallEnd::SERVED } else { CallEnd::UNKNOWN };
+    bed.judge(path, id, &end).await.expect(path);
+    let runs_it = |own: &&ListedUpstream| own.stand.counts().of_request(id).runs == 1;
+    let upstream = bed.upstreams.iter().find(runs_it).map(|own| own.stand.plan().name);
+    let fits = upstream.as_ref().map(|name| service.is_some_and(|own| name.starts_with(own)));
+    assert_eq!(fits, service.map(|_| true), "{id} ran at {upstream:?}");
+}
+
+/// Guards against calls that are handled by an old version of the configuration once a new one is
+/// known, and against an older version that replaces a newer one.
+#[tokio::test]
+async fn new_versions_of_the_configuration_apply() {
+    let plan = BedPlan::default();
+    let mut bed = PlatformBed::start(plan.clone()).await;
+    bed.add_upstream("annex-0", ANNEX).await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("before{}", case.path), case.before).await;
+    }
+    let old = bed.config().clone();
+    bed.configure(|config| {
+        config.services.push(service(ANNEX));
+        config.routes.retain(|route| *route.path_prefix != *BOOK);
+        for route in config.routes.iter_mut().filter(|route| *route.path_prefix == *LOOK) {
+            route.targets[0].service = ANNEX.into();
+        }
+        config.routes.push(route("new", "/new", ANNEX, &plan));
+    })
+    .await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("after{}", case.path), case.after).await;
+    }
+    bed.write_config(&old).await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("still{}", case.path), case.after).await;
+    }
+}
+
+/// Guards against a split that does not keep its shares, and against calls that move to another
+/// share when theirs has no upstream.
+#[tokio::test]
+async fn a_split_route_keeps_its_shares() {
+    let plan = BedPlan { upstreams: 1, ..BedPlan::default() };
+    let mut bed = PlatformBed::start(plan.clone()).await;
+    bed.add_upstream("annex-0", ANNEX).await;
+    bed.configure(|config| {
+        config.services.push(service(ANNEX));
+        let target = |service: &str, weight| RouteTarget { service: service.into(), weight };
+        let targets = vec![target(SERVICE, 90.0), target(ANNEX, 10.0)];
+        config.routes.push(CallRoute { targets, ..route("split", "/split", SERVICE, &plan) });
+    })
+    .await;
+    let arrived = || bed.upstreams.iter().map(|own| own.stand.counts().arrived).collect::<Vec<_>>();
+    for index in 0..SPLIT_CALLS {
+        let id = format!("split-{index}");
+        bed.judge("/split", &id, &CallEnd::SERVED).await.expect("the call is served");
+    }
+    let both = arrived();
+    assert_eq!(both.iter().sum::<u64>(), SPLIT_CALLS);
+    assert!(keeps_share(both[1]), "{both:?}");
+    refuse(&bed.upstreams[1].stand).await;
+    let mut refused = 0;
+    for index in 0..SPLIT_CALLS {
+        let id = format!("failing-{index}");
+        let answer = bed.call("/split", &id).await;
+        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+        refused += u64::from(status == 503);
+        let end = if status == 503 { CallEnd::LATER } else { CallEnd::SERVED };
+        bed.check("/split", &id, &answer, &end).expect("the call is served or refused");
+    }
+    assert!(keeps_share(refused), "{refused} calls were refused");
+    assert_eq!(arrived(), [both[0] + SPLIT_CALLS - refused, both[1]]);
+}
+
+/// Returns whether the smaller part of a split has its share. The chance that a correct gateway
+/// leaves these bounds is below 1 in 10^8.
+fn keeps_share(calls: u64) -> bool {
+    calls > 0 && (calls as f64 / SPLIT_CALLS as f64 - SPLIT_SHARE).abs() <= SPLIT_BOUND
+}
+
+/// Guards against a graceful shutdown that interrupts calls, that refuses connections before the
+/// load balancer has noticed, or that fails.
+#[tokio::test]
+async fn a_shutdown_interrupts_no_call() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    bed.serve_calls("before", FURTHER_CALLS).await;
+    let mut held = Vec::new();
+    for (index, path) in [LOOK, BOOK, LOOK, BOOK].into_iter().enumerate() {
+        held.push(HeldCall::start(&bed, path, &format!("held-{index}")).await);
+    }
+    bed.gate.process.signal(Signal::TERM);
+    bed.wait_ready(false).await;
+    for path in [LOOK, BOOK] {
+        let id = format!("new{path}");
+        let mut connection = open(bed.gate.caller_address).await;
+        let call = connection.call(request(Method::POST, path, &id, None, PartBody::none()));
+        let answer = event("an answer", call).await;
+        bed.check(path, &id, &answer, &CallEnd::SERVED).expect("new connections are accepted");
+        assert_eq!(answer.expect("an answer").header("connection"), "close");
+    }
+    let address = bed.gate.caller_address;
+    until("connections are refused", async || CallerConnection::open(address).await.is_err()).await;
+    assert_eq!(bed.gate.process.ended(), None, "the process waits for its calls");
+    for held in held {
+        assert_eq!(held.finish(&bed).await.header("connection"), "close");
+    }
+    let gate = &mut bed.gate;
+    until("the process ends", async || gate.process.ended().is_some()).await;
+    assert_eq!(bed.gate.process.ended(), Some(true), "the exit code is 0");
+}
--- a/crates/trial/tests/support/platform.rs
+++ b/crates/trial/tests/support/platform.rs
@@ -1,8 +1,8 @@
 //! A store, upstreams and one gateway with the interface of the users' platform.
 
-use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -10,7 +10,9 @@
 use directory::prelude::*;
 use http::{Method, Request, StatusCode};
 use platform::PlatformCodec;
-use platform::stand::{ServerStand, StoreStand, UpstreamWriter, mark_call, write_config};
+use platform::stand::{
+    ServerStand, StoreStand, UpstreamWriter, answered_id, is_signed, mark_call, write_config,
+};
 use serde_json::json;
 use stand::prelude::*;
 use trial::prelude::*;
@@ -35,7 +37,9 @@
 /// The longest body of a request, above any in these tests.
 const BODY_BYTES: u64 = 64 * 1024 * 1024;
 /// Bytes of the body of an ordinary answer.
-pub const ANSWER_BYTES: u64 = 16;
+const ANSWER_BYTES: u64 = 16;
+/// Statuses that promise that a call was not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// An event that has not come by now never will. No verdict depends on it otherwise.
 const EVENT_LIMIT: Duration = Duration::from_secs(60);
 /// Between two questions for what can only be learnt by asking.
@@ -43,6 +47,9 @@
 /// Calls that fill the retry budget. With `RETRY_RATIO` and the share of a VM that has just
 /// started, a tenth, they allow ten further arrivals.
 const BUDGET_CALLS: usize = 100;
+/// Calls until one reaches a certain upstream. With two upstreams of the same cost, the chance that
+/// all go to the other one is below 1 in 10^60.
+pub const MEETING_CALLS: usize = 200;
 /// The most that the settings allow.
 const RETRY_RATIO: f64 = 1.0;
 /// Longer than any test, so that all calls of a test count.
@@ -124,6 +131,28 @@
     pub arrived: u32,
     /// The time that each arrival had left, in milliseconds.
     pub remaining_ms: Vec<u64>,
+    /// The bodies that arrived whole.
+    pub bodies: Vec<BodyRecord>,
+    /// For each run that its caller left, how long it had run, in milliseconds.
+    pub abandoned_ms: Vec<f64>,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Debug)]
+pub struct CallEnd {
+    /// The statuses that the caller may get; 0 stands for an answer that is not complete.
+    pub statuses: &'static [u16],
+    /// How often the upstreams may run the request.
+    pub runs: RangeInclusive<u32>,
+}
+
+impl CallEnd {
+    /// A call that runs once and succeeds.
+    pub const SERVED: Self = Self { statuses: &[200], runs: 1..=1 };
+    /// A call that is not run and may be repeated later.
+    pub const LATER: Self = Self { statuses: &[503], runs: 0..=0 };
+    /// A call that no route covers.
+    pub const UNKNOWN: Self = Self { statuses: &[404], runs: 0..=0 };
 }
 
 /// A store, upstreams of one service, and one gateway.
@@ -205,14 +234,90 @@
             history.runs_at_one = history.runs_at_one.max(record.runs);
             history.arrived += record.arrived;
             history.remaining_ms.extend(record.remaining_ms);
+            history.bodies.extend(record.bodies);
+            history.abandoned_ms.extend(record.abandoned_ms);
         }
         history
     }
 
+    /// Makes a call and checks what became of it.
+    ///
+    /// # Errors
+    ///
+    /// Says what differs.
+    pub async fn judge(&self, path: &str, id: &str, end: &CallEnd) -> Result<(), String> {
+        let answer = self.call(path, id).await;
+        self.check(path, id, &answer, end)
+    }
+
+    /// Makes calls to both kinds of routes and requires that each runs once and succeeds.
+    pub async fn serve_calls(&self, series: &str, calls: usize) {
+        for index in 0..calls {
+            let path = if index % 2 == 0 { LOOK } else { BOOK };
+            let id = format!("{series}-{index}");
+            self.judge(path, &id, &CallEnd::SERVED).await.expect("the call is served");
+        }
+    }
+
+    /// Checks what became of a call.
+    ///
+    /// # Errors
+    ///
+    /// Says what differs.
+    pub fn check(
+        &self,
+        path: &str,
+        id: &str,
+        answer: &Result<CallAnswer, String>,
+        end: &CallEnd,
+    ) -> Result<(), String> {
+        let history = self.history(id);
+        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+        let require = |met: bool, what: &str| {
+            let shown =
+                answer.as_ref().map(|answer| answer.body.slice(..answer.body.len().min(99)));
+            if met {
+                Ok(())
+            } else {
+                Err(format!("{what} of {id}: {status} {shown:?}, {history:?}"))
+            }
+        };
+        require(end.statuses.contains(&status), "status")?;
+        require(end.runs.contains(&history.runs), "runs")?;
+        require(history.runs_at_one <= 1, "runs at one upstream")?;
+        require(history.arrived <= ATTEMPTS, "arrivals")?;
+        require(!PROMISES.contains(&status) || history.runs == 0, "promise")?;
+        let longest = self.plan.timeout.as_millis();
+        require(history.remaining_ms.iter().all(|left| *left <= longest), "remaining time")?;
+        let Ok(answer) = answer else { return Ok(()) };
+        require(answered_id(&answer.headers) == Some(id), "id")?;
+        require(status != 503 || !answer.header("retry-after").is_empty(), "time to retry")?;
+        if status == 200 {
+            require(is_signed(&answer.headers), "signature")?;
+            require(answer.header("x-test-nonce") == id, "nonce")?;
+            require(is_whole(path, &answer.body), "body")?;
+        }
+        Ok(())
+    }
+
     /// Adds an upstream of a service and waits until the gateway knows it.
-    pub async fn add_upstream(&mut self, name: &str, service: &str) {
+    pub async fn add_upstream(&mut self, name: &str, service: &str) -> &ListedUpstream {
         self.upstreams.push(list_upstream(&self.store, name, service, &self.plan.upstream).await);
         self.wait_rows(self.store.handle().version()).await;
+        &self.upstreams[self.upstreams.len() - 1]
+    }
+
+    /// Makes calls until an upstream gets one.
+    pub async fn reach(&self, upstream: &ListedUpstream, series: &str) {
+        let before = upstream.stand.counts().arrived;
+        for index in 0..MEETING_CALLS {
+            let id = format!("{series}-{index}");
+            self.judge(LOOK, &id, &CallEnd::SERVED).await.expect("the call is served");
+            if upstream.stand.counts().arrived > before {
+                return;
+            }
+        }
+        panic!("no call of {MEETING_CALLS} reached the upstream");
     }
 
     /// Puts a new version of the configuration into force and waits until the gateway has it.
@@ -220,10 +325,25 @@
         change(&mut self.config);
         // Versions grow in uneven steps.
         self.config.version += 3;
-        let version = write_config(&self.store.handle(), &self.config);
+        self.write_config(&self.config).await;
+    }
+
+    /// Writes a configuration and waits until the gateway has seen it.
+    pub async fn write_config(&self, config: &ConfigEntry) {
+        let version = write_config(&self.store.handle(), config);
         self.wait_followed(PlatformCodec::CONFIG_TABLE, version).await;
     }
 
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &ConfigEntry {
+        &self.config
+    }
+
+    /// Puts faults of the store into force.
+    pub fn fail_store(&self, faults: Vec<RowFault>) {
+        self.store.update(|plan| plan.faults = faults);
+    }
+
     /// Waits until the gateway has taken over the upstreams' rows up to a version of the store.
     pub async fn wait_rows(&self, version: u64) {
         self.wait_followed(PlatformCodec::UPSTREAM_TABLE, version).await;
@@ -255,6 +375,11 @@
     ServiceEntry { name: name.into(), health_path: "/health".into(), connections: CONNECTIONS }
 }
 
+fn is_whole(path: &str, body: &[u8]) -> bool {
+    let length = path.strip_prefix("/bytes/").and_then(|text| text.parse().ok());
+    body.len() as u64 == length.unwrap_or(ANSWER_BYTES) && body.iter().all(|byte| *byte == b'a')
+}
+
 fn config(plan: &BedPlan) -> ConfigEntry {
     ConfigEntry {
         version: 1,
@@ -268,26 +393,31 @@
     }
 }
 
-async fn list_upstream(
-    store: &StoreStand,
-    name: &str,
-    service: &str,
-    plan: &UpstreamPlan,
-) -> ListedUpstream {
-    let plan = UpstreamPlan { name: name.into(), ..plan.clone() };
-    let slots = plan.slots;
-    let stand = ServerStand::start_as(plan).await.expect("an upstream");
+/// Returns the entry of an upstream.
+pub fn upstream_entry(name: &str, service: &str, address: SocketAddr, slots: u32) -> UpstreamEntry {
     let server = UpstreamServer {
         name: name.into(),
         service: service.into(),
         centre: CENTRE.into(),
-        address: stand.address(),
+        address,
         slots,
         connections: 0,
         incarnation: 1,
         warm_up: ClockSpan::ZERO,
     };
-    let entry = UpstreamEntry { server, draining: false };
+    UpstreamEntry { server, draining: false }
+}
+
+async fn list_upstream(
+    store: &StoreStand,
+    name: &str,
+    service: &str,
+    plan: &UpstreamPlan,
+) -> ListedUpstream {
+    let plan = UpstreamPlan { name: name.into(), ..plan.clone() };
+    let slots = plan.slots;
+    let stand = ServerStand::start_as(plan).await.expect("an upstream");
+    let entry = upstream_entry(name, service, stand.address(), slots);
     ListedUpstream { stand, writer: UpstreamWriter::start(store.handle(), entry) }
 }
 
@@ -334,13 +464,3 @@
 pub async fn open(address: SocketAddr) -> CallerConnection {
     CallerConnection::open(address).await.expect("the gateway accepts connections")
 }
-
-/// Counts answers by status. Calls without a complete answer have the status 0.
-pub fn tally(answers: &[Result<CallAnswer, String>]) -> BTreeMap<u16, usize> {
-    let mut tally = BTreeMap::new();
-    for answer in answers {
-        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
-        *tally.entry(status).or_default() += 1;
-    }
-    tally
-}
