--- /dev/null
+++ b/crates/trial/tests/platform.rs
@@ -0,0 +1,750 @@
+//! Gateway processes with the interface of the users' platform, in front of failing upstreams and
+//! a failing store.
+
+#[path = "support/platform.rs"]
+mod bed;
+
+use std::ops::RangeInclusive;
+
+use base::prelude::*;
+use bed::*;
+use bytes::Bytes;
+use directory::prelude::*;
+use http::{Method, StatusCode};
+use platform::PlatformCodec;
+use platform::stand::{ServerStand, upstream_value};
+use stand::prelude::*;
+use trial::prelude::*;
+use world::prelude::*;
+
+/// The usual number of calls that are judged.
+const FURTHER_CALLS: usize = 5;
+/// Calls of which some find that their connection was closed after its check, which depends on
+/// timing: about one in 20 did.
+const MANY_CALLS: usize = 120;
+/// A timeout that passes in a test. Long against what other calls take.
+const SHORT: ClockSpan = ClockSpan::from_secs(2);
+/// A timeout after which a call that hangs fails its case. Long against what other calls take.
+const HANGING: ClockSpan = ClockSpan::from_secs(10);
+/// What the gateway knows of an upstream, and of its connections, is too old for a call after this
+/// time, so that it makes a check if it may. It relies on answers of the last 100 ms at most.
+const STALE: ClockSpan = ClockSpan::from_millis(150);
+/// An objective at whose half a slow idempotent call is sent to a second upstream.
+const SOON: ClockSpan = ClockSpan::from_secs(2);
+/// Calls of the gateway that a store which is down must have seen.
+const OUTAGE_CALLS: u64 = 3;
+/// How long an upstream whose row disappeared stays in use after the store is back, as rule 9 in
+/// docs/platform-deployment.md has it.
+const RETURN_SPAN: ClockSpan = ClockSpan::from_secs(2);
+/// Calls while an upstream is draining. If it were a candidate as good as the other one, the chance
+/// that none reaches it would be below 1 in 10^12.
+const DRAIN_CALLS: usize = 40;
+/// Half of a body that is too long to be held, so that it is passed on while it arrives.
+const HELD_BYTES: usize = 100_000;
+/// A second service.
+const ANNEX: &str = "annex";
+/// Calls to a split route, and the share and bound of its smaller part, as rule 12 in
+/// docs/platform-deployment.md has it.
+const SPLIT_CALLS: u64 = 400;
+const SPLIT_SHARE: f64 = 0.1;
+const SPLIT_BOUND: f64 = 0.1;
+/// The number of the log event for a row that cannot be read.
+const UPSTREAM_UNREADABLE: u32 = 1019;
+
+/// A call that must not run twice and may have met a connection that carries something else.
+const OWN_OR_LOST: CallEnd = CallEnd { statuses: &[200, 502], runs: 0..=1 };
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug)]
+enum CaseFault {
+    /// One answer of one upstream.
+    Answer(AnswerFault),
+    /// Every answer of every upstream.
+    EveryAnswer(AnswerFault),
+    /// The next health check of one upstream, which the gateway makes by itself.
+    NextCheck(AnswerFault),
+    /// Every health check of every upstream.
+    EveryCheck(AnswerFault),
+    /// One upstream refuses connections.
+    Refused,
+    /// Every upstream refuses connections.
+    EveryRefused,
+    /// The address of one upstream changed hands.
+    Moved,
+    /// The address of every upstream changed hands.
+    EveryMoved,
+}
+
+/// A fault, the kind of route, and what must become of calls that meet it.
+#[derive(Clone, Debug)]
+struct FaultCase {
+    name: &'static str,
+    fault: CaseFault,
+    path: &'static str,
+    timeout: ClockSpan,
+    objective: ClockSpan,
+    /// The time between calls, at least.
+    pause: ClockSpan,
+    /// Upstreams of the service.
+    upstreams: usize,
+    /// Calls that are judged, after the one that meets a fault that does not last.
+    calls: usize,
+    end: CallEnd,
+    /// What becomes of the calls after a fault that does not last.
+    after: CallEnd,
+}
+
+impl FaultCase {
+    fn new(
+        name: &'static str,
+        fault: CaseFault,
+        path: &'static str,
+        statuses: &'static [u16],
+        runs: RangeInclusive<u32>,
+    ) -> Self {
+        let end = CallEnd { statuses, runs };
+        let after = CallEnd::SERVED;
+        let pause = ClockSpan::ZERO;
+        Self {
+            name,
+            fault,
+            path,
+            timeout: LONG,
+            objective: LONG,
+            pause,
+            upstreams: 2,
+            calls: FURTHER_CALLS,
+            end,
+            after,
+        }
+    }
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    use AnswerFault as Fault;
+    use CaseFault::*;
+    let case = FaultCase::new;
+    let long = "/bytes/1000000";
+    vec![
+        case("extra bytes", Answer(Fault::Extra { bytes: 100 }), LOOK, &[200], 1..=1),
+        case("extra bytes", Answer(Fault::Extra { bytes: 100 }), BOOK, &[200], 1..=1),
+        case("late answer", Answer(Fault::Second), LOOK, &[200], 1..=1),
+        FaultCase {
+            after: OWN_OR_LOST,
+            ..case("late answer", Answer(Fault::Second), BOOK, &[200], 1..=1)
+        },
+        case("answer to another", Answer(Fault::Foreign), LOOK, &[200], 2..=2),
+        case("answer to another", Answer(Fault::Foreign), BOOK, &[502], 1..=1),
+        case("truncated", Answer(Fault::Truncated { bytes: 5 }), LOOK, &[200], 2..=2),
+        case("truncated", Answer(Fault::Truncated { bytes: 5 }), BOOK, &[502], 1..=1),
+        case("truncated late", Answer(Fault::Truncated { bytes: 500_000 }), long, &[0], 1..=1),
+        case("unframed", Answer(Fault::Unframed), LOOK, &[200], 1..=1),
+        case("unframed", Answer(Fault::Unframed), BOOK, &[200], 1..=1),
+        case("unframed and reset", Answer(Fault::UnframedReset { bytes: 5 }), LOOK, &[200], 2..=2),
+        case("unframed and reset", Answer(Fault::UnframedReset { bytes: 5 }), BOOK, &[502], 1..=1),
+        case("unsigned", Answer(Fault::Unsigned), LOOK, &[200], 2..=2),
+        case("unsigned", Answer(Fault::Unsigned), BOOK, &[502], 1..=1),
+        case("own failure", Answer(Fault::Status { status: 500 }), LOOK, &[200], 2..=2),
+        case("own failure", Answer(Fault::Status { status: 500 }), BOOK, &[500], 1..=1),
+        case("own rejection", Answer(Fault::Status { status: 404 }), LOOK, &[404], 1..=1),
+        case("lost", Answer(Fault::Reset), LOOK, &[200], 2..=2),
+        case("lost", Answer(Fault::Reset), BOOK, &[502], 1..=1),
+        case("shed", Answer(Fault::Early { status: 503 }), LOOK, &[200], 1..=1),
+        case("shed", Answer(Fault::Early { status: 503 }), BOOK, &[200], 1..=1),
+        case("all shed", EveryAnswer(Fault::Early { status: 503 }), LOOK, &[503], 0..=0),
+        case("all shed", EveryAnswer(Fault::Early { status: 503 }), BOOK, &[503], 0..=0),
+        FaultCase {
+            timeout: SHORT,
+            calls: 1,
+            ..case("silent", EveryAnswer(Fault::Silent), BOOK, &[504], 1..=1)
+        },
+        FaultCase {
+            objective: SOON,
+            after: CallEnd { runs: 1..=2, ..CallEnd::SERVED },
+            ..case("silent", Answer(Fault::Silent), LOOK, &[200], 2..=2)
+        },
+        FaultCase {
+            timeout: SHORT,
+            calls: 1,
+            ..case("all silent", EveryAnswer(Fault::Silent), LOOK, &[504], 1..=1)
+        },
+        case("closing", EveryAnswer(Fault::Close), LOOK, &[200], 1..=1),
+        case("closing", EveryAnswer(Fault::Close), BOOK, &[200], 1..=1),
+        case("refused", Refused, LOOK, &[200], 1..=1),
+        case("refused", Refused, BOOK, &[200], 1..=1),
+        case("all refused", EveryRefused, LOOK, &[503], 0..=0),
+        case("all refused", EveryRefused, BOOK, &[503], 0..=0),
+        case("moved", Moved, LOOK, &[200], 1..=1),
+        case("moved", Moved, BOOK, &[200], 1..=1),
+        case("all moved", EveryMoved, LOOK, &[503], 0..=0),
+        case("all moved", EveryMoved, BOOK, &[503], 0..=0),
+    ]
+}
+
+/// Returns the case of checks that go wrong, with calls far enough apart that each needs one.
+fn checked_case(
+    name: &'static str,
+    fault: CaseFault,
+    path: &'static str,
+    statuses: &'static [u16],
+    runs: RangeInclusive<u32>,
+) -> FaultCase {
+    let case = FaultCase::new(name, fault, path, statuses, runs);
+    FaultCase { timeout: HANGING, pause: STALE, ..case }
+}
+
+fn check_cases() -> Vec<FaultCase> {
+    use AnswerFault as Fault;
+    use CaseFault::EveryCheck;
+    let faults = [
+        ("silent", Fault::Silent),
+        ("reset", Fault::Reset),
+        ("truncated", Fault::Truncated { bytes: 1 }),
+        ("failed", Fault::Status { status: 500 }),
+    ];
+    let cases = faults.into_iter().flat_map(|(name, fault)| {
+        [LOOK, BOOK].map(|path| checked_case(name, EveryCheck(fault), path, &[200], 1..=1))
+    });
+    cases.collect()
+}
+
+fn misplaced_cases() -> Vec<FaultCase> {
+    use AnswerFault as Fault;
+    use CaseFault::{Answer, NextCheck};
+    // With one upstream, the call goes where the misplaced answer is.
+    let single = |name, fault, path| {
+        let case = checked_case(name, fault, path, &[200], 1..=1);
+        FaultCase { upstreams: 1, ..case }
+    };
+    let late = |path| single("late answer", Answer(Fault::Second), path);
+    let late_check = |path| single("late check", NextCheck(Fault::Second), path);
+    vec![
+        late(LOOK),
+        FaultCase { after: OWN_OR_LOST, ..late(BOOK) },
+        late_check(LOOK),
+        FaultCase { end: OWN_OR_LOST, ..late_check(BOOK) },
+    ]
+}
+
+fn closing_cases() -> Vec<FaultCase> {
+    let faults = [
+        ("closed after a check", AnswerFault::Close),
+        ("extra bytes after a check", AnswerFault::Extra { bytes: 9 }),
+    ];
+    let cases = faults.into_iter().flat_map(|(name, fault)| {
+        [LOOK, BOOK].map(|path| {
+            let case = checked_case(name, CaseFault::EveryCheck(fault), path, &[200], 1..=1);
+            // Calls that may run twice passed all runs.
+            let calls = if path == BOOK { MANY_CALLS } else { FURTHER_CALLS };
+            FaultCase { calls, ..case }
+        })
+    });
+    cases.collect()
+}
+
+/// The calls of a case.
+struct CaseRun {
+    case: FaultCase,
+    bed: PlatformBed,
+}
+
+impl CaseRun {
+    async fn start(case: FaultCase, checks: bool) -> Self {
+        let FaultCase { timeout, objective, upstreams, .. } = case;
+        let plan = BedPlan { upstreams, timeout, objective, checks, ..BedPlan::default() };
+        let bed = PlatformBed::start(plan).await;
+        bed.fill_budget(case.name).await;
+        Self { case, bed }
+    }
+
+    async fn run(&self) -> Result<(), String> {
+        self.inject().await;
+        match self.case.fault {
+            CaseFault::Answer(_) => {
+                self.meet().await?;
+                for index in 0..self.case.calls {
+                    self.judge(&format!("after-{index}"), &self.case.after).await?;
+                }
+            }
+            _ => {
+                for index in 0..self.case.calls {
+                    self.judge(&format!("call-{index}"), &self.case.end).await?;
+                }
+            }
+        }
+        let met = match self.case.fault {
+            CaseFault::EveryAnswer(_) | CaseFault::EveryCheck(_) => {
+                self.bed.upstreams.iter().any(|own| own.stand.counts().faults > 0)
+            }
+            _ => true,
+        };
+        if met { Ok(()) } else { Err("nothing met the fault".to_owned()) }
+    }
+
+    async fn inject(&self) {
+        let upstreams = &self.bed.upstreams;
+        let first = &upstreams[0].stand;
+        match self.case.fault {
+            CaseFault::Answer(fault) => {
+                first.update(|plan| plan.faults = vec![FaultRule::next(fault, 1)]);
+            }
+            CaseFault::EveryAnswer(fault) => {
+                let rule = FaultRule { fault, ..FaultRule::default() };
+                for upstream in upstreams {
+                    upstream.stand.update(|plan| plan.faults = vec![rule.clone()]);
+                }
+            }
+            CaseFault::NextCheck(fault) => {
+                let rule = FaultRule { next: Some(1), ..check_rule(fault) };
+                first.update(|plan| plan.faults = vec![rule]);
+                event("a check", first.wait_for(|counts, _| counts.faults > 0)).await;
+            }
+            CaseFault::EveryCheck(fault) => {
+                for upstream in upstreams {
+                    upstream.stand.update(|plan| plan.faults = vec![check_rule(fault)]);
+                }
+            }
+            CaseFault::Refused => refuse(first).await,
+            CaseFault::EveryRefused => {
+                for upstream in upstreams {
+                    refuse(&upstream.stand).await;
+                }
+            }
+            CaseFault::Moved => first.update(|plan| plan.name = "another".into()),
+            CaseFault::EveryMoved => {
+                for upstream in upstreams {
+                    upstream.stand.update(|plan| plan.name = "another".into());
+                }
+            }
+        }
+    }
+
+    /// Makes calls until one meets the fault, and judges that one.
+    async fn meet(&self) -> Result<(), String> {
+        let end = &self.case.end;
+        // A stall can make a call look slow, so that it is sent to a second upstream.
+        let usual = CallEnd { statuses: &[200], runs: 1..=1.max(*end.runs.end()) };
+        for index in 0..MEETING_CALLS {
+            let id = format!("meet-{index}");
+            let answer = self.call(&id).await;
+            if self.bed.upstreams[0].stand.counts().faults > 0 {
+                return self.bed.check(self.case.path, &id, &answer, end);
+            }
+            self.bed.check(self.case.path, &id, &answer, &usual)?;
+        }
+        Err(format!("no call of {MEETING_CALLS} met the fault"))
+    }
+
+    async fn judge(&self, id: &str, end: &CallEnd) -> Result<(), String> {
+        if self.case.pause > ClockSpan::ZERO {
+            tokio::time::sleep(self.case.pause.to_duration()).await;
+        }
+        let answer = self.call(id).await;
+        self.bed.check(self.case.path, id, &answer, end)
+    }
+
+    async fn call(&self, id: &str) -> Result<CallAnswer, String> {
+        let started = tokio::time::Instant::now();
+        let answer = self.bed.call(self.case.path, id).await;
+        if answer.as_ref().is_ok_and(|answer| answer.status == 504) {
+            assert!(started.elapsed() >= self.case.timeout.to_duration(), "504 before the timeout");
+        }
+        answer
+    }
+}
+
+fn check_rule(fault: AnswerFault) -> FaultRule {
+    FaultRule { fault, on: FaultTarget::Checks, ..FaultRule::default() }
+}
+
+/// Ends an upstream, and waits until its connections are closed and new ones are refused.
+async fn refuse(stand: &ServerStand) {
+    stand.update(|plan| plan.restart_ms = None);
+    stand.crash();
+    event("connections are refused", stand.wait_listening(false)).await;
+    event("connections are closed", stand.wait_for(|counts, _| counts.connections == 0)).await;
+}
+
+async fn run_cases(cases: Vec<FaultCase>, checks: bool) {
+    let mut failures = Vec::new();
+    for case in cases {
+        let name = format!("{} {}", case.path, case.name);
+        if let Err(reason) = CaseRun::start(case, checks).await.run().await {
+            failures.push(format!("{name}: {reason}"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Guards against broken answers that reach callers, against calls that run too often, and against
+/// statuses that promise too much, with upstreams that are checked right before calls.
+#[tokio::test]
+async fn failing_upstreams_with_checks() {
+    run_cases(fault_cases(), true).await;
+}
+
+/// Guards against the same where the budget leaves no checks, so that calls meet each fault.
+#[tokio::test]
+async fn failing_upstreams_without_checks() {
+    run_cases(fault_cases(), false).await;
+}
+
+/// Guards against calls that fail because checks do.
+#[tokio::test]
+async fn failing_checks() {
+    run_cases(check_cases(), true).await;
+}
+
+/// Guards against a check that takes something else for its answer, so that a call is sent on a
+/// connection that carries nothing good.
+#[tokio::test]
+async fn misplaced_answers_to_checks() {
+    run_cases(misplaced_cases(), true).await;
+}
+
+/// Guards against calls that are refused because their connections were closed after a check.
+#[tokio::test]
+async fn connections_that_close_after_checks() {
+    run_cases(closing_cases(), true).await;
+}
+
+/// Guards against work that goes on at an upstream after its caller closed the connection, and
+/// against work that is sent again then.
+#[tokio::test]
+async fn work_ends_when_its_caller_leaves() {
+    for path in [LOOK, BOOK] {
+        let service = ServiceTime::Fixed { ms: LONG.as_millis_f64() };
+        let usual = BedPlan::default();
+        let upstream = UpstreamPlan { service, ..usual.upstream.clone() };
+        let bed = PlatformBed::start(BedPlan { upstream, ..usual }).await;
+        let mut connection = open(bed.gate.caller_address).await;
+        let call = tokio::spawn(async move {
+            connection.call(request(Method::POST, path, "left", None, PartBody::none())).await
+        });
+        until("the call runs", async || bed.history("left").runs == 1).await;
+        call.abort();
+        until("the work ends", async || !bed.history("left").abandoned_ms.is_empty()).await;
+        let history = bed.history("left");
+        // The work ended before its own end and before the route's timeout.
+        assert!(history.abandoned_ms[0] < LONG.as_millis_f64(), "{path}: {history:?}");
+        assert_eq!((history.arrived, history.runs), (1, 1), "{path}: {history:?}");
+        let completed: u64 = bed.upstreams.iter().map(|own| own.stand.counts().completed).sum();
+        assert_eq!(completed, 0, "{path}");
+    }
+}
+
+struct BodyCase {
+    name: &'static str,
+    path: &'static str,
+    chunked: bool,
+    /// The lengths of the parts.
+    parts: &'static [usize],
+}
+
+/// Guards against bodies that change on their way, whether they are held or passed on while they
+/// arrive.
+#[tokio::test]
+async fn bodies_arrive_unchanged() {
+    let case = |name, path, chunked, parts| BodyCase { name, path, chunked, parts };
+    let cases = [
+        case("empty chunks", BOOK, true, &[]),
+        case("short chunks", BOOK, true, &[1, 2_000, 7]),
+        case("short chunks, idempotent", LOOK, true, &[1, 2_000, 7]),
+        case("long chunks", BOOK, true, &[50_000, 70_000, 1, 300_000]),
+        case("long chunks, idempotent", LOOK, true, &[50_000, 70_000, 1, 300_000]),
+        case("short", BOOK, false, &[2_000]),
+        case("long", BOOK, false, &[1_000_000, 3_000_000]),
+        case("long, idempotent", LOOK, false, &[1_000_000, 3_000_000]),
+    ];
+    let bed = PlatformBed::start(BedPlan::default()).await;
+    for case in cases {
+        let length: usize = case.parts.iter().sum();
+        let whole: Bytes = (0..length).map(|index| (index * 31 % 251) as u8).collect();
+        let (sender, body) =
+            if case.chunked { PartBody::chunked() } else { PartBody::announced(length as u64) };
+        let mut rest = whole.clone();
+        for part in case.parts {
+            sender.send(rest.split_to(*part)).expect("the body is open");
+        }
+        drop(sender);
+        let mut connection = open(bed.gate.caller_address).await;
+        let answer = connection.call(request(Method::POST, case.path, case.name, None, body));
+        let answer = event("an answer", answer).await;
+        bed.check(case.path, case.name, &answer, &CallEnd::SERVED).expect(case.name);
+        assert_eq!(bed.history(case.name).bodies, [BodyRecord::of(&whole)], "{}", case.name);
+    }
+}
+
+struct OutageCase {
+    name: &'static str,
+    outage: RowOutage,
+    /// Counts the calls that the outage hit.
+    hit: fn(&RowCallCounts) -> u64,
+}
+
+fn outages() -> [OutageCase; 3] {
+    let case = |name, outage, hit| OutageCase { name, outage, hit };
+    [
+        case("refused", RowOutage::Refused { status: 503 }, |counts| counts.refused),
+        case("reset", RowOutage::Reset, |counts| counts.reset),
+        case("silent", RowOutage::Silent, |counts| counts.silenced),
+    ]
+}
+
+fn down(outage: RowOutage) -> Vec<RowFault> {
+    vec![RowFault { down: Some(outage), ..RowFault::default() }]
+}
+
+/// Guards against a gateway that takes calls before it knows the configuration and the upstreams,
+/// and against one that never recovers from a store that was down at its start.
+#[tokio::test]
+async fn calls_wait_for_a_store_that_is_down_at_the_start() {
+    for case in outages() {
+        let plan = BedPlan { store_faults: down(case.outage), ..BedPlan::default() };
+        let bed = PlatformBed::start_unready(plan).await;
+        let hit = bed.store.wait_for(|counts| (case.hit)(&counts.all) >= OUTAGE_CALLS);
+        event(case.name, hit).await;
+        assert_eq!(bed.readiness().await, Some(StatusCode::SERVICE_UNAVAILABLE), "{}", case.name);
+        for path in [LOOK, BOOK] {
+            let id = format!("early{path}");
+            bed.judge(path, &id, &CallEnd::LATER).await.expect(case.name);
+        }
+        bed.fail_store(Vec::new());
+        bed.wait_ready(true).await;
+        bed.serve_calls("late", FURTHER_CALLS).await;
+    }
+}
+
+/// Guards against calls that fail because the store is down, and against an upstream that is
+/// dropped too early, or never, because its row disappeared meanwhile.
+#[tokio::test]
+async fn calls_go_on_while_the_store_is_down() {
+    for case in outages() {
+        let bed = PlatformBed::start(BedPlan { upstreams: 1, ..BedPlan::default() }).await;
+        bed.serve_calls("before", FURTHER_CALLS).await;
+        bed.fail_store(down(case.outage));
+        let hit = bed.store.wait_for(|counts| (case.hit)(&counts.all) >= OUTAGE_CALLS);
+        event(case.name, hit).await;
+        bed.serve_calls("down", FURTHER_CALLS).await;
+        let removed = bed.upstreams[0].writer.remove();
+        bed.serve_calls("removed", FURTHER_CALLS).await;
+        let back = tokio::time::Instant::now();
+        bed.fail_store(Vec::new());
+        let mut served = 0;
+        until("the upstream is gone", async || {
+            served += 1;
+            let id = format!("back-{served}");
+            let end = CallEnd { statuses: &[200, 503], runs: 0..=1 };
+            let answer = bed.call(LOOK, &id).await;
+            bed.check(LOOK, &id, &answer, &end).expect(case.name);
+            answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+        })
+        .await;
+        // A stall can only lengthen this.
+        let kept = back.elapsed();
+        assert!(kept >= RETURN_SPAN.to_duration(), "{}: gone after {kept:?}", case.name);
+        bed.wait_rows(removed).await;
+        bed.judge(BOOK, "gone", &CallEnd::LATER).await.expect(case.name);
+        bed.wait_rows(bed.upstreams[0].writer.change(|_| {})).await;
+        bed.serve_calls("listed", FURTHER_CALLS).await;
+    }
+}
+
+/// Guards against rows that cannot be read and keep the gateway from reading the others, or that
+/// are taken for upstreams.
+#[tokio::test]
+async fn unreadable_rows_do_no_harm() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    let entry = upstream_entry("other", SERVICE, bed.gate.metrics_address, 0);
+    let without_slots = upstream_value(&entry, 1);
+    let cut = without_slots[..without_slots.len() / 2].to_vec();
+    let values =
+        [b"".to_vec(), b"{}".to_vec(), b"[1]".to_vec(), vec![0xff, 0xfe], without_slots, cut];
+    let handle = bed.store.handle();
+    for (index, value) in values.iter().enumerate() {
+        // Sorts before and after the rows of the upstreams.
+        let key = if index % 2 == 0 { format!("a{index}") } else { format!("z{index}") };
+        handle.put(RowPlace::new(PlatformCodec::UPSTREAM_TABLE, &key), value.clone());
+    }
+    bed.wait_rows(handle.version()).await;
+    assert_eq!(bed.gate.logged(UPSTREAM_UNREADABLE), values.len());
+    bed.serve_calls("beside", FURTHER_CALLS).await;
+    bed.add_upstream("desk-9", SERVICE).await;
+    bed.reach(&bed.upstreams[2], "reach").await;
+    assert_eq!(bed.readiness().await, Some(StatusCode::OK));
+}
+
+/// A call that runs until the rest of its body is sent.
+struct HeldCall {
+    id: String,
+    path: &'static str,
+    sender: PartSender,
+    call: tokio::task::JoinHandle<Result<CallAnswer, String>>,
+}
+
+impl HeldCall {
+    /// Sends a call without the end of its body, and waits until it arrives at an upstream.
+    async fn start(bed: &PlatformBed, path: &'static str, id: &str) -> Self {
+        let (sender, body) = PartBody::announced(2 * HELD_BYTES as u64);
+        sender.send(Bytes::from(vec![b'h'; HELD_BYTES])).expect("the body is open");
+        let mut connection = open(bed.gate.caller_address).await;
+        let request = request(Method::POST, path, id, None, body);
+        let call = tokio::spawn(async move { connection.call(request).await });
+        until("the call arrives", async || bed.history(id).arrived == 1).await;
+        Self { id: id.to_owned(), path, sender, call }
+    }
+
+    /// Sends the rest of the body, and requires that the call runs once and succeeds.
+    async fn finish(self, bed: &PlatformBed) -> CallAnswer {
+        self.sender.send(Bytes::from(vec![b'h'; HELD_BYTES])).expect("the call goes on");
+        let answer = event("the call ends", self.call).await.expect("no panic");
+        bed.check(self.path, &self.id, &answer, &CallEnd::SERVED).expect("the call is served");
+        answer.expect("an answer")
+    }
+}
+
+/// Guards against calls to an upstream that is leaving, against calls in flight that its leaving
+/// interrupts, and against a new start that gets no calls.
+#[tokio::test]
+async fn a_draining_upstream_gets_no_calls() {
+    let bed = PlatformBed::start(BedPlan::default()).await;
+    let held = HeldCall::start(&bed, BOOK, "held").await;
+    let has_held = |own: &&ListedUpstream| own.stand.counts().arrived == 1;
+    let leaving = bed.upstreams.iter().find(has_held).expect("an upstream has the call");
+    bed.wait_rows(leaving.writer.drain()).await;
+    bed.serve_calls("others", DRAIN_CALLS).await;
+    assert_eq!(leaving.stand.counts().arrived, 1, "calls after the notice");
+    held.finish(&bed).await;
+    let started = leaving.writer.change(|entry| {
+        entry.draining = false;
+        entry.server.incarnation += 1;
+    });
+    bed.wait_rows(started).await;
+    bed.reach(leaving, "again").await;
+}
+
+struct RouteCase {
+    path: &'static str,
+    /// The service that runs calls, or `None` if there is no route.
+    before: Option<&'static str>,
+    after: Option<&'static str>,
+}
+
+const ROUTES: [RouteCase; 4] = [
+    RouteCase { path: LOOK, before: Some(SERVICE), after: Some(ANNEX) },
+    RouteCase { path: BOOK, before: Some(SERVICE), after: None },
+    RouteCase { path: "/bytes/7", before: Some(SERVICE), after: Some(SERVICE) },
+    RouteCase { path: "/new", before: None, after: Some(ANNEX) },
+];
+
+/// Makes a call and requires that an upstream of a service runs it, or that there is no route.
+async fn require_route(bed: &PlatformBed, path: &str, id: &str, service: Option<&str>) {
+    let end = if service.is_some() { CallEnd::SERVED } else { CallEnd::UNKNOWN };
+    bed.judge(path, id, &end).await.expect(path);
+    let runs_it = |own: &&ListedUpstream| own.stand.counts().of_request(id).runs == 1;
+    let upstream = bed.upstreams.iter().find(runs_it).map(|own| own.stand.plan().name);
+    let fits = upstream.as_ref().map(|name| service.is_some_and(|own| name.starts_with(own)));
+    assert_eq!(fits, service.map(|_| true), "{id} ran at {upstream:?}");
+}
+
+/// Guards against calls that are handled by an old version of the configuration once a new one is
+/// known, and against an older version that replaces a newer one.
+#[tokio::test]
+async fn new_versions_of_the_configuration_apply() {
+    let plan = BedPlan::default();
+    let mut bed = PlatformBed::start(plan.clone()).await;
+    bed.add_upstream("annex-0", ANNEX).await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("before{}", case.path), case.before).await;
+    }
+    let old = bed.config().clone();
+    bed.configure(|config| {
+        config.services.push(service(ANNEX));
+        config.routes.retain(|route| *route.path_prefix != *BOOK);
+        for route in config.routes.iter_mut().filter(|route| *route.path_prefix == *LOOK) {
+            route.targets[0].service = ANNEX.into();
+        }
+        config.routes.push(route("new", "/new", ANNEX, &plan));
+    })
+    .await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("after{}", case.path), case.after).await;
+    }
+    bed.write_config(&old).await;
+    for case in &ROUTES {
+        require_route(&bed, case.path, &format!("still{}", case.path), case.after).await;
+    }
+}
+
+/// Guards against a split that does not keep its shares, and against calls that move to another
+/// share when theirs has no upstream.
+#[tokio::test]
+async fn a_split_route_keeps_its_shares() {
+    let plan = BedPlan { upstreams: 1, ..BedPlan::default() };
+    let mut bed = PlatformBed::start(plan.clone()).await;
+    bed.add_upstream("annex-0", ANNEX).await;
+    bed.configure(|config| {
+        config.services.push(service(ANNEX));
+        let target = |service: &str, weight| RouteTarget { service: service.into(), weight };
+        let targets = vec![target(SERVICE, 90.0), target(ANNEX, 10.0)];
+        config.routes.push(CallRoute { targets, ..route("split", "/split", SERVICE, &plan) });
+    })
+    .await;
+    let arrived = || bed.upstreams.iter().map(|own| own.stand.counts().arrived).collect::<Vec<_>>();
+    for index in 0..SPLIT_CALLS {
+        let id = format!("split-{index}");
+        bed.judge("/split", &id, &CallEnd::SERVED).await.expect("the call is served");
+    }
+    let both = arrived();
+    assert_eq!(both.iter().sum::<u64>(), SPLIT_CALLS);
+    assert!(keeps_share(both[1]), "{both:?}");
+    refuse(&bed.upstreams[1].stand).await;
+    let mut refused = 0;
+    for index in 0..SPLIT_CALLS {
+        let id = format!("failing-{index}");
+        let answer = bed.call("/split", &id).await;
+        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+        refused += u64::from(status == 503);
+        let end = if status == 503 { CallEnd::LATER } else { CallEnd::SERVED };
+        bed.check("/split", &id, &answer, &end).expect("the call is served or refused");
+    }
+    assert!(keeps_share(refused), "{refused} calls were refused");
+    assert_eq!(arrived(), [both[0] + SPLIT_CALLS - refused, both[1]]);
+}
+
+/// Returns whether the smaller part of a split has its share. The chance that a correct gateway
+/// leaves these bounds is below 1 in 10^8.
+fn keeps_share(calls: u64) -> bool {
+    calls > 0 && (calls as f64 / SPLIT_CALLS as f64 - SPLIT_SHARE).abs() <= SPLIT_BOUND
+}
+
+/// Guards against a graceful shutdown that interrupts calls, that refuses connections before the
+/// load balancer has noticed, or that fails.
+#[tokio::test]
+async fn a_shutdown_interrupts_no_call() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    bed.serve_calls("before", FURTHER_CALLS).await;
+    let mut held = Vec::new();
+    for (index, path) in [LOOK, BOOK, LOOK, BOOK].into_iter().enumerate() {
+        held.push(HeldCall::start(&bed, path, &format!("held-{index}")).await);
+    }
+    bed.gate.process.signal(Signal::TERM);
+    bed.wait_ready(false).await;
+    for path in [LOOK, BOOK] {
+        let id = format!("new{path}");
+        let mut connection = open(bed.gate.caller_address).await;
+        let call = connection.call(request(Method::POST, path, &id, None, PartBody::none()));
+        let answer = event("an answer", call).await;
+        bed.check(path, &id, &answer, &CallEnd::SERVED).expect("new connections are accepted");
+        assert_eq!(answer.expect("an answer").header("connection"), "close");
+    }
+    let address = bed.gate.caller_address;
+    until("connections are refused", async || CallerConnection::open(address).await.is_err()).await;
+    assert_eq!(bed.gate.process.ended(), None, "the process waits for its calls");
+    for held in held {
+        assert_eq!(held.finish(&bed).await.header("connection"), "close");
+    }
+    let gate = &mut bed.gate;
+    until("the process ends", async || gate.process.ended().is_some()).await;
+    assert_eq!(bed.gate.process.ended(), Some(true), "the exit code is 0");
+}
