Count calls to a draining upstream after its last call has ended

Cause: while the held call ran, the policy preferred the other upstream, so that a trial gateway that kept draining upstreams in use passed the test. Ruled out: a held call at each upstream, which the gateway places as it likes.

--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -612,9 +612,11 @@
     let has_held = |own: &&ListedUpstream| own.stand.counts().arrived == 1;
     let leaving = bed.upstreams.iter().find(has_held).expect("an upstream has the call");
     bed.wait_rows(leaving.writer.drain()).await;
-    bed.serve_calls("others", DRAIN_CALLS).await;
-    assert_eq!(leaving.stand.counts().arrived, 1, "calls after the notice");
+    bed.serve_calls("beside", FURTHER_CALLS).await;
     held.finish(&bed).await;
+    // The call in flight made the upstream a worse choice.
+    bed.serve_calls("after", DRAIN_CALLS).await;
+    assert_eq!(leaving.stand.counts().arrived, 1, "calls after the notice");
     let started = leaving.writer.change(|entry| {
         entry.draining = false;
         entry.server.incarnation += 1;
