Keep calls on checked connections that close, and refuse answers of calls as checks

Cause, found by the process tests: (1) a connection that a check had opened counted as new, so that its close cost an attempt and a retry token and ended in 503 with upstreams that work; (2) an answer to a call was taken for the answer to a check, and the call that followed got 504. The reader of the upstreams pauses 100 ms between held reads, for stores whose rows change with every heartbeat.

--- a/crates/codec/src/call.rs
+++ b/crates/codec/src/call.rs
@@ -86,6 +86,8 @@
     pub load: Option<LoadReport>,
     /// Whether another server has its address.
     pub misdirected: bool,
+    /// Whether the answer is that of a call, or none at all. The connection is unusable.
+    pub foreign: bool,
 }
 
 /// Encodes and decodes the heads of calls.
--- a/crates/codec/src/native.rs
+++ b/crates/codec/src/native.rs
@@ -152,7 +152,7 @@
             None => marked,
         };
         let load = load.map(|load| LoadReport { source: ReportSource::Probe, ..load });
-        CheckFacts { load, misdirected: false }
+        CheckFacts { load, misdirected: false, foreign: false }
     }
 }
 
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -146,6 +146,7 @@
         let PlacedAttempt { link, mut running, mut checked } = placed;
         let mut proven_since = self.proven_since();
         loop {
+            let was_checked = checked.is_some();
             let connection = match checked.take() {
                 Some(connection) => connection,
                 None => match self.connect(&link, proven_since).await {
@@ -153,7 +154,7 @@
                     Err(error) => return Err(self.connect_failure(running, body, &error)),
                 },
             };
-            let reused = connection.is_pooled();
+            let reused = was_checked || connection.is_pooled();
             running.start();
             match self.send(&link, body, connection, &mut running).await {
                 Ok(response) => return self.finish(response, running).await,
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -20,9 +20,12 @@
 /// configuration. A connection that goes silent meanwhile is noticed by its keep-alive.
 const CONFIG_HOLD: ClockSpan = ClockSpan::from_secs(10);
 /// The longest time for which the store holds back its answer to the VM that reads the upstreams
-/// for all. If that VM fails, another one reads 0.75 to 1.15 s after its last news, which is well
+/// for all. If that VM fails, another one reads 0.8 to 1.2 s after its last news, which is well
 /// below the 2 s in which a leaving upstream must get no more calls.
 pub(crate) const READ_HOLD: ClockSpan = ClockSpan::from_millis(600);
+/// The shortest time between two such reads. A store whose rows change with every heartbeat would
+/// otherwise answer each read at once.
+const READ_PAUSE: ClockSpan = ClockSpan::from_millis(100);
 /// The shortest time between two questions for changes of the configuration. Versions that follow
 /// each other within it cost one call, and it is a fraction of the time in which one must be in
 /// force.
@@ -233,6 +236,7 @@
                 return;
             }
             hold = READ_HOLD;
+            tokio::time::sleep(READ_PAUSE.to_duration()).await;
         }
     }
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -49,9 +49,9 @@
 /// A VM reads only after the one that reads for all was silent for longer than it holds its reads.
 fn read_tuning() -> ReadTuning {
     ReadTuning {
-        earliest: READ_HOLD + ClockSpan::from_millis(150),
-        latest_from: READ_HOLD + ClockSpan::from_millis(400),
-        latest_to: READ_HOLD + ClockSpan::from_millis(550),
+        earliest: READ_HOLD + ClockSpan::from_millis(200),
+        latest_from: READ_HOLD + ClockSpan::from_millis(450),
+        latest_to: READ_HOLD + ClockSpan::from_millis(600),
         ..ReadTuning::default()
     }
 }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -49,7 +49,8 @@
     Refused,
     /// There was no answer in time on a new connection.
     Silent,
-    /// There was no answer in time on a connection that was opened before, which may be to blame.
+    /// There was no answer in time on a connection that was opened before, which may be to blame,
+    /// or something else than the answer.
     Unproven,
     /// This VM's share of connections or of the budget is used up.
     NotMade,
@@ -156,6 +157,9 @@
         return if reused { CheckEnd::Unproven } else { CheckEnd::Silent };
     };
     let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, name);
+    if facts.foreign {
+        return CheckEnd::Unproven;
+    }
     if facts.misdirected {
         return CheckEnd::Misdirected;
     }
