--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -544,6 +544,22 @@
     }
 }
 
+/// Guards against a process that ends, or stops taking calls, when it is told to read its settings
+/// again.
+#[tokio::test]
+async fn a_reload_interrupts_nothing() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    for id in ["first", "second"] {
+        bed.gate.process.signal(Signal::HUP);
+        let mut connection = open(bed.gate.caller_address).await;
+        let call = connection.call(request(Method::POST, BOOK, id, None, PartBody::none()));
+        let answer = event("the call is answered", call).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(bed.history(id).runs, 1);
+    }
+    assert!(bed.gate.process.ended().is_none(), "the process ended");
+}
+
 /// Guards against rows that cannot be read and keep the gateway from reading the others, or that
 /// are taken for upstreams.
 #[tokio::test]
