Notice an outage of the store that ends between two tries

Cause: the client of the store repeats a question on a new connection when an idle one fails. If the store was silent and answered the second try, the directory never learnt of the outage and took rows that had disappeared meanwhile for removed ones.

Ruled out: a 503 for another reason, since the removal is what the directory had applied; a shorter return span, which is a constant; the config follower, whose failures do not count here.

Now a page tells that a try before it got no answer in time, and the directory counts that as trouble until this page. A connection that only closed does not count, so that removals are not delayed by idle connections.

--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -116,7 +116,7 @@
         };
         let listed = self.records.iter().filter(|(_, record)| record.value.is_some());
         let rows = listed.map(row).collect();
-        Some(RowPage { rows, position: self.position?, truncated: false })
+        Some(RowPage { rows, position: self.position?, ..RowPage::default() })
     }
 
     /// Takes over a whole read of the table. Rows that are missing from it count as removed, unless
--- a/crates/directory/tests/support/mod.rs
+++ b/crates/directory/tests/support/mod.rs
@@ -83,7 +83,7 @@
 }
 
 pub fn page(position: u64, rows: Vec<TableRow>) -> RowPage {
-    RowPage { rows, position, truncated: false }
+    RowPage { rows, position, ..RowPage::default() }
 }
 
 pub fn at(millis: u64) -> ClockTime {
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -272,11 +272,15 @@
         let now = self.state.clock.now();
         let change = {
             let upstreams = &mut self.tables.lock().upstreams;
+            // The end of the trouble counts from this answer.
+            let settled = page.after_silence && upstreams.note_failure(now);
             upstreams.note_answer(now);
-            match known.filter(|_| !whole) {
+            let change = match known.filter(|_| !whole) {
                 Some(from) => upstreams.follow::<K>(from, &page, now).unwrap_or_default(),
                 None => upstreams.replace::<K>(&page, now),
-            }
+            };
+            let upstreams_changed = change.upstreams_changed || settled;
+            DirectoryChange { upstreams_changed, ..change }
         };
         self.report(&change);
         // An answer that was held back tells the state at its end.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -257,8 +257,8 @@
             PeerMessage::Directory(message) => {
                 let age = ClockSpan::from_millis(u64::from(message.age_ms));
                 let complete = !message.rows_omitted;
-                let page =
-                    RowPage { rows: message.rows, position: message.position, truncated: false };
+                let (rows, position) = (message.rows, message.position);
+                let page = RowPage { rows, position, ..RowPage::default() };
                 *self.exchange.peer_read.lock() = Some((sender, now));
                 self.take_peer_rows(message.from, &page, complete, age);
                 self.hear_config(message.config_version);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -133,6 +133,6 @@
             value: Some(copy.value.into()),
         };
         let rows = self.rows.into_iter().map(row).collect();
-        RowPage { rows, position: self.position, truncated: false }
+        RowPage { rows, position: self.position, ..RowPage::default() }
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -140,16 +140,21 @@
     }
 
     async fn exchange(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
+        let mut after_silence = false;
         if let Some(connection) = self.take_idle() {
             match self.send(connection, call.clone()).await {
-                Err(failure) if !failure.sent || call.repeatable => self.close_idle(),
+                Err(failure) if !failure.sent || call.repeatable => {
+                    after_silence = failure.silent;
+                    self.close_idle();
+                }
                 result => return result,
             }
         }
         let settings = &self.settings;
         let connection =
             StoreConnection::connect(settings.address, settings.connect_timeout).await?;
-        self.send(connection, call).await
+        let answer = self.send(connection, call).await?;
+        Ok(StoreAnswer { after_silence, ..answer })
     }
 
     async fn send(
--- a/crates/store/src/connection.rs
+++ b/crates/store/src/connection.rs
@@ -55,6 +55,8 @@
     pub status: StatusCode,
     /// The body.
     pub body: Bytes,
+    /// Whether an earlier try of the call got no answer in time.
+    pub after_silence: bool,
 }
 
 /// Why there is no complete answer.
@@ -64,25 +66,32 @@
     pub(crate) sent: bool,
     /// Whether this VM refused to make the call.
     pub(crate) refused: bool,
+    /// Whether the time for an answer passed.
+    pub(crate) silent: bool,
     pub(crate) error: StoreError,
 }
 
 impl CallFailure {
     pub(crate) fn sent(error: StoreError) -> Self {
-        Self { sent: true, refused: false, error }
+        Self { sent: true, refused: false, silent: false, error }
     }
 
     pub(crate) fn refused(error: StoreError) -> Self {
-        Self { sent: false, refused: true, error }
+        Self { sent: false, refused: true, silent: false, error }
     }
 
     fn unsent(reason: String) -> Self {
-        Self { sent: false, refused: false, error: StoreError::Unavailable { reason } }
+        let error = StoreError::Unavailable { reason };
+        Self { sent: false, refused: false, silent: false, error }
     }
 
     fn lost(reason: String) -> Self {
         Self::sent(StoreError::Unavailable { reason })
     }
+
+    fn timed_out() -> Self {
+        Self { silent: true, ..Self::lost("call timed out".to_owned()) }
+    }
 }
 
 /// An open connection with no call in flight.
@@ -141,7 +150,7 @@
         };
         tokio::time::timeout(timeout.to_duration(), exchange)
             .await
-            .unwrap_or_else(|_| Err(CallFailure::lost("call timed out".to_owned())))
+            .unwrap_or_else(|_| Err(CallFailure::timed_out()))
     }
 
     fn request(&self, call: StoreCall) -> Result<Request<Full<Bytes>>, CallFailure> {
@@ -164,5 +173,5 @@
         .collect()
         .await
         .map_err(|error| CallFailure::lost(error.to_string()))?;
-    Ok(StoreAnswer { status, body: body.to_bytes() })
+    Ok(StoreAnswer { status, body: body.to_bytes(), after_silence: false })
 }
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -35,6 +35,9 @@
     pub position: u64,
     /// Whether the table has further rows.
     pub truncated: bool,
+    /// Whether an earlier try of a call got no answer in time, so that the store may have been down
+    /// until just now.
+    pub after_silence: bool,
 }
 
 /// Encodes the calls of a row store and decodes their answers.
@@ -96,6 +99,7 @@
             let next = self.page(call).await?;
             let known = last.key.clone();
             truncated = next.truncated && next.rows.len() > 1;
+            whole.after_silence |= next.after_silence;
             whole.rows.extend(next.rows.into_iter().filter(|row| row.key > known));
         }
         whole.truncated = false;
@@ -127,7 +131,8 @@
 
     async fn page(&self, call: StoreCall) -> Result<RowPage, StoreError> {
         let answer = self.call(call, CallCost::Read).await?;
-        K::decode_page(&answer.body)
+        let page = K::decode_page(&answer.body)?;
+        Ok(RowPage { after_silence: answer.after_silence, ..page })
     }
 
     async fn call(&self, call: StoreCall, cost: CallCost) -> Result<StoreAnswer, StoreError> {
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -522,21 +522,7 @@
         bed.serve_calls("down", FURTHER_CALLS).await;
         let removed = bed.upstreams[0].writer.remove();
         bed.serve_calls("removed", FURTHER_CALLS).await;
-        let back = tokio::time::Instant::now();
-        bed.fail_store(Vec::new());
-        let mut served = 0;
-        until("the upstream is gone", async || {
-            served += 1;
-            let id = format!("back-{served}");
-            let end = CallEnd { statuses: &[200, 503], runs: 0..=1 };
-            let answer = bed.call(LOOK, &id).await;
-            bed.check(LOOK, &id, &answer, &end).expect(case.name);
-            answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
-        })
-        .await;
-        // A stall can only lengthen this.
-        let kept = back.elapsed();
-        assert!(kept >= RETURN_SPAN.to_duration(), "{}: gone after {kept:?}", case.name);
+        require_kept(&bed, case.name).await;
         bed.wait_rows(removed).await;
         bed.judge(BOOK, "gone", &CallEnd::LATER).await.expect(case.name);
         bed.wait_rows(bed.upstreams[0].writer.change(|_| {})).await;
@@ -544,6 +530,39 @@
     }
 }
 
+/// Ends the outage of the store, and requires that the only upstream stays in use for as long as a
+/// missing row does not count.
+async fn require_kept(bed: &PlatformBed, name: &str) {
+    let back = tokio::time::Instant::now();
+    bed.fail_store(Vec::new());
+    let mut served = 0;
+    until("the upstream is gone", async || {
+        served += 1;
+        let id = format!("back-{served}");
+        let end = CallEnd { statuses: &[200, 503], runs: 0..=1 };
+        let answer = bed.call(LOOK, &id).await;
+        bed.check(LOOK, &id, &answer, &end).expect(name);
+        answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+    })
+    .await;
+    // A stall can only lengthen this.
+    let kept = back.elapsed();
+    assert!(kept >= RETURN_SPAN.to_duration(), "{name}: gone after {kept:?}");
+}
+
+/// Guards against an outage that goes unnoticed because it ends before the store's client repeats
+/// a question on a new connection: an upstream whose row disappeared meanwhile was dropped at once.
+#[tokio::test]
+async fn an_outage_between_two_tries_is_noticed() {
+    let bed = PlatformBed::start(BedPlan { upstreams: 1, ..BedPlan::default() }).await;
+    bed.serve_calls("before", FURTHER_CALLS).await;
+    bed.fail_store(down(RowOutage::Silent));
+    // The questions for changes of both tables.
+    event("silence", bed.store.wait_for(|counts| counts.all.silenced >= 2)).await;
+    bed.upstreams[0].writer.remove();
+    require_kept(&bed, "silent").await;
+}
+
 /// Guards against a process that ends, or stops taking calls, when it is told to read its settings
 /// again.
 #[tokio::test]
