Leave probing of unused upstreams to the checks before calls on the platform

Ruled out: a drain that is heard late, because the store tells of it; upstreams that end without notice, because the check before a call finds them.

The product's own interface still probes, since its drain marks come with answers.

--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -27,9 +27,6 @@
 /// The most probes in a round. Ten a second of about 500 bytes are 5 KB/s, half of the limit of
 /// the control traffic of a VM.
 const PROBES_PER_ROUND: usize = 2;
-/// An upstream that was heard of within this time is not probed. With the longest wait for a round
-/// it keeps a drain mark within the 3 s in which new calls must end.
-const PROBE_SILENCE: ClockSpan = ClockSpan::from_secs(2);
 
 /// Does the background work until it is dropped.
 pub async fn run<C: CallCodec>(state: Arc<GateState>) {
@@ -107,6 +104,9 @@
 
 /// Probes the upstreams that were not heard of for the longest time.
 async fn probe_upstreams<C: CallCodec>(state: &GateState) {
+    let Some(silence) = state.options.tuning.probe_silence else {
+        return std::future::pending().await;
+    };
     let mut probed: HashMap<SharedName, ClockTime> = HashMap::new();
     loop {
         tokio::time::sleep(PROBE_TICK.to_duration()).await;
@@ -119,7 +119,7 @@
                 let probed = probed.get(&link.server().name).copied().unwrap_or_default();
                 (link.last_news().max(probed), link)
             })
-            .filter(|(last, _)| now.since(*last) > PROBE_SILENCE)
+            .filter(|(last, _)| now.since(*last) > silence)
             .collect();
         silent.sort_unstable_by_key(|(last, _)| *last);
         for (_, link) in silent.into_iter().take(PROBES_PER_ROUND) {
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -42,6 +42,9 @@
 pub struct CallTuning {
     /// Whether upstreams are checked right before a call if nothing was heard of them lately.
     pub survey: bool,
+    /// An upstream that was not heard of for this long is probed in the background. `None` leaves
+    /// probing to the checks before calls.
+    pub probe_silence: Option<ClockSpan>,
     /// Whether a call that an upstream proves not to have run is refused by the gateway, which
     /// tells when to come back, instead of by the upstream's own answer.
     pub own_refusals: bool,
@@ -64,6 +67,9 @@
     fn default() -> Self {
         Self {
             survey: false,
+            // With the longest wait for a round of probes it keeps a drain mark within the 3 s in
+            // which new calls must end.
+            probe_silence: Some(ClockSpan::from_secs(2)),
             own_refusals: false,
             held_answer_bytes: 0,
             probe_charge: ProbeCharge::SlotTime,
@@ -81,6 +87,9 @@
     pub fn shared_machines() -> Self {
         Self {
             survey: true,
+            // The store tells of upstreams that leave, and a check comes before each call, so that
+            // a probe between calls is old when the next call arrives.
+            probe_silence: None,
             own_refusals: true,
             // Longer than any usual answer; a VM holds few of them at a time.
             held_answer_bytes: 256 * 1024,
