Place calls by the time that they can expect

Cause: a call went to the best upstream that its VM knew, also if that one was slow or had calls waiting.

Now limit::timely keeps the usual time of calls by service and class. A call waits while a usual call would still be in time, and is refused as not run if it would be late and most recent choices found no timely upstream. The most urgent class is never refused for this.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -10,8 +10,10 @@
 use codec::prelude::*;
 use http::{Request, Response, StatusCode, Uri, Version};
 use hyper::body::Incoming;
+use limit::prelude::*;
 use route::prelude::*;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
+use world::prelude::*;
 
 use crate::answer::AnswerBody;
 use crate::body::{BodyError, SendBody};
@@ -79,6 +81,11 @@
     pub codec: PhantomData<C>,
 }
 
+/// The longest time between two looks for an upstream on which a call ends within its objective.
+/// Each look takes up to nine health checks, and one VM of today's may make about 38 a second for
+/// each service.
+const RECHECK_PERIOD: ClockSpan = ClockSpan::from_millis(40);
+
 /// An attempt that has a slot on an upstream.
 pub struct PlacedAttempt {
     link: Arc<UpstreamLink>,
@@ -116,10 +123,11 @@
     pub async fn place(&self, avoid: &[SharedName]) -> Result<PlacedAttempt, Box<FailedAttempt>> {
         let Self { state, desk, call, .. } = *self;
         let survey = if state.options.tuning.survey {
-            survey::survey::<C>(state, desk, avoid, call.request.idempotent).await
+            self.survey(avoid).await?
         } else {
             UpstreamSurvey::default()
         };
+        let best = survey.best.clone();
         let slot = match self.slot(avoid).await {
             Ok(slot) => slot,
             Err(failure) => {
@@ -133,10 +141,54 @@
             return Err(FailedAttempt::ended(self.refuse(message)));
         };
         let checked = survey.take(state, &link.server().name);
-        let running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
+        let mut running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
+        let is_best = |best: &ShortlistEntry| best.server.name == running.upstream;
+        running.stretch = best.filter(is_best).map(|best| best.stretch);
         Ok(PlacedAttempt { link, running, checked })
     }
 
+    /// Checks the best upstreams until the call would end within its objective on one of them, or
+    /// until there is no time to wait for that.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the call is refused because it would be late.
+    async fn survey(&self, avoid: &[SharedName]) -> Result<UpstreamSurvey, Box<FailedAttempt>> {
+        let Self { state, desk, call, .. } = *self;
+        let CallerRequest { class, idempotent, .. } = call.request;
+        let mut waited = false;
+        loop {
+            let survey = survey::survey::<C>(state, desk, avoid, idempotent).await;
+            let (stretch, round_trip) = match &survey.best {
+                Some(best) => (best.stretch, best.round_trip),
+                None if survey.full => (f64::INFINITY, ClockSpan::ZERO),
+                // What is not known freshly cannot be judged.
+                None => return Ok(survey),
+            };
+            let now = state.clock.now();
+            let left = call.timely_until.since(now);
+            let outlook = CallOutlook { left, stretch, round_trip, waited };
+            match state.tables.timely.decide(&desk.name, class, &outlook, now) {
+                CallPlacement::Send => return Ok(survey),
+                CallPlacement::Wait => {
+                    survey.put_back(state);
+                    let freed = desk.freed.notified();
+                    // It does not matter whether the wait ended with a free slot.
+                    let _ = timeout(RECHECK_PERIOD.to_duration(), freed).await;
+                }
+                CallPlacement::Refuse => {
+                    survey.put_back(state);
+                    let retry_after = state.options.tuning.retry_after;
+                    let kind = RefusalKind::Overloaded;
+                    desk.note_refusal(&RefusalReason { kind, retry_after }, now);
+                    let message = "no upstream can answer within the objective; repeat the request";
+                    return Err(FailedAttempt::ended(self.refuse(message)));
+                }
+            }
+            waited = true;
+        }
+    }
+
     /// Makes a placed attempt.
     ///
     /// # Errors
--- a/crates/gate/src/desk.rs
+++ b/crates/gate/src/desk.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use base::prelude::*;
 use limit::prelude::{RefusalKind, RefusalReason};
+use tokio::sync::Notify;
 use world::prelude::*;
 
 use crate::event;
@@ -27,6 +28,8 @@
     pub waiting: AtomicU32,
     /// Waiters that had their turn and must not use the slot. They come first at the next turn.
     pub held: RankedMutex<VecDeque<TurnWaiter>>,
+    /// Tells calls that wait for a better upstream that a call has ended.
+    pub freed: Notify,
     /// The metrics of the service.
     pub meters: ServiceMeters,
     /// When a refusal of each kind was logged last, in milliseconds of the process's clock.
@@ -39,6 +42,7 @@
             name: name.clone(),
             waiting: AtomicU32::new(0),
             held: RankedMutex::new(LockRank::WaitQueue, VecDeque::new()),
+            freed: Notify::new(),
             meters: metrics.service(name),
             logged: Default::default(),
         }
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -20,6 +20,8 @@
     pub request: CallerRequest,
     /// The latency that counts as good.
     pub objective: ClockSpan,
+    /// When the latency no longer counts as good.
+    pub timely_until: ClockTime,
     /// The method.
     pub method: Method,
     /// The target.
@@ -70,7 +72,8 @@
     let mut headers = parts.headers;
     C::clean_request(&mut headers);
     let (method, uri, id) = (parts.method, parts.uri, id.clone());
-    Ok(PlannedCall { request, objective: plan.objective, method, uri, headers, id })
+    let timely_until = now + plan.objective;
+    Ok(PlannedCall { request, objective: plan.objective, timely_until, method, uri, headers, id })
 }
 
 /// A VM that knows that it has an old configuration cannot tell that a route does not exist.
--- a/crates/gate/src/running.rs
+++ b/crates/gate/src/running.rs
@@ -29,6 +29,9 @@
     pub result: CallResult,
     /// The load that came with the answer.
     pub load: Option<LoadReport>,
+    /// How many times as long as usual the call was expected to take, if that is known.
+    pub stretch: Option<f64>,
+    class: WorkClass,
     slot: Option<CallSlot>,
     deadline: ClockTime,
     fingerprint: u64,
@@ -57,6 +60,8 @@
             latency: ClockSpan::ZERO,
             result: CallResult::Cancelled,
             load: None,
+            stretch: None,
+            class: request.class,
             slot: Some(slot),
             deadline: request.deadline,
             fingerprint: request.fingerprint,
@@ -114,6 +119,11 @@
             }
             suspects.finish(self.fingerprint, &self.upstream, now);
         }
+        if let Some(stretch) = self.stretch.filter(|_| result == CallResult::Success) {
+            let service = &slot.desk().name;
+            let now = self.state.clock.now();
+            self.state.tables.timely.record(service, self.class, self.latency, stretch, now);
+        }
         slot.finish(CallOutcome { latency: self.latency, result, load: self.load });
     }
 }
--- a/crates/gate/src/slot.rs
+++ b/crates/gate/src/slot.rs
@@ -110,6 +110,7 @@
             tables.retries.record_call(service, outcome.latency, now);
         }
         wait::serve_waiters(&self.state, &self.desk);
+        self.desk.freed.notify_waiters();
     }
 }
 
--- a/crates/gate/src/survey.rs
+++ b/crates/gate/src/survey.rs
@@ -39,6 +39,10 @@
 #[derive(Debug, Default)]
 pub struct UpstreamSurvey {
     checked: SmallVec<[LinkConnection; SURVEY_COUNT]>,
+    /// The best upstream, if the evidence on it is fresh.
+    pub best: Option<ShortlistEntry>,
+    /// Whether every usable upstream is full.
+    pub full: bool,
 }
 
 impl UpstreamSurvey {
@@ -77,14 +81,21 @@
 ) -> UpstreamSurvey {
     let mut survey = UpstreamSurvey::default();
     for _ in 0..MAX_ROUNDS {
+        survey.best = None;
         let now = state.clock.now();
         let policy = &state.options.policy;
         let shortlist = worker::with_random(|random| {
             state.upstreams.shortlist(policy, &desk.name, avoid, SURVEY_COUNT, now, random)
         });
-        let Some(best) = shortlist.first() else { break };
+        let Some(best) = shortlist.first() else {
+            survey.full = state.upstreams.is_full(&desk.name, avoid, now);
+            break;
+        };
         let fresh = best.evidence_at.is_some_and(|at| now.since(at) <= FRESH_SPAN);
         let proven = idempotent || survey.has(&best.server.name) || is_proven(state, best, now);
+        if fresh {
+            survey.best = Some(best.clone());
+        }
         if fresh && proven {
             break;
         }
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -22,6 +22,8 @@
     pub wait: WaitRoom,
     /// The most calls in flight to each service.
     pub limits: AdaptiveLimit,
+    /// Whether calls can end within their objectives.
+    pub timely: TimelyLimit,
     /// Retry tokens.
     pub retries: RetryBudget,
     /// Measuring tokens.
@@ -43,6 +45,7 @@
         Self {
             wait: WaitRoom::new(tuning.queue.clone(), seed),
             limits: AdaptiveLimit::new(tuning.limits.clone()),
+            timely: TimelyLimit::new(TimelyTuning::default()),
             retries: RetryBudget::new(RetryTuning::default()),
             probes: ProbeBudget::new(ProbeTuning::default()),
             suspects: SuspectTable::new(vm.name.clone(), tuning.suspects.clone()),
@@ -57,6 +60,7 @@
     pub fn apply(&self, environment: &EnvironmentMap, now: ClockTime) {
         self.wait.queue.apply(environment, now);
         self.limits.apply(environment, now);
+        self.timely.apply(environment);
         self.retries.apply(environment, now);
         self.probes.apply(environment, now);
         self.suspects.apply(environment, now);
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod share;
+pub mod timely;
 mod window;
 
 pub mod prelude {
@@ -21,4 +22,5 @@
     pub use crate::refusal::{RefusalKind, RefusalReason};
     pub use crate::retry::{RetryBudget, RetryTuning};
     pub use crate::share::ConnectionShare;
+    pub use crate::timely::{CallOutlook, CallPlacement, TimelyLimit, TimelyTuning};
 }
--- a/crates/route/examples/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use limit::prelude::*;
 use route::prelude::*;
 use world::prelude::*;
 
@@ -97,6 +98,8 @@
     Policy(PolicyKind),
     /// By a policy, after probes.
     Probed(PolicyKind, ProbePlan),
+    /// As `Probed`, and only to a server on which the call ends within the objective.
+    Timely(PolicyKind, ProbePlan),
     /// By the present load and pace of every server, without knowledge of what comes.
     AllKnowing,
 }
@@ -106,6 +109,7 @@
     Arrival { vm: usize },
     Answer { server: usize, call: usize },
     Wake { vm: usize },
+    Recheck { call: usize },
     End { server: usize, call: usize },
 }
 
@@ -128,12 +132,17 @@
     probes: u32,
     /// Rounds of probes that were sent.
     rounds: u32,
+    /// Whether it has waited for a better server.
+    waited: bool,
+    /// How many times as long as usual it was expected to take.
+    stretch: Option<f64>,
     server: usize,
     ticket: Option<UpstreamTicket>,
 }
 
 struct ModelVm {
     table: UpstreamTable,
+    timely: TimelyLimit,
     random: RandomSource,
     queue: VecDeque<usize>,
 }
@@ -225,6 +234,7 @@
             EventKind::Arrival { vm } => model.arrive(vm, now_ms),
             EventKind::Answer { server, call } => model.answer(server, call, now_ms),
             EventKind::Wake { vm } => model.dispatch(vm, now_ms),
+            EventKind::Recheck { call } => model.recheck(call, now_ms),
             EventKind::End { server, call } => model.end(server, call, now_ms),
         }
     }
@@ -235,6 +245,9 @@
 /// Round trip of a probe within a data centre, in milliseconds; the platform's link between two
 /// of them takes 1.8 ms.
 const NEAR_PROBE_MS: f64 = 0.4;
+/// The time after which a call that waits for a better server looks again. The gateway looks as
+/// soon as one of its own calls has ended as well.
+const RECHECK_MS: f64 = 40.0;
 
 impl<'a, R: ModelRules> Model<'a, R> {
     fn new(rules: &'a R, choice: ModelChoice, tuning: RouteTuning) -> Self {
@@ -251,7 +264,10 @@
                     .with_tuning(tuning);
                 table.apply(&map, ClockTime::ZERO);
                 let seed = case.seed * 1000 + index as u64;
-                ModelVm { table, random: RandomSource::from_seed(seed), queue: VecDeque::new() }
+                let timely = TimelyLimit::new(TimelyTuning::default());
+                timely.apply(&map);
+                let random = RandomSource::from_seed(seed);
+                ModelVm { table, timely, random, queue: VecDeque::new() }
             })
             .collect();
         let mut model = Self {
@@ -297,6 +313,8 @@
             work_ms,
             probes: 0,
             rounds: 0,
+            waited: false,
+            stretch: None,
             server: 0,
             ticket: None,
         });
@@ -307,16 +325,58 @@
     /// Probes for a call, or queues it if there is nothing to probe.
     fn advance(&mut self, call: usize, now_ms: f64) {
         self.probe(call, now_ms);
-        if self.calls[call].probes == 0 {
-            let vm = self.calls[call].vm;
-            self.vms[vm].queue.push_back(call);
-            self.dispatch(vm, now_ms);
+        if self.calls[call].probes > 0 {
+            return;
+        }
+        match self.placement(call, now_ms) {
+            CallPlacement::Send => {
+                let vm = self.calls[call].vm;
+                self.vms[vm].queue.push_back(call);
+                self.dispatch(vm, now_ms);
+            }
+            CallPlacement::Wait => {
+                self.calls[call].waited = true;
+                self.schedule(now_ms + RECHECK_MS, EventKind::Recheck { call });
+            }
+            CallPlacement::Refuse => self.latencies.push(f64::INFINITY),
         }
     }
 
+    fn recheck(&mut self, call: usize, now_ms: f64) {
+        self.calls[call].rounds = 0;
+        self.advance(call, now_ms);
+    }
+
+    /// Decides what a call does after its probes.
+    fn placement(&mut self, call: usize, now_ms: f64) -> CallPlacement {
+        let ModelChoice::Timely(policy, _) = self.choice else { return CallPlacement::Send };
+        let entry = &self.calls[call];
+        let own = &mut self.vms[entry.vm];
+        let now = time_at(now_ms);
+        let best = own.table.shortlist(&policy, SERVICE, &[], 1, now, &mut own.random);
+        let full = own.table.is_full(SERVICE, &[], now);
+        let (stretch, round_trip) = match best.first() {
+            Some(best) => (best.stretch, best.round_trip),
+            None if full => (f64::INFINITY, ClockSpan::ZERO),
+            None => return CallPlacement::Send,
+        };
+        let left_ms = (entry.arrived_ms + self.rules.objective_ms() - now_ms).max(0.0);
+        let outlook = CallOutlook {
+            left: ClockSpan::from_millis_f64(left_ms),
+            stretch,
+            round_trip,
+            waited: entry.waited,
+        };
+        self.calls[call].stretch = stretch.is_finite().then_some(stretch);
+        self.vms[self.calls[call].vm].timely.decide(SERVICE, WorkClass::Deferrable, &outlook, now)
+    }
+
     /// Sends the probes before a call, if its VM probes and knows too little.
     fn probe(&mut self, call: usize, now_ms: f64) {
-        let ModelChoice::Probed(policy, plan) = self.choice else { return };
+        let (ModelChoice::Probed(policy, plan) | ModelChoice::Timely(policy, plan)) = self.choice
+        else {
+            return;
+        };
         if self.calls[call].rounds >= plan.rounds {
             return;
         }
@@ -383,7 +443,9 @@
     fn reserve(&mut self, call: usize, now_ms: f64) -> Result<UpstreamTicket, NoUpstream> {
         let vm = self.calls[call].vm;
         let (policy, avoid) = match self.choice {
-            ModelChoice::Policy(policy) | ModelChoice::Probed(policy, _) => (policy, Vec::new()),
+            ModelChoice::Policy(policy)
+            | ModelChoice::Probed(policy, _)
+            | ModelChoice::Timely(policy, _) => (policy, Vec::new()),
             ModelChoice::AllKnowing => {
                 let best = self.best_server(call, now_ms);
                 let others = (0..self.case.servers).filter(|server| *server != best);
@@ -469,6 +531,10 @@
         let outcome = CallOutcome { latency, result: CallResult::Success, load: Some(load) };
         let ticket = entry.ticket.take().expect("a call ends once");
         let vm = entry.vm;
+        if let Some(stretch) = entry.stretch {
+            let (class, now) = (WorkClass::Deferrable, time_at(now_ms));
+            self.vms[vm].timely.record(SERVICE, class, latency, stretch, now);
+        }
         self.latencies.push(now_ms - entry.arrived_ms + link_ms);
         self.vms[vm].table.finish(ticket, outcome, time_at(now_ms));
         self.dispatch(vm, now_ms);
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -56,14 +56,21 @@
         let mut entries = Vec::with_capacity(limit.min(self.candidates.len()));
         while entries.len() < limit && !self.candidates.is_empty() {
             let Some(chosen) = self.choose(policy, now, random) else { break };
-            self.candidates.swap_remove(chosen);
+            let stretch = policy.stretch(&self.candidates.swap_remove(chosen), now);
             let record = &self.records[self.candidate_indexes.swap_remove(chosen)];
             let (server, evidence_at) = (Arc::clone(&record.server), record.reported_at());
-            entries.push(ShortlistEntry { server, evidence_at });
+            let round_trip = record.round_trip;
+            entries.push(ShortlistEntry { server, evidence_at, stretch, round_trip });
         }
         entries
     }
 
+    /// Returns whether there are usable upstreams and all of them are full.
+    pub fn is_full(&mut self, avoid: &[SharedName], now: ClockTime) -> bool {
+        let count = self.collect(avoid, now);
+        self.candidates.is_empty() && count.full > 0
+    }
+
     fn count(&self, now: ClockTime) -> RefusalCount {
         let mut count = RefusalCount::default();
         for record in &self.records {
--- a/crates/route/src/paced.rs
+++ b/crates/route/src/paced.rs
@@ -52,16 +52,19 @@
     fn cost_ms(&self, view: &UpstreamView, now: ClockTime) -> f64 {
         let known = view.service_ms > 0.0;
         let service_ms = if known { view.service_ms } else { self.tuning.unknown_time_ms };
+        let penalty_ms = service_ms * self.penalty(view, service_ms.recip(), now);
+        service_ms * self.stretch(view, now) + self.link_ms(view) + penalty_ms
+    }
+
+    /// Returns the expected time of a call on the server, its wait included, relative to the usual.
+    #[inline(always)]
+    fn stretch(&self, view: &UpstreamView, now: ClockTime) -> f64 {
         let slots = f64::from(view.slots.max(1));
         let taken = f64::from(view.own_in_flight) + self.others(view, now) + 1.0;
-        let call_ms = service_ms
-            * self.pace(view, now)
-            * self.load_factor(taken / slots)
-            * self.cold_factor(view, now);
+        let call =
+            self.pace(view, now) * self.load_factor(taken / slots) * self.cold_factor(view, now);
         // Each slot ends a call once in the time of a call.
-        let wait_ms = call_ms * (taken - slots).max(0.0) / slots;
-        let penalty_ms = service_ms * self.penalty(view, service_ms.recip(), now);
-        call_ms + wait_ms + self.link_ms(view) + penalty_ms
+        call * (1.0 + (taken - slots).max(0.0) / slots)
     }
 
     fn pace(&self, view: &UpstreamView, now: ClockTime) -> f64 {
@@ -114,4 +117,8 @@
         let rates = PacedRates::new(&self.tuning);
         least_jittered(candidates, random, self.tuning.cost_jitter, |view| rates.cost_ms(view, now))
     }
+
+    fn stretch(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        PacedRates::new(&self.tuning).stretch(view, now)
+    }
 }
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -20,6 +20,12 @@
         now: ClockTime,
         random: &mut RandomSource,
     ) -> Option<usize>;
+
+    /// Returns how many times as long as usual a call is expected to take on an upstream, its wait
+    /// for a slot included, or 1.0 if the policy does not estimate it.
+    fn stretch(&self, _view: &UpstreamView, _now: ClockTime) -> f64 {
+        1.0
+    }
 }
 
 /// Chooses uniformly at random.
@@ -167,6 +173,13 @@
             Self::Paced(policy) => policy.choose(candidates, now, random),
         }
     }
+
+    fn stretch(&self, view: &UpstreamView, now: ClockTime) -> f64 {
+        match self {
+            Self::Paced(policy) => policy.stretch(view, now),
+            _ => 1.0,
+        }
+    }
 }
 
 /// The name of a policy that does not exist.
--- a/crates/route/src/shortlist.rs
+++ b/crates/route/src/shortlist.rs
@@ -13,4 +13,8 @@
     /// When the freshest report of its load and pace was made, by the server itself or passed on
     /// by a peer, or `None` if there was none.
     pub evidence_at: Option<ClockTime>,
+    /// How many times as long as usual a call is expected to take there, its wait included.
+    pub stretch: f64,
+    /// Round trip to its data centre.
+    pub round_trip: ClockSpan,
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -162,6 +162,13 @@
         table.state.lock().shortlist(policy, avoid, count, now, random)
     }
 
+    /// Returns whether upstreams of `service` could be used and all of them are full.
+    pub fn is_full(&self, service: &str, avoid: &[SharedName], now: ClockTime) -> bool {
+        let snapshot = self.snapshot.load();
+        let table = snapshot.services.get(service);
+        table.is_some_and(|table| table.state.lock().is_full(avoid, now))
+    }
+
     /// Releases a reservation and records how the call ended.
     pub fn finish(&self, mut ticket: UpstreamTicket, outcome: CallOutcome, now: ClockTime) {
         if let Some(table) = ticket.table.take() {
