Change secrets and time limits of running clients and listeners

Change: each holds them in a swap (the store client under its lock) that clones share. A call, a datagram and a request read them once, when they start or arrive. Ruled out: new clients and listeners for each change, which would close connections in use.

--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -12,12 +12,12 @@
 use tower::{Layer, Service};
 
 use crate::counts::ControlCounts;
-use crate::secret::SecretTable;
+use crate::secret::LiveSecrets;
 
 /// Adds the check to the server.
 #[derive(Clone, Debug)]
 pub(crate) struct AuthLayer {
-    pub(crate) secrets: Arc<SecretTable>,
+    pub(crate) secrets: LiveSecrets,
     pub(crate) counts: Arc<ControlCounts>,
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use base::prelude::*;
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
@@ -35,24 +36,43 @@
     },
 }
 
-/// Calls control listeners with one secret.
-#[derive(Clone, Debug)]
-pub struct PeerClient {
+/// What a call shows and how long it may take.
+#[derive(Debug)]
+struct ClientAccess {
     headers: HeaderMap,
     timeout: ClockSpan,
-    counts: Arc<ControlCounts>,
 }
 
-impl PeerClient {
-    /// Returns a client that shows `secret`.
-    pub fn new(secret: &str, timeout: ClockSpan, counts: Arc<ControlCounts>) -> Self {
+impl ClientAccess {
+    fn new(secret: &str, timeout: ClockSpan) -> Self {
         let mut headers = HeaderMap::new();
         // The settings accept visible ASCII only.
         if let Ok(mut value) = HeaderValue::from_str(&secret::authorization(secret)) {
             value.set_sensitive(true);
             headers.insert(header::AUTHORIZATION, value);
         }
-        Self { headers, timeout, counts }
+        Self { headers, timeout }
+    }
+}
+
+/// Calls control listeners with one secret. Clones share the secret and the time limit.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    access: Arc<ArcSwap<ClientAccess>>,
+    counts: Arc<ControlCounts>,
+}
+
+impl PeerClient {
+    /// Returns a client that shows `secret`.
+    pub fn new(secret: &str, timeout: ClockSpan, counts: Arc<ControlCounts>) -> Self {
+        let access = Arc::new(ArcSwap::from_pointee(ClientAccess::new(secret, timeout)));
+        Self { access, counts }
+    }
+
+    /// Shows another secret and allows another time from the next call on, for all clones. Calls
+    /// under way keep theirs.
+    pub fn set_access(&self, secret: &str, timeout: ClockSpan) {
+        self.access.store(Arc::new(ClientAccess::new(secret, timeout)));
     }
 
     /// Exchanges what two VMs know.
@@ -147,9 +167,10 @@
         method: &str,
         question: Option<&Q>,
     ) -> Result<A, PeerError> {
+        let access = self.access.load_full();
         let client = HttpClientBuilder::default()
-            .request_timeout(self.timeout.to_duration())
-            .set_headers(self.headers.clone())
+            .request_timeout(access.timeout.to_duration())
+            .set_headers(access.headers.clone())
             .build(format!("http://{address}"))
             .context(CallSnafu { address })?;
         self.counts.add_sent(json_length(&question));
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -2,8 +2,10 @@
 //! format. Nothing is decoded before the digest has been checked.
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use arc_swap::ArcSwap;
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 use snafu::{Snafu, ensure};
@@ -68,7 +70,7 @@
 /// Encodes and decodes datagrams.
 pub struct DatagramCodec {
     /// The first one signs, all are accepted.
-    keys: Vec<KeyedDigest>,
+    keys: ArcSwap<Vec<KeyedDigest>>,
     oversized: AtomicU64,
 }
 
@@ -82,8 +84,12 @@
     /// Returns a codec that signs with the first secret and accepts all of them. Empty secrets are
     /// left out, because everyone knows them; without a secret nothing is sent or accepted.
     pub fn new<'a>(secrets: impl IntoIterator<Item = &'a str>) -> Self {
-        let keys = secrets.into_iter().filter(|secret| !secret.is_empty());
-        Self { keys: keys.map(keyed_digest).collect(), oversized: AtomicU64::new(0) }
+        Self { keys: ArcSwap::from_pointee(keyed_digests(secrets)), oversized: AtomicU64::new(0) }
+    }
+
+    /// Replaces the secrets, as in [`DatagramCodec::new`].
+    pub fn set_secrets<'a>(&self, secrets: impl IntoIterator<Item = &'a str>) {
+        self.keys.store(Arc::new(keyed_digests(secrets)));
     }
 
     /// Returns how many hellos or single entries were not sent because they do not fit into a
@@ -95,7 +101,8 @@
     /// Encodes a message. Long lists of load samples or suspects are split over several datagrams,
     /// and a directory message that does not fit is sent without its rows.
     pub fn encode(&self, envelope: &PeerEnvelope) -> Vec<Vec<u8>> {
-        let Some(key) = self.keys.first() else { return Vec::new() };
+        let keys = self.keys.load();
+        let Some(key) = keys.first() else { return Vec::new() };
         if let Some(datagram) = seal(key, envelope) {
             return vec![datagram];
         }
@@ -128,10 +135,15 @@
     // Every key is tried, so that the time does not tell which one matched.
     fn is_authentic(&self, tag: &[u8], body: &[u8]) -> bool {
         let matches = |key| signature(key, body).ct_eq(tag);
-        self.keys.iter().fold(Choice::from(0), |found, key| found | matches(key)).into()
+        self.keys.load().iter().fold(Choice::from(0), |found, key| found | matches(key)).into()
     }
 }
 
+fn keyed_digests<'a>(secrets: impl IntoIterator<Item = &'a str>) -> Vec<KeyedDigest> {
+    let secrets = secrets.into_iter().filter(|secret| !secret.is_empty());
+    secrets.map(keyed_digest).collect()
+}
+
 fn keyed_digest(secret: &str) -> KeyedDigest {
     KeyedDigest::new_from_slice(secret.as_bytes()).expect("a keyed digest takes any key length")
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,6 +24,6 @@
     pub use crate::message::{
         ExchangeNotice, GrantEnd, GrantQuestion, PeerContact, RowCopy, StatusReport, TableCopy,
     };
-    pub use crate::secret::{ControlRole, SecretTable};
+    pub use crate::secret::{ControlRole, LiveSecrets, SecretTable};
     pub use crate::server::{ControlHandler, ControlServer};
 }
--- a/crates/peer/src/secret.rs
+++ b/crates/peer/src/secret.rs
@@ -1,7 +1,9 @@
 //! Who may call the control listener.
 
 use std::fmt;
+use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use sha2::{Digest, Sha256};
 use subtle::{Choice, ConstantTimeEq};
 
@@ -59,6 +61,26 @@
     }
 }
 
+/// The secrets that a running control listener accepts. Clones share them.
+#[derive(Clone, Debug)]
+pub struct LiveSecrets(Arc<ArcSwap<SecretTable>>);
+
+impl LiveSecrets {
+    pub(crate) fn new(table: SecretTable) -> Self {
+        Self(Arc::new(ArcSwap::from_pointee(table)))
+    }
+
+    /// Accepts other secrets. Requests whose head was read before go on.
+    pub fn set(&self, table: SecretTable) {
+        self.0.store(Arc::new(table));
+    }
+
+    /// Returns whom the secret in an `authorization` header belongs to.
+    pub fn role(&self, authorization: &[u8]) -> Option<ControlRole> {
+        self.0.load().role(authorization)
+    }
+}
+
 /// Returns the `authorization` header that carries a secret.
 pub fn authorization(secret: &str) -> String {
     format!("{SCHEME}{secret}")
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -19,7 +19,7 @@
     BURN, DOCUMENT, EXCHANGE, ExchangeNotice, GRANT, GRANT_END, GrantEnd, GrantQuestion, RELEASE,
     STATUS, SUSPECTS, StatusReport,
 };
-use crate::secret::{ControlRole, SecretTable};
+use crate::secret::{ControlRole, LiveSecrets, SecretTable};
 
 /// The longest request. An exchange has less than 4 KiB.
 const REQUEST_LIMIT_BYTES: u32 = 64 * 1024;
@@ -63,6 +63,7 @@
 pub struct ControlServer {
     /// Where it listens.
     pub address: SocketAddr,
+    secrets: LiveSecrets,
     _handle: ServerHandle,
 }
 
@@ -85,7 +86,8 @@
             .max_response_body_size(ANSWER_LIMIT_BYTES)
             .set_batch_request_config(BatchRequestConfig::Disabled)
             .build();
-        let auth = AuthLayer { secrets: Arc::new(secrets), counts };
+        let secrets = LiveSecrets::new(secrets);
+        let auth = AuthLayer { secrets: secrets.clone(), counts };
         let server = Server::builder()
             .set_config(config)
             .set_http_middleware(tower::ServiceBuilder::new().layer(auth))
@@ -93,7 +95,12 @@
             .await?;
         let address = server.local_addr()?;
         let methods = methods(handler).map_err(io::Error::other)?;
-        Ok(Self { address, _handle: server.start(methods) })
+        Ok(Self { address, secrets, _handle: server.start(methods) })
+    }
+
+    /// Returns what changes the accepted secrets.
+    pub fn secrets(&self) -> LiveSecrets {
+        self.secrets.clone()
     }
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -65,6 +65,7 @@
     breaker: StoreBreaker,
     budget: StoreBudget,
     random: RandomSource,
+    call_timeout: ClockSpan,
 }
 
 #[derive(Debug)]
@@ -82,6 +83,7 @@
             breaker: StoreBreaker::new(settings.breaker),
             budget: StoreBudget::new(settings.budget, clock.now()),
             random: RandomSource::from_seed(settings.seed),
+            call_timeout: settings.call_timeout,
         };
         let state = RankedMutex::new(LockRank::ConnectionPool, state);
         Self { settings, clock, state }
@@ -92,6 +94,11 @@
         self.state.lock().breaker.is_open()
     }
 
+    /// Changes the longest time for a call. Calls under way keep theirs.
+    pub(crate) fn set_call_timeout(&self, timeout: ClockSpan) {
+        self.state.lock().call_timeout = timeout;
+    }
+
     /// Makes a call when the breaker and the budget allow it.
     pub(crate) async fn call(
         &self,
@@ -157,9 +164,8 @@
         mut connection: StoreConnection,
         call: StoreCall,
     ) -> Result<StoreAnswer, CallFailure> {
-        let settings = &self.settings;
-        let timeout = settings.call_timeout + call.hold;
-        let result = connection.send(call, timeout, settings.answer_bytes).await;
+        let timeout = self.state.lock().call_timeout + call.hold;
+        let result = connection.send(call, timeout, self.settings.answer_bytes).await;
         match &result {
             Ok(_) => self.keep_idle(connection),
             Err(_) => self.close_idle(),
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -81,6 +81,11 @@
         self.client.is_down()
     }
 
+    /// Changes the longest time for a call. Calls under way keep theirs.
+    pub fn set_call_timeout(&self, timeout: ClockSpan) {
+        self.client.set_call_timeout(timeout);
+    }
+
     /// Reads a whole table. The position is that of the first part, so that changes during the
     /// read are seen again.
     ///
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -37,6 +37,11 @@
         self.client.is_down()
     }
 
+    /// Changes the longest time for a call. Calls under way keep theirs.
+    pub fn set_call_timeout(&self, timeout: ClockSpan) {
+        self.client.set_call_timeout(timeout);
+    }
+
     async fn transact_once(
         &self,
         body: Bytes,
