Take over timeouts and secrets without a restart

Change: all of timeouts, both lists of secrets and fleet.stop_limit_ms follow it as well, on SIGHUP and on a change without a signal. Each step of a call reads the timeouts when it starts, so that a running call takes new ones at its next step. An open connection of a caller keeps its timer, which the HTTP library cannot change; the next answer on it carries connection: close. Event 1023 compares with the settings in force, so that it names every change that waits for a restart, and comes after the change is in force. Faults found by reading the code, without a run that shows them: a reload put changed regions and environment into force although event 1023 said restart (reloaded_settings now keeps them); SIGHUP during the start ended a process with the interface platform; a change between the first read of the file and the start of the watch was missed; platform_ms had no effect with the interface agateroad, whose limit was fixed at 1 s. Ruled out: graceful shutdown of callers' idle connections on a change, which can meet a request on its way and drop it.

--- a/crates/border/src/change.rs
+++ b/crates/border/src/change.rs
@@ -1,6 +1,7 @@
 //! What changes when a process reads its settings again.
 
-use crate::settings::ProcessSettings;
+use crate::fleet::FleetSettings;
+use crate::settings::{ProcessSettings, ProcessTimeouts};
 
 /// The fields that differ between two versions of the settings, by their JSON path.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -23,21 +24,55 @@
     SettingsChange { live: live_fields(old, new), restart: restart_fields(old, new) }
 }
 
+/// Returns the settings in force after a reload: the live fields of newly read settings, and all
+/// others as they were.
+pub fn reloaded_settings(old: &ProcessSettings, new: &ProcessSettings) -> ProcessSettings {
+    let leave = if leave_is_live(old, new) { new.timeouts.leave } else { old.timeouts.leave };
+    ProcessSettings {
+        log_level: new.log_level,
+        peer_secrets: new.peer_secrets.clone(),
+        operator_secrets: new.operator_secrets.clone(),
+        timeouts: ProcessTimeouts { leave, ..new.timeouts.clone() },
+        fleet: FleetSettings { drain: old.fleet.drain, ..new.fleet.clone() },
+        ..old.clone()
+    }
+}
+
+/// The default and the bound of `leave_ms` belong to an interface, which needs a restart.
+fn leave_is_live(old: &ProcessSettings, new: &ProcessSettings) -> bool {
+    old.interface == new.interface
+}
+
 fn live_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
     let (fleet, new_fleet) = (&old.fleet, &new.fleet);
     let (retry, new_retry) = (&fleet.retry, &new_fleet.retry);
+    let (times, new_times) = (&old.timeouts, &new.timeouts);
+    let leave = times.leave != new_times.leave && leave_is_live(old, new);
     changed(&[
         ("log_level", old.log_level != new.log_level),
         ("fleet.retry_ratio", retry.ratio != new_retry.ratio),
         ("fleet.retry_slack", retry.slack != new_retry.slack),
         ("fleet.retry_window_ms", retry.span != new_retry.span),
         ("fleet.probe_rate", fleet.probe_rate != new_fleet.probe_rate),
+        // The bound of `leave_ms`, which is live.
+        ("fleet.stop_limit_ms", fleet.stop_limit != new_fleet.stop_limit),
+        ("peer_secrets", old.peer_secrets != new.peer_secrets),
+        ("operator_secrets", old.operator_secrets != new.operator_secrets),
+        ("timeouts.head_ms", times.head != new_times.head),
+        ("timeouts.caller_idle_ms", times.caller_idle != new_times.caller_idle),
+        ("timeouts.body_idle_ms", times.body_idle != new_times.body_idle),
+        ("timeouts.connect_ms", times.connect != new_times.connect),
+        ("timeouts.upstream_idle_ms", times.upstream_idle != new_times.upstream_idle),
+        ("timeouts.platform_ms", times.platform != new_times.platform),
+        ("timeouts.peer_ms", times.peer != new_times.peer),
+        ("timeouts.leave_ms", leave),
     ])
 }
 
 fn restart_fields(old: &ProcessSettings, new: &ProcessSettings) -> Vec<&'static str> {
     let (times, new_times) = (&old.timeouts, &new.timeouts);
     let (fleet, new_fleet) = (&old.fleet, &new.fleet);
+    let leave = times.leave != new_times.leave && !leave_is_live(old, new);
     changed(&[
         ("vm_name", old.vm_name != new.vm_name),
         ("interface", old.interface != new.interface),
@@ -52,18 +87,8 @@
         ("platform_address", old.platform_address != new.platform_address),
         ("worker_count", old.worker_count != new.worker_count),
         ("log_format", old.log_format != new.log_format),
-        ("peer_secrets", old.peer_secrets != new.peer_secrets),
-        ("operator_secrets", old.operator_secrets != new.operator_secrets),
-        ("timeouts.head_ms", times.head != new_times.head),
-        ("timeouts.caller_idle_ms", times.caller_idle != new_times.caller_idle),
-        ("timeouts.body_idle_ms", times.body_idle != new_times.body_idle),
-        ("timeouts.connect_ms", times.connect != new_times.connect),
-        ("timeouts.upstream_idle_ms", times.upstream_idle != new_times.upstream_idle),
-        ("timeouts.platform_ms", times.platform != new_times.platform),
-        ("timeouts.peer_ms", times.peer != new_times.peer),
-        ("timeouts.leave_ms", times.leave != new_times.leave),
+        ("timeouts.leave_ms", leave),
         ("fleet.drain_ms", fleet.drain != new_fleet.drain),
-        ("fleet.stop_limit_ms", fleet.stop_limit != new_fleet.stop_limit),
     ])
 }
 
--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -19,7 +19,7 @@
 mod service;
 pub mod settings;
 
-pub use crate::change::{SettingsChange, settings_change};
+pub use crate::change::{SettingsChange, reloaded_settings, settings_change};
 pub use crate::difference::{MapChange, difference};
 pub use crate::document::{DocumentError, document_digest, load_document};
 pub use crate::fleet::FleetSettings;
--- a/crates/ctl/src/demo/bed.rs
+++ b/crates/ctl/src/demo/bed.rs
@@ -131,7 +131,7 @@
         caller_address: SocketAddr::from(([127, 0, 0, 1], 0)),
         workers: GATE_WORKERS,
         policy: PolicyKind::default(),
-        timeouts: GateTimeouts::default(),
+        initial_timeouts: GateTimeouts::default(),
         tuning: CallTuning::default(),
     };
     RunningGate::start(Arc::new(GateState::new(options, environment.clone()))).context(GateSnafu)
--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -36,6 +36,7 @@
 
 /// The tasks that use the platform and the peers. They end when this is dropped.
 pub struct PlatformAccess {
+    store: GateStore,
     claims: GateClaims,
     driver: JoinHandle<()>,
     tasks: JoinSet<()>,
@@ -75,14 +76,14 @@
                 clock: state.clock,
             };
             let target = GateTarget { state: Arc::downgrade(state), link: Arc::clone(&link) };
-            let parts = (store, state.clock, peers, target);
+            let parts = (store.clone(), state.clock, peers, target);
             let tuning = TrackerTuning::default();
             let following = ConfigFollower::new(parts, environment, tuning, rand::random());
             let _ = follower.set(following.clone());
             tasks.spawn(following.run());
         }
         let driver = tokio::spawn(driver.run());
-        let mut access = Self { claims, driver, tasks, link, follower };
+        let mut access = Self { store, claims, driver, tasks, link, follower };
         let control = access.control(state);
         access.tasks.spawn(control.run(client.clone()));
         let control = access.control(state);
@@ -90,6 +91,11 @@
         access
     }
 
+    /// Returns the platform's store, whose clones share its settings.
+    pub fn store(&self) -> GateStore {
+        self.store.clone()
+    }
+
     /// Tells peers from now on where they reach this VM.
     pub fn announce(&self, address: SocketAddr) {
         self.link.set_own_address(address);
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -216,7 +216,7 @@
         if retry::may_run_twice(&self.call.request) {
             return ClockTime::ZERO;
         }
-        self.state.clock.now() - self.state.options.timeouts.connection_proof
+        self.state.clock.now() - self.state.timeouts.load().connection_proof
     }
 
     async fn connect(
@@ -225,7 +225,7 @@
         proven_since: ClockTime,
     ) -> Result<LinkConnection, LinkError> {
         let state = self.state;
-        let longest = state.options.timeouts.connect;
+        let longest = state.timeouts.load().connect;
         if let Some(connection) = link.take_idle(proven_since) {
             link.open_spare(longest, state.clock);
             return Ok(connection);
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -83,7 +83,7 @@
 ) -> CallResponse {
     let body_started = state.clock.now();
     let limit_bytes = state.environment.load().caller_limits.body_bytes;
-    let pause = state.options.timeouts.request_body;
+    let pause = state.timeouts.load().request_body;
     let receiving = CallBody::receive(body, facts.body, limit_bytes, pause);
     let deadline = state.clock.to_instant(call.request.deadline).into();
     let body = timeout_at(deadline, receiving).await.unwrap_or(Err(BodyError::TooSlow));
--- a/crates/gate/src/cancel.rs
+++ b/crates/gate/src/cancel.rs
@@ -31,7 +31,7 @@
     let Ok(id) = id.to_str() else { return false };
     let path = format!("/agateroad/cancel/{id}");
     let now = state.clock.now();
-    let connection = match link.take_idle(now - state.options.timeouts.connection_proof) {
+    let connection = match link.take_idle(now - state.timeouts.load().connection_proof) {
         Some(connection) => connection,
         None => match link.connect(ConnectUse::Check, timeout, state.clock).await {
             Ok(connection) => connection,
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -86,7 +86,7 @@
     body: Incoming,
     deadline: ClockTime,
 ) -> Result<Bytes, CallRefusal> {
-    let pause = state.options.timeouts.request_body;
+    let pause = state.timeouts.load().request_body;
     let whole = match facts.body {
         BodyLength::Known(0) => return Ok(Bytes::new()),
         BodyLength::Known(length) if length > REQUEST_LIMIT_BYTES as u64 => Err(BodyError::TooLong),
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use base::prelude::*;
 use border::{
     DocumentError, InterfaceKind, LogFormat, LogLevel, ProcessSettings, SettingsError, SharedSecret,
@@ -13,17 +14,17 @@
 use directory::prelude::*;
 use gate::access::{AccessOptions, PlatformAccess};
 use gate::control::GateControl;
-use gate::discovery::{BoundsHandle, DiscoveryOptions, DiscoveryTasks};
+use gate::discovery::{DiscoveryHandle, DiscoveryOptions, DiscoveryTasks};
 use gate::event;
 use gate::exchange::ExchangeOptions;
 use gate::leave;
 use gate::observe::ObserveServer;
-use gate::options::{CallTuning, GateOptions};
+use gate::options::{CallTuning, GateOptions, GateTimeouts};
 use gate::peers::PeerLink;
 use gate::probe::PROBE_COST;
 use gate::process::RunningGate;
 use gate::reload::{SettingsTarget, SettingsWatch};
-use gate::state::GateState;
+use gate::state::{GateState, GateStore};
 use peer::prelude::*;
 use platform::PlatformCodec;
 use route::prelude::*;
@@ -105,8 +106,7 @@
     let followed = arguments.document.is_none().then(|| settings.environment.clone());
     match settings.interface {
         InterfaceKind::Agateroad => {
-            let reload = LiveSettings { log, bounds: None };
-            runtime.block_on(serve_native(&settings, state, followed, path, reload))
+            runtime.block_on(serve_native(&settings, state, followed, path, log))
         }
         InterfaceKind::Platform => runtime.block_on(serve_platform(&settings, state, path, log)),
     }
@@ -127,25 +127,29 @@
     state: Arc<GateState>,
     followed: Option<SharedName>,
     path: PathBuf,
-    reload: LiveSettings,
+    log: LogHandle,
 ) -> Result<(), GateError> {
-    let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
-    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
+    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
     let observe = observe.await.context(ListenSnafu)?;
     let gate = RunningGate::start(Arc::clone(&state)).context(ListenSnafu)?;
     let counts = Arc::new(ControlCounts::default());
-    let platform = PlatformAccess::start(&state, access_options(settings, followed, &counts));
+    let options = access_options(settings, followed, &counts);
+    let client = options.client.clone();
+    let platform = PlatformAccess::start(&state, options);
     let control = platform.control(&state);
     let address = settings.control_address;
     let control = ControlServer::start(address, secret_table(settings), counts, control);
     let control = control.await.context(ListenSnafu)?;
     platform.announce(control.address);
+    let target = NativeTarget { store: platform.store() };
+    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
     announce(settings, &gate, &control, &observe);
     signals.next().await;
     tokio::select! {
-        () = leave::leave(&gate, platform, settings.timeouts.leave) => {}
+        () = leave::leave(&gate, platform) => {}
         () = signals.next() => {
             tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
         }
@@ -161,10 +165,12 @@
     path: PathBuf,
     log: LogHandle,
 ) -> Result<(), GateError> {
+    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
     let observe = observe.await.context(ListenSnafu)?;
     let gate = RunningGate::start_with::<PlatformCodec>(Arc::clone(&state)).context(ListenSnafu)?;
+    let stop_limit = Arc::new(ArcSwap::from_pointee(settings.fleet.stop_limit));
     let link = Arc::new(PeerLink::new(settings.vm_name.clone()));
     let counts = Arc::new(ControlCounts::default());
     let control = GateControl {
@@ -177,14 +183,17 @@
     let control = ControlServer::start(address, secret_table(settings), server_counts, control);
     let control = control.await.context(ListenSnafu)?;
     let options = discovery_options(settings, &state, control.address, counts, link);
+    let client = options.client.clone();
     let discovery = DiscoveryTasks::start(&state, options).await.context(ListenSnafu)?;
-    let reload = LiveSettings { log, bounds: Some(discovery.bounds()) };
-    let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
-    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
+    let target =
+        PlatformTarget { discovery: discovery.handle(), stop_limit: Arc::clone(&stop_limit) };
+    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
     announce(settings, &gate, &control, &observe);
     signals.next().await;
+    let limit = **stop_limit.load();
     tokio::select! {
-        () = leave::leave_within(&gate, settings.timeouts.leave, settings.fleet.stop_limit) => {}
+        () = leave::leave_within(&gate, limit) => {}
         () = signals.next() => {
             tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
         }
@@ -217,9 +226,9 @@
     counts: &Arc<ControlCounts>,
 ) -> AccessOptions {
     let store = HttpSettings::new(settings.platform_address, rand::random());
-    // The settings have at least one peer secret, and the first one signs.
-    let secret = settings.peer_secrets.first().map_or("", SharedSecret::as_str);
-    let client = PeerClient::new(secret, settings.timeouts.peer, Arc::clone(counts));
+    let store = HttpSettings { call_timeout: settings.timeouts.platform, ..store };
+    let client =
+        PeerClient::new(signing_secret(settings), settings.timeouts.peer, Arc::clone(counts));
     AccessOptions { store, environment, client }
 }
 
@@ -233,11 +242,10 @@
     let AccessOptions { store, client, .. } = access_options(settings, None, &counts);
     let exchange_address = settings.exchange_address.unwrap_or(settings.control_address);
     let own = VmEntry { vm: state.options.vm.clone(), exchange_address, control_address };
-    let secrets = settings.peer_secrets.iter().map(|own| SharedName::from(own.as_str()));
     DiscoveryOptions {
-        store: HttpSettings { call_timeout: settings.timeouts.platform, ..store },
+        store,
         bounds: fleet_bounds(settings),
-        exchange: ExchangeOptions { own, secrets: secrets.collect() },
+        exchange: ExchangeOptions { own, secrets: peer_secrets(settings) },
         client,
         link,
     }
@@ -265,6 +273,15 @@
     pairs.map(|(from, to)| LinkCost { from, to, one_way }).collect()
 }
 
+/// Returns the secret that this VM shows to peers. The settings have at least one.
+fn signing_secret(settings: &ProcessSettings) -> &str {
+    settings.peer_secrets.first().map_or("", SharedSecret::as_str)
+}
+
+fn peer_secrets(settings: &ProcessSettings) -> Vec<SharedName> {
+    settings.peer_secrets.iter().map(|own| SharedName::from(own.as_str())).collect()
+}
+
 fn secret_table(settings: &ProcessSettings) -> SecretTable {
     let peers = settings.peer_secrets.iter().map(SharedSecret::as_str);
     SecretTable::new(peers, settings.operator_secrets.iter().map(SharedSecret::as_str))
@@ -307,18 +324,51 @@
 }
 
 /// What takes effect while the process runs.
-struct LiveSettings {
+struct LiveSettings<T> {
     log: LogHandle,
-    bounds: Option<BoundsHandle<PlatformCodec>>,
+    state: Arc<GateState>,
+    /// What peers and operators may show.
+    secrets: LiveSecrets,
+    /// Shows a secret to peers.
+    client: PeerClient,
+    /// What differs between the interfaces.
+    target: T,
 }
 
-impl SettingsTarget for LiveSettings {
-    fn apply(&mut self, settings: &ProcessSettings) {
+impl<T: SettingsTarget> SettingsTarget for LiveSettings<T> {
+    fn apply(&self, settings: &ProcessSettings) {
         // The handle fails only after the log was dropped, which ends with the process.
         let _ = self.log.reload(log_filter(settings));
-        if let Some(bounds) = &self.bounds {
-            bounds.set(fleet_bounds(settings));
-        }
+        self.state.timeouts.store(Arc::new(GateTimeouts::from_settings(settings)));
+        self.secrets.set(secret_table(settings));
+        self.client.set_access(signing_secret(settings), settings.timeouts.peer);
+        self.target.apply(settings);
+    }
+}
+
+/// What takes effect with the product's own interface.
+struct NativeTarget {
+    store: GateStore,
+}
+
+impl SettingsTarget for NativeTarget {
+    fn apply(&self, settings: &ProcessSettings) {
+        self.store.set_call_timeout(settings.timeouts.platform);
+    }
+}
+
+/// What takes effect with the interface of the users' platform.
+struct PlatformTarget {
+    discovery: DiscoveryHandle<PlatformCodec>,
+    stop_limit: Arc<ArcSwap<ClockSpan>>,
+}
+
+impl SettingsTarget for PlatformTarget {
+    fn apply(&self, settings: &ProcessSettings) {
+        self.stop_limit.store(Arc::new(settings.fleet.stop_limit));
+        self.discovery.set_secrets(&peer_secrets(settings));
+        self.discovery.set_store_timeout(settings.timeouts.platform);
+        self.discovery.set_bounds(fleet_bounds(settings));
     }
 }
 
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -99,24 +99,38 @@
         Ok(Self { core, _tasks: tasks })
     }
 
-    /// Returns what changes the bounds that hold over all VMs.
-    pub fn bounds(&self) -> BoundsHandle<K> {
-        BoundsHandle { core: Arc::downgrade(&self.core) }
+    /// Returns what changes the settings of the tasks.
+    pub fn handle(&self) -> DiscoveryHandle<K> {
+        DiscoveryHandle { core: Arc::downgrade(&self.core) }
     }
 }
 
-/// Changes the bounds that hold over all VMs.
-pub struct BoundsHandle<K> {
+/// Changes the settings of running tasks.
+pub struct DiscoveryHandle<K> {
     core: Weak<DiscoveryCore<K>>,
 }
 
-impl<K: EntryCodec + RowCodec> BoundsHandle<K> {
-    /// Puts other bounds into force.
-    pub fn set(&self, bounds: FleetBounds) {
+impl<K: EntryCodec + RowCodec> DiscoveryHandle<K> {
+    /// Puts other bounds that hold over all VMs into force.
+    pub fn set_bounds(&self, bounds: FleetBounds) {
         let Some(core) = self.core.upgrade() else { return };
         core.tables.lock().bounds = bounds;
         core.apply();
     }
+
+    /// Changes the secrets of the peers. The first one signs.
+    pub fn set_secrets(&self, secrets: &[SharedName]) {
+        if let Some(core) = self.core.upgrade() {
+            core.exchange.set_secrets(secrets);
+        }
+    }
+
+    /// Changes the longest time for a call to the store.
+    pub fn set_store_timeout(&self, timeout: ClockSpan) {
+        if let Some(core) = self.core.upgrade() {
+            core.rows.set_call_timeout(timeout);
+        }
+    }
 }
 
 /// What the tasks share.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -74,6 +74,11 @@
         })
     }
 
+    /// Changes the secrets of the peers.
+    pub(crate) fn set_secrets(&self, secrets: &[SharedName]) {
+        self.codec.set_secrets(secrets.iter().map(SharedName::as_str));
+    }
+
     /// Records the version of the configuration that peers are told of.
     pub(crate) fn set_config(&self, version: u64) {
         self.config_version.store(version, Ordering::Relaxed);
--- a/crates/gate/src/front.rs
+++ b/crates/gate/src/front.rs
@@ -173,9 +173,7 @@
     stream: TcpStream,
     stop: CancellationToken,
 ) {
-    let timeouts = &state.options.timeouts;
-    // One timer of the library covers idle connections and slow heads.
-    let idle = timeouts.request_head.min(timeouts.keep_alive);
+    let idle = state.timeouts.load().caller_idle();
     let keep_alive = keep_alive_value(idle);
     let (stream, record) = RecordedStream::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
@@ -184,7 +182,10 @@
         restore_length(&mut parts, &record);
         async move {
             let mut answer = call::serve::<C>(state, parts, body).await;
-            mark_connection(&mut answer, state, keep_alive);
+            // The library cannot change the timer of an open connection. The caller is told to
+            // open another one, which has the timeouts in force.
+            let outdated = state.timeouts.load().caller_idle() != idle;
+            mark_connection(&mut answer, state, outdated, keep_alive);
             Ok::<_, Infallible>(answer)
         }
     });
@@ -232,10 +233,11 @@
 fn mark_connection(
     answer: &mut Response<AnswerBody>,
     state: &GateState,
+    outdated: bool,
     keep_alive: &Option<HeaderValue>,
 ) {
     let headers = answer.headers_mut();
-    if state.draining.load(Ordering::Relaxed) {
+    if outdated || state.draining.load(Ordering::Relaxed) {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     } else if let Some(keep_alive) = keep_alive
         && !headers.contains_key(header::CONNECTION)
--- a/crates/gate/src/leave.rs
+++ b/crates/gate/src/leave.rs
@@ -12,10 +12,11 @@
 /// unknown, which is safe.
 const OUTCOME_LIMIT: ClockSpan = ClockSpan::from_secs(10);
 
-/// Leaves: readiness off, `lag` of further accepting, then no new connections, the calls in flight
-/// and the outcomes of claims.
-pub async fn leave(gate: &RunningGate, platform: PlatformAccess, lag: ClockSpan) {
+/// Leaves: readiness off, the time of further accepting, then no new connections, the calls in
+/// flight and the outcomes of claims.
+pub async fn leave(gate: &RunningGate, platform: PlatformAccess) {
     let state = &gate.state;
+    let lag = state.timeouts.load().leave;
     tracing::info!(event = event::DRAIN_STARTED, vm = %state.options.vm.name, "leaving");
     state.draining.store(true, Ordering::SeqCst);
     tokio::time::sleep(lag.to_duration()).await;
@@ -33,10 +34,11 @@
 /// The time that is kept for the end of the process itself.
 const END_SPAN: ClockSpan = ClockSpan::from_millis(300);
 
-/// Leaves within `limit`: readiness off, `lag` of further accepting, then no new connections, and
-/// the calls in flight.
-pub async fn leave_within(gate: &RunningGate, lag: ClockSpan, limit: ClockSpan) {
+/// Leaves within `limit`: readiness off, the time of further accepting, then no new connections,
+/// and the calls in flight.
+pub async fn leave_within(gate: &RunningGate, limit: ClockSpan) {
     let state = &gate.state;
+    let lag = state.timeouts.load().leave;
     tracing::info!(event = event::DRAIN_STARTED, vm = %state.options.vm.name, "leaving");
     state.draining.store(true, Ordering::SeqCst);
     tokio::time::sleep(lag.to_duration()).await;
--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -59,8 +59,8 @@
 
 /// Closes connections before they idle out and keeps one ready for each upstream.
 async fn keep_links(state: &GateState) {
-    let timeouts = &state.options.timeouts;
     loop {
+        let timeouts = state.timeouts.load_full();
         let unused_since = state.clock.now() - timeouts.connection_idle;
         for link in state.links.all() {
             link.close_unused(unused_since);
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -22,8 +22,8 @@
     pub workers: usize,
     /// How an upstream is chosen.
     pub policy: PolicyKind,
-    /// Limits of waiting for peers on the network.
-    pub timeouts: GateTimeouts,
+    /// How long the gateway waits for others, until the settings are read again.
+    pub initial_timeouts: GateTimeouts,
     /// How calls are admitted, placed and answered.
     pub tuning: CallTuning,
 }
@@ -109,14 +109,15 @@
             caller_address: settings.caller_address,
             workers: settings.worker_count.map_or(cores, NonZeroUsize::get),
             policy,
-            timeouts: GateTimeouts::from_settings(settings),
+            initial_timeouts: GateTimeouts::from_settings(settings),
             tuning: CallTuning::default(),
         }
     }
 }
 
 impl GateTimeouts {
-    fn from_settings(settings: &ProcessSettings) -> Self {
+    /// Returns the timeouts that the settings ask for.
+    pub fn from_settings(settings: &ProcessSettings) -> Self {
         let timeouts = &settings.timeouts;
         Self {
             connect: timeouts.connect,
@@ -124,12 +125,20 @@
             request_body: timeouts.body_idle,
             keep_alive: timeouts.caller_idle,
             connection_idle: timeouts.upstream_idle,
+            leave: timeouts.leave,
             ..Self::default()
         }
     }
+
+    /// Returns how long a connection of a caller may be idle. One timer of the HTTP library covers
+    /// idle connections and slow heads.
+    pub fn caller_idle(&self) -> ClockSpan {
+        self.request_head.min(self.keep_alive)
+    }
 }
 
-/// How long the gateway waits for the other end of a connection.
+/// How long the gateway waits for others. Each step of a call reads the timeouts in force when it
+/// starts and keeps them to its end.
 #[derive(Clone, Debug)]
 pub struct GateTimeouts {
     /// For a connection to an upstream.
@@ -144,6 +153,8 @@
     pub connection_proof: ClockSpan,
     /// How long an unused connection to an upstream is kept.
     pub connection_idle: ClockSpan,
+    /// For the platform's load balancer to notice that the VM is leaving.
+    pub leave: ClockSpan,
 }
 
 impl Default for GateTimeouts {
@@ -155,6 +166,7 @@
             keep_alive: ClockSpan::from_secs(60),
             connection_proof: ClockSpan::from_secs(1),
             connection_idle: ClockSpan::from_secs(30),
+            leave: ClockSpan::from_secs(10),
         }
     }
 }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -186,7 +186,7 @@
     link: &Arc<UpstreamLink>,
     timeout: ClockSpan,
 ) -> Result<LinkConnection, LinkError> {
-    let timeout = state.options.timeouts.connect.min(timeout);
+    let timeout = state.timeouts.load().connect.min(timeout);
     match link.connect(ConnectUse::Check, timeout, state.clock).await {
         Err(LinkError::ShareUsed { .. }) if link.close_idle() => {
             link.connect(ConnectUse::Check, timeout, state.clock).await
--- a/crates/gate/src/reload.rs
+++ b/crates/gate/src/reload.rs
@@ -4,7 +4,7 @@
 use std::time::SystemTime;
 
 use base::prelude::*;
-use border::{ProcessSettings, settings_change};
+use border::{ProcessSettings, reloaded_settings, settings_change};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::event;
@@ -14,39 +14,42 @@
 
 /// Takes over what takes effect while the process runs.
 pub trait SettingsTarget: Send + 'static {
-    /// Applies the changed settings.
-    fn apply(&mut self, settings: &ProcessSettings);
+    /// Puts the settings in force after a change. Fields that need a restart are as before.
+    fn apply(&self, settings: &ProcessSettings);
 }
 
 /// The settings file and what was read from it last.
-pub struct SettingsWatch<T> {
+pub struct SettingsWatch {
     path: PathBuf,
+    /// What the file said last.
     settings: ProcessSettings,
+    in_force: ProcessSettings,
     modified: Option<SystemTime>,
     hangup: Signal,
-    target: T,
 }
 
-impl<T: SettingsTarget> SettingsWatch<T> {
-    /// Returns a watch of the file from which `settings` were read.
+impl SettingsWatch {
+    /// Returns a watch of the file from which `settings` were read. From now on SIGHUP does not end
+    /// the process.
     ///
     /// # Errors
     ///
     /// Fails if the signal cannot be handled.
-    pub fn new(path: PathBuf, settings: ProcessSettings, target: T) -> std::io::Result<Self> {
-        let modified = modified(&path);
+    pub fn new(path: PathBuf, settings: ProcessSettings) -> std::io::Result<Self> {
         let hangup = signal(SignalKind::hangup())?;
-        Ok(Self { path, settings, modified, hangup, target })
+        Ok(Self { path, in_force: settings.clone(), settings, modified: None, hangup })
     }
 
-    /// Follows the file until it is dropped.
-    pub async fn run(mut self) {
+    /// Follows the file until it is dropped. The first look reads the file, which may have changed
+    /// while the process started.
+    pub async fn run(mut self, target: impl SettingsTarget) {
+        self.reload(&target);
         loop {
             tokio::select! {
-                _ = self.hangup.recv() => self.reload(),
+                _ = self.hangup.recv() => self.reload(&target),
                 () = tokio::time::sleep(LOOK_PERIOD.to_duration()) => {
                     if modified(&self.path) != self.modified {
-                        self.reload();
+                        self.reload(&target);
                     }
                 }
             }
@@ -54,7 +57,7 @@
     }
 
     /// Reads the file. Settings that cannot be used change nothing.
-    fn reload(&mut self) {
+    fn reload(&mut self, target: &impl SettingsTarget) {
         self.modified = modified(&self.path);
         let read = std::fs::read(&self.path).map_err(|error| error.to_string());
         let loaded =
@@ -66,14 +69,15 @@
                 return;
             }
         };
-        let change = settings_change(&self.settings, &settings);
-        if change.is_empty() {
+        if settings == self.settings {
             return;
         }
+        let change = settings_change(&self.in_force, &settings);
         let (live, restart) = (change.live.join(" "), change.restart.join(" "));
-        tracing::info!(event = event::SETTINGS_CHANGED, live, restart, "settings changed");
-        self.target.apply(&settings);
+        self.in_force = reloaded_settings(&self.in_force, &settings);
+        target.apply(&self.in_force);
         self.settings = settings;
+        tracing::info!(event = event::SETTINGS_CHANGED, live, restart, "settings changed");
     }
 }
 
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -15,7 +15,7 @@
 
 use crate::count::CallCount;
 use crate::link::LinkTable;
-use crate::options::GateOptions;
+use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
 use crate::tables::CallTables;
 
@@ -28,6 +28,8 @@
 pub struct GateState {
     /// The settings of the process.
     pub options: GateOptions,
+    /// The timeouts in force.
+    pub timeouts: ArcSwap<GateTimeouts>,
     /// The clock of the process.
     pub clock: RealClock,
     /// The configuration in force.
@@ -59,8 +61,10 @@
         let clock = RealClock::new();
         let upstreams = UpstreamTable::new(options.vm.centre.clone()).with_vm(&options.vm.name);
         let tables = CallTables::new(&options.vm, &options.tuning, rand::random());
+        let timeouts = ArcSwap::from_pointee(options.initial_timeouts.clone());
         let state = Self {
             options,
+            timeouts,
             clock,
             environment: ArcSwap::from_pointee(environment),
             upstreams,
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -560,6 +560,137 @@
     assert!(bed.gate.process.ended().is_none(), "the process ended");
 }
 
+/// A step of the rotation of the peers' secret, with a changed timeout.
+struct ReloadStep {
+    peer_secrets: &'static [&'static str],
+    head_ms: u64,
+    /// What callers are told of the time that their connections are kept.
+    kept: &'static str,
+    /// The status of control calls with the old secret, and with the new one.
+    statuses: [u16; 2],
+}
+
+const NEXT_PEER_SECRET: &str = "the-next-peer-secret-of-the-tests";
+/// The numbers of the log events for datagrams and settings that are refused.
+const DATAGRAM_REFUSED: u32 = 1022;
+const SETTINGS_REFUSED: u32 = 1024;
+
+const ROTATION: [ReloadStep; 3] = [
+    ReloadStep {
+        peer_secrets: &[PEER_SECRET, NEXT_PEER_SECRET],
+        head_ms: 20_000,
+        kept: "timeout=19",
+        statuses: [200, 200],
+    },
+    ReloadStep {
+        peer_secrets: &[NEXT_PEER_SECRET, PEER_SECRET],
+        head_ms: 30_000,
+        kept: "timeout=29",
+        statuses: [200, 200],
+    },
+    ReloadStep {
+        peer_secrets: &[NEXT_PEER_SECRET],
+        head_ms: 40_000,
+        kept: "timeout=39",
+        statuses: [401, 200],
+    },
+];
+
+impl ReloadStep {
+    fn settings(&self, before: &GateSettings) -> GateSettings {
+        let mut settings = before.clone();
+        settings.peer_secrets = self.peer_secrets.to_vec();
+        settings.timeouts["head_ms"] = self.head_ms.into();
+        settings.timeouts["leave_ms"] = 0.into();
+        settings
+    }
+
+    /// Makes calls on new connections until one tells that the step is in force.
+    async fn wait_in_force(&self, gate: &GateProcess, series: &str) {
+        let mut calls = 0;
+        until("the settings are in force", async || {
+            calls += 1;
+            let id = format!("{series}-{calls}");
+            let mut connection = open(gate.caller_address).await;
+            let call = connection.call(request(Method::GET, LOOK, &id, None, PartBody::none()));
+            let answer = event("the call is answered", call).await.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK, "{id}");
+            answer.header("keep-alive") == self.kept
+        })
+        .await;
+    }
+
+    async fn require_secrets(&self, bed: &PlatformBed, gate: &GateProcess) {
+        let secrets = [PEER_SECRET, NEXT_PEER_SECRET];
+        for (secret, status) in secrets.into_iter().zip(self.statuses) {
+            let authorization = format!("Bearer {secret}");
+            let headers = [("content-type", "application/json"), ("authorization", &authorization)];
+            let body = r#"{"jsonrpc":"2.0","id":1,"method":"peer_exchange","params":[{}]}"#;
+            let address = gate.control_address;
+            let call = bed.client.call(Method::POST, address, "vm", "/", &headers, body.into());
+            let answer = event("the listener answers", call).await.expect("an answer");
+            assert_eq!(answer.status.as_u16(), status, "{secret} of {:?}", self.peer_secrets);
+        }
+    }
+}
+
+/// Guards against calls, control calls or datagrams that a changed timeout or the rotation of a
+/// secret interrupts, on SIGHUP and without a signal, and against changes that a running process
+/// does not take over.
+#[tokio::test]
+async fn a_rotated_secret_and_changed_timeouts_interrupt_nothing() {
+    let mut bed = PlatformBed::start(BedPlan::default()).await;
+    let mut first = gate_settings(&bed.store, true);
+    // Below the stop limit, and longer than the test waits for the end of the process.
+    first.timeouts["leave_ms"] = 500_000.into();
+    first.vm_name = "vm-2".to_owned();
+    let mut signalled = GateProcess::follow(&first).expect("a gateway");
+    let second = gate_settings(&bed.store, true);
+    let ready = async || {
+        let answer = bed.client.get(signalled.metrics_address, "metrics", "/ready").await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    };
+    until("the other gateway is ready", ready).await;
+    let mut held = Vec::new();
+    for (index, step) in ROTATION.iter().enumerate() {
+        let path = if index % 2 == 0 { BOOK } else { LOOK };
+        held.push(HeldCall::start(&bed, path, &format!("held-{index}")).await);
+        let mut kept = open(bed.gate.caller_address).await;
+        for (part, connection) in [("before", ""), ("after", "close")] {
+            let id = format!("kept-{part}-{index}");
+            let call = kept.call(request(Method::POST, BOOK, &id, None, PartBody::none()));
+            let answer = event("the call is answered", call).await.expect("an answer");
+            assert_eq!((answer.status, bed.history(&id).runs), (StatusCode::OK, 1), "{id}");
+            assert_eq!(answer.header("connection"), connection, "{id}");
+            if part == "before" {
+                signalled.change_settings(&step.settings(&first)).expect("a file");
+                signalled.process.signal(Signal::HUP);
+                step.wait_in_force(&signalled, &format!("signalled-{index}")).await;
+                bed.gate.change_settings(&step.settings(&second)).expect("a file");
+                step.wait_in_force(&bed.gate, &format!("silent-{index}")).await;
+            }
+        }
+        step.require_secrets(&bed, &signalled).await;
+        step.require_secrets(&bed, &bed.gate).await;
+    }
+    for held in held {
+        held.finish(&bed).await;
+    }
+    for gate in [&signalled, &bed.gate] {
+        assert_eq!((gate.logged(DATAGRAM_REFUSED), gate.logged(SETTINGS_REFUSED)), (0, 0));
+    }
+    // Shows that datagrams pass between the gateways, so that lost ones would have been logged.
+    let undone = ReloadStep { peer_secrets: &[PEER_SECRET], ..ROTATION[2] };
+    bed.gate.change_settings(&undone.settings(&second)).expect("a file");
+    let refused =
+        async || signalled.logged(DATAGRAM_REFUSED) > 0 && bed.gate.logged(DATAGRAM_REFUSED) > 0;
+    until("other secrets are refused", refused).await;
+    assert_eq!(bed.gate.process.ended(), None, "the process runs");
+    signalled.process.signal(Signal::TERM);
+    until("the process leaves at once", async || signalled.process.ended().is_some()).await;
+    assert_eq!(signalled.process.ended(), Some(true), "the exit code is 0");
+}
+
 /// Guards against rows that cannot be read and keep the gateway from reading the others, or that
 /// are taken for upstreams.
 #[tokio::test]
