Cut the pairs of modules that import each other

Cause: link and connection, room and desk, wait and slot, control and access, and discovery and exchange imported each other, so that none of them could be read or changed alone. Change: whole functions and types moved to where they belong. - turn has a waiting call and the end of its wait, which desk, room, slot and wait share. - slot gives free slots to waiters, because a slot that ends does so by itself; wait uses it. - follow has where the configuration comes from besides the platform and what puts it into force; control and access use it. - connection carries requests and knows no link; link has the connections of one upstream, in use and idle; links has the table of links. - exchange has the socket and who reads for all; what the tasks share is discovery/core, and each task of discovery (versions, upstreams, datagrams) is a module that depends on it. discovery.rs goes from 424 to 110 lines. Ruled out: a trait between connection and link, which would hide the cycle from the compiler and leave it to the reader. Test: tests/modules.rs reads the paths of src and fails on any cycle; it failed with link and connection still in a pair. Two tables show that it finds cycles and imports.

--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -1,11 +1,12 @@
 //! This VM's use of the platform: claims, the configuration and the membership list.
+//!
+//! Starts the tasks of [`crate::follow`] and [`crate::control`], which know nothing of it.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
-use bytes::Bytes;
 use claim::prelude::*;
 use config::prelude::*;
 use limit::prelude::VmCounts;
@@ -13,17 +14,15 @@
 use store::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::control::{GateControl, GatePeers};
+use crate::control::GateControl;
 use crate::event;
+use crate::follow::{GateFollower, GatePeers, GateTarget};
 use crate::peers::{GrantClient, PeerLink};
 use crate::state::{GateClaims, GateState, GateStore};
 
 /// The time between reads of the membership list, which lags by 30 s in any case.
 const MEMBER_PERIOD: ClockSpan = ClockSpan::from_secs(5);
 
-/// The configuration of this VM.
-pub type GateFollower = ConfigFollower<GateStore, RealClock, GatePeers<GateStore>, GateTarget>;
-
 /// How this VM reaches the platform and its peers.
 pub struct AccessOptions {
     /// The platform.
@@ -157,20 +156,3 @@
         state.tables.suspects.set_members(names);
     }
 }
-
-/// Puts documents into force on this VM.
-pub struct GateTarget {
-    state: Weak<GateState>,
-    link: Arc<PeerLink>,
-}
-
-impl DocumentTarget for GateTarget {
-    fn apply(&self, mark: &VersionMark, document: &Bytes) -> Result<(), String> {
-        let Some(state) = self.state.upgrade() else { return Ok(()) };
-        let environment =
-            border::load_document(document, mark.version).map_err(|error| error.to_string())?;
-        state.apply(environment);
-        self.link.set_document(mark, document);
-        Ok(())
-    }
-}
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -16,19 +16,19 @@
 use crate::answer::AnswerBody;
 use crate::body::{BodyError, SendBody};
 use crate::cancel::{self, CancelGuard};
-use crate::connection::{LinkConnection, SendError};
+use crate::connection::SendError;
 use crate::crash;
 use crate::desk::ServiceDesk;
-use crate::link::{ConnectUse, LinkError, UpstreamLink};
+use crate::link::{ConnectUse, LinkConnection, LinkError, UpstreamLink};
 use crate::plan::PlannedCall;
 use crate::retry::{self, NextStep};
-use crate::room::WaitEnd;
 use crate::running::RunningCall;
 use crate::silence::SilenceWatch;
 use crate::slot::{CallSlot, NoSlot};
 use crate::state::GateState;
 use crate::survey::{self, UpstreamSurvey};
 use crate::time::UpstreamTime;
+use crate::turn::WaitEnd;
 use crate::wait;
 
 /// The part of a call's time that is kept for its cancellation, so that the caller learns before
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -1,6 +1,8 @@
-//! One connection to an upstream.
+//! One HTTP connection.
+//!
+//! Depends on [`crate::body`] and [`crate::worker`]; it knows nothing of the link that it belongs
+//! to.
 
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use base::prelude::*;
@@ -8,12 +10,11 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use snafu::{IntoError as _, ResultExt, Snafu};
+use snafu::{IntoError as _, Snafu};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::body::SendBody;
-use crate::link::{ConnectSnafu, HandshakeSnafu, LinkError, OpenPermit, UpstreamLink};
 use crate::worker;
 
 /// The longest head of an answer.
@@ -49,33 +50,23 @@
     }
 }
 
-/// One connection to an upstream. Dropping it closes it.
+/// One HTTP connection. Dropping it closes it.
 #[derive(Debug)]
-pub struct LinkConnection {
+pub(crate) struct HttpConnection {
     sender: SendRequest<SendBody>,
     _driver: DriverTask,
     worker: u32,
     opened: ClockTime,
     last_answer: ClockTime,
-    pooled: bool,
-    permit: OpenPermit,
 }
 
-impl LinkConnection {
+impl HttpConnection {
     /// Starts HTTP on an open stream.
-    pub(crate) async fn start(
-        stream: TcpStream,
-        permit: OpenPermit,
-        clock: RealClock,
-    ) -> Result<Self, LinkError> {
-        let address = permit.link().server().address;
-        stream.set_nodelay(true).context(ConnectSnafu { address })?;
-        base::socket::detect_silence(&stream).context(ConnectSnafu { address })?;
+    pub(crate) async fn start(stream: TcpStream, clock: RealClock) -> hyper::Result<Self> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
-            .await
-            .context(HandshakeSnafu)?;
+            .await?;
         let driver = tokio::spawn(async move {
             // A failure is seen by the request that uses the connection.
             let _ = connection.await;
@@ -87,8 +78,6 @@
             worker: worker::index(),
             opened,
             last_answer: opened,
-            pooled: false,
-            permit,
         })
     }
 
@@ -102,36 +91,23 @@
         self.worker
     }
 
-    /// Returns when the connection last carried an answer, or else when it was opened.
-    pub(crate) const fn last_answer(&self) -> ClockTime {
-        self.last_answer
-    }
-    /// Returns the link of the connection.
-    pub fn link(&self) -> &Arc<UpstreamLink> {
-        self.permit.link()
-    }
-
     /// Returns when the connection was opened.
-    pub fn opened(&self) -> ClockTime {
+    pub(crate) const fn opened(&self) -> ClockTime {
         self.opened
     }
 
-    /// Returns whether the connection was opened before the call that uses it.
-    pub fn is_pooled(&self) -> bool {
-        self.pooled
+    /// Returns when the connection last carried an answer, or else when it was opened.
+    pub(crate) const fn last_answer(&self) -> ClockTime {
+        self.last_answer
     }
 
-    /// Returns when the connection last showed that it works.
-    pub fn proven(&self) -> ClockTime {
-        self.last_answer.max(self.opened)
+    /// Notes that the connection carried an answer.
+    pub(crate) const fn note_answer(&mut self, now: ClockTime) {
+        self.last_answer = now;
     }
 
     /// Sends a request and waits for the head of the answer.
-    ///
-    /// # Errors
-    ///
-    /// Tells whether any of the request was written.
-    pub async fn send(
+    pub(crate) async fn send(
         &mut self,
         request: Request<SendBody>,
     ) -> Result<Response<Incoming>, SendError> {
@@ -145,47 +121,14 @@
         })
     }
 
-    /// Returns the connection to its link once it can take another request. `context` must belong
-    /// to the task that read the answer to its end. `latency` is the time until the head of the
-    /// answer.
-    pub fn put_back(mut self, latency: ClockSpan, now: ClockTime, context: &mut Context<'_>) {
-        self.note_answer(Some(latency), now);
-        match self.sender.poll_ready(context) {
-            Poll::Ready(Ok(())) => self.into_idle(),
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending => {
-                tokio::spawn(self.put_back_when_ready());
-            }
-        }
-    }
-
-    /// Notes that the connection carried the answer to a check.
-    pub fn note_check(&mut self, now: ClockTime) {
-        self.note_answer(None, now);
-    }
-
-    /// Returns the connection to its link after a probe or cancellation, whose latency is not that
-    /// of calls.
-    pub async fn put_back_after_check(mut self, now: ClockTime) {
-        self.note_answer(None, now);
-        self.put_back_when_ready().await;
-    }
-
-    fn note_answer(&mut self, latency: Option<ClockSpan>, now: ClockTime) {
-        self.last_answer = now;
-        self.permit.link().note_answer(self.opened, latency, now);
-    }
-
-    async fn put_back_when_ready(mut self) {
-        if self.sender.ready().await.is_ok() {
-            self.into_idle();
-        }
+    /// Waits until the connection can take another request.
+    pub(crate) async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
     }
 
-    /// Makes the connection available to calls, unless it is retired.
-    pub fn into_idle(mut self) {
-        self.pooled = true;
-        let link = Arc::clone(self.permit.link());
-        link.keep_idle(self);
+    /// Returns whether the connection can take another request. `context` must belong to the task
+    /// that read the last answer to its end.
+    pub(crate) fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<hyper::Result<()>> {
+        self.sender.poll_ready(context)
     }
 }
--- a/crates/gate/src/control.rs
+++ b/crates/gate/src/control.rs
@@ -1,18 +1,18 @@
 //! What this VM tells peers and operators, and asks of peers.
+//!
+//! Depends on [`crate::follow`] for the configuration; [`crate::access`] starts it.
 
 use std::sync::{Arc, OnceLock};
 
 use base::prelude::*;
 use bytes::Bytes;
-use config::prelude::*;
 use futures_util::future::join_all;
 use peer::prelude::*;
 use report::prelude::*;
-use store::prelude::*;
 use suspect::prelude::*;
 
-use crate::access::GateFollower;
 use crate::event;
+use crate::follow::GateFollower;
 use crate::peers::PeerLink;
 use crate::state::GateState;
 
@@ -30,42 +30,6 @@
 /// then known everywhere before most callers repeat it.
 const SUSPECT_PERIOD: ClockSpan = ClockSpan::from_millis(50);
 
-/// The peers as the configuration needs them.
-#[derive(Clone, Debug)]
-pub struct GatePeers<S> {
-    /// Their addresses.
-    pub link: Arc<PeerLink>,
-    /// Calls them.
-    pub client: PeerClient,
-    /// Where the membership list is.
-    pub store: S,
-    /// The clock of the process.
-    pub clock: RealClock,
-}
-
-impl<S: PlatformStore> PeerSource for GatePeers<S> {
-    async fn versions(&self) -> Vec<VersionMark> {
-        // A VM that starts has no list yet; the list may answer while the tables are down.
-        if let Ok(list) = self.store.members().await {
-            self.link.apply_list(&list, self.clock.now());
-        }
-        let addresses = self.link.peer_addresses();
-        let notice = ExchangeNotice { version: self.link.version(), ..ExchangeNotice::default() };
-        let calls = addresses.iter().map(|address| self.client.exchange(*address, &notice));
-        let answers = join_all(calls).await;
-        answers.into_iter().filter_map(|answer| answer.ok()?.version).collect()
-    }
-
-    async fn document(&self, digest: &SharedName) -> Option<Bytes> {
-        for address in self.link.peer_addresses() {
-            if let Ok(document) = self.client.document(address, digest).await {
-                return Some(document);
-            }
-        }
-        None
-    }
-}
-
 /// Answers peers and operators.
 pub struct GateControl {
     /// The tables.
--- a/crates/gate/src/desk.rs
+++ b/crates/gate/src/desk.rs
@@ -1,4 +1,6 @@
 //! What the request path keeps for each service.
+//!
+//! Depends on [`crate::metrics`] and on [`crate::turn`]; the queue and the slots depend on it.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -11,7 +13,7 @@
 
 use crate::event;
 use crate::metrics::{GateMetrics, ServiceMeters};
-use crate::room::TurnWaiter;
+use crate::turn::TurnWaiter;
 
 /// Refusals of one kind are logged at most once in this time.
 const REFUSAL_LOG_SPAN_MS: u64 = 1000;
--- /dev/null
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -0,0 +1,167 @@
+//! Follows the upstreams in the store, or takes them from the VM that reads for all.
+//!
+//! Depends on [`super::core`].
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use directory::prelude::*;
+use peer::prelude::*;
+use store::prelude::*;
+
+use super::core::{DiscoveryCore, UPSTREAM_COPY, log_read};
+use crate::event;
+use crate::exchange::READ_HOLD;
+
+/// The shortest time between two such reads. A store whose rows change with every heartbeat would
+/// otherwise answer each read at once.
+const READ_PAUSE: ClockSpan = ClockSpan::from_millis(100);
+
+impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
+    pub(super) async fn follow_upstreams(self: Arc<Self>) {
+        loop {
+            self.wait_for_turn().await;
+            if self.settle() {
+                self.apply();
+            }
+            if self.exchange.read_due() {
+                self.read_for_all().await;
+            }
+        }
+    }
+
+    /// Reads the upstreams and tells the peers, over and over, until a read fails or a peer that
+    /// comes first in the order of names reads as well. The store holds its answers back until
+    /// there is a change, so that every VM hears of a change within milliseconds.
+    async fn read_for_all(&self) {
+        let mut hold = ClockSpan::ZERO;
+        loop {
+            if let Err(error) = self.read_upstreams(hold).await {
+                self.note_failed_read(&error);
+                return;
+            }
+            if self.settle() {
+                self.apply();
+            }
+            if self.exchange.has_earlier_reader() {
+                return;
+            }
+            hold = READ_HOLD;
+            tokio::time::sleep(READ_PAUSE.to_duration()).await;
+        }
+    }
+
+    /// Waits until the upstreams are to be read or a removal is due.
+    async fn wait_for_turn(&self) {
+        let due = self.tables.lock().upstreams.next_due();
+        let next = self.exchange.next_read();
+        let next = due.map_or(next, |due| due.min(next));
+        let until = self.state.clock.to_instant(next).into();
+        tokio::select! {
+            () = tokio::time::sleep_until(until) => {}
+            () = self.upstreams_wanted.notified() => {
+                if let Err(error) = self.read_upstreams(ClockSpan::ZERO).await {
+                    self.note_failed_read(&error);
+                    self.copy_upstreams().await;
+                }
+            }
+        }
+    }
+
+    async fn read_upstreams(&self, hold: ClockSpan) -> Result<(), StoreError> {
+        let asked = self.state.clock.now();
+        let known = self.tables.lock().upstreams.position();
+        let read = match known {
+            Some(position) => self.rows.changes(K::UPSTREAM_TABLE, position, hold).await,
+            None => Err(StoreError::HistoryLost),
+        };
+        let (page, whole) = match read {
+            Err(StoreError::HistoryLost) => (self.rows.read_table(K::UPSTREAM_TABLE).await?, true),
+            read => (read?, false),
+        };
+        log_read(K::UPSTREAM_TABLE, &page);
+        let now = self.state.clock.now();
+        let change = {
+            let upstreams = &mut self.tables.lock().upstreams;
+            upstreams.note_answer(now);
+            match known.filter(|_| !whole) {
+                Some(from) => upstreams.follow::<K>(from, &page, now).unwrap_or_default(),
+                None => upstreams.replace::<K>(&page, now),
+            }
+        };
+        self.report(&change);
+        // An answer that was held back tells the state at its end.
+        let made_at = if hold == ClockSpan::ZERO { asked } else { now };
+        self.exchange.note_read(page.position, made_at);
+        if change.upstreams_changed || known.is_none() {
+            self.apply();
+        }
+        let since = change.since.unwrap_or(page.position);
+        let news = RowPage { rows: change.news, ..page };
+        self.exchange.send_directory(since, &news, made_at).await;
+        Ok(())
+    }
+
+    /// Takes over changes that a peer has read. Asks for a read if some are missing.
+    pub(super) fn take_peer_rows(&self, from: u64, page: &RowPage, complete: bool, age: ClockSpan) {
+        let now = self.state.clock.now();
+        let followed = {
+            let upstreams = &mut self.tables.lock().upstreams;
+            // The store answered the peer, whatever it answers to this VM.
+            upstreams.note_answer(now);
+            if upstreams.position().is_some_and(|known| known >= page.position) {
+                Ok(DirectoryChange::default())
+            } else if complete {
+                upstreams.follow::<K>(from, page, now).map_err(|_| ())
+            } else {
+                Err(())
+            }
+        };
+        let Ok(change) = followed else {
+            self.upstreams_wanted.notify_one();
+            return;
+        };
+        self.report(&change);
+        self.exchange.note_read(page.position, now - age);
+        if change.upstreams_changed {
+            self.apply();
+        }
+    }
+
+    fn report(&self, change: &DirectoryChange) {
+        for row in &change.unreadable {
+            let (upstream, error) = (&row.key, &row.error);
+            tracing::warn!(event = event::UPSTREAM_UNREADABLE, %upstream, %error);
+        }
+    }
+
+    fn settle(&self) -> bool {
+        self.tables.lock().upstreams.settle(self.state.clock.now())
+    }
+
+    fn note_failed_read(&self, error: &StoreError) {
+        tracing::debug!(event = event::STORE_UNREAD, %error);
+        let now = self.state.clock.now();
+        if self.tables.lock().upstreams.note_failure(now) {
+            self.apply();
+        }
+        self.exchange.note_failed_read();
+    }
+
+    /// Takes the table of upstreams from a peer if this VM has none or misses changes.
+    async fn copy_upstreams(&self) {
+        let Some(bytes) = self.fetch_copy(UPSTREAM_COPY).await else { return };
+        let Ok(copy) = serde_json::from_slice::<TableCopy>(&bytes) else { return };
+        let page = copy.into_page();
+        let now = self.state.clock.now();
+        let change = {
+            let upstreams = &mut self.tables.lock().upstreams;
+            if upstreams.position() >= Some(page.position) {
+                return;
+            }
+            upstreams.replace::<K>(&page, now)
+        };
+        self.report(&change);
+        self.apply();
+    }
+}
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -1,29 +1,22 @@
-//! What this VM tells its peers in datagrams, and hears from them.
+//! The socket for datagrams of peers, who is on the other end of it, and who reads for all VMs.
+//!
+//! Depends on no other module; the tasks of [`crate::discovery`] use it.
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use base::prelude::*;
 use directory::prelude::*;
-use limit::prelude::VmCounts;
 use member::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
 use tokio::net::UdpSocket;
 
-use crate::discovery::{DiscoveryCore, READ_HOLD};
-use crate::event;
-
-/// The table in which VMs announce themselves, by name.
-const VM_TABLE: &str = "agateroad_vms";
-/// The time between two looks at what peers are to be told.
-const TICK: ClockSpan = ClockSpan::from_millis(100);
-/// The pause after a failed call of the announcement, before jitter.
-const ANNOUNCE_PAUSE: ClockSpan = ClockSpan::from_millis(700);
-/// Longer than any datagram of a peer.
-const BUFFER_BYTES: usize = 2048;
+/// The longest time for which the store holds back its answer to the VM that reads the upstreams
+/// for all. If that VM fails, another one reads 0.8 to 1.2 s after its last news, which is well
+/// below the 2 s in which a leaving upstream must get no more calls.
+pub(crate) const READ_HOLD: ClockSpan = ClockSpan::from_millis(600);
 
 /// How this VM speaks to its peers.
 pub struct ExchangeOptions {
@@ -37,13 +30,13 @@
 #[derive(Debug)]
 pub(crate) struct VmExchange {
     clock: RealClock,
-    socket: UdpSocket,
-    codec: DatagramCodec,
-    mesh: RankedMutex<MeshPlan>,
+    pub(crate) socket: UdpSocket,
+    pub(crate) codec: DatagramCodec,
+    pub(crate) mesh: RankedMutex<MeshPlan>,
     /// The version of the configuration in force.
     config_version: AtomicU64,
     /// The peer that last told of a read of the upstreams, and when.
-    peer_read: RankedMutex<Option<(SharedName, ClockTime)>>,
+    pub(crate) peer_read: RankedMutex<Option<(SharedName, ClockTime)>>,
 }
 
 /// A VM reads only after the one that reads for all was silent for longer than it holds its reads.
@@ -126,12 +119,12 @@
         self.tell_all(PeerMessage::Directory(message)).await;
     }
 
-    async fn tell_all(&self, message: PeerMessage) {
+    pub(crate) async fn tell_all(&self, message: PeerMessage) {
         let audience = self.mesh.lock().audience(MeshScope::All, self.clock.now());
         self.send(message, &audience).await;
     }
 
-    async fn send(&self, message: PeerMessage, addresses: &[SocketAddr]) {
+    pub(crate) async fn send(&self, message: PeerMessage, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
@@ -148,7 +141,7 @@
         }
     }
 
-    fn hello(&self, leaving: bool, answer_wanted: bool) -> PeerMessage {
+    pub(crate) fn hello(&self, leaving: bool, answer_wanted: bool) -> PeerMessage {
         let entry = self.mesh.lock().own().clone();
         let config_version = self.config_version.load(Ordering::Relaxed);
         PeerMessage::Hello(HelloMessage { entry, leaving, answer_wanted, config_version })
@@ -160,120 +153,3 @@
         mesh.present(self.clock.now()).map(|entry| entry.control_address).collect()
     }
 }
-
-impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
-    /// Writes this VM's row and reads those of the others.
-    pub(crate) async fn announce(self: Arc<Self>) {
-        while let Err(error) = self.announce_once().await {
-            tracing::debug!(event = event::STORE_UNREAD, %error);
-            let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
-            tokio::time::sleep(pause.to_duration()).await;
-        }
-    }
-
-    /// The write comes first, so that of two VMs that start at once at least one reads the other.
-    async fn announce_once(&self) -> Result<(), StoreError> {
-        let own = self.exchange.mesh.lock().own().clone();
-        // The entry holds names and addresses, which always have a JSON form.
-        let value = serde_json::to_vec(&own).unwrap_or_default();
-        self.rows.write_row(VM_TABLE, &own.vm.name, &value).await?;
-        let page = self.rows.read_table(VM_TABLE).await?;
-        let now = self.state.clock.now();
-        for row in &page.rows {
-            let Some(value) = &row.value else { continue };
-            match serde_json::from_slice::<VmEntry>(value) {
-                Ok(entry) => {
-                    self.exchange.mesh.lock().learn(&entry, now);
-                }
-                Err(error) => {
-                    tracing::warn!(event = event::VM_UNREADABLE, vm = %row.key, %error);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Sends what is due to peers, and keeps the budgets of all VMs divided by their number.
-    pub(crate) async fn greet(self: Arc<Self>) {
-        let mut detector = PauseDetector::new(TICK);
-        loop {
-            tokio::time::sleep(TICK.to_duration()).await;
-            let now = self.state.clock.now();
-            if let Some(pause) = detector.observe(now, BootClock.elapsed()) {
-                tracing::warn!(event = event::PAUSE_SEEN, %pause, "the process stood still");
-                self.refresh();
-            }
-            let (due, counts) = {
-                let mut mesh = self.exchange.mesh.lock();
-                (mesh.due_hellos(now), mesh.counts(now))
-            };
-            let leaving = self.state.draining.load(Ordering::Relaxed);
-            self.exchange.send(self.exchange.hello(leaving, true), &due).await;
-            let counts = VmCounts { listed: counts.listed, reported: counts.heard };
-            self.state.tables.probes.set_counts(counts, now);
-            self.state.tables.retries.set_counts(counts, now);
-            let suspects = self.state.tables.take_suspect_notices(now);
-            if !suspects.is_empty() {
-                let message = PeerMessage::Suspects(SuspectMessage { notices: suspects });
-                self.exchange.tell_all(message).await;
-            }
-        }
-    }
-
-    /// Takes in what peers tell.
-    pub(crate) async fn receive(self: Arc<Self>) {
-        let mut buffer = [0; BUFFER_BYTES];
-        loop {
-            // An error belongs to a datagram that was sent before.
-            let received = self.exchange.socket.recv_from(&mut buffer).await;
-            let Ok((length, source)) = received else { continue };
-            match self.exchange.codec.decode(&buffer[..length]) {
-                Ok(envelope) => self.absorb(envelope, source).await,
-                Err(error) => tracing::warn!(event = event::DATAGRAM_REFUSED, %source, %error),
-            }
-        }
-    }
-
-    async fn absorb(&self, envelope: PeerEnvelope, source: SocketAddr) {
-        let PeerEnvelope { sender, incarnation, message } = envelope;
-        let now = self.state.clock.now();
-        if let PeerMessage::Hello(hello) = &message {
-            self.exchange.mesh.lock().learn(&hello.entry, now);
-        }
-        let heard = self.exchange.mesh.lock().hear(&sender, incarnation, now);
-        match heard {
-            HeardFrom::Outdated => return,
-            HeardFrom::Unknown => {
-                self.exchange.send(self.exchange.hello(false, true), &[source]).await;
-            }
-            HeardFrom::Known => {}
-        }
-        match message {
-            PeerMessage::Hello(hello) => {
-                self.hear_config(hello.config_version);
-                if hello.leaving {
-                    self.exchange.mesh.lock().leave(&sender, incarnation);
-                }
-                if hello.answer_wanted {
-                    let leaving = self.state.draining.load(Ordering::Relaxed);
-                    self.exchange.send(self.exchange.hello(leaving, false), &[source]).await;
-                }
-            }
-            PeerMessage::Directory(message) => {
-                let age = ClockSpan::from_millis(u64::from(message.age_ms));
-                let complete = !message.rows_omitted;
-                let page =
-                    RowPage { rows: message.rows, position: message.position, truncated: false };
-                *self.exchange.peer_read.lock() = Some((sender, now));
-                self.take_peer_rows(message.from, &page, complete, age);
-                self.hear_config(message.config_version);
-            }
-            PeerMessage::Load(_) => {}
-            PeerMessage::Suspects(message) => {
-                for notice in &message.notices {
-                    self.state.tables.suspects.merge(notice, now);
-                }
-            }
-        }
-    }
-}
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -1,17 +1,22 @@
-//! Connections from this VM to upstreams.
+//! The connections from this VM to one upstream, in use and idle.
+//!
+//! A connection in use returns to the idle ones of its link by itself, so that both are in this
+//! module. Depends on [`crate::connection`], which carries the requests.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::task::{Context, Poll};
 
-use arc_swap::ArcSwap;
 use base::prelude::*;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use limit::prelude::ConnectionShare;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
 use world::prelude::*;
 
-use crate::connection::LinkConnection;
+use crate::body::SendBody;
+use crate::connection::{HttpConnection, SendError};
 use crate::worker;
 
 /// Unused connections that are kept ready for the next call to an upstream.
@@ -32,7 +37,6 @@
 
 /// Why no connection could be opened. None of these sent a byte of the request.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
 pub enum LinkError {
     /// This VM's share is used up.
     #[snafu(display(
@@ -68,7 +72,7 @@
 #[derive(Debug)]
 pub struct UpstreamLink {
     server: Arc<UpstreamServer>,
-    share: ConnectionShare,
+    pub(crate) share: ConnectionShare,
     open: AtomicU32,
     opening: AtomicBool,
     checking: AtomicBool,
@@ -90,17 +94,10 @@
 
 /// Counts a connection for as long as it is open.
 #[derive(Debug)]
-pub(crate) struct OpenPermit {
+struct OpenPermit {
     link: Arc<UpstreamLink>,
 }
 
-impl OpenPermit {
-    /// Returns the link of the connection.
-    pub(crate) const fn link(&self) -> &Arc<UpstreamLink> {
-        &self.link
-    }
-}
-
 impl Drop for OpenPermit {
     fn drop(&mut self) {
         self.link.open.fetch_sub(1, Ordering::Relaxed);
@@ -131,7 +128,7 @@
     }
 
     /// Returns whether the link leads to this start of `server`.
-    fn serves(&self, server: &UpstreamServer) -> bool {
+    pub(crate) fn serves(&self, server: &UpstreamServer) -> bool {
         self.server.address == server.address && self.server.incarnation == server.incarnation
     }
 
@@ -191,10 +188,11 @@
         let worker = worker::index();
         let mut pool = self.pool.lock();
         let idle = &mut pool.idle;
-        idle.retain(|connection| !connection.is_closed());
+        idle.retain(|connection| !connection.http.is_closed());
         let usable = |connection: &LinkConnection| connection.proven() >= proven_since;
-        let own =
-            idle.iter().rposition(|connection| connection.worker() == worker && usable(connection));
+        let own = idle
+            .iter()
+            .rposition(|connection| connection.http.worker() == worker && usable(connection));
         let index = own.or_else(|| idle.iter().rposition(usable))?;
         Some(idle.swap_remove(index))
     }
@@ -202,7 +200,7 @@
     /// Returns whether an idle connection carried an answer or was opened after `proven_since`.
     pub fn has_idle(&self, proven_since: ClockTime) -> bool {
         let pool = self.pool.lock();
-        pool.idle.iter().any(|idle| !idle.is_closed() && idle.proven() >= proven_since)
+        pool.idle.iter().any(|idle| !idle.http.is_closed() && idle.proven() >= proven_since)
     }
 
     /// Opens a connection.
@@ -226,12 +224,7 @@
     }
 
     /// Notes that a connection which was opened at `opened` carried an answer.
-    pub(crate) fn note_answer(
-        &self,
-        opened: ClockTime,
-        latency: Option<ClockSpan>,
-        now: ClockTime,
-    ) {
+    fn note_answer(&self, opened: ClockTime, latency: Option<ClockSpan>, now: ClockTime) {
         let mut pool = self.pool.lock();
         pool.last_news = now.max(pool.last_news);
         let older = |(at, of): (ClockTime, ClockTime)| opened <= of || now.since(at) > HEARD_SPAN;
@@ -246,7 +239,7 @@
     }
 
     /// Keeps a connection for the next call, unless it is retired.
-    pub(crate) fn keep_idle(&self, connection: LinkConnection) {
+    fn keep_idle(&self, connection: LinkConnection) {
         let retired = {
             let mut pool = self.pool.lock();
             if connection.opened() >= pool.retired_before {
@@ -286,7 +279,7 @@
         let closed = {
             let mut pool = self.pool.lock();
             let of = |connection: &mut LinkConnection| {
-                connection.is_closed() || connection.last_answer() < unused_since
+                connection.http.is_closed() || connection.http.last_answer() < unused_since
             };
             pool.idle.extract_if(.., of).collect::<Vec<_>>()
         };
@@ -313,41 +306,101 @@
     }
 }
 
-/// The links to all upstreams.
-#[derive(Debug, Default)]
-pub struct LinkTable {
-    links: ArcSwap<HashMap<SharedName, Arc<UpstreamLink>>>,
+/// One connection of a link. Dropping it closes it.
+#[derive(Debug)]
+pub struct LinkConnection {
+    http: HttpConnection,
+    pooled: bool,
+    permit: OpenPermit,
 }
 
-impl LinkTable {
-    /// Adds links to new upstreams and drops those to removed ones. `share` returns the most
-    /// connections that this VM may open to an upstream.
-    pub fn apply(
-        &self,
-        environment: &EnvironmentMap,
-        share: impl Fn(&UpstreamServer) -> ConnectionShare,
-    ) {
-        let known = self.links.load();
-        let links = environment.upstreams.values().flatten().map(|server| {
-            let share = share(server);
-            let kept =
-                known.get(&server.name).filter(|link| link.serves(server) && link.share == share);
-            let link = match kept {
-                Some(link) => Arc::clone(link),
-                None => Arc::new(UpstreamLink::new(Arc::clone(server), share)),
-            };
-            (server.name.clone(), link)
-        });
-        self.links.store(Arc::new(links.collect()));
+impl LinkConnection {
+    /// Starts HTTP on an open stream.
+    async fn start(
+        stream: TcpStream,
+        permit: OpenPermit,
+        clock: RealClock,
+    ) -> Result<Self, LinkError> {
+        let address = permit.link.server().address;
+        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        base::socket::detect_silence(&stream).context(ConnectSnafu { address })?;
+        let http = HttpConnection::start(stream, clock).await.context(HandshakeSnafu)?;
+        Ok(Self { http, pooled: false, permit })
+    }
+
+    /// Returns the link of the connection.
+    pub fn link(&self) -> &Arc<UpstreamLink> {
+        &self.permit.link
+    }
+
+    /// Returns when the connection was opened.
+    pub fn opened(&self) -> ClockTime {
+        self.http.opened()
+    }
+
+    /// Returns whether the connection was opened before the call that uses it.
+    pub fn is_pooled(&self) -> bool {
+        self.pooled
+    }
+
+    /// Returns when the connection last showed that it works.
+    pub fn proven(&self) -> ClockTime {
+        self.http.last_answer().max(self.http.opened())
     }
 
-    /// Returns the link to an upstream.
-    pub fn link(&self, upstream: &str) -> Option<Arc<UpstreamLink>> {
-        self.links.load().get(upstream).cloned()
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether any of the request was written.
+    pub async fn send(
+        &mut self,
+        request: Request<SendBody>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.http.send(request).await
+    }
+
+    /// Returns the connection to its link once it can take another request. `context` must belong
+    /// to the task that read the answer to its end. `latency` is the time until the head of the
+    /// answer.
+    pub fn put_back(mut self, latency: ClockSpan, now: ClockTime, context: &mut Context<'_>) {
+        self.note_answer(Some(latency), now);
+        match self.http.poll_ready(context) {
+            Poll::Ready(Ok(())) => self.into_idle(),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => {
+                tokio::spawn(self.put_back_when_ready());
+            }
+        }
+    }
+
+    /// Notes that the connection carried the answer to a check.
+    pub fn note_check(&mut self, now: ClockTime) {
+        self.note_answer(None, now);
+    }
+
+    /// Returns the connection to its link after a probe or cancellation, whose latency is not that
+    /// of calls.
+    pub async fn put_back_after_check(mut self, now: ClockTime) {
+        self.note_answer(None, now);
+        self.put_back_when_ready().await;
+    }
+
+    fn note_answer(&mut self, latency: Option<ClockSpan>, now: ClockTime) {
+        self.http.note_answer(now);
+        self.permit.link.note_answer(self.opened(), latency, now);
+    }
+
+    async fn put_back_when_ready(mut self) {
+        if self.http.ready().await.is_ok() {
+            self.into_idle();
+        }
     }
 
-    /// Returns all links.
-    pub fn all(&self) -> Vec<Arc<UpstreamLink>> {
-        self.links.load().values().cloned().collect()
+    /// Makes the connection available to calls, unless it is retired.
+    pub fn into_idle(mut self) {
+        self.pooled = true;
+        let link = Arc::clone(&self.permit.link);
+        link.keep_idle(self);
     }
 }
--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -12,7 +12,7 @@
 use crate::link::UpstreamLink;
 use crate::state::GateState;
 use crate::watch::UpstreamWatch;
-use crate::{probe, wait};
+use crate::{probe, slot};
 
 /// Time between two looks at the waiting calls while there are any.
 const QUEUE_TICK: ClockSpan = ClockSpan::from_millis(2);
@@ -51,7 +51,7 @@
         room.tell_dropped(state.clock.now());
         for desk in state.tables.desks.all() {
             if desk.waiting.load(Ordering::Relaxed) > 0 {
-                wait::serve_waiters(state, &desk);
+                slot::serve_waiters(state, &desk);
             }
         }
     }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -10,10 +10,9 @@
 use http_body_util::{BodyExt, Limited};
 
 use crate::body::SendBody;
-use crate::connection::LinkConnection;
 use crate::crash;
 use crate::desk::ServiceDesk;
-use crate::link::{ConnectUse, LinkError, UpstreamLink};
+use crate::link::{ConnectUse, LinkConnection, LinkError, UpstreamLink};
 use crate::options::ProbeCharge;
 use crate::state::GateState;
 
--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -2,60 +2,24 @@
 //!
 //! The slot is reserved for a waiter before the waiter is woken, so that a woken call always has
 //! its slot. A waiter that must not use the free slot is held and comes first at the next turn.
+//!
+//! Depends on [`crate::desk`], which holds waiters, and on [`crate::turn`].
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use base::prelude::*;
 use limit::prelude::*;
-use route::prelude::*;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::desk::ServiceDesk;
+use crate::turn::{TurnWaiter, WaitEnd};
 
 /// Entries without a waiter are removed after this time.
 const MARK_SPAN: ClockSpan = ClockSpan::from_secs(1);
 /// Entries without a waiter that are kept before any is removed.
 const SPARE_MARKS: usize = 64;
 
-/// How a wait ended without a slot.
-#[derive(Debug)]
-pub enum WaitEnd {
-    /// The queue refused or dropped the call.
-    Refused(RefusalReason),
-    /// No upstream can be used any more.
-    Unavailable(NoUpstream),
-    /// The deadline passed.
-    Deadline,
-}
-
-/// The end of a wait: a reserved place on an upstream, or why there is none.
-pub type TurnResult = Result<UpstreamTicket, WaitEnd>;
-
-/// A waiter as the giver of slots sees it.
-#[derive(Debug)]
-pub struct TurnWaiter {
-    /// Its place in the queue.
-    pub id: WaiterId,
-    /// Upstreams that it should not use.
-    pub avoid: Vec<SharedName>,
-    /// Takes the end of its wait.
-    pub sender: oneshot::Sender<TurnResult>,
-}
-
-impl TurnWaiter {
-    /// Ends the wait. Returns the result if the call is gone.
-    pub fn end(self, result: TurnResult) -> Option<TurnResult> {
-        self.sender.send(result).err()
-    }
-
-    /// Ends the wait without a place.
-    fn refuse(self, end: WaitEnd) {
-        // A call that is gone needs no reason.
-        let _ = self.end(Err(end));
-    }
-}
-
 /// A waiter of the queue.
 #[derive(Debug)]
 enum WaiterEntry {
--- a/crates/gate/src/running.rs
+++ b/crates/gate/src/running.rs
@@ -10,8 +10,8 @@
 use tokio::time::Sleep;
 use world::prelude::*;
 
-use crate::connection::LinkConnection;
 use crate::crash;
+use crate::link::LinkConnection;
 use crate::slot::CallSlot;
 use crate::state::GateState;
 
--- a/crates/gate/src/silence.rs
+++ b/crates/gate/src/silence.rs
@@ -6,9 +6,8 @@
 use codec::prelude::*;
 use world::prelude::*;
 
-use crate::connection::LinkConnection;
 use crate::desk::ServiceDesk;
-use crate::link::UpstreamLink;
+use crate::link::{LinkConnection, UpstreamLink};
 use crate::state::GateState;
 use crate::{event, probe};
 
--- a/crates/gate/src/slot.rs
+++ b/crates/gate/src/slot.rs
@@ -1,16 +1,26 @@
-//! A call's place on an upstream and within the adaptive limit.
+//! A call's place on an upstream and within the adaptive limit, and giving free places to those
+//! that wait.
+//!
+//! Both are in one module because a place that ends gives itself to the next waiter. Depends on
+//! [`crate::room`] for the order of the waiters; [`crate::wait`] depends on it.
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use limit::prelude::*;
 use route::prelude::*;
 
 use crate::desk::ServiceDesk;
-use crate::room::TurnWaiter;
+use crate::room::WaitRoom;
 use crate::state::GateState;
-use crate::{wait, worker};
+use crate::turn::{TurnWaiter, WaitEnd};
+use crate::worker;
+
+/// The most waiters of a service that are held at a time. More than one, because a waiter that may
+/// use only some of the upstreams must not block the others.
+const MAX_HELD: usize = 8;
 
 /// Why a call got no slot.
 #[derive(Debug)]
@@ -109,7 +119,7 @@
             tables.wait.queue.record_call(service, outcome.latency, now);
             tables.retries.record_call(service, outcome.latency, now);
         }
-        wait::serve_waiters(&self.state, &self.desk);
+        serve_waiters(&self.state, &self.desk);
     }
 }
 
@@ -136,7 +146,7 @@
             drop(ticket);
             let now = self.state.clock.now();
             self.state.tables.limits.finish(&self.desk.name, LimitSignal::Neutral, now);
-            wait::serve_waiters(&self.state, &self.desk);
+            serve_waiters(&self.state, &self.desk);
         }
     }
 }
@@ -146,3 +156,57 @@
         formatter.debug_struct("CallSlot").field("ticket", &self.ticket).finish_non_exhaustive()
     }
 }
+
+/// Gives free slots to waiters. No waiter has its turn before there is a slot, so that waiters keep
+/// their order; only a waiter that must not use the free slot is held.
+pub fn serve_waiters(state: &Arc<GateState>, desk: &Arc<ServiceDesk>) {
+    if desk.waiting.load(Ordering::Relaxed) == 0 {
+        return;
+    }
+    let room = &state.tables.wait;
+    let now = state.clock.now();
+    let mut failed: Vec<TurnWaiter> = Vec::new();
+    while failed.len() < MAX_HELD {
+        let found = CallSlot::acquire(state, desk, &[], now);
+        if let Err(NoSlot::Limit | NoSlot::Full) = found {
+            break;
+        }
+        let Some(waiter) = next_open(room, desk, now) else {
+            if let Ok(slot) = found {
+                slot.release();
+            }
+            break;
+        };
+        let fitted = match found {
+            Ok(slot) if slot.upstream().is_some_and(|name| waiter.avoid.contains(name)) => {
+                slot.release();
+                CallSlot::acquire(state, desk, &waiter.avoid, now)
+            }
+            found => found,
+        };
+        match fitted {
+            Ok(slot) => slot.pass_to(waiter),
+            Err(NoSlot::Unavailable(error)) => {
+                // A call that is gone needs no reason.
+                let _ = waiter.end(Err(WaitEnd::Unavailable(error)));
+            }
+            Err(NoSlot::Limit | NoSlot::Full) => failed.push(waiter),
+        }
+    }
+    if !failed.is_empty() {
+        let mut held = desk.held.lock();
+        for waiter in failed.into_iter().rev() {
+            held.push_front(waiter);
+        }
+    }
+}
+
+/// Returns the next waiter whose call is not gone.
+fn next_open(room: &WaitRoom, desk: &ServiceDesk, now: ClockTime) -> Option<TurnWaiter> {
+    loop {
+        let waiter = room.next(desk, now)?;
+        if !waiter.sender.is_closed() {
+            return Some(waiter);
+        }
+    }
+}
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -14,7 +14,7 @@
 use world::prelude::*;
 
 use crate::count::CallCount;
-use crate::link::LinkTable;
+use crate::links::LinkTable;
 use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
 use crate::tables::CallTables;
--- a/crates/gate/src/survey.rs
+++ b/crates/gate/src/survey.rs
@@ -12,9 +12,8 @@
 use route::prelude::*;
 use smallvec::SmallVec;
 
-use crate::connection::LinkConnection;
 use crate::desk::ServiceDesk;
-use crate::link::UpstreamLink;
+use crate::link::{LinkConnection, UpstreamLink};
 use crate::probe::{self, CheckEnd};
 use crate::state::GateState;
 use crate::worker;
--- /dev/null
+++ b/crates/gate/src/turn.rs
@@ -0,0 +1,46 @@
+//! A waiting call and the end of its wait, as the queue, the desks and the giver of slots share it.
+//!
+//! Depends on no other module.
+
+use base::prelude::*;
+use limit::prelude::*;
+use route::prelude::*;
+use tokio::sync::oneshot;
+
+/// How a wait ended without a slot.
+#[derive(Debug)]
+pub enum WaitEnd {
+    /// The queue refused or dropped the call.
+    Refused(RefusalReason),
+    /// No upstream can be used any more.
+    Unavailable(NoUpstream),
+    /// The deadline passed.
+    Deadline,
+}
+
+/// The end of a wait: a reserved place on an upstream, or why there is none.
+pub type TurnResult = Result<UpstreamTicket, WaitEnd>;
+
+/// A waiter as the giver of slots sees it.
+#[derive(Debug)]
+pub struct TurnWaiter {
+    /// Its place in the queue.
+    pub id: WaiterId,
+    /// Upstreams that it should not use.
+    pub avoid: Vec<SharedName>,
+    /// Takes the end of its wait.
+    pub sender: oneshot::Sender<TurnResult>,
+}
+
+impl TurnWaiter {
+    /// Ends the wait. Returns the result if the call is gone.
+    pub fn end(self, result: TurnResult) -> Option<TurnResult> {
+        self.sender.send(result).err()
+    }
+
+    /// Ends the wait without a place.
+    pub(crate) fn refuse(self, end: WaitEnd) {
+        // A call that is gone needs no reason.
+        let _ = self.end(Err(end));
+    }
+}
--- a/crates/gate/src/wait.rs
+++ b/crates/gate/src/wait.rs
@@ -1,4 +1,6 @@
-//! Waiting for a slot, and giving free slots to those that wait.
+//! Waiting for a slot.
+//!
+//! Depends on [`crate::slot`], which gives free slots to those that wait.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,13 +11,9 @@
 use world::prelude::*;
 
 use crate::desk::ServiceDesk;
-use crate::room::{TurnResult, TurnWaiter, WaitEnd, WaitRoom};
-use crate::slot::{CallSlot, NoSlot};
+use crate::slot::{self, CallSlot};
 use crate::state::GateState;
-
-/// The most waiters of a service that are held at a time. More than one, because a waiter that may
-/// use only some of the upstreams must not block the others.
-const MAX_HELD: usize = 8;
+use crate::turn::{TurnResult, TurnWaiter, WaitEnd};
 
 /// A call's place in the queue. Gives it up when dropped, with the slot that it may have got.
 struct WaitPlace<'a> {
@@ -57,7 +55,7 @@
     if let Some(waiter) = room.register(TurnWaiter { id, avoid: avoid.to_vec(), sender }) {
         desk.held.lock().push_back(waiter);
     }
-    serve_waiters(state, desk);
+    slot::serve_waiters(state, desk);
     let deadline = state.clock.to_instant(request.deadline).into();
     match tokio::time::timeout_at(deadline, &mut place.receiver).await {
         Ok(Ok(result)) => result.map(|ticket| CallSlot::resume(state, desk, ticket)),
@@ -65,57 +63,3 @@
         Ok(Err(_)) | Err(_) => Err(WaitEnd::Deadline),
     }
 }
-
-/// Gives free slots to waiters. No waiter has its turn before there is a slot, so that waiters keep
-/// their order; only a waiter that must not use the free slot is held.
-pub fn serve_waiters(state: &Arc<GateState>, desk: &Arc<ServiceDesk>) {
-    if desk.waiting.load(Ordering::Relaxed) == 0 {
-        return;
-    }
-    let room = &state.tables.wait;
-    let now = state.clock.now();
-    let mut failed: Vec<TurnWaiter> = Vec::new();
-    while failed.len() < MAX_HELD {
-        let found = CallSlot::acquire(state, desk, &[], now);
-        if let Err(NoSlot::Limit | NoSlot::Full) = found {
-            break;
-        }
-        let Some(waiter) = next_open(room, desk, now) else {
-            if let Ok(slot) = found {
-                slot.release();
-            }
-            break;
-        };
-        let fitted = match found {
-            Ok(slot) if slot.upstream().is_some_and(|name| waiter.avoid.contains(name)) => {
-                slot.release();
-                CallSlot::acquire(state, desk, &waiter.avoid, now)
-            }
-            found => found,
-        };
-        match fitted {
-            Ok(slot) => slot.pass_to(waiter),
-            Err(NoSlot::Unavailable(error)) => {
-                // A call that is gone needs no reason.
-                let _ = waiter.end(Err(WaitEnd::Unavailable(error)));
-            }
-            Err(NoSlot::Limit | NoSlot::Full) => failed.push(waiter),
-        }
-    }
-    if !failed.is_empty() {
-        let mut held = desk.held.lock();
-        for waiter in failed.into_iter().rev() {
-            held.push_front(waiter);
-        }
-    }
-}
-
-/// Returns the next waiter whose call is not gone.
-fn next_open(room: &WaitRoom, desk: &ServiceDesk, now: ClockTime) -> Option<TurnWaiter> {
-    loop {
-        let waiter = room.next(desk, now)?;
-        if !waiter.sender.is_closed() {
-            return Some(waiter);
-        }
-    }
-}
