--- /dev/null
+++ b/crates/gate/src/cmd/native.rs
@@ -0,0 +1,71 @@
+//! A process with the product's own interface.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use base::prelude::*;
+use border::ProcessSettings;
+use gate::access::PlatformAccess;
+use gate::observe::ObserveServer;
+use gate::process::RunningGate;
+use gate::reload::{SettingsTarget, SettingsWatch};
+use gate::state::{GateState, GateStore};
+use gate::{event, leave};
+use peer::prelude::*;
+use snafu::ResultExt;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::error::{GateError, ListenSnafu, RuntimeSnafu};
+use super::live::LiveSettings;
+use super::log::LogHandle;
+use super::options::{access_options, secret_table};
+use super::ready::announce;
+use super::signals::StopSignals;
+
+/// Serves the product's own interface until a signal and leaves.
+pub(super) async fn serve_native(
+    settings: &ProcessSettings,
+    state: Arc<GateState>,
+    followed: Option<SharedName>,
+    path: PathBuf,
+    log: LogHandle,
+) -> Result<(), GateError> {
+    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
+    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
+    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
+    let observe = observe.await.context(ListenSnafu)?;
+    let gate = RunningGate::start(Arc::clone(&state)).context(ListenSnafu)?;
+    let counts = Arc::new(ControlCounts::default());
+    let options = access_options(settings, followed, &counts);
+    let client = options.client.clone();
+    let platform = PlatformAccess::start(&state, options);
+    let control = platform.control(&state);
+    let address = settings.control_address;
+    let control = ControlServer::start(address, secret_table(settings), counts, control);
+    let control = control.await.context(ListenSnafu)?;
+    platform.announce(control.address);
+    let target = NativeTarget { store: platform.store() };
+    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
+    announce(settings, &gate, &control, &observe);
+    signals.next().await;
+    tokio::select! {
+        () = leave::leave(&gate, platform) => {}
+        () = signals.next() => {
+            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
+        }
+    }
+    tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
+    Ok(())
+}
+
+/// What takes effect with the product's own interface.
+struct NativeTarget {
+    store: GateStore,
+}
+
+impl SettingsTarget for NativeTarget {
+    fn apply(&self, settings: &ProcessSettings) {
+        self.store.set_call_timeout(settings.timeouts.platform);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/cmd/options.rs
@@ -0,0 +1,64 @@
+//! What the files and arguments of the process ask for.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use base::prelude::*;
+use border::{InterfaceKind, ProcessSettings, SharedSecret};
+use gate::access::AccessOptions;
+use gate::options::{CallTuning, GateOptions};
+use peer::prelude::*;
+use route::prelude::*;
+use snafu::ResultExt;
+use store::prelude::HttpSettings;
+use world::prelude::*;
+
+use super::error::{DocumentSnafu, GateError, ReadFileSnafu, SettingsSnafu};
+
+/// The version of a document that is read from a file and was never promoted.
+const FILE_VERSION: u64 = 1;
+
+pub(super) fn read_settings(path: &PathBuf) -> Result<ProcessSettings, GateError> {
+    let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
+    border::load_settings(&bytes).context(SettingsSnafu { path })
+}
+
+pub(super) fn read_document(path: &PathBuf) -> Result<EnvironmentMap, GateError> {
+    let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
+    border::load_document(&bytes, FILE_VERSION).context(DocumentSnafu { path })
+}
+
+pub(super) fn gate_options(settings: &ProcessSettings, policy: Option<PolicyKind>) -> GateOptions {
+    let native = settings.interface == InterfaceKind::Agateroad;
+    let usual =
+        if native { PolicyKind::default() } else { PolicyKind::Paced(PacedChoice::default()) };
+    let tuning = if native { CallTuning::default() } else { CallTuning::shared_machines() };
+    let options = GateOptions::from_settings(settings, policy.unwrap_or(usual));
+    GateOptions { tuning, ..options }
+}
+
+pub(super) fn access_options(
+    settings: &ProcessSettings,
+    environment: Option<SharedName>,
+    counts: &Arc<ControlCounts>,
+) -> AccessOptions {
+    let store = HttpSettings::new(settings.platform_address, rand::random());
+    let store = HttpSettings { call_timeout: settings.timeouts.platform, ..store };
+    let client =
+        PeerClient::new(signing_secret(settings), settings.timeouts.peer, Arc::clone(counts));
+    AccessOptions { store, environment, client }
+}
+
+/// Returns the secret that this VM shows to peers. The settings have at least one.
+pub(super) fn signing_secret(settings: &ProcessSettings) -> &str {
+    settings.peer_secrets.first().map_or("", SharedSecret::as_str)
+}
+
+pub(super) fn peer_secrets(settings: &ProcessSettings) -> Vec<SharedName> {
+    settings.peer_secrets.iter().map(|own| SharedName::from(own.as_str())).collect()
+}
+
+pub(super) fn secret_table(settings: &ProcessSettings) -> SecretTable {
+    let peers = settings.peer_secrets.iter().map(SharedSecret::as_str);
+    SecretTable::new(peers, settings.operator_secrets.iter().map(SharedSecret::as_str))
+}
--- /dev/null
+++ b/crates/gate/src/cmd/platform.rs
@@ -0,0 +1,142 @@
+//! A process with the interface of the users' platform.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use base::prelude::*;
+use border::ProcessSettings;
+use directory::prelude::*;
+use gate::access::AccessOptions;
+use gate::control::GateControl;
+use gate::discovery::{DiscoveryHandle, DiscoveryOptions, DiscoveryTasks};
+use gate::exchange::ExchangeOptions;
+use gate::observe::ObserveServer;
+use gate::peers::PeerLink;
+use gate::probe::PROBE_COST;
+use gate::process::RunningGate;
+use gate::reload::{SettingsTarget, SettingsWatch};
+use gate::state::GateState;
+use gate::{event, leave};
+use peer::prelude::*;
+use platform::PlatformCodec;
+use snafu::ResultExt;
+use tokio_util::task::AbortOnDropHandle;
+use world::prelude::*;
+
+use super::error::{GateError, ListenSnafu, RuntimeSnafu};
+use super::live::LiveSettings;
+use super::log::LogHandle;
+use super::options::{access_options, peer_secrets, secret_table};
+use super::ready::announce;
+use super::signals::StopSignals;
+
+/// Gateway VMs that may run at once, until more are known. A quarter more than the largest
+/// deployment of 15 VMs.
+const VM_CEILING: u32 = 19;
+/// The part of the allowed health checks that VMs make. The rest is for VMs that are not known yet.
+const PROBE_MARGIN: f64 = 0.9;
+/// Calls of a service that may wait on one VM: several times what one VM gets in a second.
+const QUEUE_LIMIT: u32 = 200;
+
+/// Serves the interface of the users' platform until a signal and leaves.
+pub(super) async fn serve_platform(
+    settings: &ProcessSettings,
+    state: Arc<GateState>,
+    path: PathBuf,
+    log: LogHandle,
+) -> Result<(), GateError> {
+    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
+    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
+    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
+    let observe = observe.await.context(ListenSnafu)?;
+    let gate = RunningGate::start_with::<PlatformCodec>(Arc::clone(&state)).context(ListenSnafu)?;
+    let stop_limit = Arc::new(ArcSwap::from_pointee(settings.fleet.stop_limit));
+    let link = Arc::new(PeerLink::new(settings.vm_name.clone()));
+    let counts = Arc::new(ControlCounts::default());
+    let control = GateControl {
+        state: Arc::clone(&state),
+        link: Arc::clone(&link),
+        follower: Arc::default(),
+    };
+    let address = settings.control_address;
+    let server_counts = Arc::clone(&counts);
+    let control = ControlServer::start(address, secret_table(settings), server_counts, control);
+    let control = control.await.context(ListenSnafu)?;
+    let options = discovery_options(settings, &state, control.address, counts, link);
+    let client = options.client.clone();
+    let discovery = DiscoveryTasks::start(&state, options).await.context(ListenSnafu)?;
+    let target =
+        PlatformTarget { discovery: discovery.handle(), stop_limit: Arc::clone(&stop_limit) };
+    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
+    announce(settings, &gate, &control, &observe);
+    signals.next().await;
+    let limit = **stop_limit.load();
+    tokio::select! {
+        () = leave::leave_within(&gate, limit) => {}
+        () = signals.next() => {
+            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
+        }
+    }
+    drop(discovery);
+    tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
+    Ok(())
+}
+
+fn discovery_options(
+    settings: &ProcessSettings,
+    state: &GateState,
+    control_address: SocketAddr,
+    counts: Arc<ControlCounts>,
+    link: Arc<PeerLink>,
+) -> DiscoveryOptions {
+    let AccessOptions { store, client, .. } = access_options(settings, None, &counts);
+    let exchange_address = settings.exchange_address.unwrap_or(settings.control_address);
+    let own = VmEntry { vm: state.options.vm.clone(), exchange_address, control_address };
+    DiscoveryOptions {
+        store,
+        bounds: fleet_bounds(settings),
+        exchange: ExchangeOptions { own, secrets: peer_secrets(settings) },
+        client,
+        link,
+    }
+}
+
+fn fleet_bounds(settings: &ProcessSettings) -> FleetBounds {
+    let fleet = &settings.fleet;
+    FleetBounds {
+        name: settings.environment.clone(),
+        centres: settings.centres.clone(),
+        links: centre_links(&settings.centres, settings.centre_latency),
+        vm_ceiling: VM_CEILING,
+        retry_window: fleet.retry,
+        probe_rate: fleet.probe_rate * PROBE_MARGIN,
+        probe_cost: PROBE_COST,
+        queue_limit: QUEUE_LIMIT,
+    }
+}
+
+/// Returns links between all data centres, with the same latency each.
+fn centre_links(centres: &[DataCentre], one_way: ClockSpan) -> Vec<LinkCost> {
+    let pairs = centres.iter().enumerate().flat_map(|(index, from)| {
+        centres[index + 1..].iter().map(move |to| (from.name.clone(), to.name.clone()))
+    });
+    pairs.map(|(from, to)| LinkCost { from, to, one_way }).collect()
+}
+
+/// What takes effect with the interface of the users' platform.
+struct PlatformTarget {
+    discovery: DiscoveryHandle<PlatformCodec>,
+    stop_limit: Arc<ArcSwap<ClockSpan>>,
+}
+
+impl SettingsTarget for PlatformTarget {
+    fn apply(&self, settings: &ProcessSettings) {
+        self.stop_limit.store(Arc::new(settings.fleet.stop_limit));
+        self.discovery.set_secrets(&peer_secrets(settings));
+        self.discovery.set_store_timeout(settings.timeouts.platform);
+        self.discovery.set_bounds(fleet_bounds(settings));
+    }
+}
