Divide an attempt into its steps

Cause: attempt.rs had 430 lines, in which the choice of an upstream, the connection, the sending and the order of these steps were mixed, and verdict.rs was called by the module that it imports. Change: place chooses an upstream and gets a slot, connect gets a connection, send sends and waits for the head of the answer, deliver goes through the steps, and attempt has what they share. Each depends on attempt only, and attempt calls none of them. retry.rs still decides on a retry and sequence.rs on the order of attempts. The page of the crate says where each decision is made.

--- /dev/null
+++ b/crates/gate/src/connect.rs
@@ -0,0 +1,64 @@
+//! Gets a connection for an attempt.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use codec::prelude::*;
+use route::prelude::*;
+
+use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::body::SendBody;
+use crate::crash;
+use crate::link::{ConnectUse, LinkConnection, LinkError, UpstreamLink};
+use crate::retry::{self, NextStep};
+use crate::running::RunningCall;
+
+impl<C: CallCodec> CallAttempt<'_, C> {
+    /// Returns since when a connection must have shown that it works.
+    pub(crate) fn proven_since(&self) -> ClockTime {
+        if retry::may_run_twice(&self.call.request) {
+            return ClockTime::ZERO;
+        }
+        self.state.clock.now() - self.state.timeouts.load().connection_proof
+    }
+
+    /// Takes an idle connection, or opens one.
+    pub(crate) async fn connect(
+        &self,
+        link: &Arc<UpstreamLink>,
+        proven_since: ClockTime,
+    ) -> Result<LinkConnection, LinkError> {
+        let state = self.state;
+        let longest = state.timeouts.load().connect;
+        if let Some(connection) = link.take_idle(proven_since) {
+            link.open_spare(longest, state.clock);
+            return Ok(connection);
+        }
+        let timeout = longest.min(self.call.request.deadline.since(state.clock.now()));
+        match link.connect(ConnectUse::Call, timeout, state.clock).await {
+            Err(LinkError::ShareUsed { .. }) if link.close_idle() => {
+                link.connect(ConnectUse::Call, timeout, state.clock).await
+            }
+            result => result,
+        }
+    }
+
+    /// Ends an attempt without a connection.
+    pub(crate) fn connect_failure(
+        &self,
+        mut running: RunningCall,
+        body: SendBody,
+        error: &LinkError,
+    ) -> Box<FailedAttempt> {
+        let upstream = running.upstream.clone();
+        crash::note_connect_failure(self.state, &upstream, error);
+        let result = match error {
+            LinkError::ShareUsed { .. } => CallResult::Cancelled,
+            _ => CallResult::ConnectFailed,
+        };
+        running.report(result);
+        let refusal = self.unsent_refusal(&error.to_string());
+        let failure = FailedAttempt::at(upstream, refusal, NextStep::Retry);
+        Box::new(FailedAttempt { unsent: Some(body), ..*failure })
+    }
+}
--- /dev/null
+++ b/crates/gate/src/deliver.rs
@@ -0,0 +1,50 @@
+//! Makes an attempt that has its place: connects, sends and judges, and repeats this on a fresh
+//! connection if an idle one was closed.
+
+use base::prelude::*;
+use codec::prelude::*;
+use route::prelude::*;
+
+use crate::attempt::{AttemptResult, CallAttempt};
+use crate::body::SendBody;
+use crate::place::PlacedAttempt;
+
+impl<C: CallCodec> CallAttempt<'_, C> {
+    /// Makes a placed attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if there is no answer for the caller.
+    pub async fn run(&self, placed: PlacedAttempt, mut body: SendBody) -> AttemptResult {
+        let PlacedAttempt { link, mut running, mut checked } = placed;
+        let mut proven_since = self.proven_since();
+        loop {
+            let was_checked = checked.is_some();
+            let connection = match checked.take() {
+                Some(connection) => connection,
+                None => match self.connect(&link, proven_since).await {
+                    Ok(connection) => connection,
+                    Err(error) => return Err(self.connect_failure(running, body, &error)),
+                },
+            };
+            let reused = was_checked || connection.is_pooled();
+            running.start();
+            match self.send(&link, body, connection, &mut running).await {
+                Ok(response) => return self.finish(response, running).await,
+                Err(mut failure) => match failure.unsent.take() {
+                    // An idle connection may close at any time, which says nothing of the upstream.
+                    Some(unsent) if reused => {
+                        body = unsent;
+                        proven_since = ClockTime::MAX;
+                    }
+                    unsent => {
+                        // The upstream closed a new connection, or the outcome is reported already.
+                        running.report(CallResult::ConnectFailed);
+                        failure.unsent = unsent;
+                        return Err(failure);
+                    }
+                },
+            }
+        }
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -2,7 +2,11 @@
 //!
 //! Modules depend on each other in one direction. What the process holds ([`state`]) knows nothing
 //! of calls; the path of a call ([`call`] to [`attempt`]) knows nothing of listeners, peers and the
-//! store; these stand on top.
+//! store; these stand on top. A test of the crate fails on any cycle.
+//!
+//! Where the decisions about a call are made: [`plan`] matches it to a service, [`place`] chooses
+//! an upstream, [`send`] sends the request, [`verdict`] judges the answer, [`retry`] decides whether
+//! another attempt follows, and [`sequence`] goes through the attempts.
 
 pub mod access;
 pub mod answer;
@@ -11,10 +15,12 @@
 pub mod call;
 pub mod cancel;
 pub mod claims;
+pub mod connect;
 pub mod connection;
 pub mod control;
 pub mod count;
 pub mod crash;
+pub mod deliver;
 pub mod desk;
 pub mod discovery;
 pub mod event;
@@ -29,6 +35,7 @@
 pub mod observe;
 pub mod options;
 pub mod peers;
+pub mod place;
 pub mod plan;
 pub mod probe;
 pub mod process;
@@ -38,6 +45,7 @@
 pub mod review;
 pub mod room;
 pub mod running;
+pub mod send;
 pub mod sequence;
 pub mod silence;
 pub mod slot;
--- /dev/null
+++ b/crates/gate/src/send.rs
@@ -0,0 +1,203 @@
+//! Sends the request of an attempt and waits for the head of the answer.
+
+use std::error::Error as _;
+use std::pin::pin;
+use std::sync::Arc;
+
+use base::prelude::*;
+use codec::prelude::*;
+use http::{Request, Response, StatusCode, Uri, Version};
+use hyper::body::Incoming;
+use route::prelude::*;
+use tokio::time::timeout_at;
+
+use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::body::{BodyError, SendBody};
+use crate::cancel::{self, CancelGuard};
+use crate::connection::SendError;
+use crate::crash;
+use crate::link::{LinkConnection, UpstreamLink};
+use crate::retry::{self, NextStep};
+use crate::running::RunningCall;
+use crate::silence::SilenceWatch;
+
+/// The part of a call's time that is kept for its cancellation, so that the caller learns before
+/// its deadline whether the call was run.
+const CANCEL_PART: f64 = 0.1;
+/// The most time that is kept for the cancellation, several round trips within a region.
+const CANCEL_SPAN: ClockSpan = ClockSpan::from_millis(20);
+
+/// How the wait for the head of an answer ended.
+enum SendEnd {
+    Answer(Response<Incoming>),
+    Failed(SendError),
+    TimedOut { cancelled: bool },
+    Silent,
+}
+
+impl From<Result<Response<Incoming>, SendError>> for SendEnd {
+    fn from(result: Result<Response<Incoming>, SendError>) -> Self {
+        match result {
+            Ok(response) => Self::Answer(response),
+            Err(error) => Self::Failed(error),
+        }
+    }
+}
+
+impl<C: CallCodec> CallAttempt<'_, C> {
+    /// Sends the request on a connection.
+    pub(crate) async fn send(
+        &self,
+        link: &Arc<UpstreamLink>,
+        body: SendBody,
+        mut connection: LinkConnection,
+        running: &mut RunningCall,
+    ) -> Result<Response<Incoming>, Box<FailedAttempt>> {
+        let sent = self.state.clock.now();
+        let request = self.upstream_request(body, sent, &running.upstream);
+        let mut guard = if C::CONFIRMS_CANCELS {
+            CancelGuard::new(self.state, link, &self.call.id)
+        } else {
+            CancelGuard::idle()
+        };
+        let end = self.await_answer(link, &mut connection, request, sent).await;
+        guard.disarm();
+        let span = self.state.clock.now().since(sent);
+        running.latency = span;
+        self.time.add(span);
+        self.desk.meters.record_upstream(span);
+        match end {
+            SendEnd::Answer(response) => {
+                running.connection = Some(connection);
+                Ok(response)
+            }
+            SendEnd::Failed(error) => Err(self.send_failure(running, error).await),
+            SendEnd::TimedOut { cancelled } => {
+                // A silent connection says nothing of its upstream.
+                let silent = link.is_retired(connection.opened());
+                running.report(if silent { CallResult::Cancelled } else { CallResult::TimedOut });
+                Err(FailedAttempt::ended(self.timeout_refusal(cancelled)))
+            }
+            SendEnd::Silent => {
+                running.report(CallResult::Cancelled);
+                let message = "the connection to the upstream stopped responding";
+                let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::Repeat))
+            }
+        }
+    }
+
+    async fn send_failure(
+        &self,
+        running: &mut RunningCall,
+        error: SendError,
+    ) -> Box<FailedAttempt> {
+        let upstream = running.upstream.clone();
+        match error {
+            SendError::NotSent { source, request } => {
+                let message =
+                    format!("the connection closed before the request was sent: {source}");
+                let refusal = self.unsent_refusal(&message);
+                let failure = FailedAttempt::at(upstream, refusal, NextStep::Retry);
+                Box::new(FailedAttempt { unsent: Some(request.into_body()), ..*failure })
+            }
+            SendError::Lost { source } => {
+                let body_error =
+                    source.source().and_then(|cause| cause.downcast_ref::<BodyError>());
+                if let Some(error) = body_error {
+                    running.report(CallResult::Cancelled);
+                    let refusal = CallRefusal::unknown(error.status(), error).closing();
+                    return FailedAttempt::ended(refusal);
+                }
+                // Errors of the body that is sent are not the upstream's.
+                if source.is_user() {
+                    running.report(CallResult::Cancelled);
+                    let message = format!("the request body could not be sent: {source}");
+                    let refusal = CallRefusal::unknown(StatusCode::BAD_REQUEST, message).closing();
+                    return FailedAttempt::ended(refusal);
+                }
+                running.report(CallResult::ConnectionLost);
+                crash::inspect_loss(self.state, &upstream).await;
+                let message = format!("the connection failed after the request was sent: {source}");
+                let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                FailedAttempt::at(upstream, refusal, NextStep::RetryAfterLoss)
+            }
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer, for as long as the call has time. The
+    /// connection stays open while the call is cancelled, because an upstream may take a closed
+    /// connection for the end of the call and then not confirm.
+    async fn await_answer(
+        &self,
+        link: &Arc<UpstreamLink>,
+        connection: &mut LinkConnection,
+        request: Request<SendBody>,
+        sent: ClockTime,
+    ) -> SendEnd {
+        let Self { state, desk, call, .. } = *self;
+        let deadline = call.request.deadline;
+        let kept = deadline.since(sent).scaled(CANCEL_PART).min(CANCEL_SPAN);
+        let give_up = if C::CONFIRMS_CANCELS { deadline - kept } else { deadline };
+        let may_repeat = retry::may_run_twice(&call.request);
+        // A survey proves the connection, which spares the watch.
+        let watched = !state.options.tuning.survey;
+        let watch = watched.then(|| SilenceWatch::start(connection, &call.request, sent));
+        let mut watch = watch.flatten();
+        let mut sending = pin!(connection.send(request));
+        loop {
+            let check = watch.as_ref().map(SilenceWatch::next).filter(|next| *next < give_up);
+            let until = state.clock.to_instant(check.unwrap_or(give_up)).into();
+            if let Ok(result) = timeout_at(until, &mut sending).await {
+                return result.into();
+            }
+            let (Some(_), Some(own)) = (check, &mut watch) else { break };
+            let silent = tokio::select! {
+                biased;
+                result = &mut sending => return result.into(),
+                silent = own.check::<C>(state, desk) => silent,
+            };
+            if silent && may_repeat {
+                return SendEnd::Silent;
+            }
+            if silent {
+                watch = None;
+            }
+        }
+        if !C::CONFIRMS_CANCELS {
+            return SendEnd::TimedOut { cancelled: false };
+        }
+        let cancellation = cancel::cancel(state, link, &call.id, kept);
+        tokio::select! {
+            biased;
+            result = &mut sending => result.into(),
+            cancelled = cancellation => SendEnd::TimedOut { cancelled },
+        }
+    }
+
+    fn upstream_request(
+        &self,
+        body: SendBody,
+        now: ClockTime,
+        upstream: &str,
+    ) -> Request<SendBody> {
+        let call = self.call;
+        let mut request = Request::new(body);
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = origin_form(&call.uri);
+        *request.version_mut() = Version::HTTP_11;
+        let headers = request.headers_mut();
+        headers.clone_from(&call.headers);
+        let remaining = call.request.deadline.since(now);
+        let (attempt, depth, id) = (call.request.attempt, call.request.depth, &call.id);
+        C::mark_request(headers, &RequestMark { remaining, attempt, depth, id, upstream });
+        request
+    }
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    match (uri.authority(), uri.path_and_query()) {
+        (Some(_), Some(path)) => Uri::from(path.clone()),
+        _ => uri.clone(),
+    }
+}
