--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -1,11 +1,12 @@
 //! This VM's use of the platform: claims, the configuration and the membership list.
+//!
+//! Starts the tasks of [`crate::follow`] and [`crate::control`], which know nothing of it.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
-use bytes::Bytes;
 use claim::prelude::*;
 use config::prelude::*;
 use limit::prelude::VmCounts;
@@ -13,17 +14,15 @@
 use store::prelude::*;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::control::{GateControl, GatePeers};
+use crate::control::GateControl;
 use crate::event;
+use crate::follow::{GateFollower, GatePeers, GateTarget};
 use crate::peers::{GrantClient, PeerLink};
 use crate::state::{GateClaims, GateState, GateStore};
 
 /// The time between reads of the membership list, which lags by 30 s in any case.
 const MEMBER_PERIOD: ClockSpan = ClockSpan::from_secs(5);
 
-/// The configuration of this VM.
-pub type GateFollower = ConfigFollower<GateStore, RealClock, GatePeers<GateStore>, GateTarget>;
-
 /// How this VM reaches the platform and its peers.
 pub struct AccessOptions {
     /// The platform.
@@ -36,6 +35,7 @@
 
 /// The tasks that use the platform and the peers. They end when this is dropped.
 pub struct PlatformAccess {
+    store: GateStore,
     claims: GateClaims,
     driver: JoinHandle<()>,
     tasks: JoinSet<()>,
@@ -75,14 +75,14 @@
                 clock: state.clock,
             };
             let target = GateTarget { state: Arc::downgrade(state), link: Arc::clone(&link) };
-            let parts = (store, state.clock, peers, target);
+            let parts = (store.clone(), state.clock, peers, target);
             let tuning = TrackerTuning::default();
             let following = ConfigFollower::new(parts, environment, tuning, rand::random());
             let _ = follower.set(following.clone());
             tasks.spawn(following.run());
         }
         let driver = tokio::spawn(driver.run());
-        let mut access = Self { claims, driver, tasks, link, follower };
+        let mut access = Self { store, claims, driver, tasks, link, follower };
         let control = access.control(state);
         access.tasks.spawn(control.run(client.clone()));
         let control = access.control(state);
@@ -90,6 +90,11 @@
         access
     }
 
+    /// Returns the platform's store, whose clones share its settings.
+    pub fn store(&self) -> GateStore {
+        self.store.clone()
+    }
+
     /// Tells peers from now on where they reach this VM.
     pub fn announce(&self, address: SocketAddr) {
         self.link.set_own_address(address);
@@ -151,20 +156,3 @@
         state.tables.suspects.set_members(names);
     }
 }
-
-/// Puts documents into force on this VM.
-pub struct GateTarget {
-    state: Weak<GateState>,
-    link: Arc<PeerLink>,
-}
-
-impl DocumentTarget for GateTarget {
-    fn apply(&self, mark: &VersionMark, document: &Bytes) -> Result<(), String> {
-        let Some(state) = self.state.upgrade() else { return Ok(()) };
-        let environment =
-            border::load_document(document, mark.version).map_err(|error| error.to_string())?;
-        state.apply(environment);
-        self.link.set_document(mark, document);
-        Ok(())
-    }
-}
--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -12,7 +12,7 @@
 use crate::link::UpstreamLink;
 use crate::state::GateState;
 use crate::watch::UpstreamWatch;
-use crate::{probe, wait};
+use crate::{probe, slot};
 
 /// Time between two looks at the waiting calls while there are any.
 const QUEUE_TICK: ClockSpan = ClockSpan::from_millis(2);
@@ -48,7 +48,7 @@
         room.tell_dropped(state.clock.now());
         for desk in state.tables.desks.all() {
             if desk.waiting.load(Ordering::Relaxed) > 0 {
-                wait::serve_waiters(state, &desk);
+                slot::serve_waiters(state, &desk);
             }
         }
     }
@@ -56,8 +56,8 @@
 
 /// Closes connections before they idle out and keeps one ready for each upstream.
 async fn keep_links(state: &GateState) {
-    let timeouts = &state.options.timeouts;
     loop {
+        let timeouts = state.timeouts.load_full();
         let unused_since = state.clock.now() - timeouts.connection_idle;
         for link in state.links.all() {
             link.close_unused(unused_since);
--- /dev/null
+++ b/crates/gate/src/place.rs
@@ -0,0 +1,146 @@
+//! Chooses the upstream of an attempt and gets a slot there.
+//!
+//! The choice itself is made by the policy in [`crate::slot`], on evidence that [`crate::survey`]
+//! may renew before; whether a call goes there, waits for a better one or is refused is decided by
+//! `limit::timely`. A call that finds no free slot waits in [`crate::wait`].
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use codec::prelude::*;
+use http::StatusCode;
+use limit::prelude::*;
+use route::prelude::*;
+use tokio::time::timeout;
+use world::prelude::*;
+
+use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::link::{LinkConnection, UpstreamLink};
+use crate::running::RunningCall;
+use crate::slot::{CallSlot, NoSlot};
+use crate::survey::{self, UpstreamSurvey};
+use crate::turn::WaitEnd;
+use crate::wait;
+
+/// The longest time between two looks for an upstream on which a call ends within its objective.
+/// Each look takes up to nine health checks, and one VM of today's may make about 38 a second for
+/// each service.
+const RECHECK_PERIOD: ClockSpan = ClockSpan::from_millis(40);
+
+/// An attempt that has a slot on an upstream.
+pub struct PlacedAttempt {
+    /// The connections to the upstream.
+    pub(crate) link: Arc<UpstreamLink>,
+    /// The call and its slot.
+    pub(crate) running: RunningCall,
+    /// A connection that answered a check just now.
+    pub(crate) checked: Option<LinkConnection>,
+}
+
+impl<C: CallCodec> CallAttempt<'_, C> {
+    /// Chooses an upstream other than those to avoid, and waits for a slot if necessary.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if there is no slot for the call.
+    pub async fn place(&self, avoid: &[SharedName]) -> Result<PlacedAttempt, Box<FailedAttempt>> {
+        let Self { state, call, .. } = *self;
+        let survey = if state.options.tuning.survey {
+            self.survey(avoid).await?
+        } else {
+            UpstreamSurvey::default()
+        };
+        let best = survey.best.clone();
+        let slot = match self.slot(avoid).await {
+            Ok(slot) => slot,
+            Err(failure) => {
+                survey.put_back(state);
+                return Err(failure);
+            }
+        };
+        let Some(link) = slot.upstream().and_then(|name| state.links.link(name)) else {
+            survey.put_back(state);
+            let message = "the upstream was removed from the environment; repeat the request";
+            return Err(FailedAttempt::ended(self.refuse(message)));
+        };
+        let checked = survey.take(state, &link.server().name);
+        let mut running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
+        let is_best = |best: &ShortlistEntry| best.server.name == running.upstream;
+        running.stretch = best.filter(is_best).map(|best| best.stretch);
+        Ok(PlacedAttempt { link, running, checked })
+    }
+
+    /// Checks the best upstreams until the call would end within its objective on one of them, or
+    /// until there is no time to wait for that.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the call is refused because it would be late.
+    async fn survey(&self, avoid: &[SharedName]) -> Result<UpstreamSurvey, Box<FailedAttempt>> {
+        let Self { state, desk, call, .. } = *self;
+        let CallerRequest { class, idempotent, .. } = call.request;
+        let mut waited = false;
+        loop {
+            let survey = survey::survey::<C>(state, desk, avoid, idempotent).await;
+            let (stretch, round_trip) = match &survey.best {
+                Some(best) => (best.stretch, best.round_trip),
+                None if survey.full => (f64::INFINITY, ClockSpan::ZERO),
+                // What is not known freshly cannot be judged.
+                None => return Ok(survey),
+            };
+            let now = state.clock.now();
+            let left = call.timely_until.since(now);
+            let outlook = CallOutlook { left, stretch, round_trip, waited };
+            match state.tables.timely.decide(&desk.name, class, &outlook, now) {
+                CallPlacement::Send => return Ok(survey),
+                CallPlacement::Wait => {
+                    survey.put_back(state);
+                    let freed = desk.freed.notified();
+                    // It does not matter whether the wait ended with a free slot.
+                    let _ = timeout(RECHECK_PERIOD.to_duration(), freed).await;
+                }
+                CallPlacement::Refuse => {
+                    survey.put_back(state);
+                    let retry_after = state.options.tuning.retry_after;
+                    let kind = RefusalKind::Overloaded;
+                    desk.note_refusal(&RefusalReason { kind, retry_after }, now);
+                    let message = "no upstream can answer within the objective; repeat the request";
+                    return Err(FailedAttempt::ended(self.refuse(message)));
+                }
+            }
+            waited = true;
+        }
+    }
+
+    async fn slot(&self, avoid: &[SharedName]) -> Result<CallSlot, Box<FailedAttempt>> {
+        let Self { state, desk, call, .. } = *self;
+        let now = state.clock.now();
+        if desk.waiting.load(Ordering::Relaxed) == 0 {
+            match CallSlot::acquire(state, desk, avoid, now) {
+                Ok(slot) => return Ok(slot),
+                Err(NoSlot::Unavailable(error)) => {
+                    return Err(FailedAttempt::ended(self.refuse(&error.to_string())));
+                }
+                Err(NoSlot::Limit | NoSlot::Full) => {}
+            }
+        }
+        let end = match wait::wait_for_slot(state, desk, &call.request, avoid).await {
+            Ok(slot) => return Ok(slot),
+            Err(end) => end,
+        };
+        Err(FailedAttempt::ended(match end {
+            WaitEnd::Unavailable(error) => self.refuse(&error.to_string()),
+            WaitEnd::Refused(reason) => {
+                desk.note_refusal(&reason, state.clock.now());
+                self.refuse(&format!("no slot for the call: {reason}"))
+                    .retry_after(reason.retry_after)
+            }
+            WaitEnd::Deadline => {
+                let message = "the deadline passed before the call got a slot; allow more time";
+                let refusal = CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message);
+                refusal.retry_after(state.options.tuning.retry_after)
+            }
+        }))
+    }
+}
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -10,10 +10,9 @@
 use http_body_util::{BodyExt, Limited};
 
 use crate::body::SendBody;
-use crate::connection::LinkConnection;
 use crate::crash;
 use crate::desk::ServiceDesk;
-use crate::link::{ConnectUse, LinkError, UpstreamLink};
+use crate::link::{ConnectUse, LinkConnection, LinkError, UpstreamLink};
 use crate::options::ProbeCharge;
 use crate::state::GateState;
 
@@ -186,7 +185,7 @@
     link: &Arc<UpstreamLink>,
     timeout: ClockSpan,
 ) -> Result<LinkConnection, LinkError> {
-    let timeout = state.options.timeouts.connect.min(timeout);
+    let timeout = state.timeouts.load().connect.min(timeout);
     match link.connect(ConnectUse::Check, timeout, state.clock).await {
         Err(LinkError::ShareUsed { .. }) if link.close_idle() => {
             link.connect(ConnectUse::Check, timeout, state.clock).await
