Tell peers only of reads that are made for them

Cause: at a start of 98 VMs each one read the upstreams, told all others, and thereby showed them gaps that they filled by reads of their own, which they told again: one VM made 10 such reads within 2.5 s. It also asked for the configuration every 0.2 s, because peers without one told of version 0.

Now a VM that has just started or misses changes reads for itself, and version 0 calls for no read.

--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -83,7 +83,8 @@
             tables.config.is_behind()
         };
         self.state.behind.store(behind, Ordering::Release);
-        if behind {
+        // Version 0 is that of a VM that has none either.
+        if behind && version > 0 {
             self.config_wanted.notify_one();
         }
     }
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -20,6 +20,16 @@
 /// the gap meanwhile; a leaving upstream must get no more calls within 2 s.
 const GAP_PAUSE: ClockSpan = ClockSpan::from_millis(300);
 
+/// Whom a read of the upstreams is for.
+#[derive(Clone, Copy, Debug)]
+enum ReadPurpose {
+    /// This VM, which has just started or misses changes. Peers are not told, because the news
+    /// would show them gaps of their own, and each would read and tell the others in turn.
+    Own,
+    /// All VMs. The store may hold its answer back.
+    Peers { hold: ClockSpan },
+}
+
 impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
     pub(super) async fn follow_upstreams(self: Arc<Self>) {
         loop {
@@ -42,7 +52,8 @@
         let mut hold = ClockSpan::ZERO;
         let first = self.tables.lock().upstreams.position().is_none();
         loop {
-            if let Err(error) = self.read_upstreams(hold).await {
+            let purpose = if first { ReadPurpose::Own } else { ReadPurpose::Peers { hold } };
+            if let Err(error) = self.read_upstreams(purpose).await {
                 self.note_failed_read(&error);
                 return;
             }
@@ -66,7 +77,7 @@
         tokio::select! {
             () = tokio::time::sleep_until(until) => {}
             () = self.upstreams_wanted.notified() => {
-                if let Err(error) = self.read_upstreams(ClockSpan::ZERO).await {
+                if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
                     self.note_failed_read(&error);
                     self.copy_upstreams().await;
                 }
@@ -77,7 +88,11 @@
         }
     }
 
-    async fn read_upstreams(&self, hold: ClockSpan) -> Result<(), StoreError> {
+    async fn read_upstreams(&self, purpose: ReadPurpose) -> Result<(), StoreError> {
+        let hold = match purpose {
+            ReadPurpose::Own => ClockSpan::ZERO,
+            ReadPurpose::Peers { hold } => hold,
+        };
         let asked = self.state.clock.now();
         let known = self.tables.lock().upstreams.position();
         let read = match known {
@@ -109,9 +124,11 @@
         if change.upstreams_changed || known.is_none() {
             self.apply();
         }
-        let since = change.since.unwrap_or(page.position);
-        let news = RowPage { rows: change.news, ..page };
-        self.exchange.send_directory(since, &news, made_at).await;
+        if matches!(purpose, ReadPurpose::Peers { .. }) {
+            let since = change.since.unwrap_or(page.position);
+            let news = RowPage { rows: change.news, ..page };
+            self.exchange.send_directory(since, &news, made_at).await;
+        }
         Ok(())
     }
 
