Add the trace of a call and its causes

The crate `trace` holds the trace of a call with its steps inline, the closed list of causes with a sentence and a remedy for each, the decision which traces are logged, the cap of refusals, and reading log lines back in both formats. It performs no I/O and reads no clock.

The crates around it supply what a trace records: a refusal carries its cause, a retry that is not allowed carries the reason, a ticket for an upstream carries the evidence of its choice, and a change of the directory names the upstreams that moved.

Ruled out: collecting the causes beside the refusals. Each place that builds a refusal knows the cause, so that a second path would only have to be kept in step with it. `codec` therefore depends on `trace`.

Tests of trace, base, codec, limit, route and directory pass.

--- a/crates/base/src/lock.rs
+++ b/crates/base/src/lock.rs
@@ -27,6 +27,8 @@
     ConnectionPool = 80,
     /// Service-level histograms.
     BurnTable = 90,
+    /// Counts of logged refusals, and whether dependencies answer.
+    TraceTable = 100,
 }
 
 #[cfg(debug_assertions)]
--- a/crates/codec/src/refusal.rs
+++ b/crates/codec/src/refusal.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use http::StatusCode;
+use trace::prelude::CallCause;
 
 /// What the gateway knows of a call that it could not complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,6 +32,8 @@
     pub status: StatusCode,
     /// Whether the call was run.
     pub fate: CallFate,
+    /// Why there is no answer, for the log and the metrics.
+    pub cause: CallCause,
     /// What went wrong and what to do.
     pub message: String,
     /// When to try again.
@@ -42,8 +45,8 @@
 impl CallRefusal {
     /// Returns a refusal of a call that was not run.
     pub fn not_run(status: StatusCode, message: impl fmt::Display) -> Self {
-        let fate = CallFate::NotRun;
-        Self { status, fate, message: message.to_string(), retry_after: None, close: false }
+        let (fate, cause) = (CallFate::NotRun, CallCause::Internal);
+        Self { status, fate, cause, message: message.to_string(), retry_after: None, close: false }
     }
 
     /// Returns an error for a call that may have been run.
@@ -51,6 +54,11 @@
         Self { fate: CallFate::Unknown, ..Self::not_run(status, message) }
     }
 
+    /// Adds why there is no answer. Without it, the cause is internal to the gateway.
+    pub fn because(self, cause: CallCause) -> Self {
+        Self { cause, ..self }
+    }
+
     /// Adds when to try again.
     pub fn retry_after(self, span: ClockSpan) -> Self {
         Self { retry_after: Some(span), ..self }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -24,6 +24,7 @@
     };
     pub use crate::environment::{FleetBounds, build_environment};
     pub use crate::upstreams::{
-        DirectoryChange, DirectoryTuning, PositionGap, UnreadableRow, UpstreamDirectory,
+        DirectoryChange, DirectoryTuning, MoveKind, PositionGap, UnreadableRow, UpstreamDirectory,
+        UpstreamMove,
     };
 }
--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -46,6 +46,39 @@
     pub since: Option<u64>,
     /// Rows that have become unreadable.
     pub unreadable: Vec<UnreadableRow>,
+    /// Upstreams that can be used now, or no longer. Empty after the first read.
+    pub moves: Vec<UpstreamMove>,
+}
+
+/// How the use of an upstream changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MoveKind {
+    /// It can be used.
+    Added,
+    /// It started to leave, or its row became unreadable.
+    Leaving,
+    /// Its row was removed.
+    Removed,
+}
+
+impl MoveKind {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Added => "added",
+            Self::Leaving => "leaving",
+            Self::Removed => "removed",
+        }
+    }
+}
+
+/// An upstream that can be used now, or no longer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamMove {
+    /// Its name.
+    pub upstream: SharedName,
+    /// What changed.
+    pub kind: MoveKind,
 }
 
 /// A row that names no upstream.
@@ -137,6 +170,7 @@
         }
         if known.is_none() {
             change.news.clear();
+            change.moves.clear();
         }
         self.conclude(now, &mut change);
         change
@@ -226,6 +260,14 @@
             None => record.take_loss(RowState::Removed, troubled),
         };
         change.upstreams_changed |= !is_same(before.as_ref(), record.usable());
+        let kind = match (before.is_some(), record.usable().is_some()) {
+            (false, true) => Some(MoveKind::Added),
+            (true, false) if row.value.is_some() => Some(MoveKind::Leaving),
+            (true, false) => Some(MoveKind::Removed),
+            _ => None,
+        };
+        let upstream = row.key.clone();
+        change.moves.extend(kind.map(|kind| UpstreamMove { upstream, kind }));
         if is_news {
             change.news.push(row.clone());
         }
--- a/crates/directory/tests/upstreams.rs
+++ b/crates/directory/tests/upstreams.rs
@@ -163,3 +163,30 @@
         assert_eq!((change.news.len(), change.unreadable.len()), (count, count));
     }
 }
+
+struct MoveCase {
+    name: &'static str,
+    row: &'static str,
+    moved: Option<(&'static str, MoveKind)>,
+}
+
+/// Guards against changes of the usable upstreams that the log does not tell or tells wrongly.
+#[test]
+fn moves_tell_what_changed() {
+    let cases = [
+        MoveCase { name: "heartbeat", row: "a:1@11", moved: None },
+        MoveCase { name: "new", row: "b:1@11", moved: Some(("b", MoveKind::Added)) },
+        MoveCase { name: "draining", row: "a:1~@11", moved: Some(("a", MoveKind::Leaving)) },
+        MoveCase { name: "removed", row: "a-@11", moved: Some(("a", MoveKind::Removed)) },
+        MoveCase { name: "unreadable and new", row: "b!@11", moved: None },
+    ];
+    for case in cases {
+        let mut directory = UpstreamDirectory::new(DirectoryTuning::default());
+        let first = directory.replace::<TestCodec>(&page(10, vec![row("a:1@9")]), at(0));
+        assert_eq!(first.moves, [], "{}: the first read", case.name);
+        let change = directory.follow::<TestCodec>(10, &page(11, vec![row(case.row)]), at(1));
+        let expected =
+            case.moved.map(|(name, kind)| UpstreamMove { upstream: SharedName::from(name), kind });
+        assert_eq!(change.expect("no gap").moves, Vec::from_iter(expected), "{}", case.name);
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -19,6 +19,6 @@
     pub use crate::probe::{ProbeBudget, ProbeTuning, VmCounts};
     pub use crate::queue::{DroppedWaiter, QueueOrder, QueueTuning, WaitQueue, WaiterId};
     pub use crate::refusal::{RefusalKind, RefusalReason};
-    pub use crate::retry::{RetryBudget, RetryTuning};
+    pub use crate::retry::{RetryBudget, RetryDenial, RetryTuning};
     pub use crate::share::ConnectionShare;
 }
--- a/crates/limit/src/retry.rs
+++ b/crates/limit/src/retry.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Why a call may not be sent again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryDenial {
+    /// The call had all its attempts.
+    Attempts,
+    /// The rest of its time is too short.
+    Deadline,
+    /// The budget has no room.
+    Budget,
+}
+
 const LEVELS: usize = MAX_CALL_DEPTH as usize + 1;
 
 /// A bound over all VMs, and what this VM has spent of it.
@@ -201,19 +212,33 @@
         }
     }
 
-    /// Returns whether the call may be sent once more after the attempt that `request` names, and
-    /// spends the arrival if so. Whether a repeat is safe is the caller's decision.
+    /// Returns whether [`try_retry`](Self::try_retry) allows a retry.
     pub fn allow_retry(&self, request: &CallerRequest, now: ClockTime) -> bool {
-        let Some(level) = Self::level(request.depth) else { return false };
+        self.try_retry(request, now).is_ok()
+    }
+
+    /// Allows the call to be sent once more after the attempt that `request` names, and spends the
+    /// arrival if so. Whether a repeat is safe is the caller's decision.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the call may not be sent again.
+    pub fn try_retry(&self, request: &CallerRequest, now: ClockTime) -> Result<(), RetryDenial> {
+        let Some(level) = Self::level(request.depth) else { return Err(RetryDenial::Budget) };
         let default = if level == 0 { self.tuning.attempts } else { self.tuning.deep_attempts };
         let mut state = self.state.lock();
         let counts = state.counts;
-        let Some(own) = state.services.get_mut(&request.service) else { return false };
+        let Some(own) = state.services.get_mut(&request.service) else {
+            return Err(RetryDenial::Budget);
+        };
         let in_time = request.deadline > now + own.call_time.value(now);
-        if request.attempt >= request.attempt_limit.unwrap_or(default) || !in_time {
-            return false;
+        if request.attempt >= request.attempt_limit.unwrap_or(default) {
+            return Err(RetryDenial::Attempts);
         }
-        match &mut own.allowance {
+        if !in_time {
+            return Err(RetryDenial::Deadline);
+        }
+        let allowed = match &mut own.allowance {
             ServiceAllowance::Tokens { tokens, .. } => {
                 let allowed = tokens[level] >= 1.0;
                 tokens[level] -= if allowed { 1.0 } else { 0.0 };
@@ -226,7 +251,8 @@
                 }
                 allowed
             }
-        }
+        };
+        if allowed { Ok(()) } else { Err(RetryDenial::Budget) }
     }
 
     /// Gives back an arrival of a call at depth 0 that `allow_retry` spent and that reached no
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -10,7 +10,7 @@
 use crate::refusal::NoUpstream;
 use crate::service::{RecordKey, ServiceState};
 use crate::shortlist::ShortlistEntry;
-use crate::view::UpstreamView;
+use crate::view::{ChoiceEvidence, UpstreamView};
 
 /// How many upstreams cannot take a call, and why.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,13 +33,16 @@
         avoid: &[SharedName],
         now: ClockTime,
         random: &mut RandomSource,
-    ) -> Result<(RecordKey, Arc<UpstreamServer>), NoUpstream> {
+    ) -> Result<(RecordKey, Arc<UpstreamServer>, ChoiceEvidence), NoUpstream> {
         let count = self.collect(avoid, now);
         let chosen = self.choose(policy, now, random).ok_or_else(|| refusal(service, &count))?;
+        let view = self.candidates[chosen];
+        let (cost_ms, candidates) = (policy.expected_ms(&view, now), self.candidates.len() as u32);
         let index = self.candidate_indexes[chosen];
         let record = &mut self.records[index];
         record.send(now);
-        Ok((RecordKey { index, id: record.id, sent_at: now }, Arc::clone(&record.server)))
+        let key = RecordKey { index, id: record.id, sent_at: now };
+        Ok((key, Arc::clone(&record.server), ChoiceEvidence { view, cost_ms, candidates }))
     }
 
     /// Returns the best `limit` candidates in order, chosen one after the other, and reserves
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -108,4 +108,7 @@
         let rates = CostRates::new(&self.tuning);
         least_jittered(candidates, random, self.tuning.cost_jitter, |view| rates.cost_ms(view, now))
     }
+    fn expected_ms(&self, view: &UpstreamView, now: ClockTime) -> Option<f64> {
+        Some(self.cost_ms(view, now))
+    }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,5 +38,5 @@
     pub use crate::shortlist::ShortlistEntry;
     pub use crate::table::{UpstreamState, UpstreamTable, UpstreamTicket};
     pub use crate::tuning::{CostTuning, PacedTuning, RouteTuning};
-    pub use crate::view::UpstreamView;
+    pub use crate::view::{ChoiceEvidence, UpstreamView};
 }
--- a/crates/route/src/paced.rs
+++ b/crates/route/src/paced.rs
@@ -114,4 +114,7 @@
         let rates = PacedRates::new(&self.tuning);
         least_jittered(candidates, random, self.tuning.cost_jitter, |view| rates.cost_ms(view, now))
     }
+    fn expected_ms(&self, view: &UpstreamView, now: ClockTime) -> Option<f64> {
+        Some(self.cost_ms(view, now))
+    }
 }
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -20,6 +20,11 @@
         now: ClockTime,
         random: &mut RandomSource,
     ) -> Option<usize>;
+
+    /// Returns the cost by which the policy judges a candidate, or `None` if it has none.
+    fn expected_ms(&self, _view: &UpstreamView, _now: ClockTime) -> Option<f64> {
+        None
+    }
 }
 
 /// Chooses uniformly at random.
@@ -167,6 +172,16 @@
             Self::Paced(policy) => policy.choose(candidates, now, random),
         }
     }
+
+    fn expected_ms(&self, view: &UpstreamView, now: ClockTime) -> Option<f64> {
+        match self {
+            Self::Random(policy) => policy.expected_ms(view, now),
+            Self::LeastInFlight(policy) => policy.expected_ms(view, now),
+            Self::TwoChoices(policy) => policy.expected_ms(view, now),
+            Self::ExpectedCost(policy) => policy.expected_ms(view, now),
+            Self::Paced(policy) => policy.expected_ms(view, now),
+        }
+    }
 }
 
 /// The name of a policy that does not exist.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -17,6 +17,7 @@
 use crate::service::{RecordKey, ServiceState, ServiceTable};
 use crate::shortlist::ShortlistEntry;
 use crate::tuning::RouteTuning;
+use crate::view::ChoiceEvidence;
 
 /// Services and upstreams by name. Replaced as a whole, so that calls look names up without a
 /// lock.
@@ -141,8 +142,9 @@
         let Some(table) = snapshot.services.get(service) else {
             return Err(NoUpstream::NoneConfigured { service: SharedName::from(service) });
         };
-        let (key, server) = table.state.lock().reserve(policy, &table.name, avoid, now, random)?;
-        Ok(UpstreamTicket { table: Some(Arc::clone(table)), key, server })
+        let (key, server, evidence) =
+            table.state.lock().reserve(policy, &table.name, avoid, now, random)?;
+        Ok(UpstreamTicket { table: Some(Arc::clone(table)), key, server, evidence })
     }
 
     /// Returns the best `count` upstreams of `service` in order, by choosing repeatedly by the same
@@ -303,9 +305,15 @@
     table: Option<Arc<ServiceTable>>,
     key: RecordKey,
     server: Arc<UpstreamServer>,
+    evidence: ChoiceEvidence,
 }
 
 impl UpstreamTicket {
+    /// Returns what was known of the upstream when it was chosen.
+    pub fn evidence(&self) -> &ChoiceEvidence {
+        &self.evidence
+    }
+
     /// Returns the server to call.
     pub fn server(&self) -> &Arc<UpstreamServer> {
         &self.server
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -56,6 +56,24 @@
     pub preference: f64,
 }
 
+/// What was known of an upstream when it was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceEvidence {
+    /// The upstream as the policy saw it.
+    pub view: UpstreamView,
+    /// The cost by which the policy judged it, or `None` if the policy has none.
+    pub cost_ms: Option<f64>,
+    /// Upstreams to choose from.
+    pub candidates: u32,
+}
+
+impl ChoiceEvidence {
+    /// Returns the age of the newest report of load or pace, or `None` if there was none.
+    pub fn age(&self, now: ClockTime) -> Option<ClockSpan> {
+        self.view.reported_at.max(self.view.paced_at).map(|at| now.since(at))
+    }
+}
+
 impl UpstreamView {
     /// Returns an idle upstream with `slots` slots of which nothing is known.
     pub const fn idle(slots: u32) -> Self {
--- /dev/null
+++ b/crates/trace/src/lib.rs
@@ -0,0 +1,20 @@
+//! The trace of a call: what is recorded on its way, which traces are logged, and how log lines are
+//! read back.
+
+pub mod call;
+pub mod cause;
+pub mod decide;
+pub mod explain;
+pub mod line;
+
+pub mod prelude {
+    //! The types that the gateway and the operators' command need.
+
+    pub use crate::call::{
+        CallFacts, CallTrace, ChoiceFacts, ChosenStep, EndedStep, StepNext, StopReason, TraceStep,
+    };
+    pub use crate::cause::CallCause;
+    pub use crate::decide::{CallSummary, RefusalCap, is_logged};
+    pub use crate::explain::{CallStory, explain};
+    pub use crate::line::{LogLine, LogSource};
+}
--- /dev/null
+++ b/crates/trace/tests/reading.rs
@@ -0,0 +1,179 @@
+//! Log lines that are read back.
+
+use trace::prelude::*;
+
+struct LineCase {
+    name: &'static str,
+    line: &'static str,
+    event: Option<u64>,
+    message: &'static str,
+    fields: &'static [(&'static str, &'static str)],
+}
+
+/// Guards against lines of one format that are read as something else than those of the other.
+#[test]
+fn lines_are_read_in_both_formats() {
+    let cases = [
+        LineCase {
+            name: "json",
+            line: r#"{"timestamp":"2026-12-04T14:00:01.000200Z","level":"INFO","fields":{"message":"x y","event":1032,"id":"vm-1","attempt":2,"why":"not idempotent"},"target":"gate::decision"}"#,
+            event: Some(1032),
+            message: "x y",
+            fields: &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
+        },
+        LineCase {
+            name: "text",
+            line: r#"2026-12-04T14:00:01.000200Z  INFO gate::decision: x y event=1032 id="vm-1" attempt=2 why="not idempotent""#,
+            event: Some(1032),
+            message: "x y",
+            fields: &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
+        },
+        LineCase {
+            name: "text without a message, with an unquoted value of several words",
+            line: "2026-12-04T14:00:01.000200Z  WARN gate::depend: event=1041 error=no answer: [B=1] (os error 1) after_ms=5",
+            event: Some(1041),
+            message: "",
+            fields: &[("error", "no answer: [B=1] (os error 1)"), ("after_ms", "5")],
+        },
+        LineCase {
+            name: "text with quotes inside a value",
+            line: r#"2026-12-04T14:00:01.000200Z  INFO gate: event=1030 id="a\"b id=c" class="urgent""#,
+            event: Some(1030),
+            message: "",
+            fields: &[("id", "a\"b id=c"), ("class", "urgent")],
+        },
+        LineCase {
+            name: "no event",
+            line: r#"{"caller_address":"127.0.0.1:1"}"#,
+            event: None,
+            message: "",
+            fields: &[],
+        },
+        LineCase {
+            name: "cut",
+            line: r#"{"timestamp":"2026-12-04T14:00:0"#,
+            event: None,
+            message: "",
+            fields: &[],
+        },
+        LineCase {
+            name: "foreign",
+            line: "thread 'main' panicked at: event=1",
+            event: None,
+            message: "",
+            fields: &[],
+        },
+        LineCase { name: "empty", line: "", event: None, message: "", fields: &[] },
+    ];
+    for case in cases {
+        let line = LogLine::parse(case.line);
+        assert_eq!(line.as_ref().map(|line| line.event), case.event, "{}", case.name);
+        let Some(line) = line else { continue };
+        assert_eq!(line.message, case.message, "{}", case.name);
+        assert_eq!(line.at_micros % 1_000_000, 200, "{}", case.name);
+        for (name, value) in case.fields {
+            assert_eq!(line.text(name), *value, "{}: {name}", case.name);
+        }
+    }
+}
+
+/// Returns a line of the log of a VM at a millisecond.
+fn line(at_ms: u64, fields: &str) -> String {
+    let (seconds, millis) = (at_ms / 1000, at_ms % 1000);
+    format!(
+        r#"{{"timestamp":"2026-12-04T14:00:{seconds:02}.{millis:03}000Z","level":"INFO","fields":{{{fields}}}}}"#
+    )
+}
+
+struct StateCase {
+    name: &'static str,
+    /// A line besides those of the call.
+    at_ms: u64,
+    fields: &'static str,
+    shown: bool,
+}
+
+/// Guards against state that has nothing to do with a call, and against state that is left out.
+#[test]
+fn a_story_has_the_state_that_matters() {
+    let cases = [
+        StateCase {
+            name: "its upstream",
+            at_ms: 19_500,
+            fields: r#""event":1201,"upstream":"phase-1""#,
+            shown: true,
+        },
+        StateCase {
+            name: "another upstream",
+            at_ms: 19_500,
+            fields: r#""event":1201,"upstream":"phase-2""#,
+            shown: false,
+        },
+        StateCase {
+            name: "10 s before the start",
+            at_ms: 9_500,
+            fields: r#""event":1017,"version":3"#,
+            shown: true,
+        },
+        StateCase {
+            name: "more than 10 s before",
+            at_ms: 9_499,
+            fields: r#""event":1017,"version":3"#,
+            shown: false,
+        },
+        StateCase {
+            name: "after the call",
+            at_ms: 20_001,
+            fields: r#""event":1041,"dependency":"store""#,
+            shown: false,
+        },
+        StateCase {
+            name: "overload of the service",
+            at_ms: 19_000,
+            fields: r#""event":1301,"service":"phase-desk""#,
+            shown: true,
+        },
+        StateCase {
+            name: "overload of another",
+            at_ms: 19_000,
+            fields: r#""event":1301,"service":"booking-desk""#,
+            shown: false,
+        },
+        StateCase {
+            name: "another call",
+            at_ms: 19_000,
+            fields: r#""event":1033,"id":"other""#,
+            shown: false,
+        },
+    ];
+    let call = [
+        r#""event":1030,"id":"a","service":"phase-desk","version":3"#,
+        r#""event":1031,"id":"a","attempt":1,"upstream":"phase-1""#,
+        r#""event":1032,"id":"a","attempt":1,"upstream":"phase-1","result":"connection_lost","next":"end","why":"not idempotent""#,
+        r#""event":1033,"id":"a","vm":"vm-1","status":502,"cause":"connection_lost","total_ms":500.0,"attempts":1"#,
+    ];
+    for case in cases {
+        let mut log: Vec<_> = call.iter().map(|fields| line(20_000, fields)).collect();
+        log.push(line(case.at_ms, case.fields));
+        let sources = [LogSource::read("log", &log.join("\n")), LogSource::read("other", "")];
+        let stories = explain("a", &sources);
+        assert_eq!(stories.len(), 1, "{}", case.name);
+        let story = &stories[0];
+        assert_eq!(story.vm, "vm-1", "{}", case.name);
+        assert_eq!(story.lines.len(), call.len(), "{}", case.name);
+        assert_eq!(story.state.len(), usize::from(case.shown), "{}", case.name);
+        assert_eq!(story.cause, Some(CallCause::ConnectionLost), "{}", case.name);
+        assert!(story.conclusion.contains("phase-1"), "{}", story.conclusion);
+        assert!(story.to_string().contains("(not idempotent)"), "{story}");
+        assert!(explain("b", &sources).is_empty(), "{}", case.name);
+    }
+}
+
+/// Guards against a cause that is guessed for a call whose last line was dropped.
+#[test]
+fn a_call_without_its_end_has_no_cause() {
+    let log = line(1, r#""event":1030,"id":"a","service":"phase-desk""#);
+    let stories = explain("a", &[LogSource::read("log", &log)]);
+    assert_eq!(stories[0].cause, None);
+    assert!(stories[0].conclusion.contains("missing"), "{}", stories[0].conclusion);
+}
