--- a/crates/gate/src/access.rs
+++ b/crates/gate/src/access.rs
@@ -128,10 +128,14 @@
         loop {
             match self.store.members().await {
                 Ok(list) => {
+                    self.note(None);
                     self.claims.update_members(&list);
                     self.apply_members(&list);
                 }
-                Err(error) => tracing::debug!(event = event::MEMBERS_UNREAD, %error),
+                Err(error) => {
+                    tracing::debug!(event = event::MEMBERS_UNREAD, %error);
+                    self.note(Some(error));
+                }
             }
             tokio::time::sleep(MEMBER_PERIOD.to_duration()).await;
         }
@@ -139,6 +143,16 @@
 }
 
 impl MemberWatch {
+    /// Records whether the store answered.
+    fn note(&self, error: Option<StoreError>) {
+        let Some(state) = self.state.upgrade() else { return };
+        let now = state.clock.now();
+        match error {
+            Some(error) => state.store.failed(error, now),
+            None => state.store.answered(now),
+        }
+    }
+
     /// Passes the VMs on to the tables whose budgets and owners depend on them.
     fn apply_members(&self, list: &MemberList) {
         let Some(state) = self.state.upgrade() else { return };
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -14,7 +14,9 @@
 use route::prelude::*;
 use snafu::Snafu;
 use tokio::time::Sleep;
+use trace::prelude::CallCause;
 
+use crate::decision::TracedCall;
 use crate::running::RunningCall;
 
 /// Longer answers that nobody needs are cut off by closing their connection.
@@ -69,6 +71,22 @@
     call: RunningCall,
     /// Ends the answer at the deadline. Set only once the answer makes its reader wait.
     timer: Option<Pin<Box<Sleep>>>,
+    /// The trace of the call, and its cause if the answer is passed on to its end.
+    traced: Option<(TracedCall, CallCause)>,
+}
+
+impl RelayedAnswer {
+    /// Lets the answer end the trace of its call.
+    pub(crate) fn trace(&mut self, traced: TracedCall, whole: CallCause) {
+        self.traced = Some((traced, whole));
+    }
+
+    /// Ends the trace. `early` is the cause if the answer broke off.
+    fn end_trace(&mut self, early: Option<CallCause>) {
+        if let Some((traced, whole)) = self.traced.take() {
+            traced.end_body(early.unwrap_or(whole));
+        }
+    }
 }
 
 impl AnswerBody {
@@ -89,7 +107,7 @@
 
     /// Returns the body of an upstream's answer, of which `head` was read before.
     pub fn relayed(head: Bytes, incoming: Incoming, call: RunningCall) -> Self {
-        Self::Relayed(Box::new(RelayedAnswer { head, incoming, call, timer: None }))
+        Self::Relayed(Box::new(RelayedAnswer { head, incoming, call, timer: None, traced: None }))
     }
 
     /// Reads the rest of the body if it is short, so that the connection can be used again.
@@ -114,7 +132,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         let Self::Relayed(relayed) = self else { return Poll::Ready(None) };
-        let RelayedAnswer { head, incoming, call, timer } = &mut **relayed;
+        let RelayedAnswer { head, incoming, call, timer, .. } = &mut **relayed;
         if !head.is_empty() {
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(head)))));
         }
@@ -125,6 +143,7 @@
                     return Poll::Pending;
                 }
                 call.report(CallResult::TimedOut);
+                relayed.end_trace(Some(CallCause::Timeout));
                 *self = Self::Empty;
                 return Poll::Ready(Some(Err(AnswerError::Deadline)));
             };
@@ -134,6 +153,7 @@
                         // The library drops a body of known length without asking for its end.
                         if incoming.is_end_stream() {
                             call.poll_complete(context);
+                            relayed.end_trace(None);
                             *self = Self::Empty;
                         }
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
@@ -141,11 +161,13 @@
                 }
                 Some(Err(source)) => {
                     call.lose_connection();
+                    relayed.end_trace(Some(CallCause::Truncated));
                     *self = Self::Empty;
                     return Poll::Ready(Some(Err(AnswerError::Truncated { source })));
                 }
                 None => {
                     call.poll_complete(context);
+                    relayed.end_trace(None);
                     *self = Self::Empty;
                     return Poll::Ready(None);
                 }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -10,14 +10,17 @@
 use codec::prelude::*;
 use http::{Request, Response, StatusCode, Uri, Version};
 use hyper::body::Incoming;
+use limit::prelude::RefusalKind;
 use route::prelude::*;
 use tokio::time::timeout_at;
+use trace::prelude::CallCause;
 
 use crate::answer::AnswerBody;
 use crate::body::{BodyError, SendBody};
 use crate::cancel::{self, CancelGuard};
 use crate::connection::{LinkConnection, SendError};
 use crate::crash;
+use crate::decision::PlacedChoice;
 use crate::desk::ServiceDesk;
 use crate::link::{ConnectUse, LinkError, UpstreamLink};
 use crate::plan::PlannedCall;
@@ -85,6 +88,8 @@
     running: RunningCall,
     /// A connection that answered a check just now.
     checked: Option<LinkConnection>,
+    /// Why the upstream was chosen.
+    pub choice: PlacedChoice,
 }
 
 /// How the wait for the head of an answer ended.
@@ -115,6 +120,7 @@
     /// Returns the failure if there is no slot for the call.
     pub async fn place(&self, avoid: &[SharedName]) -> Result<PlacedAttempt, Box<FailedAttempt>> {
         let Self { state, desk, call, .. } = *self;
+        let started = state.clock.now();
         let survey = if state.options.tuning.survey {
             survey::survey::<C>(state, desk, avoid, call.request.idempotent).await
         } else {
@@ -130,11 +136,13 @@
         let Some(link) = slot.upstream().and_then(|name| state.links.link(name)) else {
             survey.put_back(state);
             let message = "the upstream was removed from the environment; repeat the request";
-            return Err(FailedAttempt::ended(self.refuse(message)));
+            let refusal = self.refuse(message).because(CallCause::NoUpstream);
+            return Err(FailedAttempt::ended(refusal));
         };
         let checked = survey.take(state, &link.server().name);
+        let choice = PlacedChoice::new(&slot, checked.is_some(), started, state.clock.now());
         let running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
-        Ok(PlacedAttempt { link, running, checked })
+        Ok(PlacedAttempt { link, running, checked, choice })
     }
 
     /// Makes a placed attempt.
@@ -143,7 +151,7 @@
     ///
     /// Returns the failure if there is no answer for the caller.
     pub async fn run(&self, placed: PlacedAttempt, mut body: SendBody) -> AttemptResult {
-        let PlacedAttempt { link, mut running, mut checked } = placed;
+        let PlacedAttempt { link, mut running, mut checked, .. } = placed;
         let mut proven_since = self.proven_since();
         loop {
             let was_checked = checked.is_some();
@@ -182,7 +190,7 @@
             match CallSlot::acquire(state, desk, avoid, now) {
                 Ok(slot) => return Ok(slot),
                 Err(NoSlot::Unavailable(error)) => {
-                    return Err(FailedAttempt::ended(self.refuse(&error.to_string())));
+                    return Err(FailedAttempt::ended(self.no_upstream(&error)));
                 }
                 Err(NoSlot::Limit | NoSlot::Full) => {}
             }
@@ -192,20 +200,26 @@
             Err(end) => end,
         };
         Err(FailedAttempt::ended(match end {
-            WaitEnd::Unavailable(error) => self.refuse(&error.to_string()),
+            WaitEnd::Unavailable(error) => self.no_upstream(&error),
             WaitEnd::Refused(reason) => {
                 desk.note_refusal(&reason, state.clock.now());
                 self.refuse(&format!("no slot for the call: {reason}"))
+                    .because(queue_cause(reason.kind))
                     .retry_after(reason.retry_after)
             }
             WaitEnd::Deadline => {
                 let message = "the deadline passed before the call got a slot; allow more time";
                 let refusal = CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message);
+                let refusal = refusal.because(CallCause::DeadlineInQueue);
                 refusal.retry_after(state.options.tuning.retry_after)
             }
         }))
     }
 
+    fn no_upstream(&self, error: &NoUpstream) -> CallRefusal {
+        self.refuse(&error.to_string()).because(CallCause::NoUpstream)
+    }
+
     /// Returns the refusal of a call that no upstream got.
     pub(crate) fn refuse(&self, message: &str) -> CallRefusal {
         let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
@@ -259,6 +273,7 @@
 
     fn unsent_refusal(&self, message: &str) -> CallRefusal {
         let refusal = CallRefusal::not_run(StatusCode::BAD_GATEWAY, message);
+        let refusal = refusal.because(CallCause::ConnectFailed);
         refusal.retry_after(self.state.options.tuning.retry_after)
     }
 
@@ -298,6 +313,7 @@
                 running.report(CallResult::Cancelled);
                 let message = "the connection to the upstream stopped responding";
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.because(CallCause::Silent);
                 Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::Repeat))
             }
         }
@@ -323,6 +339,7 @@
                 if let Some(error) = body_error {
                     running.report(CallResult::Cancelled);
                     let refusal = CallRefusal::unknown(error.status(), error).closing();
+                    let refusal = refusal.because(error.call_cause());
                     return FailedAttempt::ended(refusal);
                 }
                 // Errors of the body that is sent are not the upstream's.
@@ -330,12 +347,14 @@
                     running.report(CallResult::Cancelled);
                     let message = format!("the request body could not be sent: {source}");
                     let refusal = CallRefusal::unknown(StatusCode::BAD_REQUEST, message).closing();
+                    let refusal = refusal.because(CallCause::BadRequest);
                     return FailedAttempt::ended(refusal);
                 }
                 running.report(CallResult::ConnectionLost);
                 crash::inspect_loss(self.state, &upstream).await;
                 let message = format!("the connection failed after the request was sent: {source}");
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.because(CallCause::ConnectionLost);
                 FailedAttempt::at(upstream, refusal, NextStep::RetryAfterLoss)
             }
         }
@@ -414,14 +433,24 @@
         let status = StatusCode::GATEWAY_TIMEOUT;
         if cancelled {
             let message = "the call waited at the upstream until its deadline and was cancelled";
-            let refusal = CallRefusal::not_run(status, message);
+            let refusal = CallRefusal::not_run(status, message).because(CallCause::Timeout);
             refusal.retry_after(self.state.options.tuning.retry_after)
         } else {
-            CallRefusal::unknown(status, "the upstream did not answer within the deadline")
+            let message = "the upstream did not answer within the deadline";
+            CallRefusal::unknown(status, message).because(CallCause::Timeout)
         }
     }
 }
 
+const fn queue_cause(kind: RefusalKind) -> CallCause {
+    match kind {
+        RefusalKind::UnknownService => CallCause::NoRoute,
+        RefusalKind::QueueFull | RefusalKind::Displaced => CallCause::QueueFull,
+        RefusalKind::DeadlineTooShort => CallCause::DeadlineInQueue,
+        RefusalKind::Overloaded => CallCause::Overload,
+    }
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     match (uri.authority(), uri.path_and_query()) {
         (Some(_), Some(path)) => Uri::from(path.clone()),
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use snafu::Snafu;
 use tokio::time::Sleep;
+use trace::prelude::CallCause;
 
 /// Bodies up to this length are held in memory, so that a retry can send them again.
 const REPLAY_LIMIT_BYTES: usize = 64 * 1024;
@@ -41,9 +42,17 @@
         }
     }
 
+    /// Returns the cause for the log.
+    pub const fn call_cause(self) -> CallCause {
+        match self {
+            Self::Truncated => CallCause::CallerLeft,
+            Self::TooSlow | Self::TooLong => CallCause::BadRequest,
+        }
+    }
+
     /// Returns the refusal of the call. The rest of its body cannot be told from a next request.
     pub fn into_refusal(self) -> CallRefusal {
-        CallRefusal::not_run(self.status(), self).closing()
+        CallRefusal::not_run(self.status(), self).because(self.call_cause()).closing()
     }
 }
 
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -8,10 +8,12 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
+use trace::prelude::CallCause;
 
 use crate::answer::{self, AnswerBody, CallResponse};
 use crate::body::{BodyError, CallBody};
 use crate::claims;
+use crate::decision::TracedCall;
 use crate::desk::ServiceDesk;
 use crate::metrics::CallEnd;
 use crate::plan::{self, PlannedCall};
@@ -36,51 +38,77 @@
         Ok(RequestFacts { id: Some(id), .. }) => id.clone(),
         _ => state.next_id(),
     };
-    let result = match facts {
-        Ok(facts) => run::<C>(state, parts, &facts, body, &id, arrived).await,
-        Err(error) => Err(CallRefusal::not_run(error.status(), error).closing()),
+    let traced = TracedCall::start(state, &id, arrived);
+    let (result, traced) = match facts {
+        Ok(facts) => run::<C>(state, parts, &facts, body, &id, traced).await,
+        Err(error) => {
+            let refusal = CallRefusal::not_run(error.status(), error);
+            (Err(refusal.because(CallCause::BadRequest).closing()), Some(traced))
+        }
     };
-    result.unwrap_or_else(|refusal| {
-        tracing::debug!(event = crate::event::CALL_REFUSED, reason = %refusal.message);
-        AnswerBody::refuse::<C>(&refusal, &id)
-    })
+    match result {
+        Ok(mut answer) => {
+            if let Some(traced) = traced {
+                traced.answer(&mut answer);
+            }
+            answer
+        }
+        Err(refusal) => {
+            if let Some(traced) = traced {
+                traced.refuse(&refusal);
+            }
+            tracing::debug!(event = crate::event::CALL_REFUSED, reason = %refusal.message);
+            AnswerBody::refuse::<C>(&refusal, &id)
+        }
+    }
 }
 
+/// The end of a call, and its trace if that was not lost with a task that panicked.
+pub type TracedResponse = (CallResponse, Option<TracedCall>);
+
 async fn run<C: CallCodec>(
     state: &Arc<GateState>,
     parts: Parts,
     facts: &RequestFacts,
     body: Incoming,
     id: &http::HeaderValue,
-    arrived: ClockTime,
-) -> CallResponse {
-    let mut call = plan::plan::<C>(state, parts, facts, id, arrived)?;
-    let desk = state.tables.desks.desk(&call.request.service).ok_or_else(|| {
+    mut traced: TracedCall,
+) -> TracedResponse {
+    let arrived = traced.arrived();
+    let mut call = match plan::plan::<C>(state, parts, facts, id, arrived) {
+        Ok(call) => call,
+        Err(refusal) => return (Err(refusal), Some(traced)),
+    };
+    let Some(desk) = state.tables.desks.desk(&call.request.service) else {
         let message = "the service was removed from the environment; repeat the request";
-        CallRefusal::not_run(StatusCode::NOT_FOUND, message)
-    })?;
+        let refusal = CallRefusal::not_run(StatusCode::NOT_FOUND, message);
+        return (Err(refusal.because(CallCause::NoRoute)), Some(traced));
+    };
+    traced.classify(&desk, &call);
     let class = call.request.class;
-    let result = if claims::is_needed(&call.request) {
-        claims::run::<C>(state, &desk, call, facts, body).await
+    let (result, traced) = if claims::is_needed(&call.request) {
+        claims::run::<C>(state, &desk, call, traced, facts, body).await
     } else {
-        run_unclaimed::<C>(state, &desk, &mut call, facts, body, arrived).await
+        let result = run_unclaimed::<C>(state, &desk, &mut call, &mut traced, facts, body).await;
+        (result, Some(traced))
     };
     let end = end_of(&result);
     desk.meters.count_call(class, end);
     let now = state.clock.now();
     let success = matches!(end, CallEnd::Answered);
     state.tables.burn.record(&desk.name, class, now.since(arrived), success, now);
-    result
+    (result, traced)
 }
 
 async fn run_unclaimed<C: CallCodec>(
     state: &Arc<GateState>,
     desk: &Arc<ServiceDesk>,
     call: &mut PlannedCall,
+    traced: &mut TracedCall,
     facts: &RequestFacts,
     body: Incoming,
-    arrived: ClockTime,
 ) -> CallResponse {
+    let arrived = traced.arrived();
     let body_started = state.clock.now();
     let limit_bytes = state.environment.load().caller_limits.body_bytes;
     let pause = state.options.timeouts.request_body;
@@ -91,10 +119,11 @@
     let body_time = state.clock.now().since(body_started);
     let time = UpstreamTime::default();
     let end = state.clock.to_instant(call.request.deadline + OVERRUN_SPAN).into();
-    let running = review::run_reviewed::<C>(state, desk, call, body, &time);
+    let running = review::run_reviewed::<C>(state, desk, call, traced, body, &time);
     let result = timeout_at(end, running).await.unwrap_or_else(|_| {
         let message = "the call was not answered within its deadline";
-        Err(CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, message))
+        let refusal = CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, message);
+        Err(refusal.because(CallCause::Timeout))
     });
     let spent = state.clock.now().since(arrived);
     desk.meters.record_residence(spent.saturating_sub(time.total() + body_time));
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -13,10 +13,13 @@
 use hyper::body::Incoming;
 use store::prelude::*;
 use tokio::time::timeout_at;
+use trace::prelude::CallCause;
 use world::prelude::*;
 
 use crate::answer::{self, AnswerBody, CallResponse};
 use crate::body::{self, BodyError, CallBody};
+use crate::call::TracedResponse;
+use crate::decision::TracedCall;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
 use crate::review;
@@ -54,28 +57,48 @@
     state: &Arc<GateState>,
     desk: &Arc<ServiceDesk>,
     call: PlannedCall,
+    traced: TracedCall,
     facts: &RequestFacts,
     body: Incoming,
-) -> CallResponse {
+) -> TracedResponse {
+    let (grant, body) = match admit(state, &call, facts, body).await {
+        Ok(admitted) => admitted,
+        Err(response) => return (response, Some(traced)),
+    };
+    let work = ClaimedWork { desk: Arc::clone(desk), call, traced, body };
+    dispatch::<C>(state, work, grant).await
+}
+
+/// Takes the claim of a call. Otherwise returns the end of the call, which is not run.
+async fn admit(
+    state: &Arc<GateState>,
+    call: &PlannedCall,
+    facts: &RequestFacts,
+    body: Incoming,
+) -> Result<(GateGrant, Bytes), CallResponse> {
     let Some(claims) = state.claims.get() else {
         let message = "this gateway has no platform for claims; repeat the request elsewhere";
-        return Err(CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
+        return Err(Err(CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message)));
     };
-    let body = read_body(state, facts, body, call.request.deadline).await?;
-    match begin(claims, &call, &body).await {
-        ClaimDecision::Dispatch(grant) => {
-            let work = ClaimedWork { desk: Arc::clone(desk), call, body };
-            dispatch::<C>(state, work, grant).await
+    let body = read_body(state, facts, body, call.request.deadline).await.map_err(Err)?;
+    match begin(claims, call, &body).await {
+        ClaimDecision::Dispatch(grant) => Ok((grant, body)),
+        ClaimDecision::Kept(answer) => Err(Ok(repeated(&answer, &call.id))),
+        ClaimDecision::Refused(reason) => {
+            if let RefusalReason::StoreDown | RefusalReason::StoreSlow = reason {
+                state.store.failed(reason, state.clock.now());
+            }
+            Err(Err(refused(reason)))
         }
-        ClaimDecision::Kept(answer) => Ok(repeated(&answer, &call.id)),
-        ClaimDecision::Refused(reason) => Err(refused(reason)),
         ClaimDecision::Unknown => {
             let message = "an earlier request with this key may have run; it is not run again";
-            Err(CallRefusal::unknown(StatusCode::CONFLICT, message))
+            let refusal = CallRefusal::unknown(StatusCode::CONFLICT, message);
+            Err(Err(refusal.because(CallCause::BadRequest)))
         }
         ClaimDecision::InProgress => {
             let message = "an earlier request with this key is running; repeat the request later";
-            Err(CallRefusal::unknown(StatusCode::CONFLICT, message).retry_after(RETRY_AFTER))
+            let refusal = CallRefusal::unknown(StatusCode::CONFLICT, message);
+            Err(Err(refusal.because(CallCause::BadRequest).retry_after(RETRY_AFTER)))
         }
     }
 }
@@ -101,7 +124,8 @@
             let message = format!(
                 "the body of a request with an idempotency-key has at most {REQUEST_LIMIT_BYTES} bytes; send a shorter one"
             );
-            CallRefusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, message).closing()
+            let refusal = CallRefusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, message);
+            refusal.because(CallCause::BadRequest).closing()
         }
         error => error.into_refusal(),
     })
@@ -133,6 +157,7 @@
 struct ClaimedWork {
     desk: Arc<ServiceDesk>,
     call: PlannedCall,
+    traced: TracedCall,
     body: Bytes,
 }
 
@@ -141,7 +166,7 @@
     state: &Arc<GateState>,
     work: ClaimedWork,
     grant: GateGrant,
-) -> CallResponse {
+) -> TracedResponse {
     let state = Arc::clone(state);
     let task = tokio::spawn(async move {
         let _running = state.calls.enter();
@@ -149,7 +174,7 @@
     });
     task.await.unwrap_or_else(|_| {
         let message = "the gateway stopped while the work ran; repeat the request with its key";
-        Err(CallRefusal::unknown(StatusCode::BAD_GATEWAY, message))
+        (Err(CallRefusal::unknown(StatusCode::BAD_GATEWAY, message)), None)
     })
 }
 
@@ -157,11 +182,12 @@
     state: &Arc<GateState>,
     work: ClaimedWork,
     grant: GateGrant,
-) -> CallResponse {
-    let ClaimedWork { desk, mut call, body } = work;
+) -> TracedResponse {
+    let ClaimedWork { desk, mut call, mut traced, body } = work;
     let body = if body.is_empty() { CallBody::Empty } else { CallBody::Held(body) };
     let time = UpstreamTime::default();
-    match review::run_reviewed::<C>(state, &desk, &mut call, body, &time).await {
+    let result = review::run_reviewed::<C>(state, &desk, &mut call, &mut traced, body, &time).await;
+    let result = match result {
         Ok(answer) if answer::is_not_run(&answer) => {
             grant.release(NotRunProof::Shed);
             Ok(answer)
@@ -174,7 +200,8 @@
             }
             Err(refusal)
         }
-    }
+    };
+    (result, Some(traced))
 }
 
 /// Reads the whole answer and keeps it for repeats. The caller gets it afterwards, so that what is
@@ -192,7 +219,8 @@
         Err(error) => format!("the work ran, but its answer cannot be kept: {error}"),
     };
     grant.unknown();
-    Err(CallRefusal::unknown(StatusCode::BAD_GATEWAY, message))
+    let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+    Err(refusal.because(CallCause::Truncated))
 }
 
 fn kept_headers(headers: &HeaderMap) -> Vec<(SharedName, String)> {
@@ -220,7 +248,10 @@
 
 fn refused(reason: RefusalReason) -> CallRefusal {
     match reason {
-        RefusalReason::OtherBody => CallRefusal::not_run(StatusCode::UNPROCESSABLE_ENTITY, reason),
+        RefusalReason::OtherBody => {
+            let refusal = CallRefusal::not_run(StatusCode::UNPROCESSABLE_ENTITY, reason);
+            refusal.because(CallCause::BadRequest)
+        }
         RefusalReason::Unreadable => {
             CallRefusal::not_run(StatusCode::INTERNAL_SERVER_ERROR, reason)
         }
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -6,9 +6,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use border::{
-    DocumentError, InterfaceKind, LogFormat, LogLevel, ProcessSettings, SettingsError, SharedSecret,
-};
+use border::{DocumentError, InterfaceKind, ProcessSettings, SettingsError, SharedSecret};
 use bpaf::Bpaf;
 use directory::prelude::*;
 use gate::access::{AccessOptions, PlatformAccess};
@@ -17,6 +15,7 @@
 use gate::event;
 use gate::exchange::ExchangeOptions;
 use gate::leave;
+use gate::log::{LogLevelHandle, ProcessLog};
 use gate::observe::ObserveServer;
 use gate::options::{CallTuning, GateOptions};
 use gate::peers::PeerLink;
@@ -31,9 +30,6 @@
 use store::prelude::HttpSettings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::task::AbortOnDropHandle;
-use tracing_subscriber::layer::SubscriberExt;
-use tracing_subscriber::util::SubscriberInitExt;
-use tracing_subscriber::{EnvFilter, Registry, reload};
 use world::prelude::*;
 
 /// Gateway VMs that may run at once, until more are known. A quarter more than the largest
@@ -92,7 +88,7 @@
 
 fn start(arguments: &GateArguments) -> Result<(), GateError> {
     let settings = read_settings(&arguments.settings)?;
-    let log = start_log(&settings);
+    let mut log = ProcessLog::start(&settings);
     let path = arguments.settings.clone();
     let options = gate_options(&settings, arguments.policy);
     let state = match &arguments.document {
@@ -105,10 +101,11 @@
     let followed = arguments.document.is_none().then(|| settings.environment.clone());
     match settings.interface {
         InterfaceKind::Agateroad => {
-            let reload = LiveSettings { log, bounds: None };
-            runtime.block_on(serve_native(&settings, state, followed, path, reload))
+            runtime.block_on(serve_native(&settings, state, followed, path, &mut log))
+        }
+        InterfaceKind::Platform => {
+            runtime.block_on(serve_platform(&settings, state, path, &mut log))
         }
-        InterfaceKind::Platform => runtime.block_on(serve_platform(&settings, state, path, log)),
     }
 }
 
@@ -127,8 +124,9 @@
     state: Arc<GateState>,
     followed: Option<SharedName>,
     path: PathBuf,
-    reload: LiveSettings,
+    log: &mut ProcessLog,
 ) -> Result<(), GateError> {
+    let reload = LiveSettings { log: log.level(), bounds: None };
     let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
     let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
@@ -142,7 +140,7 @@
     let control = ControlServer::start(address, secret_table(settings), counts, control);
     let control = control.await.context(ListenSnafu)?;
     platform.announce(control.address);
-    announce(settings, &gate, &control, &observe);
+    let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
     tokio::select! {
         () = leave::leave(&gate, platform, settings.timeouts.leave) => {}
@@ -159,7 +157,7 @@
     settings: &ProcessSettings,
     state: Arc<GateState>,
     path: PathBuf,
-    log: LogHandle,
+    log: &mut ProcessLog,
 ) -> Result<(), GateError> {
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
     let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
@@ -178,10 +176,10 @@
     let control = control.await.context(ListenSnafu)?;
     let options = discovery_options(settings, &state, control.address, counts, link);
     let discovery = DiscoveryTasks::start(&state, options).await.context(ListenSnafu)?;
-    let reload = LiveSettings { log, bounds: Some(discovery.bounds()) };
+    let reload = LiveSettings { log: log.level(), bounds: Some(discovery.bounds()) };
     let watch = SettingsWatch::new(path, settings.clone(), reload).context(RuntimeSnafu)?;
     let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run()));
-    announce(settings, &gate, &control, &observe);
+    let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
     tokio::select! {
         () = leave::leave_within(&gate, settings.timeouts.leave, settings.fleet.stop_limit) => {}
@@ -194,13 +192,15 @@
     Ok(())
 }
 
-/// Tells where the process listens, in the log and as one line of JSON.
+/// Tells where the process listens, as one line of JSON and in the log, and follows dropped lines
+/// of the log from then on.
 fn announce(
     settings: &ProcessSettings,
     gate: &RunningGate,
     control: &ControlServer,
     observe: &ObserveServer,
-) {
+    log: &mut ProcessLog,
+) -> AbortOnDropHandle<()> {
     let address = gate.caller_address;
     tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
     let ready = serde_json::json!({
@@ -208,7 +208,9 @@
         "control_address": control.address,
         "metrics_address": observe.address,
     });
-    println!("{ready}");
+    log.announce(&ready);
+    let dropped = gate.state.tables.metrics.log_dropped.clone();
+    AbortOnDropHandle::new(tokio::spawn(log.watch_drops(dropped)))
 }
 
 fn access_options(
@@ -280,42 +282,15 @@
     border::load_document(&bytes, FILE_VERSION).context(DocumentSnafu { path })
 }
 
-/// Changes the level of the log.
-type LogHandle = reload::Handle<EnvFilter, Registry>;
-
-fn start_log(settings: &ProcessSettings) -> LogHandle {
-    let (filter, handle) = reload::Layer::new(log_filter(settings));
-    let log = tracing_subscriber::fmt::layer().with_writer(std::io::stderr);
-    let registry = tracing_subscriber::registry().with(filter);
-    match settings.log_format {
-        LogFormat::Json => registry.with(log.json()).init(),
-        LogFormat::Text => registry.with(log).init(),
-    }
-    handle
-}
-
-fn log_filter(settings: &ProcessSettings) -> EnvFilter {
-    let level = match settings.log_level {
-        LogLevel::Error => "error",
-        LogLevel::Warn => "warn",
-        LogLevel::Info => "info",
-        LogLevel::Debug => "debug",
-        LogLevel::Trace => "trace",
-    };
-    // The HTTP library logs each connection; its level stays fixed.
-    EnvFilter::new(format!("{level},hyper=error"))
-}
-
 /// What takes effect while the process runs.
 struct LiveSettings {
-    log: LogHandle,
+    log: LogLevelHandle,
     bounds: Option<BoundsHandle<PlatformCodec>>,
 }
 
 impl SettingsTarget for LiveSettings {
     fn apply(&mut self, settings: &ProcessSettings) {
-        // The handle fails only after the log was dropped, which ends with the process.
-        let _ = self.log.reload(log_filter(settings));
+        self.log.apply(settings);
         if let Some(bounds) = &self.bounds {
             bounds.set(fleet_bounds(settings));
         }
--- /dev/null
+++ b/crates/gate/src/decision.rs
@@ -0,0 +1,299 @@
+//! The traces of calls, and writing them to the log.
+
+use std::fmt;
+use std::sync::Arc;
+
+use base::prelude::*;
+use codec::prelude::*;
+use http::{HeaderValue, Response};
+use trace::prelude::*;
+use tracing::Level;
+
+use crate::answer::{self, AnswerBody};
+use crate::attempt::FailedAttempt;
+use crate::desk::ServiceDesk;
+use crate::event;
+use crate::plan::PlannedCall;
+use crate::retry::NextStep;
+use crate::slot::CallSlot;
+use crate::state::GateState;
+
+/// The trace of a call in progress. It is counted, and logged if there is a reason, when it is
+/// dropped. A call that nobody ended was dropped because its caller left.
+pub struct TracedCall {
+    state: Arc<GateState>,
+    desk: Option<Arc<ServiceDesk>>,
+    id: HeaderValue,
+    arrived: ClockTime,
+    trace: CallTrace,
+    /// The upstream of the last attempt.
+    upstream: Option<SharedName>,
+    end: CallEnding,
+}
+
+/// What the caller is told.
+struct CallEnding {
+    status: Option<u16>,
+    cause: CallCause,
+    fate: Option<CallFate>,
+    retry_after: Option<ClockSpan>,
+}
+
+impl TracedCall {
+    /// Starts the trace of a call.
+    pub fn start(state: &Arc<GateState>, id: &HeaderValue, arrived: ClockTime) -> Self {
+        let end = CallEnding {
+            status: None,
+            cause: CallCause::CallerLeft,
+            fate: Some(CallFate::NotRun),
+            retry_after: None,
+        };
+        let trace = CallTrace::default();
+        let (state, id) = (Arc::clone(state), id.clone());
+        Self { state, desk: None, id, arrived, trace, upstream: None, end }
+    }
+
+    /// Returns when the call arrived.
+    pub const fn arrived(&self) -> ClockTime {
+        self.arrived
+    }
+
+    /// Records how the call was classified.
+    pub fn classify(&mut self, desk: &Arc<ServiceDesk>, call: &PlannedCall) {
+        let request = &call.request;
+        self.desk = Some(Arc::clone(desk));
+        self.trace.facts = Some(CallFacts {
+            service: request.service.clone(),
+            class: request.class.as_str(),
+            idempotent: request.idempotent,
+            version: call.version,
+            time: request.deadline.since(self.arrived),
+            objective: call.objective,
+            fingerprint: request.fingerprint,
+        });
+    }
+
+    /// Records that an attempt has a slot on an upstream.
+    pub fn choose(&mut self, attempt: u32, choice: &PlacedChoice) {
+        let PlacedChoice { upstream, facts, checked, waited } = choice.clone();
+        self.end.fate = Some(CallFate::Unknown);
+        self.upstream = Some(upstream.clone());
+        self.trace.choose(ChosenStep { attempt, upstream, facts, checked, waited });
+    }
+
+    /// Records that an attempt brought an answer.
+    pub fn answered(&mut self, attempt: u32) {
+        let upstream = self.upstream.clone();
+        let (result, fate, next) = (CallCause::Answered, None, StepNext::End(None));
+        self.end_attempt(attempt, upstream, result, fate, next);
+    }
+
+    /// Records that an attempt failed. `stop` tells why none follows.
+    pub fn failed(&mut self, attempt: u32, failure: &FailedAttempt, stop: Option<StopReason>) {
+        let next = match (stop, failure.next) {
+            (Some(stop), NextStep::Retry | NextStep::RetryAfterLoss | NextStep::Repeat) => {
+                StepNext::End(Some(stop))
+            }
+            (_, NextStep::End) => StepNext::End(None),
+            (None, NextStep::Repeat) => StepNext::Repeat,
+            (None, NextStep::Retry | NextStep::RetryAfterLoss) => StepNext::Retry,
+        };
+        let (result, fate) = (failure.refusal.cause, Some(failure.fate.as_str()));
+        let chosen = self.upstream.take();
+        self.end_attempt(attempt, failure.upstream.clone().or(chosen), result, fate, next);
+    }
+
+    fn end_attempt(
+        &mut self,
+        attempt: u32,
+        upstream: Option<SharedName>,
+        result: CallCause,
+        fate: Option<&'static str>,
+        next: StepNext,
+    ) {
+        let after = self.state.clock.now().since(self.arrived);
+        self.trace.end(EndedStep { attempt, upstream, result, after, fate, next });
+    }
+
+    /// Ends a call that gets an error answer of the gateway's own.
+    pub fn refuse(mut self, refusal: &CallRefusal) {
+        self.end = CallEnding {
+            status: Some(refusal.status.as_u16()),
+            cause: refusal.cause,
+            fate: Some(refusal.fate),
+            retry_after: refusal.retry_after,
+        };
+    }
+
+    /// Ends a call with an answer. If the answer is still arriving, its body ends the call.
+    pub fn answer(mut self, answer: &mut Response<AnswerBody>) {
+        let not_run = answer::is_not_run(answer);
+        self.end.status = Some(answer.status().as_u16());
+        let whole = match answer.status() {
+            _ if not_run => CallCause::Shed,
+            status if status.is_server_error() => CallCause::UpstreamError,
+            _ => CallCause::Answered,
+        };
+        match answer.body_mut() {
+            AnswerBody::Relayed(relayed) => relayed.trace(self, whole),
+            AnswerBody::Empty | AnswerBody::Full(_) => self.end_body(whole),
+        }
+    }
+
+    /// Ends a call whose answer was passed on as far as it goes.
+    pub fn end_body(mut self, cause: CallCause) {
+        self.end.cause = cause;
+        self.end.fate = match cause {
+            CallCause::Answered | CallCause::UpstreamError => None,
+            CallCause::Shed => Some(CallFate::NotRun),
+            _ => Some(CallFate::Unknown),
+        };
+    }
+
+    /// Returns how many refusals were left out of the log before this call, or `None` if it is left
+    /// out itself.
+    fn admit(&self, now: ClockTime) -> Option<u64> {
+        if self.end.cause == CallCause::Answered || self.end.fate != Some(CallFate::NotRun) {
+            return Some(0);
+        }
+        let cap = match &self.desk {
+            Some(desk) => &desk.refusal_cap,
+            None => &self.state.tables.unplaced_cap,
+        };
+        cap.lock().admit(self.end.cause, now)
+    }
+
+    fn write(&self, total: ClockSpan, suppressed: u64) {
+        let id = self.id.to_str().unwrap_or_default();
+        if let Some(facts) = &self.trace.facts {
+            write_facts(id, facts);
+        }
+        for step in self.trace.steps() {
+            match step {
+                TraceStep::Chosen(step) => write_choice(id, step),
+                TraceStep::Ended(step) => write_end(id, step),
+            }
+        }
+        let CallEnding { status, cause, fate, retry_after } = &self.end;
+        tracing::info!(
+            event = event::CALL_ENDED,
+            id,
+            vm = self.state.options.vm.name.as_str(),
+            status,
+            cause = cause.as_str(),
+            fate = fate.map(CallFate::as_str),
+            total_ms = total.as_millis_f64(),
+            attempts = self.trace.attempts(),
+            retry_after_ms = retry_after.map(ClockSpan::as_millis),
+            suppressed,
+        );
+    }
+}
+
+impl fmt::Debug for TracedCall {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("TracedCall").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl Drop for TracedCall {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.end.cause = CallCause::Internal;
+        }
+        let now = self.state.clock.now();
+        let total = now.since(self.arrived);
+        let cause = self.end.cause;
+        match (&self.desk, &self.trace.facts) {
+            (Some(desk), Some(facts)) => desk.meters.count_cause(facts.class, cause),
+            _ => self.state.tables.metrics.unplaced_causes.count(cause),
+        }
+        let summary = CallSummary { id: self.id.as_bytes(), cause, total };
+        if !is_logged(&summary, &self.trace) || !tracing::enabled!(Level::INFO) {
+            return;
+        }
+        if let Some(suppressed) = self.admit(now) {
+            self.write(total, suppressed);
+        }
+    }
+}
+
+/// A slot for an attempt, and what was known of the upstream.
+#[derive(Clone, Debug)]
+pub struct PlacedChoice {
+    /// The upstream.
+    pub upstream: SharedName,
+    /// What was known of it.
+    pub facts: ChoiceFacts,
+    /// Whether it answered a check right before.
+    pub checked: bool,
+    /// The time until the call had its slot.
+    pub waited: ClockSpan,
+}
+
+impl PlacedChoice {
+    /// Returns the choice that led to `slot`, `now`, after a search that began at `started`.
+    pub fn new(slot: &CallSlot, checked: bool, started: ClockTime, now: ClockTime) -> Self {
+        let upstream = slot.upstream().cloned().unwrap_or_else(|| SharedName::from(""));
+        let facts = slot.evidence().map(|evidence| ChoiceFacts {
+            cost_ms: evidence.cost_ms,
+            age: evidence.age(now),
+            pace: evidence.view.pace,
+            own: evidence.view.own_in_flight,
+            others: evidence.view.others,
+            candidates: evidence.candidates,
+        });
+        Self { upstream, facts: facts.unwrap_or_default(), checked, waited: now.since(started) }
+    }
+}
+
+fn write_facts(id: &str, facts: &CallFacts) {
+    tracing::info!(
+        event = event::CALL_CLASSIFIED,
+        id,
+        service = facts.service.as_str(),
+        class = facts.class,
+        idempotent = facts.idempotent,
+        version = facts.version,
+        deadline_ms = facts.time.as_millis_f64(),
+        objective_ms = facts.objective.as_millis_f64(),
+        fingerprint = format_args!("{:016x}", facts.fingerprint),
+    );
+}
+
+fn write_choice(id: &str, step: &ChosenStep) {
+    let ChosenStep { attempt, upstream, facts, checked, waited } = step;
+    tracing::info!(
+        event = event::UPSTREAM_CHOSEN,
+        id,
+        attempt,
+        upstream = upstream.as_str(),
+        cost_ms = facts.cost_ms,
+        age_ms = facts.age.map(ClockSpan::as_millis_f64),
+        pace = facts.pace,
+        own = facts.own,
+        others = facts.others,
+        candidates = facts.candidates,
+        checked,
+        waited_ms = waited.as_millis_f64(),
+    );
+}
+
+fn write_end(id: &str, step: &EndedStep) {
+    let EndedStep { attempt, upstream, result, after, fate, next } = step;
+    let why = match next {
+        StepNext::End(why) => why.map(StopReason::as_str),
+        StepNext::Retry | StepNext::Repeat => None,
+    };
+    tracing::info!(
+        event = event::ATTEMPT_ENDED,
+        id,
+        attempt,
+        upstream = upstream.as_deref(),
+        result = result.as_str(),
+        after_ms = after.as_millis_f64(),
+        fate,
+        next = next.as_str(),
+        why,
+    );
+}
--- a/crates/gate/src/desk.rs
+++ b/crates/gate/src/desk.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use base::prelude::*;
 use limit::prelude::{RefusalKind, RefusalReason};
+use trace::prelude::RefusalCap;
 use world::prelude::*;
 
 use crate::event;
@@ -29,6 +30,8 @@
     pub held: RankedMutex<VecDeque<TurnWaiter>>,
     /// The metrics of the service.
     pub meters: ServiceMeters,
+    /// Limits the traces of refused calls in the log.
+    pub refusal_cap: RankedMutex<RefusalCap>,
     /// When a refusal of each kind was logged last, in milliseconds of the process's clock.
     logged: [AtomicU64; REFUSAL_KINDS],
 }
@@ -40,6 +43,7 @@
             waiting: AtomicU32::new(0),
             held: RankedMutex::new(LockRank::WaitQueue, VecDeque::new()),
             meters: metrics.service(name),
+            refusal_cap: RankedMutex::new(LockRank::TraceTable, RefusalCap::default()),
             logged: Default::default(),
         }
     }
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -150,12 +150,14 @@
                 Ok(page) => {
                     position = Some(page.position);
                     log_read(K::CONFIG_TABLE, &page);
+                    self.state.store.answered(self.state.clock.now());
                     self.take_config(&page);
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
                 Err(StoreError::HistoryLost) => position = None,
                 Err(error) => {
                     tracing::debug!(event = event::STORE_UNREAD, %error);
+                    self.state.store.failed(&error, self.state.clock.now());
                     self.copy_config().await;
                     let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
                     tokio::time::sleep(pause.to_duration()).await;
@@ -270,6 +272,7 @@
         };
         log_read(K::UPSTREAM_TABLE, &page);
         let now = self.state.clock.now();
+        self.state.store.answered(now);
         let change = {
             let upstreams = &mut self.tables.lock().upstreams;
             upstreams.note_answer(now);
@@ -278,9 +281,9 @@
                 None => upstreams.replace::<K>(&page, now),
             }
         };
-        self.report(&change);
         // An answer that was held back tells the state at its end.
         let made_at = if hold == ClockSpan::ZERO { asked } else { now };
+        self.report(&change, "store", now.since(made_at), page.position);
         self.exchange.note_read(page.position, made_at);
         if change.upstreams_changed || known.is_none() {
             self.apply();
@@ -310,18 +313,31 @@
             self.upstreams_wanted.notify_one();
             return;
         };
-        self.report(&change);
+        self.report(&change, "peer", age, page.position);
         self.exchange.note_read(page.position, now - age);
         if change.upstreams_changed {
             self.apply();
         }
     }
 
-    fn report(&self, change: &DirectoryChange) {
+    /// Logs what changed. `age` is that of the information from `source`.
+    fn report(&self, change: &DirectoryChange, source: &str, age: ClockSpan, position: u64) {
         for row in &change.unreadable {
             let (upstream, error) = (&row.key, &row.error);
             tracing::warn!(event = event::UPSTREAM_UNREADABLE, %upstream, %error);
         }
+        for UpstreamMove { upstream, kind } in &change.moves {
+            let (change, age_ms) = (kind.as_str(), age.as_millis());
+            tracing::info!(
+                event = event::UPSTREAM_MOVED,
+                upstream = upstream.as_str(),
+                change,
+                source,
+                age_ms,
+                position,
+                "the use of an upstream changed"
+            );
+        }
     }
 
     fn settle(&self) -> bool {
@@ -331,6 +347,7 @@
     fn note_failed_read(&self, error: &StoreError) {
         tracing::debug!(event = event::STORE_UNREAD, %error);
         let now = self.state.clock.now();
+        self.state.store.failed(error, now);
         if self.tables.lock().upstreams.note_failure(now) {
             self.apply();
         }
@@ -360,7 +377,7 @@
             }
             upstreams.replace::<K>(&page, now)
         };
-        self.report(&change);
+        self.report(&change, "peer", ClockSpan::ZERO, page.position);
         self.apply();
     }
 
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -46,6 +46,22 @@
 pub const PAUSE_SEEN: u32 = 1025;
 /// A table of the platform's store was read.
 pub const TABLE_READ: u32 = 1026;
+/// How a call was classified.
+pub const CALL_CLASSIFIED: u32 = 1030;
+/// Which upstream was chosen for an attempt, and on what evidence.
+pub const UPSTREAM_CHOSEN: u32 = 1031;
+/// How an attempt ended.
+pub const ATTEMPT_ENDED: u32 = 1032;
+/// How a call ended for its caller.
+pub const CALL_ENDED: u32 = 1033;
+/// Log lines were dropped.
+pub const LINES_DROPPED: u32 = 1040;
+/// A dependency became unavailable.
+pub const DEPENDENCY_LOST: u32 = 1041;
+/// A dependency is available again.
+pub const DEPENDENCY_BACK: u32 = 1042;
+/// An upstream was added, started to leave or was removed.
+pub const UPSTREAM_MOVED: u32 = 1043;
 /// An upstream is ejected because of failures.
 pub const UPSTREAM_EJECTED: u32 = 1201;
 /// An ejected upstream takes calls again.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -204,6 +204,11 @@
             };
             let leaving = self.state.draining.load(Ordering::Relaxed);
             self.exchange.send(self.exchange.hello(leaving, true), &due).await;
+            if counts.listed > 1 && counts.heard == 1 {
+                self.state.peers.failed("no peer is heard", now);
+            } else {
+                self.state.peers.answered(now);
+            }
             let counts = VmCounts { listed: counts.listed, reported: counts.heard };
             self.state.tables.probes.set_counts(counts, now);
             self.state.tables.retries.set_counts(counts, now);
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -2,12 +2,15 @@
 //!
 //! Labels are services, classes and fixed names only, so that their number stays bounded.
 
+use std::sync::OnceLock;
+
 use base::prelude::*;
 use limit::prelude::RefusalKind;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use trace::prelude::CallCause;
 use world::prelude::*;
 
 /// Upper bounds in seconds for the gateway's own time. The target is 0.42 ms.
@@ -43,6 +46,29 @@
     }
 }
 
+/// Calls by their causes. A series starts with its first call, because most causes are rare.
+#[derive(Debug)]
+pub struct CauseCounters {
+    calls: IntCounterVec,
+    service: SharedName,
+    class: &'static str,
+    counters: [OnceLock<IntCounter>; CallCause::ALL.len()],
+}
+
+impl CauseCounters {
+    fn new(calls: &IntCounterVec, service: &str, class: &'static str) -> Self {
+        let (calls, service) = (calls.clone(), SharedName::from(service));
+        Self { calls, service, class, counters: Default::default() }
+    }
+
+    /// Counts a call.
+    pub fn count(&self, cause: CallCause) {
+        let labels = [self.service.as_str(), self.class, cause.as_str()];
+        let counter = &self.counters[cause as usize];
+        counter.get_or_init(|| self.calls.with_label_values(&labels)).inc();
+    }
+}
+
 /// How many upstreams of a service are in each state.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct UpstreamTally {
@@ -60,6 +86,7 @@
 #[derive(Debug)]
 pub struct ServiceMeters {
     calls: [[IntCounter; CallEnd::ALL.len()]; WorkClass::ALL.len()],
+    causes: [CauseCounters; WorkClass::ALL.len()],
     residence: Histogram,
     upstream_time: Histogram,
     waiting: IntGauge,
@@ -92,6 +119,13 @@
         self.calls[class.index()][end as usize].inc();
     }
 
+    /// Counts the cause of a call. The class is the name of one.
+    pub fn count_cause(&self, class: &str, cause: CallCause) {
+        if let Some(counters) = self.causes.iter().find(|own| own.class == class) {
+            counters.count(cause);
+        }
+    }
+
     /// Records the time that a call spent in the gateway itself.
     pub fn record_residence(&self, span: ClockSpan) {
         self.residence.observe(span.as_millis_f64() / 1e3);
@@ -135,6 +169,11 @@
 pub struct GateMetrics {
     registry: Registry,
     calls: IntCounterVec,
+    causes: IntCounterVec,
+    /// Causes of calls without a service.
+    pub unplaced_causes: CauseCounters,
+    /// Lines of the log that did not fit into its buffer.
+    pub log_dropped: IntCounter,
     residence: HistogramVec,
     upstream_time: HistogramVec,
     waiting: IntGaugeVec,
@@ -177,7 +216,21 @@
             registry.register(Box::new(histogram.clone())).expect("distinct names");
             histogram
         };
+        let log_dropped = IntCounter::new(
+            "agateroad_log_dropped_total",
+            "Lines of the log that were dropped because standard output was not read.",
+        )
+        .expect("a valid name");
+        registry.register(Box::new(log_dropped.clone())).expect("distinct names");
+        let causes = counter(
+            "agateroad_call_causes_total",
+            "Calls by why they ended as they did.",
+            &["service", "class", "cause"],
+        );
         Self {
+            unplaced_causes: CauseCounters::new(&causes, "", ""),
+            causes,
+            log_dropped,
             calls: counter(
                 "agateroad_calls_total",
                 "Calls by how they ended.",
@@ -231,6 +284,8 @@
                     self.calls.with_label_values(&[service, class.as_str(), end.as_str()])
                 })
             }),
+            causes: WorkClass::ALL
+                .map(|class| CauseCounters::new(&self.causes, service, class.as_str())),
             residence: self.residence.with_label_values(&labels),
             upstream_time: self.upstream_time.with_label_values(&labels),
             waiting: self.waiting.with_label_values(&labels),
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -7,6 +7,7 @@
 use http::header::{HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Method, StatusCode, Uri};
+use trace::prelude::CallCause;
 use world::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -18,6 +19,8 @@
 pub struct PlannedCall {
     /// What decisions need to know.
     pub request: CallerRequest,
+    /// The version of the configuration.
+    pub version: u64,
     /// The latency that counts as good.
     pub objective: ClockSpan,
     /// The method.
@@ -54,7 +57,8 @@
     let span = facts.deadline.map_or(plan.timeout, |own| own.min(plan.timeout));
     if span == ClockSpan::ZERO {
         let message = "the deadline has passed; allow more time";
-        return Err(CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message));
+        let refusal = CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message);
+        return Err(refusal.because(CallCause::Timeout));
     }
     let request = CallerRequest {
         service: plan.service,
@@ -70,7 +74,8 @@
     let mut headers = parts.headers;
     C::clean_request(&mut headers);
     let (method, uri, id) = (parts.method, parts.uri, id.clone());
-    Ok(PlannedCall { request, objective: plan.objective, method, uri, headers, id })
+    let (version, objective) = (environment.version, plan.objective);
+    Ok(PlannedCall { request, version, objective, method, uri, headers, id })
 }
 
 /// A VM that knows that it has an old configuration cannot tell that a route does not exist.
@@ -80,11 +85,12 @@
     }
     let (host, method, path) = (&facts.host, &parts.method, parts.uri.path());
     let message = format!("no service takes {method} {path:?} for host {host:?}");
-    CallRefusal::not_run(StatusCode::NOT_FOUND, message)
+    CallRefusal::not_run(StatusCode::NOT_FOUND, message).because(CallCause::NoRoute)
 }
 
 fn later(state: &GateState, message: &str) -> CallRefusal {
     let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+    let refusal = refusal.because(CallCause::NoConfiguration);
     refusal.retry_after(state.options.tuning.retry_after)
 }
 
--- a/crates/gate/src/retry.rs
+++ b/crates/gate/src/retry.rs
@@ -3,7 +3,9 @@
 use base::prelude::*;
 use codec::prelude::*;
 use http::StatusCode;
+use limit::prelude::RetryDenial;
 use suspect::prelude::*;
+use trace::prelude::StopReason;
 use world::prelude::*;
 
 use crate::tables::CallTables;
@@ -46,8 +48,11 @@
         self.may_have_run |= fate == CallFate::Unknown;
     }
 
-    /// Returns whether another attempt may follow one that ended with `fate`, and takes what it
-    /// costs.
+    /// Allows another attempt after one that ended with `fate`, and takes what it costs.
+    ///
+    /// # Errors
+    ///
+    /// Tells why none may follow.
     pub fn allows(
         &mut self,
         tables: &CallTables,
@@ -55,19 +60,30 @@
         fate: CallFate,
         next: NextStep,
         now: ClockTime,
-    ) -> bool {
-        if self.isolated || (fate == CallFate::Unknown && !may_run_twice(request)) {
-            return false;
+    ) -> Result<(), StopReason> {
+        if self.isolated {
+            return Err(StopReason::Suspect);
         }
-        let allow = || tables.retries.allow_retry(request, now);
+        if fate == CallFate::Unknown && !may_run_twice(request) {
+            return Err(StopReason::NotIdempotent);
+        }
+        let allow = || tables.retries.try_retry(request, now).map_err(stop_reason);
         match next {
-            NextStep::End => false,
+            // The attempt ended with the time of its call.
+            NextStep::End => Err(StopReason::Deadline),
             NextStep::Retry => allow(),
             NextStep::RetryAfterLoss => {
                 let first = !std::mem::replace(&mut self.lost, true);
-                first && is_clear(&tables.suspects, request.fingerprint, now) && allow()
+                if first && is_clear(&tables.suspects, request.fingerprint, now) {
+                    allow()
+                } else {
+                    Err(StopReason::Suspect)
+                }
+            }
+            NextStep::Repeat if std::mem::replace(&mut self.repeated, true) => {
+                Err(StopReason::Attempts)
             }
-            NextStep::Repeat => !std::mem::replace(&mut self.repeated, true),
+            NextStep::Repeat => Ok(()),
         }
     }
 
@@ -83,6 +99,14 @@
     }
 }
 
+const fn stop_reason(denial: RetryDenial) -> StopReason {
+    match denial {
+        RetryDenial::Attempts => StopReason::Attempts,
+        RetryDenial::Deadline => StopReason::Deadline,
+        RetryDenial::Budget => StopReason::Budget,
+    }
+}
+
 /// Returns whether two runs of a call have the effect of one. Work with a key is kept under its
 /// claim and runs once.
 pub fn may_run_twice(request: &CallerRequest) -> bool {
--- a/crates/gate/src/review.rs
+++ b/crates/gate/src/review.rs
@@ -6,9 +6,11 @@
 use codec::prelude::*;
 use http::StatusCode;
 use suspect::prelude::*;
+use trace::prelude::CallCause;
 
 use crate::answer::CallResponse;
 use crate::body::CallBody;
+use crate::decision::TracedCall;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
 use crate::sequence::AttemptSequence;
@@ -55,6 +57,7 @@
     state: &Arc<GateState>,
     desk: &Arc<ServiceDesk>,
     call: &mut PlannedCall,
+    traced: &mut TracedCall,
     body: CallBody,
     time: &UpstreamTime,
 ) -> CallResponse {
@@ -69,9 +72,9 @@
             // An innocent suspect is cleared after a while, so the status must not say that a
             // repeat is useless.
             let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
-            return Err(refusal.retry_after(SUSPECT_RETRY_AFTER));
+            return Err(refusal.because(CallCause::Suspect).retry_after(SUSPECT_RETRY_AFTER));
         }
     };
-    let sequence = AttemptSequence::<C>::new(state, desk, call, guard.is_some(), time);
+    let sequence = AttemptSequence::<C>::new(state, desk, call, traced, guard.is_some(), time);
     sequence.run(body).await
 }
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -5,10 +5,12 @@
 
 use base::prelude::*;
 use codec::prelude::*;
+use trace::prelude::StopReason;
 
 use crate::answer::CallResponse;
 use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
 use crate::body::{CallBody, SendBody};
+use crate::decision::TracedCall;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
 use crate::retry::{NextStep, RetryRecord};
@@ -20,6 +22,7 @@
     state: &'a Arc<GateState>,
     desk: &'a Arc<ServiceDesk>,
     call: &'a mut PlannedCall,
+    traced: &'a mut TracedCall,
     /// Upstreams that failed or that the call must not use.
     avoid: Vec<SharedName>,
     record: RetryRecord,
@@ -33,6 +36,7 @@
         state: &'a Arc<GateState>,
         desk: &'a Arc<ServiceDesk>,
         call: &'a mut PlannedCall,
+        traced: &'a mut TracedCall,
         isolated: bool,
         time: &'a UpstreamTime,
     ) -> Self {
@@ -42,7 +46,7 @@
         let now = state.clock.now();
         let avoid = state.tables.suspects.avoid(request.fingerprint, upstreams, now);
         let record = RetryRecord::new(isolated);
-        Self { state, desk, call, avoid, record, time, codec: PhantomData }
+        Self { state, desk, call, traced, avoid, record, time, codec: PhantomData }
     }
 
     /// Makes attempts until there is an answer or no further one is allowed.
@@ -59,15 +63,22 @@
                 let message = "the request body cannot be sent again; repeat the request";
                 return Err(self.record.refuse(message));
             };
+            let attempt = self.call.request.attempt;
             let mut failure = match self.attempt(current).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.traced.answered(attempt);
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
             if let Some(unsent) = failure.unsent.take() {
                 body.restore(unsent);
             }
             self.record.note(failure.fate);
-            if !body.is_available() || !self.allows(&failure) {
+            let allowed =
+                if body.is_available() { self.allows(&failure) } else { Err(StopReason::Body) };
+            self.traced.failed(attempt, &failure, allowed.err());
+            if allowed.is_err() {
                 return self.end(*failure);
             }
             if let Some(answer) = failure.answer {
@@ -81,7 +92,7 @@
         }
     }
 
-    fn allows(&mut self, failure: &FailedAttempt) -> bool {
+    fn allows(&mut self, failure: &FailedAttempt) -> Result<(), StopReason> {
         let Self { state, call, record, .. } = self;
         let now = state.clock.now();
         record.allows(&state.tables, &call.request, failure.fate, failure.next, now)
@@ -108,11 +119,14 @@
         }
     }
 
-    async fn attempt(&self, body: SendBody) -> AttemptResult {
-        let Self { state, desk, call, time, .. } = self;
+    async fn attempt(&mut self, body: SendBody) -> AttemptResult {
+        let Self { state, desk, call, traced, time, .. } = self;
         let attempt = CallAttempt::<C> { state, desk, call, time, codec: PhantomData };
         match attempt.place(&self.avoid).await {
-            Ok(placed) => attempt.run(placed, body).await,
+            Ok(placed) => {
+                traced.choose(call.request.attempt, &placed.choice);
+                attempt.run(placed, body).await
+            }
             Err(failure) => Err(Box::new(FailedAttempt { unsent: Some(body), ..*failure })),
         }
     }
--- a/crates/gate/src/slot.rs
+++ b/crates/gate/src/slot.rs
@@ -85,6 +85,11 @@
         self.ticket.as_ref().map(UpstreamTicket::upstream)
     }
 
+    /// Returns what was known of the upstream when it was chosen.
+    pub fn evidence(&self) -> Option<&ChoiceEvidence> {
+        self.ticket.as_ref().map(UpstreamTicket::evidence)
+    }
+
     /// Returns the desk of the service.
     pub fn desk(&self) -> &Arc<ServiceDesk> {
         &self.desk
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -14,6 +14,7 @@
 use world::prelude::*;
 
 use crate::count::CallCount;
+use crate::depend::DependencyWatch;
 use crate::link::LinkTable;
 use crate::options::GateOptions;
 use crate::peers::GrantClient;
@@ -48,6 +49,10 @@
     pub claims: OnceLock<GateClaims>,
     /// Asks other VMs for isolated runs of suspects, once this VM knows its peers.
     pub grants: OnceLock<GrantClient>,
+    /// Whether the platform's store answers.
+    pub store: DependencyWatch,
+    /// Whether other VMs are heard.
+    pub peers: DependencyWatch,
     /// The calls in flight.
     pub calls: CallCount,
     next_call: AtomicU64,
@@ -71,6 +76,8 @@
             behind: AtomicBool::new(false),
             claims: OnceLock::new(),
             grants: OnceLock::new(),
+            store: DependencyWatch::new("store"),
+            peers: DependencyWatch::new("peers"),
             calls: CallCount::default(),
             next_call: AtomicU64::new(1),
         };
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -4,6 +4,7 @@
 use limit::prelude::*;
 use report::prelude::*;
 use suspect::prelude::*;
+use trace::prelude::RefusalCap;
 use world::prelude::*;
 
 use crate::desk::DeskTable;
@@ -34,6 +35,8 @@
     pub desks: DeskTable,
     /// The metrics of the process.
     pub metrics: GateMetrics,
+    /// Limits the traces of refused calls without a service in the log.
+    pub unplaced_cap: RankedMutex<RefusalCap>,
     crash_notices: RankedMutex<Vec<SuspectNotice>>,
 }
 
@@ -49,6 +52,7 @@
             burn: BurnTable::new(BurnTuning::default()),
             desks: DeskTable::default(),
             metrics: GateMetrics::new(),
+            unplaced_cap: RankedMutex::new(LockRank::TraceTable, RefusalCap::default()),
             crash_notices: RankedMutex::new(LockRank::SuspectTable, Vec::new()),
         }
     }
--- a/crates/gate/src/verdict.rs
+++ b/crates/gate/src/verdict.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use route::prelude::*;
 use tokio::time::timeout_at;
+use trace::prelude::CallCause;
 
 use crate::answer::AnswerBody;
 use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
@@ -56,6 +57,7 @@
             AnswerVerdict::Misdirected => self.refuse("the upstream has moved; repeat the call"),
             _ => CallRefusal::unknown(StatusCode::BAD_GATEWAY, "the upstream reported an error"),
         };
+        let refusal = refusal.because(call_cause(marks.verdict));
         let failure = FailedAttempt::at(upstream, refusal, NextStep::Retry);
         let replaced = match marks.verdict {
             AnswerVerdict::Misdirected => true,
@@ -89,6 +91,7 @@
                 running.report(CallResult::ConnectionLost);
                 let message = format!("the upstream's answer ended early: {source}");
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.because(CallCause::Truncated);
                 Err(FailedAttempt::at(upstream, refusal, NextStep::RetryAfterLoss))
             }
             Err(_) => {
@@ -105,6 +108,7 @@
         running.report(CallResult::ServerError);
         let message = "the upstream sent something else than the answer to this call";
         let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+        let refusal = refusal.because(CallCause::ForeignAnswer);
         FailedAttempt::at(upstream, refusal, NextStep::Retry)
     }
 }
@@ -122,3 +126,13 @@
         AnswerVerdict::Failed | AnswerVerdict::Foreign => CallResult::ServerError,
     }
 }
+
+const fn call_cause(verdict: AnswerVerdict) -> CallCause {
+    match verdict {
+        AnswerVerdict::Accepted => CallCause::Answered,
+        AnswerVerdict::NotRun => CallCause::Shed,
+        AnswerVerdict::Misdirected => CallCause::ConnectFailed,
+        AnswerVerdict::Failed => CallCause::UpstreamError,
+        AnswerVerdict::Foreign => CallCause::ForeignAnswer,
+    }
+}
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
+use rustix::process::Signal;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use snafu::ResultExt;
@@ -14,6 +16,8 @@
 
 /// The file in the folder of a gateway that holds its log.
 const LOG_FILE: &str = "log";
+/// Between two looks at the log or the end of a process.
+const LOG_PERIOD: Duration = Duration::from_millis(20);
 /// The secret that peers show.
 pub const PEER_SECRET: &str = "a-peer-secret-of-the-tests";
 /// The secret that operators show.
@@ -36,6 +40,12 @@
     pub peer_secrets: Vec<&'static str>,
     /// The number of workers.
     pub workers: u32,
+    /// The level of the log.
+    pub log_level: &'static str,
+    /// Whether the log is read. Otherwise its pipe fills up.
+    pub log_read: bool,
+    /// The format of the log.
+    pub log_format: &'static str,
     /// The time limits, in the form of the settings.
     pub timeouts: Value,
     /// The bounds over all VMs, in the form of the settings.
@@ -52,6 +62,9 @@
             centre: "medeu",
             peer_secrets: vec![PEER_SECRET],
             workers: 2,
+            log_level: "warn",
+            log_read: true,
+            log_format: "json",
             timeouts: json!({}),
             fleet: json!({}),
             // Nothing listens there.
@@ -123,7 +136,11 @@
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
         let log = folder.join(LOG_FILE);
-        let (process, ready): (_, ReadyLine) = ChildProcess::start_logged(&path, &arguments, &log)?;
+        let (process, ready): (_, ReadyLine) = if settings.log_read {
+            ChildProcess::start_logged(&path, &arguments, &log)?
+        } else {
+            ChildProcess::start(&path, &arguments)?
+        };
         let ReadyLine { caller_address, control_address, metrics_address } = ready;
         Ok(Self { caller_address, control_address, metrics_address, process, folder })
     }
@@ -132,7 +149,37 @@
 impl GateProcess {
     /// Returns what the process has logged.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join(LOG_FILE)).unwrap_or_default()
+        std::fs::read_to_string(self.log_path()).unwrap_or_default()
+    }
+
+    /// Reads the log from now on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file of the log cannot be created.
+    pub fn read_log(&mut self) -> Result<(), TrialError> {
+        let log = self.log_path();
+        self.process.copy_output(&log)
+    }
+
+    /// Returns the file of the log.
+    pub fn log_path(&self) -> PathBuf {
+        self.folder.join(LOG_FILE)
+    }
+
+    /// Waits until the process has logged an event so often. The log is written behind the calls.
+    pub async fn wait_logged(&self, event: u32, count: usize) {
+        while self.logged(event) < count {
+            tokio::time::sleep(LOG_PERIOD).await;
+        }
+    }
+
+    /// Asks the process to stop and waits for its end, with which its log is whole.
+    pub async fn stop(&mut self) {
+        self.process.signal(Signal::TERM);
+        while self.process.ended().is_none() {
+            tokio::time::sleep(LOG_PERIOD).await;
+        }
     }
 
     /// Returns how often the process has logged an event.
@@ -181,8 +228,8 @@
             "peer_secrets": self.peer_secrets,
             "operator_secrets": [OPERATOR_SECRET],
             "worker_count": self.workers,
-            "log_format": "json",
-            "log_level": "warn",
+            "log_format": self.log_format,
+            "log_level": self.log_level,
             "timeouts": self.timeouts,
             "fleet": self.fleet,
         });
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
+use std::thread::JoinHandle;
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
@@ -15,7 +16,16 @@
 #[derive(Debug)]
 pub struct ChildProcess {
     child: Child,
-    _output: BufReader<ChildStdout>,
+    output: ChildOutput,
+}
+
+/// What becomes of the output after the first line.
+#[derive(Debug)]
+enum ChildOutput {
+    /// Nobody reads it.
+    Unread(BufReader<ChildStdout>),
+    /// It goes to a file until the process ends.
+    Copied(Option<JoinHandle<()>>),
 }
 
 impl ChildProcess {
@@ -27,33 +37,10 @@
     pub fn start<T: DeserializeOwned>(
         path: &Path,
         arguments: &[String],
-    ) -> Result<(Self, T), TrialError> {
-        Self::start_with(path, arguments, Stdio::inherit())
-    }
-
-    /// As [`ChildProcess::start`], with the log in a file.
-    ///
-    /// # Errors
-    ///
-    /// Fails also if the file cannot be created.
-    pub fn start_logged<T: DeserializeOwned>(
-        path: &Path,
-        arguments: &[String],
-        log: &Path,
-    ) -> Result<(Self, T), TrialError> {
-        let file = File::create(log).context(WriteFileSnafu { path: log })?;
-        Self::start_with(path, arguments, Stdio::from(file))
-    }
-
-    fn start_with<T: DeserializeOwned>(
-        path: &Path,
-        arguments: &[String],
-        log: Stdio,
     ) -> Result<(Self, T), TrialError> {
         ensure!(path.exists(), MissingSnafu { path });
         let mut child = Command::new(path)
             .args(arguments)
-            .stderr(log)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -63,7 +50,7 @@
         let read = output.map(|mut output| output.read_line(&mut line).map(|_| output));
         let ready = serde_json::from_str(&line);
         let mut process = match read {
-            Some(Ok(output)) => Self { child, _output: output },
+            Some(Ok(output)) => Self { child, output: ChildOutput::Unread(output) },
             _ => return NotReadySnafu { path, line }.fail(),
         };
         match ready {
@@ -75,6 +62,39 @@
         }
     }
 
+    /// As [`ChildProcess::start`], with the further output, which is the log, in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails also if the file cannot be created.
+    pub fn start_logged<T: DeserializeOwned>(
+        path: &Path,
+        arguments: &[String],
+        log: &Path,
+    ) -> Result<(Self, T), TrialError> {
+        let (mut process, ready) = Self::start(path, arguments)?;
+        process.copy_output(log)?;
+        Ok((process, ready))
+    }
+
+    /// Copies the further output to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be created.
+    pub fn copy_output(&mut self, log: &Path) -> Result<(), TrialError> {
+        let mut file = File::create(log).context(WriteFileSnafu { path: log })?;
+        let output = std::mem::replace(&mut self.output, ChildOutput::Copied(None));
+        if let ChildOutput::Unread(mut output) = output {
+            let copying = std::thread::spawn(move || {
+                // An end of the pipe or a full disk ends the log, which the test then sees.
+                let _ = std::io::copy(&mut output, &mut file);
+            });
+            self.output = ChildOutput::Copied(Some(copying));
+        }
+        Ok(())
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -85,6 +105,17 @@
         // Both fail only if the process has ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.end_log();
+    }
+
+    /// Waits until the log of an ended process is whole.
+    fn end_log(&mut self) {
+        if let ChildOutput::Copied(copying) = &mut self.output
+            && let Some(copying) = copying.take()
+        {
+            // A panic of the thread has already been printed.
+            let _ = copying.join();
+        }
     }
 
     /// Sends a signal to the process, which has not been waited for.
@@ -97,15 +128,21 @@
 
     /// Returns whether the process succeeded, or `None` while it runs.
     pub fn ended(&mut self) -> Option<bool> {
-        match self.child.try_wait() {
+        let ended = match self.child.try_wait() {
             Ok(status) => status.map(|status| status.success()),
             Err(_) => Some(false),
+        };
+        if ended.is_some() {
+            self.end_log();
         }
+        ended
     }
 
     /// Waits until the process ends by itself and returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
-        self.child.wait().is_ok_and(|status| status.success())
+        let succeeded = self.child.wait().is_ok_and(|status| status.success());
+        self.end_log();
+        succeeded
     }
 }
 
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -577,11 +577,13 @@
         handle.put(RowPlace::new(PlatformCodec::UPSTREAM_TABLE, &key), value.clone());
     }
     bed.wait_rows(handle.version()).await;
-    assert_eq!(bed.gate.logged(UPSTREAM_UNREADABLE), values.len());
+    bed.gate.wait_logged(UPSTREAM_UNREADABLE, values.len()).await;
     bed.serve_calls("beside", FURTHER_CALLS).await;
     bed.add_upstream("desk-9", SERVICE).await;
     bed.reach(&bed.upstreams[2], "reach").await;
     assert_eq!(bed.readiness().await, Some(StatusCode::OK));
+    bed.gate.stop().await;
+    assert_eq!(bed.gate.logged(UPSTREAM_UNREADABLE), values.len());
 }
 
 /// A call that runs until the rest of its body is sent.
--- a/crates/trial/tests/request_path.rs
+++ b/crates/trial/tests/request_path.rs
@@ -159,7 +159,7 @@
     let proxy = FaultProxy::start(plan).await.expect("the proxy starts");
     // The objective keeps calls that wait behind silent ones from being refused as overload.
     let service = TrialService { objective_ms: 5_000, ..service(&[proxy.address()]) };
-    let bed = TestBed::start(service, 1).await;
+    let mut bed = TestBed::start(service, 1).await;
     let client = TestClient::default();
     let address = bed.address();
     call(&client, address, Method::GET, "/phase/0", "first").await;
@@ -181,7 +181,9 @@
         assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
         assert_eq!(executions(&stands, &nonce), 1);
     }
-    assert!(bed.gates[0].logged(SILENT_CONNECTIONS) > 0, "no connections were retired");
+    // The connections are retired with an event, and an ejection would come with one as well.
+    bed.gates[0].wait_logged(SILENT_CONNECTIONS, 1).await;
+    bed.gates[0].stop().await;
     assert_eq!(bed.gates[0].logged(EJECTED), 0, "the upstream was ejected");
 }
 
