Add agatectl explain

The command reads logs in JSON or text format, one for each VM, and prints the story of one call with its cause in the last line. The story itself comes from the crate `trace`, which tells it without I/O.

A process test makes four calls fail for different reasons in both formats, and the command names each cause. A second one leaves standard output of a gateway unread: calls are answered, the drops are counted, and event 1040 reports them once the log is read again.

--- a/crates/ctl/src/cmd.rs
+++ b/crates/ctl/src/cmd.rs
@@ -10,6 +10,7 @@
 use crate::check::{self, CheckArguments, SettingsArguments, check_arguments, settings_arguments};
 use crate::demo::{self, DemoArguments, demo_arguments};
 use crate::error::{CtlError, CtlExit};
+use crate::explain::{self, ExplainArguments, explain_arguments};
 use crate::history::{self, HistoryArguments, history_arguments};
 use crate::load::{self, LoadArguments, load_arguments};
 use crate::members::{self, MembersArguments, members_arguments};
@@ -65,6 +66,9 @@
     /// List the requests that are suspected of crashing upstreams, or release one
     #[bpaf(command("suspects"))]
     Suspects(#[bpaf(external(suspects_arguments))] SuspectsArguments),
+    /// Tell from the logs of the VMs why a call ended as it did
+    #[bpaf(command("explain"))]
+    Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
     /// Send load to gateways at a rate that does not depend on their answers
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_arguments))] LoadArguments),
@@ -129,6 +133,9 @@
                 let format = arguments.output_arguments.format;
                 finish(format, release::run(arguments), |report| Ok(report.to_exit()))
             }
+            Self::Explain(arguments) => {
+                finish(arguments.to_output(), explain::run(arguments), succeed)
+            }
             Self::Load(arguments) => {
                 let format = arguments.output_arguments.format;
                 finish(format, load::run(arguments), |result| result.verify().map(done))
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -11,6 +11,7 @@
 use snafu::Snafu;
 use stand::prelude::StandError;
 use store::prelude::StoreError;
+use trace::decide::SAMPLE_PERIOD;
 
 use crate::change::VersionLine;
 
@@ -84,6 +85,15 @@
         /// The system's reason.
         source: io::Error,
     },
+    /// No log tells of the call.
+    #[snafu(display(
+        "no log tells of call {id}; name the logs of all VMs, and note that calls without problems \
+         are logged one in {SAMPLE_PERIOD}"
+    ))]
+    UnknownCall {
+        /// The request id.
+        id: String,
+    },
     /// The demo did not get as far as its result.
     #[snafu(display("the demo stopped early: {reason}; please report this"))]
     DemoStopped {
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,89 @@
+//! `explain`: why a call ended as it did, from the logs of the VMs.
+
+use std::fmt;
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use bpaf::Bpaf;
+use serde::Serialize;
+use snafu::ResultExt;
+use trace::prelude::*;
+
+use crate::error::{CtlError, ReadFileSnafu, UnknownCallSnafu};
+use crate::file;
+use crate::output::OutputFormat;
+
+/// The name of standard input among the logs.
+const STANDARD_INPUT: &str = "-";
+
+/// Arguments of `explain`.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct ExplainArguments {
+    /// Print the result in JSON for programs
+    #[bpaf(long)]
+    json: bool,
+    /// The request id, from the header agateroad-request-id of the answer
+    #[bpaf(positional("REQUEST-ID"))]
+    id: String,
+    /// The log of one VM each, in JSON or text format; standard input if there is none
+    #[bpaf(positional("FILE"), many)]
+    files: Vec<PathBuf>,
+}
+
+impl ExplainArguments {
+    /// Returns how the report is printed.
+    pub const fn to_output(&self) -> OutputFormat {
+        if self.json { OutputFormat::Json } else { OutputFormat::Text }
+    }
+}
+
+/// What the logs tell of a call.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub struct ExplainReport {
+    calls: Vec<CallStory>,
+}
+
+impl fmt::Display for ExplainReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, story) in self.calls.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{story}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads the logs and returns what they tell of the call.
+///
+/// # Errors
+///
+/// Fails if a log cannot be read or none tells of the call.
+pub fn run(arguments: &ExplainArguments) -> Result<ExplainReport, CtlError> {
+    let mut sources = Vec::new();
+    if arguments.files.is_empty() {
+        sources.push(read(Path::new(STANDARD_INPUT))?);
+    }
+    for path in &arguments.files {
+        sources.push(read(path)?);
+    }
+    let calls = explain(&arguments.id, &sources);
+    if calls.is_empty() {
+        return UnknownCallSnafu { id: &arguments.id }.fail();
+    }
+    Ok(ExplainReport { calls })
+}
+
+fn read(path: &Path) -> Result<LogSource, CtlError> {
+    let bytes = if path == Path::new(STANDARD_INPUT) {
+        let mut bytes = Vec::new();
+        std::io::stdin().read_to_end(&mut bytes).context(ReadFileSnafu { path })?;
+        bytes
+    } else {
+        file::read(path)?
+    };
+    Ok(LogSource::read(&path.to_string_lossy(), &String::from_utf8_lossy(&bytes)))
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cmd;
 pub mod demo;
 pub mod error;
+pub mod explain;
 pub mod file;
 pub mod history;
 pub mod load;
--- a/crates/ctl/tests/help.rs
+++ b/crates/ctl/tests/help.rs
@@ -21,6 +21,7 @@
         "burn",
         "suspects",
         "suspects release",
+        "explain",
         "load",
         "stand",
     ];
--- /dev/null
+++ b/crates/trial/tests/explain.rs
@@ -0,0 +1,158 @@
+//! From a request id to a cause, through the log of a gateway in a process of its own.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use stand::prelude::*;
+use trial::prelude::*;
+use trial::process;
+
+const REQUEST_ID: &str = "agateroad-request-id";
+const LINES_DROPPED: u32 = 1040;
+/// Longer than the deadline of the calls.
+const LONG_MS: f64 = 600_000.0;
+const DEADLINE_MS: u64 = 300;
+
+/// A service whose calls may run once only.
+fn service(name: &'static str, address: SocketAddr) -> TrialService {
+    let rules = json!([{ "path_prefix": "/", "idempotent": false, "class": "normal" }]);
+    let service = TrialService::idempotent(name, vec![("medeu", address)]);
+    TrialService { rules, deadline_ms: DEADLINE_MS, ..service }
+}
+
+async fn faulty() -> UpstreamStand {
+    let plan = UpstreamPlan { mode: UpstreamMode::FailFast, ..UpstreamPlan::default() };
+    UpstreamStand::start(plan).await.expect("the upstream starts")
+}
+
+async fn send(gate: &GateProcess, host: &str) -> CallAnswer {
+    let call = TestClient::default();
+    let address = gate.caller_address;
+    let answer = call.call(Method::POST, address, host, "/book", &[], Bytes::new()).await;
+    answer.expect("an answer")
+}
+
+fn agatectl(arguments: &[&str]) -> Output {
+    let path = process::binary("agatectl");
+    Command::new(path).arg("explain").args(arguments).output().expect("agatectl starts")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+struct CauseCase {
+    host: &'static str,
+    cause: &'static str,
+    /// Parts of the story.
+    parts: &'static [&'static str],
+}
+
+/// Guards against failed calls whose cause the log does not tell, in either format.
+#[tokio::test]
+async fn the_log_tells_why_calls_failed() {
+    let slow = ServiceTime::Fixed { ms: LONG_MS };
+    let slow = UpstreamPlan { service: slow, ..UpstreamPlan::default() };
+    let slow = UpstreamStand::start(slow).await.expect("the upstream starts");
+    let faulty = faulty().await;
+    // Nothing listens there.
+    let closed = SocketAddr::from(([127, 0, 0, 1], 1));
+    let services = vec![
+        service("closed", closed),
+        service("faulty", faulty.address()),
+        service("slow", slow.address()),
+    ];
+    let cases = [
+        CauseCase {
+            host: "closed",
+            cause: "connect_failed",
+            parts: &["attempt 1 chose closed-1 of 1", "(fate: not-run"],
+        },
+        CauseCase {
+            host: "faulty",
+            cause: "upstream_error",
+            parts: &["attempt 1 at faulty-1 ended", "next: end (not idempotent)"],
+        },
+        CauseCase {
+            host: "slow",
+            cause: "timeout",
+            parts: &["attempt 1 at slow-1", "the caller got 504"],
+        },
+        CauseCase { host: "unknown", cause: "no_route", parts: &["the caller got 404"] },
+    ];
+    for log_format in ["json", "text"] {
+        let settings = GateSettings {
+            log_level: "info",
+            log_format,
+            timeouts: json!({ "leave_ms": 100 }),
+            ..GateSettings::default()
+        };
+        let document = TrialDocument { services: services.clone() };
+        let mut gate = GateProcess::start(&settings, &document).expect("the gateway starts");
+        let mut ids = Vec::new();
+        for case in &cases {
+            ids.push(send(&gate, case.host).await.header(REQUEST_ID).to_owned());
+        }
+        gate.stop().await;
+        let log = gate.log_path();
+        let log = log.to_str().expect("a path in UTF-8");
+        for (case, id) in cases.iter().zip(&ids) {
+            let output = agatectl(&[id, log]);
+            let text = stdout(&output);
+            assert!(output.status.success(), "{}: {output:?}", case.host);
+            let last = text.lines().last().unwrap_or_default();
+            let cause = format!("cause: {}: ", case.cause);
+            assert!(last.starts_with(&cause), "{log_format}, {}: {text}", case.host);
+            for part in case.parts.iter().chain(&["on VM vm-1"]) {
+                assert!(text.contains(part), "{log_format}: no {part:?} in {text}");
+            }
+            let output = agatectl(&[id, log, "--json"]);
+            let report: Value = serde_json::from_str(&stdout(&output)).expect("JSON");
+            assert_eq!(report["calls"][0]["cause"], case.cause, "{log_format}");
+        }
+        let unknown = agatectl(&["no-such-call", log]);
+        assert_eq!(unknown.status.code(), Some(1), "{unknown:?}");
+        assert!(String::from_utf8_lossy(&unknown.stderr).contains("one in 128"), "{unknown:?}");
+    }
+}
+
+/// Guards against a reader of standard output that stops reading and thereby holds up calls, and
+/// against lines that are lost without being counted and reported.
+#[tokio::test]
+async fn calls_are_answered_while_the_log_is_not_read() {
+    let faulty = faulty().await;
+    let document = TrialDocument { services: vec![service("faulty", faulty.address())] };
+    let settings = GateSettings {
+        log_level: "info",
+        log_read: false,
+        timeouts: json!({ "leave_ms": 100 }),
+        ..GateSettings::default()
+    };
+    let mut gate = GateProcess::start(&settings, &document).expect("the gateway starts");
+    let client = TestClient::default();
+    loop {
+        for _ in 0..100 {
+            let address = gate.caller_address;
+            let answer =
+                client.call(Method::POST, address, "faulty", "/book", &[], Bytes::new()).await;
+            assert!(answer.expect("an answer").status.is_server_error());
+        }
+        let metrics = client.get(gate.metrics_address, "metrics", "/metrics").await;
+        let metrics = metrics.expect("the metrics");
+        assert_eq!(metrics.status, StatusCode::OK);
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let dropped =
+            text.lines().find_map(|line| line.strip_prefix("agateroad_log_dropped_total "));
+        if dropped.expect("the counter") != "0" {
+            let causes = "agateroad_call_causes_total{cause=\"upstream_error\",class=\"normal\",service=\"faulty\"}";
+            assert!(text.contains(causes), "{text}");
+            break;
+        }
+    }
+    gate.read_log().expect("a file");
+    gate.wait_logged(LINES_DROPPED, 1).await;
+    gate.stop().await;
+}
