Tell the logs of several VMs in one stream apart

Cause: `explain` reads standard input, where the logs of several VMs may follow each other. The state of one VM was then told as what another one knew. The start of another VM (event 1001) now begins another log.

Lines of several VMs that are mixed cannot be told apart, because only events 1001, 1005 and 1033 name the VM; ruled out was a VM name in every line, which costs bytes in all of them.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -26,7 +26,7 @@
     /// The request id, from the header agateroad-request-id of the answer
     #[bpaf(positional("REQUEST-ID"))]
     id: String,
-    /// The log of one VM each, in JSON or text format; standard input if there is none
+    /// Logs in JSON or text format, each of one VM or of several that follow each other; standard input if there is none
     #[bpaf(positional("FILE"), many)]
     files: Vec<PathBuf>,
 }
@@ -65,10 +65,10 @@
 pub fn run(arguments: &ExplainArguments) -> Result<ExplainReport, CtlError> {
     let mut sources = Vec::new();
     if arguments.files.is_empty() {
-        sources.push(read(Path::new(STANDARD_INPUT))?);
+        sources.extend(read(Path::new(STANDARD_INPUT))?);
     }
     for path in &arguments.files {
-        sources.push(read(path)?);
+        sources.extend(read(path)?);
     }
     let calls = explain(&arguments.id, &sources);
     if calls.is_empty() {
@@ -77,7 +77,7 @@
     Ok(ExplainReport { calls })
 }
 
-fn read(path: &Path) -> Result<LogSource, CtlError> {
+fn read(path: &Path) -> Result<Vec<LogSource>, CtlError> {
     let bytes = if path == Path::new(STANDARD_INPUT) {
         let mut bytes = Vec::new();
         std::io::stdin().read_to_end(&mut bytes).context(ReadFileSnafu { path })?;
--- a/crates/limit/tests/retries.rs
+++ b/crates/limit/tests/retries.rs
@@ -179,3 +179,38 @@
         assert_eq!(allowed, case.allowed, "{}", case.name);
     }
 }
+
+struct DenialCase {
+    name: &'static str,
+    attempt: u32,
+    left: ClockSpan,
+    denial: Option<RetryDenial>,
+}
+
+/// Guards against a log that names a wrong reason why a call was not sent again.
+#[test]
+fn a_denied_retry_has_its_reason() {
+    let left = ClockSpan::from_secs(1);
+    let cases = [
+        DenialCase { name: "start token", attempt: 1, left, denial: None },
+        DenialCase { name: "no token", attempt: 1, left, denial: Some(RetryDenial::Budget) },
+        DenialCase { name: "last one", attempt: 3, left, denial: Some(RetryDenial::Attempts) },
+        DenialCase {
+            name: "no time",
+            attempt: 1,
+            left: ClockSpan::ZERO,
+            denial: Some(RetryDenial::Deadline),
+        },
+    ];
+    let budget = RetryBudget::new(RetryTuning::default());
+    let now = ClockTime::from_millis(1);
+    budget.apply(&environment(&[ServiceSetup { name: "a", ..ServiceSetup::BASE }]), now);
+    for case in cases {
+        let call = CallerRequest {
+            attempt: case.attempt,
+            deadline: now + case.left,
+            ..request("a", WorkClass::Urgent, now + left)
+        };
+        assert_eq!(budget.try_retry(&call, now).err(), case.denial, "{}", case.name);
+    }
+}
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+/// The event of a process that starts, with the name of its VM.
+const START_EVENT: u64 = 1001;
+
 /// A line of the log.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
@@ -138,10 +141,26 @@
 }
 
 impl LogSource {
-    /// Reads the lines of a log.
-    pub fn read(name: &str, text: &str) -> Self {
-        let mut lines: Vec<_> = text.lines().filter_map(LogLine::parse).collect();
-        lines.sort_by_key(|line| line.at_micros);
-        Self { name: name.to_owned(), lines }
+    /// Reads the logs of one VM, or of several that follow each other. The start of another VM
+    /// begins another log.
+    pub fn read(name: &str, text: &str) -> Vec<Self> {
+        let mut sources = vec![Self { name: name.to_owned(), lines: Vec::new() }];
+        let mut vm = None;
+        for line in text.lines().filter_map(LogLine::parse) {
+            if line.event == START_EVENT {
+                let started = Some(line.text("vm"));
+                if vm.is_some() && vm != started {
+                    sources.push(Self { name: name.to_owned(), lines: Vec::new() });
+                }
+                vm = started;
+            }
+            if let Some(source) = sources.last_mut() {
+                source.lines.push(line);
+            }
+        }
+        for source in &mut sources {
+            source.lines.sort_by_key(|line| line.at_micros);
+        }
+        sources
     }
 }
--- a/crates/trace/tests/reading.rs
+++ b/crates/trace/tests/reading.rs
@@ -155,7 +155,7 @@
     for case in cases {
         let mut log: Vec<_> = call.iter().map(|fields| line(20_000, fields)).collect();
         log.push(line(case.at_ms, case.fields));
-        let sources = [LogSource::read("log", &log.join("\n")), LogSource::read("other", "")];
+        let sources = LogSource::read("log", &log.join("\n"));
         let stories = explain("a", &sources);
         assert_eq!(stories.len(), 1, "{}", case.name);
         let story = &stories[0];
@@ -173,7 +173,27 @@
 #[test]
 fn a_call_without_its_end_has_no_cause() {
     let log = line(1, r#""event":1030,"id":"a","service":"phase-desk""#);
-    let stories = explain("a", &[LogSource::read("log", &log)]);
+    let stories = explain("a", &LogSource::read("log", &log));
     assert_eq!(stories[0].cause, None);
     assert!(stories[0].conclusion.contains("missing"), "{}", stories[0].conclusion);
 }
+
+/// Guards against the state of one VM that is told as what another one knew, if the logs of several
+/// VMs follow each other.
+#[test]
+fn the_logs_of_several_vms_are_told_apart() {
+    let log = [
+        line(1, r#""event":1001,"vm":"vm-1""#),
+        line(2, r#""event":1041,"dependency":"store""#),
+        line(3, r#""event":1001,"vm":"vm-1""#),
+        line(1, r#""event":1001,"vm":"vm-2""#),
+        line(2, r#""event":1042,"dependency":"store""#),
+        line(4, r#""event":1033,"id":"a","vm":"vm-2","cause":"answered","total_ms":1.0"#),
+    ];
+    let sources = LogSource::read("-", &log.join("\n"));
+    assert_eq!(sources.iter().map(|source| source.lines.len()).collect::<Vec<_>>(), [3, 3]);
+    let stories = explain("a", &sources);
+    assert_eq!(stories.len(), 1);
+    let state: Vec<_> = stories[0].state.iter().map(|line| line.event).collect();
+    assert_eq!(state, [1042]);
+}
