--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use codec::prelude::*;
 use http::{Response, StatusCode};
+use trace::prelude::CallCause;
 
 use crate::answer::AnswerBody;
 use crate::body::SendBody;
@@ -74,6 +75,7 @@
     /// Returns the refusal of a call that was not sent to its upstream.
     pub(crate) fn unsent_refusal(&self, message: &str) -> CallRefusal {
         let refusal = CallRefusal::not_run(StatusCode::BAD_GATEWAY, message);
+        let refusal = refusal.because(CallCause::ConnectFailed);
         refusal.retry_after(self.state.options.tuning.retry_after)
     }
 
@@ -82,10 +84,11 @@
         let status = StatusCode::GATEWAY_TIMEOUT;
         if cancelled {
             let message = "the call waited at the upstream until its deadline and was cancelled";
-            let refusal = CallRefusal::not_run(status, message);
+            let refusal = CallRefusal::not_run(status, message).because(CallCause::Timeout);
             refusal.retry_after(self.state.options.tuning.retry_after)
         } else {
-            CallRefusal::unknown(status, "the upstream did not answer within the deadline")
+            let message = "the upstream did not answer within the deadline";
+            CallRefusal::unknown(status, message).because(CallCause::Timeout)
         }
     }
 }
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -8,6 +8,7 @@
 
 use border::InterfaceKind;
 use bpaf::Bpaf;
+use gate::log::ProcessLog;
 use gate::state::GateState;
 use route::prelude::*;
 use snafu::ResultExt;
@@ -16,7 +17,6 @@
 
 mod error;
 mod live;
-mod log;
 mod native;
 mod options;
 mod platform;
@@ -52,7 +52,7 @@
 
 fn start(arguments: &GateArguments) -> Result<(), GateError> {
     let settings = options::read_settings(&arguments.settings)?;
-    let log = log::start_log(&settings);
+    let mut log = ProcessLog::start(&settings);
     let path = arguments.settings.clone();
     let gate_options = options::gate_options(&settings, arguments.policy);
     let state = match &arguments.document {
@@ -65,10 +65,10 @@
     let followed = arguments.document.is_none().then(|| settings.environment.clone());
     match settings.interface {
         InterfaceKind::Agateroad => {
-            runtime.block_on(native::serve_native(&settings, state, followed, path, log))
+            runtime.block_on(native::serve_native(&settings, state, followed, path, &mut log))
         }
         InterfaceKind::Platform => {
-            runtime.block_on(platform::serve_platform(&settings, state, path, log))
+            runtime.block_on(platform::serve_platform(&settings, state, path, &mut log))
         }
     }
 }
--- a/crates/gate/src/cmd/live.rs
+++ b/crates/gate/src/cmd/live.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 
 use border::ProcessSettings;
+use gate::log::LogLevelHandle;
 use gate::options::GateTimeouts;
 use gate::reload::SettingsTarget;
 use gate::state::GateState;
 use peer::prelude::*;
 
-use super::log::{LogHandle, log_filter};
 use super::options::{secret_table, signing_secret};
 
 /// What takes effect while the process runs.
 pub(super) struct LiveSettings<T> {
     /// The log.
-    pub(super) log: LogHandle,
+    pub(super) log: LogLevelHandle,
     /// The tables.
     pub(super) state: Arc<GateState>,
     /// What peers and operators may show.
@@ -27,8 +27,7 @@
 
 impl<T: SettingsTarget> SettingsTarget for LiveSettings<T> {
     fn apply(&self, settings: &ProcessSettings) {
-        // The handle fails only after the log was dropped, which ends with the process.
-        let _ = self.log.reload(log_filter(settings));
+        self.log.apply(settings);
         self.state.timeouts.store(Arc::new(GateTimeouts::from_settings(settings)));
         self.secrets.set(secret_table(settings));
         self.client.set_access(signing_secret(settings), settings.timeouts.peer);
--- a/crates/gate/src/cmd/native.rs
+++ b/crates/gate/src/cmd/native.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use border::ProcessSettings;
 use gate::access::PlatformAccess;
+use gate::log::ProcessLog;
 use gate::observe::ObserveServer;
 use gate::process::RunningGate;
 use gate::reload::{SettingsTarget, SettingsWatch};
@@ -17,7 +18,6 @@
 
 use super::error::{GateError, ListenSnafu, RuntimeSnafu};
 use super::live::LiveSettings;
-use super::log::LogHandle;
 use super::options::{access_options, secret_table};
 use super::ready::announce;
 use super::signals::StopSignals;
@@ -28,7 +28,7 @@
     state: Arc<GateState>,
     followed: Option<SharedName>,
     path: PathBuf,
-    log: LogHandle,
+    log: &mut ProcessLog,
 ) -> Result<(), GateError> {
     let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
@@ -45,9 +45,9 @@
     let control = control.await.context(ListenSnafu)?;
     platform.announce(control.address);
     let target = NativeTarget { store: platform.store() };
-    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let live = LiveSettings { log: log.level(), state, secrets: control.secrets(), client, target };
     let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
-    announce(settings, &gate, &control, &observe);
+    let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
     tokio::select! {
         () = leave::leave(&gate, platform) => {}
--- a/crates/gate/src/cmd/platform.rs
+++ b/crates/gate/src/cmd/platform.rs
@@ -12,6 +12,7 @@
 use gate::control::GateControl;
 use gate::discovery::{DiscoveryHandle, DiscoveryOptions, DiscoveryTasks};
 use gate::exchange::ExchangeOptions;
+use gate::log::ProcessLog;
 use gate::observe::ObserveServer;
 use gate::peers::PeerLink;
 use gate::probe::PROBE_COST;
@@ -27,7 +28,6 @@
 
 use super::error::{GateError, ListenSnafu, RuntimeSnafu};
 use super::live::LiveSettings;
-use super::log::LogHandle;
 use super::options::{access_options, peer_secrets, secret_table};
 use super::ready::announce;
 use super::signals::StopSignals;
@@ -45,7 +45,7 @@
     settings: &ProcessSettings,
     state: Arc<GateState>,
     path: PathBuf,
-    log: LogHandle,
+    log: &mut ProcessLog,
 ) -> Result<(), GateError> {
     let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
     let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
@@ -69,9 +69,9 @@
     let discovery = DiscoveryTasks::start(&state, options).await.context(ListenSnafu)?;
     let target =
         PlatformTarget { discovery: discovery.handle(), stop_limit: Arc::clone(&stop_limit) };
-    let live = LiveSettings { log, state, secrets: control.secrets(), client, target };
+    let live = LiveSettings { log: log.level(), state, secrets: control.secrets(), client, target };
     let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
-    announce(settings, &gate, &control, &observe);
+    let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
     let limit = **stop_limit.load();
     tokio::select! {
--- a/crates/gate/src/cmd/ready.rs
+++ b/crates/gate/src/cmd/ready.rs
@@ -2,17 +2,21 @@
 
 use border::ProcessSettings;
 use gate::event;
+use gate::log::ProcessLog;
 use gate::observe::ObserveServer;
 use gate::process::RunningGate;
 use peer::prelude::*;
+use tokio_util::task::AbortOnDropHandle;
 
-/// Tells where the process listens, in the log and as one line of JSON.
+/// Tells where the process listens, as one line of JSON and in the log, and follows dropped lines
+/// of the log from then on.
 pub(super) fn announce(
     settings: &ProcessSettings,
     gate: &RunningGate,
     control: &ControlServer,
     observe: &ObserveServer,
-) {
+    log: &mut ProcessLog,
+) -> AbortOnDropHandle<()> {
     let address = gate.caller_address;
     tracing::info!(event = event::STARTED, vm = %settings.vm_name, %address, "started");
     let ready = serde_json::json!({
@@ -20,5 +24,7 @@
         "control_address": control.address,
         "metrics_address": observe.address,
     });
-    println!("{ready}");
+    log.announce(&ready);
+    let dropped = gate.state.tables.metrics.log_dropped.clone();
+    AbortOnDropHandle::new(tokio::spawn(log.watch_drops(dropped)))
 }
--- a/crates/gate/src/deliver.rs
+++ b/crates/gate/src/deliver.rs
@@ -16,7 +16,7 @@
     ///
     /// Returns the failure if there is no answer for the caller.
     pub async fn run(&self, placed: PlacedAttempt, mut body: SendBody) -> AttemptResult {
-        let PlacedAttempt { link, mut running, mut checked } = placed;
+        let PlacedAttempt { link, mut running, mut checked, .. } = placed;
         let mut proven_since = self.proven_since();
         loop {
             let was_checked = checked.is_some();
--- a/crates/gate/src/desk.rs
+++ b/crates/gate/src/desk.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use limit::prelude::{RefusalKind, RefusalReason};
 use tokio::sync::Notify;
+use trace::prelude::RefusalCap;
 use world::prelude::*;
 
 use crate::event;
@@ -34,6 +35,8 @@
     pub freed: Notify,
     /// The metrics of the service.
     pub meters: ServiceMeters,
+    /// Limits the traces of refused calls in the log.
+    pub refusal_cap: RankedMutex<RefusalCap>,
     /// When a refusal of each kind was logged last, in milliseconds of the process's clock.
     logged: [AtomicU64; REFUSAL_KINDS],
 }
@@ -46,6 +49,7 @@
             held: RankedMutex::new(LockRank::WaitQueue, VecDeque::new()),
             freed: Notify::new(),
             meters: metrics.service(name),
+            refusal_cap: RankedMutex::new(LockRank::TraceTable, RefusalCap::default()),
             logged: Default::default(),
         }
     }
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -105,6 +105,7 @@
         };
         log_read(K::UPSTREAM_TABLE, &page);
         let now = self.state.clock.now();
+        self.state.store.answered(now);
         let change = {
             let upstreams = &mut self.tables.lock().upstreams;
             // The end of the trouble counts from this answer.
@@ -117,9 +118,9 @@
             let upstreams_changed = change.upstreams_changed || settled;
             DirectoryChange { upstreams_changed, ..change }
         };
-        self.report(&change);
         // An answer that was held back tells the state at its end.
         let made_at = if hold == ClockSpan::ZERO { asked } else { now };
+        self.report(&change, "store", now.since(made_at), page.position);
         self.exchange.note_read(page.position, made_at);
         if change.upstreams_changed || known.is_none() {
             self.apply();
@@ -151,18 +152,31 @@
             self.upstreams_wanted.notify_one();
             return;
         };
-        self.report(&change);
+        self.report(&change, "peer", age, page.position);
         self.exchange.note_read(page.position, now - age);
         if change.upstreams_changed {
             self.apply();
         }
     }
 
-    fn report(&self, change: &DirectoryChange) {
+    /// Logs what changed. `age` is that of the information from `source`.
+    fn report(&self, change: &DirectoryChange, source: &str, age: ClockSpan, position: u64) {
         for row in &change.unreadable {
             let (upstream, error) = (&row.key, &row.error);
             tracing::warn!(event = event::UPSTREAM_UNREADABLE, %upstream, %error);
         }
+        for UpstreamMove { upstream, kind } in &change.moves {
+            let (change, age_ms) = (kind.as_str(), age.as_millis());
+            tracing::info!(
+                event = event::UPSTREAM_MOVED,
+                upstream = upstream.as_str(),
+                change,
+                source,
+                age_ms,
+                position,
+                "the use of an upstream changed"
+            );
+        }
     }
 
     fn settle(&self) -> bool {
@@ -172,6 +186,7 @@
     fn note_failed_read(&self, error: &StoreError) {
         tracing::debug!(event = event::STORE_UNREAD, %error);
         let now = self.state.clock.now();
+        self.state.store.failed(error, now);
         if self.tables.lock().upstreams.note_failure(now) {
             self.apply();
         }
@@ -191,7 +206,7 @@
             }
             upstreams.replace::<K>(&page, now)
         };
-        self.report(&change);
+        self.report(&change, "peer", ClockSpan::ZERO, page.position);
         self.apply();
     }
 }
--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -41,12 +41,14 @@
                 Ok(page) => {
                     position = Some(page.position);
                     log_read(K::CONFIG_TABLE, &page);
+                    self.state.store.answered(self.state.clock.now());
                     self.take_config(&page);
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
                 Err(StoreError::HistoryLost) => position = None,
                 Err(error) => {
                     tracing::debug!(event = event::STORE_UNREAD, %error);
+                    self.state.store.failed(&error, self.state.clock.now());
                     self.copy_config().await;
                     let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
                     tokio::time::sleep(pause.to_duration()).await;
--- a/crates/gate/src/place.rs
+++ b/crates/gate/src/place.rs
@@ -13,9 +13,11 @@
 use limit::prelude::*;
 use route::prelude::*;
 use tokio::time::timeout;
+use trace::prelude::CallCause;
 use world::prelude::*;
 
 use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::decision::PlacedChoice;
 use crate::link::{LinkConnection, UpstreamLink};
 use crate::running::RunningCall;
 use crate::slot::{CallSlot, NoSlot};
@@ -36,6 +38,8 @@
     pub(crate) running: RunningCall,
     /// A connection that answered a check just now.
     pub(crate) checked: Option<LinkConnection>,
+    /// Why the upstream was chosen.
+    pub choice: PlacedChoice,
 }
 
 impl<C: CallCodec> CallAttempt<'_, C> {
@@ -46,6 +50,7 @@
     /// Returns the failure if there is no slot for the call.
     pub async fn place(&self, avoid: &[SharedName]) -> Result<PlacedAttempt, Box<FailedAttempt>> {
         let Self { state, call, .. } = *self;
+        let started = state.clock.now();
         let survey = if state.options.tuning.survey {
             self.survey(avoid).await?
         } else {
@@ -62,13 +67,15 @@
         let Some(link) = slot.upstream().and_then(|name| state.links.link(name)) else {
             survey.put_back(state);
             let message = "the upstream was removed from the environment; repeat the request";
-            return Err(FailedAttempt::ended(self.refuse(message)));
+            let refusal = self.refuse(message).because(CallCause::NoUpstream);
+            return Err(FailedAttempt::ended(refusal));
         };
         let checked = survey.take(state, &link.server().name);
+        let choice = PlacedChoice::new(&slot, checked.is_some(), started, state.clock.now());
         let mut running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
         let is_best = |best: &ShortlistEntry| best.server.name == running.upstream;
         running.stretch = best.filter(is_best).map(|best| best.stretch);
-        Ok(PlacedAttempt { link, running, checked })
+        Ok(PlacedAttempt { link, running, checked, choice })
     }
 
     /// Checks the best upstreams until the call would end within its objective on one of them, or
@@ -106,7 +113,8 @@
                     let kind = RefusalKind::Overloaded;
                     desk.note_refusal(&RefusalReason { kind, retry_after }, now);
                     let message = "no upstream can answer within the objective; repeat the request";
-                    return Err(FailedAttempt::ended(self.refuse(message)));
+                    let refusal = self.refuse(message).because(CallCause::Overload);
+                    return Err(FailedAttempt::ended(refusal));
                 }
             }
             waited = true;
@@ -120,7 +128,7 @@
             match CallSlot::acquire(state, desk, avoid, now) {
                 Ok(slot) => return Ok(slot),
                 Err(NoSlot::Unavailable(error)) => {
-                    return Err(FailedAttempt::ended(self.refuse(&error.to_string())));
+                    return Err(FailedAttempt::ended(self.no_upstream(&error)));
                 }
                 Err(NoSlot::Limit | NoSlot::Full) => {}
             }
@@ -130,17 +138,31 @@
             Err(end) => end,
         };
         Err(FailedAttempt::ended(match end {
-            WaitEnd::Unavailable(error) => self.refuse(&error.to_string()),
+            WaitEnd::Unavailable(error) => self.no_upstream(&error),
             WaitEnd::Refused(reason) => {
                 desk.note_refusal(&reason, state.clock.now());
                 self.refuse(&format!("no slot for the call: {reason}"))
+                    .because(queue_cause(reason.kind))
                     .retry_after(reason.retry_after)
             }
             WaitEnd::Deadline => {
                 let message = "the deadline passed before the call got a slot; allow more time";
                 let refusal = CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message);
+                let refusal = refusal.because(CallCause::DeadlineInQueue);
                 refusal.retry_after(state.options.tuning.retry_after)
             }
         }))
     }
+    fn no_upstream(&self, error: &NoUpstream) -> CallRefusal {
+        self.refuse(&error.to_string()).because(CallCause::NoUpstream)
+    }
+}
+
+const fn queue_cause(kind: RefusalKind) -> CallCause {
+    match kind {
+        RefusalKind::UnknownService => CallCause::NoRoute,
+        RefusalKind::QueueFull | RefusalKind::Displaced => CallCause::QueueFull,
+        RefusalKind::DeadlineTooShort => CallCause::DeadlineInQueue,
+        RefusalKind::Overloaded => CallCause::Overload,
+    }
 }
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use route::prelude::*;
 use tokio::time::timeout_at;
+use trace::prelude::CallCause;
 
 use crate::attempt::{CallAttempt, FailedAttempt};
 use crate::body::{BodyError, SendBody};
@@ -82,6 +83,7 @@
                 running.report(CallResult::Cancelled);
                 let message = "the connection to the upstream stopped responding";
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.because(CallCause::Silent);
                 Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::Repeat))
             }
         }
@@ -107,6 +109,7 @@
                 if let Some(error) = body_error {
                     running.report(CallResult::Cancelled);
                     let refusal = CallRefusal::unknown(error.status(), error).closing();
+                    let refusal = refusal.because(error.call_cause());
                     return FailedAttempt::ended(refusal);
                 }
                 // Errors of the body that is sent are not the upstream's.
@@ -114,12 +117,14 @@
                     running.report(CallResult::Cancelled);
                     let message = format!("the request body could not be sent: {source}");
                     let refusal = CallRefusal::unknown(StatusCode::BAD_REQUEST, message).closing();
+                    let refusal = refusal.because(CallCause::BadRequest);
                     return FailedAttempt::ended(refusal);
                 }
                 running.report(CallResult::ConnectionLost);
                 crash::inspect_loss(self.state, &upstream).await;
                 let message = format!("the connection failed after the request was sent: {source}");
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.because(CallCause::ConnectionLost);
                 FailedAttempt::at(upstream, refusal, NextStep::RetryAfterLoss)
             }
         }
--- a/crates/route/src/paced.rs
+++ b/crates/route/src/paced.rs
@@ -121,4 +121,8 @@
     fn stretch(&self, view: &UpstreamView, now: ClockTime) -> f64 {
         PacedRates::new(&self.tuning).stretch(view, now)
     }
+
+    fn expected_ms(&self, view: &UpstreamView, now: ClockTime) -> Option<f64> {
+        Some(self.cost_ms(view, now))
+    }
 }
