Notice settings files that are replaced within one step of the clock

A file that is replaced within a few milliseconds of the one before can have the same time of change, and the watch compared nothing else, so that the change was missed until the next one. The shared time was not observed itself; it is what the order of the steps in the test leaves. Change: the watch compares the number and the length of the file as well. A file that is rewritten in place within the same step and with the same length can still be missed without SIGHUP; docs/operations.md asks to replace the file. Tests: the process test with the interface agateroad rotates an operators' secret and changes a timeout, by SIGHUP and without; the one with the interface platform also shows that a body that is arriving keeps its time limit and that a new one has the changed limit.

--- a/crates/gate/src/reload.rs
+++ b/crates/gate/src/reload.rs
@@ -1,5 +1,6 @@
 //! Follows the settings file: on SIGHUP, and when the file changes without one.
 
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::time::SystemTime;
 
@@ -12,6 +13,9 @@
 /// The time between two looks at the file. A look is one system call.
 const LOOK_PERIOD: ClockSpan = ClockSpan::from_secs(2);
 
+/// When a file was changed, its number and its length.
+type FileMark = (SystemTime, u64, u64);
+
 /// Takes over what takes effect while the process runs.
 pub trait SettingsTarget: Send + 'static {
     /// Puts the settings in force after a change. Fields that need a restart are as before.
@@ -24,7 +28,7 @@
     /// What the file said last.
     settings: ProcessSettings,
     in_force: ProcessSettings,
-    modified: Option<SystemTime>,
+    modified: Option<FileMark>,
     hangup: Signal,
 }
 
@@ -81,6 +85,9 @@
     }
 }
 
-fn modified(path: &PathBuf) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+/// Returns what tells one version of the file from the next. Times of changes have steps of some
+/// milliseconds, in which a file that was replaced differs by its number only.
+fn modified(path: &PathBuf) -> Option<FileMark> {
+    let data = std::fs::metadata(path).ok()?;
+    Some((data.modified().ok()?, data.ino(), data.len()))
 }
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -36,6 +36,8 @@
     pub platform_address: SocketAddr,
     /// The secrets of peers.
     pub peer_secrets: Vec<&'static str>,
+    /// The secrets of operators.
+    pub operator_secrets: Vec<&'static str>,
     /// The number of workers.
     pub workers: u32,
     /// The time limits, in the form of the settings.
@@ -53,6 +55,7 @@
             interface: "agateroad",
             centre: "medeu",
             peer_secrets: vec![PEER_SECRET],
+            operator_secrets: vec![OPERATOR_SECRET],
             workers: 2,
             timeouts: json!({}),
             fleet: json!({}),
@@ -192,7 +195,7 @@
             "exchange_address": "127.0.0.1:0",
             "platform_address": self.platform_address,
             "peer_secrets": self.peer_secrets,
-            "operator_secrets": [OPERATOR_SECRET],
+            "operator_secrets": self.operator_secrets,
             "worker_count": self.workers,
             "log_format": "json",
             "log_level": "warn",
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -39,6 +39,8 @@
 const DRAIN_CALLS: usize = 40;
 /// Half of a body that is too long to be held, so that it is passed on while it arrives.
 const HELD_BYTES: usize = 100_000;
+/// A body that is short enough to be held.
+const SHORT_BYTES: u64 = 10;
 /// A second service.
 const ANNEX: &str = "annex";
 /// Calls to a split route, and the share and bound of its smaller part, as rule 12 in
@@ -564,6 +566,8 @@
 struct ReloadStep {
     peer_secrets: &'static [&'static str],
     head_ms: u64,
+    /// The time without progress of a body. The last step makes it too short for any pause.
+    body_idle_ms: u64,
     /// What callers are told of the time that their connections are kept.
     kept: &'static str,
     /// The status of control calls with the old secret, and with the new one.
@@ -579,18 +583,21 @@
     ReloadStep {
         peer_secrets: &[PEER_SECRET, NEXT_PEER_SECRET],
         head_ms: 20_000,
+        body_idle_ms: LONG.as_millis(),
         kept: "timeout=19",
         statuses: [200, 200],
     },
     ReloadStep {
         peer_secrets: &[NEXT_PEER_SECRET, PEER_SECRET],
         head_ms: 30_000,
+        body_idle_ms: LONG.as_millis(),
         kept: "timeout=29",
         statuses: [200, 200],
     },
     ReloadStep {
         peer_secrets: &[NEXT_PEER_SECRET],
         head_ms: 40_000,
+        body_idle_ms: 1,
         kept: "timeout=39",
         statuses: [401, 200],
     },
@@ -601,6 +608,7 @@
         let mut settings = before.clone();
         settings.peer_secrets = self.peer_secrets.to_vec();
         settings.timeouts["head_ms"] = self.head_ms.into();
+        settings.timeouts["body_idle_ms"] = self.body_idle_ms.into();
         settings.timeouts["leave_ms"] = 0.into();
         settings
     }
@@ -673,9 +681,17 @@
         step.require_secrets(&bed, &signalled).await;
         step.require_secrets(&bed, &bed.gate).await;
     }
+    // A body that is arriving keeps the time limit with which it began; a new one has the new limit.
     for held in held {
         held.finish(&bed).await;
     }
+    // The gateway reads short bodies before it sends the call, so that this one was not run.
+    let (_sender, body) = PartBody::announced(SHORT_BYTES);
+    let mut connection = open(bed.gate.caller_address).await;
+    let call = connection.call(request(Method::POST, BOOK, "paused", None, body));
+    let answer = event("the call is answered", call).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::REQUEST_TIMEOUT);
+    assert_eq!(bed.history("paused").arrived, 0);
     for gate in [&signalled, &bed.gate] {
         assert_eq!((gate.logged(DATAGRAM_REFUSED), gate.logged(SETTINGS_REFUSED)), (0, 0));
     }
--- a/crates/trial/tests/request_path.rs
+++ b/crates/trial/tests/request_path.rs
@@ -269,3 +269,73 @@
     }
     assert!(refused > 0, "no call was refused");
 }
+
+const NEXT_OPERATOR_SECRET: &str = "the-next-operator-secret-of-the-tests";
+
+/// A step of the rotation of an operators' secret, with a changed timeout.
+struct RotationStep {
+    operator_secrets: &'static [&'static str],
+    head_ms: u64,
+    /// What callers are told of the time that their connections are kept.
+    kept: &'static str,
+    /// The status of control calls with the old secret, and with the new one.
+    statuses: [u16; 2],
+}
+
+const ROTATION: [RotationStep; 2] = [
+    RotationStep {
+        operator_secrets: &[OPERATOR_SECRET, NEXT_OPERATOR_SECRET],
+        head_ms: 20_000,
+        kept: "timeout=19",
+        statuses: [200, 200],
+    },
+    RotationStep {
+        operator_secrets: &[NEXT_OPERATOR_SECRET],
+        head_ms: 30_000,
+        kept: "timeout=29",
+        statuses: [401, 200],
+    },
+];
+
+/// Guards against changed timeouts and operators' secrets that a running process with the product's
+/// own interface does not take over, and against calls that fail meanwhile.
+#[tokio::test]
+async fn changed_settings_apply_to_a_running_gateway() {
+    let upstream = UpstreamStand::start(UpstreamPlan::default()).await.expect("an upstream");
+    let document = TrialDocument { services: vec![service(&[upstream.address()])] };
+    let settings = GateSettings::default();
+    let mut gate = GateProcess::start(&settings, &document).expect("the gateway starts");
+    let client = TestClient::default();
+    for (index, step) in ROTATION.iter().enumerate() {
+        let settings = GateSettings {
+            operator_secrets: step.operator_secrets.to_vec(),
+            timeouts: json!({ "head_ms": step.head_ms, "leave_ms": 0 }),
+            ..settings.clone()
+        };
+        gate.change_settings(&settings).expect("a file");
+        // The last change is noticed without a signal.
+        if index + 1 < ROTATION.len() {
+            gate.process.signal(Signal::HUP);
+        }
+        loop {
+            let answer = client.get(gate.caller_address, SERVICE, "/phases").await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK);
+            if answer.header("keep-alive") == step.kept {
+                break;
+            }
+        }
+        let secrets = [OPERATOR_SECRET, NEXT_OPERATOR_SECRET];
+        for (secret, status) in secrets.into_iter().zip(step.statuses) {
+            let authorization = format!("Bearer {secret}");
+            let headers = [("content-type", "application/json"), ("authorization", &authorization)];
+            let body = r#"{"jsonrpc":"2.0","id":1,"method":"operator_status"}"#;
+            let address = gate.control_address;
+            let call = client.call(Method::POST, address, "vm", "/", &headers, body.into());
+            let answer = call.await.expect("an answer");
+            assert_eq!(answer.status.as_u16(), status, "{secret} of {:?}", step.operator_secrets);
+        }
+    }
+    gate.process.signal(Signal::TERM);
+    assert!(gate.process.wait(), "the exit code is 0");
+}
