Share generators of hostile input between property tests

Cause: the border and codec tests each had their own seeded runner, and the tests of the platform's and the gate's borders need the same headers, damaged bytes and changed JSON. They are now in stand::property, behind a feature that the product is built without.

New for the codec: answers of upstreams and bodies of health checks. State of the property: no panic, not run only with the mark, load only as reported, no field of a connection kept. The head property is generic over CallCodec, and accepted depths are compared with what was sent. The deadline 2^64-1 is among the values.

Ruled out: a crate of its own, because stand already holds what tests send and answer.

--- a/crates/border/tests/properties.rs
+++ b/crates/border/tests/properties.rs
@@ -8,75 +8,17 @@
 
 use border::{difference, load_document, load_settings};
 use common::{ALMATY, SETTINGS, VITI};
-use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
-use serde_json::{Value, json};
+use serde_json::Value;
+use stand::property::{
+    ByteDamage, JsonMutation, SEED, byte_damage, damaged, hostile_bytes, json_mutations, mutate,
+    seeded_runner,
+};
 use world::prelude::*;
 
-const SEED: u64 = 20_261_204;
 const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "DELETE", "UNKNOWN"];
-
-fn seeded_runner(cases: u32) -> TestRunner {
-    let rng_seed = RngSeed::Fixed(SEED);
-    TestRunner::new(ProptestConfig {
-        cases,
-        rng_seed,
-        failure_persistence: None,
-        ..Default::default()
-    })
-}
-
-/// Selects the value to change, the kind of the change, and what to put in its place.
-type Mutation = (prop::sample::Index, prop::sample::Index, prop::sample::Index);
-
-/// Changes one value of a document. Most changes keep the type, since the parser rejects others.
-fn mutate(root: &mut Value, (target, change, source): Mutation) {
-    let mut pointers = Vec::new();
-    collect_pointers(root, String::new(), &mut pointers);
-    let pointer = target.get(&pointers);
-    let mut values = simple_values();
-    values.extend(pointers.iter().filter_map(|pointer| root.pointer(pointer)).cloned());
-    let value = root.pointer_mut(pointer).unwrap();
-    let change = change.index(8);
-    if change > 0 {
-        values.retain(|other| std::mem::discriminant(other) == std::mem::discriminant(value));
-    }
-    match (change, value) {
-        (1 | 2, Value::Array(items)) if items.len() > 1 => items.swap(0, 1),
-        (3 | 4, Value::Array(items)) => drop(items.pop()),
-        (5, Value::Array(items)) => items.extend(items.first().cloned()),
-        (1..=3, Value::Object(fields)) => drop(remove_first(fields)),
-        (_, value) => *value = source.get(&values).clone(),
-    }
-}
-
-fn simple_values() -> Vec<Value> {
-    let numbers = [0.0, 1.0, 0.5, -1.0, 1e308].map(Value::from);
-    let counts = [0, 1, 16, 250, u32::MAX].map(Value::from);
-    let texts = ["", "/", "/x", "GET", "medeu", "suva", "[::1]:9", "deferrable", "a.example"];
-    let others = [Value::Null, json!([]), json!({}), json!(true), json!(false)];
-    let texts = texts.map(Value::from);
-    numbers.into_iter().chain(counts).chain(texts).chain(others).collect()
-}
-
-fn remove_first(fields: &mut serde_json::Map<String, Value>) -> Option<Value> {
-    let name = fields.keys().next()?.clone();
-    fields.remove(&name)
-}
-
-fn collect_pointers(value: &Value, pointer: String, pointers: &mut Vec<String>) {
-    match value {
-        Value::Array(items) => items.iter().enumerate().for_each(|(index, item)| {
-            collect_pointers(item, format!("{pointer}/{index}"), pointers);
-        }),
-        Value::Object(fields) => fields.iter().for_each(|(name, field)| {
-            collect_pointers(field, format!("{pointer}/{name}"), pointers);
-        }),
-        _ => {}
-    }
-    pointers.push(pointer);
-}
+const TEXTS: [&str; 9] =
+    ["", "/", "/x", "GET", "medeu", "suva", "[::1]:9", "deferrable", "a.example"];
 
 /// Checks an accepted map with the functions that requests use, not with those of the loader.
 fn assert_rules(map: &EnvironmentMap) {
@@ -165,29 +107,20 @@
 /// Guards against a panic on any bytes, which would stop every VM that learns of a document.
 #[test]
 fn arbitrary_bytes_never_panic() {
-    let bytes = prop_oneof![
-        vec(any::<u8>(), 0..256),
-        "[\\[\\]{}\",:0-9a-z_ ]{0,256}".prop_map(String::into_bytes)
-    ];
     let property = |bytes: Vec<u8>| {
         prop_assert!(load_document(&bytes, 1).is_err());
         prop_assert!(load_settings(&bytes).is_err());
         Ok(())
     };
-    seeded_runner(2_000).run(&bytes, property).unwrap();
+    seeded_runner(2_000).run(&hostile_bytes(), property).unwrap();
 }
 
 /// Guards against a panic on damaged bytes of valid input.
 #[test]
 fn damaged_bytes_never_panic() {
-    let damage = vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
-    let property = |damage: Vec<(prop::sample::Index, u8)>| {
+    let property = |damage: ByteDamage| {
         for example in [ALMATY, VITI, SETTINGS] {
-            let mut bytes = example.to_vec();
-            for (index, byte) in &damage {
-                let position = index.index(bytes.len());
-                bytes[position] = *byte;
-            }
+            let mut bytes = damaged(example, &damage);
             if let Ok(map) = load_document(&bytes, 1) {
                 assert_rules(&map);
             }
@@ -197,7 +130,7 @@
         }
         Ok(())
     };
-    seeded_runner(200).run(&damage, property).unwrap();
+    seeded_runner(200).run(&byte_damage(), property).unwrap();
 }
 
 /// Guards against a document that passes the checks and breaks a rule on the request path, and
@@ -210,11 +143,10 @@
         let root: Value = serde_json::from_slice(example).unwrap();
         (load_document(example, 1).unwrap(), root)
     });
-    let mutations = vec(any::<Mutation>(), 1..4);
-    let property = |mutations: Vec<Mutation>| {
+    let property = |mutations: Vec<JsonMutation>| {
         for (original, root) in &examples {
             let mut root = root.clone();
-            mutations.iter().for_each(|choices| mutate(&mut root, *choices));
+            mutations.iter().for_each(|choices| mutate(&mut root, *choices, &TEXTS));
             match load_document(&serde_json::to_vec(&root).unwrap(), 2) {
                 Ok(map) => {
                     assert_rules(&map);
@@ -230,7 +162,7 @@
         }
         Ok(())
     };
-    seeded_runner(1_000).run(&mutations, property).unwrap();
+    seeded_runner(1_000).run(&json_mutations(), property).unwrap();
     // Both outcomes have to be frequent for the property to mean anything.
     assert!(accepted.get() >= 100, "{} accepted, seed {SEED}", accepted.get());
     assert!(rejected.get() >= 100, "{} rejected, seed {SEED}", rejected.get());
--- a/crates/codec/tests/head.rs
+++ b/crates/codec/tests/head.rs
@@ -1,30 +1,19 @@
 //! Properties of the checks of request heads and of the rules for headers.
 
+mod support;
+
 use codec::prelude::*;
+use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
-use http::request::Parts;
-use http::{Request, StatusCode};
-use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::select;
-use proptest::test_runner::{RngSeed, TestRunner};
+use route::prelude::ReportSource;
+use stand::property::{HeaderFields, field_values, header_fields, hostile_bytes, seeded_runner};
+use support::{AnswerProof, CASES, UPSTREAM, check_answer, check_frame, parts};
 
-const SEED: u64 = 20_261_204;
-const CASES: u32 = 2_000;
 /// The most that the depth header may say.
 const MAX_DEPTH: u64 = 8;
 
-fn seeded_runner() -> TestRunner {
-    let rng_seed = RngSeed::Fixed(SEED);
-    let failure_persistence = None;
-    TestRunner::new(ProptestConfig {
-        cases: CASES,
-        rng_seed,
-        failure_persistence,
-        ..Default::default()
-    })
-}
-
 const NAMES: [&str; 22] = [
     "host",
     "content-length",
@@ -68,7 +57,7 @@
     "agateroad-shed",
 ];
 
-const VALUES: [&str; 16] = [
+const VALUES: [&str; 17] = [
     "",
     "0",
     "5",
@@ -83,78 +72,52 @@
     "x-first",
     "a.test",
     "X-First, x-second",
+    "18446744073709551615",
     "18446744073709551616",
     "key-1",
 ];
 
-fn headers() -> impl Strategy<Value = Vec<(&'static str, String)>> {
-    let value = prop_oneof![
-        4 => select(&VALUES[..]).prop_map(str::to_owned),
-        1 => "[ -~]{0,20}",
-    ];
-    vec((select(&NAMES[..]), value), 0..8)
-}
-
-fn parts(headers: &[(&'static str, String)]) -> Parts {
-    let mut request = Request::builder().uri("/phase").method("POST");
-    for (name, value) in headers {
-        request = request.header(*name, value);
-    }
-    request.body(()).expect("a valid request").into_parts().0
-}
-
-fn values<'a>(headers: &'a [(&'static str, String)], name: &str) -> Vec<&'a str> {
-    headers.iter().filter(|(own, _)| *own == name).map(|(_, value)| value.as_str()).collect()
-}
-
-fn is_digits(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+fn headers() -> impl Strategy<Value = HeaderFields> {
+    header_fields(&NAMES, &VALUES)
 }
 
 /// Guards against heads that two readers understand differently, and against calls that are
 /// accepted with values which break a rule.
 #[test]
 fn accepted_heads_have_one_meaning() {
-    let check = |headers: Vec<(&'static str, String)>| {
-        let Ok(facts) = NativeCodec::read_request(&parts(&headers)) else { return Ok(()) };
-        let lengths = values(&headers, "content-length");
-        let chunked = values(&headers, "transfer-encoding") == ["chunked"];
-        prop_assert!(chunked || values(&headers, "transfer-encoding").is_empty());
-        prop_assert!(!chunked || lengths.is_empty());
-        prop_assert!(lengths.len() <= 1 && lengths.iter().all(|length| is_digits(length)));
-        let announced = lengths.first().map_or(Ok(0), |length| length.parse());
-        let announced = announced.map(BodyLength::Known);
-        let expected = if chunked { Ok(BodyLength::Chunked) } else { announced };
-        prop_assert_eq!(Ok(facts.body), expected);
-        prop_assert_eq!(values(&headers, "host").len(), 1);
-        prop_assert!(values(&headers, "upgrade").is_empty());
-        prop_assert!(values(&headers, "idempotency-key").len() <= 1);
-        let depths = values(&headers, "agateroad-depth");
+    let check = |headers: HeaderFields| {
+        let Some(facts) = check_frame::<NativeCodec>(&headers)? else { return Ok(()) };
+        prop_assert!(field_values(&headers, "idempotency-key").len() <= 1);
+        let depths = field_values(&headers, "agateroad-depth");
         prop_assert!(depths.len() <= 1);
         let depth = depths.first().map_or(Ok(0), |depth| depth.parse::<u64>());
-        prop_assert!(depth.is_ok_and(|depth| depth <= MAX_DEPTH));
+        prop_assert!(depth.as_ref().is_ok_and(|depth| *depth <= MAX_DEPTH));
+        prop_assert_eq!(depth, Ok(u64::from(facts.depth)));
         Ok(())
     };
-    seeded_runner().run(&headers(), check).expect("every accepted head has one meaning");
+    seeded_runner(CASES).run(&headers(), check).expect("every accepted head has one meaning");
 }
 
 /// Guards against headers by which a caller could pose as a gateway or an upstream.
 #[test]
 fn cleaned_requests_carry_no_headers_of_gateways_or_connections() {
-    let check = |headers: Vec<(&'static str, String)>| {
+    let check = |headers: HeaderFields| {
         let mut cleaned = parts(&headers).headers;
         NativeCodec::clean_request(&mut cleaned);
         for name in REMOVED {
             prop_assert!(!cleaned.contains_key(name), "{} was kept", name);
         }
-        let named: Vec<String> = values(&headers, "connection")
+        let named: Vec<String> = field_values(&headers, "connection")
             .iter()
             .flat_map(|value| value.split(','))
             .map(|option| option.trim().to_ascii_lowercase())
             .collect();
         for name in ["x-first", "x-second", "accept"] {
-            let expected =
-                if named.iter().any(|own| own == name) { 0 } else { values(&headers, name).len() };
+            let expected = if named.iter().any(|own| own == name) {
+                0
+            } else {
+                field_values(&headers, name).len()
+            };
             prop_assert_eq!(cleaned.get_all(name).iter().count(), expected, "{}", name);
         }
         let mut again = cleaned.clone();
@@ -162,7 +125,7 @@
         prop_assert_eq!(again, cleaned);
         Ok(())
     };
-    seeded_runner().run(&headers(), check).expect("no such header is kept");
+    seeded_runner(CASES).run(&headers(), check).expect("no such header is kept");
 }
 
 /// Guards against marks of an upstream that reach a caller, and against marks that are misread.
@@ -187,7 +150,102 @@
         prop_assert!(headers.is_empty());
         Ok(())
     };
-    seeded_runner().run(&figures, check).expect("marks are read and removed");
+    seeded_runner(CASES).run(&figures, check).expect("marks are read and removed");
+}
+
+const ANSWER_NAMES: [&str; 9] = [
+    "agateroad-load",
+    "agateroad-drain",
+    "agateroad-shed",
+    "agateroad-outcome",
+    "agateroad-request-id",
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+];
+
+const ANSWER_VALUES: [&str; 12] = [
+    "",
+    "1",
+    "0",
+    "3/6/0",
+    "4294967295/4294967295/4294967295",
+    "4294967296/1/1",
+    "3/6",
+    "3/6/0/9",
+    "3/-6/0",
+    "not-run",
+    "close, agateroad-shed",
+    "r1",
+];
+
+fn answers() -> impl Strategy<Value = (u16, HeaderFields)> {
+    let status = prop_oneof![select(&[200_u16, 404, 421, 429, 500, 503][..]), 100..1000_u16];
+    (status, header_fields(&ANSWER_NAMES, &ANSWER_VALUES))
+}
+
+/// Returns the figures of a load header, which is three numbers.
+fn load_figures(text: &str) -> Option<(u32, u32, u32)> {
+    let numbers: Result<Vec<u32>, _> = text.split('/').map(str::parse).collect();
+    match *numbers.ok()? {
+        [in_flight, slots, queued] => Some((in_flight, slots, queued)),
+        _ => None,
+    }
+}
+
+/// Guards against an upstream that makes a panic, a call that counts as not run without the mark of
+/// the upstream, and load that no upstream reported.
+#[test]
+fn answers_are_taken_for_what_they_prove() {
+    let check = |(status, fields): (u16, HeaderFields)| {
+        let status = StatusCode::from_u16(status).expect("three digits");
+        let loads = field_values(&fields, "agateroad-load");
+        let proof = AnswerProof {
+            not_run: status == 503 && !field_values(&fields, "agateroad-shed").is_empty(),
+            // The product's own interface has no other proof than the connection.
+            own: true,
+            load: loads.first().and_then(|text| load_figures(text)),
+        };
+        check_answer::<NativeCodec>(status, &fields, proof)
+    };
+    seeded_runner(CASES).run(&answers(), check).expect("answers prove what they are taken for");
+}
+
+/// Running, slots, waiting and whether the upstream drains.
+type LoadFigures = (u32, u32, u32, bool);
+
+/// Guards against a health check whose body makes a panic or counts as load that it does not name.
+#[test]
+fn checks_report_the_load_that_they_name() {
+    let number = || prop_oneof![(0..9_u64).prop_map(Some), any::<u64>().prop_map(Some), Just(None)];
+    let named = (number(), number(), number(), any::<bool>());
+    let body = prop_oneof![
+        hostile_bytes().prop_map(|bytes| (bytes, None)),
+        named.prop_map(|(in_flight, slots, queued, draining)| {
+            let body = serde_json::json!({
+                "in_flight": in_flight, "slots": slots, "queued": queued, "draining": draining,
+            });
+            let fits = |number: Option<u64>| u32::try_from(number?).ok();
+            let figures = match (fits(in_flight), fits(slots), fits(queued)) {
+                (Some(in_flight), Some(slots), Some(queued)) => {
+                    Some((in_flight, slots, queued, draining))
+                }
+                _ => None,
+            };
+            (body.to_string().into_bytes(), figures)
+        }),
+    ];
+    let check = |(status, (body, named)): (u16, (Vec<u8>, Option<LoadFigures>))| {
+        let status = StatusCode::from_u16(status).expect("three digits");
+        let facts = NativeCodec::read_check(status, &mut HeaderMap::new(), &body, UPSTREAM);
+        let load = facts.load.map(|load| (load.in_flight, load.slots, load.queued, load.draining));
+        prop_assert_eq!(load, named.filter(|_| status == 200));
+        prop_assert!(facts.load.is_none_or(|load| load.source == ReportSource::Probe));
+        Ok(())
+    };
+    let checks = (select(&[200_u16, 200, 204, 404, 503][..]), body);
+    seeded_runner(CASES).run(&checks, check).expect("checks report what they name");
 }
 
 struct HeadCase {
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod plan;
 pub mod platform;
 pub mod port;
+#[cfg(feature = "property")]
+pub mod property;
 mod protocol;
 pub mod proxy;
 pub mod rate;
