Refuse requests with two lengths in every form they can have

Cause: the library drops content-length from a request with transfer-encoding, and the record of the connection looked for the last place with the printed method and target.

Now every place where a head with the method can start is read with the library's own parser (httparse, which hyper uses), and a head with the fields of the request decides. A head that is not found counts as ambiguous. What was read ahead stays in the record until it is certain that it holds one head only.

Ruled out: taking any head with both lengths in the record, without comparing fields. Ruled out as well: following the chunks in this crate, which would be a second reader that can disagree with the library.

--- a/crates/gate/src/front.rs
+++ b/crates/gate/src/front.rs
@@ -30,9 +30,9 @@
 use crate::{call, event, maintenance};
 
 /// The longest request head. Also the size of the read buffer of a caller's connection.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The most header fields of a request.
-const MAX_HEADERS: usize = 64;
+pub(crate) const MAX_HEADERS: usize = 64;
 /// Connections that the system keeps until a worker accepts them.
 const BACKLOG: i32 = 1024;
 /// The pause after a connection could not be accepted, usually for lack of descriptors.
@@ -214,8 +214,7 @@
 /// Marks a request whose content length the library has dropped, so that the checks of the head
 /// see both ways to delimit the body.
 fn restore_length(parts: &mut Parts, record: &ReadRecord) {
-    let sent = record.take_length(parts);
-    if sent && parts.headers.contains_key(header::TRANSFER_ENCODING) {
+    if record.take_head(parts) {
         parts.headers.entry(header::CONTENT_LENGTH).or_insert(HeaderValue::from_static("0"));
     }
 }
--- a/crates/gate/src/record.rs
+++ b/crates/gate/src/record.rs
@@ -11,28 +11,40 @@
 
 use base::prelude::*;
 use bytes::BytesMut;
+use http::header;
 use http::request::Parts;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Bytes that are remembered: a head of the longest size and as much of the body before it.
-const RECORD_BYTES: usize = 32 * 1024;
+use crate::front::{MAX_HEAD_BYTES, MAX_HEADERS};
+
+/// Bytes that are remembered. When the library takes a head from its buffer, the buffer begins with
+/// that head and holds at most twice the longest head, which is the size of one read.
+const RECORD_BYTES: usize = 2 * MAX_HEAD_BYTES;
 
 /// The answer to a head that did not arrive in time.
 const LATE_HEAD_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// The bytes that a connection carried lately.
+#[derive(Debug, Default)]
+struct RecordState {
+    bytes: BytesMut,
+    /// Whether something was read after the last head was taken.
+    unread: bool,
+}
+
+/// What a connection carried lately, shared by its two users.
 #[derive(Clone, Debug)]
 pub struct ReadRecord {
-    bytes: Arc<RankedMutex<BytesMut>>,
+    state: Arc<RankedMutex<RecordState>>,
     late: Arc<AtomicBool>,
 }
 
 impl ReadRecord {
     fn new() -> Self {
-        let bytes = RankedMutex::new(LockRank::ConnectionPool, BytesMut::new());
-        Self { bytes: Arc::new(bytes), late: Arc::default() }
+        let state = RankedMutex::new(LockRank::ConnectionPool, RecordState::default());
+        Self { state: Arc::new(state), late: Arc::default() }
     }
 
     /// Records that the library has given up waiting for a head. If a part of one was read, its
@@ -42,33 +54,80 @@
     }
 
     fn is_refused(&self) -> bool {
-        self.late.load(Ordering::Relaxed) && !self.bytes.lock().is_empty()
+        self.late.load(Ordering::Relaxed) && self.state.lock().unread
     }
 
     fn add(&self, bytes: &[u8]) {
-        let mut record = self.bytes.lock();
-        record.extend_from_slice(bytes);
-        let surplus = record.len().saturating_sub(RECORD_BYTES);
-        let _ = record.split_to(surplus);
+        let mut state = self.state.lock();
+        state.unread = true;
+        state.bytes.extend_from_slice(bytes);
+        let surplus = state.bytes.len().saturating_sub(RECORD_BYTES);
+        let _ = state.bytes.split_to(surplus);
     }
 
-    /// Returns whether the head of a request as it was sent has a content length. Forgets what was
-    /// read up to now.
-    pub fn take_length(&self, parts: &Parts) -> bool {
-        let record = std::mem::take(&mut *self.bytes.lock());
-        has_length(&record, parts)
+    /// Returns whether the head of the request that the library has just taken had a content length
+    /// beside its transfer coding. Without a transfer coding nothing is missing from `parts`.
+    pub fn take_head(&self, parts: &Parts) -> bool {
+        let mut state = self.state.lock();
+        state.unread = false;
+        let both = parts.headers.contains_key(header::TRANSFER_ENCODING)
+            && has_length(&state.bytes, parts);
+        // A record that is one head and nothing else is not needed any more. Otherwise the heads
+        // of later requests may have been read already, and stay.
+        if is_one_head(&state.bytes) {
+            state.bytes = BytesMut::new();
+        }
+        both
     }
 }
 
-/// Looks for the last head with the method and target of `parts`.
+/// Returns whether a head in the record that is that of `parts` has a content length.
+///
+/// Where the head starts is not known, and its target may be printed in another form than it was
+/// sent in. So every place is tried where a head with the method can start, and heads are compared
+/// by their fields. A head that is not found counts as one with a length, so that it is refused.
 fn has_length(record: &[u8], parts: &Parts) -> bool {
-    let text = String::from_utf8_lossy(record);
-    let start = format!("{} {} ", parts.method, parts.uri);
-    let Some(position) = text.rfind(&start) else { return false };
-    let lines = text[position..].split("\r\n").skip(1);
-    let mut names =
-        lines.take_while(|line| !line.is_empty()).filter_map(|line| line.split_once(':'));
-    names.any(|(name, _)| name.trim().eq_ignore_ascii_case("content-length"))
+    let start = format!("{} ", parts.method);
+    let windows = record.windows(start.len()).enumerate();
+    let places = windows.filter(|(_, window)| *window == start.as_bytes());
+    let mut lengths = places.filter_map(|(place, _)| {
+        read_head(&record[place..], |_, fields| {
+            let (lengths, others): (Vec<_>, Vec<_>) = fields.iter().partition(|field| {
+                field.name.eq_ignore_ascii_case(header::CONTENT_LENGTH.as_str())
+            });
+            is_same(&others, parts).then_some(!lengths.is_empty())
+        })
+    });
+    match lengths.next() {
+        Some(first) => first || lengths.any(|has| has),
+        None => true,
+    }
+}
+
+fn is_same(fields: &[&httparse::Header<'_>], parts: &Parts) -> bool {
+    fields.len() == parts.headers.len()
+        && fields.iter().all(|field| {
+            let mut values = parts.headers.get_all(field.name).iter();
+            values.any(|value| value.as_bytes() == field.value)
+        })
+}
+
+fn is_one_head(record: &[u8]) -> bool {
+    read_head(record, |length, _| Some(length == record.len())).unwrap_or(false)
+}
+
+/// Reads the head at the start of `bytes` as the library does. Returns the result of `check`, or
+/// `None` if there is no complete head.
+fn read_head<R>(
+    bytes: &[u8],
+    check: impl FnOnce(usize, &[httparse::Header<'_>]) -> Option<R>,
+) -> Option<R> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut fields);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => check(length, request.headers),
+        Ok(httparse::Status::Partial) | Err(_) => None,
+    }
 }
 
 /// A caller's connection that remembers what was read lately.
