--- a/crates/directory/src/environment.rs
+++ b/crates/directory/src/environment.rs
@@ -139,11 +139,11 @@
 /// Returns the share of slot time at which each upstream gets `probe_rate` checks on average. The
 /// measuring budget multiplies it with the slots of all upstreams, hence their mean.
 fn probe_share(upstreams: &[Arc<UpstreamServer>], bounds: &FleetBounds) -> f64 {
-    let slots: u32 = upstreams.iter().map(|server| server.slots).sum();
+    let slots: u64 = upstreams.iter().map(|server| u64::from(server.slots)).sum();
     if slots == 0 {
         return 0.0;
     }
-    let mean_slots = f64::from(slots) / upstreams.len() as f64;
+    let mean_slots = slots as f64 / upstreams.len() as f64;
     let busy_slots = bounds.probe_rate * bounds.probe_cost.as_millis_f64() / MILLIS_PER_SECOND;
     (busy_slots / mean_slots).clamp(0.0, 1.0)
 }
--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -152,8 +152,9 @@
         let mut state = self.state.lock();
         state.retain(|name, _| map.contract(name).is_some());
         for contract in &map.contracts {
-            let slots: u32 = map.upstreams_of(&contract.name).iter().map(|own| own.slots).sum();
-            let ceiling = f64::from(slots.max(1));
+            let upstreams = map.upstreams_of(&contract.name);
+            let slots: u64 = upstreams.iter().map(|own| u64::from(own.slots)).sum();
+            let ceiling = slots.max(1) as f64;
             let even = (ceiling / f64::from(contract.vm_ceiling.max(1))).ceil();
             let floor = (even * self.tuning.floor_share).max(1.0);
             let service = state.entry(contract.name.clone()).or_insert(ServiceLimit {
--- a/crates/limit/src/probe.rs
+++ b/crates/limit/src/probe.rs
@@ -103,8 +103,8 @@
         let counts = state.counts;
         for contract in &map.contracts {
             let upstreams = map.upstreams_of(&contract.name);
-            let slots: u32 = upstreams.iter().map(|upstream| upstream.slots).sum();
-            let budget = contract.probe_share.clamp(0.0, 1.0) * f64::from(slots);
+            let slots: u64 = upstreams.iter().map(|upstream| u64::from(upstream.slots)).sum();
+            let budget = contract.probe_share.clamp(0.0, 1.0) * slots as f64;
             let own = state.services.entry(contract.name.clone()).or_insert_with(|| {
                 let mut new =
                     SlotTokens { budget, ceiling: contract.vm_ceiling, tokens: 0.0, filled: now };
