Drive budgets with VMs that join and leave, and versions with random events

Cause: the models of the retry and the measuring budget had VMs that restart and wrong lists, but the number of running VMs was constant; the configuration's version was tested with one fixed list of offers only. The models get a chance that a VM leaves or joins, and a new model offers a VM late reads, repeated changes and configurations out of order.

Each rule has cases with a mechanism switched off that must fail: full tokens at the start and division by the list alone for probes; the whole slack for each VM and twice the ratio for retries; for versions, which no tuning can switch off, a VM that forgets what it compares with.

The random numbers of the earlier cases are unchanged.

--- /dev/null
+++ b/crates/directory/tests/versions.rs
@@ -0,0 +1,153 @@
+//! Versions under random events: late reads, repeated changes, and offers out of order.
+
+mod support;
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+use bytes::Bytes;
+use directory::prelude::*;
+use serde_json::json;
+use store::prelude::*;
+use support::*;
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
+const EVENTS: usize = 300;
+const KEYS: [&str; 4] = ["a", "b", "c", "d"];
+/// The most versions by which a read of the store is late.
+const LATEST_READ: usize = 8;
+
+fn fleet(version: u64) -> Bytes {
+    value(json!([version, [["x", 200, 1500, "maps"]], [["maps", 10]]]))
+}
+
+/// A VM that takes over configurations and rows.
+#[derive(Clone)]
+struct VmModel {
+    tracker: ConfigTracker,
+    directory: UpstreamDirectory,
+}
+
+impl VmModel {
+    fn new() -> Self {
+        let directory = UpstreamDirectory::new(DirectoryTuning::default());
+        Self { tracker: ConfigTracker::new(), directory }
+    }
+}
+
+struct VersionCase {
+    name: &'static str,
+    /// What happens to the VM before it is offered something.
+    before: fn(&mut VmModel),
+    /// Whether versions may fall, as a mechanism is switched off.
+    falls: bool,
+}
+
+const CASES: &[VersionCase] = &[
+    VersionCase { name: "all in force", before: |_| {}, falls: false },
+    VersionCase {
+        name: "a configuration is not compared",
+        before: |vm| vm.tracker = ConfigTracker::new(),
+        falls: true,
+    },
+    VersionCase {
+        name: "rows are not compared",
+        before: |vm| vm.directory = VmModel::new().directory,
+        falls: true,
+    },
+];
+
+/// The highest versions that a VM had in force.
+#[derive(Default)]
+struct HighestVersions {
+    config: u64,
+    position: u64,
+    rows: HashMap<SharedName, u64>,
+}
+
+impl HighestVersions {
+    /// Records the versions in force. Returns whether one of them fell.
+    fn add(&mut self, vm: &VmModel) -> bool {
+        let mut fell = raise(&mut self.config, vm.tracker.current().map(|config| config.version));
+        fell |= raise(&mut self.position, vm.directory.position());
+        for row in vm.directory.table().into_iter().flat_map(|table| table.rows) {
+            fell |= raise(self.rows.entry(row.key).or_default(), Some(row.version));
+        }
+        fell
+    }
+}
+
+/// Raises `highest`. Returns whether the version is below it.
+fn raise(highest: &mut u64, version: Option<u64>) -> bool {
+    let version = version.unwrap_or(0);
+    let fell = version < *highest;
+    *highest = version.max(*highest);
+    fell
+}
+
+/// The rows of the store, with versions 1, 2 and so on.
+#[derive(Default)]
+struct StoreModel(Vec<TableRow>);
+
+impl StoreModel {
+    fn write(&mut self, random: &mut RandomSource) {
+        let kind = [":1", ":2", ":1~", "!", "-"][random.below(5)];
+        let (key, version) = (KEYS[random.below(KEYS.len())], self.0.len() + 1);
+        self.0.push(row(&format!("{key}{kind}@{version}")));
+    }
+
+    /// Returns the newest row of each key after `from` and up to `end`.
+    fn changes(&self, from: usize, end: usize) -> RowPage {
+        let rows = self.0[from..end].iter().map(|row| (row.key.clone(), row.clone()));
+        page(end as u64, rows.collect::<BTreeMap<_, _>>().into_values().collect())
+    }
+}
+
+/// Runs random events. Returns whether a version fell.
+fn run(case: &VersionCase, seed: u64) -> bool {
+    let mut random = RandomSource::from_seed(seed);
+    let (mut store, mut vm) = (StoreModel::default(), VmModel::new());
+    let mut highest = HighestVersions::default();
+    let mut fell = false;
+    for event in 0..EVENTS {
+        let now = ClockTime::from_millis(event as u64);
+        let end = store.0.len() - random.below(LATEST_READ.min(store.0.len()) + 1);
+        match random.below(6) {
+            0 | 1 => store.write(&mut random),
+            2 => {
+                let version = 1 + random.below(EVENTS) as u64;
+                (case.before)(&mut vm);
+                vm.tracker.offer::<TestCodec>(&fleet(version));
+            }
+            3 => {
+                vm.tracker.offer::<TestCodec>(&Bytes::from_static(b"["));
+                vm.tracker.hear(random.below(EVENTS) as u64);
+            }
+            4 => {
+                let mut whole = store.changes(0, end);
+                whole.rows.retain(|row| row.value.is_some());
+                (case.before)(&mut vm);
+                vm.directory.replace::<TestCodec>(&whole, now);
+            }
+            _ => {
+                let from = random.below(end + 1);
+                let changes = store.changes(from, end);
+                // Changes with a gap before them are refused and change nothing.
+                let _ = vm.directory.follow::<TestCodec>(from as u64, &changes, now);
+            }
+        }
+        fell |= highest.add(&vm);
+    }
+    fell
+}
+
+/// Guards against a late read, a repeated change or an old document that takes a VM back to an
+/// older version of the configuration, of a row or of the table.
+#[test]
+fn versions_never_fall() {
+    for case in CASES {
+        let fell = SEEDS.filter(|seed| run(case, *seed)).count();
+        println!("{}: versions fell with {fell} seeds", case.name);
+        assert_eq!(fell > 0, case.falls, "{}", case.name);
+    }
+}
--- a/crates/limit/tests/probes.rs
+++ b/crates/limit/tests/probes.rs
@@ -15,6 +15,8 @@
     ceiling: u32,
     /// The chance that a VM restarts, per VM and millisecond.
     restart_chance: f64,
+    /// The chance that a VM leaves, or joins in place of one that left, per VM and millisecond.
+    churn_chance: f64,
     /// Whether the counts that a VM sees are right; otherwise they are random and too small.
     counts_right: bool,
     tuning: fn() -> ProbeTuning,
@@ -28,6 +30,7 @@
         vms: 16,
         ceiling: 16,
         restart_chance: 0.0,
+        churn_chance: 0.0,
         counts_right: false,
         tuning: ProbeTuning::default,
         exceeds: false,
@@ -40,6 +43,27 @@
     ProbeCase { name: "restarts all the time", restart_chance: 0.01, ..ProbeCase::BASE },
     ProbeCase { name: "few VMs", vms: 3, restart_chance: 0.001, ..ProbeCase::BASE },
     ProbeCase { name: "more VMs than the ceiling", vms: 30, counts_right: true, ..ProbeCase::BASE },
+    ProbeCase { name: "VMs join and leave", churn_chance: 0.001, ..ProbeCase::BASE },
+    ProbeCase {
+        name: "VMs join, leave and restart",
+        churn_chance: 0.005,
+        restart_chance: 0.0005,
+        ..ProbeCase::BASE
+    },
+    ProbeCase {
+        name: "VMs join and leave, division by the list alone",
+        churn_chance: 0.001,
+        ceiling: 1,
+        exceeds: true,
+        ..ProbeCase::BASE
+    },
+    ProbeCase {
+        name: "VMs join and leave, full tokens at the start",
+        churn_chance: 0.005,
+        tuning: || ProbeTuning { start_share: 1.0, ..ProbeTuning::default() },
+        exceeds: true,
+        ..ProbeCase::BASE
+    },
     ProbeCase { name: "division by the list alone", ceiling: 1, exceeds: true, ..ProbeCase::BASE },
     ProbeCase {
         name: "full tokens at the start",
@@ -66,7 +90,7 @@
                 case.name
             );
             exceeded |= excess > burst;
-            if case.restart_chance == 0.0 && case.vms >= 16 && !case.exceeds {
+            if case.restart_chance + case.churn_chance == 0.0 && case.vms >= 16 && !case.exceeds {
                 assert!(use_share > 0.8, "{}, seed {seed}: budget unused", case.name);
             }
         }
@@ -87,14 +111,18 @@
         budget.apply(&map, now);
         budget
     };
-    let mut vms: Vec<_> = (0..case.vms).map(|_| start(ClockTime::ZERO)).collect();
+    let mut vms: Vec<_> = (0..case.vms).map(|_| Some(start(ClockTime::ZERO))).collect();
     // A window's excess is the rise of `spent - rate * time` from its start to its end.
     let (mut spent, mut lowest, mut excess) = (0.0, 0.0_f64, 0.0_f64);
     for millis in 0..RUN_MS {
         let now = ClockTime::from_millis(millis);
         // After a quiet time all VMs probe at once.
         let quiet = (millis / 2500) % 2 == 0;
-        for vm in &mut vms {
+        for place in &mut vms {
+            if case.churn_chance > 0.0 && random.chance(case.churn_chance) {
+                *place = place.is_none().then(|| start(now));
+            }
+            let Some(vm) = place else { continue };
             if random.chance(case.restart_chance) {
                 *vm = start(now);
             }
@@ -123,6 +151,19 @@
     VmCounts { listed: wrong(), reported: wrong() }
 }
 
+/// Guards against slots whose sum over upstreams is no longer a number of 32 bits.
+#[test]
+fn slots_of_many_upstreams_add_up() {
+    let setup = ServiceSetup { slots: u32::MAX, upstreams: 2, ..ServiceSetup::BASE };
+    let map = environment(&[setup]);
+    let budget = ProbeBudget::new(ProbeTuning::default());
+    budget.apply(&map, ClockTime::ZERO);
+    assert!(budget.allow(setup.name, ClockSpan::from_millis(1), ClockTime::from_millis(1)));
+    let limit = AdaptiveLimit::new(AdaptiveTuning::default());
+    limit.apply(&map, ClockTime::ZERO);
+    assert!(limit.try_start(setup.name, ClockTime::ZERO));
+}
+
 /// Guards against saved tokens that outlive a rise of the VM count.
 #[test]
 fn tokens_shrink_at_once_with_more_vms() {
--- a/crates/limit/tests/window.rs
+++ b/crates/limit/tests/window.rs
@@ -29,6 +29,8 @@
     restart_chance: f64,
     /// The chance that all VMs restart, per step.
     restart_all_chance: f64,
+    /// The chance that a VM leaves, or joins in place of one that left, per VM and step.
+    churn_chance: f64,
     tuning: fn() -> RetryTuning,
     /// Whether the bound may be exceeded, as a mechanism is switched off.
     exceeds: bool,
@@ -43,6 +45,7 @@
         failures: &[0.0, 0.1, 0.5, 1.0],
         restart_chance: 0.0,
         restart_all_chance: 0.0,
+        churn_chance: 0.0,
         tuning: RetryTuning::default,
         exceeds: false,
     };
@@ -73,6 +76,37 @@
         restart_all_chance: 0.002,
         ..WindowCase::BASE
     },
+    WindowCase { name: "VMs join and leave", churn_chance: 0.001, ..WindowCase::BASE },
+    WindowCase {
+        name: "VMs join and leave, few calls, all fail",
+        calls: 13.0,
+        failures: &[1.0],
+        churn_chance: 0.001,
+        ..WindowCase::BASE
+    },
+    WindowCase {
+        name: "VMs join, leave and restart",
+        churn_chance: 0.001,
+        restart_chance: 0.0005,
+        restart_all_chance: 0.0005,
+        ..WindowCase::BASE
+    },
+    WindowCase {
+        name: "VMs join and leave, the whole slack for each VM",
+        calls: 13.0,
+        churn_chance: 0.001,
+        tuning: || RetryTuning { window_slack_share: 15.0, ..RetryTuning::default() },
+        exceeds: true,
+        ..WindowCase::BASE
+    },
+    WindowCase {
+        name: "VMs join and leave, twice the ratio",
+        failures: &[1.0],
+        churn_chance: 0.001,
+        tuning: || RetryTuning { window_ratio_share: 2.0, ..RetryTuning::default() },
+        exceeds: true,
+        ..WindowCase::BASE
+    },
     WindowCase {
         name: "all VMs restart with the usual ratio",
         restart_all_chance: 0.002,
@@ -146,7 +180,8 @@
     case: &'a WindowCase,
     map: EnvironmentMap,
     random: RandomSource,
-    vms: Vec<RetryBudget>,
+    /// `None` for one that left.
+    vms: Vec<Option<RetryBudget>>,
     failure: f64,
     traffic: f64,
 }
@@ -158,7 +193,7 @@
         let map = environment(&[setup]);
         let random = RandomSource::from_seed(seed);
         let mut fleet = Self { case, map, random, vms: Vec::new(), failure: 0.0, traffic: 1.0 };
-        fleet.vms = (0..case.vms).map(|_| fleet.start(ClockTime::ZERO)).collect();
+        fleet.vms = (0..case.vms).map(|_| Some(fleet.start(ClockTime::ZERO))).collect();
         fleet
     }
 
@@ -175,6 +210,9 @@
             self.change(now);
             let (mut calls, mut further) = (0, 0);
             for vm in 0..self.vms.len() {
+                if self.vms[vm].is_none() {
+                    continue;
+                }
                 let mean = self.case.calls * self.traffic * STEP_MS as f64
                     / (1000.0 * self.case.vms as f64);
                 let mut gap = self.random.exponential(1.0);
@@ -197,20 +235,27 @@
         }
         let all = self.random.chance(self.case.restart_all_chance);
         for vm in 0..self.vms.len() {
+            let churn = self.case.churn_chance;
+            if churn > 0.0 && self.random.chance(churn) {
+                self.vms[vm] = self.vms[vm].is_none().then(|| self.start(now));
+            }
+            if self.vms[vm].is_none() {
+                continue;
+            }
             if all || self.random.chance(self.case.restart_chance) {
-                self.vms[vm] = self.start(now);
+                self.vms[vm] = Some(self.start(now));
             }
             if self.random.chance(0.01) {
                 let mut count = || self.random.below(self.case.vms + 1) as u32;
                 let counts = VmCounts { listed: count(), reported: count() };
-                self.vms[vm].set_counts(counts, now);
+                self.vms[vm].iter().for_each(|budget| budget.set_counts(counts, now));
             }
         }
     }
 
     /// Runs a call through a VM and returns its further arrivals.
     fn call(&mut self, vm: usize, now: ClockTime) -> u32 {
-        let budget = &self.vms[vm];
+        let Some(budget) = &self.vms[vm] else { return 0 };
         budget.record_first(SERVICE, now);
         let base = request(SERVICE, WorkClass::Urgent, now + ClockSpan::from_secs(1));
         let mut further = 0;
@@ -242,7 +287,9 @@
             let (fullest, used) = (record.fullest(), record.used());
             println!("{}, seed {seed}: fullest window {fullest:.2}, used {used:.2}", case.name);
             exceeded |= fullest > 1.0;
-            if case.failures == [1.0] && case.restart_chance + case.restart_all_chance == 0.0 {
+            if case.failures == [1.0]
+                && case.restart_chance + case.restart_all_chance + case.churn_chance == 0.0
+            {
                 assert!(used > 0.8, "{}, seed {seed}: {used:.2} used", case.name);
             }
         }
