--- a/crates/stand/tests/tables.rs
+++ b/crates/stand/tests/tables.rs
@@ -17,48 +17,41 @@
 /// that is used twice.
 #[test]
 fn transactions_are_conditional_and_whole() {
+    let case = |name, writes, outcome| WriteCase { name, writes, outcome };
     let cases = [
-        WriteCase {
-            name: "absent row is created",
-            writes: r#"[{"table":"t","key":"a","expect":null,"value":1}]"#,
-            outcome: Ok(&[1]),
-        },
-        WriteCase {
-            name: "present row is not absent",
-            writes: r#"[{"table":"t","key":"a","expect":null,"value":2}]"#,
-            outcome: Err(&[0]),
-        },
-        WriteCase {
-            name: "right version",
-            writes: r#"[{"table":"t","key":"a","expect":1,"value":3}]"#,
-            outcome: Ok(&[2]),
-        },
-        WriteCase {
-            name: "one wrong condition stops all writes",
-            writes: r#"[{"table":"t","key":"b","expect":null,"value":1},
+        case(
+            "absent row is created",
+            r#"[{"table":"t","key":"a","expect":null,"value":1}]"#,
+            Ok(&[1][..]),
+        ),
+        case(
+            "present row is not absent",
+            r#"[{"table":"t","key":"a","expect":null,"value":2}]"#,
+            Err(&[0][..]),
+        ),
+        case("right version", r#"[{"table":"t","key":"a","expect":1,"value":3}]"#, Ok(&[2])),
+        case(
+            "one wrong condition stops all writes",
+            r#"[{"table":"t","key":"b","expect":null,"value":1},
                         {"table":"t","key":"a","expect":1,"value":4}]"#,
-            outcome: Err(&[1]),
-        },
-        WriteCase {
-            name: "no condition",
-            writes: r#"[{"table":"t","key":"a","value":5},{"table":"u","key":"a","value":6}]"#,
-            outcome: Ok(&[3, 4]),
-        },
-        WriteCase {
-            name: "deletion",
-            writes: r#"[{"table":"t","key":"a","expect":3,"value":null}]"#,
-            outcome: Ok(&[0]),
-        },
-        WriteCase {
-            name: "the version of a deleted row is gone",
-            writes: r#"[{"table":"t","key":"a","expect":3,"value":7}]"#,
-            outcome: Err(&[0]),
-        },
-        WriteCase {
-            name: "a row that is created again has a new version",
-            writes: r#"[{"table":"t","key":"a","expect":null,"value":8}]"#,
-            outcome: Ok(&[6]),
-        },
+            Err(&[1]),
+        ),
+        case(
+            "no condition",
+            r#"[{"table":"t","key":"a","value":5},{"table":"u","key":"a","value":6}]"#,
+            Ok(&[3, 4]),
+        ),
+        case("deletion", r#"[{"table":"t","key":"a","expect":3,"value":null}]"#, Ok(&[0])),
+        case(
+            "the version of a deleted row is gone",
+            r#"[{"table":"t","key":"a","expect":3,"value":7}]"#,
+            Err(&[0]),
+        ),
+        case(
+            "a row that is created again has a new version",
+            r#"[{"table":"t","key":"a","expect":null,"value":8}]"#,
+            Ok(&[6]),
+        ),
     ];
     let mut tables = PlatformTables::default();
     for case in cases {
