--- a/crates/load/tests/mix.rs
+++ b/crates/load/tests/mix.rs
@@ -1,7 +1,7 @@
 //! The ready-made mixes against the checked-in documents.
 
 use load::prelude::*;
-use world::prelude::*;
+use world::prelude::WorkClass::{self, Deferrable, Normal, Urgent};
 
 const ALMATY: &[u8] = include_bytes!("../../../examples/almaty.json");
 const VITI: &[u8] = include_bytes!("../../../examples/viti.json");
@@ -18,79 +18,28 @@
     deferred: bool,
 }
 
+const fn almaty(kind: &'static str, service: &'static str, class: WorkClass) -> KindCase {
+    let (document, mix) = (ALMATY, almaty_mix as fn() -> Vec<RequestKind>);
+    KindCase { document, mix, kind, service, class, idempotent: true, deferred: false }
+}
+
+const fn viti(kind: &'static str, service: &'static str, class: WorkClass) -> KindCase {
+    KindCase { document: VITI, mix: viti_mix, ..almaty(kind, service, class) }
+}
+
+const fn at_most_once(case: KindCase) -> KindCase {
+    KindCase { idempotent: false, ..case }
+}
+
 const CASES: [KindCase; 8] = [
-    KindCase {
-        document: ALMATY,
-        mix: almaty_mix,
-        kind: "phase lookup",
-        service: "phase-desk",
-        class: WorkClass::Urgent,
-        idempotent: true,
-        deferred: false,
-    },
-    KindCase {
-        document: ALMATY,
-        mix: almaty_mix,
-        kind: "booking",
-        service: "booking-desk",
-        class: WorkClass::Normal,
-        idempotent: false,
-        deferred: false,
-    },
-    KindCase {
-        document: ALMATY,
-        mix: almaty_mix,
-        kind: "correction",
-        service: "almanac-office",
-        class: WorkClass::Normal,
-        idempotent: false,
-        deferred: false,
-    },
-    KindCase {
-        document: ALMATY,
-        mix: almaty_mix,
-        kind: "archive pull",
-        service: "almanac-office",
-        class: WorkClass::Deferrable,
-        idempotent: true,
-        deferred: false,
-    },
-    KindCase {
-        document: VITI,
-        mix: viti_mix,
-        kind: "tree count",
-        service: "grove-view",
-        class: WorkClass::Urgent,
-        idempotent: true,
-        deferred: false,
-    },
-    KindCase {
-        document: VITI,
-        mix: viti_mix,
-        kind: "pledge",
-        service: "pledge-desk",
-        class: WorkClass::Normal,
-        idempotent: false,
-        deferred: false,
-    },
-    KindCase {
-        document: VITI,
-        mix: viti_mix,
-        kind: "certificate",
-        service: "cert-house",
-        class: WorkClass::Normal,
-        idempotent: false,
-        deferred: false,
-    },
-    KindCase {
-        document: VITI,
-        mix: viti_mix,
-        kind: "nursery report",
-        service: "grove-view",
-        class: WorkClass::Deferrable,
-        idempotent: true,
-        deferred: true,
-    },
+    almaty("phase lookup", "phase-desk", Urgent),
+    at_most_once(almaty("booking", "booking-desk", Normal)),
+    at_most_once(almaty("correction", "almanac-office", Normal)),
+    almaty("archive pull", "almanac-office", Deferrable),
+    viti("tree count", "grove-view", Urgent),
+    at_most_once(viti("pledge", "pledge-desk", Normal)),
+    at_most_once(viti("certificate", "cert-house", Normal)),
+    KindCase { deferred: true, ..viti("nursery report", "grove-view", Deferrable) },
 ];
 
 /// Guards against a mix whose requests are answered with 404 or run under the wrong rule, and
