Shorten the table of queue cases of the limit's tests

Cause: each case repeated its field names and the base case.

Before and after: 15 cases with the same steps, 8 assertions and 3 tests in the file; 330 lines before, 319 after. All tests of limit pass.

--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -43,8 +43,8 @@
     steps: &'static [Step],
 }
 
-impl QueueCase {
-    const BASE: Self = Self { name: "", limit: 3, tuning: QueueTuning::default, steps: &[] };
+const fn case(name: &'static str, steps: &'static [Step]) -> QueueCase {
+    QueueCase { name, limit: 3, tuning: QueueTuning::default, steps }
 }
 
 fn no_early_drop() -> QueueTuning {
@@ -61,25 +61,26 @@
 
 const QUEUE_CASES: &[QueueCase] = &[
     QueueCase {
-        name: "by class, then by arrival",
         limit: 4,
-        steps: &[
-            Join(Deferrable, LONG),
-            Join(Normal, LONG),
-            Join(Urgent, LONG),
-            Wait(millis(1)),
-            Join(Urgent, LONG),
-            Next(Some(2)),
-            Next(Some(3)),
-            Next(Some(1)),
-            Next(Some(0)),
-            Next(None),
-        ],
-        ..QueueCase::BASE
+        ..case(
+            "by class, then by arrival",
+            &[
+                Join(Deferrable, LONG),
+                Join(Normal, LONG),
+                Join(Urgent, LONG),
+                Wait(millis(1)),
+                Join(Urgent, LONG),
+                Next(Some(2)),
+                Next(Some(3)),
+                Next(Some(1)),
+                Next(Some(0)),
+                Next(None),
+            ],
+        )
     },
-    QueueCase {
-        name: "an aged waiter overtakes more urgent ones",
-        steps: &[
+    case(
+        "an aged waiter overtakes more urgent ones",
+        &[
             Join(Normal, LONG),
             Wait(millis(90)),
             Next(Some(0)),
@@ -92,23 +93,23 @@
             Next(Some(1)),
             Next(Some(3)),
         ],
-        ..QueueCase::BASE
-    },
+    ),
     QueueCase {
-        name: "without ageing it does not",
         tuning: no_ageing,
-        steps: &[
-            Join(Deferrable, LONG),
-            Wait(millis(1010)),
-            Join(Urgent, LONG),
-            Next(Some(1)),
-            Next(Some(0)),
-        ],
-        ..QueueCase::BASE
+        ..case(
+            "without ageing it does not",
+            &[
+                Join(Deferrable, LONG),
+                Wait(millis(1010)),
+                Join(Urgent, LONG),
+                Next(Some(1)),
+                Next(Some(0)),
+            ],
+        )
     },
-    QueueCase {
-        name: "a full queue refuses equals",
-        steps: &[
+    case(
+        "a full queue refuses equals",
+        &[
             Join(Urgent, LONG),
             Join(Normal, LONG),
             Join(Normal, LONG),
@@ -116,11 +117,10 @@
             Denied(Deferrable, LONG, QueueFull),
             Dropped(&[]),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "a full queue gives up the newest of the least urgent",
-        steps: &[
+    ),
+    case(
+        "a full queue gives up the newest of the least urgent",
+        &[
             Join(Deferrable, LONG),
             Join(Deferrable, LONG),
             Join(Normal, LONG),
@@ -132,17 +132,11 @@
             Dropped(&[(2, Displaced)]),
             Denied(Urgent, LONG, QueueFull),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "no queue at all",
-        limit: 0,
-        steps: &[Denied(Urgent, LONG, QueueFull)],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "waiters that cannot finish are dropped before their deadline",
-        steps: &[
+    ),
+    QueueCase { limit: 0, ..case("no queue at all", &[Denied(Urgent, LONG, QueueFull)]) },
+    case(
+        "waiters that cannot finish are dropped before their deadline",
+        &[
             CallTime(millis(30)),
             Join(Normal, millis(50)),
             Join(Normal, LONG),
@@ -152,53 +146,50 @@
             Dropped(&[(0, DeadlineTooShort)]),
             Next(Some(1)),
         ],
-        ..QueueCase::BASE
-    },
+    ),
     QueueCase {
-        name: "without early drop they wait until the deadline",
         tuning: no_early_drop,
-        steps: &[
-            CallTime(millis(30)),
-            Join(Normal, millis(50)),
-            Wait(millis(49)),
-            Dropped(&[]),
-            Wait(millis(1)),
-            Dropped(&[(0, DeadlineTooShort)]),
-        ],
-        ..QueueCase::BASE
+        ..case(
+            "without early drop they wait until the deadline",
+            &[
+                CallTime(millis(30)),
+                Join(Normal, millis(50)),
+                Wait(millis(49)),
+                Dropped(&[]),
+                Wait(millis(1)),
+                Dropped(&[(0, DeadlineTooShort)]),
+            ],
+        )
     },
-    QueueCase {
-        name: "a late waiter gets no slot",
-        steps: &[
+    case(
+        "a late waiter gets no slot",
+        &[
             Join(Normal, millis(50)),
             Wait(millis(50)),
             Next(None),
             Dropped(&[(0, DeadlineTooShort)]),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "a call that could not finish does not wait",
-        steps: &[
+    ),
+    case(
+        "a call that could not finish does not wait",
+        &[
             CallTime(millis(30)),
             Denied(Urgent, millis(30), DeadlineTooShort),
             Join(Urgent, millis(31)),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "one slow period does not refuse for good",
-        steps: &[
+    ),
+    case(
+        "one slow period does not refuse for good",
+        &[
             CallTime(millis(800)),
             Denied(Urgent, millis(500), DeadlineTooShort),
             Wait(millis(1000)),
             Join(Urgent, millis(500)),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "a wait that exceeds the deadline is refused on arrival",
-        steps: &[
+    ),
+    case(
+        "a wait that exceeds the deadline is refused on arrival",
+        &[
             Join(Normal, LONG),
             Join(Normal, LONG),
             Wait(millis(40)),
@@ -207,11 +198,10 @@
             Denied(Normal, millis(40), DeadlineTooShort),
             Join(Normal, millis(41)),
         ],
-        ..QueueCase::BASE
-    },
-    QueueCase {
-        name: "a standing queue drops those that waited too long",
-        steps: &[
+    ),
+    case(
+        "a standing queue drops those that waited too long",
+        &[
             Join(Urgent, LONG),
             Wait(millis(60)),
             Dropped(&[]),
@@ -223,32 +213,32 @@
             Wait(millis(1)),
             Dropped(&[(1, Overloaded)]),
         ],
-        ..QueueCase::BASE
-    },
+    ),
     QueueCase {
-        name: "newest first in a standing queue only",
         tuning: newest_first,
-        steps: &[
-            Join(Urgent, LONG),
-            Join(Urgent, LONG),
-            Wait(millis(1)),
-            Next(Some(0)),
-            Wait(millis(40)),
-            Join(Urgent, LONG),
-            Next(Some(1)),
-            Wait(millis(40)),
-            Join(Urgent, LONG),
-            Next(Some(2)),
-            Wait(millis(19)),
-            Join(Urgent, LONG),
-            Next(Some(4)),
-            Next(Some(3)),
-        ],
-        ..QueueCase::BASE
+        ..case(
+            "newest first in a standing queue only",
+            &[
+                Join(Urgent, LONG),
+                Join(Urgent, LONG),
+                Wait(millis(1)),
+                Next(Some(0)),
+                Wait(millis(40)),
+                Join(Urgent, LONG),
+                Next(Some(1)),
+                Wait(millis(40)),
+                Join(Urgent, LONG),
+                Next(Some(2)),
+                Wait(millis(19)),
+                Join(Urgent, LONG),
+                Next(Some(4)),
+                Next(Some(3)),
+            ],
+        )
     },
-    QueueCase {
-        name: "a caller that is gone gets no slot",
-        steps: &[
+    case(
+        "a caller that is gone gets no slot",
+        &[
             Join(Urgent, LONG),
             Join(Urgent, LONG),
             Cancel(0, true),
@@ -257,8 +247,7 @@
             Cancel(1, false),
             Next(None),
         ],
-        ..QueueCase::BASE
-    },
+    ),
 ];
 
 /// Guards against a wrong order, lost waiters, and waiting in vain.
