Shorten the tables of the claim's tests

Cause: each case of the runner and of the explorer repeated its field names, and the first three columns of the runner's cases mostly hold the same functions.

The repeats at the same VM and at another one were equal in all 7 cases and are one argument now.

--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -447,64 +447,52 @@
 #[test]
 fn every_interleaving_keeps_the_promises() {
     let all = ClaimGuards::ALL;
-    let bounds =
-        |requests, other_bodies, faults, depth| Bounds { requests, other_bodies, faults, depth };
+    let case = |name, guards, (requests, other_bodies, faults, depth), violation| {
+        let bounds = Bounds { requests, other_bodies, faults, depth };
+        ModelCase { name, guards, bounds, violation }
+    };
+    use Violation::*;
     let cases = [
-        ModelCase {
-            name: "two requests, two faults",
-            guards: all,
-            bounds: bounds(2, 0, 2, 7),
-            violation: None,
-        },
-        ModelCase {
-            name: "two requests, one fault",
-            guards: all,
-            bounds: bounds(2, 0, 1, 9),
-            violation: None,
-        },
-        ModelCase {
-            name: "three requests, no fault",
-            guards: all,
-            bounds: bounds(3, 0, 0, 8),
-            violation: None,
-        },
-        ModelCase { name: "other body", guards: all, bounds: bounds(2, 1, 1, 7), violation: None },
-        ModelCase {
-            name: "without conditional claim",
-            guards: ClaimGuards { conditional_claim: false, ..all },
-            bounds: bounds(2, 0, 0, 6),
-            violation: Some(Violation::DispatchedTwice),
-        },
-        ModelCase {
-            name: "without read back",
-            guards: ClaimGuards { read_back: false, ..all },
-            bounds: bounds(2, 0, 1, 6),
-            violation: Some(Violation::DispatchedTwice),
-        },
-        ModelCase {
-            name: "abandoned attempts dispatched",
-            guards: ClaimGuards { abandoned_stays: false, ..all },
-            bounds: bounds(1, 0, 0, 6),
-            violation: Some(Violation::RefusedYetDispatched),
-        },
-        ModelCase {
-            name: "takeover",
-            guards: ClaimGuards { no_takeover: false, ..all },
-            bounds: bounds(2, 0, 0, 8),
-            violation: Some(Violation::DispatchedTwice),
-        },
-        ModelCase {
-            name: "without body check",
-            guards: ClaimGuards { body_check: false, ..all },
-            bounds: bounds(2, 1, 0, 8),
-            violation: Some(Violation::OtherBodyAccepted),
-        },
-        ModelCase {
-            name: "release over unknown",
-            guards: ClaimGuards { unknown_is_final: false, ..all },
-            bounds: bounds(3, 0, 0, 14),
-            violation: Some(Violation::DispatchedAfterUnknown),
-        },
+        case("two requests, two faults", all, (2, 0, 2, 7), None),
+        case("two requests, one fault", all, (2, 0, 1, 9), None),
+        case("three requests, no fault", all, (3, 0, 0, 8), None),
+        case("other body", all, (2, 1, 1, 7), None),
+        case(
+            "without conditional claim",
+            ClaimGuards { conditional_claim: false, ..all },
+            (2, 0, 0, 6),
+            Some(DispatchedTwice),
+        ),
+        case(
+            "without read back",
+            ClaimGuards { read_back: false, ..all },
+            (2, 0, 1, 6),
+            Some(DispatchedTwice),
+        ),
+        case(
+            "abandoned attempts dispatched",
+            ClaimGuards { abandoned_stays: false, ..all },
+            (1, 0, 0, 6),
+            Some(RefusedYetDispatched),
+        ),
+        case(
+            "takeover",
+            ClaimGuards { no_takeover: false, ..all },
+            (2, 0, 0, 8),
+            Some(DispatchedTwice),
+        ),
+        case(
+            "without body check",
+            ClaimGuards { body_check: false, ..all },
+            (2, 1, 0, 8),
+            Some(OtherBodyAccepted),
+        ),
+        case(
+            "release over unknown",
+            ClaimGuards { unknown_is_final: false, ..all },
+            (3, 0, 0, 14),
+            Some(DispatchedAfterUnknown),
+        ),
     ];
     for case in cases {
         let mut explorer = Explorer::default();
--- a/crates/claim/tests/runner.rs
+++ b/crates/claim/tests/runner.rs
@@ -68,10 +68,13 @@
     }
 }
 
+type Fault = fn(&MemoryStore);
+type Verdict = fn(claim::runner::ClaimGrant<MemoryStore, PausedClock>);
+
 struct RunnerCase {
     name: &'static str,
-    fault: fn(&MemoryStore),
-    verdict: fn(claim::runner::ClaimGrant<MemoryStore, PausedClock>),
+    fault: Fault,
+    verdict: Verdict,
     first: &'static str,
     same_vm: &'static str,
     other_vm: &'static str,
@@ -81,63 +84,29 @@
 /// request or for its repeats, at the same VM and at another one.
 #[tokio::test(start_paused = true)]
 async fn repeats_get_what_the_first_request_left() {
+    let finish: Verdict = |grant| grant.finish(answer(10));
+    let case = |name, fault: Fault, verdict: Verdict, first, repeat| RunnerCase {
+        name,
+        fault,
+        verdict,
+        first,
+        same_vm: repeat,
+        other_vm: repeat,
+    };
     let cases = [
-        RunnerCase {
-            name: "finished",
-            fault: |_| {},
-            verdict: |grant| grant.finish(answer(10)),
-            first: "dispatch",
-            same_vm: "kept",
-            other_vm: "kept",
-        },
-        RunnerCase {
-            name: "finished with a large answer",
-            fault: |_| {},
-            verdict: |grant| grant.finish(answer(100_000)),
-            first: "dispatch",
-            same_vm: "kept",
-            other_vm: "kept",
-        },
-        RunnerCase {
-            name: "dropped",
-            fault: |_| {},
-            verdict: drop,
-            first: "dispatch",
-            same_vm: "unknown",
-            other_vm: "unknown",
-        },
-        RunnerCase {
-            name: "still running",
-            fault: |_| {},
-            verdict: std::mem::forget,
-            first: "dispatch",
-            same_vm: "in progress",
-            other_vm: "in progress",
-        },
-        RunnerCase {
-            name: "lost response",
-            fault: |store| store.lose_responses(1),
-            verdict: |grant| grant.finish(answer(10)),
-            first: "dispatch",
-            same_vm: "kept",
-            other_vm: "kept",
-        },
-        RunnerCase {
-            name: "lost request",
-            fault: |store| store.lose_requests(1),
-            verdict: |grant| grant.finish(answer(10)),
-            first: "dispatch",
-            same_vm: "kept",
-            other_vm: "kept",
-        },
-        RunnerCase {
-            name: "store down",
-            fault: |store| store.set_outage(true),
-            verdict: drop,
-            first: "refused",
-            same_vm: "refused",
-            other_vm: "refused",
-        },
+        case("finished", |_| {}, finish, "dispatch", "kept"),
+        case(
+            "finished with a large answer",
+            |_| {},
+            |grant| grant.finish(answer(100_000)),
+            "dispatch",
+            "kept",
+        ),
+        case("dropped", |_| {}, drop, "dispatch", "unknown"),
+        case("still running", |_| {}, std::mem::forget, "dispatch", "in progress"),
+        case("lost response", |store| store.lose_responses(1), finish, "dispatch", "kept"),
+        case("lost request", |store| store.lose_requests(1), finish, "dispatch", "kept"),
+        case("store down", |store| store.set_outage(true), drop, "refused", "refused"),
     ];
     for case in cases {
         let store = MemoryStore::new();
