Give health checks ids and accept only their own answers

Cause: a second answer to a health check, sent late, was taken for the answer to the next check on the connection. The call that followed on the connection then got an answer that was not its own, and 504 with no arrival.

A check now carries an id of the gateway's own in the request id of the interface (`CallCodec::mark_check`): a counter of the process behind a random part that is drawn once, so that ids of earlier runs do not return. An answer that echoes another id is foreign, and its connection is closed. An answer without an echo is judged as before. `check_fresh` now also refuses a foreign answer; it used to put such a connection back for calls.

A caller's request on the health check path has no route.

The stand-ins of upstreams echo the id of a check; `echo_checks` turns it off. The native stand-in echoes ids of checks only, because callers get the ids of calls from the gateway.

--- a/crates/codec/src/call.rs
+++ b/crates/codec/src/call.rs
@@ -86,7 +86,7 @@
     pub load: Option<LoadReport>,
     /// Whether another server has its address.
     pub misdirected: bool,
-    /// Whether the answer is that of a call, or none at all. The connection is unusable.
+    /// Whether it is the answer to something else, or none at all. The connection is unusable.
     pub foreign: bool,
 }
 
@@ -120,11 +120,16 @@
     /// Returns the path of the health check of a service.
     fn check_path(contract: &ServiceContract) -> &str;
 
-    /// Reads the answer to a health check of `upstream`.
+    /// Sets the headers of a health check with the gateway's own id of it.
+    fn mark_check(headers: &mut HeaderMap, id: &HeaderValue);
+
+    /// Reads the answer to the health check `id` of `upstream`. An answer that echoes no id is
+    /// judged by its other headers, because not every upstream echoes the ids of checks.
     fn read_check(
         status: StatusCode,
         headers: &mut HeaderMap,
         body: &[u8],
         upstream: &str,
+        id: &HeaderValue,
     ) -> CheckFacts;
 }
--- a/crates/codec/src/native.rs
+++ b/crates/codec/src/native.rs
@@ -133,12 +133,18 @@
         LOAD_PATH
     }
 
+    fn mark_check(headers: &mut HeaderMap, id: &HeaderValue) {
+        headers.insert(REQUEST_ID, id.clone());
+    }
+
     fn read_check(
         status: StatusCode,
         headers: &mut HeaderMap,
         body: &[u8],
         _upstream: &str,
+        id: &HeaderValue,
     ) -> CheckFacts {
+        let foreign = headers.get(REQUEST_ID).is_some_and(|echo| echo != id);
         let marked = Self::read_answer(status, headers, &HeaderValue::from_static("")).load;
         let body = match status {
             StatusCode::OK => serde_json::from_slice::<LoadBody>(body).ok(),
@@ -152,7 +158,7 @@
             None => marked,
         };
         let load = load.map(|load| LoadReport { source: ReportSource::Probe, ..load });
-        CheckFacts { load, misdirected: false, foreign: false }
+        CheckFacts { load, misdirected: false, foreign }
     }
 }
 
--- a/crates/codec/tests/head.rs
+++ b/crates/codec/tests/head.rs
@@ -190,6 +190,36 @@
     seeded_runner().run(&figures, check).expect("marks are read and removed");
 }
 
+struct EchoCase {
+    /// The id that the answer echoes.
+    echo: Option<&'static str>,
+    foreign: bool,
+}
+
+/// Guards against a late answer to an earlier check that is taken for the answer to the next one,
+/// and against upstreams that echo no ids and then fail every check.
+#[test]
+fn checks_accept_only_their_own_answers() {
+    let cases = [
+        EchoCase { echo: Some("check-2"), foreign: false },
+        EchoCase { echo: Some("check-1"), foreign: true },
+        EchoCase { echo: None, foreign: false },
+    ];
+    let id = HeaderValue::from_static("check-2");
+    let mut marked = HeaderMap::new();
+    NativeCodec::mark_check(&mut marked, &id);
+    assert_eq!(marked["agateroad-request-id"], id);
+    for EchoCase { echo, foreign } in cases {
+        let mut headers = HeaderMap::new();
+        headers.insert("agateroad-load", HeaderValue::from_static("1/6/0"));
+        if let Some(echo) = echo {
+            headers.insert("agateroad-request-id", HeaderValue::from_static(echo));
+        }
+        let facts = NativeCodec::read_check(StatusCode::OK, &mut headers, b"", "upstream", &id);
+        assert_eq!(facts.foreign, foreign, "{echo:?}");
+    }
+}
+
 struct HeadCase {
     name: &'static str,
     headers: &'static [(&'static str, &'static str)],
--- a/crates/gate/src/cancel.rs
+++ b/crates/gate/src/cancel.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use http::{HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method};
 use serde::Deserialize;
 
 use crate::link::{ConnectUse, UpstreamLink};
@@ -38,9 +38,8 @@
             Err(_) => return false,
         },
     };
-    let Some(answer) = probe::ask(connection, Method::POST, &path, timeout).await else {
-        return false;
-    };
+    let asked = probe::ask(connection, Method::POST, &path, HeaderMap::new(), timeout).await;
+    let Some(answer) = asked else { return false };
     probe::put_back(state, answer.connection);
     let body = serde_json::from_slice::<CancelBody>(&answer.body);
     answer.status.is_success() && body.is_ok_and(|body| body.confirmed)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body;
 pub mod call;
 pub mod cancel;
+pub mod check_id;
 pub mod claims;
 pub mod connection;
 pub mod control;
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -50,6 +50,11 @@
     let path = parts.uri.path();
     let draw = worker::with_random(RandomSource::unit);
     let plan = environment.plan_call(&facts.host, parts.method.as_str(), path, draw);
+    // An answer to a caller's request on this path would look like one to a check.
+    let plan = plan.filter(|plan| {
+        let contract = environment.contract(&plan.service);
+        contract.is_none_or(|contract| C::check_path(contract) != path)
+    });
     let Some(plan) = plan else { return Err(uncovered(state, facts, &parts)) };
     let span = facts.deadline.map_or(plan.timeout, |own| own.min(plan.timeout));
     if span == ClockSpan::ZERO {
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -56,17 +56,19 @@
     NotMade,
 }
 
-/// Sends a request of the gateway's own and reads the answer. Returns `None` if there is no
-/// complete answer in time.
+/// Sends a request of the gateway's own with `headers` and reads the answer. Returns `None` if
+/// there is no complete answer in time.
 pub async fn ask(
     mut connection: LinkConnection,
     method: Method,
     path: &str,
+    headers: HeaderMap,
     timeout: ClockSpan,
 ) -> Option<CheckAnswer> {
     let mut request = Request::new(SendBody::Empty);
     *request.method_mut() = method;
     *request.uri_mut() = Uri::try_from(path).ok()?;
+    *request.headers_mut() = headers;
     let host = connection.link().server().address.to_string();
     request.headers_mut().insert(header::HOST, HeaderValue::try_from(host).ok()?);
     let exchange = async {
@@ -79,6 +81,24 @@
     Some(CheckAnswer { status: parts.status, headers: parts.headers, body, connection })
 }
 
+/// Sends a health check and reads the answer. Returns `None` if there is no complete answer in
+/// time.
+async fn ask_check<C: CallCodec>(
+    state: &GateState,
+    desk: &ServiceDesk,
+    connection: LinkConnection,
+    timeout: ClockSpan,
+) -> Option<(CheckAnswer, CheckFacts)> {
+    let upstream = connection.link().server().name.clone();
+    let path = check_path::<C>(state, &desk.name);
+    let id = state.check_ids.next();
+    let mut headers = HeaderMap::new();
+    C::mark_check(&mut headers, &id);
+    let mut answer = ask(connection, Method::GET, &path, headers, timeout).await?;
+    let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, &upstream, &id);
+    Some((answer, facts))
+}
+
 /// Opens a new connection to an upstream and checks that it answers. Returns when it was opened.
 ///
 /// Returns `None` if the budget does not allow the check or there is no answer.
@@ -94,18 +114,13 @@
     let connection = connect(state, link, PROBE_TIMEOUT).await.ok();
     let opened = connection.as_ref().map(LinkConnection::opened);
     let answer = match connection {
-        Some(connection) => {
-            let path = check_path::<C>(state, &desk.name);
-            ask(connection, Method::GET, &path, PROBE_TIMEOUT).await
-        }
+        Some(connection) => ask_check::<C>(state, desk, connection, PROBE_TIMEOUT).await,
         None => None,
     };
     settle(state, desk, started);
-    let answered = answer.is_some();
-    if let Some(answer) = answer {
-        put_back(state, answer.connection);
-    }
-    opened.filter(|_| answered)
+    let (answer, _) = answer.filter(|(_, facts)| !facts.foreign)?;
+    put_back(state, answer.connection);
+    opened
 }
 
 /// Asks an upstream for its load, if the budget allows it, and keeps the connection.
@@ -151,12 +166,10 @@
             }
         },
     };
-    let path = check_path::<C>(state, &desk.name);
     let reused = connection.is_pooled();
-    let Some(mut answer) = ask(connection, Method::GET, &path, timeout).await else {
+    let Some((mut answer, facts)) = ask_check::<C>(state, desk, connection, timeout).await else {
         return if reused { CheckEnd::Unproven } else { CheckEnd::Silent };
     };
-    let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, name);
     if facts.foreign {
         return CheckEnd::Unproven;
     }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -13,6 +13,7 @@
 use store::prelude::HttpStore;
 use world::prelude::*;
 
+use crate::check_id::CheckIds;
 use crate::count::CallCount;
 use crate::link::LinkTable;
 use crate::options::GateOptions;
@@ -50,6 +51,8 @@
     pub grants: OnceLock<GrantClient>,
     /// The calls in flight.
     pub calls: CallCount,
+    /// Ids of health checks.
+    pub check_ids: CheckIds,
     next_call: AtomicU64,
 }
 
@@ -72,6 +75,7 @@
             claims: OnceLock::new(),
             grants: OnceLock::new(),
             calls: CallCount::default(),
+            check_ids: CheckIds::new(rand::random()),
             next_call: AtomicU64::new(1),
         };
         state.refresh_tables();
--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -105,7 +105,8 @@
         headers.insert("x-test-upstream", name);
     }
     let not_run = matches!(fate, AnswerFate::NotRun | AnswerFate::Misdirected);
-    let request = label.request.as_deref();
+    let echoes = fate != AnswerFate::Check || plan.echo_checks;
+    let request = label.request.as_deref().filter(|_| echoes);
     let mark = AnswerMark {
         name: &plan.name,
         request: if fault == Some(AnswerFault::Foreign) { Some(FOREIGN_REQUEST) } else { request },
@@ -158,7 +159,7 @@
         }
         None => web::plain(StatusCode::NOT_FOUND, "no load report"),
     };
-    (answer, AnswerFate::Unproven)
+    (answer, AnswerFate::Check)
 }
 
 /// Runs a probe in a slot if the plan says so. Returns false if it was shed.
--- a/crates/stand/src/dialect.rs
+++ b/crates/stand/src/dialect.rs
@@ -44,7 +44,7 @@
     NotRun,
     /// It was meant for another instance and not run.
     Misdirected,
-    /// It is a health check.
+    /// It is a health check or a question for the load.
     Check,
 }
 
--- a/crates/stand/src/native.rs
+++ b/crates/stand/src/native.rs
@@ -9,6 +9,7 @@
 use crate::dialect::{AnswerFate, AnswerMark, RequestLabel, UpstreamCall, UpstreamDialect};
 use crate::web;
 
+const REQUEST_ID: &str = "agateroad-request-id";
 const LOAD_PATH: &str = "/agateroad/load";
 const CANCEL_PREFIX: &str = "/agateroad/cancel/";
 /// Milliseconds in the unit of retry delays.
@@ -34,7 +35,7 @@
     fn read(headers: &HeaderMap) -> RequestLabel {
         let name = |header: &str| web::header(headers, header).map(SharedName::from);
         RequestLabel {
-            request: name("agateroad-request-id"),
+            request: name(REQUEST_ID),
             key: name("idempotency-key"),
             remaining: web::header(headers, "agateroad-deadline-ms")
                 .and_then(|text| text.parse().ok())
@@ -55,6 +56,12 @@
         if mark.draining {
             headers.insert("agateroad-drain", HeaderValue::from_static("1"));
         }
+        // Answers to work name no request, because callers get the id from the gateway.
+        if mark.fate == AnswerFate::Check
+            && let Some(Ok(id)) = mark.request.map(HeaderValue::from_str)
+        {
+            headers.insert(REQUEST_ID, id);
+        }
         if mark.fate == AnswerFate::NotRun {
             headers.insert("agateroad-shed", HeaderValue::from_static("1"));
         }
--- a/crates/stand/src/plan.rs
+++ b/crates/stand/src/plan.rs
@@ -63,6 +63,8 @@
     pub count_limit: usize,
     /// The path of health checks, or `null` for the usual one.
     pub health_path: Option<SharedName>,
+    /// Whether answers to health and load checks echo the id of the check.
+    pub echo_checks: bool,
     /// How long work takes, in percent of the service time, and what is reported of it. A noisy
     /// neighbour adds to it.
     pub pace_percent: Option<u32>,
@@ -104,6 +106,7 @@
             answer_bytes: 16,
             count_limit: DEFAULT_COUNT_LIMIT,
             health_path: None,
+            echo_checks: true,
             pace_percent: None,
             retry_after_ms: None,
             faults: Vec::new(),
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -396,6 +396,32 @@
     run_cases(misplaced_cases(), true).await;
 }
 
+/// Guards against upstreams that echo no ids of checks and are then never found to answer them.
+#[tokio::test]
+async fn checks_without_an_echo_are_accepted() {
+    let usual = BedPlan::default();
+    let upstream = UpstreamPlan { echo_checks: false, ..usual.upstream.clone() };
+    let bed = PlatformBed::start(BedPlan { upstream, upstreams: 1, ..usual }).await;
+    bed.fill_budget("no echo").await;
+    for index in 0..FURTHER_CALLS {
+        tokio::time::sleep(STALE.to_duration()).await;
+        let id = format!("call-{index}");
+        bed.judge(BOOK, &id, &CallEnd::SERVED).await.expect("the call is served");
+    }
+    assert!(bed.upstreams[0].stand.counts().probes > 0, "checks were made");
+}
+
+/// Guards against a caller whose request on the path of health checks gets an answer that looks
+/// like one to a check.
+#[tokio::test]
+async fn the_path_of_checks_is_no_route() {
+    let plan = BedPlan::default();
+    let mut bed = PlatformBed::start(plan.clone()).await;
+    bed.configure(|config| config.routes.push(route("all", "/", SERVICE, &plan))).await;
+    bed.judge("/health", "check", &CallEnd::UNKNOWN).await.expect("no route");
+    bed.judge("/healthy", "work", &CallEnd::SERVED).await.expect("a route");
+}
+
 /// Guards against calls that are refused because their connections were closed after a check.
 #[tokio::test]
 async fn connections_that_close_after_checks() {
