--- a/crates/stand/examples/stand.rs
+++ b/crates/stand/examples/stand.rs
@@ -15,7 +15,7 @@
     let argument = std::env::args().nth(1).ok_or("give the plan as a JSON argument")?;
     match serde_json::from_str(&argument)? {
         StandChoice::Upstream(plan) => {
-            let stand = UpstreamStand::start(plan).await?;
+            let stand = UpstreamStand::start(*plan).await?;
             let (address, admin_address) = (stand.address(), stand.admin_address());
             announce(ReadyLine { address, admin_address })?;
             input_closed().await;
--- a/crates/stand/src/launch.rs
+++ b/crates/stand/src/launch.rs
@@ -14,7 +14,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum StandChoice {
     /// An upstream.
-    Upstream(UpstreamPlan),
+    Upstream(Box<UpstreamPlan>),
     /// The platform's services.
     Platform(PlatformPlan),
     /// A fault proxy.
--- a/crates/stand/tests/process.rs
+++ b/crates/stand/tests/process.rs
@@ -23,7 +23,7 @@
     let cases = [
         ProcessCase {
             name: "upstream",
-            choice: StandChoice::Upstream(UpstreamPlan::default()),
+            choice: StandChoice::Upstream(Box::default()),
             path: "/phase/today",
         },
         ProcessCase {
--- a/crates/stand/tests/stop.rs
+++ b/crates/stand/tests/stop.rs
@@ -18,7 +18,7 @@
 async fn start_and_stop(choice: StandChoice) -> Result<SocketAddr, StandError> {
     match choice {
         StandChoice::Upstream(plan) => {
-            let stand = UpstreamStand::start(plan).await?;
+            let stand = UpstreamStand::start(*plan).await?;
             let address = stand.address();
             assert!(call(address, Call::get("/")).await.is_some());
             stand.stop().await;
@@ -46,7 +46,9 @@
     let cases = [
         StopCase {
             name: "upstream",
-            choice: |listen| StandChoice::Upstream(UpstreamPlan { listen, ..Default::default() }),
+            choice: |listen| {
+                StandChoice::Upstream(Box::new(UpstreamPlan { listen, ..Default::default() }))
+            },
         },
         StopCase {
             name: "platform",
