Give the test of shed calls a full retry budget

a_shed_call_runs_once_on_another_upstream failed once, not traced.

Cause: a call that was shed closes its upstream to the VM for 20 ms (`shed_hold`). A service starts with 1 retry token and gains 0.2 with each call, so that a second call which is shed within five calls after the first may not be sent again. On an idle machine the calls pass within 20 ms; a stall lets the full upstream be chosen again too early.

Ruled out: lost evidence of relayed answers. The refusal is the retry budget, which does what it is meant to do.

The test now fills the budget with 50 calls before the upstream becomes full, and then makes 10 calls, which a full budget of 10 tokens covers even if every call is shed first; twice, so that there are still 20 calls that must succeed and run once. The upstream that becomes full is the quicker one, so that it is chosen.

--- a/crates/trial/tests/request_path.rs
+++ b/crates/trial/tests/request_path.rs
@@ -14,6 +14,13 @@
 const SERIES_CALLS: usize = 1000;
 /// The success share that the test documents state.
 const SUCCESS_SHARE: f64 = 0.999;
+/// Calls that fill the retry budget of a service: it starts with 1 token, gains 0.2 with each call
+/// and holds 10.
+const BUDGET_CALLS: usize = 50;
+/// Calls that a full retry budget covers even if each of them is shed first.
+const SHED_CALLS: usize = 10;
+/// Times that an upstream becomes full.
+const SHED_SERIES: usize = 2;
 const EJECTED: u32 = 1201;
 const SILENT_CONNECTIONS: u32 = 1006;
 
@@ -200,16 +207,30 @@
         ShedCase { name: "non-idempotent", method: Method::POST, path: "/book" },
     ];
     for case in cases {
-        let full = UpstreamPlan { slots: 0, queue_limit: 0, ..UpstreamPlan::default() };
-        let full = UpstreamPlan { load: LoadAnswer::Silent, ..full };
-        let stands = stands(vec![full, UpstreamPlan::default()]).await;
+        // The quicker one is chosen first, and does not say when it is full.
+        let quick = UpstreamPlan { load: LoadAnswer::Silent, ..UpstreamPlan::default() };
+        let slow = UpstreamPlan { service: ServiceTime::Fixed { ms: 5.0 }, ..quick.clone() };
+        let stands = stands(vec![quick.clone(), slow]).await;
         let bed = TestBed::start(service(&addresses(&stands)), 1).await;
         let client = TestClient::default();
-        for index in 0..20 {
-            let nonce = format!("shed-{index}");
-            let answer = call(&client, bed.address(), case.method.clone(), case.path, &nonce).await;
-            assert_eq!(answer.status, StatusCode::OK, "{}: {:?}", case.name, answer.body);
-            assert_eq!(executions(&stands, &nonce), 1, "{}", case.name);
+        for series in 0..SHED_SERIES {
+            let name = format!("{}, series {series}", case.name);
+            stands[0].update(|plan| plan.slots = quick.slots);
+            // Otherwise the budget forbids the second retry that soon, which a pause between calls
+            // makes necessary: a call that was shed closes its upstream for 20 ms only.
+            for index in 0..BUDGET_CALLS {
+                let nonce = format!("budget-{series}-{index}");
+                let answer = call(&client, bed.address(), Method::GET, "/phase", &nonce).await;
+                assert_eq!(answer.status, StatusCode::OK, "{name}: {:?}", answer.body);
+            }
+            stands[0].update(|plan| (plan.slots, plan.queue_limit) = (0, 0));
+            for index in 0..SHED_CALLS {
+                let nonce = format!("shed-{series}-{index}");
+                let method = case.method.clone();
+                let answer = call(&client, bed.address(), method, case.path, &nonce).await;
+                assert_eq!(answer.status, StatusCode::OK, "{name}: {:?}", answer.body);
+                assert_eq!(executions(&stands, &nonce), 1, "{name}");
+            }
         }
         assert!(stands[0].counts().shed > 0, "{}: no call was shed", case.name);
     }
