--- a/crates/codec/tests/head.rs
+++ b/crates/codec/tests/head.rs
@@ -238,7 +238,8 @@
     ];
     let check = |(status, (body, named)): (u16, (Vec<u8>, Option<LoadFigures>))| {
         let status = StatusCode::from_u16(status).expect("three digits");
-        let facts = NativeCodec::read_check(status, &mut HeaderMap::new(), &body, UPSTREAM);
+        let id = HeaderValue::from_static("check-1");
+        let facts = NativeCodec::read_check(status, &mut HeaderMap::new(), &body, UPSTREAM, &id);
         let load = facts.load.map(|load| (load.in_flight, load.slots, load.queued, load.draining));
         prop_assert_eq!(load, named.filter(|_| status == 200));
         prop_assert!(facts.load.is_none_or(|load| load.source == ReportSource::Probe));
@@ -248,6 +249,36 @@
     seeded_runner(CASES).run(&checks, check).expect("checks report what they name");
 }
 
+struct EchoCase {
+    /// The id that the answer echoes.
+    echo: Option<&'static str>,
+    foreign: bool,
+}
+
+/// Guards against a late answer to an earlier check that is taken for the answer to the next one,
+/// and against upstreams that echo no ids and then fail every check.
+#[test]
+fn checks_accept_only_their_own_answers() {
+    let cases = [
+        EchoCase { echo: Some("check-2"), foreign: false },
+        EchoCase { echo: Some("check-1"), foreign: true },
+        EchoCase { echo: None, foreign: false },
+    ];
+    let id = HeaderValue::from_static("check-2");
+    let mut marked = HeaderMap::new();
+    NativeCodec::mark_check(&mut marked, &id);
+    assert_eq!(marked["agateroad-request-id"], id);
+    for EchoCase { echo, foreign } in cases {
+        let mut headers = HeaderMap::new();
+        headers.insert("agateroad-load", HeaderValue::from_static("1/6/0"));
+        if let Some(echo) = echo {
+            headers.insert("agateroad-request-id", HeaderValue::from_static(echo));
+        }
+        let facts = NativeCodec::read_check(StatusCode::OK, &mut headers, b"", "upstream", &id);
+        assert_eq!(facts.foreign, foreign, "{echo:?}");
+    }
+}
+
 struct HeadCase {
     name: &'static str,
     headers: &'static [(&'static str, &'static str)],
--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -132,7 +132,7 @@
                 let complete = !message.rows_omitted;
                 let (rows, position) = (message.rows, message.position);
                 let page = RowPage { rows, position, ..RowPage::default() };
-                *self.exchange.peer_read.lock() = Some((sender, now));
+                self.exchange.mesh.lock().hear_reader(&sender, page.position, now);
                 self.take_peer_rows(message.from, &page, complete, age);
                 self.hear_config(message.config_version);
             }
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -23,8 +23,9 @@
 /// Whom a read of the upstreams is for.
 #[derive(Clone, Copy, Debug)]
 enum ReadPurpose {
-    /// This VM, which has just started or misses changes. Peers are not told, because the news
-    /// would show them gaps of their own, and each would read and tell the others in turn.
+    /// This VM, which has just started or misses changes. Peers are told only of changes that none
+    /// of them has told of: other news would show them gaps of their own, and each would read and
+    /// tell the others in turn.
     Own,
     /// All VMs. The store may hold its answer back.
     Peers { hold: ClockSpan },
@@ -125,7 +126,11 @@
         if change.upstreams_changed || known.is_none() {
             self.apply();
         }
-        if matches!(purpose, ReadPurpose::Peers { .. }) {
+        let told = match purpose {
+            ReadPurpose::Own => known.is_some() && self.exchange.is_news(page.position),
+            ReadPurpose::Peers { .. } => true,
+        };
+        if told {
             let since = change.since.unwrap_or(page.position);
             let news = RowPage { rows: change.news, ..page };
             self.exchange.send_directory(since, &news, made_at).await;
@@ -136,18 +141,7 @@
     /// Takes over changes that a peer has read. Asks for a read if some are missing.
     pub(super) fn take_peer_rows(&self, from: u64, page: &RowPage, complete: bool, age: ClockSpan) {
         let now = self.state.clock.now();
-        let followed = {
-            let upstreams = &mut self.tables.lock().upstreams;
-            // The store answered the peer, whatever it answers to this VM.
-            upstreams.note_answer(now);
-            if upstreams.position().is_some_and(|known| known >= page.position) {
-                Ok(DirectoryChange::default())
-            } else if complete {
-                upstreams.follow::<K>(from, page, now).map_err(|_| ())
-            } else {
-                Err(())
-            }
-        };
+        let followed = self.tables.lock().upstreams.follow_peer::<K>(from, page, complete, now);
         let Ok(change) = followed else {
             self.upstreams_wanted.notify_one();
             return;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod body;
 pub mod call;
 pub mod cancel;
+pub mod check_id;
 pub mod claims;
 pub mod connect;
 pub mod connection;
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -13,6 +13,7 @@
 use store::prelude::HttpStore;
 use world::prelude::*;
 
+use crate::check_id::CheckIds;
 use crate::count::CallCount;
 use crate::depend::DependencyWatch;
 use crate::links::LinkTable;
@@ -59,6 +60,8 @@
     pub calls: CallCount,
     /// The VMs that this one knows of, itself included.
     known_vms: AtomicU32,
+    /// Ids of health checks.
+    pub check_ids: CheckIds,
     next_call: AtomicU64,
 }
 
@@ -86,6 +89,7 @@
             peers: DependencyWatch::new("peers"),
             calls: CallCount::default(),
             known_vms: AtomicU32::new(1),
+            check_ids: CheckIds::new(rand::random()),
             next_call: AtomicU64::new(1),
         };
         state.refresh_tables();
--- a/crates/member/tests/model/mod.rs
+++ b/crates/member/tests/model/mod.rs
@@ -1,494 +1,475 @@
-//! A seeded model of many VMs that exchange messages over a lossy, delayed network.
+//! A seeded model of many VMs that exchange datagrams over a lossy network and read a store.
+#![allow(dead_code, reason = "each test file uses a part of the model")]
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::prelude::*;
+use bytes::Bytes;
+use directory::entry::VmEntry;
+use directory::prelude::*;
 use member::prelude::*;
+use peer::prelude::*;
+use store::prelude::*;
 use world::prelude::*;
 
-/// Bytes of a drain mark: upstream, age and punctuation.
-pub const NEWS_BYTES: usize = 64;
-const CENTRES: [&str; 4] = ["north-a", "north-b", "south-a", "south-b"];
-/// Latency in one direction within a data centre, a region, and between regions.
-const DELAYS_MS: [f64; 3] = [0.2, 1.0, 40.0];
-const SAMPLE_PERIOD: ClockSpan = ClockSpan::from_millis(1000);
-const LIST_PERIOD: ClockSpan = ClockSpan::from_secs(10);
-
-#[derive(Clone, Debug)]
-pub struct ModelNews {
-    pub id: u64,
-    pub revision: u64,
-    pub priority: NewsPriority,
-    pub lifetime: Option<ClockSpan>,
-    pub size: usize,
-}
-
-impl ModelNews {
-    pub fn drain_mark(id: u64) -> Self {
-        Self {
-            id,
-            revision: 1,
-            priority: NewsPriority::DrainMark,
-            lifetime: Some(ClockSpan::from_secs(2 * 3600)),
-            size: NEWS_BYTES,
-        }
-    }
-}
-
-impl NewsItem for ModelNews {
-    type Key = u64;
-
-    fn key(&self) -> u64 {
-        self.id
-    }
-
-    fn revision(&self) -> u64 {
-        self.revision
-    }
-
-    fn priority(&self) -> NewsPriority {
-        self.priority
+pub const CENTRES: [&str; 3] = ["medeu", "bostandyk", "auezov"];
+/// Time between two calls for hellos.
+const TICK_MS: u64 = 20;
+/// Time that a read of the store takes.
+pub const READ_MS: u64 = 5;
+/// Shortest time between two reads by the VM that reads for all, as in the gateway.
+const READ_PAUSE_MS: u64 = 100;
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const PACKET_BYTES: usize = 28;
+/// Milliseconds for which bytes are summed.
+const SAMPLE_MS: u64 = 1000;
+
+/// Reads the rows of the model, which are as long as those of the users' platform.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelCodec;
+
+impl EntryCodec for ModelCodec {
+    const UPSTREAM_TABLE: &'static str = "upstreams";
+    const CONFIG_TABLE: &'static str = "configuration";
+    const CONFIG_KEY: &'static str = "newest";
+
+    fn decode_upstream(key: &str, value: &[u8]) -> Result<UpstreamEntry, EntryError> {
+        let text = std::str::from_utf8(value).map_err(EntryError::new)?;
+        let server = UpstreamServer {
+            name: key.into(),
+            service: "phase-desk".into(),
+            centre: CENTRES[0].into(),
+            address: SocketAddr::from(([10, 0, 1, 1], 8000)),
+            slots: 6,
+            connections: 0,
+            incarnation: 1,
+            warm_up: ClockSpan::ZERO,
+        };
+        Ok(UpstreamEntry { server, draining: text.contains("draining") })
     }
 
-    fn encoded_size(&self) -> usize {
-        self.size
+    fn decode_config(_value: &[u8]) -> Result<ConfigEntry, EntryError> {
+        Err(EntryError::new("the model has no configuration"))
     }
+}
 
-    fn lifetime(&self) -> Option<ClockSpan> {
-        self.lifetime
-    }
+/// Returns the name of an upstream.
+pub fn upstream(index: usize) -> SharedName {
+    SharedName::from(format!("phase-desk-{index}"))
 }
 
-type Message = ExchangeMessage<ModelNews>;
+fn row(index: usize, version: u64, state: &str) -> TableRow {
+    let value = format!(
+        r#"{{"service":"phase-desk","address":"10.0.1.{index}:8000","zone":"bostandyk","version":"3","slots":6,"state":"{state}","warmupLeft":0,"seq":{version},"born":1790000000000}}"#
+    );
+    TableRow { key: upstream(index), version, value: Some(Bytes::from(value)) }
+}
 
-#[derive(Debug)]
 enum ModelEvent {
-    Wake(usize),
-    Request(u64, Box<Message>),
-    Response(u64, Box<Message>),
-    Timeout(u64),
-    List(usize),
-    Sample,
+    Datagram { to: SocketAddr, message: Arc<PeerEnvelope>, entry: VmEntry, bytes: usize },
+    ReadDone { vm: usize, incarnation: u64, read: ModelRead },
+    PauseOver { vm: usize, incarnation: u64 },
 }
 
-struct Outstanding {
-    from: usize,
-    to: usize,
-    starts: u32,
+/// A read of the table of upstreams in progress.
+#[derive(Clone, Copy)]
+struct ModelRead {
+    begun: ClockTime,
+    known: Option<u64>,
+    /// When the store answers in any case, if it may hold its answer back.
+    held_until: Option<u64>,
+    for_all: bool,
 }
 
 pub struct ModelVm {
-    pub table: PeerTable,
-    pub plan: GossipPlan<ModelNews>,
-    pub start: StartPlan,
+    pub entry: VmEntry,
+    pub plan: MeshPlan,
     pub alive: bool,
-    /// Counts the process starts, so that messages to a predecessor are dropped.
-    pub starts: u32,
-    pub events: Vec<PeerEvent>,
-    address: SocketAddr,
-    offset: ClockSpan,
-    wake_at: ClockTime,
-    /// Traffic of processes before the last start.
-    earlier: ByteUsage,
-    samples: Vec<(u64, u64)>,
-}
-
-#[derive(Clone)]
-pub struct ModelSetup {
-    pub vms: usize,
-    pub seed: u64,
-    pub loss: f64,
-    pub tuning: MemberTuning,
-    pub start: StartTuning,
-    pub list_age: ClockSpan,
-}
-
-impl ModelSetup {
-    pub fn new(vms: usize, seed: u64) -> Self {
-        Self {
-            vms,
-            seed,
-            loss: 0.1,
-            tuning: MemberTuning::default(),
-            start: StartTuning::default(),
-            list_age: ClockSpan::from_secs(30),
-        }
-    }
+    /// VMs exchange datagrams only with VMs on the same side.
+    pub side: usize,
+    pub store_reachable: bool,
+    pub reads: Vec<ClockTime>,
+    pub sent: u64,
+    pub directory: UpstreamDirectory,
+    /// Bytes of datagrams sent and received, by second.
+    pub bytes: Vec<u64>,
+    /// Whether a read is in progress, or the pause after it.
+    busy: bool,
+    held: Option<ModelRead>,
+    /// Whether changes are missing.
+    wanted: bool,
+    /// The encoded hellos without and with a wish for an answer. Encoding each one anew takes most
+    /// of the time of a test.
+    hellos: [Option<(Arc<PeerEnvelope>, usize)>; 2],
 }
 
 pub struct Model {
-    pub setup: ModelSetup,
     pub vms: Vec<ModelVm>,
-    pub now: ClockTime,
-    pub partitioned: bool,
     pub random: RandomSource,
-    /// Entries that the platform lists in addition to, or instead of, the true ones.
-    pub wrong_list: Option<Vec<ListedVm>>,
-    queue: BinaryHeap<Reverse<(ClockTime, u64)>>,
-    events: HashMap<u64, ModelEvent>,
-    outstanding: HashMap<u64, Outstanding>,
-    pub arrivals: HashMap<(u64, usize), ClockTime>,
-    history: Vec<(ClockTime, Vec<ListedVm>)>,
-    next: u64,
-}
-
-pub fn vm_name(index: usize) -> SharedName {
-    SharedName::from(format!("gateway-{index:03}"))
-}
-
-pub fn centre_of(index: usize) -> SharedName {
-    SharedName::from(CENTRES[index % CENTRES.len()])
+    pub now_ms: u64,
+    tuning: MeshTuning,
+    codec: DatagramCodec,
+    loss: f64,
+    events: BTreeMap<u64, Vec<ModelEvent>>,
+    /// The rows that VMs write of themselves; those of VMs that are gone stay.
+    rows: BTreeMap<SharedName, VmEntry>,
+    /// The rows of the upstreams.
+    table: BTreeMap<SharedName, TableRow>,
+    version: u64,
 }
 
-fn region_of(index: usize) -> usize {
-    index % CENTRES.len() / 2
+pub fn entry(index: usize, incarnation: u64) -> VmEntry {
+    let name = SharedName::from(format!("gateway-{index:03}"));
+    let centre = SharedName::from(CENTRES[index % CENTRES.len()]);
+    let ip = [10, 0, (index / 250) as u8, (index % 250) as u8 + 1];
+    VmEntry {
+        vm: VmIdentity { name, incarnation, centre },
+        exchange_address: SocketAddr::from((ip, 7400)),
+        control_address: SocketAddr::from((ip, 7401)),
+    }
 }
 
-fn address_of(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8 + 1], 7400))
+/// Returns the VM that [`entry`] gave the address.
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { panic!("{address} is not of the model") };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 250 + usize::from(low) - 1
 }
 
 impl Model {
-    /// Returns VMs that all start at the same time and know each other only from the list.
-    pub fn new(setup: ModelSetup) -> Self {
-        println!("model: {} VMs, seed {}, loss {}", setup.vms, setup.seed, setup.loss);
+    /// Returns VMs that start within half a second.
+    pub fn new(count: usize, loss: f64, seed: u64) -> Self {
+        Self::with(count, loss, seed, MeshTuning::default())
+    }
+
+    /// Returns VMs whose store holds back its answers for up to `hold`, as in the gateway.
+    pub fn holding(count: usize, loss: f64, seed: u64, hold: ClockSpan) -> Self {
+        let tuning = MeshTuning { read: ReadTuning::holding(hold), ..MeshTuning::default() };
+        Self::with(count, loss, seed, tuning)
+    }
+
+    fn with(count: usize, loss: f64, seed: u64, tuning: MeshTuning) -> Self {
+        println!("model: {count} VMs, {loss} lost, seed {seed}");
+        let vms = (0..count).map(|index| ModelVm {
+            entry: entry(index, 0),
+            plan: MeshPlan::new(entry(index, 0), tuning.clone(), 0),
+            alive: false,
+            side: 0,
+            store_reachable: true,
+            reads: Vec::new(),
+            sent: 0,
+            directory: UpstreamDirectory::new(DirectoryTuning::default()),
+            bytes: Vec::new(),
+            busy: false,
+            held: None,
+            wanted: false,
+            hellos: [None, None],
+        });
         let mut model = Self {
-            random: RandomSource::from_seed(setup.seed),
-            vms: Vec::new(),
-            now: ClockTime::from_millis(1_000_000),
-            partitioned: false,
-            wrong_list: None,
-            queue: BinaryHeap::new(),
-            events: HashMap::new(),
-            outstanding: HashMap::new(),
-            arrivals: HashMap::new(),
-            history: Vec::new(),
-            next: 0,
-            setup,
+            vms: vms.collect(),
+            random: RandomSource::from_seed(seed),
+            now_ms: 100_000,
+            tuning,
+            codec: DatagramCodec::new(["secret of the model"]),
+            loss,
+            events: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            table: BTreeMap::new(),
+            version: 0,
         };
-        for index in 0..model.setup.vms {
-            model.vms.push(model_vm(&model.setup, index, 1, model.now, &mut model.random));
-        }
-        let all = model.vms.iter().map(listed).collect();
-        model.history.push((ClockTime::ZERO, all));
-        for index in 0..model.setup.vms {
-            model.begin(index);
+        for index in 0..count {
+            model.start(index);
+            model.run(500 / count as u64);
         }
-        model.schedule(model.now + SAMPLE_PERIOD, ModelEvent::Sample);
         model
     }
 
-    fn begin(&mut self, index: usize) {
-        let first = self.vms[index].start.first_at();
-        let global = self.to_global(index, first);
-        self.vms[index].wake_at = global;
-        self.schedule(global, ModelEvent::Wake(index));
-        self.schedule(self.now, ModelEvent::List(index));
-    }
-
-    pub fn local(&self, index: usize) -> ClockTime {
-        self.now + self.vms[index].offset
+    pub fn now(&self) -> ClockTime {
+        ClockTime::from_millis(self.now_ms)
     }
 
-    fn to_global(&self, index: usize, local: ClockTime) -> ClockTime {
-        (local - self.vms[index].offset).max(self.now)
+    /// Starts a process, which writes its row and reads those of the others.
+    pub fn start(&mut self, index: usize) {
+        let now = self.now();
+        let seed = self.random.next_u64();
+        let vm = &mut self.vms[index];
+        vm.entry.vm.incarnation += 1;
+        vm.plan = MeshPlan::new(vm.entry.clone(), self.tuning.clone(), seed);
+        vm.directory = UpstreamDirectory::new(DirectoryTuning::default());
+        vm.alive = true;
+        (vm.busy, vm.held, vm.wanted) = (false, None, false);
+        vm.hellos = [None, None];
+        self.rows.insert(vm.entry.vm.name.clone(), vm.entry.clone());
+        for row in self.rows.values() {
+            vm.plan.learn(row, now);
+        }
     }
 
-    fn schedule(&mut self, time: ClockTime, event: ModelEvent) {
-        self.next += 1;
-        self.queue.push(Reverse((time, self.next)));
-        self.events.insert(self.next, event);
+    /// Writes the row of an upstream.
+    pub fn put_upstream(&mut self, index: usize, draining: bool) {
+        self.version += 1;
+        let state = if draining { "draining" } else { "ready" };
+        let row = row(index, self.version, state);
+        self.table.insert(row.key.clone(), row);
     }
 
-    pub fn run(&mut self, span: ClockSpan) {
-        let end = self.now + span;
-        while let Some(Reverse((time, id))) = self.queue.peek().copied() {
-            if time > end {
-                break;
-            }
-            self.queue.pop();
-            self.now = self.now.max(time);
-            if let Some(event) = self.events.remove(&id) {
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now_ms += 1;
+            for event in self.events.remove(&self.now_ms).unwrap_or_default() {
                 self.handle(event);
             }
-        }
-        self.now = end;
-    }
-
-    fn handle(&mut self, event: ModelEvent) {
-        match event {
-            ModelEvent::Wake(index) => self.wake(index),
-            ModelEvent::Request(id, message) => self.request(id, &message),
-            ModelEvent::Response(id, message) => self.response(id, &message),
-            ModelEvent::Timeout(id) => self.timeout(id),
-            ModelEvent::List(index) => self.list(index),
-            ModelEvent::Sample => self.sample(),
+            for index in 0..self.vms.len() {
+                self.wake(index);
+            }
         }
     }
 
     fn wake(&mut self, index: usize) {
-        if !self.vms[index].alive || self.vms[index].wake_at != self.now {
+        let now = self.now();
+        if !self.vms[index].alive {
             return;
         }
-        let local = self.local(index);
+        self.answer_held(index);
+        let vm = &mut self.vms[index];
+        if !vm.busy && std::mem::take(&mut vm.wanted) {
+            self.read(index, false, None);
+        }
         let vm = &mut self.vms[index];
-        vm.start.advance(&vm.table, true, local);
-        let targets = vm.plan.due(&vm.table, local, &mut self.random);
-        for target in targets {
-            let message = self.vms[index].plan.request(&self.vms[index].table, &target, local);
-            self.send(index, &target, message);
+        if !vm.busy && vm.plan.read_due(now) {
+            self.read(index, true, None);
+        }
+        let vm = &mut self.vms[index];
+        if self.now_ms % TICK_MS == index as u64 % TICK_MS {
+            for to in vm.plan.due_hellos(now) {
+                self.send_hello(index, to, true);
+            }
         }
-        self.rearm(index);
     }
 
-    fn rearm(&mut self, index: usize) {
-        let vm = &self.vms[index];
-        let due = self.to_global(index, vm.plan.next_due(&vm.table));
-        let time = due.max(self.now + ClockSpan::from_millis(1));
-        self.vms[index].wake_at = time;
-        self.schedule(time, ModelEvent::Wake(index));
+    fn read(&mut self, index: usize, for_all: bool, hold: Option<u64>) {
+        let now = self.now();
+        let vm = &mut self.vms[index];
+        vm.busy = true;
+        vm.reads.push(now);
+        let held_until = hold.map(|hold| self.now_ms + hold);
+        let read = ModelRead { begun: now, known: vm.directory.position(), held_until, for_all };
+        if held_until.is_some() {
+            vm.held = Some(read);
+        } else {
+            self.answer(index, read);
+        }
     }
 
-    fn send(&mut self, from: usize, target: &ExchangeTarget, message: Message) {
-        let to = (0..self.vms.len())
-            .find(|index| self.vms[*index].address == target.address)
-            .expect("targets are VMs of the model");
-        let id = self.next + 1;
-        let starts = self.vms[from].starts;
-        self.outstanding.insert(id, Outstanding { from, to, starts });
-        let arrival = self.now + self.delay(from, to);
-        self.schedule(arrival, ModelEvent::Request(id, Box::new(message)));
-        let limit = self.now + self.setup.tuning.reconnect.timeout;
-        self.schedule(limit, ModelEvent::Timeout(id));
+    fn answer_held(&mut self, index: usize) {
+        let Some(read) = self.vms[index].held else { return };
+        let is_over = read.held_until.is_some_and(|until| until <= self.now_ms);
+        if is_over || read.known < Some(self.version) {
+            self.vms[index].held = None;
+            self.answer(index, read);
+        }
     }
 
-    fn delay(&mut self, from: usize, to: usize) -> ClockSpan {
-        let distance = if from % CENTRES.len() == to % CENTRES.len() {
-            0
-        } else {
-            1 + usize::from(region_of(from) != region_of(to))
-        };
-        ClockSpan::from_millis_f64(DELAYS_MS[distance] * (1.0 + 0.5 * self.random.unit()))
+    fn answer(&mut self, vm: usize, read: ModelRead) {
+        let incarnation = self.vms[vm].entry.vm.incarnation;
+        let event = ModelEvent::ReadDone { vm, incarnation, read };
+        self.events.entry(self.now_ms + READ_MS).or_default().push(event);
     }
 
-    fn dropped(&mut self, from: usize, to: usize) -> bool {
-        let cut = self.partitioned && region_of(from) != region_of(to);
-        cut || self.random.chance(self.setup.loss)
+    fn send_hello(&mut self, from: usize, to: SocketAddr, answer_wanted: bool) {
+        let kept = self.vms[from].hellos[usize::from(answer_wanted)].clone();
+        let (hello, bytes) = kept.unwrap_or_else(|| {
+            let entry = self.vms[from].entry.clone();
+            let hello = HelloMessage { entry, leaving: false, answer_wanted, config_version: 530 };
+            self.encode(from, PeerMessage::Hello(hello)).pop().expect("a hello fits")
+        });
+        self.vms[from].hellos[usize::from(answer_wanted)] = Some((Arc::clone(&hello), bytes));
+        self.send(from, to, &hello, bytes);
     }
 
-    fn request(&mut self, id: u64, message: &Message) {
-        let Some(Outstanding { from, to, .. }) = self.outstanding.get(&id) else { return };
-        let (from, to) = (*from, *to);
-        if !self.vms[to].alive || self.dropped(from, to) {
-            return;
-        }
-        let local = self.local(to);
-        let vm = &mut self.vms[to];
-        let (response, result) = vm.plan.answer(&vm.table, message, local);
-        self.learnt(to, &result.fresh, result.events);
-        if !self.dropped(to, from) {
-            let arrival = self.now + self.delay(to, from);
-            self.schedule(arrival, ModelEvent::Response(id, Box::new(response)));
-        }
+    /// Returns the datagrams of a message as their receivers decode them, and their bytes.
+    fn encode(&self, from: usize, message: PeerMessage) -> Vec<(Arc<PeerEnvelope>, usize)> {
+        let vm = &self.vms[from].entry.vm;
+        let (sender, incarnation) = (vm.name.clone(), vm.incarnation);
+        let datagrams = self.codec.encode(&PeerEnvelope { sender, incarnation, message });
+        let decoded = datagrams.iter().map(|datagram| {
+            let message = self.codec.decode(datagram).expect("a datagram of the model");
+            (Arc::new(message), datagram.len() + PACKET_BYTES)
+        });
+        decoded.collect()
     }
 
-    fn response(&mut self, id: u64, message: &Message) {
-        let Some(exchange) = self.outstanding.get(&id) else { return };
-        let (from, starts) = (exchange.from, exchange.starts);
-        if !self.vms[from].alive || self.vms[from].starts != starts {
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Arc<PeerEnvelope>, bytes: usize) {
+        self.count(from, bytes);
+        self.vms[from].sent += 1;
+        if self.random.chance(self.loss) {
             return;
         }
-        self.outstanding.remove(&id);
-        let local = self.local(from);
-        let vm = &mut self.vms[from];
-        let result = vm.plan.accept(&vm.table, message, local);
-        self.learnt(from, &result.fresh, result.events);
-    }
-
-    fn timeout(&mut self, id: u64) {
-        let Some(Outstanding { from, to, starts }) = self.outstanding.remove(&id) else { return };
-        if self.vms[from].alive && self.vms[from].starts == starts {
-            let local = self.local(from);
-            let vm = &self.vms[from];
-            vm.plan.failed(&vm.table, &vm_name(to), local, &mut self.random);
-        }
+        let (message, entry) = (Arc::clone(message), self.vms[from].entry.clone());
+        let arrival = self.now_ms + 1 + self.random.below(2) as u64;
+        let event = ModelEvent::Datagram { to, message, entry, bytes };
+        self.events.entry(arrival).or_default().push(event);
+    }
+
+    fn count(&mut self, index: usize, bytes: usize) {
+        let second = (self.now_ms / SAMPLE_MS) as usize;
+        let samples = &mut self.vms[index].bytes;
+        samples.resize(samples.len().max(second + 1), 0);
+        samples[second] += bytes as u64;
+    }
+
+    /// Returns the bytes a second of the busiest VM in any window since `since`.
+    pub fn peak_bytes(&self, since: ClockTime, window: usize) -> f64 {
+        let first = (since.as_millis() / SAMPLE_MS) as usize;
+        let last = (self.now_ms / SAMPLE_MS) as usize;
+        let peak = |vm: &ModelVm| {
+            let mut samples = vm.bytes.clone();
+            samples.resize(last, 0);
+            samples[first..].windows(window).map(|own| own.iter().sum::<u64>()).max()
+        };
+        let most = self.vms.iter().filter_map(peak).max().unwrap_or(0);
+        most as f64 / window as f64
     }
 
-    fn learnt(&mut self, index: usize, fresh: &[ModelNews], events: Vec<PeerEvent>) {
-        for item in fresh {
-            self.arrivals.entry((item.id, index)).or_insert(self.now);
-        }
-        self.vms[index].events.extend(events);
-        let vm = &self.vms[index];
-        let due = self.to_global(index, vm.plan.next_due(&vm.table));
-        if due < vm.wake_at {
-            self.rearm(index);
+    fn handle(&mut self, event: ModelEvent) {
+        match event {
+            ModelEvent::ReadDone { vm, incarnation, read } if self.runs(vm, incarnation) => {
+                self.finish_read(vm, read);
+            }
+            ModelEvent::PauseOver { vm, incarnation } if self.runs(vm, incarnation) => {
+                self.read(vm, true, Some(self.tuning.read.hold.as_millis()));
+            }
+            ModelEvent::Datagram { to, message, entry, bytes } => {
+                self.receive(&message, &entry, to, bytes);
+            }
+            _ => {}
         }
     }
 
-    pub fn publish(&mut self, index: usize, item: ModelNews) {
-        let id = item.id;
-        let local = self.local(index);
+    fn runs(&self, index: usize, incarnation: u64) -> bool {
         let vm = &self.vms[index];
-        vm.plan.publish(&vm.table, item, local);
-        self.arrivals.insert((id, index), self.now);
-        self.learnt(index, &[], Vec::new());
-    }
-
-    /// Returns the time from `start` until the last living VM knew the item.
-    pub fn spread(&self, id: u64, start: ClockTime) -> Option<ClockSpan> {
-        (0..self.vms.len())
-            .filter(|index| self.vms[*index].alive)
-            .map(|index| self.arrivals.get(&(id, index)).map(|time| time.since(start)))
-            .max_by_key(|span| span.unwrap_or(ClockSpan::MAX))
-            .flatten()
+        vm.alive && vm.entry.vm.incarnation == incarnation
     }
 
-    fn list(&mut self, index: usize) {
-        if !self.vms[index].alive {
+    /// Does what the gateway does after a read.
+    fn finish_read(&mut self, index: usize, read: ModelRead) {
+        let now = self.now();
+        let vm = &mut self.vms[index];
+        vm.busy = false;
+        if !vm.store_reachable {
+            vm.plan.read_failed(now);
             return;
         }
-        let local = self.local(index);
-        let as_of = self.now - self.setup.list_age;
-        let newest = self.history.iter().rev().find(|(time, _)| *time <= as_of);
-        let members = match (&self.wrong_list, newest) {
-            (Some(wrong), _) => wrong.clone(),
-            (None, Some((_, members))) => members.clone(),
-            (None, None) => Vec::new(),
+        let rows = self.table.values().filter(|row| Some(row.version) > read.known).cloned();
+        let page = RowPage { rows: rows.collect(), position: self.version, ..RowPage::default() };
+        vm.directory.note_answer(now);
+        let change = match read.known {
+            Some(from) => vm.directory.follow::<ModelCodec>(from, &page, now).unwrap_or_default(),
+            None => vm.directory.replace::<ModelCodec>(&page, now),
         };
-        let list = MembershipList { members, age: self.setup.list_age };
+        let made_at = if read.held_until.is_some() { now } else { read.begun };
+        vm.plan.note_read(page.position, made_at, now);
+        if !read.for_all && !vm.plan.is_news(page.position) {
+            return;
+        }
+        let message = DirectoryMessage {
+            from: change.since.unwrap_or(page.position),
+            position: page.position,
+            age_ms: now.since(made_at).as_millis() as u32,
+            rows: change.news,
+            rows_omitted: false,
+            config_version: 530,
+        };
+        let audience = vm.plan.audience(MeshScope::All, now);
+        for (message, bytes) in self.encode(index, PeerMessage::Directory(message)) {
+            audience.iter().for_each(|to| self.send(index, *to, &message, bytes));
+        }
         let vm = &mut self.vms[index];
-        let events = vm.table.apply_list(&list, local);
-        vm.events.extend(events);
-        self.schedule(self.now + LIST_PERIOD, ModelEvent::List(index));
-    }
-
-    fn sample(&mut self) {
-        for vm in &mut self.vms {
-            let usage = vm.plan.usage();
-            let sent = vm.earlier.sent_bytes + usage.sent_bytes;
-            let received = vm.earlier.received_bytes + usage.received_bytes;
-            let messages = vm.earlier.sent_messages + usage.sent_messages;
-            vm.samples.push((sent + received, messages));
+        let goes_on = read.for_all && self.tuning.read.hold > ClockSpan::ZERO;
+        if goes_on && !vm.plan.has_earlier_reader(now) {
+            vm.busy = true;
+            let event = ModelEvent::PauseOver { vm: index, incarnation: vm.entry.vm.incarnation };
+            self.events.entry(self.now_ms + READ_PAUSE_MS).or_default().push(event);
         }
-        self.schedule(self.now + SAMPLE_PERIOD, ModelEvent::Sample);
     }
 
-    /// Returns the number of samples so far; one is taken each second.
-    pub fn sample_count(&self) -> usize {
-        self.vms[0].samples.len()
-    }
-
-    /// Returns the most bytes a second, sent and received, of any VM in any window of `width`
-    /// seconds from sample `first` on.
-    pub fn peak_bytes(&self, first: usize, width: usize) -> f64 {
-        self.peak(first, width, |sample| sample.0)
-    }
-
-    /// Returns the same for messages sent.
-    pub fn peak_messages(&self, first: usize, width: usize) -> f64 {
-        self.peak(first, width, |sample| sample.1)
+    /// Does what the gateway does with a datagram.
+    fn receive(&mut self, envelope: &PeerEnvelope, sender: &VmEntry, to: SocketAddr, bytes: usize) {
+        let now = self.now();
+        let (index, source) = (index_of(to), index_of(sender.exchange_address));
+        if !self.vms[index].alive || self.vms[index].side != self.vms[source].side {
+            return;
+        }
+        self.count(index, bytes);
+        let vm = &mut self.vms[index];
+        if let PeerMessage::Hello(hello) = &envelope.message {
+            vm.plan.learn(&hello.entry, now);
+        }
+        match (vm.plan.hear(&envelope.sender, envelope.incarnation, now), &envelope.message) {
+            (HeardFrom::Outdated, _) => {}
+            (HeardFrom::Unknown, _) => self.send_hello(index, sender.exchange_address, true),
+            (HeardFrom::Known, PeerMessage::Hello(hello)) if hello.answer_wanted => {
+                self.send_hello(index, sender.exchange_address, false);
+            }
+            (HeardFrom::Known, PeerMessage::Directory(message)) => {
+                let DirectoryMessage { from, position, age_ms, rows, rows_omitted, .. } = message;
+                let made_at = now - ClockSpan::from_millis(u64::from(*age_ms));
+                vm.plan.hear_reader(&envelope.sender, *position, now);
+                let page =
+                    RowPage { rows: rows.clone(), position: *position, ..RowPage::default() };
+                let followed =
+                    vm.directory.follow_peer::<ModelCodec>(*from, &page, !rows_omitted, now);
+                match followed {
+                    Ok(_) => vm.plan.note_read(*position, made_at, now),
+                    Err(_) => vm.wanted = true,
+                }
+            }
+            _ => {}
+        }
     }
 
-    fn peak(&self, first: usize, width: usize, part: impl Fn(&(u64, u64)) -> u64) -> f64 {
-        let windows = self.vms.iter().flat_map(|vm| vm.samples[first..].windows(width + 1));
-        let most = windows.map(|window| part(&window[width]) - part(&window[0])).max();
-        most.unwrap_or(0) as f64 / width as f64
+    /// Asserts that every live VM sends messages to every other in its present incarnation, and
+    /// that those of which `parted` is true have heard one another since `since`.
+    pub fn assert_connected(
+        &self,
+        since: ClockTime,
+        parted: impl Fn(&ModelVm, &ModelVm) -> bool,
+        name: &str,
+    ) {
+        let live: Vec<_> = self.vms.iter().filter(|vm| vm.alive).collect();
+        let mut missing = Vec::new();
+        for vm in &live {
+            let audience = vm.plan.audience(MeshScope::All, self.now());
+            for other in live.iter().filter(|other| other.entry != vm.entry) {
+                let known = vm.plan.entry(&other.entry.vm.name) == Some(&other.entry);
+                let heard_at = vm.plan.heard_at(&other.entry.vm.name);
+                let heard = heard_at.is_some_and(|at| at >= since || !parted(vm, other));
+                let told = audience.contains(&other.entry.exchange_address);
+                if !(known && heard && told) {
+                    missing.push((vm.entry.vm.name.clone(), other.entry.vm.name.clone()));
+                }
+            }
+        }
+        assert!(missing.is_empty(), "{name}: {} pairs, {:?}", missing.len(), missing.first());
     }
 
-    /// Returns the mean bytes and messages a second of all VMs from sample `first` on.
-    pub fn mean_rates(&self, first: usize) -> (f64, f64) {
-        let seconds = (self.sample_count() - 1 - first) as f64 * self.vms.len() as f64;
-        let sum = |part: fn(&(u64, u64)) -> u64| -> f64 {
-            let each = self.vms.iter().map(|vm| {
-                part(vm.samples.last().expect("samples were taken")) - part(&vm.samples[first])
-            });
-            each.sum::<u64>() as f64 / seconds
-        };
-        (sum(|sample| sample.0), sum(|sample| sample.1))
+    pub fn reads_since(&self, since: ClockTime) -> usize {
+        self.vms.iter().flat_map(|vm| &vm.reads).filter(|at| **at >= since).count()
     }
 
-    pub fn kill(&mut self, index: usize) {
-        self.vms[index].alive = false;
-        self.note_list();
+    /// Puts the VMs of one data centre on the other side.
+    pub fn cut_centre(&mut self, side: usize) {
+        self.vms.iter_mut().step_by(CENTRES.len()).for_each(|vm| vm.side = side);
     }
 
-    /// Starts a new process on a VM that was killed.
-    pub fn restart(&mut self, index: usize) {
-        let incarnation = self.vms[index].table.identity().incarnation + 1000;
-        let mut vm = model_vm(&self.setup, index, incarnation, self.now, &mut self.random);
-        let previous = &mut self.vms[index];
-        vm.starts = previous.starts + 1;
-        vm.samples = std::mem::take(&mut previous.samples);
-        let usage = previous.plan.usage();
-        vm.earlier = ByteUsage {
-            sent_bytes: previous.earlier.sent_bytes + usage.sent_bytes,
-            received_bytes: previous.earlier.received_bytes + usage.received_bytes,
-            sent_messages: previous.earlier.sent_messages + usage.sent_messages,
-            ..ByteUsage::default()
+    /// Returns whether every live VM knows that an upstream is leaving.
+    pub fn all_know_leaving(&self, name: &SharedName) -> bool {
+        let knows = |vm: &ModelVm| {
+            vm.directory.position().is_some()
+                && !vm.directory.servers().any(|server| server.name == *name)
         };
-        self.vms[index] = vm;
-        self.note_list();
-        self.begin(index);
-    }
-
-    /// Records the membership as it is now in the platform's history.
-    pub fn note_list(&mut self) {
-        let members = self.vms.iter().filter(|vm| vm.alive).map(listed).collect();
-        self.history.push((self.now, members));
-    }
-
-    /// Counts the pairs of living VMs of which one concludes `state` about the other.
-    pub fn pairs_in(&self, states: &[PeerState]) -> usize {
-        let mut pairs = 0;
-        for index in (0..self.vms.len()).filter(|index| self.vms[*index].alive) {
-            let views = self.vms[index].table.views(self.local(index));
-            let by_name: BTreeMap<&str, PeerState> =
-                views.iter().map(|view| (view.identity.name.as_str(), view.state)).collect();
-            pairs += (0..self.vms.len())
-                .filter(|other| *other != index && self.vms[*other].alive)
-                .filter(|other| {
-                    by_name
-                        .get(vm_name(*other).as_str())
-                        .is_some_and(|state| states.contains(state))
-                })
-                .count();
-        }
-        pairs
-    }
-}
-
-fn listed(vm: &ModelVm) -> ListedVm {
-    ListedVm { identity: vm.table.identity(), address: vm.address, leaving: false }
-}
-
-fn model_vm(
-    setup: &ModelSetup,
-    index: usize,
-    incarnation: u64,
-    now: ClockTime,
-    random: &mut RandomSource,
-) -> ModelVm {
-    // Every process has its own clock, which started at another time.
-    let offset = ClockSpan::from_millis(random.below(100_000_000) as u64);
-    let identity = VmIdentity { name: vm_name(index), incarnation, centre: centre_of(index) };
-    let address = address_of(index);
-    let start = StartPlan::new(setup.start.clone(), now + offset, random);
-    let tuning = setup.tuning.clone();
-    let spacing = tuning.reconnect.spacing;
-    ModelVm {
-        plan: GossipPlan::new(tuning.gossip.clone(), spacing, start.first_at()),
-        table: PeerTable::new(identity, address, tuning, now + offset),
-        start,
-        alive: true,
-        starts: 0,
-        events: Vec::new(),
-        address,
-        offset,
-        wake_at: ClockTime::ZERO,
-        earlier: ByteUsage::default(),
-        samples: Vec::new(),
+        self.vms.iter().filter(|vm| vm.alive).all(knows)
     }
 }
