Add hidden options that turn mechanisms off, and held directions of the fault proxy

The stand-in records how long an upstream had been leaving when a call arrived, and the proxy can hold one direction back. Ruled out: several conditions in the call path, which would have to be kept in step.

--- a/crates/directory/src/config.rs
+++ b/crates/directory/src/config.rs
@@ -25,6 +25,8 @@
     document: Option<Bytes>,
     /// The highest version that some VM has.
     heard: u64,
+    /// Whether an older version may replace a newer one, as only tests allow.
+    unordered: bool,
 }
 
 impl ConfigTracker {
@@ -33,6 +35,12 @@
         Self::default()
     }
 
+    /// Returns a tracker that takes over older versions as well, for tests which show that a check
+    /// notices.
+    pub fn unordered() -> Self {
+        Self { unordered: true, ..Self::default() }
+    }
+
     /// Returns the current configuration.
     pub fn current(&self) -> Option<&Arc<ConfigEntry>> {
         self.current.as_ref()
@@ -53,7 +61,11 @@
             Ok(config) => config,
             Err(error) => return ConfigOffer::Unreadable(error),
         };
-        if self.current.as_ref().is_some_and(|current| config.version <= current.version) {
+        let is_newer = match &self.current {
+            Some(current) => config.version > current.version || self.unordered,
+            None => true,
+        };
+        if !is_newer {
             return ConfigOffer::Known;
         }
         let config = Arc::new(config);
--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -20,6 +20,9 @@
     pub return_span: ClockSpan,
     /// Incarnations that are remembered as leaving. The oldest are forgotten first.
     pub leaving_marks: usize,
+    /// Whether a row that says that its upstream is leaving ends its use. Tests turn it off to show
+    /// that a check notices.
+    pub drains: bool,
 }
 
 impl Default for DirectoryTuning {
@@ -29,6 +32,7 @@
             return_span: ClockSpan::from_secs(2),
             // More than two starts of each of the 730 upstreams at the target scale.
             leaving_marks: 2048,
+            drains: true,
         }
     }
 }
@@ -212,7 +216,8 @@
         record.value = row.value.clone();
         let entry = row.value.as_ref().map(|value| C::decode_upstream(&row.key, value));
         let is_news = match entry {
-            Some(Ok(entry)) => {
+            Some(Ok(mut entry)) => {
+                entry.draining &= self.tuning.drains;
                 let leaving = self.marks.contains(&row.key, entry.server.incarnation);
                 record.take_entry(entry, leaving, now)
             }
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -17,6 +17,7 @@
 use gate::event;
 use gate::exchange::ExchangeOptions;
 use gate::leave;
+use gate::mechanism::Mechanism;
 use gate::observe::ObserveServer;
 use gate::options::{CallTuning, GateOptions};
 use gate::peers::PeerLink;
@@ -59,6 +60,10 @@
     /// How upstreams are chosen: random, least-in-flight, two-choices, expected-cost or paced
     #[bpaf(argument("NAME"), optional, hide)]
     policy: Option<PolicyKind>,
+    /// Turns a mechanism off, for tests only: drain, at-most-once, foreign-answer, graceful-stop or
+    /// version-order
+    #[bpaf(argument("NAME"), optional, hide)]
+    without: Option<Mechanism>,
 }
 
 /// Why the gateway did not start or stopped.
@@ -94,7 +99,7 @@
     let settings = read_settings(&arguments.settings)?;
     let log = start_log(&settings);
     let path = arguments.settings.clone();
-    let options = gate_options(&settings, arguments.policy);
+    let options = gate_options(&settings, arguments);
     let state = match &arguments.document {
         Some(path) => GateState::new(options, read_document(path)?),
         None => GateState::unconfigured(options),
@@ -112,13 +117,13 @@
     }
 }
 
-fn gate_options(settings: &ProcessSettings, policy: Option<PolicyKind>) -> GateOptions {
+fn gate_options(settings: &ProcessSettings, arguments: &GateArguments) -> GateOptions {
     let native = settings.interface == InterfaceKind::Agateroad;
     let usual =
         if native { PolicyKind::default() } else { PolicyKind::Paced(PacedChoice::default()) };
     let tuning = if native { CallTuning::default() } else { CallTuning::shared_machines() };
-    let options = GateOptions::from_settings(settings, policy.unwrap_or(usual));
-    GateOptions { tuning, ..options }
+    let options = GateOptions::from_settings(settings, arguments.policy.unwrap_or(usual));
+    GateOptions { tuning: CallTuning { without: arguments.without, ..tuning }, ..options }
 }
 
 /// Serves the product's own interface until a signal and leaves.
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -13,6 +13,7 @@
 
 use crate::event;
 use crate::exchange::{ExchangeOptions, VmExchange};
+use crate::mechanism::Mechanism;
 use crate::peers::PeerLink;
 use crate::state::GateState;
 
@@ -74,9 +75,13 @@
     /// Fails if the address for datagrams of peers cannot be bound.
     pub async fn start(state: &Arc<GateState>, options: DiscoveryOptions) -> std::io::Result<Self> {
         let DiscoveryOptions { store, bounds, exchange, client, link } = options;
+        let tuning = &state.options.tuning;
+        let directory =
+            DirectoryTuning { drains: tuning.uses(Mechanism::Drain), ..DirectoryTuning::default() };
+        let ordered = tuning.uses(Mechanism::VersionOrder);
         let tables = DirectoryTables {
-            upstreams: UpstreamDirectory::new(DirectoryTuning::default()),
-            config: ConfigTracker::new(),
+            upstreams: UpstreamDirectory::new(directory),
+            config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
         };
         let rows = RowStore::<_, K>::new(store, state.clock);
--- a/crates/gate/src/leave.rs
+++ b/crates/gate/src/leave.rs
@@ -6,6 +6,7 @@
 
 use crate::access::PlatformAccess;
 use crate::event;
+use crate::mechanism::Mechanism;
 use crate::process::RunningGate;
 
 /// How long outcomes of claims are stored while the store is down. Those that are left become
@@ -37,6 +38,9 @@
 /// the calls in flight.
 pub async fn leave_within(gate: &RunningGate, lag: ClockSpan, limit: ClockSpan) {
     let state = &gate.state;
+    if !state.options.tuning.uses(Mechanism::GracefulStop) {
+        return;
+    }
     tracing::info!(event = event::DRAIN_STARTED, vm = %state.options.vm.name, "leaving");
     state.draining.store(true, Ordering::SeqCst);
     tokio::time::sleep(lag.to_duration()).await;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod leave;
 pub mod link;
 pub mod maintenance;
+pub mod mechanism;
 pub mod metrics;
 pub mod observe;
 pub mod options;
--- /dev/null
+++ b/crates/gate/src/mechanism.rs
@@ -0,0 +1,62 @@
+//! Mechanisms that tests can turn off, to show that a check notices their absence.
+
+use std::str::FromStr;
+
+use snafu::Snafu;
+
+/// A mechanism that keeps one promise of the gateway.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mechanism {
+    /// An upstream that says that it is leaving gets no new calls.
+    Drain,
+    /// A call that must not run twice is not sent again after an attempt that may have run.
+    AtMostOnce,
+    /// An answer that is not the call's own does not reach the caller.
+    ForeignAnswer,
+    /// A process that is told to stop finishes its calls first.
+    GracefulStop,
+    /// A version of the configuration is never replaced by an older one.
+    VersionOrder,
+}
+
+impl Mechanism {
+    /// Every mechanism.
+    pub const ALL: [Self; 5] = [
+        Self::Drain,
+        Self::AtMostOnce,
+        Self::ForeignAnswer,
+        Self::GracefulStop,
+        Self::VersionOrder,
+    ];
+
+    /// Returns the name on the command line.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Drain => "drain",
+            Self::AtMostOnce => "at-most-once",
+            Self::ForeignAnswer => "foreign-answer",
+            Self::GracefulStop => "graceful-stop",
+            Self::VersionOrder => "version-order",
+        }
+    }
+}
+
+/// The name of a mechanism that does not exist.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display(
+    "unknown mechanism {name:?}: use drain, at-most-once, foreign-answer, graceful-stop or \
+     version-order"
+))]
+pub struct UnknownMechanism {
+    /// The name that was given.
+    pub name: String,
+}
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+
+    fn from_str(name: &str) -> Result<Self, UnknownMechanism> {
+        let known = Self::ALL.into_iter().find(|mechanism| mechanism.name() == name);
+        known.ok_or_else(|| UnknownMechanism { name: name.to_owned() })
+    }
+}
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -11,6 +11,8 @@
 use suspect::prelude::*;
 use world::prelude::*;
 
+use crate::mechanism::Mechanism;
+
 /// Settings of one gateway process.
 #[derive(Clone, Debug)]
 pub struct GateOptions {
@@ -58,6 +60,8 @@
     pub queue: QueueTuning,
     /// Requests that crash upstreams.
     pub suspects: SuspectTuning,
+    /// The mechanism that a test has turned off.
+    pub without: Option<Mechanism>,
 }
 
 impl Default for CallTuning {
@@ -71,11 +75,17 @@
             limits: AdaptiveTuning::default(),
             queue: QueueTuning::default(),
             suspects: SuspectTuning::default(),
+            without: None,
         }
     }
 }
 
 impl CallTuning {
+    /// Returns whether a mechanism is in use, as all are outside of tests.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.without != Some(mechanism)
+    }
+
     /// Returns the tuning for upstreams whose machines are shared with others, and for callers that
     /// accept repeat times of less than a second.
     pub fn shared_machines() -> Self {
@@ -90,6 +100,7 @@
             limits: AdaptiveTuning { enabled: false, ..AdaptiveTuning::default() },
             queue: QueueTuning::short_waits(),
             suspects: SuspectTuning::default(),
+            without: None,
         }
     }
 }
--- a/crates/gate/src/retry.rs
+++ b/crates/gate/src/retry.rs
@@ -6,6 +6,8 @@
 use suspect::prelude::*;
 use world::prelude::*;
 
+use crate::mechanism::Mechanism;
+use crate::options::CallTuning;
 use crate::tables::CallTables;
 
 /// What may follow a failed attempt. The outcome of the call limits it further.
@@ -33,12 +35,15 @@
     lost: bool,
     /// Whether any attempt may have been run.
     may_have_run: bool,
+    /// Whether calls that must not run twice may do so, as only tests allow.
+    unguarded: bool,
 }
 
 impl RetryRecord {
     /// Returns the record of a call without attempts.
-    pub fn new(isolated: bool) -> Self {
-        Self { isolated, ..Self::default() }
+    pub fn new(isolated: bool, tuning: &CallTuning) -> Self {
+        let unguarded = !tuning.uses(Mechanism::AtMostOnce);
+        Self { isolated, unguarded, ..Self::default() }
     }
 
     /// Notes how an attempt ended.
@@ -56,7 +61,8 @@
         next: NextStep,
         now: ClockTime,
     ) -> bool {
-        if self.isolated || (fate == CallFate::Unknown && !may_run_twice(request)) {
+        let repeatable = fate == CallFate::NotRun || may_run_twice(request) || self.unguarded;
+        if self.isolated || !repeatable {
             return false;
         }
         let allow = || tables.retries.allow_retry(request, now);
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -41,7 +41,7 @@
         let upstreams = environment.upstreams_of(&request.service);
         let now = state.clock.now();
         let avoid = state.tables.suspects.avoid(request.fingerprint, upstreams, now);
-        let record = RetryRecord::new(isolated);
+        let record = RetryRecord::new(isolated, &state.options.tuning);
         Self { state, desk, call, avoid, record, time, codec: PhantomData }
     }
 
--- a/crates/gate/src/verdict.rs
+++ b/crates/gate/src/verdict.rs
@@ -11,6 +11,7 @@
 use crate::answer::AnswerBody;
 use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
 use crate::body;
+use crate::mechanism::Mechanism;
 use crate::retry::NextStep;
 use crate::running::RunningCall;
 
@@ -22,12 +23,15 @@
         mut running: RunningCall,
     ) -> AttemptResult {
         let (mut parts, mut incoming) = response.into_parts();
-        let marks = C::read_answer(parts.status, &mut parts.headers, &self.call.id);
+        let mut marks = C::read_answer(parts.status, &mut parts.headers, &self.call.id);
         running.load = marks.load;
         running.result = call_result(marks.verdict);
         let upstream = running.upstream.clone();
         if marks.verdict == AnswerVerdict::Foreign {
-            return Err(self.foreign_answer(running));
+            if self.state.options.tuning.uses(Mechanism::ForeignAnswer) {
+                return Err(self.foreign_answer(running));
+            }
+            marks.verdict = AnswerVerdict::Accepted;
         }
         let (head, whole) = self.read_head(&mut incoming, &mut running).await?;
         C::mark_answer(&mut parts.headers, marks.verdict, &self.call.id);
--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -210,6 +210,8 @@
             counts.record(label.request.as_deref(), plan.count_limit, |record| {
                 record.arrived += 1;
                 record.remaining_ms.extend(label.remaining.map(ClockSpan::as_millis));
+                let drained = drain.age.filter(|_| !misdirected);
+                record.draining_ms.extend(drained.map(ClockSpan::as_millis));
             });
         }
     });
--- a/crates/stand/src/counts.rs
+++ b/crates/stand/src/counts.rs
@@ -38,6 +38,8 @@
     pub remaining_ms: Vec<u64>,
     /// For each run that its caller left, how long it had run, in milliseconds.
     pub abandoned_ms: Vec<f64>,
+    /// For each arrival after the drain began, how long it had been going on, in milliseconds.
+    pub draining_ms: Vec<u64>,
 }
 
 /// Counters since the start of the stand-in. They survive its simulated crashes.
--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -47,6 +47,19 @@
     pub lose_next: u64,
     /// Refuses new connections. Those that are open stay so.
     pub refuse: bool,
+    /// Holds bytes back in one direction, on all connections, until the plan says otherwise.
+    pub hold: Option<ProxyWay>,
+}
+
+/// A direction of a proxied connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ProxyWay {
+    /// From callers to the target.
+    ToTarget,
+    /// From the target to callers.
+    ToCaller,
 }
 
 impl Default for ProxyPlan {
@@ -63,6 +76,7 @@
             truncate_after_bytes: None,
             lose_next: 0,
             refuse: false,
+            hold: None,
         }
     }
 }
@@ -106,6 +120,8 @@
     changed: ChangeSignal,
     /// Connections with a lower number are silent.
     silent_below: watch::Sender<u64>,
+    /// The direction in which bytes are held back.
+    held: watch::Sender<Option<ProxyWay>>,
     state: Mutex<ProxyState>,
 }
 
@@ -120,6 +136,7 @@
             port,
             changed: ChangeSignal::default(),
             silent_below: watch::Sender::new(0),
+            held: watch::Sender::new(None),
             state: Mutex::new(state),
         });
         core.update(|own| *own = plan);
@@ -155,6 +172,7 @@
             let mut state = self.state.lock();
             let plan = Arc::make_mut(&mut state.plan);
             change(plan);
+            self.held.send_replace(plan.hold);
             plan.refuse
         };
         if refuses {
@@ -164,6 +182,12 @@
         }
     }
 
+    /// Waits until bytes may pass in a direction.
+    pub(crate) async fn wait_released(&self, way: ProxyWay) {
+        // An error means that the proxy is gone, which ends its connections too.
+        let _ = self.held.subscribe().wait_for(|held| *held != Some(way)).await;
+    }
+
     fn silence(&self) {
         let next = self.state.lock().next_connection;
         self.silent_below.send_replace(next);
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::proxy::{ProxyCore, ProxyPlan};
+use crate::proxy::{ProxyCore, ProxyPlan, ProxyWay};
 
 /// Bytes that are read at once.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -31,13 +31,6 @@
     Silent,
 }
 
-/// The way that bytes take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RelayWay {
-    ToTarget,
-    ToCaller,
-}
-
 /// One proxied connection.
 #[derive(Debug)]
 pub(crate) struct Relay<'a> {
@@ -67,8 +60,8 @@
         let (caller_read, caller_write) = caller.split();
         let (target_read, target_write) = target.split();
         let ended = tokio::try_join!(
-            self.pass(RelayWay::ToTarget, caller_read, target_write),
-            self.pass(RelayWay::ToCaller, target_read, caller_write),
+            self.pass(ProxyWay::ToTarget, caller_read, target_write),
+            self.pass(ProxyWay::ToCaller, target_read, caller_write),
         );
         ended.err().unwrap_or(RelayEnd::Closed)
     }
@@ -76,7 +69,7 @@
     /// Passes bytes one way. Returns an error if the whole connection ends.
     async fn pass(
         &self,
-        way: RelayWay,
+        way: ProxyWay,
         reader: ReadHalf<'_>,
         writer: WriteHalf<'_>,
     ) -> Result<(), RelayEnd> {
@@ -87,7 +80,7 @@
 
     async fn read(
         &self,
-        way: RelayWay,
+        way: ProxyWay,
         mut reader: ReadHalf<'_>,
         sender: mpsc::Sender<(Instant, Bytes)>,
     ) -> Result<(), RelayEnd> {
@@ -100,8 +93,8 @@
                 return Ok(());
             }
             match way {
-                RelayWay::ToTarget => self.asked.store(true, Ordering::SeqCst),
-                RelayWay::ToCaller => {
+                ProxyWay::ToTarget => self.asked.store(true, Ordering::SeqCst),
+                ProxyWay::ToCaller => {
                     if self.asked.swap(false, Ordering::SeqCst) && self.core.loses_answer() {
                         return Err(RelayEnd::Cut);
                     }
@@ -117,7 +110,7 @@
 
     async fn write(
         &self,
-        way: RelayWay,
+        way: ProxyWay,
         mut writer: WriteHalf<'_>,
         mut receiver: mpsc::Receiver<(Instant, Bytes)>,
     ) -> Result<(), RelayEnd> {
@@ -126,12 +119,13 @@
             let plan = self.core.plan();
             free = free.max(due) + transmission(&plan, chunk.len());
             sleep_until(free).await;
+            self.core.wait_released(way).await;
             let (length, end) = self.permitted(&plan, way, chunk.len() as u64);
             let allowed = &chunk[..length as usize];
             writer.write_all(allowed).await.map_err(|_| RelayEnd::Closed)?;
             self.core.count(|counts| match way {
-                RelayWay::ToTarget => counts.bytes_to_target += length,
-                RelayWay::ToCaller => counts.bytes_to_caller += length,
+                ProxyWay::ToTarget => counts.bytes_to_target += length,
+                ProxyWay::ToCaller => counts.bytes_to_caller += length,
             });
             if let Some(end) = end {
                 if end == RelayEnd::Truncated {
@@ -146,13 +140,13 @@
     }
 
     /// Returns how much of a chunk may pass, and what follows it.
-    fn permitted(&self, plan: &ProxyPlan, way: RelayWay, length: u64) -> (u64, Option<RelayEnd>) {
+    fn permitted(&self, plan: &ProxyPlan, way: ProxyWay, length: u64) -> (u64, Option<RelayEnd>) {
         let passed = self.passed.fetch_add(length, Ordering::SeqCst);
         let mut permitted = (length, None);
         if let Some(limit) = plan.cut_after_bytes {
             permitted = shorten(permitted, limit.saturating_sub(passed), RelayEnd::Cut);
         }
-        if way == RelayWay::ToCaller {
+        if way == ProxyWay::ToCaller {
             let answered = self.answered.fetch_add(length, Ordering::SeqCst);
             if let Some(limit) = plan.truncate_after_bytes {
                 let left = limit.saturating_sub(answered);
--- a/crates/stand/src/state.rs
+++ b/crates/stand/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) draining: bool,
     pub(crate) unhealthy: bool,
     pub(crate) refusing: bool,
+    /// How long the drain has been going on.
+    pub(crate) age: Option<ClockSpan>,
 }
 
 #[derive(Debug)]
@@ -254,6 +256,7 @@
             draining: true,
             unhealthy: age >= ClockSpan::from_millis(drain.health_fails_after_ms),
             refusing: age >= ClockSpan::from_millis(drain.grace_ms),
+            age: Some(age),
         }
     }
 
--- a/crates/stand/tests/faults.rs
+++ b/crates/stand/tests/faults.rs
@@ -195,6 +195,7 @@
         bodies: vec![BodyRecord::of(b"body"); 2],
         remaining_ms: vec![700; 3],
         abandoned_ms: vec![],
+        draining_ms: Vec::new(),
     };
     assert_eq!(stand.counts().of_request("r1"), expected);
     assert_ne!(BodyRecord::of(b"body"), BodyRecord::of(b"bodY"));
--- a/crates/trial/src/gate.rs
+++ b/crates/trial/src/gate.rs
@@ -14,6 +14,8 @@
 
 /// The file in the folder of a gateway that holds its log.
 const LOG_FILE: &str = "log";
+/// The file in the folder of a gateway that holds its settings.
+const SETTINGS_FILE: &str = "settings.json";
 /// The secret that peers show.
 pub const PEER_SECRET: &str = "a-peer-secret-of-the-tests";
 /// The secret that operators show.
@@ -118,7 +120,7 @@
         folder: PathBuf,
         mut arguments: Vec<String>,
     ) -> Result<Self, TrialError> {
-        let settings_path = write(&folder, "settings.json", &settings.to_bytes())?;
+        let settings_path = write(&folder, SETTINGS_FILE, &settings.to_bytes())?;
         arguments.extend(["--settings".to_owned(), settings_path]);
         arguments.extend(settings.arguments.iter().cloned());
         let path = process::binary("agateroad");
@@ -130,6 +132,16 @@
 }
 
 impl GateProcess {
+    /// Writes other settings to the process's file. Those that take effect while it runs do so when
+    /// it gets SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be written.
+    pub fn rewrite(&self, settings: &GateSettings) -> Result<(), TrialError> {
+        write(&self.folder, SETTINGS_FILE, &settings.to_bytes()).map(|_| ())
+    }
+
     /// Returns what the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join(LOG_FILE)).unwrap_or_default()
