--- a/crates/stand/tests/faults.rs
+++ b/crates/stand/tests/faults.rs
@@ -286,3 +286,23 @@
     call(stand.address(), WORK).await.unwrap();
     assert_eq!(stand.counts().slot_ms, ClockSpan::from_millis_f64(2.5).as_millis_f64());
 }
+
+/// Guards against a record of calls to a leaving upstream that misses one or counts one before.
+#[tokio::test]
+async fn arrivals_are_recorded_while_an_upstream_leaves() {
+    let plan = UpstreamPlan { record_requests: true, ..Default::default() };
+    let stand = UpstreamStand::start(plan).await.unwrap();
+    let work = WORK.with(&[("agateroad-request-id", "r1")]);
+    let recorded = || stand.counts().of_request("r1").draining_ms.len();
+    call(stand.address(), work).await.unwrap();
+    assert_eq!(recorded(), 0);
+    let drain = DrainPlan { health_fails_after_ms: 0, grace_ms: 600_000 };
+    stand.update(|plan| plan.drain = Some(drain));
+    for _ in 0..2 {
+        call(stand.address(), work).await.unwrap();
+    }
+    assert_eq!(recorded(), 2);
+    stand.update(|plan| plan.drain = None);
+    call(stand.address(), work).await.unwrap();
+    assert_eq!(recorded(), 2);
+}
--- a/crates/stand/tests/proxy.rs
+++ b/crates/stand/tests/proxy.rs
@@ -262,3 +262,40 @@
     let counts = call(admin, Call::get("/admin/counts")).await.unwrap().json();
     assert_eq!(counts["lost_answers"], 1);
 }
+
+struct HoldCase {
+    way: ProxyWay,
+    /// Whether the request arrives while the direction is held.
+    arrives: bool,
+}
+
+/// Guards against a cut of one direction that stops both, none, or only new connections, and that
+/// loses what it held.
+#[tokio::test]
+async fn one_direction_is_held() {
+    let cases = [
+        HoldCase { way: ProxyWay::ToCaller, arrives: true },
+        HoldCase { way: ProxyWay::ToTarget, arrives: false },
+    ];
+    for HoldCase { way, arrives } in cases {
+        let (upstream, proxy) = pair(|_| {}).await;
+        let mut old = Caller::connect(proxy.address()).await.unwrap();
+        assert!(old.call(WORK).await.is_some(), "{way:?}");
+        proxy.update(|plan| plan.hold = Some(way));
+        let held = tokio::spawn(async move { old.call(WORK).await });
+        let new = tokio::spawn(call(proxy.address(), WORK));
+        proxy.connections(2).await;
+        let arrived = if arrives { 2 } else { 0 };
+        upstream.wait_for(|counts, _| counts.executed == 1 + arrived).await;
+        // Calls that do not pass the proxy take longer than the held ones would.
+        for _ in 0..10 {
+            assert!(call(upstream.address(), WORK).await.is_some(), "{way:?}");
+        }
+        assert_eq!(upstream.counts().executed, 11 + arrived, "{way:?}");
+        assert!(!held.is_finished() && !new.is_finished(), "{way:?}");
+        proxy.update(|plan| plan.hold = None);
+        assert!(held.await.unwrap().is_some(), "{way:?}");
+        assert!(new.await.unwrap().is_some(), "{way:?}");
+        assert_eq!(upstream.counts().executed, 13, "{way:?}");
+    }
+}
