Pass resets on in the fault proxy

Cause: the proxy closed the other side regularly when one side failed. Ruled out: the gateway takes a reset for an end; its platform tests with unframed and reset answers and no proxy show otherwise. A failed side now resets the other one.

--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -333,11 +333,12 @@
     match end {
         RelayEnd::Closed => {}
         RelayEnd::Truncated => core.count(|counts| counts.truncated += 1),
-        RelayEnd::Cut => reset(&core, &caller, &target),
+        RelayEnd::Failed => reset(&caller, &target),
+        RelayEnd::Cut => cut_connection(&core, &caller, &target),
         RelayEnd::Silent => {
             core.count(|counts| counts.silenced += 1);
             cut.wait().await;
-            reset(&core, &caller, &target);
+            cut_connection(&core, &caller, &target);
         }
     }
     drop((caller, target));
@@ -345,10 +346,15 @@
 }
 
 /// Makes both ends see a reset when the streams are dropped.
-fn reset(core: &ProxyCore, caller: &TcpStream, target: &TcpStream) {
+fn reset(caller: &TcpStream, target: &TcpStream) {
     // An end that is closed already cannot be reset, which does no harm.
     let _ = caller.set_zero_linger();
     let _ = target.set_zero_linger();
+}
+
+/// Resets both ends and counts that.
+fn cut_connection(core: &ProxyCore, caller: &TcpStream, target: &TcpStream) {
+    reset(caller, target);
     core.count(|counts| counts.cut += 1);
 }
 
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -21,8 +21,10 @@
 /// How a relay ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RelayEnd {
-    /// Both ends have closed, or one has failed.
+    /// Both ends have closed.
     Closed,
+    /// One end has failed, as by a reset. The other one must not take that for a regular end.
+    Failed,
     /// The answers were ended early, but cleanly.
     Truncated,
     /// A switch demands a reset.
@@ -88,7 +90,7 @@
         let mut last_due = Instant::now();
         loop {
             let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
-            let length = reader.read_buf(&mut buffer).await.map_err(|_| RelayEnd::Closed)?;
+            let length = reader.read_buf(&mut buffer).await.map_err(|_| RelayEnd::Failed)?;
             if length == 0 {
                 return Ok(());
             }
@@ -122,7 +124,7 @@
             self.core.wait_released(way).await;
             let (length, end) = self.permitted(&plan, way, chunk.len() as u64);
             let allowed = &chunk[..length as usize];
-            writer.write_all(allowed).await.map_err(|_| RelayEnd::Closed)?;
+            writer.write_all(allowed).await.map_err(|_| RelayEnd::Failed)?;
             self.core.count(|counts| match way {
                 ProxyWay::ToTarget => counts.bytes_to_target += length,
                 ProxyWay::ToCaller => counts.bytes_to_caller += length,
