--- a/crates/stand/tests/proxy.rs
+++ b/crates/stand/tests/proxy.rs
@@ -299,3 +299,18 @@
         assert_eq!(upstream.counts().executed, 13, "{way:?}");
     }
 }
+
+/// Guards against a proxy that turns the reset of an answer without a length into its regular end,
+/// so that a part of it looks complete.
+#[tokio::test]
+async fn resets_are_passed_on() {
+    let (upstream, proxy) = pair(|_| {}).await;
+    let fault = AnswerFault::UnframedReset { bytes: 5 };
+    upstream.update(|plan| plan.faults = vec![FaultRule { fault, ..FaultRule::default() }]);
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+        stream.write_all(b"GET /x HTTP/1.1\r\nhost: t\r\n\r\n").await.unwrap();
+        let end = stream.read_to_end(&mut Vec::new()).await;
+        assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+    }
+}
