--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -9,6 +9,7 @@
 use border::InterfaceKind;
 use bpaf::Bpaf;
 use gate::log::ProcessLog;
+use gate::mechanism::Mechanism;
 use gate::state::GateState;
 use route::prelude::*;
 use snafu::ResultExt;
@@ -36,6 +37,10 @@
     /// How upstreams are chosen: random, least-in-flight, two-choices, expected-cost or paced
     #[bpaf(argument("NAME"), optional, hide)]
     policy: Option<PolicyKind>,
+    /// Turns a mechanism off, for tests only: drain, at-most-once, foreign-answer, graceful-stop or
+    /// version-order
+    #[bpaf(argument("NAME"), optional, hide)]
+    without: Option<Mechanism>,
 }
 
 /// Runs the gateway until it is told to stop.
@@ -54,7 +59,7 @@
     let settings = options::read_settings(&arguments.settings)?;
     let mut log = ProcessLog::start(&settings);
     let path = arguments.settings.clone();
-    let gate_options = options::gate_options(&settings, arguments.policy);
+    let gate_options = options::gate_options(&settings, arguments.policy, arguments.without);
     let state = match &arguments.document {
         Some(path) => GateState::new(gate_options, options::read_document(path)?),
         None => GateState::unconfigured(gate_options),
--- a/crates/gate/src/cmd/options.rs
+++ b/crates/gate/src/cmd/options.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use border::{InterfaceKind, ProcessSettings, SharedSecret};
 use gate::access::AccessOptions;
+use gate::mechanism::Mechanism;
 use gate::options::{CallTuning, GateOptions};
 use peer::prelude::*;
 use route::prelude::*;
@@ -28,13 +29,17 @@
     border::load_document(&bytes, FILE_VERSION).context(DocumentSnafu { path })
 }
 
-pub(super) fn gate_options(settings: &ProcessSettings, policy: Option<PolicyKind>) -> GateOptions {
+pub(super) fn gate_options(
+    settings: &ProcessSettings,
+    policy: Option<PolicyKind>,
+    without: Option<Mechanism>,
+) -> GateOptions {
     let native = settings.interface == InterfaceKind::Agateroad;
     let usual =
         if native { PolicyKind::default() } else { PolicyKind::Paced(PacedChoice::default()) };
     let tuning = if native { CallTuning::default() } else { CallTuning::shared_machines() };
     let options = GateOptions::from_settings(settings, policy.unwrap_or(usual));
-    GateOptions { tuning, ..options }
+    GateOptions { tuning: CallTuning { without, ..tuning }, ..options }
 }
 
 pub(super) fn access_options(
--- a/crates/gate/src/leave.rs
+++ b/crates/gate/src/leave.rs
@@ -6,6 +6,7 @@
 
 use crate::access::PlatformAccess;
 use crate::event;
+use crate::mechanism::Mechanism;
 use crate::process::RunningGate;
 
 /// How long outcomes of claims are stored while the store is down. Those that are left become
@@ -22,7 +23,7 @@
     tokio::time::sleep(lag.to_duration()).await;
     gate.stop_accepting();
     let longest = state.longest_deadline().to_duration();
-    if tokio::time::timeout(longest, state.calls.wait_idle()).await.is_err() {
+    if tokio::time::timeout(longest, gate.wait_finished()).await.is_err() {
         let calls = state.calls.running();
         tracing::warn!(event = event::DRAIN_CUT, calls, "calls are interrupted");
     }
@@ -38,13 +39,16 @@
 /// and the calls in flight.
 pub async fn leave_within(gate: &RunningGate, limit: ClockSpan) {
     let state = &gate.state;
+    if !state.options.tuning.uses(Mechanism::GracefulStop) {
+        return;
+    }
     let lag = state.timeouts.load().leave;
     tracing::info!(event = event::DRAIN_STARTED, vm = %state.options.vm.name, "leaving");
     state.draining.store(true, Ordering::SeqCst);
     tokio::time::sleep(lag.to_duration()).await;
     gate.stop_accepting();
     let left = limit.saturating_sub(lag + END_SPAN).to_duration();
-    if tokio::time::timeout(left, state.calls.wait_idle()).await.is_err() {
+    if tokio::time::timeout(left, gate.wait_finished()).await.is_err() {
         let calls = state.calls.running();
         tracing::warn!(event = event::DRAIN_CUT, calls, "calls are interrupted");
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod links;
 pub mod log;
 pub mod maintenance;
+pub mod mechanism;
 pub mod metrics;
 pub mod observe;
 pub mod options;
