Cut the cycles that the merge of the decision log brought

Cause: the test of the order of modules failed after the merge: the trace of a call named answers and failed attempts, claims named the path of a call for a type, and the record of a connection took the limits of a head from the front.

Now an answer ends its trace, a failed attempt tells the trace its facts, the type of a traced response stands beside that of a response, and the limits of a head stand beside the record. No behaviour changed.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -46,6 +46,23 @@
 /// The answer to a call, or why there is none.
 pub type CallResponse = Result<Response<AnswerBody>, CallRefusal>;
 
+/// The end of a call, and its trace if that was not lost with a task that panicked.
+pub type TracedResponse = (CallResponse, Option<TracedCall>);
+
+/// Ends a call with an answer. If the answer is still arriving, its body ends the call.
+pub fn end_trace(mut traced: TracedCall, answer: &mut Response<AnswerBody>) {
+    traced.set_status(answer.status());
+    let whole = match answer.status() {
+        _ if is_not_run(answer) => CallCause::Shed,
+        status if status.is_server_error() => CallCause::UpstreamError,
+        _ => CallCause::Answered,
+    };
+    match answer.body_mut() {
+        AnswerBody::Relayed(relayed) => relayed.trace(traced, whole),
+        AnswerBody::Empty | AnswerBody::Full(_) => traced.end_body(whole),
+    }
+}
+
 /// Returns whether an upstream's answer says that it did not run the call.
 pub fn is_not_run(answer: &Response<AnswerBody>) -> bool {
     answer.extensions().get() == Some(&CallFate::NotRun)
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::AnswerBody;
 use crate::body::SendBody;
+use crate::decision::FailureFacts;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
 use crate::retry::NextStep;
@@ -43,6 +44,16 @@
         Box::new(Self { upstream: None, fate, refusal, answer: None, unsent: None, next })
     }
 
+    /// Returns what the trace of the call records.
+    pub(crate) fn facts(&self) -> FailureFacts {
+        FailureFacts {
+            upstream: self.upstream.clone(),
+            cause: self.refusal.cause,
+            fate: self.fate,
+            next: self.next,
+        }
+    }
+
     pub(crate) fn at(upstream: SharedName, refusal: CallRefusal, next: NextStep) -> Box<Self> {
         Box::new(Self { upstream: Some(upstream), next, ..*Self::ended(refusal) })
     }
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout_at;
 use trace::prelude::CallCause;
 
-use crate::answer::{self, AnswerBody, CallResponse};
+use crate::answer::{self, AnswerBody, CallResponse, TracedResponse};
 use crate::body::{BodyError, CallBody};
 use crate::claims;
 use crate::decision::TracedCall;
@@ -49,7 +49,7 @@
     match result {
         Ok(mut answer) => {
             if let Some(traced) = traced {
-                traced.answer(&mut answer);
+                answer::end_trace(traced, &mut answer);
             }
             answer
         }
@@ -63,9 +63,6 @@
     }
 }
 
-/// The end of a call, and its trace if that was not lost with a task that panicked.
-pub type TracedResponse = (CallResponse, Option<TracedCall>);
-
 async fn run<C: CallCodec>(
     state: &Arc<GateState>,
     parts: Parts,
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -16,9 +16,8 @@
 use trace::prelude::CallCause;
 use world::prelude::*;
 
-use crate::answer::{self, AnswerBody, CallResponse};
+use crate::answer::{self, AnswerBody, CallResponse, TracedResponse};
 use crate::body::{self, BodyError, CallBody};
-use crate::call::TracedResponse;
 use crate::decision::TracedCall;
 use crate::desk::ServiceDesk;
 use crate::plan::PlannedCall;
--- a/crates/gate/src/decision.rs
+++ b/crates/gate/src/decision.rs
@@ -5,12 +5,10 @@
 
 use base::prelude::*;
 use codec::prelude::*;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, StatusCode};
 use trace::prelude::*;
 use tracing::Level;
 
-use crate::answer::{self, AnswerBody};
-use crate::attempt::FailedAttempt;
 use crate::desk::ServiceDesk;
 use crate::event;
 use crate::plan::PlannedCall;
@@ -31,6 +29,19 @@
     end: CallEnding,
 }
 
+/// How an attempt failed.
+#[derive(Clone, Debug)]
+pub struct FailureFacts {
+    /// The upstream, if there was one.
+    pub upstream: Option<SharedName>,
+    /// Why it failed.
+    pub cause: CallCause,
+    /// Whether it was run.
+    pub fate: CallFate,
+    /// What may follow.
+    pub next: NextStep,
+}
+
 /// What the caller is told.
 struct CallEnding {
     status: Option<u16>,
@@ -89,7 +100,7 @@
     }
 
     /// Records that an attempt failed. `stop` tells why none follows.
-    pub fn failed(&mut self, attempt: u32, failure: &FailedAttempt, stop: Option<StopReason>) {
+    pub fn failed(&mut self, attempt: u32, failure: FailureFacts, stop: Option<StopReason>) {
         let next = match (stop, failure.next) {
             (Some(stop), NextStep::Retry | NextStep::RetryAfterLoss | NextStep::Repeat) => {
                 StepNext::End(Some(stop))
@@ -98,9 +109,9 @@
             (None, NextStep::Repeat) => StepNext::Repeat,
             (None, NextStep::Retry | NextStep::RetryAfterLoss) => StepNext::Retry,
         };
-        let (result, fate) = (failure.refusal.cause, Some(failure.fate.as_str()));
-        let chosen = self.upstream.take();
-        self.end_attempt(attempt, failure.upstream.clone().or(chosen), result, fate, next);
+        let fate = Some(failure.fate.as_str());
+        let upstream = failure.upstream.or(self.upstream.take());
+        self.end_attempt(attempt, upstream, failure.cause, fate, next);
     }
 
     fn end_attempt(
@@ -125,19 +136,9 @@
         };
     }
 
-    /// Ends a call with an answer. If the answer is still arriving, its body ends the call.
-    pub fn answer(mut self, answer: &mut Response<AnswerBody>) {
-        let not_run = answer::is_not_run(answer);
-        self.end.status = Some(answer.status().as_u16());
-        let whole = match answer.status() {
-            _ if not_run => CallCause::Shed,
-            status if status.is_server_error() => CallCause::UpstreamError,
-            _ => CallCause::Answered,
-        };
-        match answer.body_mut() {
-            AnswerBody::Relayed(relayed) => relayed.trace(self, whole),
-            AnswerBody::Empty | AnswerBody::Full(_) => self.end_body(whole),
-        }
+    /// Records the status of the answer that ends the call.
+    pub fn set_status(&mut self, status: StatusCode) {
+        self.end.status = Some(status.as_u16());
     }
 
     /// Ends a call whose answer was passed on as far as it goes.
--- a/crates/gate/src/front.rs
+++ b/crates/gate/src/front.rs
@@ -25,14 +25,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::AnswerBody;
-use crate::record::{ReadRecord, RecordedStream};
+use crate::record::{MAX_HEAD_BYTES, MAX_HEADERS, ReadRecord, RecordedStream};
 use crate::state::GateState;
 use crate::{call, event, maintenance};
 
-/// The longest request head. Also the size of the read buffer of a caller's connection.
-pub(crate) const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// The most header fields of a request.
-pub(crate) const MAX_HEADERS: usize = 64;
 /// Connections that the system keeps until a worker accepts them.
 const BACKLOG: i32 = 1024;
 /// The pause after a connection could not be accepted, usually for lack of descriptors.
--- a/crates/gate/src/record.rs
+++ b/crates/gate/src/record.rs
@@ -16,8 +16,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::front::{MAX_HEAD_BYTES, MAX_HEADERS};
-
+/// The longest request head. Also the size of the read buffer of a caller's connection.
+pub(crate) const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The most header fields of a request.
+pub(crate) const MAX_HEADERS: usize = 64;
 /// Bytes that are remembered. When the library takes a head from its buffer, the buffer begins with
 /// that head and holds at most twice the longest head, which is the size of one read.
 const RECORD_BYTES: usize = 2 * MAX_HEAD_BYTES;
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -77,7 +77,7 @@
             self.record.note(failure.fate);
             let allowed =
                 if body.is_available() { self.allows(&failure) } else { Err(StopReason::Body) };
-            self.traced.failed(attempt, &failure, allowed.err());
+            self.traced.failed(attempt, failure.facts(), allowed.err());
             if allowed.is_err() {
                 return self.end(*failure);
             }
