Keep the platform's name of a field out of the model of VMs

The test of names failed after the merge: a row of the model had the field of the platform's protocol. The name in its place has the same length, so that the bytes that the model counts are the same.

--- a/crates/member/tests/model/mod.rs
+++ b/crates/member/tests/model/mod.rs
@@ -62,7 +62,7 @@
 
 fn row(index: usize, version: u64, state: &str) -> TableRow {
     let value = format!(
-        r#"{{"service":"phase-desk","address":"10.0.1.{index}:8000","zone":"bostandyk","version":"3","slots":6,"state":"{state}","warmupLeft":0,"seq":{version},"born":1790000000000}}"#
+        r#"{{"service":"phase-desk","address":"10.0.1.{index}:8000","zone":"bostandyk","version":"3","slots":6,"state":"{state}","cold_until":0,"seq":{version},"born":1790000000000}}"#
     );
     TableRow { key: upstream(index), version, value: Some(Bytes::from(value)) }
 }
