Count failed calls for the configuration as trouble of the store

A VM that has just started waits up to 1.2 s for its turn to read the upstreams, so that only its calls for the configuration met the outage, and the upstreams that had disappeared meanwhile were dropped at the next read.

Ruled out: a first read that goes on as before, which costs 98 VMs thousands of calls at their start.

--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -179,12 +179,18 @@
 
     fn note_failed_read(&self, error: &StoreError) {
         tracing::debug!(event = event::STORE_UNREAD, %error);
+        self.note_trouble(error);
+        self.exchange.note_failed_read();
+    }
+
+    /// Records that the store failed a call, whatever table it was for: a VM that does not read the
+    /// upstreams at that time learns of an outage from its other calls only.
+    pub(super) fn note_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
         self.state.store.failed(error, now);
         if self.tables.lock().upstreams.note_failure(now) {
             self.apply();
         }
-        self.exchange.note_failed_read();
     }
 
     /// Takes the table of upstreams from a peer if this VM has none or misses changes.
