Trust peers over an own way to the store that is cut

Four of twelve upstreams left without a mark, by the removal of their rows. VMs that were cut off from the store from 1 to 13 s heard of it from peers at 4.6 s, but their own failed calls for the configuration counted as trouble of the store, so that the rows stayed in use until 2 s after they reached the store again.

Ruled out: news that were lost or divided (all 122 VMs logged the same eight marks and four removals at position 411).

Now a failed call for the configuration counts only if no peer has told of a read of the upstreams within 1.4 s. A VM without peers, and one whose peers cannot reach the store either, counts as before.

--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -59,6 +59,7 @@
             upstreams: UpstreamDirectory::new(directory),
             config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
+            peer_told: None,
         };
         let rows = RowStore::<_, K>::new(store, state.clock);
         let core = Arc::new(DiscoveryCore {
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -26,6 +26,8 @@
     pub(super) upstreams: UpstreamDirectory,
     pub(super) config: ConfigTracker,
     pub(super) bounds: FleetBounds,
+    /// When a peer last told of a read of the upstreams.
+    pub(super) peer_told: Option<ClockTime>,
 }
 
 /// What the tasks share.
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -20,6 +20,10 @@
 /// the gap meanwhile; a leaving upstream must get no more calls within 2 s.
 const GAP_PAUSE: ClockSpan = ClockSpan::from_millis(300);
 
+/// A peer's read of the upstreams shows for this long that the store works: twice the time between
+/// two reads of the VM that reads for all.
+const PEER_TOLD_SPAN: ClockSpan = ClockSpan::from_millis(1400);
+
 /// Whom a read of the upstreams is for.
 #[derive(Clone, Copy, Debug)]
 enum ReadPurpose {
@@ -141,7 +145,11 @@
     /// Takes over changes that a peer has read. Asks for a read if some are missing.
     pub(super) fn take_peer_rows(&self, from: u64, page: &RowPage, complete: bool, age: ClockSpan) {
         let now = self.state.clock.now();
-        let followed = self.tables.lock().upstreams.follow_peer::<K>(from, page, complete, now);
+        let followed = {
+            let mut tables = self.tables.lock();
+            tables.peer_told = Some(now);
+            tables.upstreams.follow_peer::<K>(from, page, complete, now)
+        };
         let Ok(change) = followed else {
             self.upstreams_wanted.notify_one();
             return;
@@ -183,9 +191,21 @@
         self.exchange.note_failed_read();
     }
 
-    /// Records that the store failed a call, whatever table it was for: a VM that does not read the
-    /// upstreams at that time learns of an outage from its other calls only.
-    pub(super) fn note_trouble(&self, error: &StoreError) {
+    /// Records that the store failed a call for the configuration. A VM that does not read the
+    /// upstreams at that time learns of an outage from such calls only. While peers tell of their
+    /// reads, the store works and only this VM's way to it does not: an upstream that is removed
+    /// then must not stay in use until this VM reaches the store again.
+    pub(super) fn note_config_trouble(&self, error: &StoreError) {
+        let now = self.state.clock.now();
+        let told = self.tables.lock().peer_told;
+        if told.is_some_and(|told| now.since(told) <= PEER_TOLD_SPAN) {
+            self.state.store.failed(error, now);
+        } else {
+            self.note_trouble(error);
+        }
+    }
+
+    fn note_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
         self.state.store.failed(error, now);
         if self.tables.lock().upstreams.note_failure(now) {
