Let new requests on shared machines use all upstreams again

Cause: calls at the grown Viti deployment chose among three of up to 118 upstreams (the field `candidates` of event 1031).

--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -108,7 +108,7 @@
             retry_after: ClockSpan::from_millis(100),
             limits: AdaptiveTuning { enabled: false, ..AdaptiveTuning::default() },
             queue: QueueTuning::short_waits(),
-            suspects: SuspectTuning::default(),
+            suspects: SuspectTuning::unpinned(),
             without: None,
         }
     }
