--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -582,18 +582,22 @@
     let back = tokio::time::Instant::now();
     bed.fail_store(Vec::new());
     let mut served = 0;
+    let mut refusal = Bytes::new();
     until("the upstream is gone", async || {
         served += 1;
         let id = format!("back-{served}");
         let end = CallEnd { statuses: &[200, 503], runs: 0..=1 };
         let answer = bed.call(LOOK, &id).await;
         bed.check(LOOK, &id, &answer, &end).expect(name);
-        answer.is_ok_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+        answer.is_ok_and(|answer| {
+            refusal = answer.body;
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+        })
     })
     .await;
     // A stall can only lengthen this.
     let kept = back.elapsed();
-    assert!(kept >= RETURN_SPAN.to_duration(), "{name}: gone after {kept:?}");
+    assert!(kept >= RETURN_SPAN.to_duration(), "{name}: gone after {kept:?}, {refusal:?}");
 }
 
 /// Guards against an outage that goes unnoticed because it ends before the store's client repeats
