Flood news over four neighbours in place of telling all VMs

Cause: the VM that reads the upstreams for all sent each change to every VM itself, 44 datagrams of about 300 bytes at 45 VMs.

Each VM now sends news (directory, suspects) to four neighbours: those before and after it on two rings, each in the order of another hash of the names. A VM that receives news it does not have applies it and passes it on to all neighbours but the sender. A message names its origin, the incarnation and a number, and grows older by the time spent in each VM. Who reads for all is decided by the origin. The choice of neighbours and what is passed on are in `member::overlay`; the gateway and the model use the same calls of `MeshPlan`. Datagrams have format 2.

The model takes news from a VM that it does not know yet, as the gateway does. The datagram tests name the format by a constant; they check the same.

--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -83,7 +83,7 @@
             let suspects = self.state.tables.take_suspect_notices(now);
             if !suspects.is_empty() {
                 let message = PeerMessage::Suspects(SuspectMessage { notices: suspects });
-                self.exchange.tell_all(message).await;
+                self.exchange.publish(message).await;
             }
         }
     }
@@ -103,12 +103,13 @@
     }
 
     async fn absorb(&self, envelope: PeerEnvelope, source: SocketAddr) {
-        let PeerEnvelope { sender, incarnation, message } = envelope;
+        let PeerEnvelope { sender, incarnation, origin, message } = &envelope;
+        let incarnation = *incarnation;
         let now = self.state.clock.now();
-        if let PeerMessage::Hello(hello) = &message {
+        if let PeerMessage::Hello(hello) = message {
             self.exchange.mesh.lock().learn(&hello.entry, now);
         }
-        let heard = self.exchange.mesh.lock().hear(&sender, incarnation, now);
+        let heard = self.exchange.mesh.lock().hear(sender, incarnation, now);
         match heard {
             HeardFrom::Outdated => return,
             HeardFrom::Unknown => {
@@ -116,11 +117,16 @@
             }
             HeardFrom::Known => {}
         }
+        let next = match origin {
+            Some(origin) => self.exchange.mesh.lock().take_news(origin, sender, now),
+            None => Some(Vec::new()),
+        };
+        let Some(next) = next else { return };
         match message {
             PeerMessage::Hello(hello) => {
                 self.hear_config(hello.config_version);
                 if hello.leaving {
-                    self.exchange.mesh.lock().leave(&sender, incarnation);
+                    self.exchange.mesh.lock().leave(sender, incarnation);
                 }
                 if hello.answer_wanted {
                     let leaving = self.state.draining.load(Ordering::Relaxed);
@@ -130,9 +136,10 @@
             PeerMessage::Directory(message) => {
                 let age = ClockSpan::from_millis(u64::from(message.age_ms));
                 let complete = !message.rows_omitted;
-                let (rows, position) = (message.rows, message.position);
+                let (rows, position) = (message.rows.clone(), message.position);
                 let page = RowPage { rows, position, ..RowPage::default() };
-                self.exchange.mesh.lock().hear_reader(&sender, page.position, now);
+                let reader = origin.as_ref().map_or(sender, |origin| &origin.vm);
+                self.exchange.mesh.lock().hear_reader(reader, page.position, now);
                 self.take_peer_rows(message.from, &page, complete, age);
                 self.hear_config(message.config_version);
             }
@@ -143,5 +150,6 @@
                 }
             }
         }
+        self.exchange.pass_on(envelope, &next, now).await;
     }
 }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -12,6 +12,7 @@
 use peer::prelude::*;
 use store::prelude::*;
 use tokio::net::UdpSocket;
+use world::prelude::VmIdentity;
 
 /// The longest time for which the store holds back its answer to the VM that reads the upstreams
 /// for all. If that VM fails, another one reads 0.8 to 1.2 s after its last news, which is well
@@ -105,24 +106,39 @@
             rows_omitted: false,
             config_version: self.config_version.load(Ordering::Relaxed),
         };
-        self.tell_all(PeerMessage::Directory(message)).await;
+        self.publish(PeerMessage::Directory(message)).await;
     }
 
-    pub(crate) async fn tell_all(&self, message: PeerMessage) {
-        let audience = self.mesh.lock().audience(MeshScope::All, self.clock.now());
-        self.send(message, &audience).await;
+    /// Sends news to the neighbours, which pass it on to all VMs.
+    pub(crate) async fn publish(&self, message: PeerMessage) {
+        let envelope = PeerEnvelope::news(&self.own(), message);
+        for part in self.codec.parts(&envelope).iter() {
+            let (origin, addresses) = self.mesh.lock().publish(self.clock.now());
+            self.send_envelope(&PeerEnvelope { origin: Some(origin), ..part.clone() }, &addresses)
+                .await;
+        }
+    }
+
+    /// Passes on news that arrived at `arrived`.
+    pub(crate) async fn pass_on(
+        &self,
+        envelope: PeerEnvelope,
+        addresses: &[SocketAddr],
+        arrived: ClockTime,
+    ) {
+        let delay = self.clock.now().since(arrived);
+        self.send_envelope(&envelope.passed_on(&self.own(), delay), addresses).await;
     }
 
     pub(crate) async fn send(&self, message: PeerMessage, addresses: &[SocketAddr]) {
+        self.send_envelope(&PeerEnvelope::direct(&self.own(), message), addresses).await;
+    }
+
+    async fn send_envelope(&self, envelope: &PeerEnvelope, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
-        let envelope = {
-            let mesh = self.mesh.lock();
-            let vm = &mesh.own().vm;
-            PeerEnvelope { sender: vm.name.clone(), incarnation: vm.incarnation, message }
-        };
-        for datagram in self.codec.encode(&envelope) {
+        for datagram in self.codec.encode(envelope) {
             for address in addresses {
                 // A datagram that cannot be sent counts as lost; later ones make up for it.
                 let _ = self.socket.send_to(&datagram, address).await;
@@ -130,6 +146,10 @@
         }
     }
 
+    fn own(&self) -> VmIdentity {
+        self.mesh.lock().own().vm.clone()
+    }
+
     pub(crate) fn hello(&self, leaving: bool, answer_wanted: bool) -> PeerMessage {
         let entry = self.mesh.lock().own().clone();
         let config_version = self.config_version.load(Ordering::Relaxed);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod drain;
 pub mod mesh;
+pub mod overlay;
 mod read;
 pub mod start;
 pub mod tuning;
@@ -14,6 +15,7 @@
     pub use crate::capacity::CapacityPlan;
     pub use crate::drain::{DrainAction, DrainEvent, DrainPlan, DrainStage};
     pub use crate::mesh::{HeardFrom, MeshCounts, MeshPlan, MeshScope};
+    pub use crate::overlay::NewsOrigin;
     pub use crate::start::{StartPlan, StartStage, WarmupRamp};
     pub use crate::tuning::{DrainTuning, MeshTuning, ReadTuning, StartTuning};
 }
--- a/crates/member/src/mesh.rs
+++ b/crates/member/src/mesh.rs
@@ -1,12 +1,14 @@
-//! Which VMs exchange datagrams with this one: who is known, who is sent hellos, who is told news,
-//! and who reads the store's table of upstreams next.
+//! Which VMs exchange datagrams with this one: who is known, who is sent hellos, to whom news is
+//! passed on, and who reads the store's table of upstreams next.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use directory::entry::VmEntry;
+use world::prelude::VmIdentity;
 
+use crate::overlay::{self, NewsOrigin, NewsTable};
 use crate::read::ReadSchedule;
 use crate::tuning::MeshTuning;
 
@@ -138,6 +140,9 @@
     peer_read: Option<(SharedName, ClockTime)>,
     /// The newest position of which a peer told.
     told_position: Option<u64>,
+    news: NewsTable,
+    /// Messages that this VM had others pass on.
+    published: u64,
 }
 
 impl MeshPlan {
@@ -154,6 +159,8 @@
             reads,
             peer_read: None,
             told_position: None,
+            news: NewsTable::default(),
+            published: 0,
         }
     }
 
@@ -239,6 +246,46 @@
         self.present(now).filter(is_meant).map(|entry| entry.exchange_address).collect()
     }
 
+    /// Returns the addresses of the VMs to which this one passes news on. A VM that was silent for
+    /// so long that it is probably gone is left out, so that the VMs beyond it still get news.
+    pub fn neighbours(&self, now: ClockTime) -> Vec<SocketAddr> {
+        self.neighbours_except(None, now)
+    }
+
+    fn neighbours_except(&self, sender: Option<&SharedName>, now: ClockTime) -> Vec<SocketAddr> {
+        let is_heard = |vm: &&MeshVm| vm.silence(now) < self.tuning.lost_after;
+        let heard = self.vms.values().filter(is_heard);
+        let names: Vec<_> = heard.map(|vm| &vm.entry.vm.name).collect();
+        let chosen = overlay::select(&self.own.vm.name, &names, self.tuning.neighbours);
+        let others = chosen.into_iter().filter(|name| sender != Some(*name));
+        others.filter_map(|name| Some(self.vms.get(name)?.entry.exchange_address)).collect()
+    }
+
+    /// Returns the origin of a new message that all VMs are to get, and where to send it.
+    pub fn publish(&mut self, now: ClockTime) -> (NewsOrigin, Vec<SocketAddr>) {
+        self.published += 1;
+        let VmIdentity { name, incarnation, .. } = &self.own.vm;
+        let (vm, number) = (name.clone(), self.published);
+        (NewsOrigin { vm, incarnation: *incarnation, number }, self.neighbours(now))
+    }
+
+    /// Records news that `sender` passed on and returns where to pass it on to, or `None` if it is
+    /// to be ignored: this VM has it, or it comes from a process that has been replaced.
+    pub fn take_news(
+        &mut self,
+        origin: &NewsOrigin,
+        sender: &SharedName,
+        now: ClockTime,
+    ) -> Option<Vec<SocketAddr>> {
+        let known = self.vms.get(&origin.vm).map(|known| known.entry.vm.incarnation);
+        let is_outdated = known.is_some_and(|known| origin.incarnation < known);
+        if origin.vm == self.own.vm.name || is_outdated {
+            return None;
+        }
+        let is_new = self.news.take(origin, self.tuning.max_vms, now);
+        is_new.then(|| self.neighbours_except(Some(sender), now))
+    }
+
     /// Returns what is known of a VM, present or not.
     pub fn entry(&self, vm: &SharedName) -> Option<&VmEntry> {
         self.vms.get(vm).map(|vm| &vm.entry)
--- /dev/null
+++ b/crates/member/src/overlay.rs
@@ -0,0 +1,118 @@
+//! To which VMs news is passed on, and which news this VM already has.
+//!
+//! The VMs form rings, each in the order of another hash of their names. A VM passes news on to the
+//! VMs next to it on each ring, so that each VM is a neighbour of as many VMs as it has neighbours.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Neighbours of a VM on one ring: its predecessor and its successor.
+const RING_NEIGHBOURS: usize = 2;
+/// News of one VM that may arrive out of order: the bits of a word. A VM that reads for all sends
+/// at most ten messages a second, and one takes a few milliseconds to reach all VMs.
+const WINDOW: u64 = u64::BITS as u64;
+
+/// Identifies a message that VMs pass on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct NewsOrigin {
+    /// The VM whose news it is.
+    pub vm: SharedName,
+    /// The incarnation of that VM.
+    pub incarnation: u64,
+    /// Counts the news of that incarnation.
+    pub number: u64,
+}
+
+/// Returns up to `count` neighbours of `own` among the VMs of `names`, which must not contain it.
+/// If a VM is next to `own` on several rings, those after it are taken on the later rings.
+pub(crate) fn select<'a>(
+    own: &SharedName,
+    names: &[&'a SharedName],
+    count: usize,
+) -> Vec<&'a SharedName> {
+    let mut chosen: Vec<&SharedName> = Vec::with_capacity(count);
+    for ring in 0..count.div_ceil(RING_NEIGHBOURS) {
+        let place = |name: &SharedName| xxh3_64_with_seed(name.as_bytes(), ring as u64);
+        let own_place = place(own);
+        let mut ahead: Vec<_> =
+            names.iter().map(|name| (place(name).wrapping_sub(own_place), *name)).collect();
+        ahead.retain(|(_, name)| !chosen.contains(name));
+        let successor = ahead.iter().min().map(|(_, name)| *name);
+        let predecessor = ahead.iter().max().map(|(_, name)| *name);
+        chosen.extend(successor);
+        chosen.extend(predecessor.filter(|name| Some(*name) != successor));
+    }
+    chosen.truncate(count);
+    chosen
+}
+
+/// The news of one VM that this VM has.
+#[derive(Clone, Copy, Debug)]
+struct SeenNews {
+    incarnation: u64,
+    /// The highest number.
+    newest: u64,
+    /// Which of the numbers up to the highest one arrived; the lowest bit stands for the highest
+    /// number.
+    arrived: u64,
+    /// When any arrived last.
+    at: ClockTime,
+}
+
+/// The news that this VM has, by the VM that it comes from.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct NewsTable {
+    seen: BTreeMap<SharedName, SeenNews>,
+}
+
+impl NewsTable {
+    /// Records news and returns whether this VM did not have it. At most `limit` VMs are kept.
+    pub(crate) fn take(&mut self, origin: &NewsOrigin, limit: usize, now: ClockTime) -> bool {
+        let NewsOrigin { vm, incarnation, number } = origin;
+        let first = SeenNews { incarnation: *incarnation, newest: *number, arrived: 0, at: now };
+        let Some(seen) = self.seen.get_mut(vm) else {
+            self.seen.insert(vm.clone(), SeenNews { arrived: 1, ..first });
+            self.limit(limit);
+            return true;
+        };
+        if *incarnation < seen.incarnation {
+            return false;
+        }
+        if *incarnation > seen.incarnation {
+            *seen = first;
+        }
+        seen.at = now;
+        seen.take(*number)
+    }
+
+    fn limit(&mut self, limit: usize) {
+        if self.seen.len() <= limit {
+            return;
+        }
+        let oldest = self.seen.iter().min_by_key(|(_, seen)| seen.at);
+        if let Some(vm) = oldest.map(|(vm, _)| vm.clone()) {
+            self.seen.remove(&vm);
+        }
+    }
+}
+
+impl SeenNews {
+    fn take(&mut self, number: u64) -> bool {
+        if number > self.newest {
+            let shift = u32::try_from(number - self.newest).unwrap_or(u32::MAX);
+            self.arrived = self.arrived.checked_shl(shift).unwrap_or(0);
+            self.newest = number;
+        }
+        let age = self.newest - number;
+        if age >= WINDOW {
+            return false;
+        }
+        let is_new = self.arrived & (1 << age) == 0;
+        self.arrived |= 1 << age;
+        is_new
+    }
+}
--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -80,6 +80,9 @@
     /// `hello_period` allow. The first contact after a partition is then made in about 1 s, for
     /// 300 bytes a second.
     pub lost_spacing: ClockSpan,
+    /// VMs to which a VM passes news on, two on each ring. With 10% of the datagrams lost, a VM
+    /// misses fewer than 1 in 1,000 messages (`docs/decisions/membership.md`).
+    pub neighbours: usize,
     /// Most hellos at a time. 32 fit into a socket buffer of the usual 200 KB several times over,
     /// with the answers.
     pub hello_batch: usize,
@@ -104,6 +107,7 @@
             give_up: ClockSpan::from_secs(10),
             lost_period: ClockSpan::from_secs(30),
             lost_spacing: ClockSpan::from_millis(500),
+            neighbours: 4,
             hello_batch: 32,
             forget_after: ClockSpan::from_secs(2 * 3600),
             max_vms: 512,
--- a/crates/member/tests/model/mod.rs
+++ b/crates/member/tests/model/mod.rs
@@ -283,17 +283,35 @@
         let (hello, bytes) = kept.unwrap_or_else(|| {
             let entry = self.vms[from].entry.clone();
             let hello = HelloMessage { entry, leaving: false, answer_wanted, config_version: 530 };
-            self.encode(from, PeerMessage::Hello(hello)).pop().expect("a hello fits")
+            let envelope = PeerEnvelope::direct(&hello.entry.vm.clone(), PeerMessage::Hello(hello));
+            self.encode(&envelope).pop().expect("a hello fits")
         });
         self.vms[from].hellos[usize::from(answer_wanted)] = Some((Arc::clone(&hello), bytes));
         self.send(from, to, &hello, bytes);
     }
 
+    /// Does what the gateway does with news of its own.
+    fn publish(&mut self, index: usize, message: PeerMessage) {
+        let now = self.now();
+        let envelope = PeerEnvelope::news(&self.vms[index].entry.vm, message);
+        for part in self.codec.parts(&envelope).into_owned() {
+            let (origin, addresses) = self.vms[index].plan.publish(now);
+            self.send_all(index, &PeerEnvelope { origin: Some(origin), ..part }, &addresses);
+        }
+    }
+
+    fn send_all(&mut self, from: usize, envelope: &PeerEnvelope, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
+        for (message, bytes) in self.encode(envelope) {
+            addresses.iter().for_each(|to| self.send(from, *to, &message, bytes));
+        }
+    }
+
     /// Returns the datagrams of a message as their receivers decode them, and their bytes.
-    fn encode(&self, from: usize, message: PeerMessage) -> Vec<(Arc<PeerEnvelope>, usize)> {
-        let vm = &self.vms[from].entry.vm;
-        let (sender, incarnation) = (vm.name.clone(), vm.incarnation);
-        let datagrams = self.codec.encode(&PeerEnvelope { sender, incarnation, message });
+    fn encode(&self, envelope: &PeerEnvelope) -> Vec<(Arc<PeerEnvelope>, usize)> {
+        let datagrams = self.codec.encode(envelope);
         let decoded = datagrams.iter().map(|datagram| {
             let message = self.codec.decode(datagram).expect("a datagram of the model");
             (Arc::new(message), datagram.len() + PACKET_BYTES)
@@ -382,10 +400,7 @@
             rows_omitted: false,
             config_version: 530,
         };
-        let audience = vm.plan.audience(MeshScope::All, now);
-        for (message, bytes) in self.encode(index, PeerMessage::Directory(message)) {
-            audience.iter().for_each(|to| self.send(index, *to, &message, bytes));
-        }
+        self.publish(index, PeerMessage::Directory(message));
         let vm = &mut self.vms[index];
         let goes_on = read.for_all && self.tuning.read.hold > ClockSpan::ZERO;
         if goes_on && !vm.plan.has_earlier_reader(now) {
@@ -407,27 +422,47 @@
         if let PeerMessage::Hello(hello) = &envelope.message {
             vm.plan.learn(&hello.entry, now);
         }
-        match (vm.plan.hear(&envelope.sender, envelope.incarnation, now), &envelope.message) {
-            (HeardFrom::Outdated, _) => {}
-            (HeardFrom::Unknown, _) => self.send_hello(index, sender.exchange_address, true),
-            (HeardFrom::Known, PeerMessage::Hello(hello)) if hello.answer_wanted => {
+        let heard = vm.plan.hear(&envelope.sender, envelope.incarnation, now);
+        if heard == HeardFrom::Outdated {
+            return;
+        }
+        let next = match &envelope.origin {
+            Some(origin) => vm.plan.take_news(origin, &envelope.sender, now),
+            None => Some(Vec::new()),
+        };
+        if heard == HeardFrom::Unknown {
+            self.send_hello(index, sender.exchange_address, true);
+        }
+        let Some(next) = next else { return };
+        match &envelope.message {
+            PeerMessage::Hello(hello) if hello.answer_wanted => {
                 self.send_hello(index, sender.exchange_address, false);
             }
-            (HeardFrom::Known, PeerMessage::Directory(message)) => {
-                let DirectoryMessage { from, position, age_ms, rows, rows_omitted, .. } = message;
-                let made_at = now - ClockSpan::from_millis(u64::from(*age_ms));
-                vm.plan.hear_reader(&envelope.sender, *position, now);
-                let page =
-                    RowPage { rows: rows.clone(), position: *position, ..RowPage::default() };
-                let followed =
-                    vm.directory.follow_peer::<ModelCodec>(*from, &page, !rows_omitted, now);
-                match followed {
-                    Ok(_) => vm.plan.note_read(*position, made_at, now),
-                    Err(_) => vm.wanted = true,
-                }
+            PeerMessage::Directory(message) => {
+                let reader = envelope.origin.as_ref().map_or(&envelope.sender, |origin| &origin.vm);
+                self.take_peer_rows(index, reader, message);
             }
             _ => {}
         }
+        if !next.is_empty() {
+            let own = &self.vms[index].entry.vm;
+            let envelope = envelope.clone().passed_on(own, ClockSpan::ZERO);
+            self.send_all(index, &envelope, &next);
+        }
+    }
+
+    fn take_peer_rows(&mut self, index: usize, reader: &SharedName, message: &DirectoryMessage) {
+        let now = self.now();
+        let vm = &mut self.vms[index];
+        let DirectoryMessage { from, position, age_ms, rows, rows_omitted, .. } = message;
+        let made_at = now - ClockSpan::from_millis(u64::from(*age_ms));
+        vm.plan.hear_reader(reader, *position, now);
+        let page = RowPage { rows: rows.clone(), position: *position, ..RowPage::default() };
+        let followed = vm.directory.follow_peer::<ModelCodec>(*from, &page, !rows_omitted, now);
+        match followed {
+            Ok(_) => vm.plan.note_read(*position, made_at, now),
+            Err(_) => vm.wanted = true,
+        }
     }
 
     /// Asserts that every live VM sends messages to every other in its present incarnation, and
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -1,6 +1,7 @@
 //! Datagrams between VMs: one byte of format, a keyed digest, and a message in the `postcard`
 //! format. Nothing is decoded before the digest has been checked.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,7 +24,7 @@
 /// carries without fragments.
 pub const DATAGRAM_BYTES: usize = 1200;
 /// The format that is written and read.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// Bytes of the digest. 128 bits leave no chance to guess one, and cost half of the full digest.
 const TAG_BYTES: usize = 16;
 /// Bytes before the message.
@@ -98,21 +99,23 @@
         self.oversized.load(Ordering::Relaxed)
     }
 
-    /// Encodes a message. Long lists of load samples or suspects are split over several datagrams,
-    /// and a directory message that does not fit is sent without its rows.
+    /// Encodes a message in the datagrams of its [`parts`](Self::parts).
     pub fn encode(&self, envelope: &PeerEnvelope) -> Vec<Vec<u8>> {
         let keys = self.keys.load();
         let Some(key) = keys.first() else { return Vec::new() };
-        if let Some(datagram) = seal(key, envelope) {
-            return vec![datagram];
-        }
-        let parts = split::divide(envelope, DATAGRAM_BYTES - HEAD_BYTES);
+        let parts = self.parts(envelope);
         let datagrams: Vec<_> = parts.iter().filter_map(|part| seal(key, part)).collect();
         let missing = (parts.len() - datagrams.len()) as u64;
         self.oversized.fetch_add(missing, Ordering::Relaxed);
         datagrams
     }
 
+    /// Returns the messages that carry a message in one datagram each. Long lists of load samples
+    /// or suspects are divided, and a directory message that does not fit loses its rows.
+    pub fn parts<'a>(&self, envelope: &'a PeerEnvelope) -> Cow<'a, [PeerEnvelope]> {
+        split::parts(envelope, DATAGRAM_BYTES - HEAD_BYTES)
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -2,9 +2,11 @@
 
 use base::prelude::*;
 use directory::entry::VmEntry;
+use member::prelude::NewsOrigin;
 use serde::{Deserialize, Serialize};
 use store::prelude::TableRow;
 use suspect::prelude::SuspectNotice;
+use world::prelude::VmIdentity;
 
 /// A message and its sender.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,10 +16,33 @@
     pub sender: SharedName,
     /// The incarnation of the sender.
     pub incarnation: u64,
+    /// Where the message comes from if the receivers pass it on.
+    pub origin: Option<NewsOrigin>,
     /// The message.
     pub message: PeerMessage,
 }
 
+impl PeerEnvelope {
+    /// Returns an envelope of a VM whose message is for its receivers only.
+    pub fn direct(vm: &VmIdentity, message: PeerMessage) -> Self {
+        Self { sender: vm.name.clone(), incarnation: vm.incarnation, origin: None, message }
+    }
+
+    /// Returns an envelope of a VM whose message is to be passed on. The number of its origin takes
+    /// as many bytes as any, so that the parts of a long message fit with every number.
+    pub fn news(vm: &VmIdentity, message: PeerMessage) -> Self {
+        let (name, incarnation) = (vm.name.clone(), vm.incarnation);
+        let origin = NewsOrigin { vm: name, incarnation, number: u64::MAX };
+        Self { origin: Some(origin), ..Self::direct(vm, message) }
+    }
+
+    /// Returns the envelope as `vm` passes it on, with the message `delay` older.
+    pub fn passed_on(self, vm: &VmIdentity, delay: ClockSpan) -> Self {
+        let message = self.message.aged(delay);
+        Self { sender: vm.name.clone(), incarnation: vm.incarnation, message, ..self }
+    }
+}
+
 /// What one VM tells others. The order of the variants is part of the format.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -32,6 +57,29 @@
     Suspects(SuspectMessage),
 }
 
+impl PeerMessage {
+    /// Returns the message with its ages grown by `delay`.
+    fn aged(mut self, delay: ClockSpan) -> Self {
+        match &mut self {
+            Self::Directory(directory) => {
+                let delay_ms = u32::try_from(delay.as_millis()).unwrap_or(u32::MAX);
+                directory.age_ms = directory.age_ms.saturating_add(delay_ms);
+            }
+            Self::Suspects(suspects) => {
+                for notice in &mut suspects.notices {
+                    notice.cleared_age += delay;
+                    notice.renewed_age += delay;
+                    for incident in &mut notice.incidents {
+                        incident.age += delay;
+                    }
+                }
+            }
+            Self::Hello(_) | Self::Load(_) => {}
+        }
+        self
+    }
+}
+
 /// A sign of life with everything that a peer needs to answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -1,5 +1,6 @@
 //! Divides messages that are too long for one datagram.
 
+use std::borrow::Cow;
 use std::mem;
 
 use postcard::ser_flavors::Size;
@@ -12,9 +13,17 @@
 /// one byte up to 127 entries, two bytes up to 16,383.
 const LENGTH_GROWTH: usize = 1;
 
+/// Returns the envelope itself if it has at most `limit` bytes, otherwise its parts.
+pub(super) fn parts(envelope: &PeerEnvelope, limit: usize) -> Cow<'_, [PeerEnvelope]> {
+    if encoded_size(envelope) <= limit {
+        return Cow::Borrowed(std::slice::from_ref(envelope));
+    }
+    Cow::Owned(divide(envelope, limit))
+}
+
 /// Returns messages with the content of `envelope` that have at most `limit` bytes each. An entry
 /// that is too long alone is in a message of its own, which exceeds the limit.
-pub(super) fn divide(envelope: &PeerEnvelope, limit: usize) -> Vec<PeerEnvelope> {
+fn divide(envelope: &PeerEnvelope, limit: usize) -> Vec<PeerEnvelope> {
     let with = |message| PeerEnvelope { message, ..envelope.clone() };
     let room = |empty: PeerMessage| {
         limit.saturating_sub(encoded_size(&with(empty)).saturating_add(LENGTH_GROWTH))
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -17,6 +17,7 @@
 
 const SEED: u64 = 17;
 const HEAD_BYTES: usize = 17;
+const FORMAT: u8 = 2;
 
 fn codec() -> DatagramCodec {
     DatagramCodec::new(["new secret", "old secret"])
@@ -26,6 +27,7 @@
     PeerEnvelope {
         sender: SharedName::from("gateway-007"),
         incarnation: 1_790_000_000_000,
+        origin: None,
         message,
     }
 }
@@ -231,8 +233,8 @@
 
 fn sealed(body: &[u8]) -> Vec<u8> {
     let key = Hmac::<Sha256>::new_from_slice(b"new secret").expect("any length is a key");
-    let tag = key.chain_update([1]).chain_update(body).finalize().into_bytes();
-    [&[1], &tag[..16], body].concat()
+    let tag = key.chain_update([FORMAT]).chain_update(body).finalize().into_bytes();
+    [&[FORMAT], &tag[..16], body].concat()
 }
 
 /// Returns one message of each kind that fits into a datagram.
@@ -257,7 +259,7 @@
     fn random_bytes_are_not_accepted(bytes in vec(any::<u8>(), 0..1400), format in any::<bool>()) {
         let mut bytes = bytes;
         if let Some(first) = bytes.first_mut().filter(|_| format) {
-            *first = 1;
+            *first = FORMAT;
         }
         prop_assert!(codec().decode(&bytes).is_err());
     }
--- a/crates/peer/tests/rotation.rs
+++ b/crates/peer/tests/rotation.rs
@@ -114,7 +114,7 @@
     let entry = VmEntry { vm, exchange_address: address, control_address: address };
     let message = HelloMessage { entry, leaving: false, answer_wanted: true, config_version: 1 };
     let message = PeerMessage::Hello(message);
-    PeerEnvelope { sender: "vm-1".into(), incarnation: 1, message }
+    PeerEnvelope { sender: "vm-1".into(), incarnation: 1, origin: None, message }
 }
 
 /// Guards against a step that loses datagrams or control calls between VMs that have taken it and
