Test that a frozen VM reads again what may be old

A VM that was frozen has missed news, and its connections may have died meanwhile. The question for a newer configuration is held back for up to 25 s, so that on a dead connection the VM goes on with an old one for that long. Its read of the upstreams is no such case: it has a limit of 1.1 s.

The test freezes a VM without peers for 3 s, silences its connections to the store, drains an upstream and moves a route. Peers were ruled out, because they tell the VM of the newer version. Keep-alives do not detect the silence, as the system of the proxy answers them.

--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -15,6 +15,7 @@
 
 use super::core::DiscoveryCore;
 use crate::event;
+use crate::mechanism::Mechanism;
 
 /// The table in which VMs announce themselves, by name.
 const VM_TABLE: &str = "agateroad_vms";
@@ -60,10 +61,11 @@
     /// Sends what is due to peers, and keeps the budgets of all VMs divided by their number.
     pub(super) async fn greet(self: Arc<Self>) {
         let mut detector = PauseDetector::new(TICK);
+        let watched = self.state.options.tuning.uses(Mechanism::Pause);
         loop {
             tokio::time::sleep(TICK.to_duration()).await;
             let now = self.state.clock.now();
-            if let Some(pause) = detector.observe(now, BootClock.elapsed()) {
+            if let Some(pause) = detector.observe(now, BootClock.elapsed()).filter(|_| watched) {
                 tracing::warn!(event = event::PAUSE_SEEN, %pause, "the process stood still");
                 self.refresh();
             }
--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -19,17 +19,20 @@
     VersionOrder,
     /// Reads by peers count while the own way to the store is cut.
     PeerRemoval,
+    /// After a pause of the process or the machine, upstreams and configuration are read again.
+    Pause,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
         Self::GracefulStop,
         Self::VersionOrder,
         Self::PeerRemoval,
+        Self::Pause,
     ];
 
     /// Returns the name on the command line.
@@ -41,6 +44,7 @@
             Self::GracefulStop => "graceful-stop",
             Self::VersionOrder => "version-order",
             Self::PeerRemoval => "peer-removal",
+            Self::Pause => "pause",
         }
     }
 }
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -54,6 +54,8 @@
 /// was added or removed.
 const DEPENDENCY_LOST: u32 = 1041;
 const UPSTREAM_MOVED: u32 = 1043;
+/// How long a VM is frozen, longer than the limit of 1 s from which that counts.
+const FREEZE_SPAN: ClockSpan = ClockSpan::from_secs(3);
 /// From this long after a change was acknowledged and a disturbance is over, no VM may use what was
 /// before: the stable window of 3 s, with the drain bound or the configuration bound of 2 s each,
 /// of section 1.2 in docs/platform-deployment.md.
@@ -652,6 +654,52 @@
     assert!(late > 0, "the upstream is let go without the mechanism as well");
 }
 
+/// Freezes a VM without peers. Meanwhile its connections to the store go silent, an upstream leaves
+/// and another service takes over a route. Returns how many calls then reach that upstream, and how
+/// many the old service of the route, when neither may be used any longer.
+async fn outdated_calls_after_pause(without: Option<&'static str>) -> [u64; 2] {
+    let mut bed = PlatformBed::start(BedPlan { without, ..BedPlan::default() }).await;
+    bed.add_upstream("annex-0", ANNEX).await;
+    let (proxy, first) = bed.relay_gate("vm-1").await;
+    drop(first);
+    // The question for later versions is on its way when the gateway has this one.
+    bed.configure(|config| config.services.push(service(ANNEX))).await;
+    bed.serve_calls("before", FURTHER_CALLS).await;
+    bed.gate.process.signal(Signal::STOP);
+    proxy.silence_open();
+    let mut config = bed.config().clone();
+    config.version += 1;
+    for route in config.routes.iter_mut().filter(|route| *route.path_prefix == *LOOK) {
+        route.targets[0].service = ANNEX.into();
+    }
+    platform::stand::write_config(&bed.store.handle(), &config);
+    bed.upstreams[0].writer.drain();
+    tokio::time::sleep(FREEZE_SPAN.to_duration()).await;
+    bed.gate.process.signal(Signal::CONT);
+    tokio::time::sleep(SETTLED_SPAN.to_duration()).await;
+    let arrived = || bed.upstreams.iter().map(|own| own.stand.counts().arrived).collect::<Vec<_>>();
+    let before = arrived();
+    for index in 0..DRAIN_CALLS {
+        bed.judge(BOOK, &format!("book-{index}"), &CallEnd::SERVED).await.expect("a served call");
+    }
+    let between = arrived();
+    for index in 0..DRAIN_CALLS {
+        bed.judge(LOOK, &format!("look-{index}"), &CallEnd::SERVED).await.expect("a served call");
+    }
+    let after = arrived();
+    [between[0] - before[0], (after[0] + after[1]) - (between[0] + between[1])]
+}
+
+/// Guards against a VM that goes on with what it knew before it was frozen. Without the mechanism
+/// the check notices: the question for a newer configuration stays on a dead connection.
+#[tokio::test]
+async fn a_frozen_vm_reads_again_what_may_be_old() {
+    assert_eq!(outdated_calls_after_pause(None).await, [0, 0]);
+    let [left, old_routes] = outdated_calls_after_pause(Some("pause")).await;
+    println!("without the mechanism, {left} and {old_routes} of {DRAIN_CALLS} calls are outdated");
+    assert_eq!(old_routes, DRAIN_CALLS as u64, "the old configuration stays in use");
+}
+
 /// Guards against a process that ends, or stops taking calls, when it is told to read its settings
 /// again.
 #[tokio::test]
