Test splits whose part is full or gone, and calls that spill over

The test of shares had one fault, an upstream that refuses connections. A part can also be full or have no upstream left, and a gateway that moves the calls of such a part was not shown to be noticed.

Moving them after a failed attempt was ruled out: an attempt is bound to its service, and the change would have touched the path of every call.

--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -21,11 +21,13 @@
     PeerRemoval,
     /// After a pause of the process or the machine, upstreams and configuration are read again.
     Pause,
+    /// The calls of a part of a split that cannot take them do not move to another part.
+    Split,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
@@ -33,6 +35,7 @@
         Self::VersionOrder,
         Self::PeerRemoval,
         Self::Pause,
+        Self::Split,
     ];
 
     /// Returns the name on the command line.
@@ -45,6 +48,7 @@
             Self::VersionOrder => "version-order",
             Self::PeerRemoval => "peer-removal",
             Self::Pause => "pause",
+            Self::Split => "split",
         }
     }
 }
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -11,6 +11,7 @@
 use world::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::mechanism::Mechanism;
 use crate::state::GateState;
 use crate::worker;
 
@@ -54,7 +55,10 @@
     let environment = state.environment.load();
     let path = parts.uri.path();
     let draw = worker::with_random(RandomSource::unit);
-    let plan = environment.plan_call(&facts.host, parts.method.as_str(), path, draw);
+    let mut plan = environment.plan_call(&facts.host, parts.method.as_str(), path, draw);
+    if !state.options.tuning.uses(Mechanism::Split) {
+        plan = plan.map(|plan| spill(&environment, plan, &facts.host, path));
+    }
     // An answer to a caller's request on this path would look like one to a check.
     let plan = plan.filter(|plan| {
         let contract = environment.contract(&plan.service);
@@ -86,6 +90,17 @@
     Ok(PlannedCall { request, version, objective, timely_until, method, uri, headers, id })
 }
 
+/// Moves a call whose part of a split has no upstreams to another part, as only tests allow.
+fn spill(environment: &EnvironmentMap, plan: CallPlan, host: &str, path: &str) -> CallPlan {
+    let has_upstreams = |service: &SharedName| !environment.upstreams_of(service).is_empty();
+    let route = environment.routes.find(host, path);
+    let mut services = route.iter().flat_map(|route| &route.targets).map(|target| &target.service);
+    match services.find(|service| has_upstreams(service)) {
+        Some(other) if !has_upstreams(&plan.service) => CallPlan { service: other.clone(), ..plan },
+        _ => plan,
+    }
+}
+
 /// A VM that knows that it has an old configuration cannot tell that a route does not exist.
 fn uncovered(state: &GateState, facts: &RequestFacts, parts: &Parts) -> CallRefusal {
     if state.behind.load(Ordering::Acquire) {
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -991,11 +991,9 @@
     }
 }
 
-/// Guards against a split that does not keep its shares, and against calls that move to another
-/// share when theirs has no upstream.
-#[tokio::test]
-async fn a_split_route_keeps_its_shares() {
-    let plan = BedPlan { upstreams: 1, ..BedPlan::default() };
+/// Starts a service and a smaller one, `ANNEX`, with one upstream each, that share a route.
+async fn split_bed(without: Option<&'static str>) -> PlatformBed {
+    let plan = BedPlan { upstreams: 1, without, ..BedPlan::default() };
     let mut bed = PlatformBed::start(plan.clone()).await;
     bed.add_upstream("annex-0", ANNEX).await;
     bed.configure(|config| {
@@ -1005,26 +1003,83 @@
         config.routes.push(CallRoute { targets, ..route("split", "/split", SERVICE, &plan) });
     })
     .await;
-    let arrived = || bed.upstreams.iter().map(|own| own.stand.counts().arrived).collect::<Vec<_>>();
+    bed
+}
+
+/// What keeps the smaller part of a split from taking calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PartFault {
+    /// Its upstream is full and sheds every call.
+    Full,
+    /// Its upstream refuses connections.
+    Refused,
+    /// Its upstream is gone.
+    Gone,
+}
+
+impl PartFault {
+    async fn inject(self, bed: &PlatformBed) {
+        let part = &bed.upstreams[1];
+        match self {
+            Self::Full => {
+                let rule =
+                    FaultRule { fault: AnswerFault::Early { status: 503 }, ..FaultRule::default() };
+                part.stand.update(|plan| plan.faults = vec![rule]);
+            }
+            Self::Refused => refuse(&part.stand).await,
+            Self::Gone => bed.wait_rows(part.writer.remove()).await,
+        }
+    }
+
+    /// Makes calls to a split whose smaller part has the fault. Returns how many were refused, and
+    /// how many reached the other part.
+    async fn split_calls(self, bed: &PlatformBed) -> [u64; 2] {
+        self.inject(bed).await;
+        let arrived = || bed.upstreams[0].stand.counts().arrived;
+        let before = arrived();
+        let mut refused = 0;
+        for index in 0..SPLIT_CALLS {
+            let id = format!("{self:?}-{index}");
+            let answer = bed.call("/split", &id).await;
+            let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+            refused += u64::from(status == 503);
+            let end = if status == 503 { CallEnd::LATER } else { CallEnd::SERVED };
+            bed.check("/split", &id, &answer, &end).expect("the call is served or refused");
+        }
+        [refused, arrived() - before]
+    }
+}
+
+/// Guards against a split that does not keep its shares, and against calls that move to another
+/// share when theirs is full, fails or has no upstream.
+#[tokio::test]
+async fn a_split_route_keeps_its_shares() {
+    let bed = split_bed(None).await;
     for index in 0..SPLIT_CALLS {
         let id = format!("split-{index}");
         bed.judge("/split", &id, &CallEnd::SERVED).await.expect("the call is served");
     }
+    let arrived = || bed.upstreams.iter().map(|own| own.stand.counts().arrived).collect::<Vec<_>>();
     let both = arrived();
     assert_eq!(both.iter().sum::<u64>(), SPLIT_CALLS);
     assert!(keeps_share(both[1]), "{both:?}");
-    refuse(&bed.upstreams[1].stand).await;
-    let mut refused = 0;
-    for index in 0..SPLIT_CALLS {
-        let id = format!("failing-{index}");
-        let answer = bed.call("/split", &id).await;
-        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
-        refused += u64::from(status == 503);
-        let end = if status == 503 { CallEnd::LATER } else { CallEnd::SERVED };
-        bed.check("/split", &id, &answer, &end).expect("the call is served or refused");
+    for fault in [PartFault::Full, PartFault::Refused, PartFault::Gone] {
+        let part_before = arrived()[1];
+        let [refused, others] = fault.split_calls(&bed).await;
+        assert!(keeps_share(refused), "{fault:?}: {refused} calls were refused");
+        assert_eq!(others, SPLIT_CALLS - refused, "{fault:?}");
+        assert!(fault == PartFault::Full || arrived()[1] == part_before, "{fault:?}");
     }
-    assert!(keeps_share(refused), "{refused} calls were refused");
-    assert_eq!(arrived(), [both[0] + SPLIT_CALLS - refused, both[1]]);
+}
+
+/// Shows that the check of the shares notices calls that move to another share.
+#[tokio::test]
+async fn a_split_that_spills_is_noticed() {
+    let bed = split_bed(Some("split")).await;
+    let [refused, others] = PartFault::Gone.split_calls(&bed).await;
+    println!("{refused} of {SPLIT_CALLS} calls are refused without the mechanism");
+    assert!(!keeps_share(refused), "{refused} calls were refused");
+    assert_eq!(others, SPLIT_CALLS);
 }
 
 /// Returns whether the smaller part of a split has its share. The chance that a correct gateway
