Test that silent connections are replaced, and show what is lost otherwise

Calls on connections that stopped responding end with their deadline and an unknown outcome. For the interface of the users' platform, no test had such a connection with checks before calls, and the existing tests of the own interface and of the store showed no run without the mechanism.

--without silence turns off the checks before calls and the watch on calls that wait, one for each interface. The proof that a connection needs for calls that must run once has a case without it already (connection_proof), and the idle connections of the store get one (idle_limit). Silence of whole machines, which keep-alives detect, was left out: on loopback the system answers them.

The store client without its limit reads on the connection that has been silent for 61 s of the virtual clock.

--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -23,11 +23,13 @@
     Pause,
     /// The calls of a part of a split that cannot take them do not move to another part.
     Split,
+    /// A connection that went silent is replaced before a call is sent on it or while one waits.
+    Silence,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
@@ -36,6 +38,7 @@
         Self::PeerRemoval,
         Self::Pause,
         Self::Split,
+        Self::Silence,
     ];
 
     /// Returns the name on the command line.
@@ -49,6 +52,7 @@
             Self::PeerRemoval => "peer-removal",
             Self::Pause => "pause",
             Self::Split => "split",
+            Self::Silence => "silence",
         }
     }
 }
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -18,6 +18,7 @@
 use crate::connection::SendError;
 use crate::crash;
 use crate::link::{LinkConnection, UpstreamLink};
+use crate::mechanism::Mechanism;
 use crate::retry::{self, NextStep};
 use crate::running::RunningCall;
 use crate::silence::SilenceWatch;
@@ -146,7 +147,8 @@
         let give_up = if C::CONFIRMS_CANCELS { deadline - kept } else { deadline };
         let may_repeat = retry::may_run_twice(&call.request);
         // A survey proves the connection, which spares the watch.
-        let watched = !state.options.tuning.survey;
+        let tuning = &state.options.tuning;
+        let watched = !tuning.survey && tuning.uses(Mechanism::Silence);
         let watch = watched.then(|| SilenceWatch::start(connection, &call.request, sent));
         let mut watch = watch.flatten();
         let mut sending = pin!(connection.send(request));
--- a/crates/gate/src/survey.rs
+++ b/crates/gate/src/survey.rs
@@ -14,6 +14,7 @@
 
 use crate::desk::ServiceDesk;
 use crate::link::{LinkConnection, UpstreamLink};
+use crate::mechanism::Mechanism;
 use crate::probe::{self, CheckEnd};
 use crate::state::GateState;
 use crate::worker;
@@ -79,6 +80,9 @@
     idempotent: bool,
 ) -> UpstreamSurvey {
     let mut survey = UpstreamSurvey::default();
+    if !state.options.tuning.uses(Mechanism::Silence) {
+        return survey;
+    }
     for _ in 0..MAX_ROUNDS {
         survey.best = None;
         let now = state.clock.now();
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -135,6 +135,8 @@
     silence: ClockSpan,
     steps: &'static [ScriptStep],
     connections: &'static [usize],
+    /// The silence after which a connection is not used again.
+    idle_limit: ClockSpan,
 }
 
 impl ConnectionCase {
@@ -144,7 +146,7 @@
         steps: &'static [ScriptStep],
         connections: &'static [usize],
     ) -> Self {
-        Self { name, silence, steps, connections }
+        Self { name, silence, steps, connections, idle_limit: MINUTE }
     }
 }
 
@@ -156,12 +158,18 @@
     let cases = [
         ConnectionCase::new("kept", second, &[], &[1, 1]),
         ConnectionCase::new("silent for too long", MINUTE + second, &[], &[1, 2]),
+        // Without the limit, the call goes out on the connection that may be dead.
+        ConnectionCase {
+            idle_limit: ClockSpan::MAX,
+            ..ConnectionCase::new("silent, without a limit", MINUTE + second, &[], &[1, 1])
+        },
         ConnectionCase::new("cut on reuse, read again", second, &[Serve, Cut], &[1, 1, 2]),
     ];
     for case in cases {
         let server = ScriptServer::start(case.steps).await;
         let clock = VirtualClock::default();
-        let store = HttpStore::new(settings(&server), clock.clone());
+        let settings = HttpSettings { idle_limit: case.idle_limit, ..settings(&server) };
+        let store = HttpStore::new(settings, clock.clone());
         for _ in 0..2 {
             let rows = store.read(vec![RowKey::new("t", "k")]).await;
             assert_eq!(rows, Ok(vec![None]), "{}", case.name);
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -458,6 +458,38 @@
     run_cases(closing_cases(), true).await;
 }
 
+/// Makes a call that must not run twice when the connections to all upstreams have gone silent. If
+/// it is served, requires that no upstream is left out afterwards.
+async fn call_after_silence(without: Option<&'static str>) -> Result<(), String> {
+    let bed = PlatformBed::start(BedPlan { timeout: SHORT, without, ..BedPlan::default() }).await;
+    let mut proxies = Vec::new();
+    for own in &bed.upstreams {
+        let plan = ProxyPlan { target: own.stand.address(), ..ProxyPlan::default() };
+        let proxy = FaultProxy::start(plan).await.expect("a proxy");
+        bed.wait_rows(own.writer.change(|entry| entry.server.address = proxy.address())).await;
+        bed.reach(own, &format!("before-{}", proxies.len())).await;
+        proxies.push(proxy);
+    }
+    tokio::time::sleep(STALE.to_duration()).await;
+    proxies.iter().for_each(FaultProxy::silence_open);
+    bed.judge(BOOK, "silent", &CallEnd::SERVED).await?;
+    for (index, own) in bed.upstreams.iter().enumerate() {
+        assert!(proxies[index].counts().silenced > 0, "a connection went silent");
+        bed.reach(own, &format!("after-{index}")).await;
+    }
+    Ok(())
+}
+
+/// Guards against calls that must run once and are sent on dead connections, and against an
+/// upstream that is blamed for these. Without the mechanism the check notices.
+#[tokio::test]
+async fn calls_are_not_sent_on_silent_connections() {
+    call_after_silence(None).await.expect("the call is served");
+    let lost = call_after_silence(Some("silence")).await;
+    println!("without the mechanism: {lost:?}");
+    assert!(lost.is_err(), "the call is served without the mechanism as well");
+}
+
 /// Guards against work that goes on at an upstream after its caller closed the connection, and
 /// against work that is sent again then.
 #[tokio::test]
--- a/crates/trial/tests/request_path.rs
+++ b/crates/trial/tests/request_path.rs
@@ -157,29 +157,23 @@
     assert!(late <= bed.gates.len() as u64, "{late} calls reached the leaving upstream");
 }
 
+/// Shows that the check of calls on silent connections notices the absence of the mechanism.
+#[tokio::test]
+async fn calls_on_silent_connections_are_lost_without_the_watch() {
+    let without = ["--without", "silence"].map(str::to_owned).to_vec();
+    let run = SilentRun::start(without).await;
+    let lost = |answer: &CallAnswer| answer.status == StatusCode::GATEWAY_TIMEOUT;
+    assert!(run.answers.iter().any(lost), "{:?}", run.answers);
+}
+
 /// Guards against calls that are lost, or upstreams that are ejected, because old connections
 /// stopped responding.
 #[tokio::test]
 async fn silent_connections_are_replaced() {
-    let stands = stands(vec![UpstreamPlan::default()]).await;
-    let plan = ProxyPlan { target: stands[0].address(), ..ProxyPlan::default() };
-    let proxy = FaultProxy::start(plan).await.expect("the proxy starts");
-    // The objective keeps calls that wait behind silent ones from being refused as overload.
-    let service = TrialService { objective_ms: 5_000, ..service(&[proxy.address()]) };
-    let mut bed = TestBed::start(service, 1).await;
-    let client = TestClient::default();
+    let SilentRun { stands, mut bed, client, answers, proxy: _proxy } =
+        SilentRun::start(Vec::new()).await;
     let address = bed.address();
-    call(&client, address, Method::GET, "/phase/0", "first").await;
-    proxy.silence_open();
-    let mut callers = JoinSet::new();
-    for index in 0..4 {
-        let client = client.clone();
-        callers.spawn(async move {
-            let path = format!("/phase/{index}");
-            call(&client, address, Method::GET, &path, "silent").await
-        });
-    }
-    for answer in callers.join_all().await {
+    for answer in answers {
         assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
     }
     for index in 0..20 {
@@ -194,6 +188,41 @@
     assert_eq!(bed.gates[0].logged(EJECTED), 0, "the upstream was ejected");
 }
 
+/// A gateway whose connections to its only upstream went silent.
+struct SilentRun {
+    stands: Vec<UpstreamStand>,
+    bed: TestBed,
+    client: TestClient,
+    /// The answers to calls that were made at once after that.
+    answers: Vec<CallAnswer>,
+    proxy: FaultProxy,
+}
+
+impl SilentRun {
+    async fn start(arguments: Vec<String>) -> Self {
+        let stands = stands(vec![UpstreamPlan::default()]).await;
+        let plan = ProxyPlan { target: stands[0].address(), ..ProxyPlan::default() };
+        let proxy = FaultProxy::start(plan).await.expect("the proxy starts");
+        // The objective keeps calls that wait behind silent ones from being refused as overload.
+        let service = TrialService { objective_ms: 5_000, ..service(&[proxy.address()]) };
+        let bed = TestBed::start_with(service, 1, arguments).await;
+        let client = TestClient::default();
+        let address = bed.address();
+        call(&client, address, Method::GET, "/phase/0", "first").await;
+        proxy.silence_open();
+        let mut callers = JoinSet::new();
+        for index in 0..4 {
+            let client = client.clone();
+            callers.spawn(async move {
+                let path = format!("/phase/{index}");
+                call(&client, address, Method::GET, &path, "silent").await
+            });
+        }
+        let answers = callers.join_all().await;
+        Self { stands, bed, client, answers, proxy }
+    }
+}
+
 struct ShedCase {
     name: &'static str,
     method: Method,
