Show that the limit of late sends needs suspicion and notices

The model of a crashing request checks that at most three sends come later than 3 s after its third crash, and had no run that exceeds this. The cases without a mechanism covered the number of crashes only, with pinned requests, which the interface of the users' platform does not have.

No process is needed: the spans of the tuning are set to zero, or the model sends no notices.

--- a/crates/suspect/tests/storm.rs
+++ b/crates/suspect/tests/storm.rs
@@ -602,3 +602,35 @@
     let name = "unpinned, after a round trip";
     check_late_sends(&StormCase { name, repeat_ms: 16.0, ..UNPINNED }, LATE_AFTER, 1..=10);
 }
+
+/// Guards against a limit of late sends that holds by itself: with VMs that forward suspects, or
+/// that do not tell each other of crashes, it is exceeded.
+#[test]
+fn limit_of_late_sends_needs_each_mechanism() {
+    let cases = [
+        StormCase {
+            name: "unpinned, repeats after 250 ms without suspicion",
+            repeat_ms: 250.0,
+            tuning: || SuspectTuning {
+                suspect_span: ClockSpan::ZERO,
+                confirmed_span: ClockSpan::ZERO,
+                ..SuspectTuning::unpinned()
+            },
+            ..UNPINNED
+        },
+        StormCase {
+            name: "unpinned, repeats after 250 ms without notices",
+            repeat_ms: 250.0,
+            sharing: false,
+            ..UNPINNED
+        },
+    ];
+    for case in cases {
+        for seed in SEEDS {
+            let late = Storm::new(&case, seed).run().late_sends;
+            let late = late.iter().filter(|span| **span >= LATE_AFTER).count();
+            println!("{}, seed {seed}: {late} late sends", case.name);
+            assert!(late > MOST_LATE_SENDS, "{}, seed {seed}: {late}", case.name);
+        }
+    }
+}
