Test readiness without the store, and calls in step after a failure

A VM that is ready before it has the configuration and the upstreams is sent calls that it refuses, and VMs that all died and start together call a store that is down in step. The readiness check had no run in which it fails, and nothing tested the jitter.

--without recovery makes a gateway ready that waits for its configuration. The jitter needs no process: the model starts 98 VMs at once, and failure_jitter 0 turns it off. The pauses after failed calls for the configuration and the own row are drawn in the gateway and are not covered.

--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -27,11 +27,13 @@
     Silence,
     /// Arrivals beyond the first one of each call are drawn from a budget.
     RetryBudget,
+    /// A VM is ready only once it has the configuration and the upstreams.
+    Recovery,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
@@ -42,6 +44,7 @@
         Self::Split,
         Self::Silence,
         Self::RetryBudget,
+        Self::Recovery,
     ];
 
     /// Returns the name on the command line.
@@ -57,6 +60,7 @@
             Self::Split => "split",
             Self::Silence => "silence",
             Self::RetryBudget => "retry-budget",
+            Self::Recovery => "recovery",
         }
     }
 }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -17,6 +17,7 @@
 use crate::count::CallCount;
 use crate::depend::DependencyWatch;
 use crate::links::LinkTable;
+use crate::mechanism::Mechanism;
 use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
 use crate::tables::CallTables;
@@ -116,7 +117,9 @@
 
     /// Returns whether the gateway wants new calls.
     pub fn is_ready(&self) -> bool {
-        !self.waiting.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
+        let waits = self.options.tuning.uses(Mechanism::Recovery);
+        let waiting = waits && self.waiting.load(Ordering::Acquire);
+        !waiting && !self.draining.load(Ordering::Acquire)
     }
 
     /// Returns the longest time that a call may take.
--- a/crates/member/tests/lifecycle.rs
+++ b/crates/member/tests/lifecycle.rs
@@ -138,3 +138,40 @@
     let shares = [0, 15, 30, 60].map(|seconds| ramp.share(now + ClockSpan::from_secs(seconds)));
     assert_eq!(shares.map(|share| (share * 100.0).round()), [10.0, 55.0, 100.0, 100.0]);
 }
+
+/// VMs that start together, as many as the larger deployment of docs/platform-deployment.md has.
+const STARTING_VMS: u64 = 98;
+/// How long their store is down, several times the longest delay between two tries.
+const OUTAGE_MS: u64 = 20_000;
+
+/// Starts VMs at the same moment while the store is down. Returns the most that call it in one
+/// millisecond after their first call.
+fn most_calls_at_once(failure_jitter: f64) -> usize {
+    let read = ReadTuning { failure_jitter, ..ReadTuning::default() };
+    let tuning = MeshTuning { read, ..MeshTuning::default() };
+    let plan = |seed| {
+        let vm = VmIdentity { name: "own".into(), incarnation: 1, centre: "medeu".into() };
+        let address = SocketAddr::from(([10, 0, 0, 1], 7400));
+        let own = VmEntry { vm, exchange_address: address, control_address: address };
+        MeshPlan::new(own, tuning.clone(), seed)
+    };
+    let mut plans: Vec<MeshPlan> = (1..=STARTING_VMS).map(plan).collect();
+    let mut calls = (0..OUTAGE_MS).map(|millis| {
+        let now = START + ClockSpan::from_millis(millis);
+        let due = plans.iter_mut().filter_map(|plan| plan.read_due(now).then_some(plan));
+        due.map(|plan| plan.read_failed(now)).count()
+    });
+    assert_eq!(calls.next(), Some(STARTING_VMS as usize), "a read is due at the start");
+    calls.max().unwrap_or(0)
+}
+
+/// Guards against VMs that start together after all of them died, and then go on to call a store
+/// that is down at the same moments. Without jitter the check notices.
+#[test]
+fn failed_calls_after_a_common_start_are_spread() {
+    let [spread, in_step] = [ReadTuning::default().failure_jitter, 0.0].map(most_calls_at_once);
+    println!("{spread} of {STARTING_VMS} VMs call at once, {in_step} without jitter");
+    // A quarter of them is far from a common step.
+    assert!(spread <= STARTING_VMS as usize / 4, "{spread} at once");
+    assert_eq!(in_step, STARTING_VMS as usize);
+}
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -581,20 +581,38 @@
     vec![RowFault { down: Some(outage), ..RowFault::default() }]
 }
 
+impl OutageCase {
+    /// Starts a gateway while the store is down, and requires that it refuses calls.
+    async fn start_without_store(&self, without: Option<&'static str>) -> PlatformBed {
+        let store_faults = down(self.outage);
+        let plan = BedPlan { store_faults, without, ..BedPlan::default() };
+        let bed = PlatformBed::start_unready(plan).await;
+        let hit = bed.store.wait_for(|counts| (self.hit)(&counts.all) >= OUTAGE_CALLS);
+        event(self.name, hit).await;
+        for path in [LOOK, BOOK] {
+            let id = format!("early{path}");
+            bed.judge(path, &id, &CallEnd::LATER).await.expect(self.name);
+        }
+        bed
+    }
+}
+
+/// Shows that the check of readiness notices a gateway that is ready and refuses calls.
+#[tokio::test]
+async fn a_gateway_that_is_ready_too_early_is_noticed() {
+    for case in outages() {
+        let bed = case.start_without_store(Some("recovery")).await;
+        assert_eq!(bed.readiness().await, Some(StatusCode::OK), "{}", case.name);
+    }
+}
+
 /// Guards against a gateway that takes calls before it knows the configuration and the upstreams,
 /// and against one that never recovers from a store that was down at its start.
 #[tokio::test]
 async fn calls_wait_for_a_store_that_is_down_at_the_start() {
     for case in outages() {
-        let plan = BedPlan { store_faults: down(case.outage), ..BedPlan::default() };
-        let bed = PlatformBed::start_unready(plan).await;
-        let hit = bed.store.wait_for(|counts| (case.hit)(&counts.all) >= OUTAGE_CALLS);
-        event(case.name, hit).await;
+        let bed = case.start_without_store(None).await;
         assert_eq!(bed.readiness().await, Some(StatusCode::SERVICE_UNAVAILABLE), "{}", case.name);
-        for path in [LOOK, BOOK] {
-            let id = format!("early{path}");
-            bed.judge(path, &id, &CallEnd::LATER).await.expect(case.name);
-        }
         bed.fail_store(Vec::new());
         bed.wait_ready(true).await;
         bed.serve_calls("late", FURTHER_CALLS).await;
