--- a/crates/trial/tests/support/platform.rs
+++ b/crates/trial/tests/support/platform.rs
@@ -54,6 +54,9 @@
 const GAUGE_PERIOD: ClockSpan = ClockSpan::from_millis(600);
 /// The most that the settings allow.
 const RETRY_RATIO: f64 = 1.0;
+/// Further arrivals in a window on top of the ratio, as in section 1.2 of
+/// docs/platform-deployment.md.
+pub const RETRY_SLACK: f64 = 58.0;
 /// Longer than any test, so that all calls of a test count.
 const RETRY_WINDOW_MS: u64 = 3_600_000;
 /// Health checks of an upstream a second, the most that the settings allow: one VM gets only a
@@ -94,6 +97,10 @@
     pub checks: bool,
     /// Faults of the store from the start.
     pub store_faults: Vec<RowFault>,
+    /// Further arrivals at a service for each call, over all gateways.
+    pub retry_ratio: f64,
+    /// The mechanism that the gateways go without.
+    pub without: Option<&'static str>,
 }
 
 impl Default for BedPlan {
@@ -111,10 +118,23 @@
             objective: LONG,
             checks: true,
             store_faults: Vec::new(),
+            retry_ratio: RETRY_RATIO,
+            without: None,
         }
     }
 }
 
+impl BedPlan {
+    /// Returns the settings of a gateway.
+    fn settings(&self, store: &StoreStand) -> GateSettings {
+        let arguments = self.without.iter().flat_map(|name| ["--without", name]);
+        let arguments = arguments.map(str::to_owned).collect();
+        let mut settings = GateSettings { arguments, ..gate_settings(store, self.checks) };
+        settings.fleet["retry_ratio"] = self.retry_ratio.into();
+        settings
+    }
+}
+
 /// An upstream and the writer of its row.
 #[derive(Debug)]
 pub struct ListedUpstream {
@@ -186,10 +206,28 @@
             let name = format!("{SERVICE}-{}", upstreams.len());
             upstreams.push(list_upstream(&store, &name, SERVICE, &plan.upstream).await);
         }
-        let gate = GateProcess::follow(&gate_settings(&store, plan.checks)).expect("a gateway");
+        let gate = GateProcess::follow(&plan.settings(&store)).expect("a gateway");
         Self { store, upstreams, gate, client: TestClient::default(), config, plan }
     }
 
+    /// Puts a gateway in place of the present one that reaches the store through a proxy, and waits
+    /// until it is ready. Returns the proxy and the gateway before.
+    pub async fn relay_gate(&mut self, vm_name: &str) -> (FaultProxy, GateProcess) {
+        let plan = ProxyPlan { target: self.store.address(), ..ProxyPlan::default() };
+        let proxy = FaultProxy::start(plan).await.expect("a proxy");
+        let settings = GateSettings {
+            vm_name: vm_name.to_owned(),
+            platform_address: proxy.address(),
+            // With the moves of upstreams.
+            log_level: "info",
+            ..self.plan.settings(&self.store)
+        };
+        let gate = GateProcess::follow(&settings).expect("a gateway");
+        let before = std::mem::replace(&mut self.gate, gate);
+        self.wait_ready(true).await;
+        (proxy, before)
+    }
+
     /// Waits until the gateway is ready, or until it is not.
     pub async fn wait_ready(&self, ready: bool) {
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -460,6 +498,7 @@
         }),
         fleet: json!({
             "retry_ratio": RETRY_RATIO,
+            "retry_slack": RETRY_SLACK,
             "retry_window_ms": RETRY_WINDOW_MS,
             "probe_rate": if checks { CHECK_RATE } else { 0.0 },
             "stop_limit_ms": LONG.as_millis(),
