Join the set-up of the tests of limit and share sample environments

crates/world/tests/sample has one copy of a contract, servers, an environment, a request and a VM; the tests of each crate change the fields that they are about.

Joined: the literals of contracts, servers, environments and requests; steps of the queue table that only repeat a join or a turn; rows of the tables of shares, bounds and starvation, which go through a function each.

--- a/crates/limit/tests/capacity.rs
+++ b/crates/limit/tests/capacity.rs
@@ -147,22 +147,12 @@
 #[test]
 fn limit_has_floor_and_ceiling() {
     let base = ServiceSetup::BASE;
+    let case =
+        |name, setup, start, floor, ceiling| BoundCase { name, setup, start, floor, ceiling };
     let cases = [
-        BoundCase { name: "two slots", setup: base, start: 2, floor: 1, ceiling: 20 },
-        BoundCase {
-            name: "many slots",
-            setup: ServiceSetup { upstreams: 30, slots: 6, ..base },
-            start: 12,
-            floor: 3,
-            ceiling: 180,
-        },
-        BoundCase {
-            name: "one slot",
-            setup: ServiceSetup { upstreams: 1, slots: 1, ..base },
-            start: 1,
-            floor: 1,
-            ceiling: 1,
-        },
+        case("two slots", base, 2, 1, 20),
+        case("many slots", ServiceSetup { upstreams: 30, slots: 6, ..base }, 12, 3, 180),
+        case("one slot", ServiceSetup { upstreams: 1, slots: 1, ..base }, 1, 1, 1),
     ];
     for case in cases {
         for (signal, expected) in [
--- a/crates/limit/tests/common/mod.rs
+++ b/crates/limit/tests/common/mod.rs
@@ -1,10 +1,14 @@
 //! Environments for the tests.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
+#[path = "../../../world/tests/sample/mod.rs"]
+mod sample;
+
 use std::sync::Arc;
 
 use base::prelude::*;
+// Not every test file sends requests.
+#[allow(unused_imports)]
+pub use sample::request;
 use world::prelude::*;
 
 /// What the tests vary about a service.
@@ -35,71 +39,28 @@
     };
 
     fn contract(&self) -> ServiceContract {
+        let base = sample::contract(self.name);
         ServiceContract {
-            name: self.name.into(),
-            hosts: Vec::new(),
-            path_prefixes: Vec::new(),
-            rules: Vec::new(),
             deadline: ClockSpan::from_secs(2),
-            objective: ServiceObjective {
-                latency: self.objective,
-                latency_share: 0.99,
-                success_share: 0.999,
-            },
+            objective: ServiceObjective { latency: self.objective, ..base.objective },
             probe_share: self.probe_share,
             vm_ceiling: self.vm_ceiling,
             retry_ratio: self.retry_ratio,
             queue_limit: self.queue_limit,
-            health_path: None,
             retry_window: self.retry_window,
+            ..base
         }
     }
 
     fn servers(&self) -> Vec<Arc<UpstreamServer>> {
-        let server = |index: u32| {
-            Arc::new(UpstreamServer {
-                name: SharedName::from(format!("{}-{index}", self.name)),
-                service: self.name.into(),
-                centre: "suva".into(),
-                address: SocketAddr::from(([127, 0, 0, 1], 9)),
-                slots: self.slots,
-                connections: 200,
-                incarnation: 0,
-                warm_up: ClockSpan::ZERO,
-            })
-        };
-        (0..self.upstreams).map(server).collect()
+        let mut servers = sample::servers(self.name, self.upstreams as usize);
+        servers.iter_mut().for_each(|server| Arc::make_mut(server).slots = self.slots);
+        servers
     }
 }
 
 pub fn environment(setups: &[ServiceSetup]) -> EnvironmentMap {
-    let upstreams: HashMap<SharedName, _> =
-        setups.iter().map(|setup| (setup.name.into(), setup.servers())).collect();
-    EnvironmentMap {
-        name: "trial".into(),
-        version: 1,
-        digest: "0".into(),
-        centres: Vec::new(),
-        links: Vec::new(),
-        contracts: setups.iter().map(|setup| Arc::new(setup.contract())).collect(),
-        upstreams,
-        routes: RouteTable::default(),
-        caller_limits: CallerLimits::default(),
-    }
-}
-
-// Not every test file sends requests.
-#[allow(dead_code)]
-pub fn request(service: &str, class: WorkClass, deadline: ClockTime) -> CallerRequest {
-    CallerRequest {
-        service: service.into(),
-        class,
-        idempotent: true,
-        deadline,
-        attempt: 1,
-        attempt_limit: None,
-        depth: 0,
-        key: None,
-        fingerprint: 1,
-    }
+    let upstreams = setups.iter().map(|setup| (setup.name.into(), setup.servers())).collect();
+    let contracts = setups.iter().map(ServiceSetup::contract).collect();
+    EnvironmentMap { upstreams, ..sample::environment(contracts) }
 }
--- a/crates/limit/tests/overload.rs
+++ b/crates/limit/tests/overload.rs
@@ -234,31 +234,23 @@
 fn no_class_starves_in_overload() {
     let nothing_kept = || QueueTuning { kept_share: 0.0, ..QueueTuning::default() };
     let unlimited = || QueueTuning { aged_turns: 1, ..QueueTuning::default() };
+    let case =
+        |name, base, urgent_first, all_served| StarveCase { name, base, urgent_first, all_served };
     let cases = [
-        StarveCase {
-            name: "short queue",
-            base: OverloadCase::BASE,
-            urgent_first: true,
-            all_served: true,
-        },
-        StarveCase {
-            name: "long queue",
-            base: OverloadCase::LONG,
-            urgent_first: true,
-            all_served: true,
-        },
-        StarveCase {
-            name: "long queue, any number of aged turns",
-            base: OverloadCase { tuning: unlimited, ..OverloadCase::LONG },
-            urgent_first: false,
-            all_served: true,
-        },
-        StarveCase {
-            name: "short queue without kept places",
-            base: OverloadCase { tuning: nothing_kept, ..OverloadCase::BASE },
-            urgent_first: true,
-            all_served: false,
-        },
+        case("short queue", OverloadCase::BASE, true, true),
+        case("long queue", OverloadCase::LONG, true, true),
+        case(
+            "long queue, any number of aged turns",
+            OverloadCase { tuning: unlimited, ..OverloadCase::LONG },
+            false,
+            true,
+        ),
+        case(
+            "short queue without kept places",
+            OverloadCase { tuning: nothing_kept, ..OverloadCase::BASE },
+            true,
+            false,
+        ),
     ];
     for case in cases {
         let calls = Model::run(&case.base, 1);
--- a/crates/limit/tests/probes.rs
+++ b/crates/limit/tests/probes.rs
@@ -209,49 +209,20 @@
         probes,
         oversubscribed,
     };
+    let case = |name, connections, ceiling, counts, expected| ShareCase {
+        name,
+        connections,
+        ceiling,
+        counts,
+        expected,
+    };
     let cases = [
-        ShareCase {
-            name: "15 VMs",
-            connections: 200,
-            ceiling: 15,
-            counts: counts(15, 15),
-            expected: share(12, 1, false),
-        },
-        ShareCase {
-            name: "ceiling above the list",
-            connections: 200,
-            ceiling: 16,
-            counts: counts(3, 5),
-            expected: share(11, 1, false),
-        },
-        ShareCase {
-            name: "more VMs than the ceiling",
-            connections: 200,
-            ceiling: 16,
-            counts: counts(15, 100),
-            expected: share(1, 1, false),
-        },
-        ShareCase {
-            name: "one connection each",
-            connections: 200,
-            ceiling: 16,
-            counts: counts(200, 15),
-            expected: share(1, 0, false),
-        },
-        ShareCase {
-            name: "more VMs than connections",
-            connections: 200,
-            ceiling: 16,
-            counts: counts(201, 15),
-            expected: share(1, 0, true),
-        },
-        ShareCase {
-            name: "unknown counts",
-            connections: 200,
-            ceiling: 0,
-            counts: counts(0, 0),
-            expected: share(199, 1, false),
-        },
+        case("15 VMs", 200, 15, counts(15, 15), share(12, 1, false)),
+        case("ceiling above the list", 200, 16, counts(3, 5), share(11, 1, false)),
+        case("more VMs than the ceiling", 200, 16, counts(15, 100), share(1, 1, false)),
+        case("one connection each", 200, 16, counts(200, 15), share(1, 0, false)),
+        case("more VMs than connections", 200, 16, counts(201, 15), share(1, 0, true)),
+        case("unknown counts", 200, 0, counts(0, 0), share(199, 1, false)),
     ];
     for case in cases {
         let own = ConnectionShare::of(case.connections, case.ceiling, case.counts);
--- a/crates/limit/tests/queue.rs
+++ b/crates/limit/tests/queue.rs
@@ -14,10 +14,14 @@
 enum Step {
     /// Enqueues a caller with this class and time left; the waiter gets the next number, from 0.
     Join(WorkClass, ClockSpan),
+    /// Enqueues callers of these classes with much time left.
+    Joins(&'static [WorkClass]),
     /// As `Join`, and must be refused.
     Denied(WorkClass, ClockSpan, RefusalKind),
     /// A slot is free; the waiter with this number gets it.
     Next(Option<usize>),
+    /// Slots are free, one after the other; these waiters get them.
+    Turns(&'static [usize]),
     Cancel(usize, bool),
     /// The waiters that were dropped.
     Dropped(&'static [(usize, RefusalKind)]),
@@ -27,7 +31,7 @@
 }
 
 use RefusalKind::{DeadlineTooShort, Displaced, Overloaded, QueueFull};
-use Step::{CallTime, Cancel, Denied, Dropped, Join, Next, Wait};
+use Step::*;
 use WorkClass::{Deferrable, Normal, Urgent};
 
 const LONG: ClockSpan = ClockSpan::from_secs(60);
@@ -65,15 +69,10 @@
         ..case(
             "by class, then by arrival",
             &[
-                Join(Deferrable, LONG),
-                Join(Normal, LONG),
-                Join(Urgent, LONG),
+                Joins(&[Deferrable, Normal, Urgent]),
                 Wait(millis(1)),
                 Join(Urgent, LONG),
-                Next(Some(2)),
-                Next(Some(3)),
-                Next(Some(1)),
-                Next(Some(0)),
+                Turns(&[2, 3, 1, 0]),
                 Next(None),
             ],
         )
@@ -90,29 +89,20 @@
             Next(Some(2)),
             Wait(millis(20)),
             Join(Urgent, LONG),
-            Next(Some(1)),
-            Next(Some(3)),
+            Turns(&[1, 3]),
         ],
     ),
     QueueCase {
         tuning: no_ageing,
         ..case(
             "without ageing it does not",
-            &[
-                Join(Deferrable, LONG),
-                Wait(millis(1010)),
-                Join(Urgent, LONG),
-                Next(Some(1)),
-                Next(Some(0)),
-            ],
+            &[Join(Deferrable, LONG), Wait(millis(1010)), Join(Urgent, LONG), Turns(&[1, 0])],
         )
     },
     case(
         "a full queue refuses equals",
         &[
-            Join(Urgent, LONG),
-            Join(Normal, LONG),
-            Join(Normal, LONG),
+            Joins(&[Urgent, Normal, Normal]),
             Denied(Normal, LONG, QueueFull),
             Denied(Deferrable, LONG, QueueFull),
             Dropped(&[]),
@@ -121,10 +111,7 @@
     case(
         "a full queue gives up the newest of the least urgent",
         &[
-            Join(Deferrable, LONG),
-            Join(Deferrable, LONG),
-            Join(Normal, LONG),
-            Join(Urgent, LONG),
+            Joins(&[Deferrable, Deferrable, Normal, Urgent]),
             Dropped(&[(1, Displaced)]),
             Join(Urgent, LONG),
             Dropped(&[(0, Displaced)]),
@@ -190,8 +177,7 @@
     case(
         "a wait that exceeds the deadline is refused on arrival",
         &[
-            Join(Normal, LONG),
-            Join(Normal, LONG),
+            Joins(&[Normal, Normal]),
             Wait(millis(40)),
             Next(Some(0)),
             // One waiter ahead and a turn every 40 ms.
@@ -219,8 +205,7 @@
         ..case(
             "newest first in a standing queue only",
             &[
-                Join(Urgent, LONG),
-                Join(Urgent, LONG),
+                Joins(&[Urgent, Urgent]),
                 Wait(millis(1)),
                 Next(Some(0)),
                 Wait(millis(40)),
@@ -231,16 +216,14 @@
                 Next(Some(2)),
                 Wait(millis(19)),
                 Join(Urgent, LONG),
-                Next(Some(4)),
-                Next(Some(3)),
+                Turns(&[4, 3]),
             ],
         )
     },
     case(
         "a caller that is gone gets no slot",
         &[
-            Join(Urgent, LONG),
-            Join(Urgent, LONG),
+            Joins(&[Urgent, Urgent]),
             Cancel(0, true),
             Cancel(0, false),
             Next(Some(1)),
@@ -278,6 +261,9 @@
             let joined = queue.enqueue(&request(SERVICE, class, *now + left), *now);
             waiters.push(joined.unwrap_or_else(|reason| panic!("{label}: {reason}")));
         }
+        Joins(classes) => {
+            classes.iter().for_each(|class| apply(queue, Join(*class, LONG), waiters, now, label));
+        }
         Denied(class, left, kind) => {
             let joined = queue.enqueue(&request(SERVICE, class, *now + left), *now);
             assert_eq!(joined.map_err(|reason| reason.kind), Err(kind), "{label}");
@@ -286,6 +272,9 @@
             let turn = queue.next(SERVICE, *now);
             assert_eq!(turn, expected.map(|index| waiters[index]), "{label}");
         }
+        Turns(indexes) => {
+            indexes.iter().for_each(|index| apply(queue, Next(Some(*index)), waiters, now, label));
+        }
         Cancel(index, expected) => {
             assert_eq!(queue.cancel(waiters[index]), expected, "{label}");
         }
