Share the sample environment with the tests of route

Joined: the literals of contract, server and environment, and the rows of six tables in failures and evidence.

--- a/crates/route/tests/evidence.rs
+++ b/crates/route/tests/evidence.rs
@@ -127,38 +127,32 @@
         Step { report, after_ms, draining }
     }
     use ReportSource::{Peer, Probe, Response};
+    const fn case(name: &'static str, steps: &'static [Step]) -> Case {
+        Case { name, steps }
+    }
     const CASES: &[Case] = &[
-        Case { name: "response", steps: &[step(aged(true, 0, Response), 0, true)] },
-        Case { name: "probe", steps: &[step(aged(true, 200, Probe), 0, true)] },
-        Case { name: "peer", steps: &[step(aged(true, 900, Peer), 0, true)] },
-        Case {
-            name: "ended by fresher evidence",
-            steps: &[
-                step(aged(true, 0, Response), 100, true),
-                step(aged(false, 0, Probe), 0, false),
-            ],
-        },
-        Case {
-            name: "not ended by older evidence",
-            steps: &[
-                step(aged(true, 0, Response), 100, true),
-                step(aged(false, 150, Peer), 0, true),
-            ],
-        },
-        Case {
-            name: "older mark after fresher evidence",
-            steps: &[
-                step(aged(false, 0, Response), 100, false),
-                step(aged(true, 150, Peer), 0, false),
-            ],
-        },
-        Case {
-            name: "unconfirmed for five minutes",
-            steps: &[
+        case("response", &[step(aged(true, 0, Response), 0, true)]),
+        case("probe", &[step(aged(true, 200, Probe), 0, true)]),
+        case("peer", &[step(aged(true, 900, Peer), 0, true)]),
+        case(
+            "ended by fresher evidence",
+            &[step(aged(true, 0, Response), 100, true), step(aged(false, 0, Probe), 0, false)],
+        ),
+        case(
+            "not ended by older evidence",
+            &[step(aged(true, 0, Response), 100, true), step(aged(false, 150, Peer), 0, true)],
+        ),
+        case(
+            "older mark after fresher evidence",
+            &[step(aged(false, 0, Response), 100, false), step(aged(true, 150, Peer), 0, false)],
+        ),
+        case(
+            "unconfirmed for five minutes",
+            &[
                 step(aged(true, 0, Response), 299_000, true),
                 step(aged(true, 299_000, Peer), 1_001, false),
             ],
-        },
+        ),
     ];
     for Case { name, steps } in CASES {
         let mut vm = TestVm::new(&TEN[..2], STANDARD);
--- a/crates/route/tests/failures.rs
+++ b/crates/route/tests/failures.rs
@@ -63,13 +63,10 @@
         tuning: RouteTuning,
         ejected: bool,
     }
+    let case = |name, tuning, ejected| Case { name, tuning, ejected };
     let cases = [
-        Case { name: "rate rule", tuning: STANDARD, ejected: true },
-        Case {
-            name: "no rate rule",
-            tuning: RouteTuning { rate_limit: 2.0, ..STANDARD },
-            ejected: false,
-        },
+        case("rate rule", STANDARD, true),
+        case("no rate rule", RouteTuning { rate_limit: 2.0, ..STANDARD }, false),
     ];
     for Case { name, tuning, ejected } in cases {
         let mut vm = TestVm::new(FOUR, tuning).with_policy(LEAST);
@@ -136,12 +133,13 @@
         failing: &'static [&'static str],
         ejected: usize,
     }
+    let case = |servers, failing, ejected| Case { servers, failing, ejected };
     let cases = [
-        Case { servers: &FOUR[..1], failing: &["a"], ejected: 0 },
-        Case { servers: &FOUR[..2], failing: &["a", "b"], ejected: 1 },
-        Case { servers: &FOUR[..3], failing: &["a", "b", "c"], ejected: 1 },
-        Case { servers: FOUR, failing: &["a", "b", "c", "d"], ejected: 2 },
-        Case { servers: FOUR, failing: &["a"], ejected: 1 },
+        case(&FOUR[..1], &["a"], 0),
+        case(&FOUR[..2], &["a", "b"], 1),
+        case(&FOUR[..3], &["a", "b", "c"], 1),
+        case(FOUR, &["a", "b", "c", "d"], 2),
+        case(FOUR, &["a"], 1),
     ];
     for Case { servers, failing, ejected } in cases {
         let mut vm = TestVm::new(servers, STANDARD).with_policy(LEAST);
@@ -177,13 +175,10 @@
         tuning: RouteTuning,
         used: bool,
     }
+    let case = |name, tuning, used| Case { name, tuning, used };
     let cases = [
-        Case { name: "panic rule", tuning: STANDARD, used: true },
-        Case {
-            name: "no panic rule",
-            tuning: RouteTuning { panic_share: 0.0, ..STANDARD },
-            used: false,
-        },
+        case("panic rule", STANDARD, true),
+        case("no panic rule", RouteTuning { panic_share: 0.0, ..STANDARD }, false),
     ];
     for Case { name, tuning, used } in cases {
         let mut vm = TestVm::new(FOUR, tuning).with_policy("random".parse().expect("a policy"));
@@ -294,19 +289,12 @@
         own_weight: 0.0,
         ..CostTuning::STANDARD
     };
+    let case = |name, policy, avoids| Case { name, policy, avoids };
     let cases = [
-        Case { name: "own policy", policy: PolicyKind::default(), avoids: true },
-        Case {
-            name: "latency alone",
-            policy: own_policy(CostTuning { slow_weight: 1.0, ..blind }),
-            avoids: true,
-        },
-        Case {
-            name: "overdue calls alone",
-            policy: own_policy(CostTuning { overdue_weight: 1.0, ..blind }),
-            avoids: true,
-        },
-        Case { name: "none", policy: own_policy(blind), avoids: false },
+        case("own policy", PolicyKind::default(), true),
+        case("latency alone", own_policy(CostTuning { slow_weight: 1.0, ..blind }), true),
+        case("overdue calls alone", own_policy(CostTuning { overdue_weight: 1.0, ..blind }), true),
+        case("none", own_policy(blind), false),
     ];
     // The VM prefers the server, so that without evidence it would get most calls.
     let servers: &[ServerSpec] =
@@ -347,35 +335,18 @@
         leaves: bool,
         returns_slowly: bool,
     }
+    let case = |name, tuning, policy, leaves, returns_slowly| Case {
+        name,
+        tuning,
+        policy,
+        leaves,
+        returns_slowly,
+    };
     let cases = [
-        Case {
-            name: "own policy",
-            tuning: STANDARD,
-            policy: PolicyKind::default(),
-            leaves: true,
-            returns_slowly: true,
-        },
-        Case {
-            name: "least in flight",
-            tuning: STANDARD,
-            policy: LEAST,
-            leaves: true,
-            returns_slowly: true,
-        },
-        Case {
-            name: "no ejection",
-            tuning: NO_EJECTION,
-            policy: LEAST,
-            leaves: false,
-            returns_slowly: true,
-        },
-        Case {
-            name: "no ramp",
-            tuning: NO_RAMP,
-            policy: PolicyKind::default(),
-            leaves: true,
-            returns_slowly: false,
-        },
+        case("own policy", STANDARD, PolicyKind::default(), true, true),
+        case("least in flight", STANDARD, LEAST, true, true),
+        case("no ejection", NO_EJECTION, LEAST, false, true),
+        case("no ramp", NO_RAMP, PolicyKind::default(), true, false),
     ];
     let near_share = |sent: &SentCount| sent.share("a") + sent.share("b") + sent.share("c");
     for Case { name, tuning, policy, leaves, returns_slowly } in cases {
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A VM with a virtual clock that calls servers whose behaviour a test describes.
 #![allow(dead_code)]
 
+#[path = "../../../world/tests/sample/mod.rs"]
+mod sample;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -39,49 +42,19 @@
             // The address follows from the name, because a new address means a new machine.
             let port = 9000 + u16::from(spec.name.as_bytes()[0]);
             Arc::new(UpstreamServer {
-                name: SharedName::from(spec.name),
-                service: SharedName::from(SERVICE),
-                centre: SharedName::from(spec.centre),
+                centre: spec.centre.into(),
                 address: ([127, 0, 0, 1], port).into(),
                 slots: spec.slots,
-                connections: 200,
-                incarnation: 0,
-                warm_up: ClockSpan::ZERO,
+                ..sample::server(SERVICE, spec.name)
             })
         })
         .collect();
-    let contract = ServiceContract {
-        name: SharedName::from(SERVICE),
-        hosts: Vec::new(),
-        path_prefixes: Vec::new(),
-        rules: Vec::new(),
-        deadline: ClockSpan::from_secs(1),
-        objective: ServiceObjective {
-            latency: ClockSpan::from_millis(50),
-            latency_share: 0.99,
-            success_share: 0.999,
-        },
-        probe_share: 0.01,
-        vm_ceiling: 15,
-        retry_ratio: 0.1,
-        queue_limit: 100,
-        health_path: None,
-        retry_window: None,
-    };
+    let one_way = ClockSpan::from_millis(1);
     EnvironmentMap {
-        name: SharedName::from("trial"),
         version,
-        digest: SharedName::from("digest"),
-        centres: Vec::new(),
-        links: vec![LinkCost {
-            from: SharedName::from("medeu"),
-            to: SharedName::from("bostandyk"),
-            one_way: ClockSpan::from_millis(1),
-        }],
-        contracts: vec![Arc::new(contract)],
-        upstreams: [(SharedName::from(SERVICE), upstreams)].into(),
-        routes: RouteTable::default(),
-        caller_limits: CallerLimits::default(),
+        links: vec![LinkCost { from: "medeu".into(), to: "bostandyk".into(), one_way }],
+        upstreams: [(SERVICE.into(), upstreams)].into(),
+        ..sample::environment(vec![sample::contract(SERVICE)])
     }
 }
 
