Share the sample environment with the tests of report

Joined: two copies of a contract and an environment, and the literals of a trouble, a detection and a quiet case. The latency of the objective stays 100 ms.

With the rule of the fewest bad calls switched off in a scratch edit, alerts_are_not_raised_without_need fails.

--- a/crates/report/tests/alerts.rs
+++ b/crates/report/tests/alerts.rs
@@ -1,7 +1,7 @@
 //! Detection time and false alerts.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+#[path = "../../world/tests/sample/mod.rs"]
+mod sample;
 
 use base::prelude::*;
 use report::prelude::*;
@@ -11,35 +11,10 @@
 const SLOW: ClockSpan = ClockSpan::from_millis(500);
 
 fn environment(success_share: f64) -> EnvironmentMap {
-    let contract = ServiceContract {
-        name: "phase-desk".into(),
-        hosts: Vec::new(),
-        path_prefixes: Vec::new(),
-        rules: Vec::new(),
-        deadline: ClockSpan::from_secs(1),
-        objective: ServiceObjective {
-            latency: ClockSpan::from_millis(100),
-            latency_share: 0.99,
-            success_share,
-        },
-        probe_share: 0.01,
-        vm_ceiling: 15,
-        retry_ratio: 0.1,
-        queue_limit: 100,
-        health_path: None,
-        retry_window: None,
-    };
-    EnvironmentMap {
-        name: "test".into(),
-        version: 1,
-        digest: "d".into(),
-        centres: Vec::new(),
-        links: Vec::new(),
-        contracts: vec![Arc::new(contract)],
-        upstreams: HashMap::new(),
-        routes: RouteTable::default(),
-        caller_limits: CallerLimits::default(),
-    }
+    let base = sample::contract("phase-desk");
+    let latency = ClockSpan::from_millis(100);
+    let objective = ServiceObjective { latency, success_share, ..base.objective };
+    sample::environment(vec![ServiceContract { objective, ..base }])
 }
 
 #[derive(Clone, Copy)]
@@ -62,6 +37,10 @@
     seconds: u64,
 }
 
+fn trouble(success_share: f64, calls_per_second: f64, bad: BadCalls, seconds: u64) -> Trouble {
+    Trouble { success_share, calls_per_second, bad, seconds }
+}
+
 struct Outcome {
     /// Seconds from the start of the trouble to the first alert, and its event number.
     first: Option<(u64, u32)>,
@@ -140,44 +119,24 @@
 /// against a slow burn that is never seen.
 #[test]
 fn trouble_is_detected_in_time() {
-    let trouble = |success_share, calls_per_second, bad, seconds| Trouble {
-        success_share,
-        calls_per_second,
-        bad,
-        seconds,
-    };
     let half = BadCalls::EveryNth(2);
+    let case = |name, trouble, event, within_seconds| DetectionCase {
+        name,
+        trouble,
+        event,
+        within_seconds,
+    };
     let cases = [
-        DetectionCase {
-            name: "half fail, strict objective",
-            trouble: trouble(0.9999, 100.0, half, 60),
-            event: 1901,
-            within_seconds: 10,
-        },
-        DetectionCase {
-            name: "half fail, lax objective",
-            trouble: trouble(0.9, 100.0, half, 60),
-            event: 1901,
-            within_seconds: 10,
-        },
-        DetectionCase {
-            name: "half fail at one call a second",
-            trouble: trouble(0.999, 1.0, half, 60),
-            event: 1901,
-            within_seconds: 10,
-        },
-        DetectionCase {
-            name: "half are slow",
-            trouble: trouble(0.999, 100.0, BadCalls::SlowNth(2), 60),
-            event: 1901,
-            within_seconds: 10,
-        },
-        DetectionCase {
-            name: "one in a hundred fails",
-            trouble: trouble(0.999, 100.0, BadCalls::EveryNth(100), 3600),
-            event: 1903,
-            within_seconds: 1800,
-        },
+        case("half fail, strict objective", trouble(0.9999, 100.0, half, 60), 1901, 10),
+        case("half fail, lax objective", trouble(0.9, 100.0, half, 60), 1901, 10),
+        case("half fail at one call a second", trouble(0.999, 1.0, half, 60), 1901, 10),
+        case("half are slow", trouble(0.999, 100.0, BadCalls::SlowNth(2), 60), 1901, 10),
+        case(
+            "one in a hundred fails",
+            trouble(0.999, 100.0, BadCalls::EveryNth(100), 3600),
+            1903,
+            1800,
+        ),
     ];
     for case in cases {
         let outcome = case.trouble.run(BurnTuning::default());
@@ -203,55 +162,27 @@
 #[test]
 fn alerts_are_not_raised_without_need() {
     let tuning = BurnTuning::default();
+    let case = |name, trouble, raised, without| QuietCase { name, trouble, raised, without };
     let cases = [
-        QuietCase {
-            name: "no failure",
-            trouble: Trouble {
-                success_share: 0.999,
-                calls_per_second: 50.0,
-                bad: BadCalls::None,
-                seconds: 60,
-            },
-            raised: 0,
-            without: None,
-        },
-        QuietCase {
-            name: "one failed call of a quiet service",
-            trouble: Trouble {
-                success_share: 0.999,
-                calls_per_second: 0.1,
-                bad: BadCalls::One,
-                seconds: 600,
-            },
-            raised: 0,
-            without: Some(BurnTuning { min_bad: 1, min_calls: 1, ..tuning.clone() }),
-        },
-        QuietCase {
-            name: "failures within the objective",
-            trouble: Trouble {
-                success_share: 0.99,
-                calls_per_second: 100.0,
-                bad: BadCalls::EveryNth(150),
-                seconds: 3600,
-            },
-            raised: 0,
-            without: None,
-        },
-        QuietCase {
-            name: "failures that come and go",
-            trouble: Trouble {
-                success_share: 0.9,
-                calls_per_second: 100.0,
-                bad: BadCalls::HalfInTurns(12),
-                seconds: 600,
-            },
-            raised: 1,
-            without: Some(BurnTuning {
-                clear_share: 1.0,
-                clear_hold: ClockSpan::ZERO,
-                ..tuning.clone()
-            }),
-        },
+        case("no failure", trouble(0.999, 50.0, BadCalls::None, 60), 0, None),
+        case(
+            "one failed call of a quiet service",
+            trouble(0.999, 0.1, BadCalls::One, 600),
+            0,
+            Some(BurnTuning { min_bad: 1, min_calls: 1, ..tuning.clone() }),
+        ),
+        case(
+            "failures within the objective",
+            trouble(0.99, 100.0, BadCalls::EveryNth(150), 3600),
+            0,
+            None,
+        ),
+        case(
+            "failures that come and go",
+            trouble(0.9, 100.0, BadCalls::HalfInTurns(12), 600),
+            1,
+            Some(BurnTuning { clear_share: 1.0, clear_hold: ClockSpan::ZERO, ..tuning.clone() }),
+        ),
     ];
     for case in cases {
         let outcome = case.trouble.run(tuning.clone());
@@ -267,25 +198,15 @@
 /// the calls of a 90% service may fail unseen for longer than 10 s.
 #[test]
 fn outage_share_is_needed() {
-    let trouble = Trouble {
-        success_share: 0.9,
-        calls_per_second: 100.0,
-        bad: BadCalls::EveryNth(2),
-        seconds: 60,
-    };
-    let outcome = trouble.run(BurnTuning { outage_share: f64::INFINITY, ..BurnTuning::default() });
+    let outcome = trouble(0.9, 100.0, BadCalls::EveryNth(2), 60)
+        .run(BurnTuning { outage_share: f64::INFINITY, ..BurnTuning::default() });
     assert!(outcome.first.is_none_or(|(seconds, _)| seconds > 10));
 }
 
 /// Guards against an alert that stays raised after the service has recovered.
 #[test]
 fn alerts_clear_after_recovery() {
-    let trouble = Trouble {
-        success_share: 0.9,
-        calls_per_second: 100.0,
-        bad: BadCalls::EveryNth(2),
-        seconds: 30,
-    };
+    let trouble = trouble(0.9, 100.0, BadCalls::EveryNth(2), 30);
     let outcome = trouble.run(BurnTuning::default());
     assert_eq!((outcome.raised, outcome.cleared), (1, 1));
 }
--- a/crates/report/tests/windows.rs
+++ b/crates/report/tests/windows.rs
@@ -1,7 +1,7 @@
 //! Time windows, memory, and independence of the clock's origin.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+#[path = "../../world/tests/sample/mod.rs"]
+mod sample;
 
 use base::prelude::*;
 use report::prelude::*;
@@ -14,36 +14,11 @@
 
 fn environment(services: &[&str]) -> EnvironmentMap {
     let contract = |name: &&str| {
-        Arc::new(ServiceContract {
-            name: (*name).into(),
-            hosts: Vec::new(),
-            path_prefixes: Vec::new(),
-            rules: Vec::new(),
-            deadline: ClockSpan::from_secs(1),
-            objective: ServiceObjective {
-                latency: ClockSpan::from_millis(100),
-                latency_share: 0.99,
-                success_share: 0.999,
-            },
-            probe_share: 0.01,
-            vm_ceiling: 15,
-            retry_ratio: 0.1,
-            queue_limit: 100,
-            health_path: None,
-            retry_window: None,
-        })
+        let base = sample::contract(name);
+        let latency = ClockSpan::from_millis(100);
+        ServiceContract { objective: ServiceObjective { latency, ..base.objective }, ..base }
     };
-    EnvironmentMap {
-        name: "test".into(),
-        version: 1,
-        digest: "d".into(),
-        centres: Vec::new(),
-        links: Vec::new(),
-        contracts: services.iter().map(contract).collect(),
-        upstreams: HashMap::new(),
-        routes: RouteTable::default(),
-        caller_limits: CallerLimits::default(),
-    }
+    sample::environment(services.iter().map(contract).collect())
 }
 
 fn totals(table: &BurnTable, now: ClockTime) -> Vec<u64> {
