Join the steps of verdicts and the servers of the tests of suspect

Joined: two copies of the servers of a service; the steps of a request that crashes upstreams and of one that runs well; the rows of the tables of verdicts, evidence and notices (16, 8 and 4, as before).

The steps make the same calls in the same order.

--- a/crates/suspect/tests/sharing.rs
+++ b/crates/suspect/tests/sharing.rs
@@ -1,11 +1,11 @@
 //! Notices between VMs.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+#[path = "../../world/tests/sample/mod.rs"]
+mod sample;
 
 use base::prelude::*;
+use suspect::prelude::SuspectStanding::{Cleared, Confirmed, Suspected};
 use suspect::prelude::*;
-use world::prelude::*;
 
 const SUSPECT: u64 = 7;
 
@@ -21,22 +21,6 @@
     notice
 }
 
-fn upstreams(count: usize) -> Vec<Arc<UpstreamServer>> {
-    let server = |index: usize| {
-        Arc::new(UpstreamServer {
-            name: SharedName::from(format!("grove-view-{index}")),
-            service: "grove-view".into(),
-            centre: "suva".into(),
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            slots: 2,
-            connections: 200,
-            incarnation: 0,
-            warm_up: ClockSpan::ZERO,
-        })
-    };
-    (0..count).map(server).collect()
-}
-
 struct OrderCase {
     seed: u64,
     notices: usize,
@@ -102,31 +86,25 @@
     standing: SuspectStanding,
 }
 
+const fn case(
+    name: &'static str,
+    crashes: [&'static [&'static str]; 2],
+    released: bool,
+    standing: SuspectStanding,
+) -> SpreadCase {
+    SpreadCase { name, crashes, released, standing }
+}
+
 const SPREAD_CASES: &[SpreadCase] = &[
-    SpreadCase {
-        name: "one crash at one VM",
-        crashes: [&["a"], &[]],
-        released: false,
-        standing: SuspectStanding::Suspected,
-    },
-    SpreadCase {
-        name: "the same crash at two VMs",
-        crashes: [&["a"], &["a"]],
-        released: false,
-        standing: SuspectStanding::Suspected,
-    },
-    SpreadCase {
-        name: "different crashes at two VMs",
-        crashes: [&["a"], &["b"]],
-        released: false,
-        standing: SuspectStanding::Confirmed,
-    },
-    SpreadCase {
-        name: "a release wins over older notices that arrive later",
-        crashes: [&["a", "b"], &["c"]],
-        released: true,
-        standing: SuspectStanding::Cleared,
-    },
+    case("one crash at one VM", [&["a"], &[]], false, Suspected),
+    case("the same crash at two VMs", [&["a"], &["a"]], false, Suspected),
+    case("different crashes at two VMs", [&["a"], &["b"]], false, Confirmed),
+    case(
+        "a release wins over older notices that arrive later",
+        [&["a", "b"], &["c"]],
+        true,
+        Cleared,
+    ),
 ];
 
 /// Guards against VMs that do not learn from each other, and against a release that an older
@@ -171,9 +149,9 @@
     // The release is told to the VM that missed it, and the crash is told again.
     first.merge(&notice, later);
     first.take_notices(later).iter().for_each(|notice| second.merge(notice, later));
-    assert_eq!(second.list(later)[0].standing, SuspectStanding::Suspected);
+    assert_eq!(second.list(later)[0].standing, Suspected);
     second.take_notices(later).iter().for_each(|notice| first.merge(notice, later));
-    assert_eq!(first.list(later)[0].standing, SuspectStanding::Suspected);
+    assert_eq!(first.list(later)[0].standing, Suspected);
 }
 
 /// Guards against a verdict that is lost with a VM, and against one that a VM with a young clock
@@ -190,8 +168,8 @@
     assert_eq!(restarted.review(SUSPECT, start), SuspectVerdict::Clear);
     exported.iter().for_each(|notice| restarted.merge(notice, start));
     let standing = |now: ClockTime| restarted.list(now)[0].standing;
-    assert_eq!(standing(start + ClockSpan::from_secs(599)), SuspectStanding::Confirmed);
-    assert_eq!(standing(start + ClockSpan::from_secs(601)), SuspectStanding::Cleared);
+    assert_eq!(standing(start + ClockSpan::from_secs(599)), Confirmed);
+    assert_eq!(standing(start + ClockSpan::from_secs(601)), Cleared);
 }
 
 /// Guards against two VMs running suspects of one crash at the same time.
@@ -262,9 +240,9 @@
         let list = own.list(now);
         let count = |standing| list.iter().filter(|entry| entry.standing == standing).count();
         assert!(list.len() <= 64, "{}: {} entries", case.name, list.len());
-        assert_eq!(count(SuspectStanding::Confirmed) as u64, case.confirmed, "{}", case.name);
+        assert_eq!(count(Confirmed) as u64, case.confirmed, "{}", case.name);
         if case.cleared > 0 {
-            assert_eq!(count(SuspectStanding::Suspected) as u64, case.suspected, "{}", case.name);
+            assert_eq!(count(Suspected) as u64, case.suspected, "{}", case.name);
         }
     }
 }
@@ -311,7 +289,7 @@
     ];
     for case in cases {
         let now = ClockTime::from_millis(1000);
-        let servers = upstreams(case.upstreams);
+        let servers = sample::servers("grove-view", case.upstreams);
         let [first, second] = [table("vm-0"), table("vm-1")];
         if case.guarded {
             crash_elsewhere([&first, &second], &servers[0].name, now);
@@ -349,7 +327,7 @@
     ];
     for case in cases {
         let own = SuspectTable::new("vm".into(), SuspectTuning::unpinned());
-        let servers = upstreams(case.upstreams);
+        let servers = sample::servers("grove-view", case.upstreams);
         let now = ClockTime::from_millis(1000);
         for index in case.crashed {
             crash(&own, SUSPECT, &servers[*index].name, now);
@@ -368,7 +346,7 @@
 #[test]
 fn home_moves_on_after_a_crash_has_settled() {
     let own = table("vm");
-    let servers = upstreams(10);
+    let servers = sample::servers("grove-view", 10);
     let now = ClockTime::from_millis(1000);
     // A crash long before keeps the fingerprint to its two home upstreams.
     own.crash(&servers[0].name, now);
--- a/crates/suspect/tests/storm.rs
+++ b/crates/suspect/tests/storm.rs
@@ -1,8 +1,10 @@
 //! A request that crashes servers, repeated through 15 VMs: a model with a virtual clock, delayed
 //! and lost notices, servers that restart, and innocent traffic.
 
+#[path = "../../world/tests/sample/mod.rs"]
+mod sample;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -131,18 +133,6 @@
         let tables: Vec<_> =
             members.iter().map(|vm| SuspectTable::new(vm.clone(), (case.tuning)())).collect();
         tables.iter().for_each(|table| table.set_members(members.clone()));
-        let server = |index: usize| {
-            Arc::new(UpstreamServer {
-                name: SharedName::from(format!("grove-view-{index}")),
-                service: "grove-view".into(),
-                centre: "suva".into(),
-                address: SocketAddr::from(([127, 0, 0, 1], 9)),
-                slots: 2,
-                connections: 200,
-                incarnation: 0,
-                warm_up: ClockSpan::ZERO,
-            })
-        };
         Self {
             case,
             random: RandomSource::from_seed(seed),
@@ -151,7 +141,7 @@
             order: 0,
             tables,
             members,
-            servers: (0..case.upstreams).map(server).collect(),
+            servers: sample::servers("grove-view", case.upstreams),
             down_until: vec![ClockTime::ZERO; case.upstreams],
             calls: BTreeMap::new(),
             killer_crashes: 0,
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -16,13 +16,17 @@
     Refused(&'static str),
     Release(u64),
     Abandon(u64),
+    /// Starts a call of a fingerprint on each of the upstreams, which then crash in this order.
+    Killed(u64, &'static [&'static str]),
+    /// Runs a fingerprint successfully on an upstream.
+    Survived(u64, &'static str),
     /// Runs a fingerprint successfully this many times.
     Prove(u64, u32),
     Wait(ClockSpan),
     Expect(u64, SuspectVerdict),
 }
 
-use Step::{Abandon, Crash, Expect, Finish, Lost, Prove, Refused, Release, Start, Wait};
+use Step::*;
 use SuspectVerdict::{Clear, Isolated};
 
 const DENIED: SuspectVerdict = SuspectVerdict::Refused;
@@ -33,38 +37,33 @@
     steps: &'static [Step],
 }
 
+const fn case(name: &'static str, steps: &'static [Step]) -> VerdictCase {
+    VerdictCase { name, steps }
+}
+
 const VERDICT_CASES: &[VerdictCase] = &[
-    VerdictCase {
-        name: "a single crash suspects and does not confirm",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    case(
+        "a single crash suspects and does not confirm",
+        &[
+            Killed(SUSPECT, &["a"]),
             Expect(SUSPECT, DENIED),
             SETTLED,
             Expect(SUSPECT, Isolated),
             Expect(OTHER, Clear),
         ],
-    },
-    VerdictCase {
-        name: "crashes of two upstreams confirm",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Start(SUSPECT, "b"),
-            Crash("a"),
-            Crash("b"),
-            SETTLED,
-            Expect(SUSPECT, DENIED),
-        ],
-    },
-    VerdictCase {
-        name: "two reports of one crash do not confirm",
-        steps: &[Start(SUSPECT, "a"), Crash("a"), Crash("a"), SETTLED, Expect(SUSPECT, Isolated)],
-    },
-    VerdictCase {
-        name: "a crash in isolation confirms on the same upstream",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    ),
+    case(
+        "crashes of two upstreams confirm",
+        &[Killed(SUSPECT, &["a", "b"]), SETTLED, Expect(SUSPECT, DENIED)],
+    ),
+    case(
+        "two reports of one crash do not confirm",
+        &[Killed(SUSPECT, &["a"]), Crash("a"), SETTLED, Expect(SUSPECT, Isolated)],
+    ),
+    case(
+        "a crash in isolation confirms on the same upstream",
+        &[
+            Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
             SETTLED,
             Expect(SUSPECT, Isolated),
@@ -78,13 +77,12 @@
             Wait(ClockSpan::from_secs(1800)),
             Expect(SUSPECT, DENIED),
         ],
-    },
-    VerdictCase {
-        name: "one isolated run at a time",
-        steps: &[
+    ),
+    case(
+        "one isolated run at a time",
+        &[
             Start(SUSPECT, "a"),
-            Start(OTHER, "a"),
-            Crash("a"),
+            Killed(OTHER, &["a"]),
             SETTLED,
             Expect(SUSPECT, Isolated),
             Start(SUSPECT, "b"),
@@ -95,73 +93,57 @@
             Abandon(OTHER),
             Expect(SUSPECT, Isolated),
         ],
-    },
-    VerdictCase {
-        name: "a reservation without a start lapses",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    ),
+    case(
+        "a reservation without a start lapses",
+        &[
+            Killed(SUSPECT, &["a"]),
             SETTLED,
             Expect(SUSPECT, Isolated),
             Expect(SUSPECT, DENIED),
             Wait(ClockSpan::from_millis(1001)),
             Expect(SUSPECT, Isolated),
         ],
-    },
-    VerdictCase {
-        name: "successful isolated runs clear",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    ),
+    case(
+        "successful isolated runs clear",
+        &[
+            Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
             SETTLED,
             Expect(SUSPECT, Isolated),
-            Start(SUSPECT, "b"),
-            Finish(SUSPECT, "b"),
+            Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
-            Start(SUSPECT, "b"),
-            Finish(SUSPECT, "b"),
+            Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
-            Start(SUSPECT, "b"),
-            Finish(SUSPECT, "b"),
+            Survived(SUSPECT, "b"),
             Expect(SUSPECT, Clear),
         ],
-    },
-    VerdictCase {
-        name: "a run whose connection was lost does not clear",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    ),
+    case(
+        "a run whose connection was lost does not clear",
+        &[
+            Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
             SETTLED,
             Expect(SUSPECT, Isolated),
-            Start(SUSPECT, "b"),
-            Finish(SUSPECT, "b"),
+            Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
-            Start(SUSPECT, "b"),
-            Finish(SUSPECT, "b"),
+            Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
             Start(SUSPECT, "b"),
             Lost("b"),
             Finish(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
         ],
-    },
-    VerdictCase {
-        name: "a frequent request on two crashed upstreams is not confirmed",
-        steps: &[
-            Prove(SUSPECT, 3),
-            Start(SUSPECT, "a"),
-            Start(SUSPECT, "b"),
-            Crash("a"),
-            Crash("b"),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
-        ],
-    },
-    VerdictCase {
-        name: "a frequent request that runs on after a crash is cleared",
-        steps: &[
+    ),
+    case(
+        "a frequent request on two crashed upstreams is not confirmed",
+        &[Prove(SUSPECT, 3), Killed(SUSPECT, &["a", "b"]), SETTLED, Expect(SUSPECT, Isolated)],
+    ),
+    case(
+        "a frequent request that runs on after a crash is cleared",
+        &[
             Prove(SUSPECT, 3),
             Start(SUSPECT, "a"),
             Start(SUSPECT, "b"),
@@ -171,10 +153,10 @@
             Finish(SUSPECT, "b"),
             Expect(SUSPECT, Clear),
         ],
-    },
-    VerdictCase {
-        name: "a request that is not proven is not cleared by a run that began before",
-        steps: &[
+    ),
+    case(
+        "a request that is not proven is not cleared by a run that began before",
+        &[
             Start(SUSPECT, "a"),
             Start(SUSPECT, "b"),
             Crash("a"),
@@ -182,72 +164,54 @@
             Finish(SUSPECT, "b"),
             Expect(SUSPECT, DENIED),
         ],
-    },
-    VerdictCase {
-        name: "suspicion expires",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Crash("a"),
+    ),
+    case(
+        "suspicion expires",
+        &[
+            Killed(SUSPECT, &["a"]),
             Wait(ClockSpan::from_secs(600)),
             Expect(SUSPECT, Isolated),
             Abandon(SUSPECT),
             Wait(ClockSpan::from_millis(1)),
             Expect(SUSPECT, Clear),
         ],
-    },
-    VerdictCase {
-        name: "a confirmed verdict expires",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Start(SUSPECT, "b"),
-            Crash("a"),
-            Crash("b"),
+    ),
+    case(
+        "a confirmed verdict expires",
+        &[
+            Killed(SUSPECT, &["a", "b"]),
             Wait(ClockSpan::from_millis(3_600_001)),
             Expect(SUSPECT, Clear),
         ],
-    },
-    VerdictCase {
-        name: "a refused repeat renews a confirmed verdict",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Start(SUSPECT, "b"),
-            Crash("a"),
-            Crash("b"),
+    ),
+    case(
+        "a refused repeat renews a confirmed verdict",
+        &[
+            Killed(SUSPECT, &["a", "b"]),
             Wait(ClockSpan::from_secs(3000)),
             Expect(SUSPECT, DENIED),
             Wait(ClockSpan::from_secs(3000)),
             Expect(SUSPECT, DENIED),
         ],
-    },
-    VerdictCase {
-        name: "a release clears, and crashes after it count anew",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Start(SUSPECT, "b"),
-            Crash("a"),
-            Crash("b"),
+    ),
+    case(
+        "a release clears, and crashes after it count anew",
+        &[
+            Killed(SUSPECT, &["a", "b"]),
             Finish(SUSPECT, "a"),
             Finish(SUSPECT, "b"),
             Release(SUSPECT),
             Expect(SUSPECT, Clear),
             SETTLED,
-            Start(SUSPECT, "c"),
-            Crash("c"),
+            Killed(SUSPECT, &["c"]),
             SETTLED,
             Expect(SUSPECT, Isolated),
         ],
-    },
-    VerdictCase {
-        name: "a call that ended before the first loss is no suspect",
-        steps: &[
-            Start(SUSPECT, "a"),
-            Finish(SUSPECT, "a"),
-            Lost("a"),
-            Refused("a"),
-            Refused("a"),
-            Expect(SUSPECT, Clear),
-        ],
-    },
+    ),
+    case(
+        "a call that ended before the first loss is no suspect",
+        &[Survived(SUSPECT, "a"), Lost("a"), Refused("a"), Refused("a"), Expect(SUSPECT, Clear)],
+    ),
 ];
 
 /// Guards against verdicts that are too harsh on one crash, too mild after two, or that never end.
@@ -271,11 +235,16 @@
         Refused(upstream) => drop(table.connect_refused(&upstream.into(), *now)),
         Release(fingerprint) => drop(table.release(fingerprint)),
         Abandon(fingerprint) => table.abandon(fingerprint, *now),
+        Killed(fingerprint, upstreams) => {
+            upstreams.iter().for_each(|name| table.start(fingerprint, &(*name).into(), *now));
+            upstreams.iter().for_each(|name| drop(table.crash(&(*name).into(), *now)));
+        }
+        Survived(fingerprint, upstream) => {
+            table.start(fingerprint, &upstream.into(), *now);
+            table.finish(fingerprint, &upstream.into(), *now);
+        }
         Prove(fingerprint, runs) => {
-            for _ in 0..runs {
-                table.start(fingerprint, &"z".into(), *now);
-                table.finish(fingerprint, &"z".into(), *now);
-            }
+            (0..runs).for_each(|_| apply(table, Survived(fingerprint, "z"), now, label));
         }
         Wait(span) => *now = *now + span,
         Expect(fingerprint, verdict) => {
@@ -297,43 +266,43 @@
     crashed: bool,
 }
 
+const fn evidence(name: &'static str, events: &'static [Event], crashed: bool) -> EvidenceCase {
+    EvidenceCase { name, events, crashed }
+}
+
 const EVIDENCE_CASES: &[EvidenceCase] = &[
-    EvidenceCase { name: "one loss", events: &[Event::Lost(0)], crashed: false },
-    EvidenceCase {
-        name: "many losses without a refusal",
-        events: &[Event::Lost(0), Event::Lost(1), Event::Lost(2), Event::Lost(3)],
-        crashed: false,
-    },
-    EvidenceCase {
-        name: "refusals without a loss",
-        events: &[Event::Refused(0), Event::Refused(1), Event::Refused(2)],
-        crashed: false,
-    },
-    EvidenceCase {
-        name: "one loss and one refusal",
-        events: &[Event::Lost(0), Event::Refused(1)],
-        crashed: false,
-    },
-    EvidenceCase {
-        name: "one loss and two refusals",
-        events: &[Event::Lost(0), Event::Refused(1), Event::Refused(50)],
-        crashed: true,
-    },
-    EvidenceCase {
-        name: "two losses together and a refusal",
-        events: &[Event::Lost(0), Event::Lost(200), Event::Refused(300)],
-        crashed: true,
-    },
-    EvidenceCase {
-        name: "two losses apart and a refusal",
-        events: &[Event::Lost(0), Event::Lost(201), Event::Refused(300)],
-        crashed: false,
-    },
-    EvidenceCase {
-        name: "refusals long after the losses",
-        events: &[Event::Lost(0), Event::Lost(1), Event::Refused(1002), Event::Refused(1003)],
-        crashed: false,
-    },
+    evidence("one loss", &[Event::Lost(0)], false),
+    evidence(
+        "many losses without a refusal",
+        &[Event::Lost(0), Event::Lost(1), Event::Lost(2), Event::Lost(3)],
+        false,
+    ),
+    evidence(
+        "refusals without a loss",
+        &[Event::Refused(0), Event::Refused(1), Event::Refused(2)],
+        false,
+    ),
+    evidence("one loss and one refusal", &[Event::Lost(0), Event::Refused(1)], false),
+    evidence(
+        "one loss and two refusals",
+        &[Event::Lost(0), Event::Refused(1), Event::Refused(50)],
+        true,
+    ),
+    evidence(
+        "two losses together and a refusal",
+        &[Event::Lost(0), Event::Lost(200), Event::Refused(300)],
+        true,
+    ),
+    evidence(
+        "two losses apart and a refusal",
+        &[Event::Lost(0), Event::Lost(201), Event::Refused(300)],
+        false,
+    ),
+    evidence(
+        "refusals long after the losses",
+        &[Event::Lost(0), Event::Lost(1), Event::Refused(1002), Event::Refused(1003)],
+        false,
+    ),
 ];
 
 /// Guards against a closed connection counting as a crash, and against missing crashes on VMs
