Share the model store and the explorer of claim and config

Joined besides: the answer of a store to a transaction (three copies), the answers of a working and of a troubled store in the random test, and the request and VM of the runner test.

--- a/crates/claim/tests/groups.rs
+++ b/crates/claim/tests/groups.rs
@@ -1,5 +1,7 @@
 //! Groups of claims that the store does not take as a whole.
 
+mod support;
+
 use std::collections::BTreeSet;
 
 use base::prelude::*;
@@ -49,12 +51,7 @@
     if writes.iter().any(|write| Some(write.key.as_str()) == rejected) {
         return ClaimEvent::NotDone { group, trouble: StoreTrouble::Rejected };
     }
-    let response = store.apply(&TransactRequest { attempt, writes });
-    if response.committed {
-        ClaimEvent::Committed { group, versions: response.versions }
-    } else {
-        ClaimEvent::Conflicted { group, conflicts: response.conflicts }
-    }
+    support::applied(store, group, &TransactRequest { attempt, writes })
 }
 
 /// Guards against one claim that the store refuses holding up the claims that share its
--- a/crates/claim/tests/model.rs
+++ b/crates/claim/tests/model.rs
@@ -1,8 +1,9 @@
 //! Explores the interleavings of two VMs, one key, crashes, lost answers and paused holders.
 
-use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, HashMap};
-use std::hash::{Hash, Hasher};
+#[path = "../../store/tests/model/mod.rs"]
+mod model;
+
+use std::collections::BTreeMap;
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -10,49 +11,13 @@
 use claim::event::{GroupId, TicketId};
 use claim::members::VmRun;
 use claim::prelude::*;
-use serde_json::Value;
+use model::{Explorer, ModelState, ModelStore};
 use store::prelude::*;
 use world::vm::VmIdentity;
 
 const KEY: &str = "booking-desk/k1";
 const GONE_AFTER: ClockSpan = ClockSpan::from_secs(60);
 
-/// A store that can be copied, so that the explorer can go back.
-#[derive(Clone, Debug, Default)]
-struct ModelStore {
-    rows: BTreeMap<RowKey, (u64, Value)>,
-    version: u64,
-}
-
-impl ModelStore {
-    fn transact(&mut self, writes: &[RowWrite]) -> Result<Vec<u64>, Vec<RowConflict>> {
-        let mut conflicts = Vec::new();
-        for (index, write) in writes.iter().enumerate() {
-            let row = self.rows.get(&write.place());
-            let version = row.map(|row| row.0);
-            if !write.expect.admits(version) {
-                conflicts.push(RowConflict { index, version, value: row.map(|row| row.1.clone()) });
-            }
-        }
-        if !conflicts.is_empty() {
-            return Err(conflicts);
-        }
-        let mut versions = Vec::new();
-        for write in writes {
-            self.version += 1;
-            self.rows.insert(write.place(), (self.version, write.value.clone().unwrap()));
-            versions.push(self.version);
-        }
-        Ok(versions)
-    }
-
-    fn read(&self, places: &[RowKey]) -> Vec<Option<RowEntry>> {
-        let entry =
-            |(version, value): &(u64, Value)| RowEntry { version: *version, value: value.clone() };
-        places.iter().map(|place| self.rows.get(place).map(entry)).collect()
-    }
-}
-
 #[derive(Clone, Debug)]
 enum ModelCall {
     Write(GroupId, Vec<RowWrite>),
@@ -101,11 +66,11 @@
     requests: u64,
     other_bodies: u64,
     faults: u64,
-    depth: usize,
 }
 
 #[derive(Clone, Debug)]
 struct ModelWorld {
+    bounds: Bounds,
     now: ClockTime,
     store: ModelStore,
     vms: Vec<ModelVm>,
@@ -120,7 +85,7 @@
 }
 
 impl ModelWorld {
-    fn new(guards: ClaimGuards) -> Self {
+    fn new(guards: ClaimGuards, bounds: Bounds) -> Self {
         let tuning = ClaimTuning {
             claim_linger: ClockSpan::ZERO,
             outcome_linger: ClockSpan::ZERO,
@@ -130,6 +95,7 @@
             ..ClaimTuning::default()
         };
         let mut world = Self {
+            bounds,
             now: ClockTime::from_millis(1),
             store: ModelStore::default(),
             vms: Vec::new(),
@@ -159,8 +125,14 @@
         }
         world
     }
+}
+
+impl ModelState for ModelWorld {
+    type Choice = Choice;
+    type Violation = Violation;
 
-    fn choices(&self, bounds: &Bounds) -> Vec<Choice> {
+    fn choices(&self) -> Vec<Choice> {
+        let bounds = &self.bounds;
         let mut choices = Vec::new();
         let faulty = self.faults < bounds.faults;
         for (index, vm) in self.vms.iter().enumerate().filter(|(_, vm)| !vm.crashed) {
@@ -302,7 +274,9 @@
             }
         }
     }
+}
 
+impl ModelWorld {
     fn settle(&mut self, index: usize, verdict: WorkVerdict) -> Result<(), Violation> {
         let Some(attempt) = self.vms[index].running.take() else { return Ok(()) };
         self.tell(index, ClaimEvent::Settled { key: KEY.into(), attempt, verdict })
@@ -374,70 +348,17 @@
         self.vms[index].running = Some(attempt);
         Ok(())
     }
-
-    fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        format!("{self:?}").hash(&mut hasher);
-        hasher.finish()
-    }
 }
 
 fn run(name: &str) -> VmRun {
     VmRun { name: name.into(), incarnation: 1 }
 }
 
-#[derive(Default)]
-struct Explorer {
-    /// The remaining depth with which each state was explored.
-    seen: HashMap<u64, usize>,
-    steps: u64,
-    path: Vec<Choice>,
-}
-
-impl Explorer {
-    fn explore(
-        &mut self,
-        world: &ModelWorld,
-        bounds: &Bounds,
-        wanted: Option<Violation>,
-    ) -> Option<Violation> {
-        let left = bounds.depth - self.path.len();
-        if left == 0 {
-            return None;
-        }
-        for choice in world.choices(bounds) {
-            let mut next = world.clone();
-            self.steps += 1;
-            self.path.push(choice);
-            match next.apply(choice) {
-                Err(violation) if wanted.is_none_or(|wanted| wanted == violation) => {
-                    return Some(violation);
-                }
-                Err(_) => {}
-                Ok(()) if self.is_new(next.fingerprint(), left) => {
-                    if let Some(violation) = self.explore(&next, bounds, wanted) {
-                        return Some(violation);
-                    }
-                }
-                Ok(()) => {}
-            }
-            self.path.pop();
-        }
-        None
-    }
-
-    fn is_new(&mut self, fingerprint: u64, left: usize) -> bool {
-        let explored = self.seen.entry(fingerprint).or_default();
-        let new = *explored < left;
-        *explored = left.max(*explored);
-        new
-    }
-}
-
 struct ModelCase {
     name: &'static str,
     guards: ClaimGuards,
     bounds: Bounds,
+    depth: usize,
     violation: Option<Violation>,
 }
 
@@ -448,8 +369,8 @@
 fn every_interleaving_keeps_the_promises() {
     let all = ClaimGuards::ALL;
     let case = |name, guards, (requests, other_bodies, faults, depth), violation| {
-        let bounds = Bounds { requests, other_bodies, faults, depth };
-        ModelCase { name, guards, bounds, violation }
+        let bounds = Bounds { requests, other_bodies, faults };
+        ModelCase { name, guards, bounds, depth, violation }
     };
     use Violation::*;
     let cases = [
@@ -495,14 +416,10 @@
         ),
     ];
     for case in cases {
-        let mut explorer = Explorer::default();
-        let found = explorer.explore(&ModelWorld::new(case.guards), &case.bounds, case.violation);
-        println!(
-            "{}: {} steps, {} states, {found:?}",
-            case.name,
-            explorer.steps,
-            explorer.seen.len()
-        );
+        let mut explorer = Explorer::new(Some(case.depth), case.violation);
+        let found = explorer.explore(&ModelWorld::new(case.guards, case.bounds));
+        let (steps, states) = (explorer.steps, explorer.state_count());
+        println!("{}: {steps} steps, {states} states, {found:?}", case.name);
         assert_eq!(found, case.violation, "{}: {:?}", case.name, explorer.path);
     }
 }
--- a/crates/claim/tests/random.rs
+++ b/crates/claim/tests/random.rs
@@ -1,5 +1,7 @@
 //! Random events against several VMs and keys.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use base::prelude::*;
@@ -16,6 +18,8 @@
 const KEYS: usize = 4;
 const STEPS: usize = 400;
 const RUNS: u64 = 150;
+/// The fate of a call to a store that works.
+const WORKING: usize = 9;
 
 struct TestVm {
     identity: VmIdentity,
@@ -95,6 +99,11 @@
         let position = self.random.below(self.vms[index].calls.len());
         let call = self.vms[index].calls.remove(position);
         let fate = self.random.below(10);
+        self.answer(index, call, fate);
+    }
+
+    /// Answers a call of a VM; the fates up to 4 are those of a store in trouble.
+    fn answer(&mut self, index: usize, call: ClaimAction, fate: usize) {
         let event = match call {
             ClaimAction::Write { group, attempt, writes } => {
                 let request = TransactRequest { attempt, writes };
@@ -112,14 +121,7 @@
                         self.delayed.push(request);
                         ClaimEvent::OutcomeUnknown { group }
                     }
-                    _ => {
-                        let response = self.store.apply(&request);
-                        if response.committed {
-                            ClaimEvent::Committed { group, versions: response.versions }
-                        } else {
-                            ClaimEvent::Conflicted { group, conflicts: response.conflicts }
-                        }
-                    }
+                    _ => support::applied(&self.store, group, &request),
                 }
             }
             ClaimAction::Read { places } if fate == 0 => {
@@ -283,26 +285,7 @@
 fn drain(fleet: &mut TestFleet, index: usize) {
     for _ in 0..10_000 {
         while let Some(call) = fleet.vms[index].calls.pop() {
-            let event = match call {
-                ClaimAction::Write { group, attempt, writes } => {
-                    let response = fleet.store.apply(&TransactRequest { attempt, writes });
-                    if response.committed {
-                        ClaimEvent::Committed { group, versions: response.versions }
-                    } else {
-                        ClaimEvent::Conflicted { group, conflicts: response.conflicts }
-                    }
-                }
-                ClaimAction::Read { places } => {
-                    let entries = fleet.store.rows(&places);
-                    ClaimEvent::RowsRead { places, entries }
-                }
-                ClaimAction::StoreBody { key, attempt, digest, bytes } => {
-                    fleet.store.insert_object(&digest, bytes);
-                    ClaimEvent::BodyStored { key, attempt, stored: true }
-                }
-                other => panic!("{other:?} is not a call"),
-            };
-            fleet.tell(index, event);
+            fleet.answer(index, call, WORKING);
         }
         while let Some((key, attempt)) = fleet.vms[index].running.pop() {
             let verdict = WorkVerdict::Unknown;
--- a/crates/claim/tests/runner.rs
+++ b/crates/claim/tests/runner.rs
@@ -1,5 +1,8 @@
 //! Claims that run against a store.
 
+#[path = "../../world/tests/sample/mod.rs"]
+mod sample;
+
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -10,7 +13,6 @@
 use tokio::time::Instant;
 use world::contract::WorkClass;
 use world::request::CallerRequest;
-use world::vm::VmIdentity;
 
 /// A clock that follows the paused time of the runtime.
 #[derive(Clone, Copy, Debug)]
@@ -28,25 +30,15 @@
 type TestDecision = ClaimDecision<MemoryStore, PausedClock>;
 
 fn start(name: &str, store: &MemoryStore, tuning: ClaimTuning) -> (TestRunner, JoinHandle<()>) {
-    let identity = VmIdentity { name: name.into(), incarnation: 1, centre: "suva".into() };
-    let table = ClaimTable::new(identity, 0, tuning, 1);
+    let table = ClaimTable::new(sample::vm(name), 0, tuning, 1);
     let clock = PausedClock { start: Instant::now() };
     let (runner, driver) = ClaimRunner::new(table, store.clone(), clock);
     (runner, tokio::spawn(driver.run()))
 }
 
 fn request() -> CallerRequest {
-    CallerRequest {
-        service: "pledge-desk".into(),
-        class: WorkClass::Normal,
-        idempotent: false,
-        deadline: ClockTime::MAX,
-        attempt: 1,
-        attempt_limit: None,
-        depth: 0,
-        key: Some("k".into()),
-        fingerprint: 0,
-    }
+    let request = sample::request("pledge-desk", WorkClass::Normal, ClockTime::MAX);
+    CallerRequest { idempotent: false, key: Some("k".into()), ..request }
 }
 
 async fn begin(runner: &TestRunner, key: &str) -> TestDecision {
--- a/crates/config/tests/model.rs
+++ b/crates/config/tests/model.rs
@@ -1,13 +1,13 @@
 //! Explores the interleavings of two operators and a store that fails.
 
-use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, HashMap};
-use std::hash::{Hash, Hasher};
+#[path = "../../store/tests/model/mod.rs"]
+mod model;
 
 use base::prelude::*;
 use config::change::{ChangeAction, ChangeEvent, ChangeMachine};
 use config::prelude::*;
 use config::row::HISTORY_TABLE;
+use model::{Explorer, ModelState, ModelStore};
 use serde::Deserialize;
 use serde_json::Value;
 use store::prelude::*;
@@ -15,42 +15,16 @@
 const PRODUCTION: &str = "production";
 const TRIAL: &str = "trial";
 const FIRST_VERSION: u64 = 7;
+/// The most faults in one run.
+const FAULTS: u32 = 3;
 
-/// A store that can be copied, so that the explorer can go back.
-#[derive(Clone, Debug, Default)]
-struct ModelStore {
-    rows: BTreeMap<RowKey, (u64, Value)>,
-    version: u64,
+fn in_force(store: &ModelStore) -> VersionRow {
+    VersionRow::deserialize(&store.rows[&VersionRow::place(PRODUCTION)].1).unwrap()
 }
 
-impl ModelStore {
-    fn transact(&mut self, writes: &[RowWrite]) -> bool {
-        let admitted = writes.iter().all(|write| {
-            write.expect.admits(self.rows.get(&write.place()).map(|(version, _)| *version))
-        });
-        if admitted {
-            for write in writes {
-                self.version += 1;
-                self.rows.insert(write.place(), (self.version, write.value.clone().unwrap()));
-            }
-        }
-        admitted
-    }
-
-    fn read(&self, places: &[RowKey]) -> Vec<Option<RowEntry>> {
-        let entry =
-            |(version, value): &(u64, Value)| RowEntry { version: *version, value: value.clone() };
-        places.iter().map(|place| self.rows.get(place).map(entry)).collect()
-    }
-
-    fn in_force(&self) -> VersionRow {
-        VersionRow::deserialize(&self.rows[&VersionRow::place(PRODUCTION)].1).unwrap()
-    }
-
-    fn history(&self) -> Vec<VersionRow> {
-        let rows = self.rows.iter().filter(|(place, _)| place.table == *HISTORY_TABLE);
-        rows.map(|(_, (_, value))| VersionRow::deserialize(value).unwrap()).collect()
-    }
+fn history(store: &ModelStore) -> Vec<VersionRow> {
+    let rows = store.rows.iter().filter(|(place, _)| place.table == *HISTORY_TABLE);
+    rows.map(|(_, (_, value))| VersionRow::deserialize(value).unwrap()).collect()
 }
 
 #[derive(Clone, Debug)]
@@ -105,13 +79,17 @@
         let put = |place, value| RowWrite::put(&place, RowExpect::Any, value);
         for (version, digest) in [(FIRST_VERSION - 1, "d0"), (FIRST_VERSION, "d1")] {
             let row = version_row(version, digest);
-            store.transact(&[
-                put(VersionRow::place(PRODUCTION), row.to_value()),
-                put(VersionRow::history_place(PRODUCTION, version), row.to_value()),
-            ]);
+            store
+                .transact(&[
+                    put(VersionRow::place(PRODUCTION), row.to_value()),
+                    put(VersionRow::history_place(PRODUCTION, version), row.to_value()),
+                ])
+                .unwrap();
         }
         for digest in ["d0", "d1", "d2", "d3"] {
-            store.transact(&[put(VersionRow::tried_place(TRIAL, digest), Value::Bool(true))]);
+            store
+                .transact(&[put(VersionRow::tried_place(TRIAL, digest), Value::Bool(true))])
+                .unwrap();
         }
         let operator = |(index, kind): (usize, &ChangeKind)| {
             let request = ChangeRequest {
@@ -128,10 +106,15 @@
         let operators = kinds.iter().enumerate().map(operator).collect();
         Self { store, operators, delayed: None, faults: 0 }
     }
+}
+
+impl ModelState for ModelWorld {
+    type Choice = Choice;
+    type Violation = Violation;
 
-    fn choices(&self, faults: u32) -> Vec<Choice> {
+    fn choices(&self) -> Vec<Choice> {
         let mut choices = Vec::new();
-        let faulty = self.faults < faults;
+        let faulty = self.faults < FAULTS;
         for (index, operator) in self.operators.iter().enumerate() {
             match operator.action {
                 ChangeAction::End(_) => continue,
@@ -156,17 +139,17 @@
     }
 
     fn apply(&mut self, choice: Choice) -> Result<(), Violation> {
-        let before = self.store.in_force();
+        let before = in_force(&self.store);
         let error = StoreError::Unavailable { reason: "test".to_owned() };
         match choice {
             Choice::Late => {
                 let writes = self.delayed.take().unwrap_or_default();
-                self.store.transact(&writes);
+                drop(self.store.transact(&writes));
             }
             Choice::Answer(index) => {
                 let event = match self.operators[index].action.clone() {
                     ChangeAction::Read(places) => ChangeEvent::Rows(self.store.read(&places)),
-                    ChangeAction::Write(writes) if self.store.transact(&writes) => {
+                    ChangeAction::Write(writes) if self.store.transact(&writes).is_ok() => {
                         ChangeEvent::Committed
                     }
                     _ => ChangeEvent::Conflicted,
@@ -196,20 +179,26 @@
         self.check(&before)
     }
 
+    fn endings(&self) -> Vec<&'static str> {
+        self.operators.iter().map(|operator| ending(&operator.action)).collect()
+    }
+}
+
+impl ModelWorld {
     fn tell(&mut self, index: usize, event: ChangeEvent) {
         let operator = &mut self.operators[index];
         operator.action = operator.machine.handle(event);
     }
 
     fn check(&self, before: &VersionRow) -> Result<(), Violation> {
-        let now = self.store.in_force();
+        let now = in_force(&self.store);
         if now != *before && now.version <= before.version {
             return Err(Violation::VersionNotHigher);
         }
         if now.digest == "d9" {
             return Err(Violation::UntriedInForce);
         }
-        let history = self.store.history();
+        let history = history(&self.store);
         for operator in &self.operators {
             let request = operator.machine.request();
             let made = history.iter().find(|row| row.attempt == request.attempt);
@@ -234,46 +223,6 @@
         }
         Ok(())
     }
-
-    fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        format!("{self:?}").hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
-#[derive(Default)]
-struct Explorer {
-    seen: HashMap<u64, ()>,
-    steps: u64,
-    path: Vec<Choice>,
-    endings: BTreeMap<&'static str, u64>,
-}
-
-impl Explorer {
-    fn explore(&mut self, world: &ModelWorld, faults: u32) -> Option<Violation> {
-        let choices = world.choices(faults);
-        if choices.is_empty() {
-            for operator in &world.operators {
-                *self.endings.entry(ending(&operator.action)).or_default() += 1;
-            }
-        }
-        for choice in choices {
-            let mut next = world.clone();
-            self.steps += 1;
-            self.path.push(choice);
-            if let Err(violation) = next.apply(choice) {
-                return Some(violation);
-            }
-            if self.seen.insert(next.fingerprint(), ()).is_none()
-                && let Some(violation) = self.explore(&next, faults)
-            {
-                return Some(violation);
-            }
-            self.path.pop();
-        }
-        None
-    }
 }
 
 fn ending(action: &ChangeAction) -> &'static str {
@@ -300,7 +249,6 @@
 /// was made. The cases with one safeguard off show that the explorer sees each of these faults.
 #[test]
 fn every_interleaving_keeps_versions_in_order() {
-    const FAULTS: u32 = 3;
     let all = ChangeGuards::ALL;
     let promote = |digest: &str| ChangeKind::Promote { digest: digest.into(), trial: TRIAL.into() };
     let rollback = || ChangeKind::Rollback { to: FIRST_VERSION - 1 };
@@ -350,9 +298,9 @@
         ),
     ];
     for case in cases {
-        let mut explorer = Explorer::default();
+        let mut explorer = Explorer::new(None, None);
         let world = ModelWorld::new(&case.kinds, case.base, case.guards);
-        let found = explorer.explore(&world, FAULTS);
+        let found = explorer.explore(&world);
         println!(
             "{}: {} steps, endings {:?}, {found:?}",
             case.name, explorer.steps, explorer.endings
--- /dev/null
+++ b/crates/store/tests/model/mod.rs
@@ -0,0 +1,129 @@
+//! A store that can be copied, and an explorer of everything that can happen around it.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Debug;
+use std::hash::{Hash, Hasher};
+
+use serde_json::Value;
+use store::prelude::*;
+
+/// A store that can be copied, so that the explorer can go back.
+#[derive(Clone, Debug, Default)]
+pub struct ModelStore {
+    pub rows: BTreeMap<RowKey, (u64, Value)>,
+    version: u64,
+}
+
+impl ModelStore {
+    pub fn transact(&mut self, writes: &[RowWrite]) -> Result<Vec<u64>, Vec<RowConflict>> {
+        let mut conflicts = Vec::new();
+        for (index, write) in writes.iter().enumerate() {
+            let row = self.rows.get(&write.place());
+            let version = row.map(|row| row.0);
+            if !write.expect.admits(version) {
+                conflicts.push(RowConflict { index, version, value: row.map(|row| row.1.clone()) });
+            }
+        }
+        if !conflicts.is_empty() {
+            return Err(conflicts);
+        }
+        let mut versions = Vec::new();
+        for write in writes {
+            self.version += 1;
+            self.rows.insert(write.place(), (self.version, write.value.clone().unwrap()));
+            versions.push(self.version);
+        }
+        Ok(versions)
+    }
+
+    pub fn read(&self, places: &[RowKey]) -> Vec<Option<RowEntry>> {
+        let entry =
+            |(version, value): &(u64, Value)| RowEntry { version: *version, value: value.clone() };
+        places.iter().map(|place| self.rows.get(place).map(entry)).collect()
+    }
+}
+
+/// A state of everything that a test models. States with the same `Debug` form are the same.
+pub trait ModelState: Clone + Debug {
+    type Choice: Copy + Debug;
+    type Violation: Copy + PartialEq;
+
+    /// Returns what can happen next.
+    fn choices(&self) -> Vec<Self::Choice>;
+
+    fn apply(&mut self, choice: Self::Choice) -> Result<(), Self::Violation>;
+
+    /// Returns how everyone ended if nothing more can happen.
+    fn endings(&self) -> Vec<&'static str> {
+        Vec::new()
+    }
+}
+
+/// Tries every order in which things can happen.
+pub struct Explorer<S: ModelState> {
+    /// The most choices in a row, or `None` for no limit.
+    depth: Option<usize>,
+    /// The violation that is looked for, or `None` for any.
+    wanted: Option<S::Violation>,
+    /// The remaining depth with which each state was explored.
+    seen: HashMap<u64, usize>,
+    pub steps: u64,
+    pub path: Vec<S::Choice>,
+    pub endings: BTreeMap<&'static str, u64>,
+}
+
+impl<S: ModelState> Explorer<S> {
+    pub fn new(depth: Option<usize>, wanted: Option<S::Violation>) -> Self {
+        let (seen, path, endings) = Default::default();
+        Self { depth, wanted, seen, steps: 0, path, endings }
+    }
+
+    pub fn state_count(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Returns the first violation that is found, with the path to it in `path`.
+    pub fn explore(&mut self, state: &S) -> Option<S::Violation> {
+        // Without a limit, a state is explored once.
+        let left = self.depth.map_or(1, |depth| depth - self.path.len());
+        if left == 0 {
+            return None;
+        }
+        let choices = state.choices();
+        if choices.is_empty() {
+            for ending in state.endings() {
+                *self.endings.entry(ending).or_default() += 1;
+            }
+        }
+        for choice in choices {
+            let mut next = state.clone();
+            self.steps += 1;
+            self.path.push(choice);
+            match next.apply(choice) {
+                Err(found) if self.wanted.is_none_or(|wanted| wanted == found) => {
+                    return Some(found);
+                }
+                Err(_) => {}
+                Ok(()) if self.is_new(&next, left) => {
+                    if let Some(found) = self.explore(&next) {
+                        return Some(found);
+                    }
+                }
+                Ok(()) => {}
+            }
+            self.path.pop();
+        }
+        None
+    }
+
+    fn is_new(&mut self, state: &S, left: usize) -> bool {
+        let mut hasher = DefaultHasher::new();
+        format!("{state:?}").hash(&mut hasher);
+        let explored = self.seen.entry(hasher.finish()).or_default();
+        let new = *explored < left;
+        *explored = left.max(*explored);
+        new
+    }
+}
