Join the rows and set-up of the tests of the stand-ins

Joined: the parts that most cases of the tables of answers and proxy faults have in common (no headers, no further check), which each case now adds by name; plans that several cases use; the start of a stand-in; the literals of the protocol, loss, stall, delay and process cases.

--- a/crates/stand/tests/faults.rs
+++ b/crates/stand/tests/faults.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use stand::prelude::*;
-use support::{Call, Caller, call};
+use support::{Call, Caller, call, start};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -115,7 +115,7 @@
     for case in cases {
         let plan =
             UpstreamPlan { faults: vec![FaultRule::next(case.fault, 1)], ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(plan).await;
         let mut wire = WireCaller::connect(stand.address()).await;
         let end = wire.exchange(case.request, case.sees).await;
         assert_eq!(end, case.end, "{:?}: {}", case.fault, wire.seen);
@@ -162,8 +162,7 @@
         case("no share", FaultRule { share: 0.0, ..all() }, 0, 0),
     ];
     for case in cases {
-        let plan = UpstreamPlan { faults: vec![case.rule], ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(UpstreamPlan { faults: vec![case.rule], ..Default::default() }).await;
         let mut failed = [0, 0];
         for _ in 0..4 {
             for (index, path) in ["/phase", "/agateroad/health"].into_iter().enumerate() {
@@ -179,8 +178,7 @@
 /// Guards against a record that loses an arrival, a run or a changed byte.
 #[tokio::test]
 async fn requests_are_recorded_by_their_id() {
-    let plan = UpstreamPlan { record_requests: true, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { record_requests: true, ..Default::default() }).await;
     let headers = &[("agateroad-request-id", "r1"), ("agateroad-deadline-ms", "700")];
     for path in ["/echo", "/booking"] {
         let reply = call(stand.address(), Call::post(path, "body").with(headers)).await.unwrap();
@@ -219,7 +217,7 @@
             record_requests: true,
             ..Default::default()
         };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(plan).await;
         let headers = &[("agateroad-request-id", "r1")];
         let task = tokio::spawn(call(stand.address(), WORK.with(headers)));
         stand.wait_for(|_, figures| figures.in_flight == 1).await;
@@ -242,7 +240,7 @@
         record_requests: true,
         ..Default::default()
     };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(plan).await;
     assert!(call(stand.address(), Call::get("/bad/not")).await.is_some());
     assert!(call(stand.address(), Call::get("/bad")).await.is_none());
     stand.wait_listening(false).await;
@@ -257,8 +255,7 @@
 /// Guards against a busy connection that is closed for being idle, and an idle one that stays.
 #[tokio::test]
 async fn idle_connections_are_closed_without_notice() {
-    let plan = UpstreamPlan { service: HOUR, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { service: HOUR, ..Default::default() }).await;
     let mut idle = Caller::connect(stand.address()).await.unwrap();
     let busy = tokio::spawn(call(stand.address(), WORK));
     stand.wait_for(|counts, figures| counts.connections == 2 && figures.in_flight == 1).await;
@@ -282,7 +279,7 @@
         pace_percent: Some(250),
         ..Default::default()
     };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(plan).await;
     call(stand.address(), WORK).await.unwrap();
     assert_eq!(stand.counts().slot_ms, ClockSpan::from_millis_f64(2.5).as_millis_f64());
 }
@@ -290,8 +287,7 @@
 /// Guards against a record of calls to a leaving upstream that misses one or counts one before.
 #[tokio::test]
 async fn arrivals_are_recorded_while_an_upstream_leaves() {
-    let plan = UpstreamPlan { record_requests: true, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { record_requests: true, ..Default::default() }).await;
     let work = WORK.with(&[("agateroad-request-id", "r1")]);
     let recorded = || stand.counts().of_request("r1").draining_ms.len();
     call(stand.address(), work).await.unwrap();
--- a/crates/stand/tests/platform.rs
+++ b/crates/stand/tests/platform.rs
@@ -37,45 +37,30 @@
     let listed = json!([{"name": "vm-1", "incarnation": 2, "centre": "suva",
         "peer_address": "127.0.0.1:1", "leaving": true}]);
     let stored = json!({"version": 1, "value": {"n": 1}});
+    let case = |call, status, body| ProtocolCase { call, status, body };
     let cases = [
-        ProtocolCase { call: READ, status: 200, body: json!({"rows": [null]}) },
-        ProtocolCase {
-            call: WRITE,
-            status: 200,
-            body: json!({"committed": true, "versions": [1]}),
-        },
-        ProtocolCase {
-            call: WRITE,
-            status: 200,
-            body: json!({"committed": true, "versions": [1]}),
-        },
-        ProtocolCase {
-            call: OTHER_WRITE,
-            status: 409,
-            body: json!({"committed": false,
+        case(READ, 200, json!({"rows": [null]})),
+        case(WRITE, 200, json!({"committed": true, "versions": [1]})),
+        case(WRITE, 200, json!({"committed": true, "versions": [1]})),
+        case(
+            OTHER_WRITE,
+            409,
+            json!({"committed": false,
                 "conflicts": [{"index": 0, "version": 1, "value": {"n": 1}}]}),
-        },
-        ProtocolCase { call: READ, status: 200, body: json!({"rows": [stored]}) },
-        ProtocolCase {
-            call: Call::get("/v1/scan/t?after=&limit=5"),
-            status: 200,
-            body: json!({"rows": [{"key": "k", "version": 1, "value": {"n": 1}}]}),
-        },
-        ProtocolCase {
-            call: Call::get("/v1/scan/t?after=k"),
-            status: 200,
-            body: json!({"rows": []}),
-        },
-        ProtocolCase { call: Call::get("/v1/objects/d1"), status: 404, body: Value::Null },
-        ProtocolCase { call: PUT, status: 201, body: Value::Null },
-        ProtocolCase { call: Call::get("/v1/objects/d1"), status: 200, body: Value::Null },
-        ProtocolCase {
-            call: Call::get("/v1/members"),
-            status: 200,
-            body: json!({"members": listed, "age_ms": 0}),
-        },
-        ProtocolCase { call: Call::post("/v1/transact", "{}"), status: 400, body: Value::Null },
-        ProtocolCase { call: Call::get("/v1/nothing"), status: 400, body: Value::Null },
+        ),
+        case(READ, 200, json!({"rows": [stored]})),
+        case(
+            Call::get("/v1/scan/t?after=&limit=5"),
+            200,
+            json!({"rows": [{"key": "k", "version": 1, "value": {"n": 1}}]}),
+        ),
+        case(Call::get("/v1/scan/t?after=k"), 200, json!({"rows": []})),
+        case(Call::get("/v1/objects/d1"), 404, Value::Null),
+        case(PUT, 201, Value::Null),
+        case(Call::get("/v1/objects/d1"), 200, Value::Null),
+        case(Call::get("/v1/members"), 200, json!({"members": listed, "age_ms": 0})),
+        case(Call::post("/v1/transact", "{}"), 400, Value::Null),
+        case(Call::get("/v1/nothing"), 400, Value::Null),
     ];
     let plan = PlatformPlan { members: vec![member], ..Default::default() };
     let stand = PlatformStand::start(plan).await.unwrap();
@@ -106,17 +91,12 @@
 async fn answers_are_lost_after_the_commit() {
     let next = PlatformPlan { lose_next: 1, ..Default::default() };
     let share = PlatformPlan { lose_share: 1.0, ..Default::default() };
+    let case = |name, plan, call, answered, lost| LossCase { name, plan, call, answered, lost };
     let cases = [
-        LossCase { name: "next", plan: next.clone(), call: WRITE, answered: false, lost: 1 },
-        LossCase { name: "share", plan: share, call: WRITE, answered: false, lost: 1 },
-        LossCase { name: "read", plan: next, call: READ, answered: true, lost: 0 },
-        LossCase {
-            name: "none",
-            plan: PlatformPlan::default(),
-            call: WRITE,
-            answered: true,
-            lost: 0,
-        },
+        case("next", next.clone(), WRITE, false, 1),
+        case("share", share, WRITE, false, 1),
+        case("read", next, READ, true, 0),
+        case("none", PlatformPlan::default(), WRITE, true, 0),
     ];
     for case in cases {
         let stand = PlatformStand::start(case.plan).await.unwrap();
@@ -155,17 +135,10 @@
 #[tokio::test]
 async fn calls_stall() {
     let silent = Some(PlatformOutage::Silent);
+    let case = |name, plan, silenced| StallCase { name, plan, silenced };
     let cases = [
-        StallCase {
-            name: "silent",
-            plan: PlatformPlan { outage: silent, ..Default::default() },
-            silenced: 1,
-        },
-        StallCase {
-            name: "slow",
-            plan: PlatformPlan { delay: HOUR, ..Default::default() },
-            silenced: 0,
-        },
+        case("silent", PlatformPlan { outage: silent, ..Default::default() }, 1),
+        case("slow", PlatformPlan { delay: HOUR, ..Default::default() }, 0),
     ];
     for case in cases {
         let stand = PlatformStand::start(case.plan).await.unwrap();
--- a/crates/stand/tests/process.rs
+++ b/crates/stand/tests/process.rs
@@ -20,18 +20,11 @@
 async fn processes_serve_until_their_input_closes() {
     let upstream = UpstreamStand::start(UpstreamPlan::default()).await.unwrap();
     let proxy = ProxyPlan { target: upstream.address(), ..Default::default() };
+    let case = |name, choice, path| ProcessCase { name, choice, path };
     let cases = [
-        ProcessCase {
-            name: "upstream",
-            choice: StandChoice::Upstream(Box::default()),
-            path: "/phase/today",
-        },
-        ProcessCase {
-            name: "platform",
-            choice: StandChoice::Platform(PlatformPlan::default()),
-            path: "/v1/members",
-        },
-        ProcessCase { name: "proxy", choice: StandChoice::Proxy(proxy), path: "/phase/today" },
+        case("upstream", StandChoice::Upstream(Box::default()), "/phase/today"),
+        case("platform", StandChoice::Platform(PlatformPlan::default()), "/v1/members"),
+        case("proxy", StandChoice::Proxy(proxy), "/phase/today"),
     ];
     // Test binaries are in `deps`, next to the folder of the examples.
     let folder = std::env::current_exe().unwrap().ancestors().nth(2).unwrap().join("examples");
--- a/crates/stand/tests/proxy.rs
+++ b/crates/stand/tests/proxy.rs
@@ -12,6 +12,8 @@
 use tokio::time::Instant;
 
 const WORK: Call = Call::get("/phase/today");
+const LONG: Call = Call::get("/bytes/300000");
+const ECHO: Call = Call::post("/echo", "0123456789");
 
 async fn pair(change: impl FnOnce(&mut ProxyPlan)) -> (UpstreamStand, FaultProxy) {
     let upstream = UpstreamStand::start(UpstreamPlan::default()).await.unwrap();
@@ -30,63 +32,49 @@
     check: fn(&ProxyCounts) -> bool,
 }
 
+impl PassCase {
+    /// A call whose connection breaks before it runs.
+    fn new(name: &'static str, change: fn(&mut ProxyPlan), call: Call) -> Self {
+        Self { name, change, call, body: None, executed: 0, check: |_| true }
+    }
+
+    fn gives(self, body: Option<usize>, executed: u64, check: fn(&ProxyCounts) -> bool) -> Self {
+        Self { body, executed, check, ..self }
+    }
+}
+
 /// Guards against a switch without effect, and against faults before the request is delivered.
 #[tokio::test]
 async fn answers_meet_the_fault() {
     let cases = [
-        PassCase {
-            name: "no fault",
-            change: |_| {},
-            call: Call::get("/bytes/300000"),
-            body: Some(300_000),
-            executed: 1,
-            check: |counts| {
-                counts.bytes_to_caller > 300_000 && counts.bytes_to_target > 0 && counts.cut == 0
-            },
-        },
-        PassCase {
-            name: "cut after a number of bytes",
-            change: |plan| plan.cut_after_bytes = Some(100_000),
-            call: Call::get("/bytes/300000"),
-            body: None,
-            executed: 1,
-            check: |counts| {
-                counts.cut == 1 && counts.bytes_to_caller + counts.bytes_to_target == 100_000
-            },
-        },
-        PassCase {
-            name: "cut before the request is complete",
-            change: |plan| plan.cut_after_bytes = Some(10),
-            call: WORK,
-            body: None,
-            executed: 0,
-            check: |counts| counts.cut == 1 && counts.bytes_to_target == 10,
-        },
-        PassCase {
-            name: "truncated answer",
-            change: |plan| plan.truncate_after_bytes = Some(100_000),
-            call: Call::get("/bytes/300000"),
-            body: None,
-            executed: 1,
-            check: |counts| counts.truncated == 1 && counts.bytes_to_caller == 100_000,
-        },
-        PassCase {
-            name: "lost answer",
-            change: |plan| plan.lose_next = 1,
-            call: WORK,
-            body: None,
-            executed: 1,
-            check: |counts| counts.lost_answers == 1 && counts.bytes_to_caller == 0,
-        },
-        PassCase {
-            name: "unreachable target",
-            // Port 1 of the loopback address has no listener.
-            change: |plan| plan.target = "127.0.0.1:1".parse().unwrap(),
-            call: WORK,
-            body: None,
-            executed: 0,
-            check: |counts| counts.unreachable == 1,
-        },
+        PassCase::new("no fault", |_| {}, LONG).gives(Some(300_000), 1, |counts| {
+            counts.bytes_to_caller > 300_000 && counts.bytes_to_target > 0 && counts.cut == 0
+        }),
+        PassCase::new(
+            "cut after a number of bytes",
+            |plan| plan.cut_after_bytes = Some(100_000),
+            LONG,
+        )
+        .gives(None, 1, |counts| {
+            counts.cut == 1 && counts.bytes_to_caller + counts.bytes_to_target == 100_000
+        }),
+        PassCase::new(
+            "cut before the request is complete",
+            |plan| plan.cut_after_bytes = Some(10),
+            WORK,
+        )
+        .gives(None, 0, |counts| counts.cut == 1 && counts.bytes_to_target == 10),
+        PassCase::new("truncated answer", |plan| plan.truncate_after_bytes = Some(100_000), LONG)
+            .gives(None, 1, |counts| counts.truncated == 1 && counts.bytes_to_caller == 100_000),
+        PassCase::new("lost answer", |plan| plan.lose_next = 1, WORK)
+            .gives(None, 1, |counts| counts.lost_answers == 1 && counts.bytes_to_caller == 0),
+        // Port 1 of the loopback address has no listener.
+        PassCase::new(
+            "unreachable target",
+            |plan| plan.target = "127.0.0.1:1".parse().unwrap(),
+            WORK,
+        )
+        .gives(None, 0, |counts| counts.unreachable == 1),
     ];
     for case in cases {
         let (upstream, proxy) = pair(case.change).await;
@@ -108,17 +96,10 @@
 /// Guards against a truncation that is visible as a reset, and a cut that looks like a clean end.
 #[tokio::test]
 async fn truncation_ends_cleanly_and_cuts_do_not() {
+    let end_case = |name, error, change| EndCase { name, change, error };
     let cases = [
-        EndCase {
-            name: "truncated",
-            change: |plan| plan.truncate_after_bytes = Some(50),
-            error: None,
-        },
-        EndCase {
-            name: "cut",
-            change: |plan| plan.cut_after_bytes = Some(50),
-            error: Some(ErrorKind::ConnectionReset),
-        },
+        end_case("truncated", None, |plan| plan.truncate_after_bytes = Some(50)),
+        end_case("cut", Some(ErrorKind::ConnectionReset), |plan| plan.cut_after_bytes = Some(50)),
     ];
     for case in cases {
         let (_upstream, proxy) = pair(case.change).await;
@@ -205,43 +186,30 @@
 struct DelayCase {
     name: &'static str,
     change: fn(&mut ProxyPlan),
-    call: Call,
-    least: Duration,
+    /// The shortest time of the call.
+    seconds: u64,
 }
 
 /// Guards against a delay that is not made, and against bytes that overtake each other. Time is
 /// virtual: it only passes while every task waits.
 #[tokio::test(start_paused = true)]
 async fn bytes_are_delayed_in_order() {
+    let delay_case = |name, seconds, change| DelayCase { name, change, seconds };
     let cases = [
-        DelayCase {
-            name: "delay in both directions",
-            change: |plan| plan.delay_ms = 10_000.0,
-            call: Call::post("/echo", "0123456789"),
-            least: Duration::from_secs(20),
-        },
-        DelayCase {
-            name: "jitter",
-            change: |plan| {
-                plan.delay_ms = 1000.0;
-                plan.jitter_ms = 1000.0;
-            },
-            call: Call::post("/echo", "0123456789"),
-            least: Duration::from_secs(2),
-        },
-        DelayCase {
-            name: "bandwidth",
-            change: |plan| plan.bytes_per_second = Some(10),
-            call: Call::post("/echo", "0123456789"),
-            least: Duration::from_secs(2),
-        },
+        delay_case("delay in both directions", 20, |plan| plan.delay_ms = 10_000.0),
+        delay_case("jitter", 2, |plan| {
+            plan.delay_ms = 1000.0;
+            plan.jitter_ms = 1000.0;
+        }),
+        delay_case("bandwidth", 2, |plan| plan.bytes_per_second = Some(10)),
     ];
     for case in cases {
         let (_upstream, proxy) = pair(case.change).await;
         let start = Instant::now();
-        let reply = call(proxy.address(), case.call).await.expect(case.name);
-        assert_eq!(reply.body, case.call.body, "{}", case.name);
-        assert!(start.elapsed() >= case.least, "{}: {:?}", case.name, start.elapsed());
+        let reply = call(proxy.address(), ECHO).await.expect(case.name);
+        assert_eq!(reply.body, ECHO.body, "{}", case.name);
+        let elapsed = start.elapsed();
+        assert!(elapsed >= Duration::from_secs(case.seconds), "{}: {elapsed:?}", case.name);
     }
 }
 
--- a/crates/stand/tests/support/mod.rs
+++ b/crates/stand/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use stand::prelude::*;
 use tokio::net::TcpStream;
 
 /// A request of a test.
@@ -86,3 +87,7 @@
 pub async fn call(address: SocketAddr, call: Call) -> Option<Reply> {
     Caller::connect(address).await?.call(call).await
 }
+
+pub async fn start(plan: UpstreamPlan) -> UpstreamStand {
+    UpstreamStand::start(plan).await.unwrap()
+}
--- a/crates/stand/tests/upstream.rs
+++ b/crates/stand/tests/upstream.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use stand::prelude::*;
-use support::{Call, Caller, Reply, call};
+use support::{Call, Caller, Reply, call, start};
 
 /// Longer than any test runs.
 const HOUR_MS: u64 = 3_600_000;
@@ -16,7 +16,23 @@
     status: u16,
     /// Header and its value; an empty value means that the header must be absent.
     headers: &'static [(&'static str, &'static str)],
-    check: fn(&Reply, &UpstreamCounts) -> bool,
+    check: AnswerCheck,
+}
+
+type AnswerCheck = fn(&Reply, &UpstreamCounts) -> bool;
+
+fn case(name: &'static str, plan: UpstreamPlan, call: Call, status: u16) -> AnswerCase {
+    AnswerCase { name, plan, call, status, headers: &[], check: |_, _| true }
+}
+
+impl AnswerCase {
+    fn with_headers(self, headers: &'static [(&'static str, &'static str)]) -> Self {
+        Self { headers, ..self }
+    }
+
+    fn checked(self, check: AnswerCheck) -> Self {
+        Self { check, ..self }
+    }
 }
 
 const WORK: Call = Call::get("/phase/today");
@@ -28,174 +44,91 @@
         drain: Some(DrainPlan { health_fails_after_ms, grace_ms }),
         ..plan()
     };
+    let full = |queue_limit| UpstreamPlan { slots: 0, queue_limit, ..plan() };
+    let fail_fast = || UpstreamPlan { mode: UpstreamMode::FailFast, ..plan() };
+    let cold = |for_ms| UpstreamPlan {
+        service: ServiceTime::Fixed { ms: 1.0 },
+        cold: Some(ColdStart { for_ms, factor: 3.0 }),
+        ..plan()
+    };
     vec![
-        AnswerCase {
-            name: "ordinary answer",
-            plan: plan(),
-            call: WORK.with(&[("x-test-nonce", "n1"), ("idempotency-key", "k1")]),
-            status: 200,
-            headers: &[
-                ("x-test-nonce", "n1"),
-                ("agateroad-load", "0/6/0"),
-                ("agateroad-drain", ""),
-                ("agateroad-shed", ""),
-            ],
-            check: |reply, counts| {
-                reply.body.len() == 16 && counts.of_key("k1") == 1 && counts.of_nonce("n1") == 1
-            },
-        },
-        AnswerCase {
-            name: "echo",
-            plan: plan(),
-            call: Call::post("/echo", "some bytes"),
-            status: 200,
-            headers: &[],
-            check: |reply, _| reply.body == "some bytes",
-        },
-        AnswerCase {
-            name: "generated body",
-            plan: plan(),
-            call: Call::get("/bytes/1000003"),
-            status: 200,
-            headers: &[("content-length", "1000003")],
-            check: |reply, _| reply.body.len() == 1_000_003,
-        },
-        AnswerCase {
-            name: "full queue sheds",
-            plan: UpstreamPlan { slots: 0, queue_limit: 0, ..plan() },
-            call: WORK,
-            status: 503,
-            headers: &[("agateroad-shed", "1")],
-            check: |_, counts| counts.shed == 1 && counts.executed == 0,
-        },
-        AnswerCase {
-            name: "deadline passes in the queue",
-            plan: UpstreamPlan { slots: 0, queue_limit: 1, ..plan() },
-            call: WORK.with(&[("agateroad-deadline-ms", "1")]),
-            status: 503,
-            headers: &[("agateroad-shed", "1")],
-            check: |_, counts| counts.expired == 1 && counts.executed == 0,
-        },
-        AnswerCase {
-            name: "fail fast",
-            plan: UpstreamPlan { mode: UpstreamMode::FailFast, ..plan() },
-            call: WORK,
-            status: 500,
-            headers: &[("agateroad-shed", "")],
-            check: |_, counts| counts.failed_fast == 1 && counts.executed == 0,
-        },
-        AnswerCase {
-            name: "fail fast with good health",
-            plan: UpstreamPlan { mode: UpstreamMode::FailFast, ..plan() },
-            call: HEALTH,
-            status: 200,
-            headers: &[],
-            check: |_, counts| counts.probes == 1,
-        },
-        AnswerCase {
-            name: "drain begins",
-            plan: drain(HOUR_MS, HOUR_MS),
-            call: WORK,
-            status: 200,
-            headers: &[("agateroad-drain", "1")],
-            check: |_, counts| counts.executed == 1 && counts.arrived_draining == 1,
-        },
-        AnswerCase {
-            name: "drain with good health",
-            plan: drain(HOUR_MS, HOUR_MS),
-            call: HEALTH,
-            status: 200,
-            headers: &[("agateroad-drain", "1")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "drain with bad health",
-            plan: drain(0, HOUR_MS),
-            call: HEALTH,
-            status: 503,
-            headers: &[("agateroad-drain", "1")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "drain past the grace time",
-            plan: drain(0, 0),
-            call: WORK,
-            status: 503,
-            headers: &[("agateroad-drain", "1"), ("agateroad-shed", "1")],
-            check: |_, counts| counts.executed == 0 && counts.shed == 1,
-        },
-        AnswerCase {
-            name: "no load report",
-            plan: UpstreamPlan { load: LoadAnswer::Silent, ..plan() },
-            call: Call::get("/agateroad/load"),
-            status: 404,
-            headers: &[("agateroad-load", "")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "load with an id",
-            plan: plan(),
-            call: Call::get("/agateroad/load").with(&[("agateroad-request-id", "check-1")]),
-            status: 200,
-            headers: &[("agateroad-request-id", "check-1")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "health with an id that is not echoed",
-            plan: UpstreamPlan { echo_checks: false, ..plan() },
-            call: HEALTH.with(&[("agateroad-request-id", "check-1")]),
-            status: 200,
-            headers: &[("agateroad-request-id", "")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "work with an id",
-            plan: plan(),
-            call: WORK.with(&[("agateroad-request-id", "call-1")]),
-            status: 200,
-            headers: &[("agateroad-request-id", "")],
-            check: |_, _| true,
-        },
-        AnswerCase {
-            name: "probe in a slot",
-            plan: UpstreamPlan { probe_ms: 1, ..plan() },
-            call: HEALTH,
-            status: 200,
-            headers: &[],
-            check: |_, counts| counts.probe_slot_ms == 1.0 && counts.executed == 0,
-        },
-        AnswerCase {
-            name: "cold",
-            plan: UpstreamPlan {
-                service: ServiceTime::Fixed { ms: 1.0 },
-                cold: Some(ColdStart { for_ms: HOUR_MS, factor: 3.0 }),
-                ..plan()
-            },
-            call: WORK,
-            status: 200,
-            headers: &[],
-            check: |_, counts| counts.slot_ms == 3.0,
-        },
-        AnswerCase {
-            name: "warm",
-            plan: UpstreamPlan {
-                service: ServiceTime::Fixed { ms: 1.0 },
-                cold: Some(ColdStart { for_ms: 0, factor: 3.0 }),
-                ..plan()
-            },
-            call: WORK,
-            status: 200,
-            headers: &[],
-            check: |_, counts| counts.slot_ms == 1.0,
-        },
-        AnswerCase {
-            name: "unknown request to cancel",
-            plan: plan(),
-            call: Call::post("/agateroad/cancel/r1", ""),
-            status: 200,
-            headers: &[],
-            check: |reply, counts| reply.json()["confirmed"] == false && counts.cancel_denied == 1,
-        },
+        case(
+            "ordinary answer",
+            plan(),
+            WORK.with(&[("x-test-nonce", "n1"), ("idempotency-key", "k1")]),
+            200,
+        )
+        .with_headers(&[
+            ("x-test-nonce", "n1"),
+            ("agateroad-load", "0/6/0"),
+            ("agateroad-drain", ""),
+            ("agateroad-shed", ""),
+        ])
+        .checked(|reply, counts| {
+            reply.body.len() == 16 && counts.of_key("k1") == 1 && counts.of_nonce("n1") == 1
+        }),
+        case("echo", plan(), Call::post("/echo", "some bytes"), 200)
+            .checked(|reply, _| reply.body == "some bytes"),
+        case("generated body", plan(), Call::get("/bytes/1000003"), 200)
+            .with_headers(&[("content-length", "1000003")])
+            .checked(|reply, _| reply.body.len() == 1_000_003),
+        case("full queue sheds", full(0), WORK, 503)
+            .with_headers(&[("agateroad-shed", "1")])
+            .checked(|_, counts| counts.shed == 1 && counts.executed == 0),
+        case(
+            "deadline passes in the queue",
+            full(1),
+            WORK.with(&[("agateroad-deadline-ms", "1")]),
+            503,
+        )
+        .with_headers(&[("agateroad-shed", "1")])
+        .checked(|_, counts| counts.expired == 1 && counts.executed == 0),
+        case("fail fast", fail_fast(), WORK, 500)
+            .with_headers(&[("agateroad-shed", "")])
+            .checked(|_, counts| counts.failed_fast == 1 && counts.executed == 0),
+        case("fail fast with good health", fail_fast(), HEALTH, 200)
+            .checked(|_, counts| counts.probes == 1),
+        case("drain begins", drain(HOUR_MS, HOUR_MS), WORK, 200)
+            .with_headers(&[("agateroad-drain", "1")])
+            .checked(|_, counts| counts.executed == 1 && counts.arrived_draining == 1),
+        case("drain with good health", drain(HOUR_MS, HOUR_MS), HEALTH, 200)
+            .with_headers(&[("agateroad-drain", "1")]),
+        case("drain with bad health", drain(0, HOUR_MS), HEALTH, 503)
+            .with_headers(&[("agateroad-drain", "1")]),
+        case("drain past the grace time", drain(0, 0), WORK, 503)
+            .with_headers(&[("agateroad-drain", "1"), ("agateroad-shed", "1")])
+            .checked(|_, counts| counts.executed == 0 && counts.shed == 1),
+        case(
+            "no load report",
+            UpstreamPlan { load: LoadAnswer::Silent, ..plan() },
+            Call::get("/agateroad/load"),
+            404,
+        )
+        .with_headers(&[("agateroad-load", "")]),
+        case(
+            "load with an id",
+            plan(),
+            Call::get("/agateroad/load").with(&[("agateroad-request-id", "check-1")]),
+            200,
+        )
+        .with_headers(&[("agateroad-request-id", "check-1")]),
+        case(
+            "health with an id that is not echoed",
+            UpstreamPlan { echo_checks: false, ..plan() },
+            HEALTH.with(&[("agateroad-request-id", "check-1")]),
+            200,
+        )
+        .with_headers(&[("agateroad-request-id", "")]),
+        case("work with an id", plan(), WORK.with(&[("agateroad-request-id", "call-1")]), 200)
+            .with_headers(&[("agateroad-request-id", "")]),
+        case("probe in a slot", UpstreamPlan { probe_ms: 1, ..plan() }, HEALTH, 200)
+            .checked(|_, counts| counts.probe_slot_ms == 1.0 && counts.executed == 0),
+        case("cold", cold(HOUR_MS), WORK, 200).checked(|_, counts| counts.slot_ms == 3.0),
+        case("warm", cold(0), WORK, 200).checked(|_, counts| counts.slot_ms == 1.0),
+        case("unknown request to cancel", plan(), Call::post("/agateroad/cancel/r1", ""), 200)
+            .checked(|reply, counts| {
+                reply.json()["confirmed"] == false && counts.cancel_denied == 1
+            }),
     ]
 }
 
@@ -203,7 +136,7 @@
 #[tokio::test]
 async fn answers_follow_the_plan() {
     for case in answer_cases() {
-        let stand = UpstreamStand::start(case.plan).await.unwrap();
+        let stand = start(case.plan).await;
         let reply = call(stand.address(), case.call).await.expect(case.name);
         assert_eq!(reply.status, case.status, "{}", case.name);
         for (name, value) in case.headers {
@@ -229,7 +162,7 @@
     ];
     for case in cases {
         let plan = UpstreamPlan { slots: 2, service: HOUR, load: case.load, ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(plan).await;
         for _ in 0..3 {
             tokio::spawn(call(stand.address(), WORK));
         }
@@ -258,7 +191,7 @@
     for case in cases {
         // Without slots, requests wait until the plan changes.
         let plan = UpstreamPlan { slots: 0, confirm_cancel: case.confirms, ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(plan).await;
         let waiting = WORK.with(&[("agateroad-request-id", "r1")]);
         let task = tokio::spawn(call(stand.address(), waiting));
         stand.wait_for(|_, figures| figures.queued == 1).await;
@@ -297,7 +230,7 @@
             cold: Some(ColdStart { for_ms: HOUR_MS, factor: 5.0 }),
             ..Default::default()
         };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(plan).await;
         let mut bystander = Caller::connect(stand.address()).await.unwrap();
         assert!(bystander.call(WORK).await.is_some(), "{}", case.name);
         let reply = call(stand.address(), case.call).await;
@@ -320,8 +253,7 @@
 /// Guards against a planned restart that never comes.
 #[tokio::test]
 async fn crashes_end_by_themselves() {
-    let plan = UpstreamPlan { restart_ms: Some(1), ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { restart_ms: Some(1), ..Default::default() }).await;
     stand.crash();
     stand.wait_for(|counts, _| counts.restarts == 1).await;
     stand.wait_listening(true).await;
@@ -332,8 +264,7 @@
 /// Guards against frozen requests that are answered after the freeze, and frozen new connections.
 #[tokio::test]
 async fn frozen_requests_are_never_answered() {
-    let plan = UpstreamPlan { mode: UpstreamMode::Freeze, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { mode: UpstreamMode::Freeze, ..Default::default() }).await;
     let frozen = tokio::spawn(call(stand.address(), WORK));
     stand.wait_for(|counts, _| counts.frozen == 1).await;
     stand.update(|plan| plan.mode = UpstreamMode::Serve);
@@ -367,8 +298,7 @@
             factor: case.factor,
         };
         let service = ServiceTime::Fixed { ms: 1.0 };
-        let plan = UpstreamPlan { service, noise: Some(noise), ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand = start(UpstreamPlan { service, noise: Some(noise), ..Default::default() }).await;
         stand.wait_for(|counts, _| counts.bursts == 1).await;
         let task = tokio::spawn(call(stand.address(), WORK));
         let (queued, done) = (case.queued, 1 - u64::from(case.queued));
@@ -384,8 +314,7 @@
 /// Guards against an upstream that holds more connections than it can.
 #[tokio::test]
 async fn connections_are_limited() {
-    let plan = UpstreamPlan { connections: 1, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(UpstreamPlan { connections: 1, ..Default::default() }).await;
     let mut first = Caller::connect(stand.address()).await.unwrap();
     assert!(first.call(WORK).await.is_some());
     assert!(call(stand.address(), WORK).await.is_none());
@@ -413,8 +342,8 @@
         LeaverCase { name: "running", slots: 1, withdrawn: 0, in_flight: 1 },
     ];
     for case in cases {
-        let plan = UpstreamPlan { slots: case.slots, service: HOUR, ..Default::default() };
-        let stand = UpstreamStand::start(plan).await.unwrap();
+        let stand =
+            start(UpstreamPlan { slots: case.slots, service: HOUR, ..Default::default() }).await;
         let task = tokio::spawn(call(stand.address(), WORK));
         stand.wait_for(|_, figures| figures.queued + figures.in_flight == 1).await;
         task.abort();
@@ -447,7 +376,7 @@
 #[tokio::test(start_paused = true)]
 async fn service_takes_its_time() {
     let plan = UpstreamPlan { service: ServiceTime::Fixed { ms: 60_000.0 }, ..Default::default() };
-    let stand = UpstreamStand::start(plan).await.unwrap();
+    let stand = start(plan).await;
     let start = tokio::time::Instant::now();
     assert!(call(stand.address(), WORK).await.is_some());
     assert!(start.elapsed().as_secs() >= 60, "{:?}", start.elapsed());
