Join the rows of the tests of the load generator

A run case names only what differs from a wide upstream without a proxy, and the cases of judgement, requests and plans are one row each.

11 runs, 8 answers, 3 requests and 7 plans as before, with as many asserts and tests; all pass.

--- a/crates/load/tests/judgement.rs
+++ b/crates/load/tests/judgement.rs
@@ -22,51 +22,16 @@
 /// Guards against an answer to another call, a short one or a refusal that counts as good.
 #[test]
 fn answers_are_judged() {
+    let case = |name, status, headers, bytes, end| JudgeCase { name, status, headers, bytes, end };
     let cases = [
-        JudgeCase { name: "good", status: 200, headers: GOOD, bytes: 3, end: CallEnd::Good },
-        JudgeCase {
-            name: "answer to another call",
-            status: 200,
-            headers: &[("x-test-nonce", "8")],
-            bytes: 3,
-            end: CallEnd::WrongNonce,
-        },
-        JudgeCase {
-            name: "no nonce",
-            status: 200,
-            headers: &[],
-            bytes: 3,
-            end: CallEnd::WrongNonce,
-        },
-        JudgeCase { name: "short", status: 200, headers: GOOD, bytes: 2, end: CallEnd::ShortBody },
-        JudgeCase {
-            name: "server error",
-            status: 500,
-            headers: GOOD,
-            bytes: 0,
-            end: CallEnd::WrongStatus,
-        },
-        JudgeCase {
-            name: "shed by an upstream",
-            status: 503,
-            headers: &[("agateroad-shed", "1")],
-            bytes: 0,
-            end: CallEnd::NotRun,
-        },
-        JudgeCase {
-            name: "refused by a gateway",
-            status: 503,
-            headers: &[("agateroad-outcome", "not-run")],
-            bytes: 0,
-            end: CallEnd::NotRun,
-        },
-        JudgeCase {
-            name: "outcome unknown",
-            status: 504,
-            headers: &[("agateroad-outcome", "unknown")],
-            bytes: 0,
-            end: CallEnd::Unknown,
-        },
+        case("good", 200, GOOD, 3, CallEnd::Good),
+        case("answer to another call", 200, &[("x-test-nonce", "8")], 3, CallEnd::WrongNonce),
+        case("no nonce", 200, &[], 3, CallEnd::WrongNonce),
+        case("short", 200, GOOD, 2, CallEnd::ShortBody),
+        case("server error", 500, GOOD, 0, CallEnd::WrongStatus),
+        case("shed by an upstream", 503, &[("agateroad-shed", "1")], 0, CallEnd::NotRun),
+        case("refused by a gateway", 503, &[("agateroad-outcome", "not-run")], 0, CallEnd::NotRun),
+        case("outcome unknown", 504, &[("agateroad-outcome", "unknown")], 0, CallEnd::Unknown),
     ];
     let kind = RequestKind { expect_bytes: Some(3), ..RequestKind::default() };
     let prepared = PreparedKind::new(&LoadPlan::default(), &kind).unwrap();
@@ -89,18 +54,11 @@
 /// Guards against requests that differ from the plan.
 #[test]
 fn requests_follow_the_plan() {
+    let request_case = |kind, head, key| RequestCase { kind, head, key };
     let cases = [
-        RequestCase { kind: RequestKind::default(), head: "GET / localhost", key: None },
-        RequestCase {
-            kind: almaty_mix().swap_remove(0),
-            head: "GET /phases/42 calendar.example",
-            key: None,
-        },
-        RequestCase {
-            kind: viti_mix().swap_remove(1),
-            head: "POST /pledges/42 pledges.example",
-            key: Some("key-7"),
-        },
+        request_case(RequestKind::default(), "GET / localhost", None),
+        request_case(almaty_mix().swap_remove(0), "GET /phases/42 calendar.example", None),
+        request_case(viti_mix().swap_remove(1), "POST /pledges/42 pledges.example", Some("key-7")),
     ];
     for case in cases {
         let prepared = PreparedKind::new(&LoadPlan::default(), &case.kind).unwrap();
@@ -168,26 +126,21 @@
 /// Guards against a run that starts with an impossible plan.
 #[test]
 fn impossible_plans_are_refused() {
+    let plan_case = |json, error| PlanCase { json, error };
     let cases = [
-        PlanCase { json: r#"{}"#, error: "no targets" },
-        PlanCase { json: r#"{"targets":["127.0.0.1:1"],"mix":[]}"#, error: "no weight" },
-        PlanCase { json: r#"{"targets":["127.0.0.1:1"],"threads":0}"#, error: "threads is zero" },
-        PlanCase {
-            json: r#"{"targets":["127.0.0.1:1"],"connections":0}"#,
-            error: "connections is zero",
-        },
-        PlanCase {
-            json: r#"{"targets":["127.0.0.1:1"],"rate":{"kind":"constant","per_second":-1}}"#,
-            error: "rate -1",
-        },
-        PlanCase {
-            json: r#"{"targets":["127.0.0.1:1"],"mix":[{"path":"a b"}]}"#,
-            error: "correct its path",
-        },
-        PlanCase {
-            json: r#"{"targets":["127.0.0.1:1"],"mix":[{"headers":[["a b","c"]]}]}"#,
-            error: "correct its headers",
-        },
+        plan_case(r#"{}"#, "no targets"),
+        plan_case(r#"{"targets":["127.0.0.1:1"],"mix":[]}"#, "no weight"),
+        plan_case(r#"{"targets":["127.0.0.1:1"],"threads":0}"#, "threads is zero"),
+        plan_case(r#"{"targets":["127.0.0.1:1"],"connections":0}"#, "connections is zero"),
+        plan_case(
+            r#"{"targets":["127.0.0.1:1"],"rate":{"kind":"constant","per_second":-1}}"#,
+            "rate -1",
+        ),
+        plan_case(r#"{"targets":["127.0.0.1:1"],"mix":[{"path":"a b"}]}"#, "correct its path"),
+        plan_case(
+            r#"{"targets":["127.0.0.1:1"],"mix":[{"headers":[["a b","c"]]}]}"#,
+            "correct its headers",
+        ),
     ];
     for case in cases {
         let plan: LoadPlan = serde_json::from_str(case.json).expect(case.json);
--- a/crates/load/tests/runs.rs
+++ b/crates/load/tests/runs.rs
@@ -34,119 +34,98 @@
     check: fn(&RowFigures, &UpstreamCounts) -> bool,
 }
 
+/// An upstream that sheds no call.
+fn wide() -> UpstreamPlan {
+    UpstreamPlan { slots: 1000, ..UpstreamPlan::default() }
+}
+
+fn case(name: &'static str, check: fn(&RowFigures, &UpstreamCounts) -> bool) -> RunCase {
+    RunCase { name, upstream: wide(), proxy: None, change: |_| {}, check }
+}
+
 fn run_cases() -> Vec<RunCase> {
-    let wide = || UpstreamPlan { slots: 1000, ..UpstreamPlan::default() };
     vec![
+        case("all good, on kept connections", |row, counts| {
+            row.good == row.intended
+                && row.intended.abs_diff(100) <= 4
+                && counts.executed == row.intended
+                && counts.by_nonce.len() as u64 == row.intended
+                && counts.connections_served <= 8
+        }),
         RunCase {
-            name: "all good, on kept connections",
-            upstream: wide(),
-            proxy: None,
-            change: |_| {},
-            check: |row, counts| {
-                row.good == row.intended
-                    && row.intended.abs_diff(100) <= 4
-                    && counts.executed == row.intended
-                    && counts.by_nonce.len() as u64 == row.intended
-                    && counts.connections_served <= 8
-            },
-        },
-        RunCase {
-            name: "the warm-up is not counted",
-            upstream: wide(),
-            proxy: None,
             change: |plan| plan.warm_up_ms = 100,
-            check: |row, counts| {
+            ..case("the warm-up is not counted", |row, counts| {
                 row.intended.abs_diff(100) <= 4 && counts.executed.abs_diff(200) <= 4
-            },
+            })
         },
         RunCase {
-            name: "each keyed call has its own key",
-            upstream: wide(),
-            proxy: None,
             change: |plan| plan.mix = viti_mix().split_off(1),
-            check: |row, counts| {
+            ..case("each keyed call has its own key", |row, counts| {
                 row.good == row.intended
                     && counts.by_key.len() as u64 == row.intended
                     && counts.repeated_keys().is_empty()
-            },
+            })
         },
         RunCase {
-            name: "failing fast",
             upstream: UpstreamPlan { mode: UpstreamMode::FailFast, ..wide() },
-            proxy: None,
-            change: |_| {},
-            check: |row, _| row.good == 0 && row.errors.wrong_status == row.intended,
+            ..case("failing fast", |row, _| {
+                row.good == 0 && row.errors.wrong_status == row.intended
+            })
         },
         RunCase {
-            name: "shedding",
             upstream: UpstreamPlan { slots: 0, queue_limit: 0, ..wide() },
-            proxy: None,
-            change: |_| {},
-            check: |row, counts| row.errors.not_run == row.intended && counts.executed == 0,
+            ..case("shedding", |row, counts| {
+                row.errors.not_run == row.intended && counts.executed == 0
+            })
         },
         RunCase {
-            name: "frozen, with a connection for each call",
             upstream: UpstreamPlan { mode: UpstreamMode::Freeze, connections: 1000, ..wide() },
-            proxy: None,
             change: |plan| {
                 plan.connections = 1000;
                 plan.timeout_ms = 1000;
             },
-            check: |row, counts| {
+            ..case("frozen, with a connection for each call", |row, counts| {
                 row.errors.timed_out + row.errors.unsent == row.intended
                     && row.errors.timed_out > 0
                     && counts.frozen <= row.errors.timed_out
-            },
+            })
         },
+        // The calls that wait for a connection are 40 ms late when one is given up.
         RunCase {
-            // The calls that wait for a connection are 40 ms late when one is given up.
-            name: "frozen, with too few connections",
             upstream: UpstreamPlan { mode: UpstreamMode::Freeze, ..wide() },
-            proxy: None,
             change: |plan| {
                 plan.timeout_ms = 50;
                 plan.send_within_ms = 10;
             },
-            check: |row, _| {
+            ..case("frozen, with too few connections", |row, _| {
                 row.errors.timed_out + row.errors.unsent == row.intended
                     && row.errors.unsent > 0
                     && row.sent == row.errors.timed_out
-            },
+            })
         },
         RunCase {
-            name: "wrong length",
-            upstream: wide(),
-            proxy: None,
             change: |plan| plan.mix[0].expect_bytes = Some(17),
-            check: |row, _| row.errors.short_body == row.intended,
+            ..case("wrong length", |row, _| row.errors.short_body == row.intended)
         },
         RunCase {
-            name: "truncated answers",
-            upstream: wide(),
             proxy: Some(ProxyPlan { truncate_after_bytes: Some(50_000), ..Default::default() }),
             change: |plan| plan.mix[0].path = "/bytes/100000".into(),
-            check: |row, counts| {
+            ..case("truncated answers", |row, counts| {
                 row.errors.short_body == row.intended && counts.executed == row.intended
-            },
+            })
         },
         RunCase {
-            name: "lost answers",
-            upstream: wide(),
             proxy: Some(ProxyPlan { lose_next: 3, ..Default::default() }),
-            change: |_| {},
-            check: |row, counts| {
+            ..case("lost answers", |row, counts| {
                 row.errors.connection_error == 3
                     && row.good + 3 == row.intended
                     && counts.executed == row.intended
-            },
+            })
         },
+        // Port 1 of the loopback address has no listener.
         RunCase {
-            name: "no server",
-            upstream: wide(),
-            proxy: None,
-            // Port 1 of the loopback address has no listener.
             change: |plan| plan.targets = vec!["127.0.0.1:1".parse().unwrap()],
-            check: |row, _| row.errors.connection_error == row.intended,
+            ..case("no server", |row, _| row.errors.connection_error == row.intended)
         },
     ]
 }
@@ -202,8 +181,7 @@
 async fn targets_share_the_load() {
     let mut stands = Vec::new();
     for _ in 0..3 {
-        let plan = UpstreamPlan { slots: 1000, ..Default::default() };
-        stands.push(UpstreamStand::start(plan).await.unwrap());
+        stands.push(UpstreamStand::start(wide()).await.unwrap());
     }
     let plan = short_plan(stands.iter().map(UpstreamStand::address).collect());
     let threads = plan.threads as u64;
@@ -227,8 +205,7 @@
         MixCase { mix: viti_mix(), most: "tree count" },
     ];
     for case in cases {
-        let plan = UpstreamPlan { slots: 1000, ..Default::default() };
-        let upstream = UpstreamStand::start(plan).await.unwrap();
+        let upstream = UpstreamStand::start(wide()).await.unwrap();
         let plan = LoadPlan {
             rate: RateShape::Constant { per_second: 5000.0 },
             duration_ms: 400,
@@ -253,8 +230,7 @@
 /// Guards against a process whose output cannot be read by another.
 #[tokio::test(flavor = "multi_thread")]
 async fn runs_as_a_process() {
-    let plan = UpstreamPlan { slots: 1000, ..Default::default() };
-    let upstream = UpstreamStand::start(plan).await.unwrap();
+    let upstream = UpstreamStand::start(wide()).await.unwrap();
     let argument = serde_json::to_string(&short_plan(vec![upstream.address()])).unwrap();
     // Test binaries are in `deps`, next to the folder of the examples.
     let folder = std::env::current_exe().unwrap().ancestors().nth(2).unwrap().join("examples");
