--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -7,53 +7,12 @@
 use border::document_digest;
 use ctl::error::{CtlError, CtlExit};
 use stand::prelude::*;
-use support::{ENVIRONMENT, Ended, command, document, operator_command, repository_file, run};
+use support::{
+    CommandCase, ENVIRONMENT, Ended, command, document, operator_command, repository_file, run,
+};
 
 const UNTRIED: &str = "0000000000000000000000000000000000000000000000000000000000000000";
 
-struct CommandCase {
-    /// The fault that the case guards against.
-    guards: &'static str,
-    arguments: Vec<String>,
-    code: i32,
-    stdout: Vec<String>,
-    stderr: Vec<String>,
-}
-
-impl CommandCase {
-    fn new(guards: &'static str, arguments: &[&str], code: i32) -> Self {
-        let arguments = arguments.iter().map(ToString::to_string).collect();
-        Self { guards, arguments, code, stdout: Vec::new(), stderr: Vec::new() }
-    }
-
-    fn prints(mut self, parts: &[&str]) -> Self {
-        self.stdout = parts.iter().map(ToString::to_string).collect();
-        self
-    }
-
-    fn explains(mut self, parts: &[&str]) -> Self {
-        self.stderr = parts.iter().map(ToString::to_string).collect();
-        self
-    }
-
-    fn arguments(&self) -> Vec<&str> {
-        self.arguments.iter().map(String::as_str).collect()
-    }
-
-    fn verify(&self, ended: &Ended) {
-        assert_eq!(ended.code, Some(self.code), "{}: {ended:?}", self.guards);
-        for part in &self.stdout {
-            assert!(ended.stdout.contains(part), "{}: no {part:?} in {ended:?}", self.guards);
-        }
-        for part in &self.stderr {
-            assert!(ended.stderr.contains(part), "{}: no {part:?} in {ended:?}", self.guards);
-        }
-        if self.code != 0 && self.code != 4 {
-            assert!(!ended.stderr.is_empty(), "{}", self.guards);
-        }
-    }
-}
-
 /// Guards against files that are accepted or refused without saying why.
 #[test]
 fn files_are_checked() {
@@ -115,7 +74,7 @@
 /// before it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_document_is_tried_promoted_and_rolled_back() {
-    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let platform = support::platform(PlatformPlan::default()).await;
     let first = support::write_file("change", "first.json", &document(200));
     let second = support::write_file("change", "second.json", &document(300));
     let broken = document(200).replace("\"slots\": 6", "\"slots\": 0");
@@ -170,15 +129,13 @@
             "\"vms\":{",
         ]),
     ];
-    for step in steps {
-        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
-    }
+    steps.iter().for_each(|step| step.run_on(&platform));
 }
 
 /// Guards against versions that are missing from the history or listed in the wrong order.
 #[tokio::test(flavor = "multi_thread")]
 async fn versions_are_listed_newest_first() {
-    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let platform = support::platform(PlatformPlan::default()).await;
     let first = support::write_file("history", "first.json", &document(200));
     let second = support::write_file("history", "second.json", &document(300));
     let first_digest = document_digest(document(200).as_bytes());
@@ -196,16 +153,14 @@
         CommandCase::new("history of the trial", &["history", "--of-trial"], 0)
             .prints(&["almaty-trial version 2, tried", "\nalmaty-trial version 1, tried"]),
     ];
-    for step in steps {
-        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
-    }
+    steps.iter().for_each(|step| step.run_on(&platform));
 }
 
 /// Guards against a change that is reported wrongly because an answer of the platform was lost: the
 /// lost answer to a transaction is read back, and a lost upload has changed nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers_are_resolved() {
-    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let platform = support::platform(PlatformPlan::default()).await;
     let file = support::write_file("lost", "document.json", &document(200));
     let digest = document_digest(document(200).as_bytes());
     let steps = [
@@ -217,7 +172,7 @@
     let mut lost = 0;
     for (lose_next, step) in steps {
         platform.update(|plan| plan.lose_next = lose_next);
-        step.verify(&run(operator_command(platform.address(), "beka", &step.arguments())));
+        step.run_on(&platform);
         lost += lose_next;
         assert_eq!(platform.counts().lost_answers, lost, "{}", step.guards);
     }
@@ -229,7 +184,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_is_named() {
     let plan = PlatformPlan { outage: Some(PlatformOutage::Refuse), ..PlatformPlan::default() };
-    let platform = PlatformStand::start(plan).await.expect("a platform");
+    let platform = support::platform(plan).await;
     let file = support::write_file("outage", "document.json", &document(200));
     let refused = &["platform is unavailable", "retry when it answers again"];
     let cases = [
@@ -239,16 +194,14 @@
         CommandCase::new("promote", &["promote", UNTRIED], 1).explains(refused),
         CommandCase::new("rollback", &["rollback", "1"], 1).explains(refused),
     ];
-    for case in cases {
-        case.verify(&run(operator_command(platform.address(), "beka", &case.arguments())));
-    }
+    cases.iter().for_each(|case| case.run_on(&platform));
 }
 
 /// Guards against two operators who overwrite each other's change without seeing it.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_of_two_operators_wins() {
     const ROUNDS: u32 = 5;
-    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let platform = support::platform(PlatformPlan::default()).await;
     let address = platform.address();
     let file = support::write_file("race", "first.json", &document(200));
     assert_eq!(run(operator_command(address, "beka", &["try", &file])).code, Some(0));
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -72,8 +72,7 @@
         let file = support::write_file("load", &name, &plan.to_string());
         let fixed = ["load", "--plan", &file, "--target", &target, "--format", "json"];
         let ended = run(command(&[&fixed, case.arguments].concat()));
-        assert_eq!(ended.code, Some(case.code), "{}: {ended:?}", case.guards);
-        assert!(ended.stderr.contains(case.stderr), "{}: {ended:?}", case.guards);
+        ended.verify(case.guards, case.code, &[], &[case.stderr]);
         let report: Value = serde_json::from_str(&ended.stdout).expect("one JSON value");
         let (pointer, count) = case.expected;
         let counted = report.pointer(pointer).and_then(Value::as_u64);
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -7,6 +7,8 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
+use stand::prelude::*;
+
 /// The environment of the tests.
 pub const ENVIRONMENT: &str = "almaty";
 
@@ -18,6 +20,18 @@
     pub stderr: String,
 }
 
+impl Ended {
+    /// Verifies the code and that the outputs have these parts.
+    pub fn verify<S: AsRef<str>>(&self, guards: &str, code: i32, stdout: &[S], stderr: &[S]) {
+        assert_eq!(self.code, Some(code), "{guards}: {self:?}");
+        for (parts, output) in [(stdout, &self.stdout), (stderr, &self.stderr)] {
+            for part in parts.iter().map(AsRef::as_ref) {
+                assert!(output.contains(part), "{guards}: no {part:?} in {self:?}");
+            }
+        }
+    }
+}
+
 impl From<Output> for Ended {
     fn from(output: Output) -> Self {
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -70,3 +84,50 @@
     let text = std::fs::read_to_string(repository_file("examples/almaty.json")).expect("a file");
     text.replace("\"queue_limit\": 200", &format!("\"queue_limit\": {queue_limit}"))
 }
+
+/// A command, how it has to end and what it has to print.
+pub struct CommandCase {
+    /// The fault that the case guards against.
+    pub guards: &'static str,
+    arguments: Vec<String>,
+    code: i32,
+    stdout: Vec<String>,
+    stderr: Vec<String>,
+}
+
+impl CommandCase {
+    pub fn new(guards: &'static str, arguments: &[&str], code: i32) -> Self {
+        let arguments = arguments.iter().map(ToString::to_string).collect();
+        Self { guards, arguments, code, stdout: Vec::new(), stderr: Vec::new() }
+    }
+
+    pub fn prints(mut self, parts: &[&str]) -> Self {
+        self.stdout = parts.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    pub fn explains(mut self, parts: &[&str]) -> Self {
+        self.stderr = parts.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    pub fn arguments(&self) -> Vec<&str> {
+        self.arguments.iter().map(String::as_str).collect()
+    }
+
+    pub fn verify(&self, ended: &Ended) {
+        ended.verify(self.guards, self.code, &self.stdout, &self.stderr);
+        if self.code != 0 && self.code != 4 {
+            assert!(!ended.stderr.is_empty(), "{}", self.guards);
+        }
+    }
+
+    /// Runs the command as an operator of the platform and verifies its end.
+    pub fn run_on(&self, platform: &PlatformStand) {
+        self.verify(&run(operator_command(platform.address(), "beka", &self.arguments())));
+    }
+}
+
+pub async fn platform(plan: PlatformPlan) -> PlatformStand {
+    PlatformStand::start(plan).await.expect("a platform")
+}
--- a/crates/ctl/tests/survey.rs
+++ b/crates/ctl/tests/survey.rs
@@ -20,21 +20,30 @@
 /// Nothing listens on port 1 of a loopback address.
 const GONE: &str = "127.0.0.1:1";
 
-#[derive(Default)]
 struct SurveyCase {
     /// The fault that the case guards against.
     guards: &'static str,
-    arguments: Vec<&'static str>,
+    arguments: &'static [&'static str],
     /// Whether `vm-3`, which does not answer, is on the list.
     with_gone: bool,
     without_secret: bool,
     code: i32,
-    printed: Vec<&'static str>,
-    explained: Vec<&'static str>,
+    printed: &'static [&'static str],
+    explained: &'static [&'static str],
     /// How many VMs released the suspect.
     releases: usize,
 }
 
+const fn case(
+    guards: &'static str,
+    arguments: &'static [&'static str],
+    printed: &'static [&'static str],
+) -> SurveyCase {
+    let (with_gone, without_secret) = (false, false);
+    let (code, explained, releases) = (0, &[] as &[_], 0);
+    SurveyCase { guards, arguments, with_gone, without_secret, code, printed, explained, releases }
+}
+
 fn suspect(standing: SuspectStanding, upstream: &str, seconds: u64) -> SuspectEntry {
     let age = ClockSpan::from_millis(seconds * 1000);
     SuspectEntry { fingerprint: FINGERPRINT, standing, upstreams: vec![upstream.into()], age }
@@ -66,118 +75,113 @@
 async fn vms_are_asked_and_their_answers_merged() {
     let cases = [
         SurveyCase {
-            guards: "a status that is not shown, and a VM that does not answer",
-            arguments: vec!["members"],
             with_gone: true,
-            printed: vec![
-                ": version 4, ready, 7 calls in flight",
-                ": no version yet, ready, 7 calls in flight",
-                "vm-3 127.0.0.1:1 (leaving): did not answer",
-            ],
-            ..SurveyCase::default()
+            ..case(
+                "a status that is not shown, and a VM that does not answer",
+                &["members"],
+                &[
+                    ": version 4, ready, 7 calls in flight",
+                    ": no version yet, ready, 7 calls in flight",
+                    "vm-3 127.0.0.1:1 (leaving): did not answer",
+                ],
+            )
         },
+        case(
+            "members for programs",
+            &["members", "--format", "json"],
+            &["\"state\":\"answered\",\"version\":4,\"ready\":true,\"calls\":7"],
+        ),
         SurveyCase {
-            guards: "members for programs",
-            arguments: vec!["members", "--format", "json"],
-            printed: vec!["\"state\":\"answered\",\"version\":4,\"ready\":true,\"calls\":7"],
-            ..SurveyCase::default()
-        },
-        SurveyCase {
-            guards: "a missing secret",
-            arguments: vec!["members"],
             without_secret: true,
-            printed: vec!["did not answer: no operators' secret"],
-            ..SurveyCase::default()
+            ..case("a missing secret", &["members"], &["did not answer: no operators' secret"])
         },
         SurveyCase {
-            guards: "a burn report that hides a VM",
-            arguments: vec!["burn", "--format", "json"],
             with_gone: true,
-            printed: vec!["\"answered\":[\"vm-1\",\"vm-2\"],\"missing\":[\"vm-3\"]"],
-            explained: vec!["vm-3: did not answer"],
-            ..SurveyCase::default()
+            explained: &["vm-3: did not answer"],
+            ..case(
+                "a burn report that hides a VM",
+                &["burn", "--format", "json"],
+                &["\"answered\":[\"vm-1\",\"vm-2\"],\"missing\":[\"vm-3\"]"],
+            )
         },
+        case(
+            "a burn report that leaves out the calls of a VM",
+            &["burn", "--format", "json"],
+            &["\"counts\":{\"total\":300,\"failed\":5,\"slow\":0}"],
+        ),
         SurveyCase {
-            guards: "a burn report that leaves out the calls of a VM",
-            arguments: vec!["burn", "--format", "json"],
-            printed: vec!["\"counts\":{\"total\":300,\"failed\":5,\"slow\":0}"],
-            ..SurveyCase::default()
-        },
-        SurveyCase {
-            guards: "burn for people",
-            arguments: vec!["burn"],
             with_gone: true,
-            printed: vec!["2 of 3 VMs answered; no answer from vm-3", "phase-desk"],
-            ..SurveyCase::default()
+            ..case(
+                "burn for people",
+                &["burn"],
+                &["2 of 3 VMs answered; no answer from vm-3", "phase-desk"],
+            )
         },
         SurveyCase {
-            guards: "burn for a browser",
-            arguments: vec!["burn", "--format", "html"],
             with_gone: true,
-            printed: vec!["<html", "vm-3"],
-            ..SurveyCase::default()
-        },
-        SurveyCase {
-            guards: "a VM that is named by its address",
-            arguments: vec!["burn", "--format", "json", "--vm", GONE],
-            printed: vec!["\"answered\":[],\"missing\":[\"127.0.0.1:1\"]"],
-            ..SurveyCase::default()
+            ..case("burn for a browser", &["burn", "--format", "html"], &["<html", "vm-3"])
         },
+        case(
+            "a VM that is named by its address",
+            &["burn", "--format", "json", "--vm", GONE],
+            &["\"answered\":[],\"missing\":[\"127.0.0.1:1\"]"],
+        ),
         SurveyCase {
-            guards: "an unknown format",
-            arguments: vec!["burn", "--format", "pdf"],
             code: 2,
-            explained: vec!["use text, json or html"],
-            ..SurveyCase::default()
+            explained: &["use text, json or html"],
+            ..case("an unknown format", &["burn", "--format", "pdf"], &[])
         },
         SurveyCase {
-            guards: "a merge that loses the strictest standing, an upstream or the newest event",
-            arguments: vec!["suspects"],
             with_gone: true,
-            printed: vec![
-                "0000000000000001 confirmed 5 s ago, crashed: none; listed by: vm-1, vm-2",
-                "00abcdef01234567 confirmed 5 s ago, crashed: u-1, u-2; listed by: vm-1, vm-2",
-                "vm-3: did not answer",
-            ],
-            ..SurveyCase::default()
+            ..case(
+                "a merge that loses the strictest standing, an upstream or the newest event",
+                &["suspects"],
+                &[
+                    "0000000000000001 confirmed 5 s ago, crashed: none; listed by: vm-1, vm-2",
+                    "00abcdef01234567 confirmed 5 s ago, crashed: u-1, u-2; listed by: vm-1, vm-2",
+                    "vm-3: did not answer",
+                ],
+            )
         },
         SurveyCase {
-            guards: "a release that does not reach every VM",
-            arguments: vec!["suspects", "release", LISTED],
-            printed: vec!["vm-1: released 00abcdef01234567", "vm-2: released 00abcdef01234567"],
             releases: 2,
-            ..SurveyCase::default()
+            ..case(
+                "a release that does not reach every VM",
+                &["suspects", "release", LISTED],
+                &["vm-1: released 00abcdef01234567", "vm-2: released 00abcdef01234567"],
+            )
         },
         SurveyCase {
-            guards: "a release that claims success without every VM",
-            arguments: vec!["suspects", "release", LISTED],
             with_gone: true,
             code: 4,
-            printed: vec!["vm-1: released", "vm-3: did not answer"],
             releases: 2,
-            ..SurveyCase::default()
+            ..case(
+                "a release that claims success without every VM",
+                &["suspects", "release", LISTED],
+                &["vm-1: released", "vm-3: did not answer"],
+            )
         },
         SurveyCase {
-            guards: "a release that no VM confirmed",
-            arguments: vec!["suspects", "release", LISTED, "--vm", GONE],
             code: 3,
-            printed: vec!["127.0.0.1:1: did not answer"],
-            ..SurveyCase::default()
+            ..case(
+                "a release that no VM confirmed",
+                &["suspects", "release", LISTED, "--vm", GONE],
+                &["127.0.0.1:1: did not answer"],
+            )
         },
         SurveyCase {
-            guards: "a release that was not sent but is reported as perhaps made",
-            arguments: vec!["suspects", "release", LISTED],
             without_secret: true,
             code: 1,
-            printed: vec!["vm-1: did not answer: no operators' secret"],
-            ..SurveyCase::default()
+            ..case(
+                "a release that was not sent but is reported as perhaps made",
+                &["suspects", "release", LISTED],
+                &["vm-1: did not answer: no operators' secret"],
+            )
         },
         SurveyCase {
-            guards: "a shortened fingerprint",
-            arguments: vec!["suspects", "release", "abcdef01234567"],
             code: 2,
-            explained: vec!["16 hexadecimal digits"],
-            ..SurveyCase::default()
+            explained: &["16 hexadecimal digits"],
+            ..case("a shortened fingerprint", &["suspects", "release", "abcdef01234567"], &[])
         },
     ];
     let secret_file = support::write_file("survey", "secret", SECRET);
@@ -198,19 +202,12 @@
             members.push(member("vm-3", GONE, true));
         }
         let plan = PlatformPlan { members, ..PlatformPlan::default() };
-        let platform = PlatformStand::start(plan).await.expect("a platform");
-        let mut command = operator_command(platform.address(), "beka", &case.arguments);
+        let platform = support::platform(plan).await;
+        let mut command = operator_command(platform.address(), "beka", case.arguments);
         if !case.without_secret {
             command.env("AGATECTL_SECRET_FILE", &secret_file);
         }
-        let ended = run(command);
-        assert_eq!(ended.code, Some(case.code), "{}: {ended:?}", case.guards);
-        for part in case.printed {
-            assert!(ended.stdout.contains(part), "{}: no {part:?} in {ended:?}", case.guards);
-        }
-        for part in case.explained {
-            assert!(ended.stderr.contains(part), "{}: no {part:?} in {ended:?}", case.guards);
-        }
+        run(command).verify(case.guards, case.code, case.printed, case.explained);
         let released: Vec<u64> =
             released.iter().flat_map(|list| list.lock().expect("no panic").clone()).collect();
         assert_eq!(released, vec![FINGERPRINT; case.releases], "{}", case.guards);
@@ -220,7 +217,7 @@
 /// Guards against a report without VMs that looks like one without faults.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_vm_to_ask_is_an_error() {
-    let platform = PlatformStand::start(PlatformPlan::default()).await.expect("a platform");
+    let platform = support::platform(PlatformPlan::default()).await;
     let commands =
         [vec!["members"], vec!["burn"], vec!["suspects"], vec!["suspects", "release", LISTED]];
     for arguments in commands {
