Join the rows of the ledger test

A case is a row of its name, the promises that are broken and what happens; calls with what the upstreams saw of them go through one function.

47 cases as before. With two runs allowed, or interrupted calls not counted, in a scratch edit, runs_are_counted_over_all_upstreams and a_graceful_shutdown_interrupts_no_call fail.

--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -83,6 +83,10 @@
     broken: &'static [Promise],
 }
 
+fn case(name: &'static str, broken: &'static [Promise], happen: fn(&mut Book)) -> LedgerCase {
+    LedgerCase { name, happen, broken }
+}
+
 fn check(cases: &[LedgerCase]) {
     for case in cases {
         let mut book = Book::default();
@@ -93,60 +97,44 @@
     }
 }
 
+/// A lookup that ends at 200 ms.
+fn looked(book: &mut Book, ended: Option<(u64, CallEnd)>) {
+    book.call(CallKind::Look, 100, ended);
+}
+
+/// A call with what the upstreams saw of it: the upstream, arrivals and runs.
+fn ran(
+    book: &mut Book,
+    kind: CallKind,
+    ended: Option<(u64, CallEnd)>,
+    sights: &[(usize, u32, u32)],
+) {
+    let id = book.call(kind, 100, ended);
+    for (upstream, arrivals, runs) in sights {
+        book.see(*upstream, &id, *arrivals, *runs);
+    }
+}
+
 /// Guards against a caller that gets a part of an answer, or another one's.
 #[test]
 fn answers_are_whole_and_own() {
     check(&[
-        LedgerCase {
-            name: "own and whole",
-            happen: |book| {
-                book.call(CallKind::Look, 100, answered(OWN));
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "another call's",
-            happen: |book| {
-                book.call(CallKind::Look, 100, answered(SeenAnswer { own: false, ..OWN }));
-            },
-            broken: &[Promise::OwnAnswer],
-        },
-        LedgerCase {
-            name: "a part that looks complete",
-            happen: |book| {
-                book.call(CallKind::Look, 100, answered(SeenAnswer { whole: false, ..OWN }));
-            },
-            broken: &[Promise::OwnAnswer],
-        },
-        LedgerCase {
-            name: "a success that no upstream has signed",
-            happen: |book| {
-                book.call(CallKind::Look, 100, answered(SeenAnswer { signed: false, ..OWN }));
-            },
-            broken: &[Promise::OwnAnswer],
-        },
-        LedgerCase {
-            name: "a refusal of the gateway",
-            happen: |book| {
-                book.call(CallKind::Look, 100, refused(502));
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "another call's refusal",
-            happen: |book| {
-                let answer = SeenAnswer { status: 502, own: false, signed: false, whole: false };
-                book.call(CallKind::Look, 100, answered(answer));
-            },
-            broken: &[Promise::OwnAnswer],
-        },
-        LedgerCase {
-            name: "a connection that ended early",
-            happen: |book| {
-                book.call(CallKind::Look, 100, Some((200, CallEnd::Lost)));
-            },
-            broken: &[],
-        },
+        case("own and whole", &[], |book| looked(book, answered(OWN))),
+        case("another call's", &[Promise::OwnAnswer], |book| {
+            looked(book, answered(SeenAnswer { own: false, ..OWN }))
+        }),
+        case("a part that looks complete", &[Promise::OwnAnswer], |book| {
+            looked(book, answered(SeenAnswer { whole: false, ..OWN }))
+        }),
+        case("a success that no upstream has signed", &[Promise::OwnAnswer], |book| {
+            looked(book, answered(SeenAnswer { signed: false, ..OWN }))
+        }),
+        case("a refusal of the gateway", &[], |book| looked(book, refused(502))),
+        case("another call's refusal", &[Promise::OwnAnswer], |book| {
+            let answer = SeenAnswer { status: 502, own: false, signed: false, whole: false };
+            book.call(CallKind::Look, 100, answered(answer));
+        }),
+        case("a connection that ended early", &[], |book| looked(book, Some((200, CallEnd::Lost)))),
     ]);
 }
 
@@ -155,81 +143,33 @@
 #[test]
 fn runs_are_counted_over_all_upstreams() {
     check(&[
-        LedgerCase {
-            name: "one run",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, answered(OWN));
-                book.see(0, &id, 1, 0);
-                book.see(1, &id, 1, 1);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "two runs at two upstreams",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, answered(OWN));
-                book.see(0, &id, 1, 1);
-                book.see(1, &id, 1, 1);
-            },
-            broken: &[Promise::AtMostOnce],
-        },
-        LedgerCase {
-            name: "two runs at one upstream, and no answer yet",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, None);
-                book.see(0, &id, 2, 2);
-            },
-            broken: &[Promise::AtMostOnce],
-        },
-        LedgerCase {
-            name: "two runs of an idempotent call",
-            happen: |book| {
-                let id = book.call(CallKind::Look, 100, answered(OWN));
-                book.see(0, &id, 2, 2);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "not run and told so",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, refused(503));
-                book.see(0, &id, 1, 0);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "run and told otherwise",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, refused(503));
-                book.see(0, &id, 1, 1);
-            },
-            broken: &[Promise::NotRun],
-        },
-        LedgerCase {
-            name: "an idempotent call, run and told otherwise",
-            happen: |book| {
-                let id = book.call(CallKind::Look, 100, refused(429));
-                book.see(0, &id, 1, 1);
-            },
-            broken: &[Promise::NotRun],
-        },
-        LedgerCase {
-            name: "run later than its caller was told otherwise",
-            happen: |book| {
-                let id = book.call(CallKind::Look, 100, refused(408));
-                book.see(0, &id, 0, 0);
-                book.see(0, &id, 1, 1);
-            },
-            broken: &[Promise::NotRun],
-        },
-        LedgerCase {
-            name: "run and told nothing",
-            happen: |book| {
-                let id = book.call(CallKind::Book, 100, refused(504));
-                book.see(0, &id, 1, 1);
-            },
-            broken: &[],
-        },
+        case("one run", &[], |book| {
+            ran(book, CallKind::Book, answered(OWN), &[(0, 1, 0), (1, 1, 1)])
+        }),
+        case("two runs at two upstreams", &[Promise::AtMostOnce], |book| {
+            ran(book, CallKind::Book, answered(OWN), &[(0, 1, 1), (1, 1, 1)])
+        }),
+        case("two runs at one upstream, and no answer yet", &[Promise::AtMostOnce], |book| {
+            ran(book, CallKind::Book, None, &[(0, 2, 2)])
+        }),
+        case("two runs of an idempotent call", &[], |book| {
+            ran(book, CallKind::Look, answered(OWN), &[(0, 2, 2)])
+        }),
+        case("not run and told so", &[], |book| {
+            ran(book, CallKind::Book, refused(503), &[(0, 1, 0)])
+        }),
+        case("run and told otherwise", &[Promise::NotRun], |book| {
+            ran(book, CallKind::Book, refused(503), &[(0, 1, 1)])
+        }),
+        case("an idempotent call, run and told otherwise", &[Promise::NotRun], |book| {
+            ran(book, CallKind::Look, refused(429), &[(0, 1, 1)])
+        }),
+        case("run later than its caller was told otherwise", &[Promise::NotRun], |book| {
+            ran(book, CallKind::Look, refused(408), &[(0, 0, 0), (0, 1, 1)])
+        }),
+        case("run and told nothing", &[], |book| {
+            ran(book, CallKind::Book, refused(504), &[(0, 1, 1)])
+        }),
     ]);
 }
 
@@ -248,81 +188,49 @@
 #[test]
 fn a_leaving_upstream_gets_no_calls_after_the_bound() {
     check(&[
-        LedgerCase { name: "in time", happen: |book| drained(book, 2_000), broken: &[] },
-        LedgerCase { name: "late", happen: |book| drained(book, 2_100), broken: &[Promise::Drain] },
-        LedgerCase {
-            name: "within the stable window after an outage of the store",
-            happen: |book| {
-                drained(book, 4_900);
-                trouble(book, TroublePlace::Store, 11_000, 12_000);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "after the stable window",
-            happen: |book| {
-                drained(book, 5_100);
-                trouble(book, TroublePlace::Store, 11_000, 12_000);
-            },
-            broken: &[Promise::Drain],
-        },
-        LedgerCase {
-            name: "an outage that began after the bound",
-            happen: |book| {
-                drained(book, 2_500);
-                trouble(book, TroublePlace::Store, 12_100, 12_400);
-            },
-            broken: &[Promise::Drain],
-        },
-        LedgerCase {
-            name: "an outage that goes on",
-            happen: |book| {
-                drained(book, 4_900);
-                book.ledger.troubles.begin(TroublePlace::Store, ms(9_000));
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "outages in a series",
-            happen: |book| {
-                drained(book, 6_500);
-                trouble(book, TroublePlace::Store, 11_500, 12_000);
-                trouble(book, TroublePlace::Store, 13_500, 14_000);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "the gateway was cut off from the store",
-            happen: |book| {
-                drained(book, 2_500);
-                trouble(book, TroublePlace::StoreLink(PROCESS.vm), 10_500, 10_600);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "another gateway was cut off from the store",
-            happen: |book| {
-                drained(book, 2_500);
-                trouble(book, TroublePlace::StoreLink(PROCESS.vm + 1), 10_500, 10_600);
-            },
-            broken: &[Promise::Drain],
-        },
-        LedgerCase {
-            name: "the upstream went wrong, which does not hide that it leaves",
-            happen: |book| {
+        case("in time", &[], |book| drained(book, 2_000)),
+        case("late", &[Promise::Drain], |book| drained(book, 2_100)),
+        case("within the stable window after an outage of the store", &[], |book| {
+            drained(book, 4_900);
+            trouble(book, TroublePlace::Store, 11_000, 12_000);
+        }),
+        case("after the stable window", &[Promise::Drain], |book| {
+            drained(book, 5_100);
+            trouble(book, TroublePlace::Store, 11_000, 12_000);
+        }),
+        case("an outage that began after the bound", &[Promise::Drain], |book| {
+            drained(book, 2_500);
+            trouble(book, TroublePlace::Store, 12_100, 12_400);
+        }),
+        case("an outage that goes on", &[], |book| {
+            drained(book, 4_900);
+            book.ledger.troubles.begin(TroublePlace::Store, ms(9_000));
+        }),
+        case("outages in a series", &[], |book| {
+            drained(book, 6_500);
+            trouble(book, TroublePlace::Store, 11_500, 12_000);
+            trouble(book, TroublePlace::Store, 13_500, 14_000);
+        }),
+        case("the gateway was cut off from the store", &[], |book| {
+            drained(book, 2_500);
+            trouble(book, TroublePlace::StoreLink(PROCESS.vm), 10_500, 10_600);
+        }),
+        case("another gateway was cut off from the store", &[Promise::Drain], |book| {
+            drained(book, 2_500);
+            trouble(book, TroublePlace::StoreLink(PROCESS.vm + 1), 10_500, 10_600);
+        }),
+        case(
+            "the upstream went wrong, which does not hide that it leaves",
+            &[Promise::Drain],
+            |book| {
                 drained(book, 2_500);
                 trouble(book, TroublePlace::Upstream(UPSTREAM), 10_500, 10_600);
             },
-            broken: &[Promise::Drain],
-        },
-        LedgerCase {
-            name: "a second drain",
-            happen: |book| {
-                book.ledger.drain(UPSTREAM, ms(1_000), ms(1_000));
-                drained(book, 2_500);
-            },
-            broken: &[Promise::Drain],
-        },
+        ),
+        case("a second drain", &[Promise::Drain], |book| {
+            book.ledger.drain(UPSTREAM, ms(1_000), ms(1_000));
+            drained(book, 2_500);
+        }),
     ]);
 }
 
@@ -339,127 +247,69 @@
 #[test]
 fn a_graceful_shutdown_interrupts_no_call() {
     check(&[
-        LedgerCase {
-            name: "a call that was running",
-            happen: |book| {
-                stopped(book, CallKind::Look, false, 900, 1);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a call that was taken while the process was leaving",
-            happen: |book| {
+        case("a call that was running", &[Promise::GracefulStop], |book| {
+            stopped(book, CallKind::Look, false, 900, 1);
+        }),
+        case(
+            "a call that was taken while the process was leaving",
+            &[Promise::GracefulStop],
+            |book| {
                 stopped(book, CallKind::Look, false, 1_100, 1);
             },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a call on a new connection that did not run yet",
-            happen: |book| {
-                stopped(book, CallKind::Look, true, 990, 0);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a call that met the close of an idle connection",
-            happen: |book| {
-                stopped(book, CallKind::Look, false, 1_290, 0);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a call that was lost before",
-            happen: |book| {
-                let id = stopped(book, CallKind::Look, true, 500, 1);
-                book.ledger.end(&id, CallEnd::Lost, ms(900));
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a call whose connection was reset",
-            happen: |book| {
-                stopped(book, CallKind::Look, true, 900, 1);
-                trouble(book, TroublePlace::CallerLink(PROCESS.vm), 1_200, 1_200);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a reset at another gateway",
-            happen: |book| {
-                stopped(book, CallKind::Look, true, 900, 1);
-                trouble(book, TroublePlace::CallerLink(PROCESS.vm + 1), 1_200, 1_200);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a process that was killed while it left",
-            happen: |book| {
-                stopped(book, CallKind::Look, true, 900, 1);
-                book.ledger.kill(PROCESS);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a long answer whose upstream crashed",
-            happen: |book| {
-                stopped(book, CallKind::Bulk, true, 900, 1);
-                trouble(book, TroublePlace::Upstream(UPSTREAM), 1_200, 1_250);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a long answer over a slow connection",
-            happen: |book| {
-                stopped(book, CallKind::Bulk, true, 900, 1);
-                trouble(book, TroublePlace::SlowLink(UPSTREAM), 1_200, 1_250);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a long answer that ended with its time",
-            happen: |book| {
-                let id = stopped(book, CallKind::Bulk, true, 900, 1);
-                book.ledger.end(&id, CallEnd::Lost, ms(2_410));
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "a short answer whose upstream crashed",
-            happen: |book| {
-                stopped(book, CallKind::Look, true, 900, 1);
-                trouble(book, TroublePlace::Upstream(UPSTREAM), 1_200, 1_250);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "an end with a failure",
-            happen: |book| {
-                book.ledger.stop(PROCESS, ms(1_000));
-                book.ledger.process_ended(PROCESS, false);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "no end",
-            happen: |book| {
-                book.ledger.stop(PROCESS, ms(1_000));
-                book.ledger.process_stuck(PROCESS);
-            },
-            broken: &[Promise::GracefulStop],
-        },
-        LedgerCase {
-            name: "a regular end",
-            happen: |book| {
-                book.ledger.stop(PROCESS, ms(1_000));
-                book.ledger.process_ended(PROCESS, true);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "an end without a reason",
-            happen: |book| book.ledger.process_ended(PROCESS, true),
-            broken: &[Promise::StaysUp],
-        },
+        ),
+        case("a call on a new connection that did not run yet", &[Promise::GracefulStop], |book| {
+            stopped(book, CallKind::Look, true, 990, 0);
+        }),
+        case("a call that met the close of an idle connection", &[], |book| {
+            stopped(book, CallKind::Look, false, 1_290, 0);
+        }),
+        case("a call that was lost before", &[], |book| {
+            let id = stopped(book, CallKind::Look, true, 500, 1);
+            book.ledger.end(&id, CallEnd::Lost, ms(900));
+        }),
+        case("a call whose connection was reset", &[], |book| {
+            stopped(book, CallKind::Look, true, 900, 1);
+            trouble(book, TroublePlace::CallerLink(PROCESS.vm), 1_200, 1_200);
+        }),
+        case("a reset at another gateway", &[Promise::GracefulStop], |book| {
+            stopped(book, CallKind::Look, true, 900, 1);
+            trouble(book, TroublePlace::CallerLink(PROCESS.vm + 1), 1_200, 1_200);
+        }),
+        case("a process that was killed while it left", &[], |book| {
+            stopped(book, CallKind::Look, true, 900, 1);
+            book.ledger.kill(PROCESS);
+        }),
+        case("a long answer whose upstream crashed", &[], |book| {
+            stopped(book, CallKind::Bulk, true, 900, 1);
+            trouble(book, TroublePlace::Upstream(UPSTREAM), 1_200, 1_250);
+        }),
+        case("a long answer over a slow connection", &[Promise::GracefulStop], |book| {
+            stopped(book, CallKind::Bulk, true, 900, 1);
+            trouble(book, TroublePlace::SlowLink(UPSTREAM), 1_200, 1_250);
+        }),
+        case("a long answer that ended with its time", &[], |book| {
+            let id = stopped(book, CallKind::Bulk, true, 900, 1);
+            book.ledger.end(&id, CallEnd::Lost, ms(2_410));
+        }),
+        case("a short answer whose upstream crashed", &[Promise::GracefulStop], |book| {
+            stopped(book, CallKind::Look, true, 900, 1);
+            trouble(book, TroublePlace::Upstream(UPSTREAM), 1_200, 1_250);
+        }),
+        case("an end with a failure", &[Promise::GracefulStop], |book| {
+            book.ledger.stop(PROCESS, ms(1_000));
+            book.ledger.process_ended(PROCESS, false);
+        }),
+        case("no end", &[Promise::GracefulStop], |book| {
+            book.ledger.stop(PROCESS, ms(1_000));
+            book.ledger.process_stuck(PROCESS);
+        }),
+        case("a regular end", &[], |book| {
+            book.ledger.stop(PROCESS, ms(1_000));
+            book.ledger.process_ended(PROCESS, true);
+        }),
+        case("an end without a reason", &[Promise::StaysUp], |book| {
+            book.ledger.process_ended(PROCESS, true)
+        }),
     ]);
 }
 
@@ -468,37 +318,21 @@
 fn the_version_of_a_process_never_falls() {
     const NEXT: ProcessId = ProcessId { start: PROCESS.start + 1, ..PROCESS };
     check(&[
-        LedgerCase {
-            name: "it grows",
-            happen: |book| {
-                book.mark(PROCESS, 100, 110, 3);
-                book.mark(PROCESS, 120, 130, 6);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "it falls",
-            happen: |book| {
-                book.mark(PROCESS, 100, 110, 6);
-                book.mark(PROCESS, 120, 130, 3);
-            },
-            broken: &[Promise::VersionOrder],
-        },
-        LedgerCase {
-            name: "two calls at once",
-            happen: |book| {
-                book.mark(PROCESS, 100, 130, 6);
-                book.mark(PROCESS, 120, 140, 3);
-            },
-            broken: &[],
-        },
-        LedgerCase {
-            name: "another process",
-            happen: |book| {
-                book.mark(PROCESS, 100, 110, 6);
-                book.mark(NEXT, 120, 130, 3);
-            },
-            broken: &[],
-        },
+        case("it grows", &[], |book| {
+            book.mark(PROCESS, 100, 110, 3);
+            book.mark(PROCESS, 120, 130, 6);
+        }),
+        case("it falls", &[Promise::VersionOrder], |book| {
+            book.mark(PROCESS, 100, 110, 6);
+            book.mark(PROCESS, 120, 130, 3);
+        }),
+        case("two calls at once", &[], |book| {
+            book.mark(PROCESS, 100, 130, 6);
+            book.mark(PROCESS, 120, 140, 3);
+        }),
+        case("another process", &[], |book| {
+            book.mark(PROCESS, 100, 110, 6);
+            book.mark(NEXT, 120, 130, 3);
+        }),
     ]);
 }
