--- a/crates/base/tests/locks.rs
+++ b/crates/base/tests/locks.rs
@@ -13,25 +13,11 @@
 #[test]
 #[cfg(debug_assertions)]
 fn lock_order_is_checked() {
+    let case = |name, first, second, panics| OrderCase { name, first, second, panics };
     let cases = [
-        OrderCase {
-            name: "ascending",
-            first: LockRank::WaitQueue,
-            second: LockRank::PeerTable,
-            panics: false,
-        },
-        OrderCase {
-            name: "descending",
-            first: LockRank::PeerTable,
-            second: LockRank::WaitQueue,
-            panics: true,
-        },
-        OrderCase {
-            name: "same rank",
-            first: LockRank::PeerTable,
-            second: LockRank::PeerTable,
-            panics: true,
-        },
+        case("ascending", LockRank::WaitQueue, LockRank::PeerTable, false),
+        case("descending", LockRank::PeerTable, LockRank::WaitQueue, true),
+        case("same rank", LockRank::PeerTable, LockRank::PeerTable, true),
     ];
     for case in cases {
         let outcome = std::panic::catch_unwind(|| {
--- a/crates/codec/tests/head.rs
+++ b/crates/codec/tests/head.rs
@@ -283,40 +283,26 @@
     name: &'static str,
     headers: &'static [(&'static str, &'static str)],
     error: HeadError,
-    status: StatusCode,
+}
+
+const fn case(
+    name: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    error: HeadError,
+) -> HeadCase {
+    HeadCase { name, headers, error }
 }
 
 const HEAD_CASES: &[HeadCase] = &[
-    HeadCase {
-        name: "signed length",
-        headers: &[("content-length", "+5")],
-        error: HeadError::RepeatedLength,
-        status: StatusCode::BAD_REQUEST,
-    },
-    HeadCase {
-        name: "both lengths",
-        headers: &[("content-length", "5"), ("transfer-encoding", "chunked")],
-        error: HeadError::ConflictingLength,
-        status: StatusCode::BAD_REQUEST,
-    },
-    HeadCase {
-        name: "coding other than chunked",
-        headers: &[("transfer-encoding", "gzip")],
-        error: HeadError::TransferCoding,
-        status: StatusCode::BAD_REQUEST,
-    },
-    HeadCase {
-        name: "depth over 8",
-        headers: &[("agateroad-depth", "9")],
-        error: HeadError::TooDeep,
-        status: StatusCode::BAD_REQUEST,
-    },
-    HeadCase {
-        name: "two keys",
-        headers: &[("idempotency-key", "a"), ("idempotency-key", "b")],
-        error: HeadError::Key,
-        status: StatusCode::BAD_REQUEST,
-    },
+    case("signed length", &[("content-length", "+5")], HeadError::RepeatedLength),
+    case(
+        "both lengths",
+        &[("content-length", "5"), ("transfer-encoding", "chunked")],
+        HeadError::ConflictingLength,
+    ),
+    case("coding other than chunked", &[("transfer-encoding", "gzip")], HeadError::TransferCoding),
+    case("depth over 8", &[("agateroad-depth", "9")], HeadError::TooDeep),
+    case("two keys", &[("idempotency-key", "a"), ("idempotency-key", "b")], HeadError::Key),
 ];
 
 /// Guards against a rule that no longer names its own error.
@@ -327,6 +313,11 @@
         let headers: Vec<_> =
             std::iter::once(("host", "a.test".to_owned())).chain(headers).collect();
         let error = NativeCodec::read_request(&parts(&headers)).expect_err(case.name);
-        assert_eq!((&error, error.status()), (&case.error, case.status), "{}", case.name);
+        assert_eq!(
+            (&error, error.status()),
+            (&case.error, StatusCode::BAD_REQUEST),
+            "{}",
+            case.name
+        );
     }
 }
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -181,10 +181,11 @@
 /// Guards against rows and objects that were never stored being accepted.
 #[tokio::test]
 async fn malformed_reads_are_refused() {
+    let case = |name, status, body| ReadCase { name, status, body };
     let cases = [
-        ReadCase { name: "too few rows", status: 200, body: r#"{"rows":[]}"# },
-        ReadCase { name: "not JSON", status: 200, body: "<html>" },
-        ReadCase { name: "other status", status: 418, body: r#"{"rows":[null]}"# },
+        case("too few rows", 200, r#"{"rows":[]}"#),
+        case("not JSON", 200, "<html>"),
+        case("other status", 418, r#"{"rows":[null]}"#),
     ];
     for case in cases {
         let server = ScriptServer::start(&[ScriptStep::Answer(case.status, case.body)]).await;
@@ -193,16 +194,12 @@
         assert!(rows.is_err(), "{}: {rows:?}", case.name);
     }
     let scans = [
-        ReadCase {
-            name: "before the given key",
-            status: 200,
-            body: r#"{"rows":[{"key":"a","version":1,"value":1}]}"#,
-        },
-        ReadCase {
-            name: "out of order",
-            status: 200,
-            body: r#"{"rows":[{"key":"d","version":1,"value":1},{"key":"c","version":2,"value":1}]}"#,
-        },
+        case("before the given key", 200, r#"{"rows":[{"key":"a","version":1,"value":1}]}"#),
+        case(
+            "out of order",
+            200,
+            r#"{"rows":[{"key":"d","version":1,"value":1},{"key":"c","version":2,"value":1}]}"#,
+        ),
     ];
     for case in scans {
         let server = ScriptServer::start(&[ScriptStep::Answer(case.status, case.body)]).await;
--- a/crates/store/tests/pacing.rs
+++ b/crates/store/tests/pacing.rs
@@ -49,15 +49,12 @@
 /// Guards against a breaker that opens on a single stuck connection or stays open.
 #[test]
 fn breaker_follows_consecutive_failures() {
+    let case = |name, events, open| BreakerCase { name, events, open };
     let cases = [
-        BreakerCase { name: "two failures", events: &["fail", "fail"], open: false },
-        BreakerCase { name: "three failures", events: &["fail", "fail", "fail"], open: true },
-        BreakerCase {
-            name: "interrupted",
-            events: &["fail", "fail", "ok", "fail", "fail"],
-            open: false,
-        },
-        BreakerCase { name: "recovered", events: &["fail", "fail", "fail", "ok"], open: false },
+        case("two failures", &["fail", "fail"], false),
+        case("three failures", &["fail", "fail", "fail"], true),
+        case("interrupted", &["fail", "fail", "ok", "fail", "fail"], false),
+        case("recovered", &["fail", "fail", "fail", "ok"], false),
     ];
     for case in cases {
         let mut random = RandomSource::from_seed(3);
--- a/crates/trace/tests/decision.rs
+++ b/crates/trace/tests/decision.rs
@@ -120,55 +120,21 @@
     let full = CallCause::QueueFull;
     let within = ClockSpan::from_hundredths(CAP_SPAN.as_hundredths() - 1);
     let (limit, none) = (CAP_LINES, ClockSpan::ZERO);
+    let case = |name, cause, after, refusals, logged, suppressed| CapCase {
+        name,
+        cause,
+        after,
+        refusals,
+        logged,
+        suppressed,
+    };
     let cases = [
-        CapCase {
-            name: "up to the cap",
-            cause: full,
-            after: none,
-            refusals: limit,
-            logged: limit,
-            suppressed: 0,
-        },
-        CapCase {
-            name: "above the cap",
-            cause: full,
-            after: none,
-            refusals: 9,
-            logged: 0,
-            suppressed: 0,
-        },
-        CapCase {
-            name: "other cause",
-            cause: CallCause::Overload,
-            after: none,
-            refusals: 1,
-            logged: 1,
-            suppressed: 0,
-        },
-        CapCase {
-            name: "same second",
-            cause: full,
-            after: within,
-            refusals: 1,
-            logged: 0,
-            suppressed: 0,
-        },
-        CapCase {
-            name: "next second",
-            cause: full,
-            after: CAP_SPAN,
-            refusals: limit + 1,
-            logged: limit,
-            suppressed: 10,
-        },
-        CapCase {
-            name: "later",
-            cause: full,
-            after: CAP_SPAN + CAP_SPAN,
-            refusals: 1,
-            logged: 1,
-            suppressed: 1,
-        },
+        case("up to the cap", full, none, limit, limit, 0),
+        case("above the cap", full, none, 9, 0, 0),
+        case("other cause", CallCause::Overload, none, 1, 1, 0),
+        case("same second", full, within, 1, 0, 0),
+        case("next second", full, CAP_SPAN, limit + 1, limit, 10),
+        case("later", full, CAP_SPAN + CAP_SPAN, 1, 1, 1),
     ];
     let mut cap = RefusalCap::default();
     for case in cases {
--- a/crates/trace/tests/reading.rs
+++ b/crates/trace/tests/reading.rs
@@ -13,57 +13,40 @@
 /// Guards against lines of one format that are read as something else than those of the other.
 #[test]
 fn lines_are_read_in_both_formats() {
+    let case = |name, line, event, message, fields| LineCase { name, line, event, message, fields };
     let cases = [
-        LineCase {
-            name: "json",
-            line: r#"{"timestamp":"2026-12-04T14:00:01.000200Z","level":"INFO","fields":{"message":"x y","event":1032,"id":"vm-1","attempt":2,"why":"not idempotent"},"target":"gate::decision"}"#,
-            event: Some(1032),
-            message: "x y",
-            fields: &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
-        },
-        LineCase {
-            name: "text",
-            line: r#"2026-12-04T14:00:01.000200Z  INFO gate::decision: x y event=1032 id="vm-1" attempt=2 why="not idempotent""#,
-            event: Some(1032),
-            message: "x y",
-            fields: &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
-        },
-        LineCase {
-            name: "text without a message, with an unquoted value of several words",
-            line: "2026-12-04T14:00:01.000200Z  WARN gate::depend: event=1041 error=no answer: [B=1] (os error 1) after_ms=5",
-            event: Some(1041),
-            message: "",
-            fields: &[("error", "no answer: [B=1] (os error 1)"), ("after_ms", "5")],
-        },
-        LineCase {
-            name: "text with quotes inside a value",
-            line: r#"2026-12-04T14:00:01.000200Z  INFO gate: event=1030 id="a\"b id=c" class="urgent""#,
-            event: Some(1030),
-            message: "",
-            fields: &[("id", "a\"b id=c"), ("class", "urgent")],
-        },
-        LineCase {
-            name: "no event",
-            line: r#"{"caller_address":"127.0.0.1:1"}"#,
-            event: None,
-            message: "",
-            fields: &[],
-        },
-        LineCase {
-            name: "cut",
-            line: r#"{"timestamp":"2026-12-04T14:00:0"#,
-            event: None,
-            message: "",
-            fields: &[],
-        },
-        LineCase {
-            name: "foreign",
-            line: "thread 'main' panicked at: event=1",
-            event: None,
-            message: "",
-            fields: &[],
-        },
-        LineCase { name: "empty", line: "", event: None, message: "", fields: &[] },
+        case(
+            "json",
+            r#"{"timestamp":"2026-12-04T14:00:01.000200Z","level":"INFO","fields":{"message":"x y","event":1032,"id":"vm-1","attempt":2,"why":"not idempotent"},"target":"gate::decision"}"#,
+            Some(1032),
+            "x y",
+            &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
+        ),
+        case(
+            "text",
+            r#"2026-12-04T14:00:01.000200Z  INFO gate::decision: x y event=1032 id="vm-1" attempt=2 why="not idempotent""#,
+            Some(1032),
+            "x y",
+            &[("id", "vm-1"), ("attempt", "2"), ("why", "not idempotent")],
+        ),
+        case(
+            "text without a message, with an unquoted value of several words",
+            "2026-12-04T14:00:01.000200Z  WARN gate::depend: event=1041 error=no answer: [B=1] (os error 1) after_ms=5",
+            Some(1041),
+            "",
+            &[("error", "no answer: [B=1] (os error 1)"), ("after_ms", "5")],
+        ),
+        case(
+            "text with quotes inside a value",
+            r#"2026-12-04T14:00:01.000200Z  INFO gate: event=1030 id="a\"b id=c" class="urgent""#,
+            Some(1030),
+            "",
+            &[("id", "a\"b id=c"), ("class", "urgent")],
+        ),
+        case("no event", r#"{"caller_address":"127.0.0.1:1"}"#, None, "", &[]),
+        case("cut", r#"{"timestamp":"2026-12-04T14:00:0"#, None, "", &[]),
+        case("foreign", "thread 'main' panicked at: event=1", None, "", &[]),
+        case("empty", "", None, "", &[]),
     ];
     for case in cases {
         let line = LogLine::parse(case.line);
@@ -96,55 +79,16 @@
 /// Guards against state that has nothing to do with a call, and against state that is left out.
 #[test]
 fn a_story_has_the_state_that_matters() {
+    let case = |name, at_ms, fields, shown| StateCase { name, at_ms, fields, shown };
     let cases = [
-        StateCase {
-            name: "its upstream",
-            at_ms: 19_500,
-            fields: r#""event":1201,"upstream":"phase-1""#,
-            shown: true,
-        },
-        StateCase {
-            name: "another upstream",
-            at_ms: 19_500,
-            fields: r#""event":1201,"upstream":"phase-2""#,
-            shown: false,
-        },
-        StateCase {
-            name: "10 s before the start",
-            at_ms: 9_500,
-            fields: r#""event":1017,"version":3"#,
-            shown: true,
-        },
-        StateCase {
-            name: "more than 10 s before",
-            at_ms: 9_499,
-            fields: r#""event":1017,"version":3"#,
-            shown: false,
-        },
-        StateCase {
-            name: "after the call",
-            at_ms: 20_001,
-            fields: r#""event":1041,"dependency":"store""#,
-            shown: false,
-        },
-        StateCase {
-            name: "overload of the service",
-            at_ms: 19_000,
-            fields: r#""event":1301,"service":"phase-desk""#,
-            shown: true,
-        },
-        StateCase {
-            name: "overload of another",
-            at_ms: 19_000,
-            fields: r#""event":1301,"service":"booking-desk""#,
-            shown: false,
-        },
-        StateCase {
-            name: "another call",
-            at_ms: 19_000,
-            fields: r#""event":1033,"id":"other""#,
-            shown: false,
-        },
+        case("its upstream", 19_500, r#""event":1201,"upstream":"phase-1""#, true),
+        case("another upstream", 19_500, r#""event":1201,"upstream":"phase-2""#, false),
+        case("10 s before the start", 9_500, r#""event":1017,"version":3"#, true),
+        case("more than 10 s before", 9_499, r#""event":1017,"version":3"#, false),
+        case("after the call", 20_001, r#""event":1041,"dependency":"store""#, false),
+        case("overload of the service", 19_000, r#""event":1301,"service":"phase-desk""#, true),
+        case("overload of another", 19_000, r#""event":1301,"service":"booking-desk""#, false),
+        case("another call", 19_000, r#""event":1033,"id":"other""#, false),
     ];
     let call = [
         r#""event":1030,"id":"a","service":"phase-desk","version":3"#,
