Join the start and the end of the two kinds of gateway process

Both interfaces opened the settings, the signals and the metrics listener in the same way, and gave up leaving at a second signal in the same way. OpenedProcess and StopSignals::leave have one copy each; the order of the steps is the same.

--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -19,6 +19,7 @@
 mod error;
 mod live;
 mod native;
+mod opened;
 mod options;
 mod platform;
 mod ready;
--- a/crates/gate/src/cmd/native.rs
+++ b/crates/gate/src/cmd/native.rs
@@ -7,20 +7,19 @@
 use border::ProcessSettings;
 use gate::access::PlatformAccess;
 use gate::log::ProcessLog;
-use gate::observe::ObserveServer;
 use gate::process::RunningGate;
-use gate::reload::{SettingsTarget, SettingsWatch};
+use gate::reload::SettingsTarget;
 use gate::state::{GateState, GateStore};
 use gate::{event, leave};
 use peer::prelude::*;
 use snafu::ResultExt;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::error::{GateError, ListenSnafu, RuntimeSnafu};
+use super::error::{GateError, ListenSnafu};
 use super::live::LiveSettings;
+use super::opened::OpenedProcess;
 use super::options::{access_options, secret_table};
 use super::ready::announce;
-use super::signals::StopSignals;
 
 /// Serves the product's own interface until a signal and leaves.
 pub(super) async fn serve_native(
@@ -30,10 +29,8 @@
     path: PathBuf,
     log: &mut ProcessLog,
 ) -> Result<(), GateError> {
-    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
-    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
-    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
-    let observe = observe.await.context(ListenSnafu)?;
+    let OpenedProcess { watch, mut signals, observe } =
+        OpenedProcess::open(settings, &state, path).await?;
     let gate = RunningGate::start(Arc::clone(&state)).context(ListenSnafu)?;
     let counts = Arc::new(ControlCounts::default());
     let options = access_options(settings, followed, &counts);
@@ -49,12 +46,7 @@
     let _watch = AbortOnDropHandle::new(tokio::spawn(watch.run(live)));
     let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
-    tokio::select! {
-        () = leave::leave(&gate, platform) => {}
-        () = signals.next() => {
-            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
-        }
-    }
+    signals.leave(leave::leave(&gate, platform)).await;
     tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
     Ok(())
 }
--- a/crates/gate/src/cmd/platform.rs
+++ b/crates/gate/src/cmd/platform.rs
@@ -13,11 +13,10 @@
 use gate::discovery::{DiscoveryHandle, DiscoveryOptions, DiscoveryTasks};
 use gate::exchange::ExchangeOptions;
 use gate::log::ProcessLog;
-use gate::observe::ObserveServer;
 use gate::peers::PeerLink;
 use gate::probe::PROBE_COST;
 use gate::process::RunningGate;
-use gate::reload::{SettingsTarget, SettingsWatch};
+use gate::reload::SettingsTarget;
 use gate::state::GateState;
 use gate::{event, leave};
 use peer::prelude::*;
@@ -26,11 +25,11 @@
 use tokio_util::task::AbortOnDropHandle;
 use world::prelude::*;
 
-use super::error::{GateError, ListenSnafu, RuntimeSnafu};
+use super::error::{GateError, ListenSnafu};
 use super::live::LiveSettings;
+use super::opened::OpenedProcess;
 use super::options::{access_options, peer_secrets, secret_table};
 use super::ready::announce;
-use super::signals::StopSignals;
 
 /// Gateway VMs that may run at once, until more are known. A quarter more than the largest
 /// deployment of 15 VMs.
@@ -47,10 +46,8 @@
     path: PathBuf,
     log: &mut ProcessLog,
 ) -> Result<(), GateError> {
-    let watch = SettingsWatch::new(path, settings.clone()).context(RuntimeSnafu)?;
-    let mut signals = StopSignals::listen().context(RuntimeSnafu)?;
-    let observe = ObserveServer::start(Arc::clone(&state), settings.metrics_address);
-    let observe = observe.await.context(ListenSnafu)?;
+    let OpenedProcess { watch, mut signals, observe } =
+        OpenedProcess::open(settings, &state, path).await?;
     let gate = RunningGate::start_with::<PlatformCodec>(Arc::clone(&state)).context(ListenSnafu)?;
     let stop_limit = Arc::new(ArcSwap::from_pointee(settings.fleet.stop_limit));
     let link = Arc::new(PeerLink::new(settings.vm_name.clone()));
@@ -74,12 +71,7 @@
     let _drops = announce(settings, &gate, &control, &observe, log);
     signals.next().await;
     let limit = **stop_limit.load();
-    tokio::select! {
-        () = leave::leave_within(&gate, limit) => {}
-        () = signals.next() => {
-            tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
-        }
-    }
+    signals.leave(leave::leave_within(&gate, limit)).await;
     drop(discovery);
     tracing::info!(event = event::STOPPED, vm = %settings.vm_name, "stopped");
     Ok(())
--- a/crates/gate/src/cmd/signals.rs
+++ b/crates/gate/src/cmd/signals.rs
@@ -1,5 +1,6 @@
 //! The signals that stop the process.
 
+use gate::event;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The signals that ask the process to stop.
@@ -20,4 +21,14 @@
             _ = self.interrupt.recv() => {}
         }
     }
+
+    /// Leaves, or gives that up at the next signal.
+    pub(super) async fn leave(&mut self, leaving: impl Future<Output = ()>) {
+        tokio::select! {
+            () = leaving => {}
+            () = self.next() => {
+                tracing::warn!(event = event::DRAIN_ABANDONED, "a second signal ends the process");
+            }
+        }
+    }
 }
