--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -13,7 +13,7 @@
 use crate::error::BenchError;
 use crate::figure::{FigureBound, FigureSheet, median};
 use crate::machine::{processor_seconds, resident_kib};
-use crate::site::SITE_VMS;
+use crate::site::service_entry;
 
 /// Services and upstreams of the compared documents: the smallest, Almaty today, and the target
 /// (design page, 1.5).
@@ -149,19 +149,6 @@
                 "connections": 200,
             })
         });
-        let name = format!("service-{service}");
-        json!({
-            "name": name,
-            "hosts": [name],
-            "path_prefixes": [],
-            "rules": [{ "path_prefix": "/", "idempotent": true, "class": "urgent" }],
-            "deadline_ms": 2000,
-            "objective": { "latency_ms": 100, "latency_share": 0.99, "success_share": 0.999 },
-            "probe_share": 0.01,
-            "vm_ceiling": SITE_VMS,
-            "retry_ratio": 0.1,
-            "queue_limit": 200,
-            "upstreams": upstreams.collect::<Vec<_>>(),
-        })
+        service_entry(&format!("service-{service}"), 0.01, upstreams.collect())
     }
 }
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 use stand::prelude::*;
 
 /// Gateway VMs of a deployment.
@@ -136,19 +136,7 @@
                     "connections": 200,
                 })
             });
-            json!({
-                "name": name,
-                "hosts": [name],
-                "path_prefixes": [],
-                "rules": [{ "path_prefix": "/", "idempotent": true, "class": "urgent" }],
-                "deadline_ms": 2000,
-                "objective": { "latency_ms": 100, "latency_share": 0.99, "success_share": 0.999 },
-                "probe_share": self.probe_share,
-                "vm_ceiling": SITE_VMS,
-                "retry_ratio": 0.1,
-                "queue_limit": 200,
-                "upstreams": upstreams.collect::<Vec<_>>(),
-            })
+            service_entry(name, self.probe_share, upstreams.collect())
         });
         let services = services.collect::<Vec<_>>();
         let link = |from: usize, to: usize| json!({ "from": self.centres[from], "to": self.centres[to], "one_way_ms": self.one_way_ms });
@@ -162,3 +150,20 @@
         document.to_string().into_bytes()
     }
 }
+
+/// Returns the entry of an urgent service in a document, with its upstreams.
+pub fn service_entry(name: &str, probe_share: f64, upstreams: Vec<Value>) -> Value {
+    json!({
+        "name": name,
+        "hosts": [name],
+        "path_prefixes": [],
+        "rules": [{ "path_prefix": "/", "idempotent": true, "class": "urgent" }],
+        "deadline_ms": 2000,
+        "objective": { "latency_ms": 100, "latency_share": 0.99, "success_share": 0.999 },
+        "probe_share": probe_share,
+        "vm_ceiling": SITE_VMS,
+        "retry_ratio": 0.1,
+        "queue_limit": 200,
+        "upstreams": upstreams,
+    })
+}
