--- a/crates/ctl/src/cmd.rs
+++ b/crates/ctl/src/cmd.rs
@@ -105,15 +105,17 @@
             Self::CheckSettings(arguments) => {
                 finish(arguments.output_arguments.format, check::check_settings(arguments), succeed)
             }
-            Self::Try(arguments) => {
-                finish(arguments.output_arguments.format, trial::run(arguments), succeed)
-            }
+            Self::Try(arguments) => finish(
+                arguments.change_arguments.output_arguments.format,
+                trial::run(arguments),
+                succeed,
+            ),
             Self::Promote(arguments) => {
-                let format = arguments.output_arguments.format;
+                let format = arguments.change_arguments.output_arguments.format;
                 finish(format, promote::run(arguments), |report| Ok(report.to_exit()))
             }
             Self::Rollback(arguments) => {
-                let format = arguments.output_arguments.format;
+                let format = arguments.change_arguments.output_arguments.format;
                 finish(format, rollback::run(arguments), |report| Ok(report.to_exit()))
             }
             Self::Status(arguments) => {
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::Runtime;
 
 use crate::error::{CtlError, RuntimeSnafu};
+use crate::output::{OutputArguments, output_arguments};
 
 /// The longest name of an environment or author, as in the document.
 const MAX_NAME_BYTES: usize = 63;
@@ -50,6 +51,18 @@
     pub author: SharedName,
 }
 
+/// Arguments of every command that makes a change.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
+pub struct ChangeArguments {
+    #[bpaf(external)]
+    pub(crate) output_arguments: OutputArguments,
+    #[bpaf(external)]
+    pub(crate) operator_arguments: OperatorArguments,
+    #[bpaf(external)]
+    pub(crate) base_arguments: BaseArguments,
+}
+
 /// The version that a change builds on.
 #[derive(Bpaf, Clone, Copy, Debug)]
 #[bpaf(ignore_rustdoc)]
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -9,8 +9,8 @@
 
 use crate::change::{ChangeReport, VersionLine};
 use crate::error::{CtlError, CtlExit};
-use crate::operator::{self, BaseArguments, OperatorArguments, base_arguments, operator_arguments};
-use crate::output::{self, OutputArguments, output_arguments};
+use crate::operator::{self, ChangeArguments, change_arguments};
+use crate::output;
 use crate::spread::{self, SpreadTable};
 use crate::vm::{VmArguments, VmQuery, vm_arguments};
 
@@ -22,11 +22,7 @@
 #[bpaf(ignore_rustdoc)]
 pub struct PromoteArguments {
     #[bpaf(external)]
-    pub(crate) output_arguments: OutputArguments,
-    #[bpaf(external)]
-    operator_arguments: OperatorArguments,
-    #[bpaf(external)]
-    base_arguments: BaseArguments,
+    pub(crate) change_arguments: ChangeArguments,
     #[bpaf(external)]
     vm_arguments: VmArguments,
     /// The digest that try and check print
@@ -80,10 +76,11 @@
 /// Fails with the reason why the change was not made.
 pub fn run(arguments: &PromoteArguments) -> Result<PromoteReport, CtlError> {
     let query = arguments.vm_arguments.to_query()?;
-    let link = arguments.operator_arguments.to_link();
-    let environment = &arguments.operator_arguments.environment;
-    let trial = arguments.operator_arguments.to_trial();
-    let base = arguments.base_arguments.base;
+    let ChangeArguments { operator_arguments, base_arguments, .. } = &arguments.change_arguments;
+    let link = operator_arguments.to_link();
+    let environment = &operator_arguments.environment;
+    let trial = operator_arguments.to_trial();
+    let base = base_arguments.base;
     operator::runtime()?.block_on(async {
         let row = link.operator.promote(environment, &trial, &arguments.digest, base).await?;
         let change = ChangeReport { in_force: VersionLine(row) };
--- a/crates/ctl/src/rollback.rs
+++ b/crates/ctl/src/rollback.rs
@@ -4,8 +4,7 @@
 
 use crate::change::{ChangeReport, VersionLine};
 use crate::error::CtlError;
-use crate::operator::{self, BaseArguments, OperatorArguments, base_arguments, operator_arguments};
-use crate::output::{OutputArguments, output_arguments};
+use crate::operator::{self, ChangeArguments, change_arguments};
 use crate::promote::{PromoteReport, confirm};
 use crate::vm::{VmArguments, vm_arguments};
 
@@ -14,11 +13,7 @@
 #[bpaf(ignore_rustdoc)]
 pub struct RollbackArguments {
     #[bpaf(external)]
-    pub(crate) output_arguments: OutputArguments,
-    #[bpaf(external)]
-    operator_arguments: OperatorArguments,
-    #[bpaf(external)]
-    base_arguments: BaseArguments,
+    pub(crate) change_arguments: ChangeArguments,
     #[bpaf(external)]
     vm_arguments: VmArguments,
     /// The earlier version, as listed by history
@@ -34,9 +29,10 @@
 /// Fails with the reason why the change was not made.
 pub fn run(arguments: &RollbackArguments) -> Result<PromoteReport, CtlError> {
     let query = arguments.vm_arguments.to_query()?;
-    let link = arguments.operator_arguments.to_link();
-    let environment = &arguments.operator_arguments.environment;
-    let base = arguments.base_arguments.base;
+    let ChangeArguments { operator_arguments, base_arguments, .. } = &arguments.change_arguments;
+    let link = operator_arguments.to_link();
+    let environment = &operator_arguments.environment;
+    let base = base_arguments.base;
     operator::runtime()?.block_on(async {
         let row = link.operator.rollback(environment, arguments.version, base).await?;
         let change = ChangeReport { in_force: VersionLine(row) };
--- a/crates/ctl/src/trial.rs
+++ b/crates/ctl/src/trial.rs
@@ -9,19 +9,14 @@
 use crate::check::{self, BorderCheck};
 use crate::error::CtlError;
 use crate::file;
-use crate::operator::{self, BaseArguments, OperatorArguments, base_arguments, operator_arguments};
-use crate::output::{OutputArguments, output_arguments};
+use crate::operator::{self, ChangeArguments, change_arguments};
 
 /// Arguments of `try`.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(ignore_rustdoc)]
 pub struct TryArguments {
     #[bpaf(external)]
-    pub(crate) output_arguments: OutputArguments,
-    #[bpaf(external)]
-    operator_arguments: OperatorArguments,
-    #[bpaf(external)]
-    base_arguments: BaseArguments,
+    pub(crate) change_arguments: ChangeArguments,
     /// The environment document, a JSON file
     #[bpaf(positional("FILE"))]
     file: PathBuf,
@@ -36,9 +31,10 @@
     // The document is checked here, so that its problems are reported like those of `check`.
     check::load_file(&arguments.file)?;
     let document = Bytes::from(file::read(&arguments.file)?);
-    let link = arguments.operator_arguments.to_link();
-    let trial = arguments.operator_arguments.to_trial();
-    let base = arguments.base_arguments.base;
+    let ChangeArguments { operator_arguments, base_arguments, .. } = &arguments.change_arguments;
+    let link = operator_arguments.to_link();
+    let trial = operator_arguments.to_trial();
+    let base = base_arguments.base;
     let change = link.operator.try_document(&BorderCheck, &trial, document, base);
     let row = operator::runtime()?.block_on(change)?;
     Ok(ChangeReport { in_force: VersionLine(row) })
