--- a/crates/route/examples/choice_model.rs
+++ b/crates/route/examples/choice_model.rs
@@ -10,22 +10,7 @@
 use model::ModelCase;
 use route::prelude::*;
 
-const SIX_SLOTS: ModelCase = ModelCase {
-    name: "six-slot, 12 servers",
-    servers: 12,
-    slots: 6,
-    vms: 15,
-    centres: 1,
-    round_trip_ms: 2.0,
-    load: 0.7,
-    work_ms: 10.0,
-    noise_every_ms: 500.0,
-    noise_ms: 40.0,
-    noise_speed: 0.1,
-    report_lag_ms: 0.0,
-    calls: 60_000,
-    seed: 1,
-};
+const SIX_SLOTS: ModelCase = ModelCase::SIX_SLOTS;
 
 const TWO_SLOTS: ModelCase =
     ModelCase { name: "two-slot, 10 servers", servers: 10, slots: 2, ..SIX_SLOTS };
--- a/crates/route/examples/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -47,6 +47,26 @@
     pub seed: u64,
 }
 
+impl ModelCase {
+    /// Six-slot servers in one data centre with a noisy neighbour.
+    pub const SIX_SLOTS: Self = Self {
+        name: "six-slot, 12 servers",
+        servers: 12,
+        slots: 6,
+        vms: 15,
+        centres: 1,
+        round_trip_ms: 2.0,
+        load: 0.7,
+        work_ms: 10.0,
+        noise_every_ms: 500.0,
+        noise_ms: 40.0,
+        noise_speed: 0.1,
+        report_lag_ms: 0.0,
+        calls: 60_000,
+        seed: 1,
+    };
+}
+
 /// What a run measured, in milliseconds from arrival at the gateway to the end of the call.
 #[derive(Clone, Copy, Debug)]
 pub struct ModelResult {
--- a/crates/route/tests/model_run.rs
+++ b/crates/route/tests/model_run.rs
@@ -6,22 +6,8 @@
 use model::ModelCase;
 use route::prelude::*;
 
-const SIX_SLOTS: ModelCase = ModelCase {
-    name: "six-slot",
-    servers: 12,
-    slots: 6,
-    vms: 15,
-    centres: 1,
-    round_trip_ms: 2.0,
-    load: 0.7,
-    work_ms: 10.0,
-    noise_every_ms: 500.0,
-    noise_ms: 40.0,
-    noise_speed: 0.1,
-    report_lag_ms: 0.0,
-    calls: 30_000,
-    seed: 11,
-};
+const SIX_SLOTS: ModelCase =
+    ModelCase { name: "six-slot", calls: 30_000, seed: 11, ..ModelCase::SIX_SLOTS };
 
 /// Guards against herding on reports that are older than they claim, and against VMs that collide
 /// on the same servers: p99 stays below that of least in flight.
