--- a/crates/ctl/tests/demo.rs
+++ b/crates/ctl/tests/demo.rs
@@ -44,20 +44,15 @@
 #[test]
 fn every_fault_is_a_failure() {
     let clean = DeploymentVerdict::default;
+    let case = |verdict, fault| VerdictCase { verdict, fault };
     let cases = [
-        VerdictCase { verdict: clean(), fault: None },
-        VerdictCase {
-            verdict: DeploymentVerdict { wrong_answers: 1, ..clean() },
-            fault: Some("1 wrong answers"),
-        },
-        VerdictCase {
-            verdict: DeploymentVerdict { repeated_work: 2, ..clean() },
-            fault: Some("2 pieces of work ran twice"),
-        },
-        VerdictCase {
-            verdict: DeploymentVerdict { missing_work: 3, ..clean() },
-            fault: Some("3 were answered and did not run"),
-        },
+        case(clean(), None),
+        case(DeploymentVerdict { wrong_answers: 1, ..clean() }, Some("1 wrong answers")),
+        case(DeploymentVerdict { repeated_work: 2, ..clean() }, Some("2 pieces of work ran twice")),
+        case(
+            DeploymentVerdict { missing_work: 3, ..clean() },
+            Some("3 were answered and did not run"),
+        ),
     ];
     for case in cases {
         let deployment = DeploymentReport {
--- a/crates/stand/tests/proxy.rs
+++ b/crates/stand/tests/proxy.rs
@@ -22,6 +22,13 @@
     (upstream, FaultProxy::start(plan).await.unwrap())
 }
 
+/// Opens a connection and makes a first call on it.
+async fn connected(proxy: &FaultProxy) -> Caller {
+    let mut caller = Caller::connect(proxy.address()).await.unwrap();
+    assert!(caller.call(WORK).await.is_some());
+    caller
+}
+
 struct PassCase {
     name: &'static str,
     change: fn(&mut ProxyPlan),
@@ -118,8 +125,7 @@
 #[tokio::test]
 async fn one_answer_is_lost() {
     let (upstream, proxy) = pair(|_| {}).await;
-    let mut caller = Caller::connect(proxy.address()).await.unwrap();
-    assert!(caller.call(WORK).await.is_some());
+    let mut caller = connected(&proxy).await;
     proxy.update(|plan| plan.lose_next = 1);
     assert!(caller.call(WORK).await.is_none());
     assert!(call(proxy.address(), WORK).await.is_some());
@@ -130,8 +136,7 @@
 #[tokio::test]
 async fn open_connections_go_silent() {
     let (upstream, proxy) = pair(|_| {}).await;
-    let mut old = Caller::connect(proxy.address()).await.unwrap();
-    assert!(old.call(WORK).await.is_some());
+    let mut old = connected(&proxy).await;
     proxy.silence_open();
     proxy.wait_for(|counts| counts.silenced == 1).await;
     let stalled = tokio::spawn(async move { old.call(WORK).await });
@@ -154,9 +159,7 @@
     let (_upstream, proxy) = pair(|_| {}).await;
     let mut callers = Vec::new();
     for _ in 0..3 {
-        let mut caller = Caller::connect(proxy.address()).await.unwrap();
-        assert!(caller.call(WORK).await.is_some());
-        callers.push(caller);
+        callers.push(connected(&proxy).await);
     }
     proxy.connections(3).await;
     proxy.cut_all();
@@ -172,8 +175,7 @@
 #[tokio::test]
 async fn new_connections_are_refused() {
     let (_upstream, proxy) = pair(|_| {}).await;
-    let mut old = Caller::connect(proxy.address()).await.unwrap();
-    assert!(old.call(WORK).await.is_some());
+    let mut old = connected(&proxy).await;
     proxy.update(|plan| plan.refuse = true);
     proxy.wait_listening(false).await;
     assert!(Caller::connect(proxy.address()).await.is_none());
@@ -219,8 +221,7 @@
     let (_upstream, proxy) = pair(|_| {}).await;
     let admin = proxy.admin_address();
     for path in ["/admin/cut", "/admin/silence"] {
-        let mut caller = Caller::connect(proxy.address()).await.unwrap();
-        assert!(caller.call(WORK).await.is_some());
+        let _caller = connected(&proxy).await;
         assert_eq!(call(admin, Call::post(path, "")).await.unwrap().status, 200);
     }
     proxy.wait_for(|counts| counts.cut == 1 && counts.silenced == 1).await;
@@ -247,8 +248,7 @@
     ];
     for HoldCase { way, arrives } in cases {
         let (upstream, proxy) = pair(|_| {}).await;
-        let mut old = Caller::connect(proxy.address()).await.unwrap();
-        assert!(old.call(WORK).await.is_some(), "{way:?}");
+        let mut old = connected(&proxy).await;
         proxy.update(|plan| plan.hold = Some(way));
         let held = tokio::spawn(async move { old.call(WORK).await });
         let new = tokio::spawn(call(proxy.address(), WORK));
