Tell a VM whose clock was set back which incarnation its peers know

Cause: the incarnation comes from the wall clock, and peers ignore a lower one, so that a VM whose clock was set back stayed unknown to them for up to 2 h.

A peer answers a hello that asks for an answer and has a lower incarnation with the one that it knows. The VM takes the next higher one, writes its row again and floods a hello, within 10 s of its start only.

Ruled out: taking a higher incarnation at any time, because a process that was replaced and resumes later would displace its successor.

The limit of 10 s has a test of its own. The events of the model name the process by a number of its own, because an incarnation can now change while a process runs.

--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -27,12 +27,15 @@
 const BUFFER_BYTES: usize = 2048;
 
 impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
-    /// Writes this VM's row and reads those of the others.
+    /// Writes this VM's row and reads those of the others, and again if its incarnation changes.
     pub(super) async fn announce(self: Arc<Self>) {
-        while let Err(error) = self.announce_once().await {
-            tracing::debug!(event = event::STORE_UNREAD, %error);
-            let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
-            tokio::time::sleep(pause.to_duration()).await;
+        loop {
+            while let Err(error) = self.announce_once().await {
+                tracing::debug!(event = event::STORE_UNREAD, %error);
+                let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
+                tokio::time::sleep(pause.to_duration()).await;
+            }
+            self.exchange.announce_wanted.notified().await;
         }
     }
 
@@ -105,6 +108,15 @@
         self.exchange.publish(self.exchange.hello(leaving, false)).await;
     }
 
+    /// Answers a VM that says hello with a lower incarnation than is known of it.
+    async fn tell_incarnation(&self, message: &PeerMessage, source: SocketAddr) {
+        let PeerMessage::Hello(hello) = message else { return };
+        let known = self.exchange.mesh.lock().newer_incarnation(&hello.entry.vm);
+        if let Some(known) = known.filter(|_| hello.answer_wanted) {
+            self.exchange.send(PeerMessage::Outdated(known), &[source]).await;
+        }
+    }
+
     /// Takes in what peers tell.
     pub(super) async fn receive(self: Arc<Self>) {
         let mut buffer = [0; BUFFER_BYTES];
@@ -128,7 +140,10 @@
         }
         let heard = self.exchange.mesh.lock().hear(sender, incarnation, now);
         match heard {
-            HeardFrom::Outdated => return,
+            HeardFrom::Outdated => {
+                self.tell_incarnation(message, source).await;
+                return;
+            }
             HeardFrom::Unknown => {
                 self.exchange.send(self.exchange.hello(false, true), &[source]).await;
             }
@@ -167,6 +182,12 @@
                     self.state.tables.suspects.merge(notice, now);
                 }
             }
+            PeerMessage::Outdated(known) => {
+                let adopted = self.exchange.mesh.lock().adopt(*known, now);
+                if adopted {
+                    self.exchange.announce_wanted.notify_one();
+                }
+            }
             PeerMessage::Losses(message) => {
                 for loss in &message.vms {
                     let is_own = self.exchange.mesh.lock().hear_loss(loss, now);
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -12,6 +12,7 @@
 use peer::prelude::*;
 use store::prelude::*;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use world::prelude::VmIdentity;
 
 /// The longest time for which the store holds back its answer to the VM that reads the upstreams
@@ -34,6 +35,8 @@
     pub(crate) socket: UdpSocket,
     pub(crate) codec: DatagramCodec,
     pub(crate) mesh: RankedMutex<MeshPlan>,
+    /// Wakes the task that makes this VM known, because its incarnation changed.
+    pub(crate) announce_wanted: Notify,
     /// The version of the configuration in force.
     config_version: AtomicU64,
 }
@@ -51,6 +54,7 @@
             socket,
             codec: DatagramCodec::new(secrets.iter().map(SharedName::as_str)),
             mesh: RankedMutex::new(LockRank::PeerTable, mesh),
+            announce_wanted: Notify::new(),
             config_version: AtomicU64::new(0),
         })
     }
--- a/crates/member/src/mesh.rs
+++ b/crates/member/src/mesh.rs
@@ -160,6 +160,8 @@
 pub struct MeshPlan {
     own: VmEntry,
     tuning: MeshTuning,
+    /// When hellos were first asked for.
+    started_at: Option<ClockTime>,
     random: RandomSource,
     vms: BTreeMap<SharedName, MeshVm>,
     /// When all lost VMs were last sought at once.
@@ -188,6 +190,7 @@
         Self {
             own,
             tuning,
+            started_at: None,
             random,
             vms: BTreeMap::new(),
             sought_all_at: None,
@@ -207,6 +210,24 @@
         &self.own
     }
 
+    /// Takes an incarnation above the one that a peer knows of this VM, whose clock was set back, and
+    /// returns whether it did. The VM then has to make its entry known again.
+    pub fn adopt(&mut self, known: u64, now: ClockTime) -> bool {
+        let limit = self.tuning.adopt_limit;
+        let is_new = self.started_at.is_none_or(|at| now.since(at) < limit);
+        let adopts = is_new && known > self.own.vm.incarnation;
+        if adopts {
+            self.own.vm.incarnation = known.saturating_add(1);
+        }
+        adopts
+    }
+
+    /// Returns the incarnation of a VM to tell it of, if it is higher than the one that it has.
+    pub fn newer_incarnation(&self, vm: &VmIdentity) -> Option<u64> {
+        let known = self.vms.get(&vm.name)?.entry.vm.incarnation;
+        (known > vm.incarnation).then_some(known)
+    }
+
     /// Takes over an entry from the store or a hello and returns whether it is new. A higher
     /// incarnation replaces a lower one; an entry that is known stays as it is, so that the row of
     /// a VM that is gone does not make it count again.
@@ -275,6 +296,7 @@
     /// counts them as sent. To be called every 20 to 100 ms.
     pub fn due_hellos(&mut self, now: ClockTime) -> Vec<SocketAddr> {
         let forget_after = self.tuning.forget_after;
+        self.started_at.get_or_insert(now);
         let known = self.vms.len();
         self.vms.retain(|_, vm| vm.silence(now) < forget_after);
         self.neighbours_stale |= self.vms.len() < known;
--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -94,6 +94,9 @@
     /// VMs to which a VM passes news on, two on each ring. With 10% of the datagrams lost, a VM
     /// misses fewer than 1 in 1,000 messages (`docs/decisions/membership.md`).
     pub neighbours: usize,
+    /// Time after its start for which a VM takes a higher incarnation if its peers know one of it. A
+    /// process that was replaced and resumes later must not compete with its successor.
+    pub adopt_limit: ClockSpan,
     /// Most hellos at a time. 32 fit into a socket buffer of the usual 200 KB several times over,
     /// with the answers.
     pub hello_batch: usize,
@@ -122,6 +125,7 @@
             lost_period: ClockSpan::from_secs(30),
             lost_spacing: ClockSpan::from_millis(500),
             neighbours: 4,
+            adopt_limit: ClockSpan::from_secs(10),
             hello_batch: 32,
             forget_after: ClockSpan::from_secs(2 * 3600),
             max_vms: 512,
--- a/crates/member/tests/mesh.rs
+++ b/crates/member/tests/mesh.rs
@@ -212,6 +212,34 @@
     model.assert_connected(restarted, parted, "after the clock was set back");
 }
 
+struct AdoptCase {
+    /// Time since the start.
+    waited: ClockSpan,
+    /// What a peer knows.
+    known: u64,
+    expected: u64,
+}
+
+/// Guards against a process that was replaced, resumes later, and then competes with its successor.
+#[test]
+fn only_a_vm_that_has_just_started_takes_a_higher_incarnation() {
+    let tuning = MeshTuning::default();
+    let started = ClockTime::from_millis(50_000);
+    let cases = [
+        AdoptCase { waited: ClockSpan::ZERO, known: 6, expected: 7 },
+        AdoptCase { waited: ClockSpan::ZERO, known: 7, expected: 7 },
+        AdoptCase { waited: ClockSpan::ZERO, known: 20, expected: 21 },
+        AdoptCase { waited: ClockSpan::from_secs(9), known: 20, expected: 21 },
+        AdoptCase { waited: tuning.adopt_limit, known: 20, expected: 7 },
+    ];
+    for AdoptCase { waited, known, expected } in cases {
+        let mut plan = MeshPlan::new(entry(0, 7), tuning.clone(), 3);
+        plan.due_hellos(started);
+        assert_eq!(plan.adopt(known, started + waited), expected != 7, "{waited} {known}");
+        assert_eq!(plan.own().vm.incarnation, expected, "{waited} {known}");
+    }
+}
+
 struct HearCase {
     name: &'static str,
     incarnation: u64,
--- a/crates/member/tests/model/mod.rs
+++ b/crates/member/tests/model/mod.rs
@@ -69,8 +69,8 @@
 
 enum ModelEvent {
     Datagram { to: SocketAddr, message: Arc<PeerEnvelope>, entry: VmEntry, bytes: usize },
-    ReadDone { vm: usize, incarnation: u64, read: ModelRead },
-    PauseOver { vm: usize, incarnation: u64 },
+    ReadDone { vm: usize, process: u64, read: ModelRead },
+    PauseOver { vm: usize, process: u64 },
 }
 
 /// A read of the table of upstreams in progress.
@@ -87,6 +87,8 @@
     pub entry: VmEntry,
     pub plan: MeshPlan,
     pub alive: bool,
+    /// Counts the processes of this VM.
+    process: u64,
     /// VMs exchange datagrams only with VMs on the same side.
     pub side: usize,
     pub store_reachable: bool,
@@ -156,6 +158,7 @@
             entry: entry(index, 0),
             plan: MeshPlan::new(entry(index, 0), tuning.clone(), 0),
             alive: false,
+            process: 0,
             side: 0,
             store_reachable: true,
             reads: Vec::new(),
@@ -199,6 +202,7 @@
         vm.plan = MeshPlan::new(vm.entry.clone(), self.tuning.clone(), seed);
         vm.directory = UpstreamDirectory::new(DirectoryTuning::default());
         vm.alive = true;
+        vm.process += 1;
         (vm.busy, vm.held, vm.wanted) = (false, None, false);
         vm.hellos = [None, None];
         self.rows.insert(vm.entry.vm.name.clone(), vm.entry.clone());
@@ -293,8 +297,8 @@
     }
 
     fn answer(&mut self, vm: usize, read: ModelRead) {
-        let incarnation = self.vms[vm].entry.vm.incarnation;
-        let event = ModelEvent::ReadDone { vm, incarnation, read };
+        let process = self.vms[vm].process;
+        let event = ModelEvent::ReadDone { vm, process, read };
         self.events.entry(self.now_ms + READ_MS).or_default().push(event);
     }
 
@@ -372,10 +376,10 @@
 
     fn handle(&mut self, event: ModelEvent) {
         match event {
-            ModelEvent::ReadDone { vm, incarnation, read } if self.runs(vm, incarnation) => {
+            ModelEvent::ReadDone { vm, process, read } if self.runs(vm, process) => {
                 self.finish_read(vm, read);
             }
-            ModelEvent::PauseOver { vm, incarnation } if self.runs(vm, incarnation) => {
+            ModelEvent::PauseOver { vm, process } if self.runs(vm, process) => {
                 self.read(vm, true, Some(self.tuning.read.hold.as_millis()));
             }
             ModelEvent::Datagram { to, message, entry, bytes } => {
@@ -385,9 +389,9 @@
         }
     }
 
-    fn runs(&self, index: usize, incarnation: u64) -> bool {
+    fn runs(&self, index: usize, process: u64) -> bool {
         let vm = &self.vms[index];
-        vm.alive && vm.entry.vm.incarnation == incarnation
+        vm.alive && vm.process == process
     }
 
     /// Does what the gateway does after a read.
@@ -424,7 +428,7 @@
         let goes_on = read.for_all && self.tuning.read.hold > ClockSpan::ZERO;
         if goes_on && !vm.plan.has_earlier_reader(now) {
             vm.busy = true;
-            let event = ModelEvent::PauseOver { vm: index, incarnation: vm.entry.vm.incarnation };
+            let event = ModelEvent::PauseOver { vm: index, process: vm.process };
             self.events.entry(self.now_ms + READ_PAUSE_MS).or_default().push(event);
         }
     }
@@ -443,6 +447,13 @@
         }
         let heard = vm.plan.hear(&envelope.sender, envelope.incarnation, now);
         if heard == HeardFrom::Outdated {
+            if let PeerMessage::Hello(hello) = &envelope.message
+                && hello.answer_wanted
+                && let Some(known) = vm.plan.newer_incarnation(&hello.entry.vm)
+            {
+                let answer = PeerEnvelope::direct(&vm.entry.vm, PeerMessage::Outdated(known));
+                self.send_all(index, &answer, &[sender.exchange_address]);
+            }
             return;
         }
         let next = match &envelope.origin {
@@ -461,6 +472,15 @@
                 let reader = envelope.origin.as_ref().map_or(&envelope.sender, |origin| &origin.vm);
                 self.take_peer_rows(index, reader, message);
             }
+            PeerMessage::Outdated(known) => {
+                let vm = &mut self.vms[index];
+                if vm.plan.adopt(*known, now) {
+                    vm.entry = vm.plan.own().clone();
+                    vm.hellos = [None, None];
+                    self.rows.insert(vm.entry.vm.name.clone(), vm.entry.clone());
+                    self.tell_presence(index);
+                }
+            }
             PeerMessage::Losses(message) => {
                 for loss in &message.vms {
                     if self.vms[index].plan.hear_loss(loss, now) {
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -57,6 +57,8 @@
     Suspects(SuspectMessage),
     /// VMs that no longer answer.
     Losses(LossMessage),
+    /// The incarnation that the sender knows of the receiver, which has said hello with a lower one.
+    Outdated(u64),
 }
 
 impl PeerMessage {
@@ -80,7 +82,7 @@
                     loss.silent_ms = loss.silent_ms.saturating_add(millis(delay));
                 }
             }
-            Self::Hello(_) | Self::Load(_) => {}
+            Self::Hello(_) | Self::Load(_) | Self::Outdated(_) => {}
         }
         self
     }
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -32,6 +32,7 @@
     };
     let messages: Vec<PeerMessage> = match &envelope.message {
         PeerMessage::Hello(hello) => vec![PeerMessage::Hello(hello.clone())],
+        PeerMessage::Outdated(known) => vec![PeerMessage::Outdated(*known)],
         PeerMessage::Directory(directory) => vec![without_rows(directory)],
         PeerMessage::Load(load) => {
             let room = room(PeerMessage::Load(LoadMessage::default()));
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -200,6 +200,7 @@
         case("40 suspects with three crashes", suspects(40, 3), Split),
         case("300 suspects without a crash", suspects(300, 0), Split),
         case("two suspects with 300 crashes", suspects(2, 300), Split),
+        case("an incarnation", envelope(PeerMessage::Outdated(u64::MAX)), Whole),
         case("three losses", losses(3), Whole),
         case("300 losses", losses(300), Split),
     ];
@@ -252,7 +253,14 @@
 
 /// Returns one message of each kind that fits into a datagram.
 fn envelopes() -> Vec<PeerEnvelope> {
-    vec![hello("gateway-007"), directory(5), load(20), suspects(3, 3), losses(3)]
+    vec![
+        hello("gateway-007"),
+        directory(5),
+        load(20),
+        suspects(3, 3),
+        losses(3),
+        envelope(PeerMessage::Outdated(7)),
+    ]
 }
 
 fn samples() -> Vec<Vec<u8>> {
@@ -280,7 +288,7 @@
     /// Guards against datagrams that were changed, cut short or extended and still accepted.
     #[test]
     fn altered_datagrams_are_not_accepted(
-        sample in 0..5_usize,
+        sample in 0..6_usize,
         place in any::<prop::sample::Index>(),
         change in 1..=u8::MAX,
         extra in vec(any::<u8>(), 1..8),
@@ -301,7 +309,7 @@
     fn datagrams_are_accepted_with_a_common_secret_only(
         own in vec("[a-c]{0,2}", 0..4),
         others in vec("[a-c]{0,2}", 0..4),
-        sample in 0..5_usize,
+        sample in 0..6_usize,
     ) {
         let codec = |secrets: &[String]| {
             DatagramCodec::new(secrets.iter().map(String::as_str).collect::<Vec<_>>())
@@ -325,7 +333,7 @@
     #[test]
     fn signed_bytes_that_are_no_message_do_no_harm(
         random in vec(any::<u8>(), 1..1100),
-        sample in 0..5_usize,
+        sample in 0..6_usize,
         place in any::<prop::sample::Index>(),
         change in 1..=u8::MAX,
     ) {
