--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -12,6 +12,7 @@
 use member::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
+use world::prelude::VmIdentity;
 
 use super::core::DiscoveryCore;
 use crate::event;
@@ -27,12 +28,15 @@
 const BUFFER_BYTES: usize = 2048;
 
 impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
-    /// Writes this VM's row and reads those of the others.
+    /// Writes this VM's row and reads those of the others, and again if its incarnation changes.
     pub(super) async fn announce(self: Arc<Self>) {
-        while let Err(error) = self.announce_once().await {
-            tracing::debug!(event = event::STORE_UNREAD, %error);
-            let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
-            tokio::time::sleep(pause.to_duration()).await;
+        loop {
+            while let Err(error) = self.announce_once().await {
+                tracing::debug!(event = event::STORE_UNREAD, %error);
+                let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
+                tokio::time::sleep(pause.to_duration()).await;
+            }
+            self.exchange.announce_wanted.notified().await;
         }
     }
 
@@ -55,6 +59,7 @@
                 }
             }
         }
+        self.tell_presence().await;
         Ok(())
     }
 
@@ -62,19 +67,28 @@
     pub(super) async fn greet(self: Arc<Self>) {
         let mut detector = PauseDetector::new(TICK);
         let watched = self.state.options.tuning.uses(Mechanism::Pause);
+        let mut was_leaving = false;
         loop {
             tokio::time::sleep(TICK.to_duration()).await;
             let now = self.state.clock.now();
             if let Some(pause) = detector.observe(now, BootClock.elapsed()).filter(|_| watched) {
                 tracing::warn!(event = event::PAUSE_SEEN, %pause, "the process stood still");
                 self.refresh();
+                self.tell_presence().await;
             }
-            let (due, counts) = {
+            let (due, losses, counts) = {
                 let mut mesh = self.exchange.mesh.lock();
-                (mesh.due_hellos(now), mesh.counts(now))
+                (mesh.due_hellos(now), mesh.take_losses(now), mesh.counts())
             };
             let leaving = self.state.draining.load(Ordering::Relaxed);
+            if leaving && !was_leaving {
+                self.tell_presence().await;
+            }
+            was_leaving = leaving;
             self.exchange.send(self.exchange.hello(leaving, true), &due).await;
+            if !losses.is_empty() {
+                self.exchange.publish(PeerMessage::Losses(LossMessage { vms: losses })).await;
+            }
             if counts.listed > 1 && counts.heard == 1 {
                 self.state.peers.failed("no peer is heard", now);
             } else {
@@ -90,6 +104,21 @@
         }
     }
 
+    /// Tells all VMs that this one is there, or leaving. Only its neighbours hear it often.
+    async fn tell_presence(&self) {
+        let leaving = self.state.draining.load(Ordering::Relaxed);
+        self.exchange.publish(self.exchange.hello(leaving, false)).await;
+    }
+
+    /// Answers a VM that says hello with a lower incarnation than is known of it.
+    async fn tell_incarnation(&self, message: &PeerMessage, source: SocketAddr) {
+        let PeerMessage::Hello(hello) = message else { return };
+        let known = self.exchange.mesh.lock().newer_incarnation(&hello.entry.vm);
+        if let Some(known) = known.filter(|_| hello.answer_wanted) {
+            self.exchange.send(PeerMessage::Outdated(known), &[source]).await;
+        }
+    }
+
     /// Takes in what peers tell.
     pub(super) async fn receive(self: Arc<Self>) {
         let mut buffer = [0; BUFFER_BYTES];
@@ -113,7 +142,10 @@
         }
         let heard = self.exchange.mesh.lock().hear(sender, incarnation, now);
         match heard {
-            HeardFrom::Outdated => return,
+            HeardFrom::Outdated => {
+                self.tell_incarnation(message, source).await;
+                return;
+            }
             HeardFrom::Unknown => {
                 self.exchange.send(self.exchange.hello(false, true), &[source]).await;
             }
@@ -128,7 +160,8 @@
             PeerMessage::Hello(hello) => {
                 self.hear_config(hello.config_version);
                 if hello.leaving {
-                    self.exchange.mesh.lock().leave(sender, incarnation);
+                    let VmIdentity { name, incarnation, .. } = &hello.entry.vm;
+                    self.exchange.mesh.lock().leave(name, *incarnation);
                 }
                 if hello.answer_wanted {
                     let leaving = self.state.draining.load(Ordering::Relaxed);
@@ -151,6 +184,20 @@
                     self.state.tables.suspects.merge(notice, now);
                 }
             }
+            PeerMessage::Outdated(known) => {
+                let adopted = self.exchange.mesh.lock().adopt(*known, now);
+                if adopted {
+                    self.exchange.announce_wanted.notify_one();
+                }
+            }
+            PeerMessage::Losses(message) => {
+                for loss in &message.vms {
+                    let is_own = self.exchange.mesh.lock().hear_loss(loss, now);
+                    if is_own {
+                        self.tell_presence().await;
+                    }
+                }
+            }
         }
         self.exchange.pass_on(envelope, &next, now).await;
     }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -12,6 +12,7 @@
 use peer::prelude::*;
 use store::prelude::*;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use world::prelude::VmIdentity;
 
 /// The longest time for which the store holds back its answer to the VM that reads the upstreams
@@ -34,6 +35,8 @@
     pub(crate) socket: UdpSocket,
     pub(crate) codec: DatagramCodec,
     pub(crate) mesh: RankedMutex<MeshPlan>,
+    /// Wakes the task that makes this VM known, because its incarnation changed.
+    pub(crate) announce_wanted: Notify,
     /// The version of the configuration in force.
     config_version: AtomicU64,
 }
@@ -51,6 +54,7 @@
             socket,
             codec: DatagramCodec::new(secrets.iter().map(SharedName::as_str)),
             mesh: RankedMutex::new(LockRank::PeerTable, mesh),
+            announce_wanted: Notify::new(),
             config_version: AtomicU64::new(0),
         })
     }
@@ -82,7 +86,7 @@
 
     /// Records a read by this VM or a peer.
     pub(crate) fn note_read(&self, position: u64, made_at: ClockTime) {
-        self.mesh.lock().note_read(position, made_at, self.clock.now());
+        self.mesh.lock().note_read(position, made_at);
     }
 
     /// Returns whether a peer that comes before this VM in the order of names reads for all, too.
@@ -159,6 +163,6 @@
     /// Returns the control listeners of the VMs that were heard of lately.
     pub(crate) fn control_addresses(&self) -> Vec<SocketAddr> {
         let mesh = self.mesh.lock();
-        mesh.present(self.clock.now()).map(|entry| entry.control_address).collect()
+        mesh.present().map(|entry| entry.control_address).collect()
     }
 }
