--- a/crates/directory/src/config.rs
+++ b/crates/directory/src/config.rs
@@ -79,6 +79,16 @@
         self.heard = self.heard.max(version);
     }
 
+    /// Returns the current version if no VM has told of it yet, and counts it as told.
+    pub fn take_news(&mut self) -> Option<u64> {
+        let version = self.current.as_ref()?.version;
+        if version <= self.heard {
+            return None;
+        }
+        self.heard = version;
+        Some(version)
+    }
+
     /// Returns whether some VM has a newer configuration, or this one has none. A call without a
     /// route is not known to be wrong then.
     pub fn is_behind(&self) -> bool {
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -3,6 +3,7 @@
 //! This module starts the tasks. Each task is a module of the folder and depends on `core`, which
 //! holds what was learnt.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Weak};
 
 use base::prelude::*;
@@ -69,6 +70,7 @@
             exchange: VmExchange::bind(exchange, state.clock).await?,
             client,
             link,
+            reads_for_all: AtomicBool::new(false),
             config_wanted: Notify::new(),
             upstreams_wanted: Notify::new(),
         });
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -3,7 +3,7 @@
 //! The tasks of [`crate::discovery`] depend on it; it knows none of them.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -38,6 +38,8 @@
     pub(super) exchange: VmExchange,
     pub(super) client: PeerClient,
     pub(super) link: Arc<PeerLink>,
+    /// Whether this VM reads the upstreams for all.
+    pub(super) reads_for_all: AtomicBool,
     /// Wakes the task that follows the configuration, because a peer has a newer one.
     pub(super) config_wanted: Notify,
     /// Wakes the task that follows the upstreams, because changes are missing.
--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -137,6 +137,7 @@
                 self.hear_config(message.config_version);
             }
             PeerMessage::Load(_) => {}
+            PeerMessage::Config(message) => self.hear_config(message.version),
             PeerMessage::Suspects(message) => {
                 for notice in &message.notices {
                     self.state.tables.suspects.merge(notice, now);
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -3,6 +3,7 @@
 //! Depends on [`super::core`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use directory::prelude::*;
@@ -44,6 +45,7 @@
             }
             if self.exchange.read_due() {
                 self.read_for_all().await;
+                self.reads_for_all.store(false, Ordering::Relaxed);
             }
         }
     }
@@ -68,6 +70,10 @@
             if first || self.exchange.has_earlier_reader() {
                 return;
             }
+            if !self.reads_for_all.swap(true, Ordering::Relaxed) {
+                // The VM that did so before may have failed before it told of a new version.
+                self.config_wanted.notify_one();
+            }
             hold = READ_HOLD;
             tokio::time::sleep(READ_PAUSE.to_duration()).await;
         }
@@ -197,14 +203,19 @@
     /// then must not stay in use until this VM reaches the store again.
     pub(super) fn note_config_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
-        let told = self.tables.lock().peer_told;
-        if told.is_some_and(|told| now.since(told) <= PEER_TOLD_SPAN) {
+        if self.is_told(now) {
             self.state.store.failed(error, now);
         } else {
             self.note_trouble(error);
         }
     }
 
+    /// Returns whether a peer told of a read of the upstreams lately.
+    pub(super) fn is_told(&self, now: ClockTime) -> bool {
+        let told = self.tables.lock().peer_told;
+        told.is_some_and(|told| now.since(told) <= PEER_TOLD_SPAN)
+    }
+
     fn note_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
         self.state.store.failed(error, now);
--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -3,9 +3,12 @@
 //! Depends on [`super::core`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use directory::prelude::*;
+use member::prelude::*;
+use peer::prelude::*;
 use store::prelude::*;
 
 use super::core::{DiscoveryCore, log_read};
@@ -19,6 +22,9 @@
 /// each other within it cost one call, and it is a fraction of the time in which one must be in
 /// force.
 const CONFIG_PAUSE: ClockSpan = ClockSpan::from_millis(200);
+/// The time between two looks whether this VM has to follow the configuration itself, short
+/// against the 2 s in which a version must be in force.
+const ROLE_PERIOD: ClockSpan = ClockSpan::from_millis(250);
 /// The pause after a failed call, before jitter.
 const FAILURE_PAUSE: ClockSpan = ClockSpan::from_millis(400);
 /// The name of the copy of the configuration that peers may ask for.
@@ -31,7 +37,7 @@
             let read = match position {
                 None => self.rows.read_table(K::CONFIG_TABLE).await,
                 Some(position) => tokio::select! {
-                    read = self.rows.changes(K::CONFIG_TABLE, position, CONFIG_HOLD) => read,
+                    read = self.config_changes(position) => read,
                     () = self.config_wanted.notified() => {
                         self.rows.read_table(K::CONFIG_TABLE).await
                     }
@@ -39,10 +45,16 @@
             };
             match read {
                 Ok(page) => {
-                    position = Some(page.position);
+                    let starting = position.replace(page.position).is_none();
                     log_read(K::CONFIG_TABLE, &page);
                     self.state.store.answered(self.state.clock.now());
                     self.take_config(&page);
+                    let news = self.tables.lock().config.take_news();
+                    // Hellos tell of the version with which a process starts.
+                    if let Some(version) = news.filter(|_| !starting) {
+                        let message = PeerMessage::Config(ConfigMessage { version });
+                        self.exchange.tell_all(message).await;
+                    }
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
                 Err(StoreError::HistoryLost) => position = None,
@@ -57,6 +69,24 @@
         }
     }
 
+    /// Waits for changes of the configuration, in the store if this VM follows it itself.
+    async fn config_changes(&self, position: u64) -> Result<RowPage, StoreError> {
+        while !self.follows_config() {
+            tokio::time::sleep(ROLE_PERIOD.to_duration()).await;
+        }
+        self.rows.changes(K::CONFIG_TABLE, position, CONFIG_HOLD).await
+    }
+
+    fn follows_config(&self) -> bool {
+        let now = self.state.clock.now();
+        let state = FollowState {
+            reads_for_all: self.reads_for_all.load(Ordering::Relaxed),
+            told: self.is_told(now),
+            behind: self.tables.lock().config.is_behind(),
+        };
+        self.exchange.mesh.lock().follows_config(state, now)
+    }
+
     fn take_config(&self, page: &RowPage) {
         for row in page.rows.iter().filter(|row| row.key == *K::CONFIG_KEY) {
             let Some(value) = &row.value else { continue };
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -13,7 +13,7 @@
 
     pub use crate::capacity::CapacityPlan;
     pub use crate::drain::{DrainAction, DrainEvent, DrainPlan, DrainStage};
-    pub use crate::mesh::{HeardFrom, MeshCounts, MeshPlan, MeshScope};
+    pub use crate::mesh::{FollowState, HeardFrom, MeshCounts, MeshPlan, MeshScope};
     pub use crate::start::{StartPlan, StartStage, WarmupRamp};
     pub use crate::tuning::{DrainTuning, MeshTuning, ReadTuning, StartTuning};
 }
--- a/crates/member/src/mesh.rs
+++ b/crates/member/src/mesh.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::*;
 use directory::entry::VmEntry;
+use world::prelude::VmIdentity;
 
 use crate::read::ReadSchedule;
 use crate::tuning::MeshTuning;
@@ -43,6 +44,17 @@
     pub heard: u32,
 }
 
+/// What a VM knows that decides whether it follows the configuration in the store itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowState {
+    /// Whether it reads the upstreams for all VMs.
+    pub reads_for_all: bool,
+    /// Whether a peer told it of a read lately, and so would tell it of a new configuration.
+    pub told: bool,
+    /// Whether some VM has a newer configuration, or this one has none.
+    pub behind: bool,
+}
+
 /// What is known of another VM.
 #[derive(Clone, Debug)]
 struct MeshVm {
@@ -295,6 +307,29 @@
         self.told_position < Some(position)
     }
 
+    /// Returns whether this VM asks the store for changes of the configuration. The VM that reads
+    /// for all does, which another one replaces within 1.2 s, and the first one of each data centre
+    /// in the order of names, so that one connection that goes silent delays no version. The others
+    /// hear of a new version from them; questions of all VMs have a price that grows with their
+    /// number.
+    pub fn follows_config(&self, state: FollowState, now: ClockTime) -> bool {
+        let FollowState { reads_for_all, told, behind } = state;
+        reads_for_all || !told || behind || self.is_first_of_centre(now)
+    }
+
+    /// Returns whether this VM comes first of those of its data centre that it hears.
+    fn is_first_of_centre(&self, now: ClockTime) -> bool {
+        let VmIdentity { name, centre, .. } = &self.own.vm;
+        let is_earlier = |(other, vm): (&SharedName, &MeshVm)| {
+            other < name
+                && vm.entry.vm.centre == *centre
+                && !vm.leaving
+                && vm.heard_at.is_some()
+                && vm.silence(now) < self.tuning.give_up
+        };
+        !self.vms.iter().any(is_earlier)
+    }
+
     /// Returns whether this VM reads now. The caller reports how the read ends with
     /// [`note_read`](Self::note_read) or [`read_failed`](Self::read_failed).
     pub fn read_due(&mut self, now: ClockTime) -> bool {
--- /dev/null
+++ b/crates/member/tests/follow.rs
@@ -0,0 +1,51 @@
+//! Which VMs ask the store for changes of the configuration.
+
+mod model;
+
+use base::prelude::*;
+use member::prelude::*;
+use model::entry;
+
+/// VMs of the model's three data centres, which it fills in turn.
+const VMS: usize = 98;
+const NOW: ClockTime = ClockTime::from_millis(50_000);
+
+struct FollowCase {
+    name: &'static str,
+    state: FollowState,
+    /// When the plan is asked, after all peers were heard.
+    later: ClockSpan,
+    /// How many of the VMs follow.
+    followers: usize,
+}
+
+fn plan(index: usize) -> MeshPlan {
+    let mut plan = MeshPlan::new(entry(index, 1), MeshTuning::default(), index as u64);
+    for other in (0..VMS).filter(|other| *other != index) {
+        plan.learn(&entry(other, 1), NOW);
+        plan.hear(&entry(other, 1).vm.name, 1, NOW);
+    }
+    plan
+}
+
+/// Guards against questions to the store that grow with the number of VMs, and against a version
+/// that nobody asks for because the VMs that do so have failed.
+#[test]
+fn few_vms_follow_the_configuration() {
+    const TOLD: FollowState = FollowState { reads_for_all: false, told: true, behind: false };
+    let case = |name, state, followers| FollowCase { name, state, later: ClockSpan::ZERO, followers };
+    let cases = [
+        case("told by peers", TOLD, 3),
+        case("reading for all", FollowState { reads_for_all: true, ..TOLD }, VMS),
+        case("not told", FollowState { told: false, ..TOLD }, VMS),
+        case("behind", FollowState { behind: true, ..TOLD }, VMS),
+        FollowCase { later: MeshTuning::default().give_up, ..case("peers silent", TOLD, VMS) },
+    ];
+    for FollowCase { name, state, later, followers } in cases {
+        let follow = (0..VMS).filter(|index| plan(*index).follows_config(state, NOW + later));
+        assert_eq!(follow.count(), followers, "{name}");
+    }
+    let mut second = plan(3);
+    second.leave(&entry(0, 1).vm.name, 1);
+    assert!(second.follows_config(TOLD, NOW), "the first VM of the data centre is leaving");
+}
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -15,7 +15,7 @@
 mod split;
 
 pub use message::{
-    DirectoryMessage, HelloMessage, LoadMessage, LoadSample, PeerEnvelope, PeerMessage,
+    ConfigMessage, DirectoryMessage, HelloMessage, LoadMessage, LoadSample, PeerEnvelope, PeerMessage,
     SuspectMessage,
 };
 
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -30,6 +30,8 @@
     Load(LoadMessage),
     /// Requests that crash upstreams.
     Suspects(SuspectMessage),
+    /// A new version of the configuration.
+    Config(ConfigMessage),
 }
 
 /// A sign of life with everything that a peer needs to answer.
@@ -66,6 +68,14 @@
     pub config_version: u64,
 }
 
+/// The version of the configuration in force at a VM that has just read it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ConfigMessage {
+    /// The version.
+    pub version: u64,
+}
+
 /// What a VM observed of upstreams.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,8 +18,8 @@
     pub use crate::client::{PeerClient, PeerError};
     pub use crate::counts::{ControlCounts, ControlUsage};
     pub use crate::datagram::{
-        DatagramCodec, DatagramError, DirectoryMessage, HelloMessage, LoadMessage, LoadSample,
-        PeerEnvelope, PeerMessage, SuspectMessage,
+        ConfigMessage, DatagramCodec, DatagramError, DirectoryMessage, HelloMessage, LoadMessage,
+        LoadSample, PeerEnvelope, PeerMessage, SuspectMessage,
     };
     pub use crate::message::{
         ExchangeNotice, GrantEnd, GrantQuestion, PeerContact, RowCopy, StatusReport, TableCopy,
