Let removed upstreams go while a cut-off VM misses changes

A peer leaves rows out of a datagram that do not fit into it, and a VM then reads the changes for itself. On a VM that is cut off from the store this read fails, and the failure counted as trouble of the store, so that removals were postponed by 2 s. With such changes every second, a removed upstream stayed in use without an end. Failed calls for the configuration had the same effect before.

These failures are now judged in the same way: while peers tell of their reads, only this VM's way to the store is cut. Reads that are due because no peer has told anything still count as trouble; if they did not, an outage of about a second that only the reading VM notices would let the others drop upstreams whose rows are missing for a moment.

--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -84,7 +84,7 @@
             () = tokio::time::sleep_until(until) => {}
             () = self.upstreams_wanted.notified() => {
                 if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
-                    self.note_failed_read(&error);
+                    self.note_missed_read(&error);
                     self.copy_upstreams().await;
                 }
                 // Many datagrams of VMs that start together tell of the same gap.
@@ -192,11 +192,19 @@
         self.exchange.note_failed_read();
     }
 
-    /// Records that the store failed a call for the configuration. A VM that does not read the
-    /// upstreams at that time learns of an outage from such calls only. While peers tell of their
-    /// reads, the store works and only this VM's way to it does not: an upstream that is removed
-    /// then must not stay in use until this VM reaches the store again.
-    pub(super) fn note_config_trouble(&self, error: &StoreError) {
+    /// Records that the store failed a read of changes that a peer has told of without their rows.
+    fn note_missed_read(&self, error: &StoreError) {
+        tracing::debug!(event = event::STORE_UNREAD, %error);
+        self.note_own_trouble(error);
+        self.exchange.note_failed_read();
+    }
+
+    /// Records that the store failed a call for the configuration or for changes that this VM
+    /// misses. A VM that does not read the upstreams at that time learns of an outage from such
+    /// calls only. While peers tell of their reads, the store works and only this VM's way to it
+    /// does not: an upstream that is removed then must not stay in use until this VM reaches the
+    /// store again.
+    pub(super) fn note_own_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
         let told = self.tables.lock().peer_told;
         let told = told.filter(|_| self.state.options.tuning.uses(Mechanism::PeerRemoval));
--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -48,7 +48,7 @@
                 Err(StoreError::HistoryLost) => position = None,
                 Err(error) => {
                     tracing::debug!(event = event::STORE_UNREAD, %error);
-                    self.note_config_trouble(&error);
+                    self.note_own_trouble(&error);
                     self.copy_config().await;
                     let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
                     tokio::time::sleep(pause.to_duration()).await;
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -58,6 +58,11 @@
 /// was added or removed.
 const DEPENDENCY_LOST: u32 = 1041;
 const UPSTREAM_MOVED: u32 = 1043;
+/// Between two changes that are too long for a datagram, below the time for which a removed upstream
+/// is kept after a failed call.
+const MISS_PERIOD: ClockSpan = ClockSpan::from_secs(1);
+/// The length of such a change; a datagram has at most 1,200 bytes.
+const LONG_ROW_BYTES: usize = 2_000;
 /// How long a VM is frozen, longer than the limit of 1 s from which that counts.
 const FREEZE_SPAN: ClockSpan = ClockSpan::from_secs(3);
 /// From this long after a change was acknowledged and a disturbance is over, no VM may use what was
@@ -673,9 +678,10 @@
     require_kept(&bed, "silent").await;
 }
 
-/// Removes an upstream while a VM cannot reach the store but hears a peer that does. Returns how
-/// many of the calls through that VM reach the upstream when it may no longer be used.
-async fn calls_to_removed_upstream(without: Option<&'static str>) -> u64 {
+/// Removes an upstream while a VM cannot reach the store but hears a peer that does. With `misses`,
+/// other rows change that the peer cannot tell of. Returns how many of the calls through that VM
+/// reach the upstream when it may no longer be used.
+async fn calls_to_removed_upstream(misses: bool, without: Option<&'static str>) -> u64 {
     let mut bed = PlatformBed::start(BedPlan { without, ..BedPlan::default() }).await;
     let (proxy, _peer) = bed.relay_gate("vm-2").await;
     bed.serve_calls("before", FURTHER_CALLS).await;
@@ -691,7 +697,13 @@
     bed.add_upstream("desk-9", SERVICE).await;
     event("the peer has told", bed.gate.wait_logged(UPSTREAM_MOVED, 1)).await;
     bed.wait_rows(bed.upstreams[0].writer.remove()).await;
-    tokio::time::sleep(SETTLED_SPAN.to_duration()).await;
+    for index in 0..SETTLED_SPAN.as_millis() / MISS_PERIOD.as_millis() {
+        if misses {
+            let place = RowPlace::new(PlatformCodec::UPSTREAM_TABLE, &format!("long-{index}"));
+            bed.store.handle().put(place, vec![b'x'; LONG_ROW_BYTES]);
+        }
+        tokio::time::sleep(MISS_PERIOD.to_duration()).await;
+    }
     let arrived = || bed.upstreams[0].stand.counts().arrived;
     let before = arrived();
     bed.serve_calls("after", DRAIN_CALLS).await;
@@ -702,8 +714,8 @@
 /// its peers tell of the removal. Without the mechanism the check notices.
 #[tokio::test]
 async fn a_vm_without_the_store_lets_removed_upstreams_go() {
-    assert_eq!(calls_to_removed_upstream(None).await, 0);
-    let late = calls_to_removed_upstream(Some("peer-removal")).await;
+    assert_eq!(calls_to_removed_upstream(false, None).await, 0);
+    let late = calls_to_removed_upstream(false, Some("peer-removal")).await;
     println!("{late} of {DRAIN_CALLS} calls reach the upstream without the mechanism");
     assert!(late > 0, "the upstream is let go without the mechanism as well");
 }
@@ -754,6 +766,13 @@
     assert_eq!(old_routes, DRAIN_CALLS as u64, "the old configuration stays in use");
 }
 
+/// Guards against the same where the VM misses changes, which its peers leave out because they do
+/// not fit into a datagram: its own reads fail then, too.
+#[tokio::test]
+async fn a_vm_without_the_store_that_misses_changes_lets_removed_upstreams_go() {
+    assert_eq!(calls_to_removed_upstream(true, None).await, 0);
+}
+
 /// Guards against a process that ends, or stops taking calls, when it is told to read its settings
 /// again.
 #[tokio::test]
