Notice an outage of the store that only other calls than the reads have met

Cause: a_calls_go_on_while_the_store_is_down failed twice in some 40 runs (silent outage, upstream gone 299 and 378 ms after its end, "service desk has no upstream"). After the first read of a process the next read of the upstreams comes 0.8 to 1.2 s later. An outage of a second just after the start is met only by the announcement of the VM and the question for newer configurations, whose first tries time out; the reads never saw it, and the row that was missing counted as removed at once. Change: the client of the store counts tries without an answer in time, and a read of the upstreams after such a try of any call counts as one after an outage, unless peers tell of their reads. Ruled out: a busy machine (the refusal names the removal), an early end of the noted trouble (only reads end it). The test of the peers' removals waits until both VMs know each other before it cuts one off; without that, the VM stayed alone in one run of the whole script, because it reads the table of VMs once. agateroad_known_vms now also counts VMs of the users' platform.

--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -61,6 +61,7 @@
             config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
             peer_told: None,
+            silences: 0,
         };
         let rows = RowStore::<_, K>::new(store, state.clock);
         let core = Arc::new(DiscoveryCore {
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -28,6 +28,9 @@
     pub(super) bounds: FleetBounds,
     /// When a peer last told of a read of the upstreams.
     pub(super) peer_told: Option<ClockTime>,
+    /// The tries of calls to the store without an answer in time, up to the last read of the
+    /// upstreams.
+    pub(super) silences: u64,
 }
 
 /// What the tasks share.
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -120,10 +120,16 @@
         log_read(K::UPSTREAM_TABLE, &page);
         let now = self.state.clock.now();
         self.state.store.answered(now);
+        let silences = self.rows.silences();
+        let told = self.is_told(now);
         let change = {
-            let upstreams = &mut self.tables.lock().upstreams;
+            let mut tables = self.tables.lock();
+            // Another call may have met an outage that was over before this read began. While peers
+            // tell of their reads, only this VM's way to the store failed.
+            let silent = std::mem::replace(&mut tables.silences, silences) != silences && !told;
+            let upstreams = &mut tables.upstreams;
             // The end of the trouble counts from this answer.
-            let settled = page.after_silence && upstreams.note_failure(now);
+            let settled = (page.after_silence || silent) && upstreams.note_failure(now);
             upstreams.note_answer(now);
             let change = match known.filter(|_| !whole) {
                 Some(from) => upstreams.follow::<K>(from, &page, now).unwrap_or_default(),
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -156,6 +156,7 @@
         self.tables.retries.set_counts(counts, now);
         let known = counts.listed.max(counts.reported);
         if self.known_vms.swap(known, Ordering::Relaxed) != known {
+            self.tables.metrics.set_known_vms(known as usize);
             self.share_connections(&self.environment.load());
         }
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -66,6 +66,8 @@
     budget: StoreBudget,
     random: RandomSource,
     call_timeout: ClockSpan,
+    /// Tries that got no answer in time.
+    silences: u64,
 }
 
 #[derive(Debug)]
@@ -84,6 +86,7 @@
             budget: StoreBudget::new(settings.budget, clock.now()),
             random: RandomSource::from_seed(settings.seed),
             call_timeout: settings.call_timeout,
+            silences: 0,
         };
         let state = RankedMutex::new(LockRank::ConnectionPool, state);
         Self { settings, clock, state }
@@ -94,6 +97,11 @@
         self.state.lock().breaker.is_open()
     }
 
+    /// Returns how many tries got no answer in time.
+    pub(crate) fn silences(&self) -> u64 {
+        self.state.lock().silences
+    }
+
     /// Changes the longest time for a call. Calls under way keep theirs.
     pub(crate) fn set_call_timeout(&self, timeout: ClockSpan) {
         self.state.lock().call_timeout = timeout;
@@ -173,7 +181,10 @@
         let result = connection.send(call, timeout, self.settings.answer_bytes).await;
         match &result {
             Ok(_) => self.keep_idle(connection),
-            Err(_) => self.close_idle(),
+            Err(failure) => {
+                self.state.lock().silences += u64::from(failure.silent);
+                self.close_idle();
+            }
         }
         result
     }
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -84,6 +84,11 @@
         self.client.is_down()
     }
 
+    /// Returns how many tries of calls got no answer in time, whatever became of their calls.
+    pub fn silences(&self) -> u64 {
+        self.client.silences()
+    }
+
     /// Changes the longest time for a call. Calls under way keep theirs.
     pub fn set_call_timeout(&self, timeout: ClockSpan) {
         self.client.set_call_timeout(timeout);
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -688,6 +688,8 @@
 async fn calls_to_removed_upstream(misses: bool, without: Option<&'static str>) -> u64 {
     let mut bed = PlatformBed::start(BedPlan { without, ..BedPlan::default() }).await;
     let (proxy, _peer) = bed.relay_gate("vm-2").await;
+    // A VM that is cut off before it has read the table of VMs stays alone.
+    bed.wait_known(2).await;
     bed.serve_calls("before", FURTHER_CALLS).await;
     proxy.update(|plan| plan.refuse = true);
     proxy.cut_all();
--- a/crates/trial/tests/support/platform.rs
+++ b/crates/trial/tests/support/platform.rs
@@ -255,12 +255,22 @@
 
     /// Returns how many connections to upstreams the gateway has, as its metrics tell.
     async fn connections(&self) -> Option<u64> {
+        self.metric("agateroad_upstream_connections{").await
+    }
+
+    /// Waits until the gateway knows as many VMs, itself included.
+    pub async fn wait_known(&self, vms: u64) {
+        let known = async || self.metric("agateroad_known_vms ").await == Some(vms);
+        until("the VMs know each other", known).await;
+    }
+
+    /// Returns the sum of the metrics whose lines begin with `start`.
+    async fn metric(&self, start: &str) -> Option<u64> {
         let answer =
             self.client.get(self.gate.metrics_address, "metrics", "/metrics").await.ok()?;
         let text = String::from_utf8_lossy(&answer.body).into_owned();
-        let lines = text.lines().filter(|line| line.starts_with("agateroad_upstream_connections{"));
-        let numbers = lines.map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
-        numbers.sum()
+        let lines = text.lines().filter(|line| line.starts_with(start));
+        lines.map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
     }
 
     /// Makes a call with an id.
