--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -3,6 +3,7 @@
 //! This module starts the tasks. Each task is a module of the folder and depends on `core`, which
 //! holds what was learnt.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Weak};
 
 use base::prelude::*;
@@ -60,6 +61,7 @@
             config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
             peer_told: None,
+            silences: 0,
         };
         let rows = RowStore::<_, K>::new(store, state.clock);
         let core = Arc::new(DiscoveryCore {
@@ -69,6 +71,7 @@
             exchange: VmExchange::bind(exchange, state.clock).await?,
             client,
             link,
+            reads_for_all: AtomicBool::new(false),
             config_wanted: Notify::new(),
             upstreams_wanted: Notify::new(),
         });
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -3,7 +3,7 @@
 //! The tasks of [`crate::discovery`] depend on it; it knows none of them.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -28,6 +28,9 @@
     pub(super) bounds: FleetBounds,
     /// When a peer last told of a read of the upstreams.
     pub(super) peer_told: Option<ClockTime>,
+    /// The tries of calls to the store without an answer in time, up to the last read of the
+    /// upstreams.
+    pub(super) silences: u64,
 }
 
 /// What the tasks share.
@@ -38,6 +41,8 @@
     pub(super) exchange: VmExchange,
     pub(super) client: PeerClient,
     pub(super) link: Arc<PeerLink>,
+    /// Whether this VM reads the upstreams for all.
+    pub(super) reads_for_all: AtomicBool,
     /// Wakes the task that follows the configuration, because a peer has a newer one.
     pub(super) config_wanted: Notify,
     /// Wakes the task that follows the upstreams, because changes are missing.
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -3,6 +3,7 @@
 //! Depends on [`super::core`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use directory::prelude::*;
@@ -45,6 +46,7 @@
             }
             if self.exchange.read_due() {
                 self.read_for_all().await;
+                self.reads_for_all.store(false, Ordering::Relaxed);
             }
         }
     }
@@ -69,6 +71,12 @@
             if first || self.exchange.has_earlier_reader() {
                 return;
             }
+            let followed = self.follows_config();
+            self.reads_for_all.store(true, Ordering::Relaxed);
+            if !followed {
+                // The VM that did so before may have failed before it told of a new version.
+                self.config_wanted.notify_one();
+            }
             hold = READ_HOLD;
             tokio::time::sleep(READ_PAUSE.to_duration()).await;
         }
@@ -84,7 +92,7 @@
             () = tokio::time::sleep_until(until) => {}
             () = self.upstreams_wanted.notified() => {
                 if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
-                    self.note_failed_read(&error);
+                    self.note_missed_read(&error);
                     self.copy_upstreams().await;
                 }
                 // Many datagrams of VMs that start together tell of the same gap.
@@ -112,10 +120,16 @@
         log_read(K::UPSTREAM_TABLE, &page);
         let now = self.state.clock.now();
         self.state.store.answered(now);
+        let silences = self.rows.silences();
+        let told = self.is_told(now);
         let change = {
-            let upstreams = &mut self.tables.lock().upstreams;
+            let mut tables = self.tables.lock();
+            // Another call may have met an outage that was over before this read began. While peers
+            // tell of their reads, only this VM's way to the store failed.
+            let silent = std::mem::replace(&mut tables.silences, silences) != silences && !told;
+            let upstreams = &mut tables.upstreams;
             // The end of the trouble counts from this answer.
-            let settled = page.after_silence && upstreams.note_failure(now);
+            let settled = (page.after_silence || silent) && upstreams.note_failure(now);
             upstreams.note_answer(now);
             let change = match known.filter(|_| !whole) {
                 Some(from) => upstreams.follow::<K>(from, &page, now).unwrap_or_default(),
@@ -192,21 +206,33 @@
         self.exchange.note_failed_read();
     }
 
-    /// Records that the store failed a call for the configuration. A VM that does not read the
-    /// upstreams at that time learns of an outage from such calls only. While peers tell of their
-    /// reads, the store works and only this VM's way to it does not: an upstream that is removed
-    /// then must not stay in use until this VM reaches the store again.
-    pub(super) fn note_config_trouble(&self, error: &StoreError) {
+    /// Records that the store failed a read of changes that a peer has told of without their rows.
+    fn note_missed_read(&self, error: &StoreError) {
+        tracing::debug!(event = event::STORE_UNREAD, %error);
+        self.note_own_trouble(error);
+        self.exchange.note_failed_read();
+    }
+
+    /// Records that the store failed a call for the configuration or for changes that this VM
+    /// misses. A VM that does not read the upstreams at that time learns of an outage from such
+    /// calls only. While peers tell of their reads, the store works and only this VM's way to it
+    /// does not: an upstream that is removed then must not stay in use until this VM reaches the
+    /// store again.
+    pub(super) fn note_own_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
-        let told = self.tables.lock().peer_told;
-        let told = told.filter(|_| self.state.options.tuning.uses(Mechanism::PeerRemoval));
-        if told.is_some_and(|told| now.since(told) <= PEER_TOLD_SPAN) {
+        if self.state.options.tuning.uses(Mechanism::PeerRemoval) && self.is_told(now) {
             self.state.store.failed(error, now);
         } else {
             self.note_trouble(error);
         }
     }
 
+    /// Returns whether a peer told of a read of the upstreams lately.
+    pub(super) fn is_told(&self, now: ClockTime) -> bool {
+        let told = self.tables.lock().peer_told;
+        told.is_some_and(|told| now.since(told) <= PEER_TOLD_SPAN)
+    }
+
     fn note_trouble(&self, error: &StoreError) {
         let now = self.state.clock.now();
         self.state.store.failed(error, now);
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -59,6 +59,8 @@
     Losses(LossMessage),
     /// The incarnation that the sender knows of the receiver, which has said hello with a lower one.
     Outdated(u64),
+    /// A new version of the configuration.
+    Config(ConfigMessage),
 }
 
 impl PeerMessage {
@@ -82,7 +84,7 @@
                     loss.silent_ms = loss.silent_ms.saturating_add(millis(delay));
                 }
             }
-            Self::Hello(_) | Self::Load(_) | Self::Outdated(_) => {}
+            Self::Hello(_) | Self::Load(_) | Self::Outdated(_) | Self::Config(_) => {}
         }
         self
     }
@@ -126,6 +128,14 @@
     pub config_version: u64,
 }
 
+/// The version of the configuration in force at a VM that has just read it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ConfigMessage {
+    /// The version.
+    pub version: u64,
+}
+
 /// What a VM observed of upstreams.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -31,8 +31,9 @@
         limit.saturating_sub(encoded_size(&with(empty)).saturating_add(LENGTH_GROWTH))
     };
     let messages: Vec<PeerMessage> = match &envelope.message {
-        PeerMessage::Hello(hello) => vec![PeerMessage::Hello(hello.clone())],
-        PeerMessage::Outdated(known) => vec![PeerMessage::Outdated(*known)],
+        PeerMessage::Hello(_) | PeerMessage::Outdated(_) | PeerMessage::Config(_) => {
+            vec![envelope.message.clone()]
+        }
         PeerMessage::Directory(directory) => vec![without_rows(directory)],
         PeerMessage::Load(load) => {
             let room = room(PeerMessage::Load(LoadMessage::default()));
