Join the rows of small tables in four crates

A wait before a verdict is one step with it, and rows of the tables of pauses, guards, stops and figures out of range go through a function.

--- a/crates/base/tests/pause.rs
+++ b/crates/base/tests/pause.rs
@@ -12,39 +12,23 @@
 
 const TICK: ClockSpan = ClockSpan::from_millis(250);
 
+const fn case(name: &'static str, ticks: &'static [(u64, u64)], pause: Option<u64>) -> PauseCase {
+    PauseCase { name, ticks, pause }
+}
+
 const CASES: &[PauseCase] = &[
-    PauseCase { name: "first tick", ticks: &[(50_000, 90_000)], pause: None },
-    PauseCase { name: "regular", ticks: &[(0, 9_000), (250, 9_250), (500, 9_500)], pause: None },
-    PauseCase { name: "late by the limit", ticks: &[(0, 9_000), (1_250, 10_250)], pause: None },
-    PauseCase { name: "frozen", ticks: &[(0, 9_000), (1_251, 10_251)], pause: Some(1_001) },
-    PauseCase { name: "suspended for the limit", ticks: &[(0, 9_000), (250, 10_250)], pause: None },
-    PauseCase { name: "suspended", ticks: &[(0, 9_000), (250, 10_251)], pause: Some(1_001) },
-    PauseCase {
-        name: "suspended before an early tick",
-        ticks: &[(0, 9_000), (10, 10_011)],
-        pause: Some(1_001),
-    },
-    PauseCase {
-        name: "frozen and suspended, each within the limit",
-        ticks: &[(0, 9_000), (850, 10_500)],
-        pause: Some(1_250),
-    },
-    PauseCase {
-        name: "suspended for an hour",
-        ticks: &[(0, 9_000), (250, 3_609_250)],
-        pause: Some(3_600_000),
-    },
-    PauseCase {
-        name: "regular after a pause",
-        ticks: &[(0, 9_000), (5_000, 14_000), (5_250, 14_250)],
-        pause: None,
-    },
-    PauseCase {
-        name: "suspended long before",
-        ticks: &[(0, 60_000), (250, 60_250), (500, 60_500)],
-        pause: None,
-    },
-    PauseCase { name: "boot clock read first", ticks: &[(0, 9_000), (250, 9_249)], pause: None },
+    case("first tick", &[(50_000, 90_000)], None),
+    case("regular", &[(0, 9_000), (250, 9_250), (500, 9_500)], None),
+    case("late by the limit", &[(0, 9_000), (1_250, 10_250)], None),
+    case("frozen", &[(0, 9_000), (1_251, 10_251)], Some(1_001)),
+    case("suspended for the limit", &[(0, 9_000), (250, 10_250)], None),
+    case("suspended", &[(0, 9_000), (250, 10_251)], Some(1_001)),
+    case("suspended before an early tick", &[(0, 9_000), (10, 10_011)], Some(1_001)),
+    case("frozen and suspended, each within the limit", &[(0, 9_000), (850, 10_500)], Some(1_250)),
+    case("suspended for an hour", &[(0, 9_000), (250, 3_609_250)], Some(3_600_000)),
+    case("regular after a pause", &[(0, 9_000), (5_000, 14_000), (5_250, 14_250)], None),
+    case("suspended long before", &[(0, 60_000), (250, 60_250), (500, 60_500)], None),
+    case("boot clock read first", &[(0, 9_000), (250, 9_249)], None),
 ];
 
 /// Guards against evidence that counts as fresh after the process or the machine stood still, and
--- a/crates/claim/tests/deferred.rs
+++ b/crates/claim/tests/deferred.rs
@@ -262,18 +262,11 @@
     const SEEDS: u64 = 200;
     println!("seeds 0..{SEEDS}");
     let all = DeferredGuards { fencing: true, no_rerun: true };
+    let case = |name, guards, violation| RandomCase { name, guards, violation };
     let cases = [
-        RandomCase { name: "all", guards: all, violation: None },
-        RandomCase {
-            name: "no fencing",
-            guards: DeferredGuards { fencing: false, ..all },
-            violation: Some("late outcome"),
-        },
-        RandomCase {
-            name: "rerun",
-            guards: DeferredGuards { no_rerun: false, ..all },
-            violation: Some("ran twice"),
-        },
+        case("all", all, None),
+        case("no fencing", DeferredGuards { fencing: false, ..all }, Some("late outcome")),
+        case("rerun", DeferredGuards { no_rerun: false, ..all }, Some("ran twice")),
     ];
     for case in cases {
         let mut finished = 0;
--- a/crates/stand/tests/stop.rs
+++ b/crates/stand/tests/stop.rs
@@ -43,21 +43,15 @@
 /// Guards against a stopped stand-in that keeps its address from the next one.
 #[tokio::test]
 async fn stopped_stands_free_their_address() {
+    let case = |name, choice| StopCase { name, choice };
     let cases = [
-        StopCase {
-            name: "upstream",
-            choice: |listen| {
-                StandChoice::Upstream(Box::new(UpstreamPlan { listen, ..Default::default() }))
-            },
-        },
-        StopCase {
-            name: "platform",
-            choice: |listen| StandChoice::Platform(PlatformPlan { listen, ..Default::default() }),
-        },
-        StopCase {
-            name: "proxy",
-            choice: |listen| StandChoice::Proxy(ProxyPlan { listen, ..Default::default() }),
-        },
+        case("upstream", |listen| {
+            StandChoice::Upstream(Box::new(UpstreamPlan { listen, ..Default::default() }))
+        }),
+        case("platform", |listen| {
+            StandChoice::Platform(PlatformPlan { listen, ..Default::default() })
+        }),
+        case("proxy", |listen| StandChoice::Proxy(ProxyPlan { listen, ..Default::default() })),
     ];
     for case in cases {
         // A loopback address of its own, so that no other listener can take the port in between.
--- a/crates/suspect/tests/verdicts.rs
+++ b/crates/suspect/tests/verdicts.rs
@@ -24,13 +24,14 @@
     Prove(u64, u32),
     Wait(ClockSpan),
     Expect(u64, SuspectVerdict),
+    ExpectAfter(ClockSpan, u64, SuspectVerdict),
 }
 
 use Step::*;
 use SuspectVerdict::{Clear, Isolated};
 
 const DENIED: SuspectVerdict = SuspectVerdict::Refused;
-const SETTLED: Step = Wait(ClockSpan::from_secs(1));
+const SETTLED: ClockSpan = ClockSpan::from_secs(1);
 
 struct VerdictCase {
     name: &'static str,
@@ -47,35 +48,31 @@
         &[
             Killed(SUSPECT, &["a"]),
             Expect(SUSPECT, DENIED),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Expect(OTHER, Clear),
         ],
     ),
     case(
         "crashes of two upstreams confirm",
-        &[Killed(SUSPECT, &["a", "b"]), SETTLED, Expect(SUSPECT, DENIED)],
+        &[Killed(SUSPECT, &["a", "b"]), ExpectAfter(SETTLED, SUSPECT, DENIED)],
     ),
     case(
         "two reports of one crash do not confirm",
-        &[Killed(SUSPECT, &["a"]), Crash("a"), SETTLED, Expect(SUSPECT, Isolated)],
+        &[Killed(SUSPECT, &["a"]), Crash("a"), ExpectAfter(SETTLED, SUSPECT, Isolated)],
     ),
     case(
         "a crash in isolation confirms on the same upstream",
         &[
             Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Start(SUSPECT, "a"),
             Lost("a"),
             Finish(SUSPECT, "a"),
             Refused("a"),
             Refused("a"),
-            SETTLED,
-            Expect(SUSPECT, DENIED),
-            Wait(ClockSpan::from_secs(1800)),
-            Expect(SUSPECT, DENIED),
+            ExpectAfter(SETTLED, SUSPECT, DENIED),
+            ExpectAfter(ClockSpan::from_secs(1800), SUSPECT, DENIED),
         ],
     ),
     case(
@@ -83,8 +80,7 @@
         &[
             Start(SUSPECT, "a"),
             Killed(OTHER, &["a"]),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Start(SUSPECT, "b"),
             Expect(SUSPECT, DENIED),
             Expect(OTHER, DENIED),
@@ -98,11 +94,9 @@
         "a reservation without a start lapses",
         &[
             Killed(SUSPECT, &["a"]),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Expect(SUSPECT, DENIED),
-            Wait(ClockSpan::from_millis(1001)),
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(ClockSpan::from_millis(1001), SUSPECT, Isolated),
         ],
     ),
     case(
@@ -110,8 +104,7 @@
         &[
             Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
             Survived(SUSPECT, "b"),
@@ -125,8 +118,7 @@
         &[
             Killed(SUSPECT, &["a"]),
             Finish(SUSPECT, "a"),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
             Survived(SUSPECT, "b"),
             Expect(SUSPECT, Isolated),
             Survived(SUSPECT, "b"),
@@ -139,7 +131,7 @@
     ),
     case(
         "a frequent request on two crashed upstreams is not confirmed",
-        &[Prove(SUSPECT, 3), Killed(SUSPECT, &["a", "b"]), SETTLED, Expect(SUSPECT, Isolated)],
+        &[Prove(SUSPECT, 3), Killed(SUSPECT, &["a", "b"]), ExpectAfter(SETTLED, SUSPECT, Isolated)],
     ),
     case(
         "a frequent request that runs on after a crash is cleared",
@@ -169,29 +161,24 @@
         "suspicion expires",
         &[
             Killed(SUSPECT, &["a"]),
-            Wait(ClockSpan::from_secs(600)),
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(ClockSpan::from_secs(600), SUSPECT, Isolated),
             Abandon(SUSPECT),
-            Wait(ClockSpan::from_millis(1)),
-            Expect(SUSPECT, Clear),
+            ExpectAfter(ClockSpan::from_millis(1), SUSPECT, Clear),
         ],
     ),
     case(
         "a confirmed verdict expires",
         &[
             Killed(SUSPECT, &["a", "b"]),
-            Wait(ClockSpan::from_millis(3_600_001)),
-            Expect(SUSPECT, Clear),
+            ExpectAfter(ClockSpan::from_millis(3_600_001), SUSPECT, Clear),
         ],
     ),
     case(
         "a refused repeat renews a confirmed verdict",
         &[
             Killed(SUSPECT, &["a", "b"]),
-            Wait(ClockSpan::from_secs(3000)),
-            Expect(SUSPECT, DENIED),
-            Wait(ClockSpan::from_secs(3000)),
-            Expect(SUSPECT, DENIED),
+            ExpectAfter(ClockSpan::from_secs(3000), SUSPECT, DENIED),
+            ExpectAfter(ClockSpan::from_secs(3000), SUSPECT, DENIED),
         ],
     ),
     case(
@@ -202,10 +189,9 @@
             Finish(SUSPECT, "b"),
             Release(SUSPECT),
             Expect(SUSPECT, Clear),
-            SETTLED,
+            Wait(SETTLED),
             Killed(SUSPECT, &["c"]),
-            SETTLED,
-            Expect(SUSPECT, Isolated),
+            ExpectAfter(SETTLED, SUSPECT, Isolated),
         ],
     ),
     case(
@@ -247,6 +233,10 @@
             (0..runs).for_each(|_| apply(table, Survived(fingerprint, "z"), now, label));
         }
         Wait(span) => *now = *now + span,
+        ExpectAfter(span, fingerprint, verdict) => {
+            *now = *now + span;
+            apply(table, Expect(fingerprint, verdict), now, label);
+        }
         Expect(fingerprint, verdict) => {
             assert_eq!(table.review(fingerprint, *now), verdict, "{label}");
         }
