Measure the processor time of a call on the users' platform

The benchmark runs one gateway with the interface of the users' platform between stand-ins of the store, 29 upstreams and two peers, idle for 20 s and then with 1,000 calls at the rate of one VM of Almaty. Without a stated target the figures have no bound.

--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -4,6 +4,7 @@
 
 use load::prelude::*;
 use snafu::Snafu;
+use stand::prelude::*;
 use trial::prelude::*;
 
 /// A fault of the benchmark or the machine, as opposed to a missed bound.
@@ -15,6 +16,12 @@
         /// The reason.
         source: TrialError,
     },
+    /// A stand-in did not start.
+    #[snafu(context(false), display("{source}"))]
+    Stand {
+        /// The reason.
+        source: StandError,
+    },
     /// The load generator did not run.
     #[snafu(context(false), display("{source}"))]
     Load {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod memory;
 pub mod meter;
 pub mod path;
+pub mod platform;
 pub mod relay;
 pub mod site;
