--- a/crates/gate/src/cancel.rs
+++ b/crates/gate/src/cancel.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, Uri};
 use serde::Deserialize;
 
 use crate::link::{ConnectUse, UpstreamLink};
@@ -29,7 +29,7 @@
     timeout: ClockSpan,
 ) -> bool {
     let Ok(id) = id.to_str() else { return false };
-    let path = format!("/agateroad/cancel/{id}");
+    let Ok(target) = Uri::try_from(format!("/agateroad/cancel/{id}")) else { return false };
     let now = state.clock.now();
     let connection = match link.take_idle(now - state.timeouts.load().connection_proof) {
         Some(connection) => connection,
@@ -38,7 +38,7 @@
             Err(_) => return false,
         },
     };
-    let asked = probe::ask(connection, Method::POST, &path, HeaderMap::new(), timeout).await;
+    let asked = probe::ask(connection, Method::POST, target, HeaderMap::new(), timeout).await;
     let Some(answer) = asked else { return false };
     probe::put_back(state, answer.connection);
     let body = serde_json::from_slice::<CancelBody>(&answer.body);
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use limit::prelude::ConnectionShare;
 use snafu::{ResultExt, Snafu};
@@ -72,6 +72,8 @@
 #[derive(Debug)]
 pub struct UpstreamLink {
     server: Arc<UpstreamServer>,
+    /// The host of the gateway's own requests.
+    host: HeaderValue,
     /// The most connections for calls, and for calls and checks together.
     share: [AtomicU32; 2],
     open: AtomicU32,
@@ -121,7 +123,10 @@
         let pool = RankedMutex::new(LockRank::ConnectionPool, LinkPool::default());
         let (opening, checking) = (AtomicBool::new(false), AtomicBool::new(false));
         let share = [share.calls, share.total()].map(AtomicU32::new);
-        Self { server, share, open: AtomicU32::new(0), opening, checking, pool }
+        // The text of an address is always a valid value.
+        let host = HeaderValue::try_from(server.address.to_string());
+        let host = host.unwrap_or(HeaderValue::from_static(""));
+        Self { server, host, share, open: AtomicU32::new(0), opening, checking, pool }
     }
 
     /// Changes the share. Connections that are open stay open, even if they exceed it.
@@ -135,6 +140,12 @@
         &self.server
     }
 
+    /// Returns the host of the gateway's own requests, which is the address. A check before each
+    /// call would format it up to three times.
+    pub const fn host(&self) -> &HeaderValue {
+        &self.host
+    }
+
     /// Returns whether the link leads to this start of `server`.
     pub(crate) fn serves(&self, server: &UpstreamServer) -> bool {
         self.server.address == server.address && self.server.incarnation == server.incarnation
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use codec::prelude::*;
 use http::header::HeaderMap;
-use http::{HeaderValue, Method, Request, StatusCode, Uri, header};
+use http::{Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
 
 use crate::body::SendBody;
@@ -23,6 +23,8 @@
 pub const PROBE_TIMEOUT: ClockSpan = ClockSpan::from_millis(100);
 /// The longest body of an answer to a probe or cancellation.
 const MAX_CHECK_BYTES: usize = 4 * 1024;
+/// Headers of a health check: its id and its host.
+const CHECK_HEADERS: usize = 2;
 
 /// The answer to a request of the gateway's own.
 #[derive(Debug)]
@@ -60,16 +62,15 @@
 pub async fn ask(
     mut connection: LinkConnection,
     method: Method,
-    path: &str,
+    target: Uri,
     headers: HeaderMap,
     timeout: ClockSpan,
 ) -> Option<CheckAnswer> {
     let mut request = Request::new(SendBody::Empty);
     *request.method_mut() = method;
-    *request.uri_mut() = Uri::try_from(path).ok()?;
+    *request.uri_mut() = target;
     *request.headers_mut() = headers;
-    let host = connection.link().server().address.to_string();
-    request.headers_mut().insert(header::HOST, HeaderValue::try_from(host).ok()?);
+    request.headers_mut().insert(header::HOST, connection.link().host().clone());
     let exchange = async {
         let response = connection.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
@@ -89,11 +90,11 @@
     timeout: ClockSpan,
 ) -> Option<(CheckAnswer, CheckFacts)> {
     let upstream = connection.link().server().name.clone();
-    let path = check_path::<C>(state, &desk.name);
+    let target = check_target::<C>(state, &desk.name)?;
     let id = state.check_ids.next();
-    let mut headers = HeaderMap::new();
+    let mut headers = HeaderMap::with_capacity(CHECK_HEADERS);
     C::mark_check(&mut headers, &id);
-    let mut answer = ask(connection, Method::GET, &path, headers, timeout).await?;
+    let mut answer = ask(connection, Method::GET, target, headers, timeout).await?;
     let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, &upstream, &id);
     Some((answer, facts))
 }
@@ -188,9 +189,9 @@
     tokio::spawn(connection.put_back_after_check(state.clock.now()));
 }
 
-fn check_path<C: CallCodec>(state: &GateState, service: &str) -> String {
+fn check_target<C: CallCodec>(state: &GateState, service: &str) -> Option<Uri> {
     let environment = state.environment.load();
-    environment.contract(service).map_or_else(String::new, |own| C::check_path(own).to_owned())
+    Uri::try_from(C::check_path(environment.contract(service)?)).ok()
 }
 
 async fn connect(
