--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,13 +8,14 @@
 mod read;
 pub mod start;
 pub mod tuning;
+mod vm;
 
 pub mod prelude {
     //! The types that the gate needs.
 
     pub use crate::capacity::CapacityPlan;
     pub use crate::drain::{DrainAction, DrainEvent, DrainPlan, DrainStage};
-    pub use crate::mesh::{FollowState, HeardFrom, LostVm, MeshCounts, MeshPlan, MeshScope};
+    pub use crate::mesh::{FollowState, HeardFrom, LostVm, MeshCounts, MeshPlan};
     pub use crate::overlay::NewsOrigin;
     pub use crate::start::{StartPlan, StartStage, WarmupRamp};
     pub use crate::tuning::{DrainTuning, MeshTuning, ReadTuning, StartTuning};
--- a/crates/member/src/mesh.rs
+++ b/crates/member/src/mesh.rs
@@ -12,18 +12,7 @@
 use crate::overlay::{self, NewsOrigin, NewsTable};
 use crate::read::ReadSchedule;
 use crate::tuning::MeshTuning;
-
-/// Past this exponent the time between two hellos is at its cap.
-const MAX_DOUBLINGS: u32 = 16;
-
-/// Which VMs a message is for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum MeshScope {
-    /// All VMs.
-    All,
-    /// The VMs in the data centre of this one.
-    Centre,
-}
+use crate::vm::MeshVm;
 
 /// What a datagram's sender and incarnation say about it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -69,103 +58,6 @@
     pub behind: bool,
 }
 
-/// What is known of another VM.
-#[derive(Clone, Debug)]
-struct MeshVm {
-    entry: VmEntry,
-    /// Whether it said that it is leaving.
-    leaving: bool,
-    /// When this incarnation was first named.
-    learnt_at: ClockTime,
-    heard_at: Option<ClockTime>,
-    /// Whether it does not answer hellos, by this VM's own or a peer's word, and was not heard since.
-    lost: bool,
-    /// When the first of the hellos without an answer was sent, or contact was sought anew. The VM
-    /// is given up some time after this.
-    sought_at: ClockTime,
-    /// Hellos since the VM was heard or contact was sought anew.
-    tries: u32,
-    /// Hellos that are sent even if the VM is heard.
-    introductions: u32,
-    /// When the next hello is due.
-    due_at: ClockTime,
-}
-
-impl MeshVm {
-    fn new(entry: VmEntry, introductions: u32, now: ClockTime) -> Self {
-        Self {
-            entry,
-            leaving: false,
-            learnt_at: now,
-            heard_at: None,
-            lost: false,
-            sought_at: now,
-            tries: 0,
-            introductions,
-            due_at: now,
-        }
-    }
-
-    /// Returns the time since the VM was heard, or learnt of if it never was.
-    fn silence(&self, now: ClockTime) -> ClockSpan {
-        now.since(self.heard_at.unwrap_or(self.learnt_at))
-    }
-
-    fn is_given_up(&self, tuning: &MeshTuning, now: ClockTime) -> bool {
-        !self.leaving && self.tries > 0 && now.since(self.sought_at) >= tuning.give_up
-    }
-
-    /// Returns whether the VM is to be taken for lost from now on. One that is leaving gets no
-    /// hellos that it could answer.
-    fn becomes_lost(&self, tuning: &MeshTuning, now: ClockTime) -> bool {
-        let silence = self.silence(now);
-        let unanswered = self.tries >= tuning.lost_tries && silence >= tuning.lost_after;
-        !self.lost && if self.leaving { silence >= tuning.give_up } else { unanswered }
-    }
-
-    fn is_due(&self, now: ClockTime) -> bool {
-        !self.leaving && self.due_at <= now
-    }
-
-    /// Returns the time until a hello to a VM that is not given up is repeated.
-    fn retry_wait(&self, tuning: &MeshTuning) -> ClockSpan {
-        if self.tries.saturating_add(1) >= tuning.quick_tries {
-            return tuning.hello_period;
-        }
-        let factor = f64::from(1_u32 << self.tries.min(MAX_DOUBLINGS));
-        tuning.first_retry.scaled(factor).min(tuning.retry_cap)
-    }
-
-    /// Records a datagram, after which no hello is needed for `wait`.
-    fn hear(&mut self, wait: ClockSpan, now: ClockTime) {
-        self.heard_at = Some(now);
-        self.lost = false;
-        self.sought_at = now;
-        if self.introductions == 0 {
-            self.tries = 0;
-            self.due_at = now + wait;
-        }
-    }
-
-    /// Makes hellos due and counts anew the time after which the VM is given up.
-    fn seek(&mut self, introductions: u32, now: ClockTime) {
-        self.sought_at = now;
-        self.tries = 0;
-        self.introductions = introductions;
-        self.due_at = now;
-    }
-
-    /// Counts a hello, after which none is needed for `wait`.
-    fn count_hello(&mut self, wait: ClockSpan, now: ClockTime) {
-        if self.tries == 0 {
-            self.sought_at = now;
-        }
-        self.tries = self.tries.saturating_add(1);
-        self.introductions = self.introductions.saturating_sub(1);
-        self.due_at = now + wait;
-    }
-}
-
 /// The VMs known to this one. The shell sends what the plan asks for and reports what arrives.
 #[derive(Clone, Debug)]
 pub struct MeshPlan {
@@ -388,13 +280,6 @@
         self.vms.values().filter(|vm| !vm.lost).map(|vm| &vm.entry)
     }
 
-    /// Returns where to send a message for the VMs of a scope.
-    pub fn audience(&self, scope: MeshScope) -> Vec<SocketAddr> {
-        let own = &self.own.vm.centre;
-        let is_meant = |entry: &&VmEntry| scope == MeshScope::All || entry.vm.centre == *own;
-        self.present().filter(is_meant).map(|entry| entry.exchange_address).collect()
-    }
-
     /// Returns the addresses of the VMs to which this one passes news on. VMs that are lost are left
     /// out, so that the VMs beyond them still get news.
     pub fn neighbours(&mut self, now: ClockTime) -> Vec<SocketAddr> {
@@ -550,11 +435,6 @@
         self.reads.next()
     }
 
-    /// Returns the position of the newest read that is known.
-    pub fn read_position(&self) -> Option<u64> {
-        self.reads.position()
-    }
-
     /// Returns the time between two hellos to a VM that was given up.
     fn lost_wait(&self, now: ClockTime) -> ClockSpan {
         let MeshTuning { hello_period, lost_spacing, lost_period, .. } = self.tuning;
--- a/crates/member/src/read.rs
+++ b/crates/member/src/read.rs
@@ -46,10 +46,6 @@
         self.drawn.max(self.not_before)
     }
 
-    pub(crate) fn position(&self) -> Option<u64> {
-        self.newest.map(|(position, _)| position)
-    }
-
     /// Records a read that one of `vms` VMs made.
     pub(crate) fn note(
         &mut self,
