Refuse a base version in an environment without versions, and log slow burn as a warning

Cause: ChangeRequest::base was compared only if a version existed, so that a change for a mistyped environment went through; alerts of the slow rule were logged as errors, and the catalogue listed events that no code logs (1003, 1711 to 1717). Both tests failed before: operator.rs got Ok for a promotion with base 1 in an empty environment, events.rs now compares the level of each alert rule with the catalogue.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -243,6 +243,10 @@
             (Some(base), Some(row)) if row.version != base => {
                 Err(ConfigError::LostRace { winner: Box::new(row.clone()) })
             }
+            (Some(_), None) => {
+                let environment = self.request.environment.clone();
+                Err(ConfigError::NoVersion { environment })
+            }
             _ => Ok(()),
         }
     }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -34,7 +34,7 @@
         /// The version in force, made by the other change.
         winner: Box<VersionRow>,
     },
-    /// A rollback was requested for an environment without a version.
+    /// A rollback, or a change that builds on a version, was requested for an environment without one.
     #[snafu(display("{environment} has no version yet; promote a document first"))]
     NoVersion {
         /// The environment.
--- a/crates/config/tests/operator.rs
+++ b/crates/config/tests/operator.rs
@@ -51,6 +51,9 @@
         let tried = anna.try_document(&BraceCheck, &trial, document(number), None).await.unwrap();
         assert_eq!(tried.version, number);
     }
+    // Nothing was promoted that the change could build on, for example because of a wrong name.
+    let unbased = anna.promote(&production, &trial, &digests[0], Some(1)).await;
+    assert_eq!(unbased, Err(ConfigError::NoVersion { environment: production.clone() }));
     store.lose_responses(1);
     let first = anna.promote(&production, &trial, &digests[0], None).await.unwrap();
     assert_eq!((first.version, &first.digest), (1, &digests[0]));
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -4,8 +4,6 @@
 pub const STARTED: u32 = 1001;
 /// A call was refused before it reached an upstream.
 pub const CALL_REFUSED: u32 = 1002;
-/// An upstream did not answer a call completely.
-pub const CALL_FAILED: u32 = 1003;
 /// The gateway starts to shut down.
 pub const DRAIN_STARTED: u32 = 1004;
 /// The gateway has stopped.
@@ -70,6 +68,10 @@
 pub const UPSTREAM_DRAINING: u32 = 1203;
 /// An upstream no longer reports that it is draining.
 pub const UPSTREAM_DRAIN_ENDED: u32 = 1204;
+/// An upstream reported in an answer that it leaves.
+pub const UPSTREAM_LEAVES: u32 = 1205;
+/// An upstream asked for a pause.
+pub const UPSTREAM_PAUSED: u32 = 1206;
 /// Calls are refused because of overload.
 pub const OVERLOAD: u32 = 1301;
 /// An upstream crashed.
--- a/crates/gate/src/maintenance.rs
+++ b/crates/gate/src/maintenance.rs
@@ -67,7 +67,8 @@
             // switch between threads. Health checks before calls open connections when they need
             // them: 98 VMs that kept one open to each of 174 upstreams opened 75,033 connections in
             // 20 s.
-            if link.open() == 0 && !state.options.tuning.precheck {
+            let wanted = state.upstreams.accepts_checks(&link.server().name, state.clock.now());
+            if wanted && link.open() == 0 && !state.options.tuning.precheck {
                 link.open_spare(timeouts.connect, state.clock);
             }
         }
@@ -90,6 +91,9 @@
     let class = class.map_or("all", WorkClass::as_str);
     let event = alert.event_number();
     match change {
+        AlertChange::Raised if !rule.is_urgent() => {
+            tracing::warn!(event, %service, class, ?kind, ?rule, burn, bad, total, "alert raised");
+        }
         AlertChange::Raised => {
             tracing::error!(event, %service, class, ?kind, ?rule, burn, bad, total, "alert raised");
         }
--- a/crates/gate/tests/events.rs
+++ b/crates/gate/tests/events.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use report::prelude::BurnRule;
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -88,6 +90,16 @@
     assert!(documented.is_subset(&listed), "not listed: {:?}", documented.difference(&listed));
 }
 
+/// Guards against an alert that is logged with another level than operators expect.
+#[test]
+fn alerts_have_the_level_of_the_catalogue() {
+    let catalogue = catalogue();
+    for rule in BurnRule::ALL {
+        let level = if rule.is_urgent() { "error" } else { "warn" };
+        assert_eq!(catalogue[&rule.event_number()][0], level, "{rule:?}");
+    }
+}
+
 /// Guards against catalogue entries without a level, a cause or a remedy.
 #[test]
 fn every_entry_is_complete() {
--- a/crates/member/src/shutdown.rs
+++ b/crates/member/src/shutdown.rs
@@ -40,21 +40,6 @@
     },
 }
 
-impl ShutdownAction {
-    /// Returns the number under which the action is logged.
-    pub const fn event_number(self) -> u32 {
-        match self {
-            Self::ReadinessOff => 1711,
-            Self::AnnounceShutdown => 1712,
-            Self::KeepAccepting(_) => 1713,
-            Self::StopAccepting => 1714,
-            Self::CloseIdle => 1715,
-            Self::ReleaseLeases => 1716,
-            Self::Exit { .. } => 1717,
-        }
-    }
-}
-
 /// The stage of the shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ShutdownStage {
--- a/crates/report/src/alert.rs
+++ b/crates/report/src/alert.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns whether an alert of this rule needs a person at once or today.
+    pub const fn is_urgent(self) -> bool {
+        matches!(self, Self::Outage | Self::Fast)
+    }
+
     /// Returns the number of the log event when an alert is raised.
     pub const fn event_number(self) -> u32 {
         match self {
