--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -15,10 +15,19 @@
     pub detail: String,
 }
 
+/// The most bytes of an error's detail. Decoders quote the values that they reject, which can be as
+/// long as a row.
+const MAX_DETAIL_BYTES: usize = 200;
+
 impl EntryError {
     /// Returns an error that names what is wrong.
     pub fn new(detail: impl ToString) -> Self {
-        Self { detail: detail.to_string() }
+        let mut detail = detail.to_string();
+        if detail.len() > MAX_DETAIL_BYTES {
+            detail.truncate(detail.floor_char_boundary(MAX_DETAIL_BYTES));
+            detail.push_str("...");
+        }
+        Self { detail }
     }
 }
 
