--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// Steps in a millisecond. The added-latency target of 0.42 ms needs two decimals.
@@ -155,21 +156,36 @@
     fn now(&self) -> ClockTime;
 }
 
-/// The monotonic system clock.
+/// The system clock that continues while the machine is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Returns the time since the machine started, including the time in which it was suspended.
+    pub fn elapsed(self) -> ClockSpan {
+        let time = clock_gettime(ClockId::Boottime);
+        let whole = ClockSpan::from_secs(time.tv_sec.unsigned_abs());
+        whole + ClockSpan::from(Duration::from_nanos(time.tv_nsec.unsigned_abs()))
+    }
+}
+
+/// The clock of a process. It counts the time in which the machine was suspended, so that deadlines
+/// and the ages of evidence pass meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct RealClock {
-    start: Instant,
+    start: ClockSpan,
 }
 
 impl RealClock {
     /// Returns a clock that starts now.
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start: BootClock.elapsed() }
     }
 
-    /// Returns the system's instant for `time`, for use with timers.
+    /// Returns the system's instant for `time`, for use with timers, or the present one if `time`
+    /// has passed. Timers do not count the time in which the machine is suspended.
     pub fn to_instant(&self, time: ClockTime) -> Instant {
-        self.start + time.since(ClockTime::ZERO).to_duration()
+        Instant::now() + time.since(self.now()).to_duration()
     }
 }
 
@@ -181,7 +197,7 @@
 
 impl ClockSource for RealClock {
     fn now(&self) -> ClockTime {
-        ClockTime::ZERO + ClockSpan::from(self.start.elapsed())
+        ClockTime::ZERO + BootClock.elapsed().saturating_sub(self.start)
     }
 }
 
--- a/crates/base/src/pause.rs
+++ b/crates/base/src/pause.rs
@@ -1,7 +1,5 @@
 //! Detects pauses: times in which the process was frozen or the machine suspended.
 
-use rustix::time::{ClockId, clock_gettime};
-
 use crate::clock::{ClockSpan, ClockTime};
 
 /// A pause longer than this is reported: after it, the load and pace of upstreams are out of date,
@@ -9,19 +7,6 @@
 /// small VMs.
 const DEFAULT_LIMIT: ClockSpan = ClockSpan::from_secs(1);
 
-/// The system clock that continues while the machine is suspended.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct BootClock;
-
-impl BootClock {
-    /// Returns the time since the machine started, including the time in which it was suspended.
-    pub fn elapsed(self) -> ClockSpan {
-        let time = clock_gettime(ClockId::Boottime);
-        let whole = ClockSpan::from_secs(time.tv_sec.unsigned_abs());
-        whole + ClockSpan::from(std::time::Duration::from_nanos(time.tv_nsec.unsigned_abs()))
-    }
-}
-
 /// Detects from regular ticks whether the process or the machine was paused between two of them.
 #[derive(Clone, Debug)]
 pub struct PauseDetector {
--- a/crates/codec/src/call.rs
+++ b/crates/codec/src/call.rs
@@ -78,6 +78,18 @@
     /// Whether a failed answer may be forwarded to the caller unchanged. A status that promises
     /// that the call was not run must not be forwarded without proof of that.
     pub can_forward: bool,
+    /// What the upstream asks of its callers.
+    pub wish: UpstreamWish,
+}
+
+/// What an upstream asks of its callers in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamWish {
+    /// Whether it drains until it ends, so that it must get no further requests until a new
+    /// incarnation has started.
+    pub final_drain: bool,
+    /// For how long it wants no requests from this VM.
+    pub pause: Option<ClockSpan>,
 }
 
 /// The values that the gateway reads from the answer to a health check.
@@ -90,6 +102,8 @@
     /// Whether the answer belongs to another request, or has no proof that the upstream sent it. The
     /// connection must not be used again.
     pub foreign: bool,
+    /// What the upstream asks of its callers.
+    pub wish: UpstreamWish,
 }
 
 /// Encodes and decodes the heads of requests and answers for one interface.
--- a/crates/codec/src/head.rs
+++ b/crates/codec/src/head.rs
@@ -1,5 +1,6 @@
 //! Checks of request heads that all interfaces share, and the removal of hop-by-hop headers.
 
+use base::prelude::*;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{Method, StatusCode, Version};
@@ -8,6 +9,11 @@
 
 use crate::call::BodyLength;
 
+/// The longest pause that an upstream gets for its `retry-after`. A longer one is cut to this
+/// length, so that a wrong value does not cost the upstream for good.
+pub const MAX_PAUSE: ClockSpan = ClockSpan::from_secs(600);
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1000.0;
 /// The longest idempotency key in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
 
@@ -180,6 +186,27 @@
     }
 }
 
+/// Returns for how long an upstream wants no requests, according to its answer with `status`: the
+/// `retry-after` of a 503, in seconds with or without a fraction. Of several values the longest
+/// counts. Zero, dates, signs and other texts ask for no pause, and more than [`MAX_PAUSE`] counts
+/// as that.
+pub fn read_pause(status: StatusCode, headers: &HeaderMap) -> Option<ClockSpan> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let values = headers.get_all(header::RETRY_AFTER).iter();
+    let longest = values.filter_map(parse_seconds).max()?;
+    (longest > ClockSpan::ZERO).then(|| longest.min(MAX_PAUSE))
+}
+
+/// Parses a number of seconds that consists of digits and at most one point.
+fn parse_seconds(value: &HeaderValue) -> Option<ClockSpan> {
+    let text = value.to_str().ok()?.trim();
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let seconds: f64 = if is_number { text.parse().ok()? } else { return None };
+    Some(ClockSpan::from_millis_f64(seconds * MILLIS_PER_SECOND))
+}
+
 /// Removes hop-by-hop headers, including those that the `connection` header names.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -16,6 +16,7 @@
 
     pub use crate::call::{
         AnswerFacts, AnswerVerdict, AttemptFacts, BodyLength, CallCodec, CheckFacts, RequestFacts,
+        UpstreamWish,
     };
     pub use crate::head::HeadError;
     pub use crate::native::NativeCodec;
--- a/crates/codec/src/native.rs
+++ b/crates/codec/src/native.rs
@@ -10,7 +10,9 @@
 use world::prelude::*;
 use world::request::MAX_CALL_DEPTH;
 
-use crate::call::{AnswerFacts, AnswerVerdict, AttemptFacts, CallCodec, CheckFacts, RequestFacts};
+use crate::call::{
+    AnswerFacts, AnswerVerdict, AttemptFacts, CallCodec, CheckFacts, RequestFacts, UpstreamWish,
+};
 use crate::head::{self, HeadError, MAX_KEY_BYTES};
 use crate::refusal::CallRefusal;
 
@@ -101,7 +103,9 @@
             status if status.is_server_error() => AnswerVerdict::Failed,
             _ => AnswerVerdict::Accepted,
         };
-        AnswerFacts { load, verdict, can_forward: true }
+        // The drain flag is repeated in each answer and so is no final drain.
+        let wish = UpstreamWish { final_drain: false, pause: head::read_pause(status, headers) };
+        AnswerFacts { load, verdict, can_forward: true, wish }
     }
 
     fn set_answer_headers(headers: &mut HeaderMap, verdict: AnswerVerdict, id: &HeaderValue) {
@@ -145,7 +149,8 @@
         id: &HeaderValue,
     ) -> CheckFacts {
         let foreign = headers.get(REQUEST_ID).is_some_and(|echo| echo != id);
-        let header_load = Self::read_answer(status, headers, &HeaderValue::from_static("")).load;
+        let facts = Self::read_answer(status, headers, &HeaderValue::from_static(""));
+        let header_load = facts.load;
         let body = match status {
             StatusCode::OK => serde_json::from_slice::<LoadBody>(body).ok(),
             _ => None,
@@ -158,7 +163,7 @@
             None => header_load,
         };
         let load = load.map(|load| LoadReport { source: ReportSource::Probe, ..load });
-        CheckFacts { load, misdirected: false, foreign }
+        CheckFacts { load, misdirected: false, foreign, wish: facts.wish }
     }
 }
 
--- a/crates/codec/tests/head.rs
+++ b/crates/codec/tests/head.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use codec::head::{MAX_PAUSE, read_pause};
 use codec::prelude::*;
 use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -324,3 +325,52 @@
         );
     }
 }
+
+struct PauseCase {
+    name: &'static str,
+    status: u16,
+    values: &'static [&'static str],
+    millis: Option<u64>,
+}
+
+/// Guards against a pause that is not kept, and against a value without a meaning that costs the
+/// upstream its calls.
+#[test]
+fn pauses_are_read_from_503_answers() {
+    let case = |name, status, values, millis| PauseCase { name, status, values, millis };
+    let longest = MAX_PAUSE.as_millis();
+    let cases = [
+        case("whole seconds", 503, &["2"], Some(2_000)),
+        case("fraction", 503, &["0.25"], Some(250)),
+        case("fraction without a whole part", 503, &[".5"], Some(500)),
+        case("spaces", 503, &[" 1.5 "], Some(1_500)),
+        case("zero", 503, &["0"], None),
+        case("zero with a fraction", 503, &["0.000"], None),
+        case("the longest pause", 503, &["600"], Some(longest)),
+        case("absurdly long", 503, &["99999999999999999999999999"], Some(longest)),
+        case("negative", 503, &["-1"], None),
+        case("plus sign", 503, &["+1"], None),
+        case("exponent", 503, &["1e3"], None),
+        case("infinite", 503, &["inf"], None),
+        case("not a number", 503, &["nan"], None),
+        case("two points", 503, &["1.2.3"], None),
+        case("a point", 503, &["."], None),
+        case("empty", 503, &[""], None),
+        case("text", 503, &["soon"], None),
+        case("date", 503, &["Sat, 05 Dec 2026 16:00:00 GMT"], None),
+        case("several", 503, &["1", "3", "soon"], Some(3_000)),
+        case("absent", 503, &[], None),
+        case("another status", 500, &["2"], None),
+        case("a success", 200, &["2"], None),
+        case("too many requests", 429, &["2"], None),
+    ];
+    for case in cases {
+        let mut headers = HeaderMap::new();
+        for value in case.values {
+            headers.append("retry-after", HeaderValue::from_static(value));
+        }
+        let status = StatusCode::from_u16(case.status).unwrap();
+        let pause = read_pause(status, &headers).map(|span| span.as_millis());
+        assert_eq!(pause, case.millis, "{}", case.name);
+    }
+}
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -20,6 +20,7 @@
     //! The types that the `gate` crate needs.
 
     pub use crate::config::{ConfigOffer, ConfigTracker};
+    pub use crate::draining::DrainMark;
     pub use crate::entry::{
         ConfigEntry, EntryCodec, EntryError, ServiceEntry, UpstreamEntry, VmEntry,
     };
--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -8,7 +8,7 @@
 use store::prelude::*;
 use world::prelude::*;
 
-use crate::draining::DrainingSet;
+use crate::draining::{DrainMark, DrainingSet};
 use crate::entry::{EntryCodec, EntryError};
 use crate::health::StoreHealth;
 use crate::record::{RowRecord, RowState};
@@ -337,7 +337,7 @@
     /// incarnation. Returns whether the usable upstreams changed.
     pub fn record_draining(&mut self, upstream: &str, incarnation: u64, now: ClockTime) -> bool {
         let mut changed = self.expire_missing(now);
-        self.draining.add(SharedName::from(upstream), incarnation);
+        self.draining.add(DrainMark { upstream: SharedName::from(upstream), incarnation });
         if let Some(record) = self.records.get_mut(upstream) {
             let was_usable = record.usable().is_some();
             record.mark_draining(incarnation);
@@ -346,6 +346,11 @@
         changed
     }
 
+    /// Returns the incarnations that were reported to drain, for a VM that has just started.
+    pub fn drain_marks(&self) -> impl Iterator<Item = &DrainMark> {
+        self.draining.iter()
+    }
+
     /// Returns when [`expire_missing`](Self::expire_missing) is to be called, or `None` if no
     /// upstream is retained or the store still fails.
     pub fn next_expiry(&self) -> Option<ClockTime> {
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -72,6 +72,8 @@
     pub context: &'a Arc<ServiceContext>,
     /// The call.
     pub call: &'a PlannedCall,
+    /// Whether the attempt may be ended for another one if it was lost at its upstream.
+    pub replaceable: bool,
     /// Accumulates the time that the call spends at upstreams.
     pub time: &'a UpstreamTime,
     /// The protocol of callers and upstreams.
@@ -93,6 +95,13 @@
         refusal.retry_after(self.state.options.tuning.retry_after)
     }
 
+    /// Returns the refusal of a call whose deadline passed before the attempt was sent.
+    pub(crate) fn expired_refusal(&self) -> CallRefusal {
+        let message = "the deadline passed before the call was sent; allow more time";
+        let refusal = CallRefusal::not_run(StatusCode::GATEWAY_TIMEOUT, message);
+        refusal.with_cause(CallCause::Timeout).retry_after(self.state.options.tuning.retry_after)
+    }
+
     /// Returns the refusal of a call whose deadline has passed. `cancelled` is whether the
     /// upstream confirmed that it cancelled the call, which proves that it was not run.
     pub(crate) fn timeout_refusal(&self, cancelled: bool) -> CallRefusal {
--- a/crates/gate/src/call_trace.rs
+++ b/crates/gate/src/call_trace.rs
@@ -108,12 +108,10 @@
         stop: Option<StopReason>,
     ) {
         let next = match (stop, failure.next) {
-            (Some(stop), NextStep::Retry | NextStep::RetryAfterLoss | NextStep::Resend) => {
-                NextAction::End(Some(stop))
-            }
             (_, NextStep::End) => NextAction::End(None),
+            (Some(stop), _) => NextAction::End(Some(stop)),
             (None, NextStep::Resend) => NextAction::Resend,
-            (None, NextStep::Retry | NextStep::RetryAfterLoss) => NextAction::Retry,
+            (None, _) => NextAction::Retry,
         };
         let fate = Some(failure.fate.as_str());
         let upstream = failure.upstream.or(self.upstream.take());
--- a/crates/gate/src/caller_server.rs
+++ b/crates/gate/src/caller_server.rs
@@ -13,6 +13,7 @@
 
 use base::prelude::*;
 use codec::prelude::*;
+use futures_util::FutureExt as _;
 use http::header::{self, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
@@ -21,11 +22,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::AnswerBody;
 use crate::framing::{CallerStream, MAX_HEAD_BYTES, MAX_HEADERS, ReadHistory};
+use crate::mechanism::Mechanism;
 use crate::state::GateState;
 use crate::{call, event, maintenance};
 
@@ -37,6 +40,10 @@
 /// connection is closed, so that no request arrives while it is closed.
 const KEEP_ALIVE_MARGIN: ClockSpan = ClockSpan::from_secs(1);
 
+/// How long a connection may wait for its first request after the listener was stopped: many round
+/// trips to a caller.
+const FIRST_REQUEST_GRACE: ClockSpan = ClockSpan::from_millis(500);
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A bound listener and the workers that serve its connections. They stop when it is dropped.
@@ -181,6 +188,11 @@
                 Some(_) = connections.join_next(), if !connections.is_empty() => {}
             }
         }
+        // The system has completed these connections already, and would reset them.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            let (state, stop) = (Arc::clone(&self.state), self.stop.clone());
+            connections.spawn(serve_connection::<C>(state, stream, stop));
+        }
         drop(listener);
         while connections.join_next().await.is_some() {}
     }
@@ -195,7 +207,9 @@
     let idle = state.timeouts.load().caller_idle();
     let keep_alive = keep_alive_value(idle);
     let (stream, history) = CallerStream::new(stream);
+    let first_request = Notify::new();
     let service = service_fn(|request: Request<Incoming>| {
+        first_request.notify_one();
         let (state, keep_alive) = (&state, &keep_alive);
         let (mut parts, body) = request.into_parts();
         restore_length(&mut parts, &history);
@@ -219,8 +233,17 @@
     let result = tokio::select! {
         result = &mut connection => result,
         () = stop.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // hyper closes a connection at once if nothing was read from it. Its caller may have
+            // sent the first request already.
+            let grace = first_request_grace(&state).to_duration();
+            let first = tokio::time::timeout(grace, first_request.notified());
+            tokio::select! {
+                result = &mut connection => result,
+                _ = first => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     // The error concerns the caller's connection, and the caller sees it at its own end.
@@ -231,6 +254,13 @@
     }
 }
 
+/// Returns how long a connection without a request may wait for its first one after the listener
+/// was stopped.
+fn first_request_grace(state: &GateState) -> ClockSpan {
+    let enabled = state.options.tuning.uses(Mechanism::FirstRequest);
+    if enabled { FIRST_REQUEST_GRACE } else { ClockSpan::ZERO }
+}
+
 /// Adds the `Content-Length` that hyper drops from a request that also has a `Transfer-Encoding`,
 /// so that the checks of the head see both ways to delimit the body. A request whose head cannot be
 /// found in the history is treated likewise.
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -86,6 +86,7 @@
         tasks.spawn(Arc::clone(&core).announce());
         tasks.spawn(Arc::clone(&core).send_due_messages());
         tasks.spawn(Arc::clone(&core).receive());
+        tasks.spawn(Arc::clone(&core).send_drains());
         Ok(Self { core, _tasks: tasks })
     }
 
--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -53,7 +53,7 @@
         let now = self.state.clock.now();
         for row in &page.rows {
             let Some(value) = &row.value else { continue };
-            match serde_json::from_slice::<VmEntry>(value) {
+            match decode_vm(&row.key, value) {
                 Ok(entry) => {
                     self.exchange.membership.lock().add_entry(&entry, now);
                 }
@@ -66,6 +66,15 @@
         Ok(())
     }
 
+    /// Records the upstreams that reported to this VM that they leave, and tells the other VMs.
+    pub(super) async fn send_drains(self: Arc<Self>) {
+        loop {
+            let marks = self.state.drains.take().await;
+            self.record_drains(&marks, "answer");
+            self.exchange.publish(PeerMessage::Drains(DrainMessage { marks })).await;
+        }
+    }
+
     /// Sends the messages that are due to peers, and updates the number of VMs among which budgets
     /// are divided.
     pub(super) async fn send_due_messages(self: Arc<Self>) {
@@ -186,6 +195,7 @@
                 self.observe_config_version(message.config_version);
             }
             PeerMessage::Load(_) => {}
+            PeerMessage::Drains(message) => self.record_drains(&message.marks, "peer"),
             PeerMessage::Config(message) => self.observe_config_version(message.version),
             PeerMessage::Suspects(message) => {
                 for notice in &message.notices {
@@ -210,3 +220,12 @@
         self.exchange.forward(envelope, &next, now).await;
     }
 }
+
+/// Decodes the row of the VM `key`. A row with the name of another VM would take its place.
+fn decode_vm(key: &SharedName, value: &[u8]) -> Result<VmEntry, EntryError> {
+    let entry: VmEntry = serde_json::from_slice(value).map_err(EntryError::new)?;
+    if entry.vm.name != *key {
+        return Err(EntryError::new("the row has the name of another VM"));
+    }
+    Ok(entry)
+}
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -200,19 +200,31 @@
             tracing::warn!(event = event::UPSTREAM_UNREADABLE, %upstream, %error);
         }
         for UpstreamTransition { upstream, kind } in &change.transitions {
-            let (change, age_ms) = (kind.as_str(), age.as_millis());
-            tracing::info!(
-                event = event::UPSTREAM_CHANGED,
-                upstream = upstream.as_str(),
-                change,
-                source,
-                age_ms,
-                position,
-                "the state of an upstream changed"
-            );
+            log_transition(upstream, *kind, source, age, position);
         }
     }
 
+    /// Records upstreams that reported that they leave. `source` is who told this VM.
+    pub(super) fn record_drains(&self, marks: &[DrainMark], source: &str) {
+        let now = self.state.clock.now();
+        let mut leaving = Vec::new();
+        let mut tables = self.tables.lock();
+        for mark in marks {
+            if tables.upstreams.record_draining(&mark.upstream, mark.incarnation, now) {
+                leaving.push(&mark.upstream);
+            }
+        }
+        let position = tables.upstreams.position().unwrap_or(0);
+        drop(tables);
+        if leaving.is_empty() {
+            return;
+        }
+        for upstream in leaving {
+            log_transition(upstream, TransitionKind::Leaving, source, ClockSpan::ZERO, position);
+        }
+        self.apply();
+    }
+
     /// Removes upstreams that are still missing after an outage of the store. Returns whether the
     /// usable upstreams changed.
     fn expire_missing(&self) -> bool {
@@ -282,3 +294,22 @@
         self.apply();
     }
 }
+
+/// Logs that an upstream became usable, or no longer is.
+fn log_transition(
+    upstream: &SharedName,
+    kind: TransitionKind,
+    source: &str,
+    age: ClockSpan,
+    position: u64,
+) {
+    tracing::info!(
+        event = event::UPSTREAM_CHANGED,
+        upstream = upstream.as_str(),
+        change = kind.as_str(),
+        source,
+        age_ms = age.as_millis(),
+        position,
+        "the state of an upstream changed"
+    );
+}
--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -31,11 +31,22 @@
     RetryBudget,
     /// A VM is ready only once it has the configuration and the upstreams.
     Recovery,
+    /// An upstream that reports in an answer that it leaves gets no new requests.
+    FinalDrain,
+    /// An upstream that asks for a pause gets no requests until it is over.
+    UpstreamPause,
+    /// A call that may run twice and was lost at its upstream is sent to another one.
+    Stall,
+    /// A connection that was accepted before the end of the shutdown may still bring its first
+    /// request.
+    FirstRequest,
+    /// A configuration that a peer has is read from a peer.
+    PeerConfig,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 16] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
@@ -47,6 +58,11 @@
         Self::Silence,
         Self::RetryBudget,
         Self::Recovery,
+        Self::FinalDrain,
+        Self::UpstreamPause,
+        Self::Stall,
+        Self::FirstRequest,
+        Self::PeerConfig,
     ];
 
     /// Returns the name on the command line.
@@ -63,6 +79,11 @@
             Self::Silence => "silence",
             Self::RetryBudget => "retry-budget",
             Self::Recovery => "recovery",
+            Self::FinalDrain => "final-drain",
+            Self::UpstreamPause => "upstream-pause",
+            Self::Stall => "stall",
+            Self::FirstRequest => "first-request",
+            Self::PeerConfig => "peer-config",
         }
     }
 }
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -101,6 +101,12 @@
     probe_micros: IntCounter,
     /// Connections that were closed because they were silent.
     pub silent_connections: IntCounter,
+    /// Upstreams that reported that they leave.
+    pub final_drains: IntCounter,
+    /// Pauses that upstreams asked for.
+    pub pauses: IntCounter,
+    /// Calls that were lost at their upstream and sent to another one.
+    pub stalled_calls: IntCounter,
     usable: IntGauge,
     ejected: IntGauge,
     draining: IntGauge,
@@ -184,6 +190,9 @@
     probes: IntCounterVec,
     probe_micros: IntCounterVec,
     silent_connections: IntCounterVec,
+    final_drains: IntCounterVec,
+    pauses: IntCounterVec,
+    stalled_calls: IntCounterVec,
     upstreams: IntGaugeVec,
     connections: IntGaugeVec,
     known_vms: IntGauge,
@@ -272,6 +281,21 @@
                 "Connections that were closed because they were silent while a new one worked.",
                 &["service"],
             ),
+            final_drains: counter(
+                "agateroad_final_drains_total",
+                "Upstreams that reported in an answer that they leave.",
+                &["service"],
+            ),
+            pauses: counter(
+                "agateroad_upstream_pauses_total",
+                "Pauses that upstreams asked for.",
+                &["service"],
+            ),
+            stalled_calls: counter(
+                "agateroad_stalled_calls_total",
+                "Calls that were lost at their upstream and sent to another one.",
+                &["service"],
+            ),
             upstreams: gauge("agateroad_upstreams", "Upstreams by state.", &["service", "state"]),
             connections: gauge(
                 "agateroad_upstream_connections",
@@ -304,6 +328,9 @@
             probes: self.probes.with_label_values(&labels),
             probe_micros: self.probe_micros.with_label_values(&labels),
             silent_connections: self.silent_connections.with_label_values(&labels),
+            final_drains: self.final_drains.with_label_values(&labels),
+            pauses: self.pauses.with_label_values(&labels),
+            stalled_calls: self.stalled_calls.with_label_values(&labels),
             usable: self.upstreams.with_label_values(&[service, "usable"]),
             ejected: self.upstreams.with_label_values(&[service, "ejected"]),
             draining: self.upstreams.with_label_values(&[service, "draining"]),
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -18,6 +18,7 @@
 use crate::options::ProbeCharge;
 use crate::service::ServiceContext;
 use crate::state::GateState;
+use crate::wish;
 
 /// Slot time that a probe is charged in advance. A probe that takes longer is charged the rest
 /// afterwards.
@@ -56,7 +57,8 @@
     /// There was no answer in time on a connection that was opened before, which may be the fault
     /// of the connection; or there was an answer that does not belong to the health check.
     Unverified,
-    /// No check was made, because this VM's share of connections or the probe budget is used up.
+    /// No check was made, because this VM's share of connections or the probe budget is used up, or
+    /// the upstream wants no requests.
     Skipped,
 }
 
@@ -112,7 +114,9 @@
     link: &Arc<UpstreamLink>,
 ) -> Option<ClockTime> {
     let started = state.clock.now();
-    if !state.tables.probes.allow(&context.name, PROBE_COST, started) {
+    if !state.upstreams.accepts_checks(&link.server().name, started)
+        || !state.tables.probes.allow(&context.name, PROBE_COST, started)
+    {
         return None;
     }
     let connection = connect(state, link, PROBE_TIMEOUT).await.ok();
@@ -122,7 +126,8 @@
         None => None,
     };
     charge_rest(state, context, started);
-    let (answer, _) = answer.filter(|(_, facts)| !facts.foreign)?;
+    let (answer, facts) = answer.filter(|(_, facts)| !facts.foreign)?;
+    wish::apply(state, context, link.server(), facts.wish, state.clock.now());
     release(state, answer.connection);
     opened
 }
@@ -150,7 +155,9 @@
     timeout: ClockSpan,
 ) -> CheckOutcome {
     let started = state.clock.now();
-    if !state.tables.probes.allow(&context.name, PROBE_COST, started) {
+    if !state.upstreams.accepts_checks(&link.server().name, started)
+        || !state.tables.probes.allow(&context.name, PROBE_COST, started)
+    {
         return CheckOutcome::Skipped;
     }
     let outcome = check_once::<C>(state, context, link, timeout).await;
@@ -193,6 +200,7 @@
     if let Some(load) = facts.load {
         state.upstreams.observe(name, load, now);
     }
+    wish::apply(state, context, link.server(), facts.wish, now);
     answer.connection.record_check(now);
     CheckOutcome::Answered(answer.connection)
 }
--- a/crates/gate/src/retry.rs
+++ b/crates/gate/src/retry.rs
@@ -21,6 +21,8 @@
     Retry,
     /// As `Retry`, unless the call is suspected of having crashed the upstream.
     RetryAfterLoss,
+    /// Another upstream. The retry was taken from the budget before the attempt was ended.
+    PaidRetry,
     /// The same upstream on a new connection. It costs no retry token, because the upstream has not
     /// answered the first attempt and probably never received it.
     Resend,
@@ -51,6 +53,11 @@
         Self { isolated, unguarded, unbudgeted, ..Self::default() }
     }
 
+    /// Returns whether the call is a suspect, which gets a single attempt.
+    pub const fn is_isolated(&self) -> bool {
+        self.isolated
+    }
+
     /// Records whether an attempt may have been run.
     pub fn record_attempt(&mut self, fate: CallFate) {
         self.may_have_run |= fate == CallFate::Unknown;
@@ -94,6 +101,7 @@
                     Err(StopReason::Suspect)
                 }
             }
+            NextStep::PaidRetry => Ok(()),
             NextStep::Resend if std::mem::replace(&mut self.resent, true) => {
                 Err(StopReason::Attempts)
             }
--- a/crates/gate/src/select.rs
+++ b/crates/gate/src/select.rs
@@ -127,24 +127,52 @@
         }
     }
 
-    /// Reserves a slot, or waits in the queue for one.
+    /// Reserves a slot, or waits for one.
     async fn acquire_slot(&self, excluded: &[SharedName]) -> Result<CallSlot, Box<FailedAttempt>> {
+        loop {
+            let outcome = match self.take_slot(excluded).await {
+                Ok(slot) => return Ok(slot),
+                Err(outcome) => outcome,
+            };
+            match outcome {
+                WaitOutcome::Unavailable(NoUpstream::AllPaused { retry_in, .. })
+                    if self.can_wait(retry_in) =>
+                {
+                    tokio::time::sleep(retry_in.to_duration()).await;
+                }
+                outcome => {
+                    return Err(FailedAttempt::without_retry(self.slot_refusal(outcome)));
+                }
+            }
+        }
+    }
+
+    /// Returns whether the call still meets its objective if it is sent after `span`.
+    fn can_wait(&self, span: ClockSpan) -> bool {
         let Self { state, context, call, .. } = *self;
         let now = state.clock.now();
+        let remaining = call.objective_deadline.since(now);
+        let class = call.request.class;
+        state.tables.admission.allows_wait(&context.name, class, span, remaining, now)
+    }
+
+    /// Reserves a slot, or waits in the queue for one.
+    async fn take_slot(&self, excluded: &[SharedName]) -> Result<CallSlot, WaitOutcome> {
+        let Self { state, context, call, .. } = *self;
         if context.waiting.load(Ordering::Relaxed) == 0 {
-            match CallSlot::acquire(state, context, excluded, now) {
+            match CallSlot::acquire(state, context, excluded, state.clock.now()) {
                 Ok(slot) => return Ok(slot),
-                Err(SlotError::Unavailable(error)) => {
-                    return Err(FailedAttempt::without_retry(self.no_upstream(&error)));
-                }
+                Err(SlotError::Unavailable(error)) => return Err(WaitOutcome::Unavailable(error)),
                 Err(SlotError::Limit | SlotError::Full) => {}
             }
         }
-        let outcome = match wait::wait_for_slot(state, context, &call.request, excluded).await {
-            Ok(slot) => return Ok(slot),
-            Err(outcome) => outcome,
-        };
-        Err(FailedAttempt::without_retry(match outcome {
+        wait::wait_for_slot(state, context, &call.request, excluded).await
+    }
+
+    /// Returns the refusal of a call that got no slot.
+    fn slot_refusal(&self, outcome: WaitOutcome) -> CallRefusal {
+        let Self { state, context, .. } = *self;
+        match outcome {
             WaitOutcome::Unavailable(error) => self.no_upstream(&error),
             WaitOutcome::Refused(reason) => {
                 context.record_refusal(&reason, state.clock.now());
@@ -158,11 +186,17 @@
                 let refusal = refusal.with_cause(CallCause::DeadlineInQueue);
                 refusal.retry_after(state.options.tuning.retry_after)
             }
-        }))
+        }
     }
 
     fn no_upstream(&self, error: &NoUpstream) -> CallRefusal {
-        self.refuse(&error.to_string()).with_cause(CallCause::NoUpstream)
+        let refusal = self.refuse(&error.to_string());
+        match error {
+            NoUpstream::AllPaused { retry_in, .. } => {
+                refusal.with_cause(CallCause::Paused).retry_after(*retry_in)
+            }
+            _ => refusal.with_cause(CallCause::NoUpstream),
+        }
     }
 }
 
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -22,6 +22,7 @@
 use crate::retry::{self, NextStep};
 use crate::running::RunningCall;
 use crate::silence::SilenceWatch;
+use crate::stall::StallWatch;
 
 /// The fraction of a call's remaining time that is reserved for cancelling it, so that the caller
 /// learns before its deadline whether the call was run.
@@ -40,6 +41,8 @@
     TimedOut { cancelled: bool },
     /// The connection is silent: it no longer responds, while a new one works.
     Silent,
+    /// The call was lost at the upstream, and the budget allowed a retry.
+    Stalled,
 }
 
 impl From<Result<Response<Incoming>, SendError>> for SendEnd {
@@ -61,13 +64,19 @@
         running: &mut RunningCall,
     ) -> Result<Response<Incoming>, Box<FailedAttempt>> {
         let sent = self.state.clock.now();
+        // Timers do not count the time in which the machine was suspended, but the clock does.
+        if self.call.request.deadline <= sent {
+            running.report(CallResult::Cancelled);
+            return Err(FailedAttempt::without_retry(self.expired_refusal()));
+        }
         let request = self.upstream_request(body, sent, &running.upstream);
         let mut guard = if C::CONFIRMS_CANCELS {
             CancelGuard::new(self.state, link, &self.call.id)
         } else {
             CancelGuard::disarmed()
         };
-        let end = self.await_answer(link, &mut connection, request, sent).await;
+        let slowdown = running.slowdown;
+        let end = self.await_answer(link, &mut connection, request, slowdown, sent).await;
         guard.disarm();
         let span = self.state.clock.now().since(sent);
         running.latency = span;
@@ -92,6 +101,13 @@
                 let refusal = refusal.with_cause(CallCause::Silent);
                 Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::Resend))
             }
+            SendEnd::Stalled => {
+                running.report(CallResult::TimedOut);
+                let message = "the upstream did not answer within several times the usual time";
+                let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
+                let refusal = refusal.with_cause(CallCause::Timeout);
+                Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::PaidRetry))
+            }
         }
     }
 
@@ -145,6 +161,7 @@
         link: &Arc<UpstreamLink>,
         connection: &mut LinkConnection,
         request: Request<SendBody>,
+        slowdown: Option<f64>,
         sent: ClockTime,
     ) -> SendEnd {
         let Self { state, context, call, .. } = *self;
@@ -157,14 +174,36 @@
         let watched = !tuning.precheck && tuning.uses(Mechanism::Silence);
         let watch = watched.then(|| SilenceWatch::start(connection, &call.request, sent));
         let mut watch = watch.flatten();
+        // Evidence on the present pace, which the prechecks gather, tells a lost call from a slow
+        // one.
+        let replaceable = tuning.precheck && self.replaceable;
+        let stall =
+            replaceable.then(|| StallWatch::start(state, link, &call.request, slowdown, sent));
+        let mut stall = stall.flatten();
         let mut sending = pin!(connection.send(request));
         loop {
-            let check_at = watch.as_ref().map(SilenceWatch::next).filter(|next| *next < cancel_at);
+            let silence_at = watch.as_ref().map(SilenceWatch::next);
+            let check_at = silence_at.or(stall.as_ref().map(StallWatch::next));
+            let check_at = check_at.filter(|next| *next < cancel_at);
             let until = state.clock.to_instant(check_at.unwrap_or(cancel_at)).into();
             if let Ok(result) = timeout_at(until, &mut sending).await {
                 return result.into();
             }
-            let (Some(_), Some(active)) = (check_at, &mut watch) else { break };
+            if check_at.is_none() {
+                break;
+            }
+            if let Some(active) = &mut stall {
+                let lost = tokio::select! {
+                    biased;
+                    result = &mut sending => return result.into(),
+                    lost = active.check::<C>(state, context, &call.request) => lost,
+                };
+                if lost {
+                    return SendEnd::Stalled;
+                }
+                continue;
+            }
+            let Some(active) = &mut watch else { break };
             let silent = tokio::select! {
                 biased;
                 result = &mut sending => return result.into(),
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -11,8 +11,9 @@
 use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
 use crate::body::{CallBody, SendBody};
 use crate::call_trace::TracedCall;
+use crate::mechanism::Mechanism;
 use crate::plan::PlannedCall;
-use crate::retry::{NextStep, RetryState};
+use crate::retry::{self, NextStep, RetryState};
 use crate::service::ServiceContext;
 use crate::state::GateState;
 use crate::upstream_time::UpstreamTime;
@@ -122,8 +123,12 @@
     }
 
     async fn attempt(&mut self, body: SendBody) -> AttemptResult {
-        let Self { state, context, call, traced, time, .. } = self;
-        let attempt = CallAttempt::<C> { state, context, call, time, codec: PhantomData };
+        let Self { state, context, call, traced, time, retry_state, .. } = self;
+        let replaceable = !retry_state.is_isolated()
+            && retry::may_run_twice(&call.request)
+            && state.options.tuning.uses(Mechanism::Stall);
+        let codec = PhantomData;
+        let attempt = CallAttempt::<C> { state, context, call, replaceable, time, codec };
         match attempt.select(&self.excluded).await {
             Ok(selected) => {
                 traced.record_choice(call.request.attempt, &selected.choice);
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -16,6 +16,7 @@
 use crate::check_id::CheckIds;
 use crate::count::CallCount;
 use crate::dependency::DependencyWatch;
+use crate::drains::DrainReports;
 use crate::links::LinkTable;
 use crate::mechanism::Mechanism;
 use crate::options::{GateOptions, GateTimeouts};
@@ -43,6 +44,8 @@
     pub links: LinkTable,
     /// The tables that decide when and whether a call runs.
     pub tables: CallTables,
+    /// Upstreams that reported that they leave.
+    pub drains: DrainReports,
     /// Whether the gateway is shutting down.
     pub shutting_down: AtomicBool,
     /// Whether the gateway waits for its first configuration.
@@ -82,6 +85,7 @@
             upstreams,
             links: LinkTable::default(),
             tables,
+            drains: DrainReports::default(),
             shutting_down: AtomicBool::new(false),
             unconfigured: AtomicBool::new(false),
             config_outdated: AtomicBool::new(false),
--- a/crates/gate/src/verdict.rs
+++ b/crates/gate/src/verdict.rs
@@ -15,6 +15,7 @@
 use crate::mechanism::Mechanism;
 use crate::retry::NextStep;
 use crate::running::RunningCall;
+use crate::wish;
 
 impl<C: CallCodec> CallAttempt<'_, C> {
     /// Classifies an answer, and returns it for the caller or as part of a failed attempt.
@@ -27,6 +28,10 @@
         let mut facts = C::read_answer(parts.status, &mut parts.headers, &self.call.id);
         running.load = facts.load;
         running.result = call_result(facts.verdict);
+        if let Some(connection) = &running.connection {
+            let (server, now) = (connection.link().server(), self.state.clock.now());
+            wish::apply(self.state, self.context, server, facts.wish, now);
+        }
         let upstream = running.upstream.clone();
         if facts.verdict == AnswerVerdict::Foreign {
             if self.state.options.tuning.uses(Mechanism::ForeignAnswer) {
@@ -61,7 +66,7 @@
             AnswerVerdict::Misdirected => self.refuse("the upstream has moved; repeat the call"),
             _ => CallRefusal::unknown(StatusCode::BAD_GATEWAY, "the upstream reported an error"),
         };
-        let refusal = refusal.with_cause(call_cause(facts.verdict));
+        let refusal = refusal.with_cause(call_cause(facts.verdict, facts.wish));
         let failure = FailedAttempt::at(upstream, refusal, NextStep::Retry);
         let replaced = match facts.verdict {
             AnswerVerdict::Misdirected => true,
@@ -134,8 +139,10 @@
     }
 }
 
-const fn call_cause(verdict: AnswerVerdict) -> CallCause {
+const fn call_cause(verdict: AnswerVerdict, wish: UpstreamWish) -> CallCause {
     match verdict {
+        AnswerVerdict::NotRun if wish.final_drain => CallCause::UpstreamLeaves,
+        AnswerVerdict::NotRun if wish.pause.is_some() => CallCause::Paused,
         AnswerVerdict::Accepted => CallCause::Answered,
         AnswerVerdict::NotRun => CallCause::Shed,
         AnswerVerdict::Misdirected => CallCause::ConnectFailed,
--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -125,6 +125,28 @@
         typical.average.record(latency.scaled(slowdown.recip()), weight, now);
     }
 
+    /// Returns the typical latency of calls, or `None` until enough of them have ended.
+    pub fn typical(&self, service: &str, class: WorkClass, now: ClockTime) -> Option<ClockSpan> {
+        let services = self.services.lock();
+        let ClassLatency { average, samples } = services.get(service)?.classes[class.index()];
+        (samples >= self.tuning.min_samples).then(|| average.value(now))
+    }
+
+    /// Returns whether a call that waits for `wait` before it is sent is still expected to meet its
+    /// objective, of which `remaining` is left. It is not while the typical latency is unknown.
+    pub fn allows_wait(
+        &self,
+        service: &str,
+        class: WorkClass,
+        wait: ClockSpan,
+        remaining: ClockSpan,
+        now: ClockTime,
+    ) -> bool {
+        let margin = self.tuning.caller_margin;
+        let typical = self.typical(service, class, now);
+        typical.is_some_and(|typical| wait + typical + margin <= remaining)
+    }
+
     /// Decides what to do with a call. Calls of the most urgent class are never refused. Every call
     /// is sent until the typical latency is known.
     pub fn decide(
@@ -135,13 +157,11 @@
         now: ClockTime,
     ) -> AdmissionDecision {
         let tuning = &self.tuning;
+        let Some(typical) = self.typical(service, class, now) else {
+            return AdmissionDecision::Send;
+        };
         let mut services = self.services.lock();
         let Some(latencies) = services.get_mut(service) else { return AdmissionDecision::Send };
-        let ClassLatency { average, samples } = latencies.classes[class.index()];
-        if samples < tuning.min_samples {
-            return AdmissionDecision::Send;
-        }
-        let typical = average.value(now);
         let remaining =
             forecast.remaining.saturating_sub(tuning.caller_margin + forecast.round_trip);
         let meets_objective = typical.scaled(forecast.slowdown) <= remaining;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod share;
+pub mod stall;
 mod window;
 
 pub mod prelude {
@@ -25,4 +26,5 @@
     pub use crate::refusal::{RefusalKind, RefusalReason};
     pub use crate::retry::{RetryBudget, RetryDenial, RetryTuning};
     pub use crate::share::ConnectionShare;
+    pub use crate::stall::{StallDecision, StallFacts, StallTuning};
 }
--- a/crates/limit/tests/admission.rs
+++ b/crates/limit/tests/admission.rs
@@ -99,3 +99,41 @@
     assert_eq!(decide(0), AdmissionDecision::Refuse);
     assert_eq!(decide(2), AdmissionDecision::Send);
 }
+
+struct WaitCase {
+    name: &'static str,
+    samples: u32,
+    wait_ms: u64,
+    remaining_ms: u64,
+    allowed: bool,
+}
+
+/// Guards against calls that wait for the end of a pause although they would then be late, and
+/// against refusals of calls that would still be in time.
+#[test]
+fn a_call_waits_only_if_it_can_still_be_in_time() {
+    let case = |name, samples, wait_ms, remaining_ms, allowed| WaitCase {
+        name,
+        samples,
+        wait_ms,
+        remaining_ms,
+        allowed,
+    };
+    let margin = AdmissionTuning::default().caller_margin.as_millis();
+    let cases = [
+        case("in time", 10, 50, 150 + margin, true),
+        case("late by a millisecond", 10, 50, 149 + margin, false),
+        case("no wait", 10, 0, 100 + margin, true),
+        case("a pause of minutes", 10, 600_000, 1_000, false),
+        case("typical latency unknown", 0, 50, 10_000, false),
+    ];
+    for case in cases {
+        let (policy, now) = (policy(), ClockTime::from_millis(1_000));
+        for _ in 0..case.samples {
+            policy.record(SERVICE, WorkClass::Normal, TYPICAL, 1.0, now);
+        }
+        let [wait, remaining] = [case.wait_ms, case.remaining_ms].map(ClockSpan::from_millis);
+        let allowed = policy.allows_wait(SERVICE, WorkClass::Normal, wait, remaining, now);
+        assert_eq!(allowed, case.allowed, "{}", case.name);
+    }
+}
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -1,7 +1,7 @@
 //! Messages that VMs send to one another in datagrams.
 
 use base::prelude::*;
-use directory::entry::VmEntry;
+use directory::prelude::{DrainMark, VmEntry};
 use member::prelude::{BroadcastId, LostVm};
 use serde::{Deserialize, Serialize};
 use store::prelude::TableRow;
@@ -65,6 +65,8 @@
     Outdated(u64),
     /// A new version of the configuration.
     Config(ConfigMessage),
+    /// Upstreams that reported that they leave.
+    Drains(DrainMessage),
 }
 
 impl PeerMessage {
@@ -88,7 +90,11 @@
                     loss.silent_ms = loss.silent_ms.saturating_add(millis(delay));
                 }
             }
-            Self::Hello(_) | Self::Load(_) | Self::Outdated(_) | Self::Config(_) => {}
+            Self::Hello(_)
+            | Self::Load(_)
+            | Self::Outdated(_)
+            | Self::Config(_)
+            | Self::Drains(_) => {}
         }
         self
     }
@@ -140,6 +146,14 @@
     pub version: u64,
 }
 
+/// Incarnations of upstreams that drain until they end, as they reported in answers to a VM.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DrainMessage {
+    /// The incarnations.
+    pub marks: Vec<DrainMark>,
+}
+
 /// The load of upstreams, as observed by a VM.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -8,7 +8,8 @@
 use suspect::prelude::SuspectNotice;
 
 use super::message::{
-    DirectoryMessage, LoadMessage, LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
+    DirectoryMessage, DrainMessage, LoadMessage, LossMessage, PeerEnvelope, PeerMessage,
+    SuspectMessage,
 };
 
 /// Bytes by which the length prefix of a list grows from an empty list to the longest in a
@@ -46,6 +47,11 @@
             let lists = chunks(notices, capacity);
             lists.map(|notices| PeerMessage::Suspects(SuspectMessage { notices })).collect()
         }
+        PeerMessage::Drains(drains) => {
+            let capacity = capacity(PeerMessage::Drains(DrainMessage::default()));
+            let lists = chunks(drains.marks.iter().cloned(), capacity);
+            lists.map(|marks| PeerMessage::Drains(DrainMessage { marks })).collect()
+        }
         PeerMessage::Losses(losses) => {
             let capacity = capacity(PeerMessage::Losses(LossMessage::default()));
             let lists = chunks(losses.vms.iter().cloned(), capacity);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,8 +19,8 @@
     pub use crate::client::{PeerClient, PeerError};
     pub use crate::counts::{ControlCounts, ControlUsage};
     pub use crate::datagram::{
-        ConfigMessage, DatagramCodec, DatagramError, DirectoryMessage, HelloMessage, LoadMessage,
-        LoadSample, LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
+        ConfigMessage, DatagramCodec, DatagramError, DirectoryMessage, DrainMessage, HelloMessage,
+        LoadMessage, LoadSample, LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
     };
     pub use crate::message::{
         ExchangeNotice, GrantRequest, GrantResult, PeerContact, RowCopy, StatusReport, TableCopy,
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -17,10 +17,12 @@
 struct CandidateCounts {
     listed: u32,
     draining: u32,
+    paused: u32,
     ejected: u32,
     healthy: u32,
     full: u32,
     own_in_flight: u32,
+    /// The time until the first full or paused upstream can be used again.
     retry_in: Option<ClockSpan>,
 }
 
@@ -85,6 +87,9 @@
             counts.listed += 1;
             if record.is_draining(now, &self.tuning) {
                 counts.draining += 1;
+            } else if let Some(span) = record.paused_for(now) {
+                counts.paused += 1;
+                counts.retry_in = soonest(counts.retry_in, Some(span));
             } else if record.health.is_ejected(now) {
                 counts.ejected += 1;
             } else if !record.health.is_failing(now, &self.tuning) {
@@ -97,7 +102,7 @@
     /// Returns whether the share of healthy servers is below the panic threshold, so that ejections
     /// are ignored.
     fn is_panic_mode(&self, counts: &CandidateCounts) -> bool {
-        let usable = f64::from(counts.listed - counts.draining);
+        let usable = f64::from(counts.listed - counts.draining - counts.paused);
         f64::from(counts.healthy) < usable * self.tuning.panic_threshold
     }
 
@@ -127,6 +132,7 @@
             let ejected = record.health.is_ejected(now);
             if !record.listed
                 || record.is_draining(now, &self.tuning)
+                || record.paused_for(now).is_some()
                 || (ejected && !panic_mode)
                 || !allowed(record)
             {
@@ -197,8 +203,11 @@
         return NoUpstream::NoneConfigured { service };
     }
     if counts.full == 0 {
-        let CandidateCounts { ejected, draining, .. } = *counts;
-        return NoUpstream::AllUnavailable { service, ejected, draining };
+        let CandidateCounts { ejected, draining, paused, retry_in, .. } = *counts;
+        return match retry_in {
+            Some(retry_in) => NoUpstream::AllPaused { service, paused, retry_in },
+            None => NoUpstream::AllUnavailable { service, ejected, draining },
+        };
     }
     let CandidateCounts { full, own_in_flight, retry_in, .. } = *counts;
     NoUpstream::AllFull { service, full, own_in_flight, retry_in }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,7 +31,7 @@
 
     pub use crate::cost::ExpectedCost;
     pub use crate::notice::{LoadNotice, UpstreamNotice};
-    pub use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+    pub use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus, ReportSource};
     pub use crate::paced::PacedChoice;
     pub use crate::policy::{
         ChoicePolicy, LeastInFlight, PolicyKind, RandomChoice, TwoChoices, UnknownPolicy,
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -70,6 +70,15 @@
     pub source: ReportSource,
 }
 
+/// How busy and how slow an upstream is, according to its freshest reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadStatus {
+    /// Service time divided by the usual one, if it was reported.
+    pub pace: Option<f64>,
+    /// Whether all slots are taken.
+    pub full: bool,
+}
+
 /// The end of a call, as reported to
 /// [`UpstreamTable::finish`](crate::table::UpstreamTable::finish).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -9,7 +9,7 @@
 use crate::estimate::{DecayingMean, DecayingPeak};
 use crate::health::HealthRecord;
 use crate::notice::{LoadNotice, UpstreamNotice};
-use crate::outcome::{CallOutcome, CallResult, LoadReport, ReportSource};
+use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus, ReportSource};
 use crate::service::ServiceMeans;
 use crate::tuning::RouteTuning;
 use crate::view::UpstreamView;
@@ -73,6 +73,10 @@
     warm_up_until: Option<ClockTime>,
     probe_timeout_at: Option<ClockTime>,
     drain: Option<DrainState>,
+    /// Whether the server drains until it ends.
+    final_drain: bool,
+    /// Until when the server wants no requests from this VM.
+    paused_until: ClockTime,
     full_until: ClockTime,
     latency: DecayingMean,
     tail: DecayingPeak,
@@ -95,6 +99,8 @@
             pace: None,
             probe_timeout_at: None,
             drain: None,
+            final_drain: false,
+            paused_until: ClockTime::ZERO,
             full_until: ClockTime::ZERO,
             latency: DecayingMean::default(),
             tail: DecayingPeak::default(),
@@ -137,8 +143,30 @@
     }
 
     pub fn is_draining(&self, now: ClockTime, tuning: &RouteTuning) -> bool {
-        self.drain
-            .is_some_and(|state| state.draining && now.since(state.made_at) <= tuning.drain_ttl)
+        self.final_drain
+            || self
+                .drain
+                .is_some_and(|state| state.draining && now.since(state.made_at) <= tuning.drain_ttl)
+    }
+
+    /// Records that the server drains until it ends. Returns whether this is new.
+    pub fn record_final_drain(&mut self) -> bool {
+        !std::mem::replace(&mut self.final_drain, true)
+    }
+
+    pub fn is_final_drain(&self) -> bool {
+        self.final_drain
+    }
+
+    /// Records that the server wants no requests for `span`. Of several pauses, the one that ends
+    /// last counts.
+    pub fn record_pause(&mut self, span: ClockSpan, now: ClockTime) {
+        self.paused_until = self.paused_until.max(now + span);
+    }
+
+    /// Returns for how long the server still wants no requests.
+    pub fn paused_for(&self, now: ClockTime) -> Option<ClockSpan> {
+        (self.paused_until > now).then(|| self.paused_until.since(now))
     }
 
     /// Returns how many calls this VM may have in flight on the server, fewer during the slow
@@ -278,6 +306,15 @@
         self.health.record_contact(now);
     }
 
+    /// Returns how busy and how slow the server is, according to its freshest reports.
+    pub fn load_status(&self) -> LoadStatus {
+        let full = self.load.is_some_and(|load| {
+            let slots = if load.report.slots > 0 { load.report.slots } else { self.server.slots };
+            load.report.in_flight >= slots
+        });
+        LoadStatus { pace: self.pace.map(|record| record.pace), full }
+    }
+
     /// Returns the number of calls of all VMs in the freshest load report, running or queued.
     pub fn reported_calls(&self) -> Option<f64> {
         self.load.map(|load| f64::from(load.report.in_flight) + f64::from(load.report.queued))
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -27,6 +27,19 @@
         /// Draining upstreams.
         draining: u32,
     },
+    /// Every upstream that is not ejected or draining asked this VM for a pause.
+    #[snafu(display(
+        "{paused} upstreams of service {service} asked for a pause and no other is usable: retry \
+         after it, or add upstreams"
+    ))]
+    AllPaused {
+        /// The service.
+        service: SharedName,
+        /// Upstreams that asked for a pause.
+        paused: u32,
+        /// The time until the first of the pauses ends.
+        retry_in: ClockSpan,
+    },
     /// Usable upstreams exist, but all of them are full. The call can wait for a slot.
     #[snafu(display(
         "all {full} usable upstreams of service {service} are full: queue the call or add upstreams"
@@ -40,7 +53,8 @@
         /// slot, and the call should be retried after `retry_in`.
         own_in_flight: u32,
         /// The time after which the first upstream that counts as full because of a load report or
-        /// a shed call can be used again, or `None` if only a finished call can free a slot.
+        /// a shed call, or that asked for a pause, can be used again, or `None` if only a finished
+        /// call can free a slot.
         retry_in: Option<ClockSpan>,
     },
 }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -8,7 +8,7 @@
 
 use crate::estimate::DecayingMean;
 use crate::notice::UpstreamNotice;
-use crate::outcome::{CallOutcome, CallResult, LoadReport};
+use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus};
 use crate::record::{LoadSamples, UpstreamRecord};
 use crate::rendezvous;
 use crate::tuning::RouteTuning;
@@ -233,6 +233,34 @@
         }
     }
 
+    /// Records that an incarnation of an upstream drains until it ends. Returns whether this is new.
+    pub fn record_final_drain(&mut self, upstream: &str, incarnation: u64) -> bool {
+        let known = self.listed_mut(upstream);
+        known
+            .filter(|record| record.server.incarnation == incarnation)
+            .is_some_and(UpstreamRecord::record_final_drain)
+    }
+
+    /// Records that an upstream wants no requests for `span`.
+    pub fn record_pause(&mut self, upstream: &str, span: ClockSpan, now: ClockTime) {
+        if let Some(record) = self.listed_mut(upstream) {
+            record.record_pause(span, now);
+        }
+    }
+
+    /// Returns the freshest reports of an upstream.
+    pub fn load_status(&self, upstream: &str) -> Option<LoadStatus> {
+        self.listed_index(upstream).map(|index| self.records[index].load_status())
+    }
+
+    /// Returns whether an upstream may be sent a health check.
+    pub fn accepts_checks(&self, upstream: &str, now: ClockTime) -> bool {
+        self.listed_index(upstream).is_none_or(|index| {
+            let record = &self.records[index];
+            !record.is_final_drain() && record.paused_for(now).is_none()
+        })
+    }
+
     /// Records that an upstream did not answer a probe in time.
     pub fn record_probe_timeout(&mut self, upstream: &str, now: ClockTime) {
         if let Some(record) = self.listed_mut(upstream) {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,7 +8,7 @@
 use world::prelude::*;
 
 use crate::notice::UpstreamNotice;
-use crate::outcome::{CallOutcome, CallResult, LoadReport};
+use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus};
 use crate::policy::ChoicePolicy;
 use crate::record::UpstreamRecord;
 use crate::refusal::NoUpstream;
@@ -200,6 +200,37 @@
         }
     }
 
+    /// Records that an incarnation of `upstream` drains until it ends. From now on it gets no calls.
+    /// Returns whether this is new. Unknown upstreams and other incarnations are ignored.
+    pub fn record_final_drain(&self, upstream: &str, incarnation: u64) -> bool {
+        let snapshot = self.snapshot.load();
+        let Some(entry) = snapshot.upstreams.get(upstream) else { return false };
+        entry.service.state.lock().record_final_drain(upstream, incarnation)
+    }
+
+    /// Records that `upstream` wants no requests from this VM for `span`. Unknown upstreams are
+    /// ignored.
+    pub fn record_pause(&self, upstream: &str, span: ClockSpan, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(upstream) {
+            entry.service.state.lock().record_pause(upstream, span, now);
+        }
+    }
+
+    /// Returns the freshest load report of `upstream` in the form in which a waiting call needs it.
+    pub fn load_status(&self, upstream: &str) -> Option<LoadStatus> {
+        let snapshot = self.snapshot.load();
+        let entry = snapshot.upstreams.get(upstream)?;
+        entry.service.state.lock().load_status(upstream)
+    }
+
+    /// Returns whether `upstream` may be sent a request of this VM's own, which it may not while it
+    /// drains for good or has asked for a pause. Unknown upstreams may.
+    pub fn accepts_checks(&self, upstream: &str, now: ClockTime) -> bool {
+        let snapshot = self.snapshot.load();
+        let entry = snapshot.upstreams.get(upstream);
+        entry.is_none_or(|entry| entry.service.state.lock().accepts_checks(upstream, now))
+    }
+
     /// Records that `upstream` did not answer a probe in time. This counts until data arrives
     /// directly from it again. Unknown upstreams are ignored.
     pub fn record_probe_timeout(&self, upstream: &str, now: ClockTime) {
@@ -279,6 +310,8 @@
     pub ejected: bool,
     /// Whether it gets no new calls because it is draining.
     pub draining: bool,
+    /// Whether it gets no new calls because it asked this VM for a pause.
+    pub paused: bool,
     /// Share of its normal calls that it may get, below 1.0 during its slow start.
     pub ramp: f64,
     /// Share of failures among recent outcomes, biased towards zero while there are few.
@@ -299,6 +332,7 @@
             own_in_flight: record.own_in_flight(),
             ejected: record.health.is_ejected(now),
             draining: record.is_draining(now, tuning),
+            paused: record.paused_for(now).is_some(),
             ramp: record.health.ramp(now, tuning),
             failure_rate: record.health.failure_rate(),
             latency_ms: record.latency_ms(),
--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -120,6 +120,7 @@
         fate,
         load: core.reported_load(),
         draining: plan.drain.is_some(),
+        final_drain: plan.final_drain,
         retry_after: plan.retry_after_ms.filter(|_| not_run).map(ClockSpan::from_millis),
     };
     D::set_answer_headers(headers, &reported);
@@ -336,6 +337,7 @@
     let deadline = facts.deadline;
     match core.admit(facts) {
         SlotAdmission::Started(guard) => Ok(guard),
+        SlotAdmission::Shed if core.plan().silent_when_full => std::future::pending().await,
         SlotAdmission::Shed => Err(RefusalReason::Shed),
         SlotAdmission::Queued(entry) => match entry.wait(deadline).await {
             Some(WaitOutcome::Started(guard)) => Ok(guard),
--- a/crates/stand/src/deliver.rs
+++ b/crates/stand/src/deliver.rs
@@ -4,13 +4,13 @@
 use std::fmt::Write;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 
 use crate::body::StandBody;
-use crate::fault::AnswerFault;
+use crate::fault::{AnswerFault, EndlessPart};
 use crate::script::{RawScript, ScriptEnd};
 
 /// The byte that [`AnswerFault::Extra`] sends after an answer. It cannot start another answer.
@@ -57,6 +57,7 @@
             let whole = Bytes::from(encode(answer, BodyFraming::Length, usize::MAX).await?);
             Err(RawScript::new(whole.clone(), ScriptEnd::Hold).then(whole))
         }
+        Some(AnswerFault::Endless { part }) => Err(endless(answer, part).await?),
         Some(AnswerFault::Truncated { bytes }) => {
             let part = encode(answer, BodyFraming::Length, bytes).await?;
             Err(RawScript::new(part, ScriptEnd::Close))
@@ -72,6 +73,42 @@
     }
 }
 
+/// Returns a script that sends an answer of which one part does not end.
+///
+/// # Errors
+///
+/// Returns a script that closes the connection if the body did not arrive whole.
+async fn endless(
+    mut answer: Response<StandBody>,
+    part: EndlessPart,
+) -> Result<RawScript, RawScript> {
+    if matches!(part, EndlessPart::ChunkLine | EndlessPart::Trailer) {
+        answer.headers_mut().insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
+    let framing = match part {
+        EndlessPart::Excess => BodyFraming::Length,
+        _ => BodyFraming::Connection,
+    };
+    let limit = if part == EndlessPart::Excess { usize::MAX } else { 0 };
+    let mut bytes = encode(answer, framing, limit).await?;
+    let (start, repeated): (&[u8], &'static [u8]) = match part {
+        EndlessPart::Head => {
+            // The empty line that ends the head.
+            bytes.truncate(bytes.len() - 2);
+            (b"x-endless: ", &[EXTRA_BYTE; 4096])
+        }
+        EndlessPart::Interim => {
+            bytes.clear();
+            (b"", b"HTTP/1.1 102 Processing\r\n\r\n")
+        }
+        EndlessPart::ChunkLine => (b"1;", &[EXTRA_BYTE; 4096]),
+        EndlessPart::Trailer => (b"0\r\nx-endless: ", &[EXTRA_BYTE; 4096]),
+        EndlessPart::Excess | EndlessPart::Body => (b"", &[EXTRA_BYTE; 4096]),
+    };
+    bytes.extend_from_slice(start);
+    Ok(RawScript::new(bytes, ScriptEnd::Repeat(repeated)))
+}
+
 /// Returns the status of a plan, or 500 if its number is not a valid status.
 pub(crate) fn planned_status(status: u16) -> StatusCode {
     StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/stand/src/dialect.rs
+++ b/crates/stand/src/dialect.rs
@@ -70,6 +70,8 @@
     pub load: Option<LoadSample>,
     /// Whether the upstream is draining.
     pub draining: bool,
+    /// Whether it reports that it drains until it ends.
+    pub final_drain: bool,
     /// The delay after which the caller may retry.
     pub retry_after: Option<ClockSpan>,
 }
--- a/crates/stand/src/fault.rs
+++ b/crates/stand/src/fault.rs
@@ -101,4 +101,28 @@
     },
     /// The answer has `connection: close`, and the connection is closed after it.
     Close,
+    /// Bytes follow without end until the other side closes the connection.
+    Endless {
+        /// The part of the answer that does not end.
+        part: EndlessPart,
+    },
+}
+
+/// The part of an answer that does not end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndlessPart {
+    /// The value of a header.
+    Head,
+    /// Interim answers before the final one.
+    Interim,
+    /// The line with the length of a chunk.
+    ChunkLine,
+    /// The value of a trailer field after the last chunk.
+    Trailer,
+    /// Bytes after a complete body.
+    Excess,
+    /// A body without a length.
+    Body,
 }
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -49,7 +49,7 @@
     pub use crate::counts::{BodyRecord, RequestRecord, UpstreamCounts};
     pub use crate::dialect::UpstreamDialect;
     pub use crate::error::StandError;
-    pub use crate::fault::{AnswerFault, FaultRule, FaultTarget};
+    pub use crate::fault::{AnswerFault, EndlessPart, FaultRule, FaultTarget};
     pub use crate::native::NativeDialect;
     pub use crate::plan::{
         ColdStart, DrainPlan, LoadAnswer, NoisePlan, UpstreamMode, UpstreamPlan,
--- a/crates/stand/src/plan.rs
+++ b/crates/stand/src/plan.rs
@@ -46,6 +46,12 @@
     pub cold: Option<ColdStart>,
     /// Present while the upstream is draining.
     pub drain: Option<DrainPlan>,
+    /// Whether answers report that the upstream drains until it ends, if the dialect has a header
+    /// for that.
+    pub final_drain: bool,
+    /// Whether a request that cannot be queued is never answered, and neither is any further one on
+    /// its connection. Otherwise it is shed.
+    pub silent_when_full: bool,
     /// What the load header and the load endpoint report.
     pub load: LoadAnswer,
     /// Whether cancellations of queued requests are confirmed. If not, the request stays queued.
@@ -99,6 +105,8 @@
             service: ServiceTime::Fixed { ms: 0.0 },
             cold: None,
             drain: None,
+            final_drain: false,
+            silent_when_full: false,
             load: LoadAnswer::Honest { lag_ms: 0 },
             confirm_cancel: true,
             noise: None,
--- a/crates/stand/src/script.rs
+++ b/crates/stand/src/script.rs
@@ -18,6 +18,8 @@
     Reset,
     /// It stays open without answers until the other side closes it.
     Hold,
+    /// These bytes are sent again and again until the other side closes it.
+    Repeat(&'static [u8]),
 }
 
 /// The bytes that are still sent on a connection, and its end. A request handler returns the script
@@ -63,6 +65,7 @@
                 // callers must handle too.
                 let _ = stream.set_zero_linger();
             }
+            ScriptEnd::Repeat(bytes) => while stream.write_all(bytes).await.is_ok() {},
             ScriptEnd::Hold => while receive(&mut stream).await.is_some() {},
         }
     }
--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -38,6 +38,10 @@
     UpstreamError,
     /// The upstream refused the call without running it.
     Shed,
+    /// The upstream, or every usable one, asked for a pause.
+    Paused,
+    /// The upstream reported that it drains until it ends.
+    UpstreamLeaves,
     /// The upstream sent something other than the answer to the call.
     ForeignAnswer,
     /// The answer ended early.
@@ -59,7 +63,7 @@
 
 impl CallCause {
     /// Every cause, in the order of the enum values.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::Answered,
         Self::NoRoute,
         Self::BadRequest,
@@ -74,6 +78,8 @@
         Self::Silent,
         Self::UpstreamError,
         Self::Shed,
+        Self::Paused,
+        Self::UpstreamLeaves,
         Self::ForeignAnswer,
         Self::Truncated,
         Self::Timeout,
@@ -168,6 +174,16 @@
                 "the upstream refused the call without running it",
                 "add upstreams, or find out what else occupies the upstream",
             ),
+            Self::Paused => (
+                "paused",
+                "the upstream asked for a pause and gets no requests of this VM meanwhile",
+                "find out why the upstream turned requests away, or add upstreams",
+            ),
+            Self::UpstreamLeaves => (
+                "upstream_leaves",
+                "the upstream leaves: it turned the call away and reported that it is about to end",
+                "no action is needed, unless no other upstream was usable; then add upstreams",
+            ),
             Self::ForeignAnswer => (
                 "foreign_answer",
                 "the upstream sent something other than the answer to this call",
--- a/crates/trace/src/explain.rs
+++ b/crates/trace/src/explain.rs
@@ -19,7 +19,7 @@
 /// State lines are shown from this long before a call. Section 10.2 of `docs/design.md`.
 const STATE_WINDOW_MICROS: u64 = 10_000_000;
 /// Events about the state of one upstream.
-const UPSTREAM_EVENTS: [u64; 7] = [1006, 1043, 1201, 1202, 1203, 1204, 1401];
+const UPSTREAM_EVENTS: [u64; 9] = [1006, 1043, 1201, 1202, 1203, 1204, 1205, 1206, 1401];
 /// Events about the state of the VM: configuration, pause, log, dependencies and claims.
 const VM_EVENTS: [u64; 7] = [1017, 1025, 1040, 1041, 1042, 1501, 1502];
 /// The event for refusals of a service.
--- a/crates/trial/tests/support/platform.rs
+++ b/crates/trial/tests/support/platform.rs
@@ -1,4 +1,5 @@
 //! A store stand-in, upstreams and one gateway with the interface of the users' platform.
+#![allow(dead_code)]
 
 use std::future::Future;
 use std::net::SocketAddr;
