Fetch versions, changes and the table at the start from peers, and split changes among datagrams

Cause: every VM read the configuration from the store at each new version, and the table of upstreams whenever a change did not fit into a datagram, and everything at its start. Each call has a price. VMs that start together draw a time for which they ask their peers first. Up to 16 datagrams carry the changes of one read, each of which applies by itself; a VM keeps the last 1,024 changed rows for those that missed some. Copies carry the upstreams that left, so that a VM that starts does not use them. They are encoded on request and not at each change of the environment.

--- a/crates/directory/src/config.rs
+++ b/crates/directory/src/config.rs
@@ -47,6 +47,11 @@
         self.current.as_ref()
     }
 
+    /// Returns the highest version that this VM or another one is known to have.
+    pub fn highest_version(&self) -> u64 {
+        self.highest_version
+    }
+
     /// Returns the current configuration in the encoding of the store, for peers.
     pub fn document(&self) -> Option<&Bytes> {
         self.document.as_ref()
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod environment;
 mod health;
+mod log;
 mod record;
 pub mod upstreams;
 
--- a/crates/directory/src/upstreams.rs
+++ b/crates/directory/src/upstreams.rs
@@ -11,6 +11,7 @@
 use crate::draining::{DrainMark, DrainingSet};
 use crate::entry::{EntryCodec, EntryError};
 use crate::health::StoreHealth;
+use crate::log::ChangeLog;
 use crate::record::{RowRecord, RowState};
 
 /// Parameters of the directory.
@@ -22,6 +23,9 @@
     /// The largest number of incarnations that are remembered as draining. The oldest ones are
     /// dropped first.
     pub draining_limit: usize,
+    /// The most changed rows that are kept for VMs that missed some of them. The oldest ones are
+    /// dropped first.
+    pub change_limit: usize,
     /// Whether a row that reports that its upstream is draining ends its use. Tests turn it off to
     /// show that a check detects this.
     pub honours_draining: bool,
@@ -34,6 +38,9 @@
             recovery_grace: ClockSpan::from_secs(2),
             // More than two incarnations of each of the 730 upstreams at the target scale.
             draining_limit: 2048,
+            // A release replaces the 730 upstreams of the target scale in more time than a VM needs
+            // to learn that it misses changes.
+            change_limit: 1024,
             honours_draining: true,
         }
     }
@@ -121,6 +128,7 @@
     position: Option<u64>,
     records: BTreeMap<SharedName, RowRecord>,
     draining: DrainingSet,
+    log: ChangeLog,
     health: StoreHealth,
 }
 
@@ -132,6 +140,7 @@
             position: None,
             records: BTreeMap::new(),
             draining: DrainingSet::new(tuning.draining_limit),
+            log: ChangeLog::new(tuning.change_limit),
             health: StoreHealth::default(),
         }
     }
@@ -162,6 +171,13 @@
         Some(RowPage { rows, position: self.position?, ..RowPage::default() })
     }
 
+    /// Returns the changes after `position`, for a VM that missed them, or `None` if they are no
+    /// longer known.
+    pub fn changes_since(&self, position: u64) -> Option<RowPage> {
+        let rows = self.log.since(position)?;
+        Some(RowPage { rows, position: self.position?, ..RowPage::default() })
+    }
+
     /// Applies a read of the whole table. Rows that are missing from it count as removed, unless
     /// they are newer than the read. A truncated page removes nothing, and the position stays.
     ///
@@ -182,7 +198,9 @@
         if known.is_none() {
             change.changed_rows.clear();
             change.transitions.clear();
+            self.log.restart(page.position);
         }
+        self.log.extend(&change.changed_rows);
         self.finish_update(now, &mut change);
         change
     }
@@ -231,6 +249,7 @@
             self.apply::<C>(row, known, now, &mut change);
         }
         self.position = Some(page.position);
+        self.log.extend(&change.changed_rows);
         self.finish_update(now, &mut change);
         Ok(change)
     }
--- a/crates/directory/tests/upstreams.rs
+++ b/crates/directory/tests/upstreams.rs
@@ -220,3 +220,66 @@
         assert_eq!(change.expect("no gap").transitions, Vec::from_iter(expected), "{}", case.name);
     }
 }
+
+struct ChangesCase {
+    name: &'static str,
+    after: u64,
+    /// The versions of the rows, or `None` if the changes are not known.
+    versions: Option<&'static [u64]>,
+}
+
+/// Guards against a VM that misses changes and gets only a part of them from a peer, and against a
+/// log of changes that grows without bound.
+#[test]
+fn changes_are_kept_for_vms_that_missed_them() {
+    let tuning = DirectoryTuning { change_limit: 3, ..DirectoryTuning::default() };
+    let mut directory = UpstreamDirectory::new(tuning);
+    assert_eq!(directory.changes_since(0), None, "nothing was read");
+    directory.replace::<TestCodec>(&page(10, vec![row("a:1@9")]), at(0));
+    let updates = [
+        (10, page(12, vec![row("b:1@11"), row("c:1@12")])),
+        (12, page(15, vec![row("b:2@14")])),
+        (15, page(18, vec![row("d:1@17")])),
+    ];
+    for (from, update) in updates {
+        directory.apply_changes::<TestCodec>(from, &update, at(1)).expect("no gap");
+    }
+    let case = |name, after, versions| ChangesCase { name, after, versions };
+    let cases = [
+        case("before the log", 10, None),
+        case("from its start", 11, Some(&[12, 14, 17][..])),
+        case("in the middle", 14, Some(&[17])),
+        case("between two versions", 13, Some(&[14, 17])),
+        case("up to date", 18, Some(&[])),
+    ];
+    for case in cases {
+        let changes = directory.changes_since(case.after);
+        let position = changes.as_ref().map(|page| page.position);
+        assert_eq!(position, case.versions.map(|_| 18), "{}", case.name);
+        let versions =
+            changes.map(|page| page.rows.iter().map(|row| row.version).collect::<Vec<_>>());
+        assert_eq!(versions.as_deref(), case.versions, "{}", case.name);
+    }
+}
+
+/// Guards against reports of upstreams that leave which fill the memory of a VM, and against a row
+/// that is replaced and so makes such an upstream usable.
+#[test]
+fn reports_of_leaving_upstreams_are_bounded_and_outlast_their_rows() {
+    let tuning = DirectoryTuning { draining_limit: 3, ..DirectoryTuning::default() };
+    let mut directory = UpstreamDirectory::new(tuning);
+    directory.replace::<TestCodec>(&page(10, vec![row("a:1@9")]), at(0));
+    assert!(directory.record_draining("a", 1, at(1)));
+    for (from, update) in [(10, "a:1@11"), (11, "a:1@12")] {
+        let update = page(from + 1, vec![row(update)]);
+        directory.apply_changes::<TestCodec>(from, &update, at(2)).expect("no gap");
+        assert_eq!(usable(&directory), "", "{from}");
+    }
+    let update = page(13, vec![row("a:2@13")]);
+    directory.apply_changes::<TestCodec>(12, &update, at(3)).expect("no gap");
+    assert_eq!(usable(&directory), "a", "a new incarnation");
+    for number in 0..10 {
+        directory.record_draining("x", number, at(4));
+    }
+    assert_eq!(directory.drain_marks().count(), 3);
+}
--- a/crates/gate/src/control.rs
+++ b/crates/gate/src/control.rs
@@ -142,7 +142,7 @@
     }
 
     fn document(&self, digest: &SharedName) -> Option<Bytes> {
-        self.peers.document(digest)
+        self.peers.document(digest, self.state.clock.now())
     }
 
     fn grant(&self, request: &GrantRequest) -> bool {
--- /dev/null
+++ b/crates/gate/src/directory_tables.rs
@@ -0,0 +1,60 @@
+//! What this VM has read from the store and from peers, and the copies of it that peers may fetch.
+
+use base::prelude::*;
+use bytes::Bytes;
+use directory::prelude::*;
+use peer::prelude::*;
+use store::prelude::*;
+
+/// What was read from the store and from peers.
+#[derive(Debug)]
+pub struct DirectoryTables {
+    /// The upstreams.
+    pub upstreams: UpstreamDirectory,
+    /// The configuration.
+    pub config: ConfigTracker,
+    /// The part of the environment that comes from the process settings.
+    pub bounds: FleetBounds,
+    /// When a peer last reported a read of the upstreams.
+    pub peer_read_at: Option<ClockTime>,
+    /// When the upstreams were last read, by this VM or a peer.
+    pub read_at: Option<ClockTime>,
+    /// The highest position of the upstreams that a peer has reported.
+    pub reported_position: u64,
+    /// The number of requests to the store that timed out, as of the last read of the upstreams.
+    pub timeout_count: u64,
+}
+
+impl DirectoryTables {
+    /// Returns whether a peer has reported changes of upstreams that this VM misses.
+    pub fn misses_changes(&self) -> bool {
+        self.upstreams.position() < Some(self.reported_position)
+    }
+
+    /// Returns what a peer asked for, if this VM has it.
+    pub fn copy(&self, name: CopyName, now: ClockTime) -> Option<Bytes> {
+        let (since, page, needed) = match name {
+            CopyName::Configuration { at_least } => {
+                let current = self.config.current()?;
+                return self.config.document().filter(|_| current.version >= at_least).cloned();
+            }
+            CopyName::Upstreams { at_least } => (None, self.upstreams.table()?, at_least),
+            CopyName::Changes { after, at_least } => {
+                (Some(after), self.upstreams.changes_since(after)?, at_least)
+            }
+        };
+        let RowPage { rows, position, .. } = page;
+        if position < needed {
+            return None;
+        }
+        let copy = TableCopy {
+            since,
+            position,
+            read_age_ms: now.since(self.read_at?).as_millis(),
+            rows: rows.into_iter().map(RowCopy::from).collect(),
+            drains: self.upstreams.drain_marks().cloned().collect(),
+        };
+        // Texts and numbers can always be serialised.
+        serde_json::to_vec(&copy).ok().map(Bytes::from)
+    }
+}
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -11,10 +11,11 @@
 use directory::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use self::core::{DirectoryTables, DiscoveryCore};
+use self::core::DiscoveryCore;
+use crate::directory_tables::DirectoryTables;
 use crate::exchange::{ExchangeOptions, VmExchange};
 use crate::mechanism::Mechanism;
 use crate::peers::PeerTable;
@@ -66,19 +67,25 @@
             config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
             peer_read_at: None,
+            read_at: None,
+            reported_position: 0,
             timeout_count: 0,
         };
+        let tables = Arc::new(RankedMutex::new(LockRank::PeerTable, tables));
+        peers.offer_tables(&tables);
         let rows = RowStore::<_, K>::new(store, state.clock);
         let core = Arc::new(DiscoveryCore {
             state: Arc::clone(state),
             rows,
-            tables: RankedMutex::new(LockRank::PeerTable, tables),
+            tables,
             exchange: VmExchange::bind(exchange, state.clock).await?,
             client,
-            peers,
             is_designated_reader: AtomicBool::new(false),
             config_wanted: Notify::new(),
+            config_refresh: AtomicBool::new(false),
             upstreams_wanted: Notify::new(),
+            upstreams_refresh: AtomicBool::new(false),
+            announced: watch::Sender::new(false),
         });
         let mut tasks = JoinSet::new();
         tasks.spawn(Arc::clone(&core).follow_config());
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -11,42 +11,43 @@
 use directory::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
+use crate::directory_tables::DirectoryTables;
 use crate::event;
 use crate::exchange::VmExchange;
-use crate::peers::PeerTable;
+use crate::mechanism::Mechanism;
 use crate::state::GateState;
 
-/// The name under which peers may read this VM's copy of the table of upstreams.
-pub(super) const UPSTREAM_COPY: &str = "upstreams";
-
-/// What was read from the store and from peers.
-#[derive(Debug)]
-pub(crate) struct DirectoryTables {
-    pub(super) upstreams: UpstreamDirectory,
-    pub(super) config: ConfigTracker,
-    pub(super) bounds: FleetBounds,
-    /// When a peer last reported a read of the upstreams.
-    pub(super) peer_read_at: Option<ClockTime>,
-    /// The number of requests to the store that timed out, as of the last read of the upstreams.
-    pub(super) timeout_count: u64,
-}
+/// The longest time for a request to a peer. A peer that is frozen or cut off must not delay a
+/// change, and a small VM that is alive answers within some tens of milliseconds.
+const COPY_TIMEOUT: ClockSpan = ClockSpan::from_millis(120);
+/// The longest time for which a VM that starts waits for the table of VMs. The store may be down or
+/// slow, and calls may arrive already.
+const PEERS_TIMEOUT: ClockSpan = ClockSpan::from_millis(100);
+/// The mean time between two requests of a VM that starts. What one VM has read then reaches many
+/// others, each of which answers in turn, within a few hundred milliseconds.
+const START_PAUSE: ClockSpan = ClockSpan::from_millis(60);
 
 /// The state that the tasks share.
 pub(crate) struct DiscoveryCore<K> {
     pub(super) state: Arc<GateState>,
     pub(super) rows: RowStore<RealClock, K>,
-    pub(super) tables: RankedMutex<DirectoryTables>,
+    pub(super) tables: Arc<RankedMutex<DirectoryTables>>,
     pub(super) exchange: VmExchange,
     pub(super) client: PeerClient,
-    pub(super) peers: Arc<PeerTable>,
     /// Whether this VM is the designated reader of the upstreams.
     pub(super) is_designated_reader: AtomicBool,
-    /// Wakes the task that follows the configuration, to read it now.
+    /// Wakes the task that follows the configuration, to get a newer one.
     pub(super) config_wanted: Notify,
-    /// Wakes the task that follows the upstreams, to read them now.
+    /// Whether the configuration is to be read from the store.
+    pub(super) config_refresh: AtomicBool,
+    /// Wakes the task that follows the upstreams, to get changes.
     pub(super) upstreams_wanted: Notify,
+    /// Whether the upstreams are to be read from the store.
+    pub(super) upstreams_refresh: AtomicBool,
+    /// Whether this VM has read the table of VMs, or has failed to.
+    pub(super) announced: watch::Sender<bool>,
 }
 
 impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
@@ -66,22 +67,20 @@
         let outdated = self.tables.lock().config.is_outdated();
         self.state.config_outdated.store(outdated, Ordering::Release);
         self.state.apply(environment);
-        self.offer_upstreams();
     }
 
-    /// Offers the table of upstreams to peers that cannot read it from the store.
-    fn offer_upstreams(&self) {
-        let copy = self.tables.lock().upstreams.table().map(TableCopy::from_page);
-        if let Some(bytes) = copy.and_then(|copy| serde_json::to_vec(&copy).ok()) {
-            self.peers.set_copy(UPSTREAM_COPY, Bytes::from(bytes));
-        }
+    /// Requests reads of the configuration and the upstreams from the store, because the current
+    /// ones may be outdated although no peer has reported newer ones.
+    pub(super) fn refresh(&self) {
+        self.refresh_config();
+        self.upstreams_refresh.store(true, Ordering::Relaxed);
+        self.upstreams_wanted.notify_one();
     }
 
-    /// Requests reads of the configuration and the upstreams, because the current ones may be
-    /// outdated.
-    pub(super) fn refresh(&self) {
+    /// Requests a read of the configuration from the store.
+    pub(super) fn refresh_config(&self) {
+        self.config_refresh.store(true, Ordering::Relaxed);
         self.config_wanted.notify_one();
-        self.upstreams_wanted.notify_one();
     }
 
     /// Records that a peer has a version of the configuration, and requests a read if that of this
@@ -99,18 +98,45 @@
         }
     }
 
-    /// Reads the named copy from a random peer.
-    pub(super) async fn fetch_copy(&self, name: &str) -> Option<Bytes> {
-        let peers = self.exchange.control_addresses();
-        let address = *peers.get(rand::random_range(0..peers.len().max(1)))?;
-        match self.client.document(address, &SharedName::from(name)).await {
-            Ok(copy) => Some(copy),
-            Err(error) => {
-                tracing::debug!(event = event::EXCHANGE_FAILED, %error);
-                None
+    /// Fetches a copy from a peer, of this data centre if possible. Returns `None` if none of those
+    /// that are asked has it.
+    pub(super) async fn fetch_copy(&self, name: CopyName) -> Option<Bytes> {
+        let name = SharedName::from(name.to_string());
+        let peers = self.exchange.membership.lock().peers_to_ask();
+        for address in peers {
+            let call = self.client.document(address, &name);
+            match tokio::time::timeout(COPY_TIMEOUT.to_duration(), call).await {
+                Ok(Ok(copy)) => return Some(copy),
+                Ok(Err(error)) => tracing::debug!(event = event::EXCHANGE_FAILED, %error),
+                Err(_) => tracing::debug!(event = event::EXCHANGE_FAILED, %address, "no answer"),
             }
         }
+        None
     }
+
+    /// Returns whether a peer has a configuration, so that it may have what a VM needs at its start.
+    pub(super) fn has_started_peer(&self) -> bool {
+        self.tables.lock().config.highest_version() > 0
+    }
+
+    /// Waits until this VM knows its peers, as far as the store tells. Returns until when it asks
+    /// them for what it needs before it reads the store.
+    pub(super) async fn wait_for_peers(&self) -> ClockTime {
+        if !self.state.options.tuning.uses(Mechanism::PeerConfig) {
+            return ClockTime::ZERO;
+        }
+        let mut announced = self.announced.subscribe();
+        let waiting = announced.wait_for(|announced| *announced);
+        // If the time is over, this VM knows no peer and reads the store.
+        let _ = tokio::time::timeout(PEERS_TIMEOUT.to_duration(), waiting).await;
+        self.state.clock.now() + self.exchange.membership.lock().draw_start_delay()
+    }
+}
+
+/// Waits between two requests of a VM that starts.
+pub(super) async fn pause_at_start() {
+    let pause = START_PAUSE.scaled(0.5 + rand::random::<f64>());
+    tokio::time::sleep(pause.to_duration()).await;
 }
 
 /// Logs a read of a table.
--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -34,9 +34,11 @@
         loop {
             while let Err(error) = self.announce_once().await {
                 tracing::debug!(event = event::STORE_READ_FAILED, %error);
+                self.announced.send_replace(true);
                 let pause = ANNOUNCE_PAUSE.scaled(0.5 + rand::random::<f64>());
                 tokio::time::sleep(pause.to_duration()).await;
             }
+            self.announced.send_replace(true);
             self.exchange.announce_wanted.notified().await;
         }
     }
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -12,7 +12,7 @@
 use peer::prelude::*;
 use store::prelude::*;
 
-use super::core::{DiscoveryCore, UPSTREAM_COPY, log_read};
+use super::core::{DiscoveryCore, log_read, pause_at_start};
 use crate::event;
 use crate::exchange::READ_POLL_LIMIT;
 use crate::mechanism::Mechanism;
@@ -25,6 +25,8 @@
 /// calls after 2 s.
 const GAP_PAUSE: ClockSpan = ClockSpan::from_millis(300);
 
+/// The mean time for which a VM that misses changes waits for datagrams that are on their way.
+const REORDER_PAUSE: ClockSpan = ClockSpan::from_millis(10);
 /// For this long, a read of the upstreams by a peer shows that the store works. Twice the time
 /// between two reads of the designated reader.
 const PEER_READ_VALIDITY: ClockSpan = ClockSpan::from_millis(1400);
@@ -43,6 +45,13 @@
 impl<K: EntryCodec + RowCodec> DiscoveryCore<K> {
     /// Keeps the table of upstreams up to date until it is dropped.
     pub(super) async fn follow_upstreams(self: Arc<Self>) {
+        let until = self.wait_for_peers().await;
+        while self.state.clock.now() < until {
+            if self.has_started_peer() && self.fetch_upstreams(true).await {
+                break;
+            }
+            pause_at_start().await;
+        }
         loop {
             self.wait_for_read().await;
             if self.expire_missing() {
@@ -80,7 +89,7 @@
             if !followed_config {
                 // The VM that followed the configuration until now may have failed before it
                 // reported a new version.
-                self.config_wanted.notify_one();
+                self.refresh_config();
             }
             poll_limit = READ_POLL_LIMIT;
             tokio::time::sleep(READ_PAUSE.to_duration()).await;
@@ -97,10 +106,7 @@
         tokio::select! {
             () = tokio::time::sleep_until(until) => {}
             () = self.upstreams_wanted.notified() => {
-                if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
-                    self.record_gap_failure(&error);
-                    self.fetch_upstreams().await;
-                }
+                self.close_gap().await;
                 // VMs that start together send many datagrams that reveal the same gap.
                 let pause = GAP_PAUSE.scaled(0.5 + rand::random::<f64>());
                 tokio::time::sleep(pause.to_duration()).await;
@@ -108,6 +114,27 @@
         }
     }
 
+    /// Gets the changes that this VM misses: from a peer, or else from the store. Reads the store if
+    /// no peer has reported changes, because this VM was paused.
+    async fn close_gap(&self) {
+        let misses_changes = || self.tables.lock().misses_changes();
+        let refresh = self.upstreams_refresh.swap(false, Ordering::Relaxed);
+        if self.state.options.tuning.uses(Mechanism::PeerConfig) && !refresh {
+            // Datagrams that arrive out of order close the gap by themselves.
+            let pause = REORDER_PAUSE.scaled(0.5 + rand::random::<f64>());
+            tokio::time::sleep(pause.to_duration()).await;
+            if !misses_changes() || self.fetch_changes().await {
+                return;
+            }
+        }
+        if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
+            self.record_gap_failure(&error);
+            if !self.fetch_changes().await {
+                self.fetch_upstreams(false).await;
+            }
+        }
+    }
+
     /// Reads the upstreams from the store and applies the changes. Depending on `purpose`, sends
     /// them to the peers as well.
     async fn read_upstreams(&self, purpose: ReadPurpose) -> Result<(), StoreError> {
@@ -153,6 +180,7 @@
         let made_at = if poll_limit == ClockSpan::ZERO { asked } else { now };
         self.log_changes(&change, "store", now.since(made_at), page.position);
         self.exchange.record_read(page.position, made_at);
+        self.tables.lock().read_at = Some(made_at);
         if change.upstreams_changed || known.is_none() {
             self.apply();
         }
@@ -180,6 +208,8 @@
         let applied = {
             let mut tables = self.tables.lock();
             tables.peer_read_at = Some(now);
+            tables.read_at = tables.read_at.max(Some(now - age));
+            tables.reported_position = tables.reported_position.max(page.position);
             tables.upstreams.apply_peer_changes::<K>(from, page, complete, now)
         };
         let Ok(change) = applied else {
@@ -276,22 +306,69 @@
         }
     }
 
-    /// Reads the table of upstreams from a peer, and applies it if it is newer than that of this
-    /// VM.
-    async fn fetch_upstreams(&self) {
-        let Some(bytes) = self.fetch_copy(UPSTREAM_COPY).await else { return };
-        let Ok(copy) = serde_json::from_slice::<TableCopy>(&bytes) else { return };
-        let page = copy.into_page();
+    /// Fetches the changes that this VM misses from a peer. Returns whether this VM then has all
+    /// changes that it knows of.
+    async fn fetch_changes(&self) -> bool {
+        let (known, at_least) = {
+            let tables = self.tables.lock();
+            (tables.upstreams.position(), tables.reported_position)
+        };
+        let Some(after) = known else { return false };
+        self.fetch_table(CopyName::Changes { after, at_least }, true).await
+    }
+
+    /// Fetches the table of upstreams from a peer. With `recent`, the peer must know of a recent
+    /// read of the store. Returns whether this VM then has all changes that it knows of.
+    async fn fetch_upstreams(&self, recent: bool) -> bool {
+        let at_least = self.tables.lock().reported_position;
+        self.fetch_table(CopyName::Upstreams { at_least }, recent).await
+    }
+
+    async fn fetch_table(&self, name: CopyName, recent: bool) -> bool {
+        let Some(copy) = self.fetch_copy(name).await else { return false };
+        let copy = match serde_json::from_slice::<TableCopy>(&copy) {
+            Ok(copy) => copy,
+            Err(error) => {
+                tracing::debug!(event = event::EXCHANGE_FAILED, %error);
+                return false;
+            }
+        };
+        let age = ClockSpan::from_millis(copy.read_age_ms);
+        if recent && age > PEER_READ_VALIDITY {
+            return false;
+        }
+        self.apply_copy(copy, age);
+        !self.tables.lock().misses_changes()
+    }
+
+    /// Applies what a peer has read `age` ago.
+    fn apply_copy(&self, mut copy: TableCopy, age: ClockSpan) {
         let now = self.state.clock.now();
-        let change = {
-            let upstreams = &mut self.tables.lock().upstreams;
-            if upstreams.position() >= Some(page.position) {
+        let (since, drains) = (copy.since, std::mem::take(&mut copy.drains));
+        let page = copy.into_page();
+        let (change, is_first) = {
+            let mut tables = self.tables.lock();
+            for mark in &drains {
+                // The environment is applied below.
+                let _ = tables.upstreams.record_draining(&mark.upstream, mark.incarnation, now);
+            }
+            let upstreams = &mut tables.upstreams;
+            let known = upstreams.position();
+            if known >= Some(page.position) {
                 return;
             }
-            upstreams.replace::<K>(&page, now)
+            let change = match since {
+                Some(since) => upstreams.apply_changes::<K>(since, &page, now).unwrap_or_default(),
+                None => upstreams.replace::<K>(&page, now),
+            };
+            tables.read_at = tables.read_at.max(Some(now - age));
+            (change, known.is_none())
         };
-        self.log_changes(&change, "peer", ClockSpan::ZERO, page.position);
-        self.apply();
+        self.log_changes(&change, "peer", age, page.position);
+        self.exchange.record_read(page.position, now - age);
+        if change.upstreams_changed || is_first || !drains.is_empty() {
+            self.apply();
+        }
     }
 }
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -168,10 +168,4 @@
         let config_version = self.config_version.load(Ordering::Relaxed);
         PeerMessage::Hello(HelloMessage { entry, leaving, answer_wanted, config_version })
     }
-
-    /// Returns the control addresses of the VMs that are not lost.
-    pub(crate) fn control_addresses(&self) -> Vec<SocketAddr> {
-        let membership = self.membership.lock();
-        membership.live_entries().map(|entry| entry.control_address).collect()
-    }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod count;
 pub mod crash;
 pub mod dependency;
+pub mod directory_tables;
 pub mod discovery;
 pub mod dispatch;
 pub mod drains;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,6 +1,5 @@
 //! The known peers of this VM, and the documents and tables that they may read from it.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
@@ -12,6 +11,8 @@
 use store::prelude::*;
 use suspect::prelude::*;
 
+use crate::directory_tables::DirectoryTables;
+
 /// The most contacts in one message besides that of the sender.
 const CONTACT_LIMIT: usize = 3;
 /// A peer that is not on the membership list is used for this long after its last contact. Twice
@@ -66,8 +67,8 @@
     own_address: OnceLock<SocketAddr>,
     addresses: ArcSwap<Vec<PeerAddress>>,
     document: ArcSwapOption<ActiveDocument>,
-    /// Copies of tables and documents that peers may read, by name.
-    copies: ArcSwap<HashMap<SharedName, Bytes>>,
+    /// What this VM has read from the store, if it follows the store's tables.
+    tables: OnceLock<Arc<RankedMutex<DirectoryTables>>>,
 }
 
 impl PeerTable {
@@ -78,7 +79,7 @@
             own_address: OnceLock::new(),
             addresses: ArcSwap::default(),
             document: ArcSwapOption::default(),
-            copies: ArcSwap::default(),
+            tables: OnceLock::new(),
         }
     }
 
@@ -191,19 +192,16 @@
         self.addresses.load().iter().map(|peer| peer.address).collect()
     }
 
-    /// Stores a copy that peers may read by its name.
-    pub(crate) fn set_copy(&self, name: &str, bytes: Bytes) {
-        self.copies.rcu(|copies| {
-            let mut copies = HashMap::clone(copies);
-            copies.insert(SharedName::from(name), bytes.clone());
-            copies
-        });
+    /// Lets peers fetch copies of what this VM has read from the store.
+    pub(crate) fn offer_tables(&self, tables: &Arc<RankedMutex<DirectoryTables>>) {
+        // Set once, when the VM starts to follow the store.
+        let _ = self.tables.set(Arc::clone(tables));
     }
 
     /// Returns the copy with the given name, or the applied document if it has that digest.
-    pub(crate) fn document(&self, digest: &str) -> Option<Bytes> {
-        if let Some(copy) = self.copies.load().get(digest) {
-            return Some(copy.clone());
+    pub(crate) fn document(&self, digest: &str, now: ClockTime) -> Option<Bytes> {
+        if let Ok(name) = digest.parse() {
+            return self.tables.get()?.lock().copy(name, now);
         }
         let active = self.document.load();
         let active = active.as_ref().filter(|active| active.id.digest == *digest)?;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -294,6 +294,34 @@
         self.vms.values().filter(|vm| !vm.lost).map(|vm| &vm.entry)
     }
 
+    /// Returns the control addresses of two live VMs, drawn at random, to ask them for what they
+    /// know: first one of this data centre, because its answer crosses no link between data centres,
+    /// and then any other, because no VM of this one may know more.
+    pub fn peers_to_ask(&mut self) -> Vec<SocketAddr> {
+        let centre = &self.own.vm.centre;
+        let live = self.vms.values().filter(|vm| vm.is_in_service());
+        let (mut near, far): (Vec<_>, Vec<_>) =
+            live.map(|vm| &vm.entry).partition(|entry| entry.vm.centre == *centre);
+        let first = draw(&mut near, &mut self.random);
+        near.extend(far);
+        let second = draw(&mut near, &mut self.random);
+        first.into_iter().chain(second).map(|entry| entry.control_address).collect()
+    }
+
+    /// Draws the time for which this VM, which has just started, asks its peers for what it needs
+    /// before it reads the store. The mean grows with the number of VMs, so that of many that start
+    /// together about ten read in a second, and the others learn from those.
+    pub fn draw_start_delay(&mut self) -> ClockSpan {
+        let vms = self.live_entries().count();
+        if vms == 0 {
+            return ClockSpan::ZERO;
+        }
+        let MembershipTuning { start_spacing, start_delay_step, start_delay_max, .. } = self.tuning;
+        let mean = start_spacing.scaled(vms as f64).as_millis_f64();
+        let longest = start_delay_step.scaled(vms as f64).min(start_delay_max);
+        ClockSpan::from_millis_f64(self.random.exponential(mean)).min(longest)
+    }
+
     /// Returns the addresses of the VMs to which this one passes broadcasts on. Lost VMs are not
     /// chosen as neighbours, so that the VMs after them on the rings still get broadcasts.
     pub fn neighbours(&mut self, now: ClockTime) -> Vec<SocketAddr> {
@@ -431,11 +459,7 @@
     fn is_first_of_centre(&self) -> bool {
         let VmIdentity { name, centre, .. } = &self.own.vm;
         let is_earlier = |(other, vm): (&SharedName, &MemberState)| {
-            other < name
-                && vm.entry.vm.centre == *centre
-                && !vm.shutting_down
-                && !vm.lost
-                && vm.last_contact.is_some()
+            other < name && vm.entry.vm.centre == *centre && vm.is_in_service()
         };
         !self.vms.iter().any(is_earlier)
     }
@@ -484,3 +508,9 @@
         }
     }
 }
+
+/// Removes an element at random.
+fn draw<T>(elements: &mut Vec<T>, random: &mut RandomSource) -> Option<T> {
+    let index = (random.unit() * elements.len() as f64) as usize;
+    (index < elements.len()).then(|| elements.swap_remove(index))
+}
--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -115,6 +115,15 @@
     pub forget_after: ClockSpan,
     /// Most VMs in the table; the one with the longest silence is removed first.
     pub max_vms: usize,
+    /// This duration times the number of known VMs is the mean time for which a VM that starts asks
+    /// its peers before it reads the store.
+    pub start_spacing: ClockSpan,
+    /// The longest such time is this duration for each known VM, which is about the time in which
+    /// what one VM has read reaches the others, and `start_delay_max` at most. A VM that starts
+    /// serves no calls meanwhile.
+    pub start_delay_step: ClockSpan,
+    /// The longest such time, whatever the number of VMs.
+    pub start_delay_max: ClockSpan,
     /// Parameters of the reads of the table of upstreams.
     pub read: ReadTuning,
 }
@@ -139,7 +148,10 @@
             raise_window: ClockSpan::from_secs(10),
             hello_batch: 32,
             forget_after: ClockSpan::from_secs(2 * 3600),
-            max_vms: 512,
+            max_vms: 2048,
+            start_spacing: ClockSpan::from_millis(100),
+            start_delay_step: ClockSpan::from_millis(6),
+            start_delay_max: ClockSpan::from_millis(1200),
             read: ReadTuning::default(),
         }
     }
--- a/crates/member/src/vm.rs
+++ b/crates/member/src/vm.rs
@@ -52,6 +52,11 @@
         now.since(self.last_contact.unwrap_or(self.added_at))
     }
 
+    /// Returns whether the VM was heard of, is not lost and is not shutting down.
+    pub(crate) fn is_in_service(&self) -> bool {
+        !self.lost && !self.shutting_down && self.last_contact.is_some()
+    }
+
     pub(crate) fn is_given_up(&self, tuning: &MembershipTuning, now: ClockTime) -> bool {
         !self.shutting_down
             && self.unanswered > 0
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -112,7 +112,7 @@
     }
 
     /// Splits a message into parts that are sent as one datagram each. Long lists are divided, and
-    /// a directory message that does not fit into a datagram is sent without its rows.
+    /// a directory message with very many rows, or a very long one, is sent without its rows.
     pub fn parts<'a>(&self, envelope: &'a PeerEnvelope) -> Cow<'a, [PeerEnvelope]> {
         split::parts(envelope, DATAGRAM_BYTES - HEAD_BYTES)
     }
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -5,6 +5,7 @@
 
 use postcard::ser_flavors::Size;
 use serde::Serialize;
+use store::prelude::TableRow;
 use suspect::prelude::SuspectNotice;
 
 use super::message::{
@@ -16,6 +17,10 @@
 /// datagram: one byte up to 127 entries, two bytes up to 16,383.
 const LENGTH_GROWTH: usize = 1;
 
+/// The most messages among which changes are divided. More changes cost less if each VM that misses
+/// them fetches them from a peer.
+const MAX_DIRECTORY_PARTS: usize = 16;
+
 /// Returns the envelope itself if it has at most `limit` bytes, otherwise its parts.
 pub(super) fn parts(envelope: &PeerEnvelope, limit: usize) -> Cow<'_, [PeerEnvelope]> {
     if encoded_size(envelope) <= limit {
@@ -35,7 +40,19 @@
         PeerMessage::Hello(_) | PeerMessage::Outdated(_) | PeerMessage::Config(_) => {
             vec![envelope.message.clone()]
         }
-        PeerMessage::Directory(directory) => vec![without_rows(directory)],
+        PeerMessage::Directory(directory) => {
+            // Numbers of the parts take as many bytes as any number can.
+            let longest = DirectoryMessage {
+                from: u64::MAX,
+                position: u64::MAX,
+                age_ms: u32::MAX,
+                ..directory_part(directory, 0, 0, Vec::new())
+            };
+            let capacity = capacity(PeerMessage::Directory(longest));
+            let parts = split_directory(directory, capacity);
+            let parts = parts.unwrap_or_else(|| vec![without_rows(directory)]);
+            parts.into_iter().map(PeerMessage::Directory).collect()
+        }
         PeerMessage::Load(load) => {
             let capacity = capacity(PeerMessage::Load(LoadMessage::default()));
             let lists = chunks(load.samples.iter().cloned(), capacity);
@@ -61,17 +78,62 @@
     messages.into_iter().map(wrap).collect()
 }
 
-fn without_rows(directory: &DirectoryMessage) -> PeerMessage {
-    let DirectoryMessage { from, position, age_ms, config_version, .. } = *directory;
-    let rows = Vec::new();
-    PeerMessage::Directory(DirectoryMessage {
-        from,
-        position,
-        age_ms,
+fn without_rows(directory: &DirectoryMessage) -> DirectoryMessage {
+    let DirectoryMessage { from, position, .. } = *directory;
+    let part = directory_part(directory, from, position, Vec::new());
+    DirectoryMessage { rows_omitted: true, ..part }
+}
+
+/// Returns a message with the changes between two positions.
+fn directory_part(
+    directory: &DirectoryMessage,
+    from: u64,
+    position: u64,
+    rows: Vec<TableRow>,
+) -> DirectoryMessage {
+    let DirectoryMessage { age_ms, config_version, .. } = *directory;
+    DirectoryMessage { from, position, age_ms, rows, rows_omitted: false, config_version }
+}
+
+/// Divides the changes among messages, each of which starts at the position at which the one before
+/// ends, so that a receiver can apply each of them as it arrives. Rows of one version stay together.
+/// Returns `None` if there would be too many messages, or one with more than `capacity` bytes of
+/// rows.
+fn split_directory(directory: &DirectoryMessage, capacity: usize) -> Option<Vec<DirectoryMessage>> {
+    let mut rows = directory.rows.clone();
+    rows.sort_by_key(|row| row.version);
+    let mut parts = Vec::new();
+    let (mut from, mut list, mut used) = (directory.from, Vec::new(), 0_usize);
+    for group in rows.chunk_by(|first, second| first.version == second.version) {
+        let size: usize = group.iter().map(row_size).sum();
+        if size > capacity || group[0].version > directory.position {
+            return None;
+        }
+        if used + size > capacity {
+            let position = list.last().map_or(from, |row: &TableRow| row.version).max(from);
+            parts.push(directory_part(directory, from, position, mem::take(&mut list)));
+            (from, used) = (position, 0);
+        }
+        list.extend_from_slice(group);
+        used += size;
+    }
+    parts.push(directory_part(directory, from, directory.position, list));
+    (parts.len() <= MAX_DIRECTORY_PARTS).then_some(parts)
+}
+
+/// Returns the bytes that a row takes in a message.
+fn row_size(row: &TableRow) -> usize {
+    let rows = vec![row.clone()];
+    let message = DirectoryMessage {
+        from: 0,
+        position: 0,
+        age_ms: 0,
         rows,
-        rows_omitted: true,
-        config_version,
-    })
+        rows_omitted: false,
+        config_version: 0,
+    };
+    let empty = DirectoryMessage { rows: Vec::new(), ..message.clone() };
+    encoded_size(&message).saturating_sub(encoded_size(&empty))
 }
 
 /// Divides the crashes of a notice that does not fit into a message among several notices.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,7 +23,8 @@
         LoadMessage, LoadSample, LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
     };
     pub use crate::message::{
-        ExchangeNotice, GrantRequest, GrantResult, PeerContact, RowCopy, StatusReport, TableCopy,
+        CopyName, ExchangeNotice, GrantRequest, GrantResult, PeerContact, RowCopy, StatusReport,
+        TableCopy, UnknownCopy,
     };
     pub use crate::secret::{ControlRole, LiveSecrets, SecretTable};
     pub use crate::server::{ControlHandler, ControlServer};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,11 +1,16 @@
 //! Methods of the control listener, with their parameters and results.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use base::prelude::*;
+use bytes::Bytes;
 use config::prelude::*;
+use directory::prelude::DrainMark;
 use route::prelude::*;
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 use store::prelude::{RowPage, TableRow};
 use suspect::prelude::*;
 use world::prelude::*;
@@ -96,14 +101,74 @@
     pub calls: u64,
 }
 
-/// A table of the platform's store as a VM has it, for peers that cannot read the store.
+/// What a VM can fetch from a peer instead of the platform's store. Its text is the digest in a
+/// request for a document.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CopyName {
+    /// The configuration.
+    Configuration {
+        /// The lowest version that is of use.
+        at_least: u64,
+    },
+    /// The whole table of upstreams.
+    Upstreams {
+        /// The lowest position that is of use.
+        at_least: u64,
+    },
+    /// The changes of the table of upstreams.
+    Changes {
+        /// The position after which they are needed.
+        after: u64,
+        /// The lowest position that is of use.
+        at_least: u64,
+    },
+}
+
+impl fmt::Display for CopyName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Configuration { at_least } => write!(formatter, "configuration:{at_least}"),
+            Self::Upstreams { at_least } => write!(formatter, "upstreams:{at_least}"),
+            Self::Changes { after, at_least } => write!(formatter, "changes:{after}:{at_least}"),
+        }
+    }
+}
+
+/// Error: a text is not the name of a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("not the name of a copy; use the digest of a document instead"))]
+pub struct UnknownCopy;
+
+impl FromStr for CopyName {
+    type Err = UnknownCopy;
+
+    fn from_str(text: &str) -> Result<Self, UnknownCopy> {
+        let mut parts = text.split(':');
+        let kind = parts.next();
+        let numbers: Result<Vec<u64>, _> = parts.map(str::parse).collect();
+        match (kind, numbers.as_deref()) {
+            (Some("configuration"), Ok(&[at_least])) => Ok(Self::Configuration { at_least }),
+            (Some("upstreams"), Ok(&[at_least])) => Ok(Self::Upstreams { at_least }),
+            (Some("changes"), Ok(&[after, at_least])) => Ok(Self::Changes { after, at_least }),
+            _ => Err(UnknownCopy),
+        }
+    }
+}
+
+/// The table of upstreams as a VM has it, or its changes, for peers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct TableCopy {
+    /// The position after which the rows are changes, or `None` for the whole table.
+    pub since: Option<u64>,
     /// The position in the table's history after which to read changes.
     pub position: u64,
+    /// The time since the last read of the store that the VM knows of, in milliseconds.
+    pub read_age_ms: u64,
     /// The rows.
     pub rows: Vec<RowCopy>,
+    /// Upstreams that reported that they leave, which the rows do not show.
+    pub drains: Vec<DrainMark>,
 }
 
 /// A row of a [`TableCopy`].
@@ -114,26 +179,25 @@
     pub key: SharedName,
     /// The version.
     pub version: u64,
-    /// The value.
-    pub value: Vec<u8>,
+    /// The value, or `None` if the row was removed. A value that is no text names no upstream and is
+    /// sent as an empty one, which does not either.
+    pub value: Option<String>,
 }
 
-impl TableCopy {
-    /// Returns the copy of a whole table.
-    pub fn from_page(page: RowPage) -> Self {
-        let copy = |row: TableRow| {
-            let value = row.value?.to_vec();
-            Some(RowCopy { key: row.key, version: row.version, value })
-        };
-        Self { position: page.position, rows: page.rows.into_iter().filter_map(copy).collect() }
+impl From<TableRow> for RowCopy {
+    fn from(row: TableRow) -> Self {
+        let text = |value: Bytes| String::from_utf8(value.into()).unwrap_or_default();
+        Self { key: row.key, version: row.version, value: row.value.map(text) }
     }
+}
 
-    /// Returns the table.
+impl TableCopy {
+    /// Returns the rows as a page of the table.
     pub fn into_page(self) -> RowPage {
         let row = |copy: RowCopy| TableRow {
             key: copy.key,
             version: copy.version,
-            value: Some(copy.value.into()),
+            value: copy.value.map(Bytes::from),
         };
         let rows = self.rows.into_iter().map(row).collect();
         RowPage { rows, position: self.position, ..RowPage::default() }
