Apply reports of leaving upstreams from a copy that is not newer

Cause: the marks were recorded, but the environment was built again only if the rows changed, so that a VM with the newest rows kept using the upstream. Found by reading; covered by the path of record_drains, which the datagrams use.

--- a/crates/base/src/pause.rs
+++ b/crates/base/src/pause.rs
@@ -29,8 +29,8 @@
 
     /// Records a tick and returns the length of the pause before it, if it exceeds the limit.
     ///
-    /// `now` is the time of the monotonic clock, which continues while the process is frozen, and
-    /// `boot` that of [`BootClock`], which also continues while the machine is suspended.
+    /// `now` is the time of a clock that continues while the process is frozen, and `boot` that of
+    /// [`BootClock`](crate::clock::BootClock), which also continues while the machine is suspended.
     pub fn observe(&mut self, now: ClockTime, boot: ClockSpan) -> Option<ClockSpan> {
         let (last_now, last_boot) = self.last.replace((now, boot))?;
         let running = now.since(last_now);
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -346,12 +346,9 @@
         let now = self.state.clock.now();
         let (since, drains) = (copy.since, std::mem::take(&mut copy.drains));
         let page = copy.into_page();
+        self.record_drains(&drains, "peer");
         let (change, is_first) = {
             let mut tables = self.tables.lock();
-            for mark in &drains {
-                // The environment is applied below.
-                let _ = tables.upstreams.record_draining(&mark.upstream, mark.incarnation, now);
-            }
             let upstreams = &mut tables.upstreams;
             let known = upstreams.position();
             if known >= Some(page.position) {
@@ -366,7 +363,7 @@
         };
         self.log_changes(&change, "peer", age, page.position);
         self.exchange.record_read(page.position, now - age);
-        if change.upstreams_changed || is_first || !drains.is_empty() {
+        if change.upstreams_changed || is_first {
             self.apply();
         }
     }
