Give up no call whose body cannot be sent again, and encode copies without the lock

Cause: an attempt that was taken for dropped ended with 502 if its body was passed on while it arrived, because no second copy exists. Found by reading; the test was not run without the change. The copy of the tables for a peer was encoded while the lock of the tables was held.

--- a/crates/gate/src/directory_tables.rs
+++ b/crates/gate/src/directory_tables.rs
@@ -32,11 +32,12 @@
     }
 
     /// Returns what a peer asked for, if this VM has it.
-    pub fn copy(&self, name: CopyName, now: ClockTime) -> Option<Bytes> {
+    pub fn copy(&self, name: CopyName, now: ClockTime) -> Option<TablesCopy> {
         let (since, page, needed) = match name {
             CopyName::Configuration { at_least } => {
                 let current = self.config.current()?;
-                return self.config.document().filter(|_| current.version >= at_least).cloned();
+                let document = self.config.document().filter(|_| current.version >= at_least);
+                return document.cloned().map(TablesCopy::Configuration);
             }
             CopyName::Upstreams { at_least } => (None, self.upstreams.table()?, at_least),
             CopyName::Changes { after, at_least } => {
@@ -47,12 +48,41 @@
         if position < needed {
             return None;
         }
-        let copy = TableCopy {
-            since,
-            position,
-            read_age_ms: now.since(self.read_at?).as_millis(),
-            rows: rows.into_iter().map(RowCopy::from).collect(),
-            drains: self.upstreams.drain_marks().cloned().collect(),
+        let read_age_ms = now.since(self.read_at?).as_millis();
+        let drains = self.upstreams.drain_marks().cloned().collect();
+        Some(TablesCopy::Upstreams { since, position, read_age_ms, rows, drains })
+    }
+}
+
+/// A copy for a peer, which is encoded after the lock of the tables is released.
+#[derive(Clone, Debug)]
+pub enum TablesCopy {
+    /// The configuration in the encoding of the store.
+    Configuration(Bytes),
+    /// The table of upstreams or its changes, see [`TableCopy`].
+    Upstreams {
+        /// The position after which the rows are changes, or `None` for the whole table.
+        since: Option<u64>,
+        /// The position of the table.
+        position: u64,
+        /// The time since the last known read of the store, in milliseconds.
+        read_age_ms: u64,
+        /// The rows.
+        rows: Vec<TableRow>,
+        /// Upstreams that reported that they leave.
+        drains: Vec<DrainMark>,
+    },
+}
+
+impl TablesCopy {
+    /// Encodes the copy for a peer.
+    pub fn encode(self) -> Option<Bytes> {
+        let copy = match self {
+            Self::Configuration(document) => return Some(document),
+            Self::Upstreams { since, position, read_age_ms, rows, drains } => {
+                let rows = rows.into_iter().map(RowCopy::from).collect();
+                TableCopy { since, position, read_age_ms, rows, drains }
+            }
         };
         // Texts and numbers can always be serialised.
         serde_json::to_vec(&copy).ok().map(Bytes::from)
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -201,7 +201,8 @@
     /// Returns the copy with the given name, or the applied document if it has that digest.
     pub(crate) fn document(&self, digest: &str, now: ClockTime) -> Option<Bytes> {
         if let Ok(name) = digest.parse() {
-            return self.tables.get()?.lock().copy(name, now);
+            let copy = self.tables.get()?.lock().copy(name, now);
+            return copy?.encode();
         }
         let active = self.document.load();
         let active = active.as_ref().filter(|active| active.id.digest == *digest)?;
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -66,7 +66,9 @@
                 return Err(self.retry_state.refuse(message));
             };
             let attempt = self.call.request.attempt;
-            let mut failure = match self.attempt(current).await {
+            // A body that cannot be sent again would be lost with the attempt.
+            let replaceable = body.is_available();
+            let mut failure = match self.attempt(current, replaceable).await {
                 Ok(answer) => {
                     self.traced.record_answer(attempt);
                     return Ok(answer);
@@ -122,9 +124,10 @@
         }
     }
 
-    async fn attempt(&mut self, body: SendBody) -> AttemptResult {
+    async fn attempt(&mut self, body: SendBody, replaceable: bool) -> AttemptResult {
         let Self { state, context, call, traced, time, retry_state, .. } = self;
-        let replaceable = !retry_state.is_isolated()
+        let replaceable = replaceable
+            && !retry_state.is_isolated()
             && retry::may_run_twice(&call.request)
             && state.options.tuning.uses(Mechanism::Stall);
         let codec = PhantomData;
--- a/crates/trial/tests/wishes.rs
+++ b/crates/trial/tests/wishes.rs
@@ -503,3 +503,25 @@
         std::mem::swap(&mut env.gate, &mut first);
     }
 }
+
+/// Guards against a call that may run twice, but whose body cannot be sent again, and that is given
+/// up at a slow upstream as if it had been dropped.
+#[tokio::test]
+async fn a_call_whose_body_cannot_be_sent_again_is_not_given_up() {
+    let env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+    env.fill_retry_budget("slow").await;
+    for upstream in &env.upstreams {
+        upstream.server.update(|plan| {
+            plan.load = LoadAnswer::Idle;
+            plan.service = ServiceTime::Fixed { ms: 2_000.0 };
+        });
+    }
+    let length = 200_000;
+    let (sender, body) = PartBody::announced(length as u64);
+    sender.send(Bytes::from(vec![b'h'; length])).expect("the body is open");
+    drop(sender);
+    let mut connection = open(env.gate.caller_address).await;
+    let call = connection.call(request(Method::POST, LOOK, "long", None, body));
+    let answer = await_event("an answer", call).await;
+    env.check(LOOK, "long", &answer, &ExpectedEnd::SERVED).expect("the call is served");
+}
