--- a/crates/member/src/tuning.rs
+++ b/crates/member/src/tuning.rs
@@ -150,7 +150,7 @@
             forget_after: ClockSpan::from_secs(2 * 3600),
             max_vms: 2048,
             start_spacing: ClockSpan::from_millis(100),
-            start_delay_step: ClockSpan::from_millis(6),
+            start_delay_step: ClockSpan::from_millis(10),
             start_delay_max: ClockSpan::from_millis(1200),
             read: ReadTuning::default(),
         }
