--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -124,7 +124,16 @@
         }
     }
 
+    /// Returns whether the call could still be sent to another upstream than that of the next
+    /// attempt. Otherwise, it would be sent a second time to one that did not answer it.
+    fn has_alternative(&self) -> bool {
+        let environment = self.state.environment.load();
+        let upstreams = environment.upstreams_of(&self.call.request.service);
+        upstreams.iter().filter(|server| !self.excluded.contains(&server.name)).nth(1).is_some()
+    }
+
     async fn attempt(&mut self, body: SendBody, replaceable: bool) -> AttemptResult {
+        let replaceable = replaceable && self.has_alternative();
         let Self { state, context, call, traced, time, retry_state, .. } = self;
         let replaceable = replaceable
             && !retry_state.is_isolated()
--- a/crates/stand/src/proxy.rs
+++ b/crates/stand/src/proxy.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use base::prelude::*;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -115,13 +117,22 @@
     next_connection: u64,
 }
 
+/// The connections that become silent.
+#[derive(Clone, Copy, Debug, Default)]
+struct SilenceRule {
+    /// Only connections with a lower number.
+    below: u64,
+    /// Only connections that have not relayed bytes for this time.
+    idle: Duration,
+}
+
 /// Plan, counters and signals of a proxy, shared by its connections.
 #[derive(Debug)]
 pub(crate) struct ProxyCore {
     port: PortControl,
     changed: ChangeSignal,
-    /// Connections with a lower number are silent.
-    silent_below: watch::Sender<u64>,
+    /// Which connections are silent.
+    silence: watch::Sender<SilenceRule>,
     /// The direction in which bytes are held back.
     held: watch::Sender<Option<ProxyDirection>>,
     state: Mutex<ProxyState>,
@@ -137,7 +148,7 @@
         let core = Arc::new(Self {
             port,
             changed: ChangeSignal::default(),
-            silent_below: watch::Sender::new(0),
+            silence: watch::Sender::new(SilenceRule::default()),
             held: watch::Sender::new(None),
             state: Mutex::new(state),
         });
@@ -190,9 +201,9 @@
         let _ = self.held.subscribe().wait_for(|held| *held != Some(direction)).await;
     }
 
-    fn silence(&self) {
-        let next = self.state.lock().next_connection;
-        self.silent_below.send_replace(next);
+    fn silence(&self, idle: Duration) {
+        let below = self.state.lock().next_connection;
+        self.silence.send_replace(SilenceRule { below, idle });
     }
 
     /// Returns the number of a new connection and the address of its target.
@@ -266,7 +277,13 @@
     /// Stops relaying bytes on the connections that are open now. They stay open, and later
     /// connections are not affected.
     pub fn silence_connections(&self) {
-        self.core.silence();
+        self.core.silence(Duration::ZERO);
+    }
+
+    /// Stops relaying bytes on the open connections that have not relayed any for `idle`, as a
+    /// network device does that forgets idle connections.
+    pub fn silence_idle_connections(&self, idle: ClockSpan) {
+        self.core.silence(idle.to_duration());
     }
 
     /// Returns the counters since the start.
@@ -327,12 +344,13 @@
         counts.accepted += 1;
     });
     let guard = OpenGuard(&core);
-    let mut silence = core.silent_below.subscribe();
+    let mut silence = core.silence.subscribe();
     let relay = Relay::new(&core, seed);
+    let is_silent = |rule: &SilenceRule| number < rule.below && relay.idle() >= rule.idle;
     let end = tokio::select! {
         biased;
         () = cut.wait() => RelayEnd::Cut,
-        _ = silence.wait_for(|below| number < *below) => RelayEnd::Silent,
+        _ = silence.wait_for(is_silent) => RelayEnd::Silent,
         end = relay.run(&mut caller, &mut target) => end,
     };
     match end {
@@ -383,7 +401,7 @@
             web::plain(StatusCode::OK, "cut")
         }
         (&Method::POST, "/admin/silence") => {
-            core.silence();
+            core.silence(Duration::ZERO);
             web::plain(StatusCode::OK, "silent")
         }
         _ => web::plain(StatusCode::NOT_FOUND, "no such admin call"),
--- a/crates/stand/src/relay.rs
+++ b/crates/stand/src/relay.rs
@@ -39,6 +39,9 @@
 pub(crate) struct Relay<'a> {
     core: &'a ProxyCore,
     seed: u64,
+    started: Instant,
+    /// When bytes were last relayed, in milliseconds since the start.
+    active_ms: AtomicU64,
     /// Bytes relayed in both directions together.
     passed_bytes: AtomicU64,
     /// Bytes of answers relayed.
@@ -52,12 +55,20 @@
         Self {
             core,
             seed,
+            started: Instant::now(),
+            active_ms: AtomicU64::new(0),
             passed_bytes: AtomicU64::new(0),
             answered_bytes: AtomicU64::new(0),
             request_passed: AtomicBool::new(false),
         }
     }
 
+    /// Returns the time since bytes were last relayed.
+    pub(crate) fn idle(&self) -> Duration {
+        let active = Duration::from_millis(self.active_ms.load(Ordering::Relaxed));
+        self.started.elapsed().saturating_sub(active)
+    }
+
     /// Relays bytes until the connection ends.
     pub(crate) async fn run(&self, caller: &mut TcpStream, target: &mut TcpStream) -> RelayEnd {
         let (caller_read, caller_write) = caller.split();
@@ -161,6 +172,8 @@
         direction: ProxyDirection,
         length: u64,
     ) -> (u64, Option<RelayEnd>) {
+        let active_ms = self.started.elapsed().as_millis() as u64;
+        self.active_ms.store(active_ms, Ordering::Relaxed);
         let passed_bytes = self.passed_bytes.fetch_add(length, Ordering::SeqCst);
         let mut allowance = (length, None);
         if let Some(limit) = plan.cut_after_bytes {
