--- a/crates/stand/src/property.rs
+++ b/crates/stand/src/property.rs
@@ -1,6 +1,8 @@
 //! Generators of malformed input for the property tests of several crates, and a runner with a
 //! fixed seed, so that a test has the same result in every run.
 
+use std::str::FromStr;
+
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
@@ -10,16 +12,26 @@
 /// The seed with which every runner generates its cases.
 pub const SEED: u64 = 20_261_204;
 
-/// Returns a runner that generates `cases` cases, the same ones in every run.
+/// The environment variable with another number of cases, for long runs by hand.
+const CASES_VARIABLE: &str = "AGATEROAD_PROPERTY_CASES";
+/// The environment variable with another seed.
+const SEED_VARIABLE: &str = "AGATEROAD_PROPERTY_SEED";
+
+/// Returns a runner that generates `cases` cases, the same ones in every run. The environment can
+/// set other numbers of cases and seeds.
 pub fn seeded_runner(cases: u32) -> TestRunner {
     TestRunner::new(ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
+        cases: number_from_environment(CASES_VARIABLE).unwrap_or(cases),
+        rng_seed: RngSeed::Fixed(number_from_environment(SEED_VARIABLE).unwrap_or(SEED)),
         failure_persistence: None,
         ..ProptestConfig::default()
     })
 }
 
+fn number_from_environment<T: FromStr>(variable: &str) -> Option<T> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
 /// Names and values of header fields, in the order in which they are sent.
 pub type HeaderFields = Vec<(&'static str, String)>;
 
