Search peers longer for missing changes, and give seeds of a large start time to answer

Cause: a debug log of the start at 472 VMs: the changes of one read took more than 16 datagrams, all VMs missed them at once, asked two peers and then read the store, 462 of them in 0.2 s. Change: changes are divided among up to 48 datagrams; peers are asked for 0.4 s before the store; seeds are asked for 1 s.

--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -26,7 +26,7 @@
 const COPY_TIMEOUT: ClockSpan = ClockSpan::from_millis(120);
 /// The longest time for which a VM that starts waits until it knows other VMs. The store may be down
 /// or slow, and calls may arrive already.
-const JOIN_TIMEOUT: ClockSpan = ClockSpan::from_millis(800);
+const JOIN_TIMEOUT: ClockSpan = ClockSpan::from_millis(1_200);
 /// The longest time for which a VM that starts asks its peers although they report reads.
 const START_LIMIT: ClockSpan = ClockSpan::from_millis(2_500);
 /// For this long, a read of the upstreams by a peer shows that the store works. Twice the time
--- a/crates/gate/src/discovery/join.rs
+++ b/crates/gate/src/discovery/join.rs
@@ -12,14 +12,15 @@
 use peer::prelude::*;
 use store::prelude::*;
 
-use super::core::DiscoveryCore;
+use super::core::{DiscoveryCore, log_read};
 use crate::event;
 
 /// The table of the store in which VMs write rows about themselves, by their names.
 const VM_TABLE: &str = "agateroad_vms";
 /// The longest time for which a VM that starts asks the VMs of its settings, before it looks for
-/// others in the store. VMs that start together may take a few hundred milliseconds to listen.
-const SEED_LIMIT: ClockSpan = ClockSpan::from_millis(500);
+/// others in the store. VMs that start together may take a few hundred milliseconds to listen, and small
+/// ones that many ask need as long to answer.
+const SEED_LIMIT: ClockSpan = ClockSpan::from_millis(1_000);
 /// The mean pause between two rounds of these requests.
 const SEED_PAUSE: ClockSpan = ClockSpan::from_millis(60);
 /// The mean pause after a failed call to the store.
@@ -128,6 +129,7 @@
         let value = serde_json::to_vec(&own).unwrap_or_default();
         self.rows.write_row(VM_TABLE, &own.vm.name, &value).await?;
         let page = self.rows.read_table(VM_TABLE).await?;
+        log_read(VM_TABLE, &page);
         let mut entries = Vec::new();
         for row in &page.rows {
             let Some(value) = &row.value else { continue };
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -26,6 +26,12 @@
 /// calls after 2 s.
 const GAP_PAUSE: ClockSpan = ClockSpan::from_millis(300);
 
+/// The time for which peers are asked for missing changes before they are read from the store.
+/// Changes that do not fit into broadcasts spread from the designated reader, and with each round
+/// about three times as many VMs have them.
+const GAP_LIMIT: ClockSpan = ClockSpan::from_millis(400);
+/// The mean time between two of these requests.
+const GAP_RETRY_PAUSE: ClockSpan = ClockSpan::from_millis(40);
 /// The mean time for which a VM that misses changes waits for datagrams that are on their way.
 const REORDER_PAUSE: ClockSpan = ClockSpan::from_millis(10);
 
@@ -121,8 +127,13 @@
             // Datagrams that arrive out of order close the gap by themselves.
             let pause = REORDER_PAUSE.scaled(0.5 + rand::random::<f64>());
             tokio::time::sleep(pause.to_duration()).await;
-            if !misses_changes() || self.fetch_changes().await {
-                return;
+            let since = self.state.clock.now();
+            while self.state.clock.now().since(since) < GAP_LIMIT {
+                if !misses_changes() || self.fetch_changes().await {
+                    return;
+                }
+                let pause = GAP_RETRY_PAUSE.scaled(0.5 + rand::random::<f64>());
+                tokio::time::sleep(pause.to_duration()).await;
             }
         }
         if let Err(error) = self.read_upstreams(ReadPurpose::Own).await {
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -17,9 +17,10 @@
 /// datagram: one byte up to 127 entries, two bytes up to 16,383.
 const LENGTH_GROWTH: usize = 1;
 
-/// The most messages among which changes are divided. More changes cost less if each VM that misses
-/// them fetches them from a peer.
-const MAX_DIRECTORY_PARTS: usize = 16;
+/// The most messages among which changes are divided, fewer than the 64 numbers of broadcasts that a
+/// VM remembers of another. More changes cost less if each VM that misses them fetches them from a
+/// peer.
+const MAX_DIRECTORY_PARTS: usize = 48;
 
 /// Returns the envelope itself if it has at most `limit` bytes, otherwise its parts.
 pub(super) fn parts(envelope: &PeerEnvelope, limit: usize) -> Cow<'_, [PeerEnvelope]> {
