--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts, which need the standard library only.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/*/case.rs; do
+    [ -e "$source" ] || continue
+    number=$(basename "$(dirname "$source")")
+    rustc --edition 2024 -O -o "target/review/case-$number" "$source"
+done
--- /dev/null
+++ b/review/common/mod.rs
@@ -0,0 +1,981 @@
+//! Stand-ins for the scripts in `review/`: the platform's store, upstreams, clients, and the start of
+//! gateways with the template of `deploy/`. Standard library only, loopback addresses only.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const HEARTBEAT: Duration = Duration::from_millis(1500);
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+// ---------------------------------------------------------------------------------------------
+// Record
+
+/// Writes `record.txt`: what was sent, answered and run.
+pub struct Record {
+    start: Instant,
+    file: Mutex<File>,
+}
+
+impl Record {
+    pub fn create(folder: &str) -> Arc<Self> {
+        let path = PathBuf::from(folder).join("record.txt");
+        let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
+        Arc::new(Self { start: Instant::now(), file: Mutex::new(file) })
+    }
+
+    pub fn line(&self, text: &str) {
+        let at = self.start.elapsed().as_secs_f64();
+        let _ = writeln!(self.file.lock().unwrap(), "{at:8.3} {text}");
+    }
+
+    /// Records and prints a line.
+    pub fn say(&self, text: &str) {
+        println!("{text}");
+        self.line(text);
+    }
+}
+
+/// Ends the script because the case could not run. Gateways end with their guards or the watchdog.
+pub fn cannot_run(why: &str) -> ! {
+    eprintln!("the case could not run: {why}");
+    kill_all();
+    std::process::exit(2)
+}
+
+pub fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn kill_all() {
+    for pid in CHILDREN.lock().unwrap().drain(..) {
+        signal(pid, "KILL");
+    }
+}
+
+pub fn signal(pid: u32, name: &str) {
+    let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {pid} 2>/dev/null")).status();
+}
+
+/// Ends all processes of the script and exits.
+pub fn finish(code: i32) -> ! {
+    kill_all();
+    std::process::exit(code)
+}
+
+/// Ends the script after 115 s in any case.
+pub fn start_watchdog() {
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(115));
+        cannot_run("it took longer than 115 s");
+    });
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+    listener.local_addr().unwrap()
+}
+
+/// Binds an address that another listener of this script may just be leaving.
+fn bind(address: SocketAddr) -> TcpListener {
+    for _ in 0..200 {
+        match TcpListener::bind(address) {
+            Ok(listener) => return listener,
+            Err(_) => thread::sleep(ms(5)),
+        }
+    }
+    cannot_run(&format!("{address} is not free"))
+}
+
+// ---------------------------------------------------------------------------------------------
+// HTTP/1.1
+
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    pub first: String,
+    pub fields: Vec<(String, String)>,
+}
+
+impl Head {
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn method(&self) -> &str {
+        self.first.split(' ').next().unwrap_or("")
+    }
+
+    pub fn target(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+/// A connection and the bytes that were read ahead.
+pub struct Wire {
+    pub stream: TcpStream,
+    ahead: Vec<u8>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self { stream, ahead: Vec::new() }
+    }
+
+    /// Reads a head. `Ok(None)`: the connection ended before its first byte.
+    pub fn read_head(&mut self) -> std::io::Result<Option<Head>> {
+        loop {
+            if let Some(end) = self.ahead.windows(4).position(|window| window == b"\r\n\r\n") {
+                let text = String::from_utf8_lossy(&self.ahead[..end]).into_owned();
+                self.ahead.drain(..end + 4);
+                let mut lines = text.split("\r\n");
+                let first = lines.next().unwrap_or("").to_owned();
+                let fields = lines.filter_map(|line| line.split_once(':'));
+                let fields = fields.map(|(k, v)| (k.trim().to_owned(), v.trim().to_owned()));
+                return Ok(Some(Head { first, fields: fields.collect() }));
+            }
+            if self.fill()? == 0 {
+                if self.ahead.is_empty() {
+                    return Ok(None);
+                }
+                return Err(std::io::Error::other("ended within a head"));
+            }
+        }
+    }
+
+    fn fill(&mut self) -> std::io::Result<usize> {
+        let mut part = [0; 16384];
+        let count = self.stream.read(&mut part)?;
+        self.ahead.extend_from_slice(&part[..count]);
+        Ok(count)
+    }
+
+    pub fn read_body(&mut self, head: &Head) -> std::io::Result<Vec<u8>> {
+        let length = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        while self.ahead.len() < length {
+            if self.fill()? == 0 {
+                return Err(std::io::Error::other("ended within a body"));
+            }
+        }
+        Ok(self.ahead.drain(..length).collect())
+    }
+
+    /// Returns whether the other end has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let mut byte = [0; 1];
+        let result = self.stream.peek(&mut byte);
+        let _ = self.stream.set_nonblocking(false);
+        match result {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
+    pub fn send(&mut self, first: &str, fields: &[(&str, String)], body: &[u8]) -> std::io::Result<()> {
+        let mut text = format!("{first}\r\n");
+        for (name, value) in fields {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.write_all(&bytes)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// JSON, as far as a transaction of the store needs it
+
+#[derive(Clone, Debug)]
+pub enum Json {
+    Text(String),
+    Number(f64),
+    List(Vec<Json>),
+    Table(Vec<(String, Json)>),
+    Other,
+}
+
+impl Json {
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
+        let mut at = 0;
+        Self::value(bytes, &mut at)
+    }
+
+    pub fn field(&self, name: &str) -> Option<&Json> {
+        let Json::Table(fields) = self else { return None };
+        fields.iter().find(|(key, _)| key == name).map(|(_, value)| value)
+    }
+
+    pub fn text(&self, name: &str) -> String {
+        match self.field(name) {
+            Some(Json::Text(text)) => text.clone(),
+            _ => String::new(),
+        }
+    }
+
+    pub fn list(&self, name: &str) -> &[Json] {
+        match self.field(name) {
+            Some(Json::List(list)) => list,
+            _ => &[],
+        }
+    }
+
+    fn skip(bytes: &[u8], at: &mut usize) {
+        while bytes.get(*at).is_some_and(|byte| byte.is_ascii_whitespace()) {
+            *at += 1;
+        }
+    }
+
+    fn value(bytes: &[u8], at: &mut usize) -> Option<Self> {
+        Self::skip(bytes, at);
+        match bytes.get(*at)? {
+            b'"' => Self::string(bytes, at).map(Json::Text),
+            b'[' => {
+                *at += 1;
+                let mut list = Vec::new();
+                loop {
+                    Self::skip(bytes, at);
+                    match bytes.get(*at)? {
+                        b']' => {
+                            *at += 1;
+                            return Some(Json::List(list));
+                        }
+                        b',' => *at += 1,
+                        _ => list.push(Self::value(bytes, at)?),
+                    }
+                }
+            }
+            b'{' => {
+                *at += 1;
+                let mut fields = Vec::new();
+                loop {
+                    Self::skip(bytes, at);
+                    match bytes.get(*at)? {
+                        b'}' => {
+                            *at += 1;
+                            return Some(Json::Table(fields));
+                        }
+                        b',' => *at += 1,
+                        _ => {
+                            let key = Self::string(bytes, at)?;
+                            Self::skip(bytes, at);
+                            *at += 1;
+                            fields.push((key, Self::value(bytes, at)?));
+                        }
+                    }
+                }
+            }
+            _ => {
+                let start = *at;
+                while bytes.get(*at).is_some_and(|byte| !b",]} \r\n\t".contains(byte)) {
+                    *at += 1;
+                }
+                let text = std::str::from_utf8(&bytes[start..*at]).ok()?;
+                Some(text.parse().map_or(Json::Other, Json::Number))
+            }
+        }
+    }
+
+    fn string(bytes: &[u8], at: &mut usize) -> Option<String> {
+        if bytes.get(*at) != Some(&b'"') {
+            return None;
+        }
+        *at += 1;
+        let mut out = Vec::new();
+        loop {
+            let byte = *bytes.get(*at)?;
+            *at += 1;
+            match byte {
+                b'"' => return String::from_utf8(out).ok(),
+                b'\\' => {
+                    out.push(match bytes.get(*at)? {
+                        b'n' => b'\n',
+                        b't' => b'\t',
+                        other => *other,
+                    });
+                    *at += 1;
+                }
+                other => out.push(other),
+            }
+        }
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for part in bytes.chunks(3) {
+        let word = u32::from(part[0]) << 16
+            | u32::from(*part.get(1).unwrap_or(&0)) << 8
+            | u32::from(*part.get(2).unwrap_or(&0));
+        for index in 0..4 {
+            let digit = DIGITS[(word >> (18 - 6 * index) & 63) as usize] as char;
+            out.push(if index <= part.len() { digit } else { '=' });
+        }
+    }
+    out
+}
+
+// ---------------------------------------------------------------------------------------------
+// The platform's store
+
+#[derive(Clone)]
+struct Row {
+    /// Base64.
+    value: Option<String>,
+    ver: u64,
+}
+
+#[derive(Default)]
+struct Rows {
+    ver: u64,
+    /// By table, part and key. A dropped row has no value.
+    rows: BTreeMap<(String, String, String), Row>,
+    /// The last heartbeat of each entry of `servers`.
+    beats: HashMap<String, Instant>,
+}
+
+/// The platform's metadata store: rows, feeds of changes and transactions.
+pub struct Store {
+    pub address: SocketAddr,
+    rows: Mutex<Rows>,
+    changed: Condvar,
+    start: Instant,
+}
+
+impl Store {
+    pub fn start() -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let address = listener.local_addr().unwrap();
+        let (rows, changed) = (Mutex::default(), Condvar::new());
+        let store = Arc::new(Self { address, rows, changed, start: Instant::now() });
+        let server = Arc::clone(&store);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = Arc::clone(&server);
+                thread::spawn(move || store.serve(Wire::new(stream)));
+            }
+        });
+        let janitor = Arc::clone(&store);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(ms(50));
+                janitor.expire();
+            }
+        });
+        store
+    }
+
+    /// Removes entries after three heartbeats of silence.
+    fn expire(&self) {
+        let late: Vec<String> = {
+            let rows = self.rows.lock().unwrap();
+            let late = rows.beats.iter().filter(|(_, at)| at.elapsed() > 3 * HEARTBEAT);
+            late.map(|(key, _)| key.clone()).collect()
+        };
+        for key in late {
+            self.remove_server(&key);
+        }
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: &str) -> u64 {
+        self.write(table, "", key, Some(base64(value.as_bytes())))
+    }
+
+    fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) -> u64 {
+        let mut rows = self.rows.lock().unwrap();
+        rows.ver += 1;
+        let ver = rows.ver;
+        rows.rows.insert((table.into(), part.into(), key.into()), Row { value, ver });
+        drop(rows);
+        self.changed.notify_all();
+        ver
+    }
+
+    /// A heartbeat. The entry changes only when more than `seq` changes.
+    pub fn beat(&self, id: &str, value: &str, changes: bool) {
+        self.rows.lock().unwrap().beats.insert(id.to_owned(), Instant::now());
+        let known = (String::from("servers"), String::new(), id.to_owned());
+        let present = self.rows.lock().unwrap().rows.get(&known).is_some_and(|row| row.value.is_some());
+        if changes || !present {
+            self.put("servers", id, value);
+        }
+    }
+
+    pub fn remove_server(&self, id: &str) {
+        let known = self.rows.lock().unwrap().beats.remove(id).is_some();
+        if known {
+            self.write("servers", "", id, None);
+        }
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        while let Ok(Some(head)) = wire.read_head() {
+            let Ok(body) = wire.read_body(&head) else { return };
+            let (status, text) = self.answer(&head, &body);
+            let fields = [("Content-Type", "application/json".to_owned())];
+            if wire.send(&format!("HTTP/1.1 {status}"), &fields, text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, head: &Head, body: &[u8]) -> (&'static str, String) {
+        let target = head.target().to_owned();
+        let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let table = query.get("table").copied().unwrap_or("");
+        match path {
+            "/rows-get" => {
+                let from = query.get("from").copied().unwrap_or("");
+                let part = query.get("part").copied().unwrap_or("");
+                let limit = query.get("limit").and_then(|text| text.parse().ok()).unwrap_or(500);
+                let rows = self.rows.lock().unwrap();
+                let found = rows.rows.iter().filter(|((own, own_part, key), row)| {
+                    own == table && own_part == part && row.value.is_some() && key.as_str() >= from
+                });
+                let mut texts: Vec<String> = found.map(|(key, row)| row_text(key, row)).collect();
+                let truncated = texts.len() > limit;
+                texts.truncate(limit);
+                let (ver, now) = (rows.ver, self.start.elapsed().as_millis());
+                let list = texts.join(",");
+                ("200 OK", format!(r#"{{"rows":[{list}],"truncated":{truncated},"ver":{ver},"now":{now}}}"#))
+            }
+            "/rows-feed" => {
+                let after: u64 = query.get("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let wait = query.get("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let until = Instant::now() + ms(wait);
+                let mut rows = self.rows.lock().unwrap();
+                loop {
+                    let found = rows.rows.iter().filter(|((own, ..), row)| own == table && row.ver > after);
+                    let mut found: Vec<_> = found.collect();
+                    found.sort_by_key(|(_, row)| row.ver);
+                    let left = until.saturating_duration_since(Instant::now());
+                    if !found.is_empty() || left.is_zero() {
+                        let texts: Vec<String> = found.iter().map(|(key, row)| row_text(key, row)).collect();
+                        let (ver, now) = (rows.ver, self.start.elapsed().as_millis());
+                        let list = texts.join(",");
+                        return ("200 OK", format!(r#"{{"rows":[{list}],"ver":{ver},"now":{now}}}"#));
+                    }
+                    rows = self.changed.wait_timeout(rows, left).unwrap().0;
+                }
+            }
+            "/rows-tx" => {
+                let Some(call) = Json::parse(body) else { return ("400 Bad Request", "{}".into()) };
+                for entry in call.list("writes") {
+                    self.write(&entry.text("table"), &entry.text("part"), &entry.text("key"), Some(entry.text("value")));
+                }
+                for entry in call.list("deletes") {
+                    self.write(&entry.text("table"), &entry.text("part"), &entry.text("key"), None);
+                }
+                let ver = self.rows.lock().unwrap().ver;
+                ("200 OK", format!(r#"{{"ver":{ver},"now":{}}}"#, self.start.elapsed().as_millis()))
+            }
+            _ => ("404 Not Found", "{}".into()),
+        }
+    }
+}
+
+fn row_text((table, part, key): &(String, String, String), row: &Row) -> String {
+    let ver = row.ver;
+    match &row.value {
+        Some(value) => format!(r#"{{"table":"{table}","part":"{part}","key":"{key}","value":"{value}","ver":{ver}}}"#),
+        None => format!(r#"{{"table":"{table}","part":"{part}","key":"{key}","tombstone":true,"ver":{ver}}}"#),
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Upstreams
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub upstream: String,
+    pub service: String,
+    pub id: String,
+    pub method: String,
+    pub target: String,
+    pub at: Instant,
+    /// Whether it ran to its end.
+    pub done: bool,
+}
+
+/// What all upstreams have run.
+#[derive(Default)]
+pub struct Runs(pub Mutex<Vec<Run>>);
+
+#[derive(Clone)]
+pub struct UpstreamPlan {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub health_path: String,
+    pub slots: usize,
+    pub work: Arc<dyn Fn(&Head) -> Duration + Send + Sync>,
+}
+
+pub struct Upstream {
+    pub plan: UpstreamPlan,
+    pub address: SocketAddr,
+    alive: AtomicBool,
+    draining: AtomicBool,
+    dark: AtomicBool,
+    running: AtomicUsize,
+    waiting: AtomicUsize,
+    streams: Mutex<Vec<TcpStream>>,
+    runs: Arc<Runs>,
+    record: Arc<Record>,
+    store: Arc<Store>,
+    born: u64,
+    pub checks: AtomicU64,
+}
+
+const QUEUE: usize = 12;
+
+impl Upstream {
+    /// Starts an upstream and registers it. Without an address, it takes a free one.
+    pub fn start(
+        plan: UpstreamPlan,
+        address: Option<SocketAddr>,
+        store: &Arc<Store>,
+        runs: &Arc<Runs>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
+        let address = address.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
+        let listener = bind(address);
+        listener.set_nonblocking(true).unwrap();
+        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let upstream = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            plan,
+            alive: AtomicBool::new(true),
+            draining: AtomicBool::new(false),
+            dark: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
+            streams: Mutex::default(),
+            runs: Arc::clone(runs),
+            record: Arc::clone(record),
+            store: Arc::clone(store),
+            born: born.as_millis() as u64,
+            checks: AtomicU64::new(0),
+        });
+        let UpstreamPlan { id, service, .. } = &upstream.plan;
+        record.line(&format!("upstream {id} of {service} starts at {}", upstream.address));
+        let server = Arc::clone(&upstream);
+        thread::spawn(move || {
+            while server.alive.load(Ordering::SeqCst) {
+                if server.dark.load(Ordering::SeqCst) {
+                    thread::sleep(ms(1));
+                    continue;
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        server.streams.lock().unwrap().extend(stream.try_clone());
+                        let upstream = Arc::clone(&server);
+                        thread::spawn(move || upstream.serve(Wire::new(stream)));
+                    }
+                    Err(_) => thread::sleep(ms(1)),
+                }
+            }
+        });
+        let writer = Arc::clone(&upstream);
+        thread::spawn(move || {
+            let mut seq = 0;
+            while writer.alive.load(Ordering::SeqCst) && !writer.dark.load(Ordering::SeqCst) {
+                writer.store.beat(&writer.plan.id, &writer.row(seq), seq == 0);
+                seq += 1;
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        upstream
+    }
+
+    fn row(&self, seq: u64) -> String {
+        let UpstreamPlan { service, zone, slots, .. } = &self.plan;
+        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let (address, born) = (self.address, self.born);
+        format!(
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","warmupLeft":0,"seq":{seq},"born":{born}}}"#
+        )
+    }
+
+    /// Falls silent: nothing is answered any more, and heartbeats stop.
+    pub fn go_dark(&self) {
+        self.dark.store(true, Ordering::SeqCst);
+        self.record.line(&format!("upstream {} falls silent", self.plan.id));
+    }
+
+    fn wait_while_dark(&self) {
+        while self.dark.load(Ordering::SeqCst) && self.alive.load(Ordering::SeqCst) {
+            thread::sleep(ms(5));
+        }
+    }
+
+    /// Crashes: the port is closed, connections are reset or closed, and heartbeats stop.
+    pub fn crash(&self) {
+        self.alive.store(false, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.line(&format!("upstream {} crashes", self.plan.id));
+    }
+
+    fn load(&self) -> String {
+        let (running, waiting) = (self.running.load(Ordering::SeqCst), self.waiting.load(Ordering::SeqCst));
+        format!("{running},{waiting},{},100", self.plan.slots)
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        while let Ok(Some(head)) = wire.read_head() {
+            let Ok(body) = wire.read_body(&head) else { return };
+            self.wait_while_dark();
+            if !self.alive.load(Ordering::SeqCst) || self.answer(&mut wire, &head, &body).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, wire: &mut Wire, head: &Head, body: &[u8]) -> std::io::Result<()> {
+        let plan = &self.plan;
+        let id = head.get("request-id").unwrap_or("").to_owned();
+        let mut fields = vec![("Upstream-Load", self.load())];
+        if !id.is_empty() {
+            fields.push(("Request-Id", id.clone()));
+        }
+        let path = head.target().split('?').next().unwrap_or("");
+        if std::env::var("DEBUG").is_ok() {
+            self.record.line(&format!("{} receives {} {}", plan.id, head.method(), head.target()));
+        }
+        if head.method() == "GET" && path == plan.health_path {
+            self.checks.fetch_add(1, Ordering::SeqCst);
+            fields.push(("Instance-Id", plan.id.clone()));
+            let draining = self.draining.load(Ordering::SeqCst);
+            let status = if draining { "HTTP/1.1 503 Service Unavailable" } else { "HTTP/1.1 200 OK" };
+            return wire.send(status, &fields, b"");
+        }
+        if head.get("expected-instance").is_some_and(|expected| expected != plan.id) {
+            self.record.line(&format!("{} rejects {id} with 421", plan.id));
+            fields.push(("Instance-Id", plan.id.clone()));
+            return wire.send("HTTP/1.1 421 Misdirected Request", &fields, b"");
+        }
+        if id.is_empty() {
+            fields.push(("Not-Processed", "1".into()));
+            return wire.send("HTTP/1.1 400 Bad Request", &fields, b"");
+        }
+        if !self.take_slot() {
+            fields.push(("Not-Processed", "1".into()));
+            return wire.send("HTTP/1.1 503 Service Unavailable", &fields, b"");
+        }
+        let result = self.run(wire, head, &id, body, fields);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        result
+    }
+
+    /// Waits for a slot. Returns false if the queue is full.
+    fn take_slot(&self) -> bool {
+        if self.waiting.fetch_add(1, Ordering::SeqCst) >= QUEUE {
+            self.waiting.fetch_sub(1, Ordering::SeqCst);
+            return false;
+        }
+        loop {
+            let taken = self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |running| {
+                (running < self.plan.slots).then_some(running + 1)
+            });
+            if taken.is_ok() {
+                self.waiting.fetch_sub(1, Ordering::SeqCst);
+                return true;
+            }
+            thread::sleep(ms(1));
+        }
+    }
+
+    fn run(
+        &self,
+        wire: &mut Wire,
+        head: &Head,
+        id: &str,
+        _body: &[u8],
+        mut fields: Vec<(&'static str, String)>,
+    ) -> std::io::Result<()> {
+        let plan = &self.plan;
+        let run = Run {
+            upstream: plan.id.clone(),
+            service: plan.service.clone(),
+            id: id.to_owned(),
+            method: head.method().to_owned(),
+            target: head.target().to_owned(),
+            at: Instant::now(),
+            done: false,
+        };
+        let remaining = head.get("deadline-remaining").unwrap_or("none").to_owned();
+        self.record.line(&format!("{} of {} runs {id}: {} {}, {remaining} ms left", plan.id, plan.service, run.method, run.target));
+        let index = {
+            let mut runs = self.runs.0.lock().unwrap();
+            runs.push(run);
+            runs.len() - 1
+        };
+        let until = Instant::now() + (plan.work)(head);
+        while Instant::now() < until {
+            thread::sleep(ms(2));
+            self.wait_while_dark();
+            if wire.is_closed() || !self.alive.load(Ordering::SeqCst) {
+                self.record.line(&format!("{} drops {id}: its connection was closed", plan.id));
+                return Err(std::io::Error::other("dropped"));
+            }
+        }
+        self.runs.0.lock().unwrap()[index].done = true;
+        fields.push(("Upstream-Signature", format!("sig-{id}")));
+        wire.send("HTTP/1.1 200 OK", &fields, format!("answer to {id}").as_bytes())
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Gateways
+
+pub struct Gateway {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+    pub zone: String,
+    exchange: SocketAddr,
+    child: Option<Child>,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// The gateways of a deployment, with a temporary folder for settings and logs.
+pub struct Deployment {
+    pub folder: PathBuf,
+    pub gateways: Vec<Gateway>,
+    pub zones: Vec<String>,
+    pub store: SocketAddr,
+    pub grace_s: u64,
+}
+
+impl Deployment {
+    /// Prepares one gateway in each of `zones`.
+    pub fn new(zones: &[&str], store: &Store) -> Self {
+        let folder = std::env::temp_dir().join(format!("agateroad-review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let gateway = |(index, zone): (usize, &&str)| Gateway {
+            name: format!("edge-{zone}-{index}"),
+            front: free_address(),
+            ready: free_address(),
+            control: free_address(),
+            exchange: free_address(),
+            zone: (*zone).to_owned(),
+            child: None,
+            settings: folder.join(format!("{index}.json")),
+            log: folder.join(format!("{index}.log")),
+        };
+        let gateways = zones.iter().enumerate().map(gateway).collect();
+        let mut names: Vec<String> = zones.iter().map(|zone| (*zone).to_owned()).collect();
+        names.dedup();
+        Self { gateways, zones: names, store: store.address, grace_s: 6, folder }
+    }
+
+    /// Fills in `deploy/settings.json` as the platform does.
+    fn settings(&self, gateway: &Gateway) -> String {
+        let template = std::fs::read_to_string("deploy/settings.json");
+        let mut text = template.unwrap_or_else(|e| cannot_run(&format!("deploy/settings.json: {e}")));
+        let seeds: Vec<String> = self.gateways.iter().take(3).map(|peer| format!("\"{}\"", peer.control)).collect();
+        let zones: Vec<String> = self.zones.iter().map(|zone| format!("\"{zone}\":\"region\"")).collect();
+        let quoted = |value: &dyn std::fmt::Display| format!("\"{value}\"");
+        let values = [
+            ("{{#seeds}}{{.|json}}{{,}}{{/seeds}}", seeds.join(",")),
+            ("{{node|json}}", quoted(&gateway.name)),
+            ("{{zone|json}}", quoted(&gateway.zone)),
+            ("{{region|json}}", quoted(&"region")),
+            ("{{zones|json}}", format!("{{{}}}", zones.join(","))),
+            ("{{listen.front|json}}", quoted(&gateway.front)),
+            ("{{listen.ready|json}}", quoted(&gateway.ready)),
+            ("{{listen.control|json}}", quoted(&gateway.control)),
+            ("{{ip}}:{{internalPorts.0}}", gateway.exchange.to_string()),
+            ("{{platform.address|json}}", quoted(&self.store)),
+            ("{{limits.cpuCores}}", "1".into()),
+            ("{{bounds.retryBudgetRatio}}", "0.2".into()),
+            ("{{bounds.budgetSlack}}", "58".into()),
+            ("{{bounds.budgetWindow}}", "10".into()),
+            ("{{bounds.probesPerS}}", "60".into()),
+            ("{{bounds.drain}}", "2000".into()),
+            ("{{bounds.grace}}", self.grace_s.to_string()),
+        ];
+        for (placeholder, value) in values {
+            text = text.replace(placeholder, &value);
+        }
+        if text.contains("{{") {
+            cannot_run("a placeholder of deploy/settings.json is not known to this script");
+        }
+        text
+    }
+
+    /// Starts a gateway with the command of `deploy/system.toml`.
+    pub fn start(&mut self, index: usize) {
+        let text = self.settings(&self.gateways[index]);
+        let gateway = &mut self.gateways[index];
+        std::fs::write(&gateway.settings, text).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let log = File::options().create(true).append(true).open(&gateway.log).unwrap();
+        let child = Command::new("target/release/agateroad")
+            .arg("--settings")
+            .arg(&gateway.settings)
+            .env_clear()
+            .env("AGATEROAD_CONFIG", &gateway.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|e| cannot_run(&format!("target/release/agateroad: {e}")));
+        CHILDREN.lock().unwrap().push(child.id());
+        gateway.child = Some(child);
+    }
+
+    pub fn start_all(&mut self) {
+        for index in 0..self.gateways.len() {
+            self.start(index);
+        }
+        let until = Instant::now() + Duration::from_secs(15);
+        for index in 0..self.gateways.len() {
+            while !self.gateways[index].is_ready() {
+                if Instant::now() > until {
+                    cannot_run("a gateway does not become ready");
+                }
+                thread::sleep(ms(50));
+            }
+        }
+    }
+
+    pub fn remove_folder(&self) {
+        if std::env::var("KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Gateway {
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
+    pub fn signal(&self, name: &str) {
+        signal(self.pid(), name);
+    }
+
+    /// Returns the exit status once the process has ended.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        let pid = self.pid();
+        CHILDREN.lock().unwrap().retain(|known| *known != pid);
+        self.child = None;
+        Some(status)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let Ok(stream) = TcpStream::connect_timeout(&self.ready, ms(500)) else { return false };
+        let _ = stream.set_read_timeout(Some(ms(500)));
+        let mut wire = Wire::new(stream);
+        let fields = [("Host", "ready".to_owned())];
+        if wire.send("GET /ready HTTP/1.1", &fields, b"").is_err() {
+            return false;
+        }
+        wire.read_head().ok().flatten().is_some_and(|head| head.status() == 200)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Clients
+
+/// How a request of a client ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    Answer { status: u16, head: Head, body: Vec<u8> },
+    /// No connection could be opened.
+    NoConnection,
+    /// The connection ended or failed without a complete answer.
+    Cut(String),
+    /// The client gave up at its deadline.
+    GaveUp,
+}
+
+pub struct Request<'a> {
+    pub method: &'a str,
+    pub host: &'a str,
+    pub path: &'a str,
+    pub id: &'a str,
+    pub deadline_ms: u64,
+    pub body: &'a [u8],
+}
+
+pub fn connect(address: SocketAddr) -> Option<Wire> {
+    TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok().map(Wire::new)
+}
+
+/// Sends a request on a connection and waits for its answer.
+pub fn exchange(wire: &mut Wire, request: &Request<'_>) -> End {
+    let fields = [
+        ("Host", request.host.to_owned()),
+        ("Request-Id", request.id.to_owned()),
+        ("Deadline-Remaining", request.deadline_ms.to_string()),
+    ];
+    let first = format!("{} {} HTTP/1.1", request.method, request.path);
+    if let Err(error) = wire.send(&first, &fields, request.body) {
+        return End::Cut(error.to_string());
+    }
+    let _ = wire.stream.set_read_timeout(Some(ms(request.deadline_ms)));
+    let head = match wire.read_head() {
+        Ok(Some(head)) => head,
+        Ok(None) => return End::Cut("closed without an answer".into()),
+        Err(error) if is_timeout(&error) => return End::GaveUp,
+        Err(error) => return End::Cut(error.to_string()),
+    };
+    match wire.read_body(&head) {
+        Ok(body) => End::Answer { status: head.status(), head, body },
+        Err(error) if is_timeout(&error) => End::GaveUp,
+        Err(error) => End::Cut(error.to_string()),
+    }
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+}
+
+/// Sends a request on a new connection.
+pub fn call(address: SocketAddr, request: &Request<'_>) -> End {
+    match connect(address) {
+        Some(mut wire) => exchange(&mut wire, request),
+        None => End::NoConnection,
+    }
+}
+
+pub fn end_text(end: &End) -> String {
+    match end {
+        End::Answer { status, .. } => status.to_string(),
+        End::NoConnection => "no connection".into(),
+        End::Cut(why) => format!("cut ({why})"),
+        End::GaveUp => "gave up at the deadline".into(),
+    }
+}
+
+/// The ids that clients have sent.
+#[derive(Default)]
+pub struct Sent(pub Mutex<HashSet<String>>);
