Review case 3: a crashing request on a shared path is never refused

Cause: the fingerprint of a request leaves out the content of its body and its caller, so that other requests clear it (rule BUDGET).

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -36,6 +36,7 @@
         health_path: format!("/{service}/health"),
         slots: 6,
         work: Arc::new(|_| ms(40)),
+        poison: None,
     };
     let start = |id: &str, service: &str, zone: &str, address| {
         Upstream::start(plan(id, service, zone), address, &store, &runs, &record)
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -49,6 +49,7 @@
                 health_path: "/health".into(),
                 slots: 6,
                 work: Arc::new(move |_| work),
+                poison: None,
             };
             upstreams.push(Upstream::start(plan, None, &store, &runs, &record));
         }
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -84,9 +84,19 @@
     });
 }
 
+/// Returns an address whose port is free for TCP and UDP, below the ports that the system gives to
+/// outgoing connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
-    listener.local_addr().unwrap()
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let base = std::process::id() as usize * 64;
+    for _ in 0..15000 {
+        let port = 12000 + (base + NEXT.fetch_add(1, Ordering::SeqCst)) % 15000;
+        let address: SocketAddr = format!("127.0.0.1:{port}").parse().unwrap();
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    cannot_run("no port is free")
 }
 
 /// Binds an address that another listener of this script may just be leaving.
@@ -364,8 +374,8 @@
 
 impl Store {
     pub fn start() -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let address = listener.local_addr().unwrap();
+        let address = free_address();
+        let listener = bind(address);
         let (rows, changed) = (Mutex::default(), Condvar::new());
         let store = Arc::new(Self { address, rows, changed, start: Instant::now() });
         let server = Arc::clone(&store);
@@ -530,6 +540,8 @@
     pub health_path: String,
     pub slots: usize,
     pub work: Arc<dyn Fn(&Head) -> Duration + Send + Sync>,
+    /// The body of a request that crashes an upstream that runs it.
+    pub poison: Option<&'static [u8]>,
 }
 
 pub struct Upstream {
@@ -538,6 +550,8 @@
     alive: AtomicBool,
     draining: AtomicBool,
     dark: AtomicBool,
+    /// Whether the port is closed.
+    closed: AtomicBool,
     running: AtomicUsize,
     waiting: AtomicUsize,
     streams: Mutex<Vec<TcpStream>>,
@@ -559,7 +573,7 @@
         runs: &Arc<Runs>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
-        let address = address.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
+        let address = address.unwrap_or_else(free_address);
         let listener = bind(address);
         listener.set_nonblocking(true).unwrap();
         let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
@@ -569,6 +583,7 @@
             alive: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             dark: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             streams: Mutex::default(),
@@ -597,6 +612,8 @@
                     Err(_) => thread::sleep(ms(1)),
                 }
             }
+            drop(listener);
+            server.closed.store(true, Ordering::SeqCst);
         });
         let writer = Arc::clone(&upstream);
         thread::spawn(move || {
@@ -634,12 +651,20 @@
     /// Crashes: the port is closed, connections are reset or closed, and heartbeats stop.
     pub fn crash(&self) {
         self.alive.store(false, Ordering::SeqCst);
+        // The port closes before the connections do, as if the process had ended at once.
+        while !self.closed.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_micros(100));
+        }
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.record.line(&format!("upstream {} crashes", self.plan.id));
     }
 
+    pub fn has_crashed(&self) -> bool {
+        !self.alive.load(Ordering::SeqCst)
+    }
+
     fn load(&self) -> String {
         let (running, waiting) = (self.running.load(Ordering::SeqCst), self.waiting.load(Ordering::SeqCst));
         format!("{running},{waiting},{},100", self.plan.slots)
@@ -714,7 +739,7 @@
         wire: &mut Wire,
         head: &Head,
         id: &str,
-        _body: &[u8],
+        body: &[u8],
         mut fields: Vec<(&'static str, String)>,
     ) -> std::io::Result<()> {
         let plan = &self.plan;
@@ -734,6 +759,11 @@
             runs.push(run);
             runs.len() - 1
         };
+        if plan.poison.is_some_and(|poison| poison == body) {
+            thread::sleep(ms(5));
+            self.crash();
+            return Err(std::io::Error::other("crashed"));
+        }
         let until = Instant::now() + (plan.work)(head);
         while Instant::now() < until {
             thread::sleep(ms(2));
