--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -636,6 +636,13 @@
         )
     }
 
+    /// Reports that it is draining. It goes on serving.
+    pub fn drain(&self, store: &Store) {
+        self.draining.store(true, Ordering::SeqCst);
+        store.beat(&self.plan.id, &self.row(0), true);
+        self.record.line(&format!("upstream {} is draining", self.plan.id));
+    }
+
     /// Falls silent: nothing is answered any more, and heartbeats stop.
     pub fn go_dark(&self) {
         self.dark.store(true, Ordering::SeqCst);
