--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,9 @@
 // ---------------------------------------------------------------------------------------------
 // Record
 
+/// The record of the script, in which clients note what they send.
+static RECORD: OnceLock<Arc<Record>> = OnceLock::new();
+
 /// Writes `record.txt`: what was sent, answered and run.
 pub struct Record {
     start: Instant,
@@ -32,7 +35,9 @@
     pub fn create(folder: &str) -> Arc<Self> {
         let path = PathBuf::from(folder).join("record.txt");
         let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
-        Arc::new(Self { start: Instant::now(), file: Mutex::new(file) })
+        let record = Arc::new(Self { start: Instant::now(), file: Mutex::new(file) });
+        RECORD.get_or_init(|| Arc::clone(&record));
+        record
     }
 
     pub fn line(&self, text: &str) {
@@ -695,9 +700,6 @@
             fields.push(("Request-Id", id.clone()));
         }
         let path = head.target().split('?').next().unwrap_or("");
-        if std::env::var("DEBUG").is_ok() {
-            self.record.line(&format!("{} receives {} {}", plan.id, head.method(), head.target()));
-        }
         if head.method() == "GET" && path == plan.health_path {
             self.checks.fetch_add(1, Ordering::SeqCst);
             fields.push(("Instance-Id", plan.id.clone()));
@@ -974,6 +976,10 @@
         ("Request-Id", request.id.to_owned()),
         ("Deadline-Remaining", request.deadline_ms.to_string()),
     ];
+    if let Some(record) = RECORD.get() {
+        let Request { method, path, id, .. } = request;
+        record.line(&format!("{id} is sent: {method} {path}"));
+    }
     let first = format!("{} {} HTTP/1.1", request.method, request.path);
     if let Err(error) = wire.send(&first, &fields, request.body) {
         return End::Cut(error.to_string());
