Review: the words of the protocol come from platform/

Change: the scripts use the project's own stand-ins of platform/: the store, the encoding of the rows of the configuration and of upstreams, and the headers of upstreams. review/Cargo.toml is a package of its own, outside the workspace; build.sh builds it with a copy of the project's Cargo.lock. All its packages are among those of the gateway. The checks, bounds and times of the cases are as they were.

Measured: names_stay_in_their_folders passes. Built with cargo offline.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,20 +1,12 @@
 //! BUDGET: a request that crashes every upstream that runs it comes again and again. Other callers
 //! send requests with the same path and the same length of the body, which are served.
 
-#[path = "../common/mod.rs"]
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::*;
-
-const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-book","host":"desk.example","pathPrefix":"/book/","routeType":"unsafe","timeout":1000,"targetLatency":250,"priority":1,"service":"booking","maxAttempts":2}],
-"services":[{"name":"booking","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":5}"#;
+use agateroad_review::*;
 
 const PATH: &str = "/book/square";
 const POISON: &[u8] = b"square=00";
@@ -33,8 +25,8 @@
     let folder = std::env::args().nth(1).unwrap_or_else(|| "review/1".into());
     start_watchdog();
     let record = Record::create(&folder);
-    let store = Store::start();
-    store.put("op", "config", CONFIG);
+    let routes = vec![unsafe_route("/book/", "booking", 1000, 250)];
+    let store = Store::start(&config(routes, &[("booking", "/health")]));
     let runs = Arc::new(Runs::default());
     let zones = ["zone-a", "zone-b", "zone-c"];
     let plan = |slot: usize, start: usize| UpstreamPlan {
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,22 +1,12 @@
 //! UNASKED: an upstream ends and its address goes to an upstream of another service. The gateways'
 //! health checks name no instance, and the other service has another health path.
 
-#[path = "../common/mod.rs"]
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::*;
-
-const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-look","host":"desk.example","pathPrefix":"/look/","routeType":"safe","timeout":800,"targetLatency":200,"priority":2,"service":"phase","maxAttempts":2},
-{"name":"r-book","host":"desk.example","pathPrefix":"/book/","routeType":"unsafe","timeout":1000,"targetLatency":250,"priority":1,"service":"booking","maxAttempts":2}],
-"services":[{"name":"phase","healthPath":"/phase/health","maxConnections":220,"protocol":"h1","tls":false},
-{"name":"booking","healthPath":"/booking/health","maxConnections":220,"protocol":"h1","tls":false}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":5}"#;
+use agateroad_review::*;
 
 /// How long after the end of the upstream its address is used again. `addrReuse` is 2 s.
 const REUSE_AFTER: Duration = Duration::from_millis(2200);
@@ -25,8 +15,11 @@
     let folder = std::env::args().nth(1).unwrap_or_else(|| "review/2".into());
     start_watchdog();
     let record = Record::create(&folder);
-    let store = Store::start();
-    store.put("op", "config", CONFIG);
+    let routes = vec![
+        safe_route("/look/", "phase", 800, 200),
+        unsafe_route("/book/", "booking", 1000, 250),
+    ];
+    let store = Store::start(&config(routes, &[("phase", "/phase/health"), ("booking", "/booking/health")]));
     let runs = Arc::new(Runs::default());
     let zones = ["zone-a", "zone-b", "zone-c"];
     let plan = |id: &str, service: &str, zone: &str| UpstreamPlan {
--- a/review/3/late.rs
+++ b/review/3/late.rs
@@ -1,21 +1,11 @@
 //! LOST: a gateway gets SIGTERM, takes requests on kept connections for 3.2 s more, and ends 5.7 s
 //! after the signal, while upstreams are at work on some of them.
 
-#[path = "../common/mod.rs"]
-mod common;
-
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::*;
-
-const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-look","host":"desk.example","pathPrefix":"/look/","routeType":"safe","timeout":2000,"targetLatency":500,"priority":2,"service":"phase","maxAttempts":2},
-{"name":"r-pull","host":"desk.example","pathPrefix":"/pull/","routeType":"safe","timeout":8000,"targetLatency":2000,"priority":2,"service":"archive","maxAttempts":2}],
-"services":[{"name":"phase","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false},
-{"name":"archive","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":5}"#;
+use agateroad_review::*;
 
 /// How long an archive pull takes. The site's mean is 0.85 s, its longest 5.1 s.
 const WORK: Duration = Duration::from_millis(2750);
@@ -35,8 +25,11 @@
     let folder = std::env::args().nth(1).unwrap_or_else(|| "review/3".into());
     start_watchdog();
     let record = Record::create(&folder);
-    let store = Store::start();
-    store.put("op", "config", CONFIG);
+    let routes = vec![
+        safe_route("/look/", "phase", 2000, 500),
+        safe_route("/pull/", "archive", 8000, 2000),
+    ];
+    let store = Store::start(&config(routes, &[("phase", "/health"), ("archive", "/health")]));
     let runs = Arc::new(Runs::default());
     let zones = ["zone-a", "zone-b", "zone-c"];
     let mut upstreams = Vec::new();
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,9 +5,9 @@
 result=0
 : > review/3/record.txt
 for part in waiting late; do
-    [ -x "target/review/3-$part" ] || { echo "run review/build.sh first"; rm -rf "$folder"; exit 2; }
+    [ -x "target/review/release/review-3-$part" ] || { echo "run review/build.sh first"; rm -rf "$folder"; exit 2; }
     echo "== $part" | tee -a review/3/record.txt
-    "target/review/3-$part" "$folder"
+    "target/review/release/review-3-$part" "$folder"
     status=$?
     cat "$folder/record.txt" >> review/3/record.txt
     if [ $status -ne 0 ] && [ $result -ne 2 ]; then result=$status; fi
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts, which need the standard library only.
+# Builds the stand-ins of the scripts into target/review/, with the versions of the project's Cargo.lock.
+# They need the project's own crates and packages that the gateway needs too.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p target/review
-for source in review/[0-9]/*.rs; do
-    number=$(basename "$(dirname "$source")")
-    rustc --edition 2024 -O -o "target/review/$number-$(basename "$source" .rs)" "$source"
-done
+cp Cargo.lock review/Cargo.lock
+cargo build --release --bins --manifest-path review/Cargo.toml --target-dir target/review
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -1,18 +1,29 @@
 //! Stand-ins for the scripts in `review/`: the platform's store, upstreams, clients, and the start of
-//! gateways with the template of `deploy/`. Standard library only, loopback addresses only.
-#![allow(dead_code)]
+//! gateways with the template of `deploy/`. Loopback addresses only. The words of the platform's
+//! protocol come from the project's own stand-ins in `platform/`.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use base::prelude::*;
+use directory::prelude::*;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use platform::PlatformCodec;
+use platform::stand::{ServerDialect, StoreStand, config_value, upstream_value};
+use stand::dialect::{AnswerFate, AnswerFields, LoadSample, UpstreamDialect};
+use stand::prelude::{RowHandle, RowPath, RowPlan};
+use stand::slot::LoadFigures;
+use tokio::runtime::Runtime;
+use world::prelude::*;
+
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
 
 pub fn ms(millis: u64) -> Duration {
@@ -130,6 +141,11 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    fn headers(&self) -> HeaderMap {
+        let fields = self.fields.iter().map(|(name, value)| (name.parse(), value.parse()));
+        fields.filter_map(|(name, value): (Result<HeaderName, _>, Result<HeaderValue, _>)| name.ok().zip(value.ok())).collect()
+    }
+
     pub fn status(&self) -> u16 {
         self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
@@ -205,10 +221,10 @@
         }
     }
 
-    pub fn send(&mut self, first: &str, fields: &[(&str, String)], body: &[u8]) -> std::io::Result<()> {
+    pub fn send(&mut self, first: &str, fields: &[(impl AsRef<str>, String)], body: &[u8]) -> std::io::Result<()> {
         let mut text = format!("{first}\r\n");
         for (name, value) in fields {
-            text.push_str(&format!("{name}: {value}\r\n"));
+            text.push_str(&format!("{}: {value}\r\n", name.as_ref()));
         }
         text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
         let mut bytes = text.into_bytes();
@@ -217,179 +233,30 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------
-// JSON, as far as a transaction of the store needs it
-
-#[derive(Clone, Debug)]
-pub enum Json {
-    Text(String),
-    Number(f64),
-    List(Vec<Json>),
-    Table(Vec<(String, Json)>),
-    Other,
-}
-
-impl Json {
-    pub fn parse(bytes: &[u8]) -> Option<Self> {
-        let mut at = 0;
-        Self::value(bytes, &mut at)
-    }
-
-    pub fn field(&self, name: &str) -> Option<&Json> {
-        let Json::Table(fields) = self else { return None };
-        fields.iter().find(|(key, _)| key == name).map(|(_, value)| value)
-    }
-
-    pub fn text(&self, name: &str) -> String {
-        match self.field(name) {
-            Some(Json::Text(text)) => text.clone(),
-            _ => String::new(),
-        }
-    }
-
-    pub fn list(&self, name: &str) -> &[Json] {
-        match self.field(name) {
-            Some(Json::List(list)) => list,
-            _ => &[],
-        }
-    }
-
-    fn skip(bytes: &[u8], at: &mut usize) {
-        while bytes.get(*at).is_some_and(|byte| byte.is_ascii_whitespace()) {
-            *at += 1;
-        }
-    }
-
-    fn value(bytes: &[u8], at: &mut usize) -> Option<Self> {
-        Self::skip(bytes, at);
-        match bytes.get(*at)? {
-            b'"' => Self::string(bytes, at).map(Json::Text),
-            b'[' => {
-                *at += 1;
-                let mut list = Vec::new();
-                loop {
-                    Self::skip(bytes, at);
-                    match bytes.get(*at)? {
-                        b']' => {
-                            *at += 1;
-                            return Some(Json::List(list));
-                        }
-                        b',' => *at += 1,
-                        _ => list.push(Self::value(bytes, at)?),
-                    }
-                }
-            }
-            b'{' => {
-                *at += 1;
-                let mut fields = Vec::new();
-                loop {
-                    Self::skip(bytes, at);
-                    match bytes.get(*at)? {
-                        b'}' => {
-                            *at += 1;
-                            return Some(Json::Table(fields));
-                        }
-                        b',' => *at += 1,
-                        _ => {
-                            let key = Self::string(bytes, at)?;
-                            Self::skip(bytes, at);
-                            *at += 1;
-                            fields.push((key, Self::value(bytes, at)?));
-                        }
-                    }
-                }
-            }
-            _ => {
-                let start = *at;
-                while bytes.get(*at).is_some_and(|byte| !b",]} \r\n\t".contains(byte)) {
-                    *at += 1;
-                }
-                let text = std::str::from_utf8(&bytes[start..*at]).ok()?;
-                Some(text.parse().map_or(Json::Other, Json::Number))
-            }
-        }
-    }
-
-    fn string(bytes: &[u8], at: &mut usize) -> Option<String> {
-        if bytes.get(*at) != Some(&b'"') {
-            return None;
-        }
-        *at += 1;
-        let mut out = Vec::new();
-        loop {
-            let byte = *bytes.get(*at)?;
-            *at += 1;
-            match byte {
-                b'"' => return String::from_utf8(out).ok(),
-                b'\\' => {
-                    out.push(match bytes.get(*at)? {
-                        b'n' => b'\n',
-                        b't' => b'\t',
-                        other => *other,
-                    });
-                    *at += 1;
-                }
-                other => out.push(other),
-            }
-        }
-    }
-}
-
-fn base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    let mut out = String::new();
-    for part in bytes.chunks(3) {
-        let word = u32::from(part[0]) << 16
-            | u32::from(*part.get(1).unwrap_or(&0)) << 8
-            | u32::from(*part.get(2).unwrap_or(&0));
-        for index in 0..4 {
-            let digit = DIGITS[(word >> (18 - 6 * index) & 63) as usize] as char;
-            out.push(if index <= part.len() { digit } else { '=' });
-        }
-    }
-    out
-}
-
 // ---------------------------------------------------------------------------------------------
 // The platform's store
 
-#[derive(Clone)]
-struct Row {
-    /// Base64.
-    value: Option<String>,
-    ver: u64,
-}
-
-#[derive(Default)]
-struct Rows {
-    ver: u64,
-    /// By table, part and key. A dropped row has no value.
-    rows: BTreeMap<(String, String, String), Row>,
-    /// The last heartbeat of each entry of `servers`.
-    beats: HashMap<String, Instant>,
-}
-
-/// The platform's metadata store: rows, feeds of changes and transactions.
+/// The project's own stand-in of the store, with the expiry of silent upstreams.
 pub struct Store {
     pub address: SocketAddr,
-    rows: Mutex<Rows>,
-    changed: Condvar,
-    start: Instant,
+    rows: RowHandle,
+    /// The last heartbeat of each upstream's row.
+    beats: Mutex<HashMap<String, Instant>>,
+    _stand: StoreStand,
+    _runtime: Runtime,
 }
 
 impl Store {
-    pub fn start() -> Arc<Self> {
-        let address = free_address();
-        let listener = bind(address);
-        let (rows, changed) = (Mutex::default(), Condvar::new());
-        let store = Arc::new(Self { address, rows, changed, start: Instant::now() });
-        let server = Arc::clone(&store);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&server);
-                thread::spawn(move || store.serve(Wire::new(stream)));
-            }
-        });
+    pub fn start(config: &ConfigEntry) -> Arc<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let runtime = runtime.unwrap_or_else(|error| cannot_run(&format!("runtime: {error}")));
+        let plan = RowPlan { listen: free_address(), ..RowPlan::default() };
+        let stand = runtime.block_on(StoreStand::start(plan));
+        let stand = stand.unwrap_or_else(|error| cannot_run(&format!("store: {error}")));
+        let rows = stand.handle();
+        rows.put(RowPath::new(PlatformCodec::CONFIG_TABLE, PlatformCodec::CONFIG_KEY), config_value(config));
+        let (address, beats) = (stand.address(), Mutex::default());
+        let store = Arc::new(Self { address, rows, beats, _stand: stand, _runtime: runtime });
         let janitor = Arc::clone(&store);
         thread::spawn(move || {
             loop {
@@ -400,121 +267,59 @@
         store
     }
 
-    /// Removes entries after three heartbeats of silence.
+    /// Removes rows after three heartbeats of silence.
     fn expire(&self) {
-        let late: Vec<String> = {
-            let rows = self.rows.lock().unwrap();
-            let late = rows.beats.iter().filter(|(_, at)| at.elapsed() > 3 * HEARTBEAT);
-            late.map(|(key, _)| key.clone()).collect()
-        };
-        for key in late {
-            self.remove_server(&key);
-        }
-    }
-
-    pub fn put(&self, table: &str, key: &str, value: &str) -> u64 {
-        self.write(table, "", key, Some(base64(value.as_bytes())))
-    }
-
-    fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) -> u64 {
-        let mut rows = self.rows.lock().unwrap();
-        rows.ver += 1;
-        let ver = rows.ver;
-        rows.rows.insert((table.into(), part.into(), key.into()), Row { value, ver });
-        drop(rows);
-        self.changed.notify_all();
-        ver
+        self.beats.lock().unwrap().retain(|id, at| {
+            let silent = at.elapsed() > 3 * HEARTBEAT;
+            if silent {
+                self.rows.remove(RowPath::new(PlatformCodec::UPSTREAM_TABLE, id));
+            }
+            !silent
+        });
     }
 
-    /// A heartbeat. The entry changes only when more than `seq` changes.
-    pub fn beat(&self, id: &str, value: &str, changes: bool) {
-        self.rows.lock().unwrap().beats.insert(id.to_owned(), Instant::now());
-        let known = (String::from("servers"), String::new(), id.to_owned());
-        let present = self.rows.lock().unwrap().rows.get(&known).is_some_and(|row| row.value.is_some());
-        if changes || !present {
-            self.put("servers", id, value);
+    /// A heartbeat of an upstream. The row is written if it is missing or if more than its count of
+    /// writes changes.
+    fn beat(&self, id: &str, entry: &UpstreamEntry, seq: u64, changes: bool) {
+        let known = self.beats.lock().unwrap().insert(id.to_owned(), Instant::now()).is_some();
+        if changes || !known {
+            self.rows.put(RowPath::new(PlatformCodec::UPSTREAM_TABLE, id), upstream_value(entry, seq));
         }
     }
+}
 
-    pub fn remove_server(&self, id: &str) {
-        let known = self.rows.lock().unwrap().beats.remove(id).is_some();
-        if known {
-            self.write("servers", "", id, None);
-        }
-    }
+/// Returns a configuration.
+pub fn config(routes: Vec<CallRoute>, services: &[(&str, &str)]) -> ConfigEntry {
+    let services = services.iter().map(|(name, health_path)| ServiceEntry {
+        name: SharedName::from(*name),
+        health_path: SharedName::from(*health_path),
+        connections: 220,
+    });
+    let caller_limits = CallerLimits { body_bytes: 64 * 1024 * 1024 };
+    ConfigEntry { version: 7, routes, services: services.collect(), caller_limits }
+}
 
-    fn serve(&self, mut wire: Wire) {
-        while let Ok(Some(head)) = wire.read_head() {
-            let Ok(body) = wire.read_body(&head) else { return };
-            let (status, text) = self.answer(&head, &body);
-            let fields = [("Content-Type", "application/json".to_owned())];
-            if wire.send(&format!("HTTP/1.1 {status}"), &fields, text.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
+/// Returns a route of safe requests of low urgency. Times are in milliseconds.
+pub fn safe_route(path: &str, service: &str, timeout: u64, target: u64) -> CallRoute {
+    route(path, service, timeout, target, WorkClass::Deferrable, true)
+}
 
-    fn answer(&self, head: &Head, body: &[u8]) -> (&'static str, String) {
-        let target = head.target().to_owned();
-        let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let table = query.get("table").copied().unwrap_or("");
-        match path {
-            "/rows-get" => {
-                let from = query.get("from").copied().unwrap_or("");
-                let part = query.get("part").copied().unwrap_or("");
-                let limit = query.get("limit").and_then(|text| text.parse().ok()).unwrap_or(500);
-                let rows = self.rows.lock().unwrap();
-                let found = rows.rows.iter().filter(|((own, own_part, key), row)| {
-                    own == table && own_part == part && row.value.is_some() && key.as_str() >= from
-                });
-                let mut texts: Vec<String> = found.map(|(key, row)| row_text(key, row)).collect();
-                let truncated = texts.len() > limit;
-                texts.truncate(limit);
-                let (ver, now) = (rows.ver, self.start.elapsed().as_millis());
-                let list = texts.join(",");
-                ("200 OK", format!(r#"{{"rows":[{list}],"truncated":{truncated},"ver":{ver},"now":{now}}}"#))
-            }
-            "/rows-feed" => {
-                let after: u64 = query.get("after").and_then(|text| text.parse().ok()).unwrap_or(0);
-                let wait = query.get("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
-                let until = Instant::now() + ms(wait);
-                let mut rows = self.rows.lock().unwrap();
-                loop {
-                    let found = rows.rows.iter().filter(|((own, ..), row)| own == table && row.ver > after);
-                    let mut found: Vec<_> = found.collect();
-                    found.sort_by_key(|(_, row)| row.ver);
-                    let left = until.saturating_duration_since(Instant::now());
-                    if !found.is_empty() || left.is_zero() {
-                        let texts: Vec<String> = found.iter().map(|(key, row)| row_text(key, row)).collect();
-                        let (ver, now) = (rows.ver, self.start.elapsed().as_millis());
-                        let list = texts.join(",");
-                        return ("200 OK", format!(r#"{{"rows":[{list}],"ver":{ver},"now":{now}}}"#));
-                    }
-                    rows = self.changed.wait_timeout(rows, left).unwrap().0;
-                }
-            }
-            "/rows-tx" => {
-                let Some(call) = Json::parse(body) else { return ("400 Bad Request", "{}".into()) };
-                for entry in call.list("writes") {
-                    self.write(&entry.text("table"), &entry.text("part"), &entry.text("key"), Some(entry.text("value")));
-                }
-                for entry in call.list("deletes") {
-                    self.write(&entry.text("table"), &entry.text("part"), &entry.text("key"), None);
-                }
-                let ver = self.rows.lock().unwrap().ver;
-                ("200 OK", format!(r#"{{"ver":{ver},"now":{}}}"#, self.start.elapsed().as_millis()))
-            }
-            _ => ("404 Not Found", "{}".into()),
-        }
-    }
+/// Returns a route of unsafe requests. Times are in milliseconds.
+pub fn unsafe_route(path: &str, service: &str, timeout: u64, target: u64) -> CallRoute {
+    route(path, service, timeout, target, WorkClass::Normal, false)
 }
 
-fn row_text((table, part, key): &(String, String, String), row: &Row) -> String {
-    let ver = row.ver;
-    match &row.value {
-        Some(value) => format!(r#"{{"table":"{table}","part":"{part}","key":"{key}","value":"{value}","ver":{ver}}}"#),
-        None => format!(r#"{{"table":"{table}","part":"{part}","key":"{key}","tombstone":true,"ver":{ver}}}"#),
+fn route(path: &str, service: &str, timeout: u64, target: u64, class: WorkClass, idempotent: bool) -> CallRoute {
+    CallRoute {
+        name: format!("r-{}", path.trim_matches('/')).into(),
+        host: SharedName::from("desk.example"),
+        path_prefix: SharedName::from(path),
+        idempotent,
+        class,
+        timeout: ClockSpan::from_millis(timeout),
+        objective: ClockSpan::from_millis(target),
+        attempts: 2,
+        targets: vec![RouteTarget { service: SharedName::from(service), weight: 1.0 }],
     }
 }
 
@@ -624,7 +429,7 @@
         thread::spawn(move || {
             let mut seq = 0;
             while writer.alive.load(Ordering::SeqCst) && !writer.dark.load(Ordering::SeqCst) {
-                writer.store.beat(&writer.plan.id, &writer.row(seq), seq == 0);
+                writer.store.beat(&writer.plan.id, &writer.entry(), seq, seq == 0);
                 seq += 1;
                 thread::sleep(HEARTBEAT);
             }
@@ -632,19 +437,25 @@
         upstream
     }
 
-    fn row(&self, seq: u64) -> String {
-        let UpstreamPlan { service, zone, slots, .. } = &self.plan;
-        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
-        let (address, born) = (self.address, self.born);
-        format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","warmupLeft":0,"seq":{seq},"born":{born}}}"#
-        )
+    fn entry(&self) -> UpstreamEntry {
+        let UpstreamPlan { id, service, zone, slots, .. } = &self.plan;
+        let server = UpstreamServer {
+            name: SharedName::from(id.as_str()),
+            service: SharedName::from(service.as_str()),
+            centre: SharedName::from(zone.as_str()),
+            address: self.address,
+            slots: *slots as u32,
+            connections: 220,
+            incarnation: self.born,
+            warm_up: ClockSpan::ZERO,
+        };
+        UpstreamEntry { server, draining: self.draining.load(Ordering::SeqCst) }
     }
 
     /// Reports that it is draining. It goes on serving.
     pub fn drain(&self, store: &Store) {
         self.draining.store(true, Ordering::SeqCst);
-        store.beat(&self.plan.id, &self.row(0), true);
+        store.beat(&self.plan.id, &self.entry(), 0, true);
         self.record.line(&format!("upstream {} is draining", self.plan.id));
     }
 
@@ -677,9 +488,27 @@
         !self.alive.load(Ordering::SeqCst)
     }
 
-    fn load(&self) -> String {
-        let (running, waiting) = (self.running.load(Ordering::SeqCst), self.waiting.load(Ordering::SeqCst));
-        format!("{running},{waiting},{},100", self.plan.slots)
+    /// Returns the headers of an answer.
+    fn fields(&self, id: &str, fate: AnswerFate) -> Vec<(String, String)> {
+        let figures = LoadFigures {
+            in_flight: self.running.load(Ordering::SeqCst) as u32,
+            slots: self.plan.slots as u32,
+            queued: self.waiting.load(Ordering::SeqCst) as u32,
+        };
+        let signature = format!("sig-{id}");
+        let answer = AnswerFields {
+            name: if fate == AnswerFate::Run { &signature } else { &self.plan.id },
+            request: (!id.is_empty()).then_some(id),
+            fate,
+            load: Some(LoadSample { figures, pace_percent: Some(100) }),
+            draining: self.draining.load(Ordering::SeqCst),
+            final_drain: false,
+            retry_after: None,
+        };
+        let mut headers = HeaderMap::new();
+        ServerDialect::set_answer_headers(&mut headers, &answer);
+        let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+        headers.iter().map(|(name, value)| (name.to_string(), text(value))).collect()
     }
 
     fn serve(&self, mut wire: Wire) {
@@ -694,33 +523,29 @@
 
     fn answer(&self, wire: &mut Wire, head: &Head, body: &[u8]) -> std::io::Result<()> {
         let plan = &self.plan;
-        let id = head.get("request-id").unwrap_or("").to_owned();
-        let mut fields = vec![("Upstream-Load", self.load())];
-        if !id.is_empty() {
-            fields.push(("Request-Id", id.clone()));
-        }
+        let asked = ServerDialect::read(&head.headers());
+        let id = asked.request.map(|id| id.to_string()).unwrap_or_default();
         let path = head.target().split('?').next().unwrap_or("");
         if head.method() == "GET" && path == plan.health_path {
             self.checks.fetch_add(1, Ordering::SeqCst);
-            fields.push(("Instance-Id", plan.id.clone()));
             let draining = self.draining.load(Ordering::SeqCst);
             let status = if draining { "HTTP/1.1 503 Service Unavailable" } else { "HTTP/1.1 200 OK" };
-            return wire.send(status, &fields, b"");
+            return wire.send(status, &self.fields(&id, AnswerFate::Check), b"");
         }
-        if head.get("expected-instance").is_some_and(|expected| expected != plan.id) {
+        if asked.expected.is_some_and(|expected| expected.as_ref() != plan.id) {
             self.record.line(&format!("{} rejects {id} with 421", plan.id));
-            fields.push(("Instance-Id", plan.id.clone()));
+            let fields = self.fields(&id, AnswerFate::Misdirected);
             return wire.send("HTTP/1.1 421 Misdirected Request", &fields, b"");
         }
         if id.is_empty() {
-            fields.push(("Not-Processed", "1".into()));
-            return wire.send("HTTP/1.1 400 Bad Request", &fields, b"");
+            return wire.send("HTTP/1.1 400 Bad Request", &self.fields(&id, AnswerFate::NotRun), b"");
         }
         if !self.take_slot() {
-            fields.push(("Not-Processed", "1".into()));
+            let fields = self.fields(&id, AnswerFate::NotRun);
             return wire.send("HTTP/1.1 503 Service Unavailable", &fields, b"");
         }
-        let result = self.run(wire, head, &id, body, fields);
+        let remaining = asked.remaining.map_or("no limit of".into(), |span| span.as_millis().to_string());
+        let result = self.run(wire, head, &id, body, &remaining);
         self.running.fetch_sub(1, Ordering::SeqCst);
         result
     }
@@ -749,7 +574,7 @@
         head: &Head,
         id: &str,
         body: &[u8],
-        mut fields: Vec<(&'static str, String)>,
+        remaining: &str,
     ) -> std::io::Result<()> {
         let plan = &self.plan;
         let run = Run {
@@ -761,7 +586,6 @@
             at: Instant::now(),
             done: false,
         };
-        let remaining = head.get("deadline-remaining").unwrap_or("none").to_owned();
         self.record.line(&format!("{} of {} runs {id}: {} {}, {remaining} ms left", plan.id, plan.service, run.method, run.target));
         let index = {
             let mut runs = self.runs.0.lock().unwrap();
@@ -783,7 +607,7 @@
             }
         }
         self.runs.0.lock().unwrap()[index].done = true;
-        fields.push(("Upstream-Signature", format!("sig-{id}")));
+        let fields = self.fields(id, AnswerFate::Run);
         wire.send("HTTP/1.1 200 OK", &fields, format!("answer to {id}").as_bytes())
     }
 }
