--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -74,11 +74,14 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The processes that have not ended yet.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
+/// Ends all processes and waits until they have ended.
 fn kill_all() {
-    for pid in CHILDREN.lock().unwrap().drain(..) {
-        signal(pid, "KILL");
+    for mut child in CHILDREN.lock().unwrap().drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
@@ -622,7 +625,7 @@
     pub control: SocketAddr,
     pub zone: String,
     exchange: SocketAddr,
-    child: Option<Child>,
+    pid: Option<u32>,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -648,7 +651,7 @@
             control: free_address(),
             exchange: free_address(),
             zone: (*zone).to_owned(),
-            child: None,
+            pid: None,
             settings: folder.join(format!("{index}.json")),
             log: folder.join(format!("{index}.log")),
         };
@@ -709,8 +712,8 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("target/release/agateroad: {e}")));
-        CHILDREN.lock().unwrap().push(child.id());
-        gateway.child = Some(child);
+        gateway.pid = Some(child.id());
+        CHILDREN.lock().unwrap().push(child);
     }
 
     pub fn start_all(&mut self) {
@@ -736,20 +739,20 @@
 }
 
 impl Gateway {
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     pub fn signal(&self, name: &str) {
-        signal(self.pid(), name);
+        if let Some(pid) = self.pid {
+            signal(pid, name);
+        }
     }
 
     /// Returns the exit status once the process has ended.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        let pid = self.pid();
-        CHILDREN.lock().unwrap().retain(|known| *known != pid);
-        self.child = None;
+        let pid = self.pid?;
+        let mut children = CHILDREN.lock().unwrap();
+        let index = children.iter().position(|child| child.id() == pid)?;
+        let status = children[index].try_wait().ok()??;
+        children.swap_remove(index);
+        self.pid = None;
         Some(status)
     }
 
