Finish a graceful shutdown when SIGTERM is repeated

Callers saw: a platform that repeats SIGTERM cuts off every call of a gateway that shuts down.

Cause: any second signal abandoned the shutdown. That is meant for a person who presses Ctrl-C twice.

Change: only SIGINT abandons a shutdown.

Measured: a_second_sigterm_interrupts_no_call failed before (the process had ended with the call unanswered) and passes.

--- a/crates/gate/src/cmd/signals.rs
+++ b/crates/gate/src/cmd/signals.rs
@@ -24,14 +24,15 @@
         }
     }
 
-    /// Runs the graceful shutdown, and abandons it at the next signal.
+    /// Runs the graceful shutdown. SIGINT, which a person at a terminal sends, abandons it. A further
+    /// SIGTERM does not, because a platform may repeat it.
     pub(super) async fn run_shutdown(&mut self, shutdown: impl Future<Output = ()>) {
         tokio::select! {
             () = shutdown => {}
-            () = self.next() => {
+            _ = self.interrupt.recv() => {
                 tracing::warn!(
                     event = event::DRAIN_ABANDONED,
-                    "a second signal ends the graceful shutdown"
+                    "SIGINT ends the graceful shutdown"
                 );
             }
         }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -14,7 +14,7 @@
 pub const DRAIN_TIMED_OUT: u32 = 1010;
 /// The membership list could not be read.
 pub const MEMBERS_READ_FAILED: u32 = 1011;
-/// A second signal ended the process during its shutdown.
+/// SIGINT ended the process during its shutdown.
 pub const DRAIN_ABANDONED: u32 = 1012;
 /// Outcomes of claims were not stored before the process ended.
 pub const OUTCOMES_UNSTORED: u32 = 1013;
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -1292,6 +1292,24 @@
     calls > 0 && (calls as f64 / SPLIT_CALLS as f64 - SPLIT_SHARE).abs() <= SPLIT_BOUND
 }
 
+/// Guards against a second SIGTERM that ends the process while its calls run. Platforms may repeat
+/// the signal.
+#[tokio::test]
+async fn a_second_sigterm_interrupts_no_call() {
+    let mut env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+    let unfinished = UnfinishedCall::start(&env, BOOK, "held").await;
+    env.gate.process.signal(Signal::TERM);
+    env.wait_for_readiness(false).await;
+    env.gate.process.signal(Signal::TERM);
+    let address = env.gate.caller_address;
+    wait_until("connections are refused", async || CallerConnection::open(address).await.is_err())
+        .await;
+    assert_eq!(env.gate.process.exit_success(), None, "the process waits for its call");
+    unfinished.finish(&env).await;
+    let gate = &mut env.gate;
+    wait_until("the process ends", async || gate.process.exit_success().is_some()).await;
+}
+
 /// Guards against a graceful shutdown that interrupts calls, that refuses connections before load
 /// balancers can detect that the gateway is not ready, or that does not exit with 0.
 #[tokio::test]
