Give a VM that starts the suspects of its peers

Cause: suspects were sent only when they changed, so that a process which started knew none until the next renewal, up to 60 s later.

Change: the list of live VMs carries a digest of the suspects. A VM with another digest fetches them from the same peer, at its start before it sends any call.

--- a/crates/gate/src/directory_tables.rs
+++ b/crates/gate/src/directory_tables.rs
@@ -1,6 +1,7 @@
 //! What this VM has read from the store and from peers, and the copies of it that peers may fetch.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -8,6 +9,11 @@
 use member::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
+use suspect::prelude::*;
+
+/// A VM that has run for this long has received the notices of its peers, although it found none to
+/// ask at its start. The clock of a process starts with it.
+const SETTLE_SPAN: ClockSpan = ClockSpan::from_secs(10);
 
 /// What was read from the store and from peers.
 #[derive(Debug)]
@@ -46,7 +52,7 @@
             CopyName::Changes { after, at_least } => {
                 (Some(after), self.upstreams.changes_since(after)?, at_least)
             }
-            CopyName::Members => return None,
+            CopyName::Members | CopyName::Suspects => return None,
         };
         let RowPage { rows, position, .. } = page;
         if position < needed {
@@ -65,16 +71,32 @@
     pub tables: Arc<RankedMutex<DirectoryTables>>,
     /// The VMs.
     pub membership: Arc<RankedMutex<MembershipTable>>,
+    /// Requests that crash upstreams.
+    pub suspects: Arc<SuspectTable>,
+    /// Whether this VM has learned the suspects from a settled VM.
+    pub suspects_learned: Arc<AtomicBool>,
 }
 
 impl CopySource {
+    /// Returns whether the suspects of this VM can be relied on, see [`SuspectsCopy::is_settled`].
+    fn is_settled(&self, now: ClockTime) -> bool {
+        let uptime = now.since(ClockTime::ZERO);
+        uptime >= SETTLE_SPAN || self.suspects_learned.load(Ordering::Relaxed)
+    }
+
     /// Returns the copy with the given name, if this VM has it.
     pub fn copy(&self, name: CopyName, now: ClockTime) -> Option<Bytes> {
         if name == CopyName::Members {
             let members = self.membership.lock().members(now);
             let config_version = self.tables.lock().config.highest_version();
+            let (suspect_digest, is_settled) = (self.suspects.digest(now), self.is_settled(now));
+            let copy = MembersCopy { members, config_version, suspect_digest, is_settled };
             // Names, addresses and numbers can always be serialised.
-            let copy = serde_json::to_vec(&MembersCopy { members, config_version });
+            return serde_json::to_vec(&copy).ok().map(Bytes::from);
+        }
+        if name == CopyName::Suspects {
+            let (notices, is_settled) = (self.suspects.copy(now), self.is_settled(now));
+            let copy = serde_json::to_vec(&SuspectsCopy { notices, is_settled });
             return copy.ok().map(Bytes::from);
         }
         let copy = self.tables.lock().copy(name, now);
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -77,7 +77,13 @@
         let rows = RowStore::<_, K>::new(store, state.clock);
         let exchange = VmExchange::bind(exchange, state.clock).await?;
         let membership = Arc::clone(&exchange.membership);
-        peers.offer_copies(CopySource { tables: Arc::clone(&tables), membership });
+        let suspects_learned = Arc::new(AtomicBool::new(false));
+        peers.offer_copies(CopySource {
+            tables: Arc::clone(&tables),
+            membership,
+            suspects: Arc::clone(&state.tables.suspects),
+            suspects_learned: Arc::clone(&suspects_learned),
+        });
         let core = Arc::new(DiscoveryCore {
             state: Arc::clone(state),
             rows,
@@ -91,6 +97,7 @@
             upstreams_wanted: Notify::new(),
             upstreams_refresh: AtomicBool::new(false),
             joined: watch::Sender::new(false),
+            suspects_learned,
             row_written: AtomicBool::new(false),
             query_wanted: Notify::new(),
             queried: RankedMutex::new(LockRank::PeerTable, None),
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -62,6 +62,8 @@
     pub(super) upstreams_refresh: AtomicBool,
     /// Whether this VM knows other VMs, or has tried to find them.
     pub(super) joined: watch::Sender<bool>,
+    /// Whether this VM has learned from a settled VM which requests crash upstreams.
+    pub(super) suspects_learned: Arc<AtomicBool>,
     /// Whether the row of this VM is in the store.
     pub(super) row_written: AtomicBool,
     /// Wakes the task that asks a peer for the VMs that it knows.
--- a/crates/gate/src/discovery/join.rs
+++ b/crates/gate/src/discovery/join.rs
@@ -9,11 +9,13 @@
 
 use base::prelude::*;
 use directory::prelude::*;
+use member::prelude::*;
 use peer::prelude::*;
 use store::prelude::*;
 
 use super::core::{DiscoveryCore, log_read};
 use crate::event;
+use crate::mechanism::Mechanism;
 
 /// The table of the store in which VMs write rows about themselves, by their names.
 const VM_TABLE: &str = "agateroad_vms";
@@ -21,6 +23,9 @@
 /// others in the store. VMs that start together may take a few hundred milliseconds to listen, and small
 /// ones that many ask need as long to answer.
 const SEED_LIMIT: ClockSpan = ClockSpan::from_millis(1_000);
+/// The most VMs that a VM which starts asks for suspects after the first. When all VMs start together,
+/// none of them knows any.
+const SUSPECT_REQUESTS: usize = 4;
 /// The mean pause between two rounds of these requests.
 const SEED_PAUSE: ClockSpan = ClockSpan::from_millis(60);
 /// The mean pause after a failed call to the store.
@@ -34,6 +39,7 @@
     /// through which others are found, and announces a changed incarnation.
     pub(super) async fn join_fleet(self: Arc<Self>) {
         if self.join_through_seeds().await {
+            self.learn_suspects().await;
             self.joined.send_replace(true);
             self.exchange.membership.lock().schedule_presence(self.state.clock.now());
         } else {
@@ -100,6 +106,7 @@
         let now = self.state.clock.now();
         self.exchange.membership.lock().merge_members(&copy.members, now);
         self.observe_config_version(copy.config_version);
+        self.compare_suspects(address, &copy).await;
         if let Some(sender) = copy.members.first() {
             let address = sender.entry.exchange_address;
             self.exchange.send(self.exchange.hello(false, true), &[address]).await;
@@ -107,6 +114,55 @@
         true
     }
 
+    /// Fetches the suspects of a peer if this VM knows others.
+    async fn compare_suspects(&self, address: SocketAddr, copy: &MembersCopy) {
+        if !self.state.options.tuning.uses(Mechanism::PeerSuspects) {
+            return;
+        }
+        if copy.suspect_digest != self.state.tables.suspects.digest(self.state.clock.now()) {
+            self.fetch_suspects(address).await;
+        } else if copy.is_settled {
+            self.suspects_learned.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Fetches the suspects that a VM knows.
+    async fn fetch_suspects(&self, address: SocketAddr) {
+        let Some(copy) = self.fetch_copy_from(address, CopyName::Suspects).await else { return };
+        let copy = match serde_json::from_slice::<SuspectsCopy>(&copy) {
+            Ok(copy) => copy,
+            Err(error) => {
+                tracing::debug!(event = event::EXCHANGE_FAILED, %error);
+                return;
+            }
+        };
+        let now = self.state.clock.now();
+        for notice in &copy.notices {
+            self.state.tables.suspects.merge(notice, now);
+        }
+        if copy.is_settled {
+            self.suspects_learned.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Asks further VMs for their suspects until one is settled. The one that told this VM of the
+    /// others may have started at the same time.
+    async fn learn_suspects(&self) {
+        if !self.state.options.tuning.uses(Mechanism::PeerSuspects) {
+            return;
+        }
+        let mut addresses = self.exchange.membership.lock().peers_to_ask(AskReach::Any);
+        addresses.extend(self.exchange.seeds());
+        for (index, address) in addresses.iter().enumerate().take(SUSPECT_REQUESTS) {
+            if self.suspects_learned.load(Ordering::Relaxed) {
+                return;
+            }
+            if !addresses[..index].contains(address) {
+                self.fetch_suspects(*address).await;
+            }
+        }
+    }
+
     /// Announces this VM in the store, repeatedly until that succeeds. After the first try, tasks
     /// that wait for peers go on.
     async fn announce_until_done(&self) {
@@ -117,6 +173,7 @@
             tokio::time::sleep(pause.to_duration()).await;
         }
         self.row_written.store(true, Ordering::Relaxed);
+        self.learn_suspects().await;
         self.joined.send_replace(true);
     }
 
--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -42,11 +42,13 @@
     FirstRequest,
     /// A configuration that a peer has is read from a peer.
     PeerConfig,
+    /// A VM that starts learns from its peers which requests crash upstreams.
+    PeerSuspects,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Drain,
         Self::AtMostOnce,
         Self::ForeignAnswer,
@@ -63,6 +65,7 @@
         Self::Stall,
         Self::FirstRequest,
         Self::PeerConfig,
+        Self::PeerSuspects,
     ];
 
     /// Returns the name on the command line.
@@ -84,6 +87,7 @@
             Self::Stall => "stall",
             Self::FirstRequest => "first-request",
             Self::PeerConfig => "peer-config",
+            Self::PeerSuspects => "peer-suspects",
         }
     }
 }
--- a/crates/gate/src/tables.rs
+++ b/crates/gate/src/tables.rs
@@ -1,5 +1,7 @@
 //! The tables that decide about calls on the request path.
 
+use std::sync::Arc;
+
 use base::prelude::*;
 use limit::prelude::*;
 use report::prelude::*;
@@ -30,7 +32,7 @@
     /// The probe budget.
     pub probes: ProbeBudget,
     /// Requests that crash upstreams.
-    pub suspects: SuspectTable,
+    pub suspects: Arc<SuspectTable>,
     /// The burn rates of the service-level objectives.
     pub burn: BurnTable,
     /// The context of each service.
@@ -51,7 +53,7 @@
             admission: AdmissionPolicy::new(AdmissionTuning::default()),
             retries: RetryBudget::new(RetryTuning::default()),
             probes: ProbeBudget::new(ProbeTuning::default()),
-            suspects: SuspectTable::new(vm.name.clone(), tuning.suspects.clone()),
+            suspects: Arc::new(SuspectTable::new(vm.name.clone(), tuning.suspects.clone())),
             burn: BurnTable::new(BurnTuning::default()),
             services: ServiceRegistry::default(),
             metrics: GateMetrics::new(),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -26,7 +26,7 @@
     };
     pub use crate::message::{
         CopyName, ExchangeNotice, GrantRequest, GrantResult, MembersCopy, PeerContact, RowCopy,
-        StatusReport, TableCopy, UnknownCopy,
+        StatusReport, SuspectsCopy, TableCopy, UnknownCopy,
     };
     pub use crate::secret::{ControlRole, LiveSecrets, SecretTable};
     pub use crate::server::{ControlHandler, ControlServer};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -126,6 +126,8 @@
     },
     /// The VMs that the peer knows.
     Members,
+    /// Requests that crash upstreams.
+    Suspects,
 }
 
 impl fmt::Display for CopyName {
@@ -135,6 +137,7 @@
             Self::Upstreams { at_least } => write!(formatter, "upstreams:{at_least}"),
             Self::Changes { after, at_least } => write!(formatter, "changes:{after}:{at_least}"),
             Self::Members => formatter.write_str("members"),
+            Self::Suspects => formatter.write_str("suspects"),
         }
     }
 }
@@ -156,6 +159,7 @@
             (Some("upstreams"), Ok(&[at_least])) => Ok(Self::Upstreams { at_least }),
             (Some("changes"), Ok(&[after, at_least])) => Ok(Self::Changes { after, at_least }),
             (Some("members"), Ok(&[])) => Ok(Self::Members),
+            (Some("suspects"), Ok(&[])) => Ok(Self::Suspects),
             _ => Err(UnknownCopy),
         }
     }
@@ -185,6 +189,23 @@
     pub members: Vec<MemberNotice>,
     /// The highest version of the configuration that any VM is known to have.
     pub config_version: u64,
+    /// The digest of the suspects that the sender knows.
+    #[serde(default)]
+    pub suspect_digest: u64,
+    /// See [`SuspectsCopy::is_settled`].
+    #[serde(default)]
+    pub is_settled: bool,
+}
+
+/// The requests that crash upstreams, as a VM knows them, for a peer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SuspectsCopy {
+    /// The suspects, and those that were released or cleared recently.
+    pub notices: Vec<SuspectNotice>,
+    /// Whether the sender has run for a while or has itself learned the suspects from such a VM. If
+    /// not, it may not know any suspects yet.
+    pub is_settled: bool,
 }
 
 /// A row of a [`TableCopy`].
--- a/crates/peer/tests/copies.rs
+++ b/crates/peer/tests/copies.rs
@@ -18,6 +18,7 @@
         case("upstreams:0", Some(CopyName::Upstreams { at_least: 0 })),
         case("changes:3:9", Some(CopyName::Changes { after: 3, at_least: 9 })),
         case("members", Some(CopyName::Members)),
+        case("suspects", Some(CopyName::Suspects)),
         case("members:1", None),
         case("configuration", None),
         case("configuration:", None),
--- a/crates/peer/tests/properties.rs
+++ b/crates/peer/tests/properties.rs
@@ -53,7 +53,13 @@
 fn members() -> Value {
     let entry = VmEntry { vm: VmIdentity { name: "vm-2".into(), ..own_entry().vm }, ..own_entry() };
     let members = vec![MemberNotice { entry, silent_ms: 5 }];
-    serde_json::to_value(MembersCopy { members, config_version: 3 }).expect("a value")
+    serde_json::to_value(MembersCopy {
+        members,
+        config_version: 3,
+        suspect_digest: 4,
+        is_settled: true,
+    })
+    .expect("a value")
 }
 
 fn table() -> Value {
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::notice::{CrashIncident, SuspectNotice};
 use crate::tuning::SuspectTuning;
@@ -260,6 +261,22 @@
         needs_reply
     }
 
+    /// Returns whether earlier crashes were discarded by a release or clearing.
+    pub fn was_cleared(&self) -> bool {
+        self.cleared.count > 0
+    }
+
+    /// Returns a digest of the crashes and clearings, without their ages, which differ between VMs.
+    pub fn digest(&self, fingerprint: u64) -> u64 {
+        let mut hasher = Xxh3::with_seed(fingerprint);
+        hasher.update(&self.cleared.count.to_le_bytes());
+        for incident in &self.incidents {
+            hasher.update(incident.upstream.as_bytes());
+            hasher.update(&incident.counter.count.to_le_bytes());
+        }
+        hasher.digest()
+    }
+
     /// Returns the notice that sends this record to other VMs.
     pub fn to_notice(&self, fingerprint: u64, now: ClockTime) -> SuspectNotice {
         let incidents = self.incidents.iter().map(|known| CrashIncident {
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -100,6 +100,19 @@
 }
 
 impl TableState {
+    /// Returns the records that matter to other VMs: those of suspects, and those with a release or
+    /// clearing that is recent enough that another VM may still suspect the fingerprint.
+    fn relevant_records(
+        &self,
+        tuning: &SuspectTuning,
+        now: ClockTime,
+    ) -> impl Iterator<Item = (&u64, &SuspectRecord)> {
+        self.records.iter().filter(move |(_, record)| {
+            record.status(tuning, now) != SuspectStatus::Cleared
+                || record.was_cleared() && record.age(now) <= tuning.confirmed_span
+        })
+    }
+
     fn status(&self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) -> SuspectStatus {
         self.records
             .get(&fingerprint)
@@ -482,6 +495,27 @@
         notices
     }
 
+    /// Returns the notices from which a VM that starts learns what this one knows: suspects, and
+    /// releases and clearings that a VM may have missed. Of more than [`SuspectTuning::copied`], the
+    /// confirmed and the newest ones.
+    pub fn copy(&self, now: ClockTime) -> Vec<SuspectNotice> {
+        let state = self.state.lock();
+        let mut known: Vec<_> = state.relevant_records(&self.tuning, now).collect();
+        known.sort_by_key(|(_, record)| {
+            (Reverse(record.status(&self.tuning, now)), record.age(now))
+        });
+        known.truncate(self.tuning.copied);
+        known.iter().map(|(fingerprint, record)| record.to_notice(**fingerprint, now)).collect()
+    }
+
+    /// Returns a digest of what [`SuspectTable::copy`] is taken from. VMs that know the same have
+    /// the same digest; a VM that knows nothing has 0.
+    pub fn digest(&self, now: ClockTime) -> u64 {
+        let state = self.state.lock();
+        let records = state.relevant_records(&self.tuning, now);
+        records.fold(0, |digest, (fingerprint, record)| digest ^ record.digest(*fingerprint))
+    }
+
     /// Returns the owner VM that must grant an isolated run of a suspect before this VM may perform
     /// it, or `None` if no grant is needed or none would be given yet.
     pub fn isolation_owner(&self, fingerprint: u64, now: ClockTime) -> Option<SharedName> {
--- a/crates/suspect/src/tuning.rs
+++ b/crates/suspect/src/tuning.rs
@@ -54,6 +54,9 @@
     pub down_span: ClockSpan,
     /// Maximum number of records in the table. The oldest cleared ones are evicted first.
     pub entries: usize,
+    /// Maximum number of records in a copy for a VM that starts. With up to eight crashes of about
+    /// 90 bytes each, a copy has less than 256 KiB before compression.
+    pub copied: usize,
 }
 
 impl Default for SuspectTuning {
@@ -79,6 +82,7 @@
             guard_span: ClockSpan::from_secs(60),
             down_span: ClockSpan::from_secs(30),
             entries: 4096,
+            copied: 256,
         }
     }
 }
--- a/crates/suspect/tests/sharing.rs
+++ b/crates/suspect/tests/sharing.rs
@@ -254,6 +254,83 @@
     }
 }
 
+struct CopyCase {
+    name: &'static str,
+    /// The time from the last event to the copy.
+    age: ClockSpan,
+    events: fn(&SuspectTable, ClockTime),
+    expected: SuspectStatus,
+    /// Whether the copy has a notice.
+    is_copied: bool,
+}
+
+/// Guards against a VM that starts and learns less than its peer knows, or suspects what the peer
+/// no longer does.
+#[test]
+fn a_copy_tells_a_vm_that_starts_what_matters() {
+    let confirm = |table: &SuspectTable, now: ClockTime| {
+        crash(table, SUSPECT, "a", now);
+        crash(table, SUSPECT, "b", now);
+    };
+    let (soon, late) = (ClockSpan::from_secs(5), ClockSpan::from_secs(3 * 3600));
+    let case = |name, age, events, expected, is_copied| CopyCase {
+        name,
+        age,
+        events,
+        expected,
+        is_copied,
+    };
+    let cases = [
+        case("nothing", soon, |_, _| {}, Cleared, false),
+        case(
+            "suspected",
+            soon,
+            |table, now| drop(crash(table, SUSPECT, "a", now)),
+            Suspected,
+            true,
+        ),
+        case("confirmed", soon, confirm, Confirmed, true),
+        case("expired", late, confirm, Cleared, false),
+        case("released", soon, |table, _| drop(table.release(SUSPECT)), Cleared, true),
+        case("released long ago", late, |table, _| drop(table.release(SUSPECT)), Cleared, false),
+    ];
+    for CopyCase { name, age, events, expected, is_copied } in cases {
+        let (old, new) = (table("old"), table("new"));
+        let crashed = ClockTime::from_millis(1_000);
+        // Sets the time of the table, which a release uses.
+        old.check(SUSPECT, crashed);
+        events(&old, crashed);
+        let now = crashed + age;
+        let copy = old.copy(now);
+        assert_eq!(!copy.is_empty(), is_copied, "{name}");
+        // The process of the new VM has just started.
+        let started = ClockTime::from_millis(10);
+        copy.iter().for_each(|notice| new.merge(notice, started));
+        let standing = new.list(started).first().map_or(Cleared, |entry| entry.standing);
+        assert_eq!(standing, expected, "{name}");
+        assert_eq!(new.digest(started), old.digest(now), "{name}");
+        assert_eq!(old.digest(now) != 0, is_copied, "{name}");
+    }
+}
+
+/// Guards against a copy without a bound, and against one that leaves out confirmed suspects.
+#[test]
+fn a_copy_is_bounded() {
+    let tuning = SuspectTuning { copied: 8, ..SuspectTuning::default() };
+    let table = SuspectTable::new("vm".into(), tuning);
+    let now = ClockTime::from_millis(1000);
+    for fingerprint in 0..4 {
+        crash(&table, fingerprint, "a", now);
+        crash(&table, fingerprint, "b", now);
+    }
+    for fingerprint in 4..40 {
+        crash(&table, fingerprint, "a", now + ClockSpan::from_millis(fingerprint));
+    }
+    let copied: Vec<u64> =
+        table.copy(now + ClockSpan::from_secs(1)).iter().map(|n| n.fingerprint).collect();
+    assert_eq!(copied, [0, 1, 2, 3, 39, 38, 37, 36]);
+}
+
 /// Guards against records that are never exported: calls in succession must cover the table.
 #[test]
 fn export_covers_the_table_in_turns() {
--- a/crates/trial/tests/copies.rs
+++ b/crates/trial/tests/copies.rs
@@ -130,3 +130,54 @@
     tokio::time::sleep(SETTLED_SPAN.to_duration()).await;
     env.call_and_check("/late", "late", &ExpectedEnd::SERVED).await.expect("the new route is used");
 }
+
+/// A request that crashes every upstream that runs it.
+const POISON: &str = "/look/poison";
+/// The number of the log event for a request that is confirmed to crash upstreams.
+const SUSPECT_CONFIRMED: u32 = 1402;
+
+/// Returns how many times upstreams crashed.
+fn crashes(env: &PlatformEnvironment) -> u64 {
+    env.upstreams.iter().map(|upstream| upstream.server.counts().crashes).sum()
+}
+
+/// Sends a request that crashes upstreams until a VM refuses it, starts another VM and sends the
+/// request there. Returns how many upstreams crash at the other VM.
+async fn crashes_at_started_vm(disabled: DisabledList) -> u64 {
+    let default_plan = EnvironmentPlan::default();
+    let upstream = UpstreamPlan {
+        crash_paths: vec![POISON.into()],
+        restart_ms: Some(300),
+        ..default_plan.upstream.clone()
+    };
+    let plan = EnvironmentPlan { upstreams: 3, upstream, disabled, ..default_plan };
+    let mut env = PlatformEnvironment::start(plan).await;
+    env.serve_calls("before", 6).await;
+    let confirmed = format!("\"event\":{SUSPECT_CONFIRMED}");
+    let mut index = 0;
+    wait_until("the request is confirmed", async || {
+        index += 1;
+        // The answer does not matter: the request is sent until it is refused for good.
+        let _ = env.call(POISON, &format!("poison-{index}")).await;
+        env.gate.log().contains(&confirmed)
+    })
+    .await;
+    for upstream in &env.upstreams {
+        await_event("the upstream is back", upstream.server.wait_listening(true)).await;
+    }
+    let seeds = vec![env.gate.control_address];
+    let (_proxy, _first) = env.replace_gate_with("vm-2", seeds).await;
+    let before = crashes(&env);
+    let answer = env.call(POISON, "poison-at-vm-2").await;
+    let status = answer.map_or(0, |answer| answer.status.as_u16());
+    assert_eq!(status == 503, crashes(&env) == before, "{status}");
+    crashes(&env) - before
+}
+
+/// Guards against a VM that starts and runs a request which its peers refuse, because it crashes
+/// upstreams (review/4).
+#[tokio::test]
+async fn a_vm_that_starts_refuses_the_suspects_of_its_peers() {
+    assert_eq!(crashes_at_started_vm(&[]).await, 0);
+    assert!(crashes_at_started_vm(&["peer-suspects"]).await > 0, "no crash without the mechanism");
+}
