Identify requests that crash upstreams by their whole content

Cause: the fingerprint left out the content of the body and the caller. Ruled out: detection and sharing of crashes; event 1401 names each crash on every VM.

Change: the fingerprint is keyed and covers the body and the credentials. Bodies that are passed on while they arrive are read first after a crash of a request with the same head. A request that is refused for two hours is tested in isolation.

--- a/crates/ctl/src/demo/cluster.rs
+++ b/crates/ctl/src/demo/cluster.rs
@@ -16,6 +16,7 @@
 use snafu::{OptionExt, ResultExt};
 use stand::prelude::*;
 use store::prelude::*;
+use suspect::prelude::FingerprintKey;
 use world::prelude::*;
 
 use crate::check::BorderCheck;
@@ -147,6 +148,7 @@
         workers: GATE_WORKERS,
         policy: PolicyKind::default(),
         initial_timeouts: GateTimeouts::default(),
+        fingerprint_key: FingerprintKey::new(DEMO_SECRET),
         tuning: CallTuning::default(),
     };
     RunningGate::start(Arc::new(GateState::new(options, environment.clone()))).context(GateSnafu)
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -198,6 +198,20 @@
         Ok(Self::Streamed(Some(SendBody::Stream(stream))))
     }
 
+    /// Reads a streamed body to its end, so that it is in memory. Returns `None` if it is longer than
+    /// `limit_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body ends early, arrives too slowly or is longer than callers may send.
+    pub async fn read_to_end(self, limit_bytes: usize) -> Result<Option<Self>, BodyError> {
+        let Self::Streamed(Some(SendBody::Stream(mut stream))) = self else {
+            return Ok(Some(self));
+        };
+        let (received, ended) = read_up_to(&mut stream, limit_bytes).await?;
+        Ok((ended && received.len() <= limit_bytes).then_some(Self::Buffered(received)))
+    }
+
     /// Returns the body for the next attempt, or `None` if it cannot be sent again.
     pub fn next_copy(&mut self) -> Option<SendBody> {
         match self {
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -117,6 +117,8 @@
     let deadline = state.clock.to_instant(call.request.deadline).into();
     let body = timeout_at(deadline, receiving).await.unwrap_or(Err(BodyError::TooSlow));
     let body = body.map_err(BodyError::into_refusal)?;
+    let (body, _permit) =
+        suspect_check::identify(state, context, call, traced, facts, body).await?;
     let body_time = state.clock.now().since(body_started);
     let progress = CallProgress::default();
     let latest_end = state.clock.to_instant(call.request.deadline + OVERRUN_SPAN).into();
--- a/crates/gate/src/call_trace.rs
+++ b/crates/gate/src/call_trace.rs
@@ -70,7 +70,7 @@
         self.arrived
     }
 
-    /// Records the service and the rule that the call was matched to.
+    /// Records the service and the rule that the call was matched to. Its fingerprint follows.
     pub fn record_match(&mut self, context: &Arc<ServiceContext>, call: &PlannedCall) {
         let request = &call.request;
         self.context = Some(Arc::clone(context));
@@ -81,10 +81,17 @@
             version: call.version,
             time_limit: request.deadline.since(self.arrived),
             objective: call.objective,
-            fingerprint: request.fingerprint,
+            fingerprint: 0,
         });
     }
 
+    /// Records the fingerprint of the call.
+    pub fn record_fingerprint(&mut self, fingerprint: u64) {
+        if let Some(facts) = &mut self.trace.facts {
+            facts.fingerprint = fingerprint;
+        }
+    }
+
     /// Records that an attempt has a slot on an upstream.
     pub fn record_choice(&mut self, attempt: u32, choice: &UpstreamChoice) {
         let UpstreamChoice { upstream, facts, checked, waited } = choice.clone();
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -26,7 +26,7 @@
 use crate::progress::CallProgress;
 use crate::service::ServiceContext;
 use crate::state::{GateClaims, GateState, GateStore};
-use crate::{stop_check, suspect_check};
+use crate::{fingerprint, stop_check, suspect_check};
 
 /// Header that marks the stored answer to an earlier request with the same key.
 pub const REPEAT: HeaderName = HeaderName::from_static("agateroad-repeat");
@@ -61,8 +61,8 @@
 pub(crate) async fn run<C: CallCodec>(
     state: &Arc<GateState>,
     context: &Arc<ServiceContext>,
-    call: PlannedCall,
-    traced: TracedCall,
+    mut call: PlannedCall,
+    mut traced: TracedCall,
     facts: &RequestFacts,
     body: Incoming,
 ) -> TracedResponse {
@@ -70,6 +70,9 @@
         Ok(acquired) => acquired,
         Err(response) => return (response, Some(traced)),
     };
+    let body = if body.is_empty() { CallBody::Empty } else { CallBody::Buffered(body) };
+    call.request.fingerprint = fingerprint::of_call(state, &call, facts, &body);
+    traced.record_fingerprint(call.request.fingerprint);
     let claimed = ClaimedCall { context: Arc::clone(context), call, traced, body };
     dispatch::<C>(state, claimed, grant).await
 }
@@ -171,7 +174,7 @@
     context: Arc<ServiceContext>,
     call: PlannedCall,
     traced: TracedCall,
-    body: Bytes,
+    body: CallBody,
 }
 
 /// Runs the call in a separate task, so that its outcome is stored even if the caller disconnects.
@@ -197,7 +200,6 @@
     grant: GateGrant,
 ) -> TracedResponse {
     let ClaimedCall { context, mut call, mut traced, body } = claimed;
-    let body = if body.is_empty() { CallBody::Empty } else { CallBody::Buffered(body) };
     let progress = CallProgress::default();
     let running =
         suspect_check::run_checked::<C>(state, &context, &mut call, &mut traced, body, &progress);
--- a/crates/gate/src/cmd/live.rs
+++ b/crates/gate/src/cmd/live.rs
@@ -4,7 +4,7 @@
 
 use border::ProcessSettings;
 use gate::log::LogLevelHandle;
-use gate::options::GateTimeouts;
+use gate::options::{GateTimeouts, fingerprint_key};
 use gate::reload::SettingsTarget;
 use gate::state::GateState;
 use peer::prelude::*;
@@ -30,6 +30,7 @@
         self.log.apply(settings);
         self.state.timeouts.store(Arc::new(GateTimeouts::from_settings(settings)));
         self.secrets.set(secret_table(settings));
+        self.state.fingerprint_key.store(Arc::new(fingerprint_key(settings)));
         self.client.set_call_settings(signing_secret(settings), settings.timeouts.peer);
         self.target.apply(settings);
     }
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::prelude::*;
-use border::ProcessSettings;
+use border::{ProcessSettings, SharedSecret};
 use limit::prelude::*;
 use route::prelude::*;
 use suspect::prelude::*;
@@ -26,6 +26,8 @@
     pub policy: PolicyKind,
     /// The timeouts that apply until the settings are read again.
     pub initial_timeouts: GateTimeouts,
+    /// The key of the fingerprints of requests, the same on all VMs.
+    pub fingerprint_key: FingerprintKey,
     /// How calls are admitted, sent to upstreams and answered.
     pub tuning: CallTuning,
 }
@@ -130,11 +132,18 @@
             workers: settings.worker_count.map_or(cores, NonZeroUsize::get),
             policy,
             initial_timeouts: GateTimeouts::from_settings(settings),
+            fingerprint_key: fingerprint_key(settings),
             tuning: CallTuning::default(),
         }
     }
 }
 
+/// Returns the key of the fingerprints of requests. It depends on the secret with which this VM signs,
+/// which all VMs share.
+pub fn fingerprint_key(settings: &ProcessSettings) -> FingerprintKey {
+    FingerprintKey::new(settings.peer_secrets.first().map_or("", SharedSecret::as_str))
+}
+
 impl GateTimeouts {
     /// Returns the timeouts for the given settings.
     pub fn from_settings(settings: &ProcessSettings) -> Self {
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -9,7 +9,6 @@
 use http::{Method, StatusCode, Uri};
 use trace::prelude::CallCause;
 use world::prelude::*;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::mechanism::Mechanism;
 use crate::state::GateState;
@@ -81,7 +80,8 @@
         attempt_limit: plan.attempt_limit,
         depth: facts.depth,
         key: facts.key.clone(),
-        fingerprint: fingerprint(&parts, facts),
+        // Known once the body has been received, see [`crate::suspect_check::identify`].
+        fingerprint: 0,
     };
     let mut headers = parts.headers;
     C::clean_request(&mut headers);
@@ -128,20 +128,3 @@
     let refusal = refusal.with_cause(CallCause::NoConfiguration);
     refusal.retry_after(state.options.tuning.retry_after)
 }
-
-/// Returns the fingerprint by which requests that crash upstreams are recognised.
-fn fingerprint(parts: &Parts, facts: &RequestFacts) -> u64 {
-    let mut hasher = Xxh3::new();
-    for part in [&facts.host, parts.method.as_str(), parts.uri.path()] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.update(parts.uri.query().unwrap_or_default().as_bytes());
-    hasher.update(facts.key.as_ref().map_or(&[], |key| key.as_bytes()));
-    let length = match facts.body {
-        BodyLength::Known(length) => length,
-        BodyLength::Chunked => u64::MAX,
-    };
-    hasher.update(&length.to_le_bytes());
-    hasher.digest()
-}
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -11,6 +11,7 @@
 use limit::prelude::{ConnectionShare, VmCounts};
 use route::prelude::*;
 use store::prelude::HttpStore;
+use suspect::prelude::FingerprintKey;
 use world::prelude::*;
 
 use crate::check_id::CheckIds;
@@ -22,6 +23,7 @@
 use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
 use crate::stop::StopWatch;
+use crate::suspect_bodies::SuspectBodies;
 use crate::tables::CallTables;
 
 /// The client of the platform's store, which holds claims and documents.
@@ -45,6 +47,10 @@
     pub links: LinkTable,
     /// The tables that decide when and whether a call runs.
     pub tables: CallTables,
+    /// The key of the fingerprints of requests.
+    pub fingerprint_key: ArcSwap<FingerprintKey>,
+    /// How much may be read of long bodies of suspects.
+    pub suspect_bodies: SuspectBodies,
     /// Upstreams that reported that they leave.
     pub drains: DrainReports,
     /// Whether the gateway is shutting down.
@@ -79,6 +85,7 @@
         let clock = RealClock::new();
         let upstreams = UpstreamTable::new(options.vm.centre.clone()).with_vm(&options.vm.name);
         let tables = CallTables::new(&options.vm, &options.tuning, rand::random());
+        let fingerprint_key = ArcSwap::from_pointee(options.fingerprint_key.clone());
         let timeouts = ArcSwap::from_pointee(options.initial_timeouts.clone());
         let state = Self {
             options,
@@ -88,6 +95,8 @@
             upstreams,
             links: LinkTable::default(),
             tables,
+            fingerprint_key,
+            suspect_bodies: SuspectBodies::default(),
             drains: DrainReports::default(),
             shutting_down: AtomicBool::new(false),
             stop: StopWatch::default(),
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use gate::options::{CallTuning, GateOptions, GateTimeouts};
 use route::prelude::*;
+use suspect::prelude::FingerprintKey;
 use world::prelude::*;
 
 /// Returns an environment of one service with one upstream.
@@ -47,6 +48,7 @@
         workers: 2,
         policy: PolicyKind::default(),
         initial_timeouts: GateTimeouts::default(),
+        fingerprint_key: FingerprintKey::new("secret"),
         tuning: CallTuning::default(),
     }
 }
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -7,6 +7,7 @@
 //! Nothing here performs I/O or reads a clock: every method takes the current time.
 
 pub mod detector;
+pub mod fingerprint;
 mod in_flight;
 mod isolation;
 pub mod notice;
@@ -19,6 +20,7 @@
 pub mod prelude {
     //! Types used by the gateway.
 
+    pub use crate::fingerprint::{FingerprintHasher, FingerprintKey};
     pub use crate::notice::{CrashIncident, SuspectNotice};
     pub use crate::placement::{owner, shard_upstreams};
     pub use crate::table::{
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -141,11 +141,17 @@
     }
 
     /// Returns the status, which expires `suspect_span` after the newest crash or, once confirmed,
-    /// `confirmed_span` after the newest crash or renewal.
+    /// `confirmed_span` after the newest crash or renewal. A confirmed fingerprint that is still
+    /// refused `retest_span` after the newest crash is only suspected, so that isolated runs can
+    /// clear or confirm it.
     pub fn status(&self, tuning: &SuspectTuning, now: ClockTime) -> SuspectStatus {
         let Some(crash_age) = self.crash_age(now) else { return SuspectStatus::Cleared };
         if self.is_confirmed() && self.age(now) <= tuning.confirmed_span {
-            SuspectStatus::Confirmed
+            if crash_age <= tuning.retest_span {
+                SuspectStatus::Confirmed
+            } else {
+                SuspectStatus::Suspected
+            }
         } else if !self.is_confirmed() && crash_age <= tuning.suspect_span {
             SuspectStatus::Suspected
         } else {
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -10,6 +10,7 @@
 use world::prelude::*;
 
 use crate::detector::CrashDetector;
+use crate::fingerprint::is_partial;
 use crate::in_flight::InFlightTable;
 use crate::isolation::IsolationPermit;
 use crate::notice::SuspectNotice;
@@ -208,11 +209,19 @@
         }
     }
 
+    /// Returns whether successful runs show that the fingerprint does not crash upstreams. Those of
+    /// a partial one may be of other requests.
+    fn is_proven(&self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) -> bool {
+        !is_partial(fingerprint) && self.proven.contains(fingerprint, tuning, now)
+    }
+
     /// Clears a suspect that is proven and has run successfully since the newest crash. A frequent
     /// request is in flight at every crash and would otherwise be refused almost everywhere; a
     /// request that causes a crash does not end successfully.
     fn clear_if_proven(&mut self, fingerprint: u64, tuning: &SuspectTuning, now: ClockTime) {
-        if self.status(fingerprint, tuning, now) != SuspectStatus::Suspected {
+        if is_partial(fingerprint)
+            || self.status(fingerprint, tuning, now) != SuspectStatus::Suspected
+        {
             return;
         }
         let Some(last) = self.proven.last_run(fingerprint, tuning, now) else { return };
@@ -256,7 +265,7 @@
         let suspects = self.in_flight.take_crashed(upstream, tuning.refusal_span, now);
         let mut notices = Vec::with_capacity(suspects.len());
         for (fingerprint, isolated) in suspects {
-            let proven = self.proven.contains(fingerprint, tuning, now);
+            let proven = self.is_proven(fingerprint, tuning, now);
             let record = self.record_mut(fingerprint);
             record.record_crash(upstream, CrashFacts { proven, isolated }, tuning, now);
             notices.push(record.to_notice(fingerprint, now));
@@ -304,6 +313,11 @@
         self.state.lock().members = members;
     }
 
+    /// Returns whether a request was in flight at a crash and is not cleared.
+    pub fn is_suspect(&self, fingerprint: u64, now: ClockTime) -> bool {
+        self.state.lock().status(fingerprint, &self.tuning, now) != SuspectStatus::Cleared
+    }
+
     /// Decides whether a request may run. `RunIsolated` reserves the permit for an isolated run.
     pub fn check(&self, fingerprint: u64, now: ClockTime) -> SuspectDecision {
         let mut state = self.lock_at(now);
@@ -425,7 +439,7 @@
     /// Merges the notice of another VM. Notices may arrive in any order and more than once.
     pub fn merge(&self, notice: &SuspectNotice, now: ClockTime) {
         let mut state = self.lock_at(now);
-        let proven = state.proven.contains(notice.fingerprint, &self.tuning, now);
+        let proven = state.is_proven(notice.fingerprint, &self.tuning, now);
         let record = state.record_mut(notice.fingerprint);
         let needs_reply = record.merge(notice, now);
         if (proven && record.mark_proven()) || needs_reply {
--- a/crates/suspect/src/tuning.rs
+++ b/crates/suspect/src/tuning.rs
@@ -19,6 +19,9 @@
     pub suspect_span: ClockSpan,
     /// How long a fingerprint stays confirmed after the newest crash or renewal.
     pub confirmed_span: ClockSpan,
+    /// A confirmed fingerprint may run in isolation once its newest crash is older than this.
+    /// Longer than `confirmed_span`; each such test can crash an upstream.
+    pub retest_span: ClockSpan,
     /// A refused request renews the confirmed status, at most once in this time.
     pub renewal_span: ClockSpan,
     /// No isolated run starts sooner than this after a crash, so that simultaneous crashes by
@@ -68,6 +71,7 @@
             refusal_span: ClockSpan::from_secs(1),
             suspect_span: ClockSpan::from_secs(600),
             confirmed_span: ClockSpan::from_secs(3600),
+            retest_span: ClockSpan::from_secs(7200),
             renewal_span: ClockSpan::from_secs(60),
             settle_span: ClockSpan::from_secs(1),
             same_crash_span: ClockSpan::from_secs(1),
--- a/crates/suspect/tests/decisions.rs
+++ b/crates/suspect/tests/decisions.rs
@@ -5,6 +5,8 @@
 
 const SUSPECT: u64 = 7;
 const OTHER: u64 = 8;
+/// A fingerprint that was computed without the content of the body.
+const PARTIAL: u64 = 1 << 63;
 
 #[derive(Clone, Copy)]
 enum Step {
@@ -188,6 +190,51 @@
             ExpectAfter(ClockSpan::from_secs(3000), SUSPECT, REFUSED),
         ],
     ),
+    case(
+        "a confirmed request that is refused for long is tested and cleared",
+        &[
+            CrashAll(SUSPECT, &["a", "b"]),
+            Finish(SUSPECT, "a"),
+            Finish(SUSPECT, "b"),
+            ExpectAfter(ClockSpan::from_secs(3500), SUSPECT, REFUSED),
+            ExpectAfter(ClockSpan::from_secs(3500), SUSPECT, REFUSED),
+            ExpectAfter(ClockSpan::from_secs(201), SUSPECT, RunIsolated),
+            Survived(SUSPECT, "c"),
+            Expect(SUSPECT, RunIsolated),
+            Survived(SUSPECT, "c"),
+            Expect(SUSPECT, RunIsolated),
+            Survived(SUSPECT, "c"),
+            Expect(SUSPECT, Run),
+        ],
+    ),
+    case(
+        "a confirmed request that crashes an upstream in its test is refused again",
+        &[
+            CrashAll(SUSPECT, &["a", "b"]),
+            Finish(SUSPECT, "a"),
+            Finish(SUSPECT, "b"),
+            ExpectAfter(ClockSpan::from_secs(3500), SUSPECT, REFUSED),
+            ExpectAfter(ClockSpan::from_secs(3500), SUSPECT, REFUSED),
+            ExpectAfter(ClockSpan::from_secs(201), SUSPECT, RunIsolated),
+            Start(SUSPECT, "c"),
+            Crash("c"),
+            Finish(SUSPECT, "c"),
+            ExpectAfter(SETTLED, SUSPECT, REFUSED),
+            ExpectAfter(ClockSpan::from_secs(3500), SUSPECT, REFUSED),
+        ],
+    ),
+    case(
+        "successes do not clear a request of which only the head is known",
+        &[
+            Prove(PARTIAL, 3),
+            Start(PARTIAL, "a"),
+            Start(PARTIAL, "b"),
+            Crash("a"),
+            Wait(ClockSpan::from_millis(2)),
+            Finish(PARTIAL, "b"),
+            Expect(PARTIAL, REFUSED),
+        ],
+    ),
     case(
         "a release clears, and crashes after it count anew",
         &[
--- a/crates/world/src/request.rs
+++ b/crates/world/src/request.rs
@@ -28,6 +28,6 @@
     pub depth: u32,
     /// The caller's idempotency key.
     pub key: Option<SharedName>,
-    /// A hash that is equal for requests with the same method, path and key or body digest.
+    /// A keyed hash that is equal for repeats of the same request.
     pub fingerprint: u64,
 }
