Name the upstream in health checks

Cause: health checks did not name the upstream that they are for. Ruled out: calls; they name it and were rejected with 421.

Change: every request of the gateway's own names its upstream. A 421 or another instance in the answer ends what is sent there for 5 s.

--- a/crates/codec/src/call.rs
+++ b/crates/codec/src/call.rs
@@ -141,6 +141,10 @@
     /// Sets the headers of the health check `id`.
     fn set_check_headers(headers: &mut HeaderMap, id: &HeaderValue);
 
+    /// Names the upstream that a request is for, if the interface has a header for that. Another
+    /// server that uses the address of the upstream then does not run the request.
+    fn set_upstream(headers: &mut HeaderMap, upstream: &str);
+
     /// Reads the answer to the health check `id` of `upstream`. An answer without an id is judged
     /// by its other headers, because not every upstream returns the ids of health checks.
     fn read_check(
--- a/crates/codec/src/native.rs
+++ b/crates/codec/src/native.rs
@@ -141,6 +141,8 @@
         headers.insert(REQUEST_ID, id.clone());
     }
 
+    fn set_upstream(_headers: &mut HeaderMap, _upstream: &str) {}
+
     fn read_check(
         status: StatusCode,
         headers: &mut HeaderMap,
--- a/crates/gate/src/cancel.rs
+++ b/crates/gate/src/cancel.rs
@@ -1,8 +1,10 @@
 //! Cancellation of calls at upstreams.
 
+use std::marker::PhantomData;
 use std::sync::Arc;
 
 use base::prelude::*;
+use codec::prelude::*;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use serde::Deserialize;
 
@@ -22,7 +24,7 @@
 
 /// Asks an upstream, on another connection, to cancel a call. Returns whether the upstream
 /// confirmed it, which proves that the call was not run.
-pub async fn cancel(
+pub async fn cancel<C: CallCodec>(
     state: &GateState,
     link: &Arc<UpstreamLink>,
     id: &HeaderValue,
@@ -39,7 +41,7 @@
         },
     };
     let result =
-        probe::send_request(connection, Method::POST, target, HeaderMap::new(), timeout).await;
+        probe::send_request::<C>(connection, Method::POST, target, HeaderMap::new(), timeout).await;
     let Some(answer) = result else { return false };
     probe::release(state, answer.connection);
     let body = serde_json::from_slice::<CancelBody>(&answer.body);
@@ -47,20 +49,22 @@
 }
 
 /// Cancels a call at its upstream if the caller disconnects before the head of the answer.
-pub struct CancelGuard {
+pub struct CancelGuard<C: CallCodec> {
     target: Option<(Arc<GateState>, Arc<UpstreamLink>, HeaderValue)>,
+    codec: PhantomData<C>,
 }
 
-impl CancelGuard {
+impl<C: CallCodec> CancelGuard<C> {
     /// Returns a guard that cancels the call when it is dropped.
     pub fn new(state: &Arc<GateState>, link: &Arc<UpstreamLink>, id: &HeaderValue) -> Self {
-        Self { target: Some((Arc::clone(state), Arc::clone(link), id.clone())) }
+        let target = (Arc::clone(state), Arc::clone(link), id.clone());
+        Self { target: Some(target), codec: PhantomData }
     }
 
     /// Returns a guard that does nothing, for upstreams that abandon a call when its connection
     /// closes.
     pub const fn disarmed() -> Self {
-        Self { target: None }
+        Self { target: None, codec: PhantomData }
     }
 
     /// Keeps the guard from cancelling.
@@ -69,11 +73,11 @@
     }
 }
 
-impl Drop for CancelGuard {
+impl<C: CallCodec> Drop for CancelGuard<C> {
     fn drop(&mut self) {
         let Some((state, link, id)) = self.target.take() else { return };
         // Without a runtime the process is about to end.
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
-        runtime.spawn(async move { cancel(&state, &link, &id, BACKGROUND_TIMEOUT).await });
+        runtime.spawn(async move { cancel::<C>(&state, &link, &id, BACKGROUND_TIMEOUT).await });
     }
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -72,6 +72,8 @@
 pub const UPSTREAM_LEAVES: u32 = 1205;
 /// An upstream asked for a pause.
 pub const UPSTREAM_PAUSED: u32 = 1206;
+/// Another server answers at the address of an upstream.
+pub const UPSTREAM_MOVED: u32 = 1207;
 /// Calls are refused because of overload.
 pub const OVERLOAD: u32 = 1301;
 /// An upstream crashed.
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -27,8 +27,8 @@
 pub const PROBE_TIMEOUT: ClockSpan = ClockSpan::from_millis(100);
 /// The longest body of an answer to a request of the gateway's own, in bytes.
 const MAX_CHECK_BYTES: usize = 4 * 1024;
-/// Headers of a health check: its id and its host.
-const CHECK_HEADERS: usize = 2;
+/// Headers of a health check: its id, its host and its upstream.
+const CHECK_HEADERS: usize = 3;
 
 /// The answer to a request of the gateway's own.
 #[derive(Debug)]
@@ -62,9 +62,9 @@
     Skipped,
 }
 
-/// Sends a request of the gateway's own, without a body, and reads the answer. Returns `None` if
+/// Sends a request of the gateway's own, without a body, that names its upstream, and reads the answer. Returns `None` if
 /// there is no complete answer within `timeout` or its body is too long.
-pub async fn send_request(
+pub async fn send_request<C: CallCodec>(
     mut connection: LinkConnection,
     method: Method,
     target: Uri,
@@ -76,6 +76,7 @@
     *request.uri_mut() = target;
     *request.headers_mut() = headers;
     request.headers_mut().insert(header::HOST, connection.link().host().clone());
+    C::set_upstream(request.headers_mut(), &connection.link().server().name);
     let exchange = async {
         let response = connection.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
@@ -99,7 +100,7 @@
     let id = state.check_ids.next();
     let mut headers = HeaderMap::with_capacity(CHECK_HEADERS);
     C::set_check_headers(&mut headers, &id);
-    let mut answer = send_request(connection, Method::GET, target, headers, timeout).await?;
+    let mut answer = send_request::<C>(connection, Method::GET, target, headers, timeout).await?;
     let facts = C::read_check(answer.status, &mut answer.headers, &answer.body, &upstream, &id);
     Some((answer, facts))
 }
@@ -127,6 +128,10 @@
     };
     charge_rest(state, context, started);
     let (answer, facts) = answer.filter(|(_, facts)| !facts.foreign)?;
+    if facts.misdirected {
+        wish::record_moved(state, context, link.server(), state.clock.now());
+        return None;
+    }
     wish::apply(state, context, link.server(), facts.wish, state.clock.now());
     release(state, answer.connection);
     opened
@@ -194,6 +199,7 @@
         return CheckOutcome::Unverified;
     }
     if facts.misdirected {
+        wish::record_moved(state, context, link.server(), state.clock.now());
         return CheckOutcome::Misdirected;
     }
     let now = state.clock.now();
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -77,7 +77,7 @@
         self.progress.start_attempt();
         let request = self.upstream_request(body, sent, &running.upstream);
         let mut guard = if C::CONFIRMS_CANCELS {
-            CancelGuard::new(self.state, link, &self.call.id)
+            CancelGuard::<C>::new(self.state, link, &self.call.id)
         } else {
             CancelGuard::disarmed()
         };
@@ -227,7 +227,7 @@
         if !C::CONFIRMS_CANCELS {
             return SendEnd::TimedOut { cancelled: false };
         }
-        let cancellation = cancel::cancel(state, link, &call.id, cancel_time);
+        let cancellation = cancel::cancel::<C>(state, link, &call.id, cancel_time);
         tokio::select! {
             biased;
             result = &mut sending => result.into(),
--- a/crates/gate/src/verdict.rs
+++ b/crates/gate/src/verdict.rs
@@ -56,7 +56,9 @@
             AnswerVerdict::Misdirected => {
                 // Every connection of the link reaches the server that has the address now.
                 if let Some(link) = self.state.links.link(&upstream) {
-                    link.retire(self.state.clock.now());
+                    let now = self.state.clock.now();
+                    link.retire(now);
+                    wish::record_moved(self.state, self.context, link.server(), now);
                 }
             }
             _ => {}
--- a/crates/gate/src/wish.rs
+++ b/crates/gate/src/wish.rs
@@ -14,6 +14,10 @@
 use crate::service::ServiceContext;
 use crate::state::GateState;
 
+/// How long nothing is sent to an upstream at whose address another server answers. The platform
+/// removes an upstream after three heartbeats of 1.5 s without a sign of life.
+const MOVED_PAUSE: ClockSpan = ClockSpan::from_secs(5);
+
 /// Applies what `server` asked for in an answer that arrived `now`.
 pub fn apply(
     state: &GateState,
@@ -31,6 +35,25 @@
     }
 }
 
+/// Records that another server answers at the address of `server`. Nothing is sent there until the
+/// platform has removed the upstream.
+pub fn record_moved(
+    state: &GateState,
+    context: &ServiceContext,
+    server: &UpstreamServer,
+    now: ClockTime,
+) {
+    if state.upstreams.accepts_checks(&server.name, now) {
+        tracing::info!(
+            event = event::UPSTREAM_MOVED,
+            service = %context.name,
+            upstream = %server.name,
+            "another server answers at the address of an upstream"
+        );
+    }
+    state.upstreams.record_pause(&server.name, MOVED_PAUSE, now);
+}
+
 fn record_final_drain(state: &GateState, context: &ServiceContext, server: &UpstreamServer) {
     if !state.upstreams.record_final_drain(&server.name, server.incarnation) {
         return;
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -12,7 +12,7 @@
 use environment::*;
 use http::{Method, StatusCode};
 use platform::PlatformCodec;
-use platform::stand::{ServerStand, upstream_value};
+use platform::stand::{ServerStand, UpstreamWriter, upstream_value};
 use stand::prelude::*;
 use trial::prelude::*;
 use world::prelude::*;
@@ -29,6 +29,9 @@
 /// After this time, the evidence on an upstream and its connections is too old for a call, so that
 /// the gateway makes a check if it may. It relies on answers of the last 100 ms at most.
 const STALE_SPAN: ClockSpan = ClockSpan::from_millis(150);
+/// The most checks that go to an address at which another server answers, while calls arrive for less
+/// than five seconds: up to three that are sent together, twice.
+const MOVED_CHECKS: u64 = 6;
 /// The calls of the gateway that must have failed because of an outage of the store.
 const OUTAGE_CALLS: u64 = 3;
 /// How long an upstream whose row disappeared stays in use after an outage of the store has ended,
@@ -466,6 +469,41 @@
     run_cases(misplaced_cases(), true).await;
 }
 
+/// Guards against health checks that another service's upstream runs as requests, because it has
+/// taken over the address of an upstream and has another path for health checks (review/2).
+#[tokio::test]
+async fn an_upstream_at_a_reused_address_runs_no_checks() {
+    let mut env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+    let plan = UpstreamPlan {
+        name: "annex-0".into(),
+        health_path: Some("/annex/health".into()),
+        ..EnvironmentPlan::default().upstream
+    };
+    let other = ServerStand::start_with_dialect(plan).await.expect("an upstream");
+    let entry = upstream_entry("desk-ended", SERVICE, other.address(), 6);
+    let _writer = UpstreamWriter::start(env.store.handle(), entry);
+    env.fill_retry_budget("reused").await;
+    // The gateway knows the row of the ended upstream once it knows a later one.
+    env.add_upstream("desk-last", SERVICE).await;
+    let checked = other.wait_for(|counts, _| counts.arrived > 0);
+    let calls = async {
+        for index in 0..MAX_REACH_CALLS {
+            // Without recent evidence, the gateway checks upstreams before the call.
+            tokio::time::sleep(STALE_SPAN.to_duration()).await;
+            env.serve_calls(&format!("reused-{index}"), 1).await;
+            if other.counts().arrived > 0 {
+                return;
+            }
+        }
+    };
+    await_event("a check arrives at the address", async { tokio::join!(checked, calls) }).await;
+    env.serve_calls("after", MANY_CALLS).await;
+    let counts = other.counts();
+    assert_eq!(counts.executed, 0, "the other upstream has run a check");
+    assert_eq!(counts.misdirected, counts.arrived, "a check does not name its upstream");
+    assert!(counts.arrived <= MOVED_CHECKS, "checks go on: {}", counts.arrived);
+}
+
 /// Guards against checks that always fail at upstreams that do not echo the id of a check.
 #[tokio::test]
 async fn checks_without_an_echo_are_accepted() {
