Keep a slow call at its upstream until another one is reserved

Callers may see: a call that takes several times the usual time is taken from the upstream that runs it, and gets 502 if no other upstream can take it. A gateway that shuts down breaks off such calls as well.

Cause: the attempt was ended and a retry taken from the budget before another upstream was selected.

Change: another attempt is selected first, with its slot. While the process shuts down, no attempt is ended early.

Measured: a_slow_call_is_not_given_up failed before in its case Shutdown (two upstreams got the call) and passes. Its case NoOther passed before as well.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -14,13 +14,27 @@
 
 use crate::answer::AnswerBody;
 use crate::body::SendBody;
-use crate::call_trace::FailureFacts;
+use crate::call_trace::{FailureFacts, UpstreamChoice};
+use crate::link::{LinkConnection, UpstreamLink};
 use crate::plan::PlannedCall;
 use crate::progress::CallProgress;
 use crate::retry::NextStep;
+use crate::running::RunningCall;
 use crate::service::ServiceContext;
 use crate::state::GateState;
 
+/// An attempt that has a slot on an upstream.
+pub struct SelectedAttempt {
+    /// The link to the upstream.
+    pub link: Arc<UpstreamLink>,
+    /// The call and its slot.
+    pub running: RunningCall,
+    /// The connection on which the upstream answered the precheck.
+    pub checked: Option<LinkConnection>,
+    /// The upstream and the evidence on which it was chosen, for the trace.
+    pub choice: UpstreamChoice,
+}
+
 /// An attempt that failed. Its upstream may have sent an error answer.
 pub struct FailedAttempt {
     /// The upstream that failed, or `None` if none was selected.
@@ -35,6 +49,8 @@
     pub unsent: Option<SendBody>,
     /// What may follow the attempt.
     pub next: NextStep,
+    /// The next attempt, if it was selected before this one was ended.
+    pub replacement: Option<Box<SelectedAttempt>>,
 }
 
 impl FailedAttempt {
@@ -42,7 +58,8 @@
     pub(crate) fn without_retry(refusal: CallRefusal) -> Box<Self> {
         let fate = refusal.fate;
         let next = NextStep::End;
-        Box::new(Self { upstream: None, fate, refusal, answer: None, unsent: None, next })
+        let (answer, unsent, replacement) = (None, None, None);
+        Box::new(Self { upstream: None, fate, refusal, answer, unsent, next, replacement })
     }
 
     /// Returns what the trace of the call records.
@@ -72,6 +89,8 @@
     pub context: &'a Arc<ServiceContext>,
     /// The call.
     pub call: &'a PlannedCall,
+    /// Upstreams that the call must not use.
+    pub excluded: &'a [SharedName],
     /// Whether the attempt may be ended for another one if it was lost at its upstream.
     pub replaceable: bool,
     /// Records how far the call has come.
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -5,9 +5,8 @@
 use codec::prelude::*;
 use route::prelude::*;
 
-use crate::attempt::{AttemptResult, CallAttempt};
+use crate::attempt::{AttemptResult, CallAttempt, SelectedAttempt};
 use crate::body::SendBody;
-use crate::select::SelectedAttempt;
 
 impl<C: CallCodec> CallAttempt<'_, C> {
     /// Makes an attempt at the upstream that was selected for it.
--- a/crates/gate/src/select.rs
+++ b/crates/gate/src/select.rs
@@ -4,7 +4,6 @@
 //! decides whether the call goes there, waits for a better one or is refused. [`crate::slot`] then
 //! chooses by the load balancing policy. A call that finds no free slot waits in [`crate::wait`].
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use base::prelude::*;
@@ -16,9 +15,8 @@
 use trace::prelude::CallCause;
 use world::prelude::*;
 
-use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::attempt::{CallAttempt, FailedAttempt, SelectedAttempt};
 use crate::call_trace::UpstreamChoice;
-use crate::link::{LinkConnection, UpstreamLink};
 use crate::precheck::{self, UpstreamPrecheck};
 use crate::running::RunningCall;
 use crate::slot::{CallSlot, SlotError};
@@ -30,18 +28,6 @@
 /// budget of a VM in a fleet of the present size allows about 38 a second for each service.
 const RECHECK_PERIOD: ClockSpan = ClockSpan::from_millis(40);
 
-/// An attempt that has a slot on an upstream.
-pub struct SelectedAttempt {
-    /// The link to the upstream.
-    pub(crate) link: Arc<UpstreamLink>,
-    /// The call and its slot.
-    pub(crate) running: RunningCall,
-    /// The connection on which the upstream answered the precheck.
-    pub(crate) checked: Option<LinkConnection>,
-    /// The upstream and the evidence on which it was chosen, for the trace.
-    pub choice: UpstreamChoice,
-}
-
 impl<C: CallCodec> CallAttempt<'_, C> {
     /// Chooses an upstream other than the excluded ones, and waits for a slot if necessary.
     ///
@@ -93,7 +79,8 @@
     ) -> Result<UpstreamPrecheck, Box<FailedAttempt>> {
         let Self { state, context, call, .. } = *self;
         let CallerRequest { class, idempotent, .. } = call.request;
-        let mut has_waited = false;
+        // A call that is at an upstream already says nothing of the calls that arrive.
+        let mut has_waited = self.progress.is_at_upstream();
         loop {
             let precheck = precheck::precheck::<C>(state, context, excluded, idempotent).await;
             let (slowdown, round_trip) = match &precheck.best {
@@ -117,7 +104,7 @@
                     precheck.release(state);
                     let retry_after = state.options.tuning.retry_after;
                     let kind = RefusalKind::Overloaded;
-                    context.record_refusal(&RefusalReason { kind, retry_after }, now);
+                    self.record_refusal(&RefusalReason { kind, retry_after }, now);
                     let message = "no upstream can answer within the objective; repeat the request";
                     let refusal = self.refuse(message).with_cause(CallCause::Overload);
                     return Err(FailedAttempt::without_retry(refusal));
@@ -171,11 +158,11 @@
 
     /// Returns the refusal of a call that got no slot.
     fn slot_refusal(&self, outcome: WaitOutcome) -> CallRefusal {
-        let Self { state, context, .. } = *self;
+        let state = self.state;
         match outcome {
             WaitOutcome::Unavailable(error) => self.no_upstream(&error),
             WaitOutcome::Refused(reason) => {
-                context.record_refusal(&reason, state.clock.now());
+                self.record_refusal(&reason, state.clock.now());
                 self.refuse(&format!("no slot for the call: {reason}"))
                     .with_cause(queue_cause(reason.kind))
                     .retry_after(reason.retry_after)
@@ -189,6 +176,13 @@
         }
     }
 
+    /// Counts a refusal, unless the call is at an upstream and only gets no replacement.
+    fn record_refusal(&self, reason: &RefusalReason, now: ClockTime) {
+        if !self.progress.is_at_upstream() {
+            self.context.record_refusal(reason, now);
+        }
+    }
+
     fn no_upstream(&self, error: &NoUpstream) -> CallRefusal {
         let refusal = self.refuse(&error.to_string());
         match error {
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -3,6 +3,7 @@
 use std::error::Error as _;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use codec::prelude::*;
@@ -12,7 +13,7 @@
 use tokio::time::timeout_at;
 use trace::prelude::CallCause;
 
-use crate::attempt::{CallAttempt, FailedAttempt};
+use crate::attempt::{CallAttempt, FailedAttempt, SelectedAttempt};
 use crate::body::{BodyError, SendBody};
 use crate::cancel::{self, CancelGuard};
 use crate::connection::SendError;
@@ -42,8 +43,8 @@
     TimedOut { cancelled: bool },
     /// The connection is silent: it no longer responds, while a new one works.
     Silent,
-    /// The call was lost at the upstream, and the budget allowed a retry.
-    Stalled,
+    /// The call was lost at the upstream, and another attempt was selected and taken from the budget.
+    Stalled(Box<SelectedAttempt>),
 }
 
 impl From<Result<Response<Incoming>, SendError>> for SendEnd {
@@ -107,12 +108,15 @@
                 let refusal = refusal.with_cause(CallCause::Silent);
                 Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::Resend))
             }
-            SendEnd::Stalled => {
+            SendEnd::Stalled(replacement) => {
                 running.report(CallResult::TimedOut);
                 let message = "the upstream did not answer within several times the usual time";
                 let refusal = CallRefusal::unknown(StatusCode::BAD_GATEWAY, message);
                 let refusal = refusal.with_cause(CallCause::Timeout);
-                Err(FailedAttempt::at(running.upstream.clone(), refusal, NextStep::PaidRetry))
+                let next = NextStep::PaidRetry;
+                let failure = FailedAttempt::at(running.upstream.clone(), refusal, next);
+                let replacement = Some(replacement);
+                Err(Box::new(FailedAttempt { replacement, ..*failure }))
             }
         }
     }
@@ -201,13 +205,13 @@
                 break;
             }
             if let Some(active) = &mut stall {
-                let lost = tokio::select! {
+                let replacement = tokio::select! {
                     biased;
                     result = &mut sending => return result.into(),
-                    lost = active.check::<C>(state, context, &call.request) => lost,
+                    replacement = Box::pin(self.select_replacement(active, link)) => replacement,
                 };
-                if lost && !stops() {
-                    return SendEnd::Stalled;
+                if let Some(replacement) = replacement {
+                    return SendEnd::Stalled(replacement);
                 }
                 continue;
             }
@@ -235,6 +239,32 @@
         }
     }
 
+    /// Selects another attempt for a call that was lost at its upstream, and takes it from the retry
+    /// budget. Until then the call goes on, because its caller would get no answer at all if no
+    /// other upstream could take it. While the process shuts down, no attempt is ended early.
+    async fn select_replacement(
+        &self,
+        stall: &mut StallWatch,
+        link: &Arc<UpstreamLink>,
+    ) -> Option<Box<SelectedAttempt>> {
+        let Self { state, context, call, excluded, .. } = *self;
+        if !stall.check::<C>(state, context).await {
+            return None;
+        }
+        let stops = || state.shutting_down.load(Ordering::Relaxed);
+        let mut excluded = excluded.to_vec();
+        excluded.push(link.server().name.clone());
+        let selected = if stops() { None } else { self.select(&excluded).await.ok() };
+        let now = state.clock.now();
+        let is_paid = || state.tables.retries.try_retry(&call.request, now).is_ok();
+        let replacement = selected.filter(|_| !stops() && is_paid());
+        match &replacement {
+            Some(_) => context.metrics.stalled_calls.inc(),
+            None => stall.postpone(now),
+        }
+        replacement.map(Box::new)
+    }
+
     /// Returns the request that is sent to the upstream.
     fn upstream_request(
         &self,
--- a/crates/gate/src/sequence.rs
+++ b/crates/gate/src/sequence.rs
@@ -8,7 +8,7 @@
 use trace::prelude::StopReason;
 
 use crate::answer::CallResponse;
-use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt};
+use crate::attempt::{AttemptResult, CallAttempt, FailedAttempt, SelectedAttempt};
 use crate::body::{CallBody, SendBody};
 use crate::call_trace::TracedCall;
 use crate::mechanism::Mechanism;
@@ -60,6 +60,7 @@
         let request = &self.call.request;
         let now = self.state.clock.now();
         self.state.tables.retries.record_first_at(&request.service, request.depth, now);
+        let mut replacement = None;
         loop {
             let Some(current) = body.next_copy() else {
                 let message = "the request body cannot be sent again; repeat the request";
@@ -68,7 +69,7 @@
             let attempt = self.call.request.attempt;
             // A body that cannot be sent again would be lost with the attempt.
             let replaceable = body.is_available();
-            let mut failure = match self.attempt(current, replaceable).await {
+            let mut failure = match self.attempt(current, replaceable, replacement.take()).await {
                 Ok(answer) => {
                     self.traced.record_answer(attempt);
                     return Ok(answer);
@@ -89,6 +90,7 @@
             if let Some(answer) = failure.answer {
                 answer.into_body().discard();
             }
+            replacement = failure.replacement.take();
             if failure.next != NextStep::Resend {
                 self.excluded.extend(failure.upstream);
             }
@@ -136,16 +138,27 @@
         upstreams.iter().filter(|server| !self.excluded.contains(&server.name)).nth(1).is_some()
     }
 
-    async fn attempt(&mut self, body: SendBody, replaceable: bool) -> AttemptResult {
+    /// Makes an attempt, which was `selected` already if it replaces another one.
+    async fn attempt(
+        &mut self,
+        body: SendBody,
+        replaceable: bool,
+        selected: Option<Box<SelectedAttempt>>,
+    ) -> AttemptResult {
         let replaceable = replaceable && self.has_alternative();
-        let Self { state, context, call, traced, progress, retry_state, .. } = self;
+        let Self { state, context, call, traced, excluded, progress, retry_state, .. } = self;
         let replaceable = replaceable
             && !retry_state.is_isolated()
             && retry::may_run_twice(&call.request)
             && state.options.tuning.uses(Mechanism::Stall);
         let codec = PhantomData;
-        let attempt = CallAttempt::<C> { state, context, call, replaceable, progress, codec };
-        match attempt.select(&self.excluded).await {
+        let attempt =
+            CallAttempt::<C> { state, context, call, excluded, replaceable, progress, codec };
+        let selected = match selected {
+            Some(selected) => Ok(*selected),
+            None => attempt.select(excluded).await,
+        };
+        match selected {
             Ok(selected) => {
                 traced.record_choice(call.request.attempt, &selected.choice);
                 attempt.run(selected, body).await
--- a/crates/gate/src/stall.rs
+++ b/crates/gate/src/stall.rs
@@ -60,29 +60,28 @@
         StallTuning::default().decide(&facts)
     }
 
-    /// Asks the upstream for its present load and pace, and decides whether the call was lost. A call counts
-    /// as lost only if the budget allows a retry, which is then taken from it. Sets the time of the
-    /// next check otherwise.
+    /// Asks the upstream for its present load and pace, and decides whether the call was lost. Sets the
+    /// time of the next check if it was not.
     pub async fn check<C: CallCodec>(
         &mut self,
         state: &GateState,
         context: &ServiceContext,
-        request: &CallerRequest,
     ) -> bool {
         probe::probe::<C>(state, context, &self.link).await;
         let now = state.clock.now();
         let status = state.upstreams.load_status(&self.link.server().name);
         match self.decide(status.unwrap_or(LoadStatus { pace: None, full: false }), now) {
-            StallDecision::Wait(span) => self.next = now + span,
-            StallDecision::Lost => {
-                if state.tables.retries.try_retry(request, now).is_ok() {
-                    context.metrics.stalled_calls.inc();
-                    return true;
-                }
-                // The budget may have room again after about the time of a call.
-                self.next = now + self.typical.max(PROBE_TIMEOUT);
+            StallDecision::Wait(span) => {
+                self.next = now + span;
+                false
             }
+            StallDecision::Lost => true,
         }
-        false
+    }
+
+    /// Sets the time of the next check of a call that was lost but cannot be replaced now. About the
+    /// time of a call later, the budget may have room and another upstream a free slot.
+    pub fn postpone(&mut self, now: ClockTime) {
+        self.next = now + self.typical.max(PROBE_TIMEOUT);
     }
 }
--- a/crates/trial/tests/wishes.rs
+++ b/crates/trial/tests/wishes.rs
@@ -239,6 +239,43 @@
     assert!(unserved > 0, "the calls are served without the mechanism as well");
 }
 
+/// What keeps a slow call at the upstream that runs it.
+#[derive(Clone, Copy, Debug)]
+enum SlowCase {
+    /// The other upstream is draining.
+    NoOther,
+    /// The gateway shuts down.
+    Shutdown,
+}
+
+/// Guards against a slow call that is taken from the upstream that runs it although no other one can
+/// take it, so that its caller gets an error; and against one that a shutdown ends early.
+#[tokio::test]
+async fn a_slow_call_is_not_given_up() {
+    for case in [SlowCase::NoOther, SlowCase::Shutdown] {
+        let env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+        env.fill_retry_budget("slow").await;
+        env.serve_calls("typical", CALLS).await;
+        if matches!(case, SlowCase::NoOther) {
+            env.wait_for_rows(env.upstreams[1].writer.drain()).await;
+        }
+        for upstream in &env.upstreams {
+            upstream.server.update(|plan| plan.service = ServiceTime::Fixed { ms: 2_000.0 });
+        }
+        let mut connection = open(env.gate.caller_address).await;
+        let call = connection.call(request(Method::GET, LOOK, "slow", None, PartBody::none()));
+        let signal = async {
+            wait_until("the call runs", async || env.history("slow").arrived > 0).await;
+            if matches!(case, SlowCase::Shutdown) {
+                env.gate.process.signal(Signal::TERM);
+            }
+        };
+        let (answer, ()) = await_event("an answer", async { tokio::join!(call, signal) }).await;
+        let status = answer.map_or(0, |answer| answer.status.as_u16());
+        assert_eq!((status, env.history("slow").arrived), (200, 1), "{case:?}");
+    }
+}
+
 /// Guards against a dropped call that must not run twice and is sent again.
 #[tokio::test]
 async fn a_dropped_call_that_must_not_run_twice_is_not_sent_again() {
