--- a/crates/trial/tests/wishes.rs
+++ b/crates/trial/tests/wishes.rs
@@ -14,6 +14,7 @@
 use platform::PlatformCodec;
 use stand::prelude::*;
 use trial::prelude::*;
+use world::prelude::*;
 
 /// Calls after an upstream has said that it leaves or wants a pause. If it were chosen as readily as
 /// the other one, the chance that no call reaches it would be below 1 in 10^12.
@@ -239,11 +240,35 @@
     assert!(unserved > 0, "the calls are served without the mechanism as well");
 }
 
+/// The latency objective of the calls beside a slow one.
+const SLOW_OBJECTIVE: ClockSpan = ClockSpan::from_millis(300);
+/// Calls in a row that miss their objective, more than make the gateway refuse further ones.
+const LATE_CALLS: usize = 12;
+
+/// Makes all upstreams report that they are slow, and makes calls that cannot meet their objective.
+async fn cause_overload(env: &PlatformEnvironment) {
+    for upstream in &env.upstreams {
+        let pace_percent = Some(2_000);
+        let load = LoadAnswer::Fixed { in_flight: 0, queued: 0, slots: 6, pace_percent };
+        upstream.server.update(|plan| plan.load = load);
+    }
+    let calls = (0..LATE_CALLS).map(|index| async move {
+        let mut connection = open(env.gate.caller_address).await;
+        let (id, remaining) = (format!("late-{index}"), Some(SLOW_OBJECTIVE));
+        let call = request(Method::GET, LOOK, &id, remaining, PartBody::none());
+        // How these calls end does not matter.
+        let _ = connection.call(call).await;
+    });
+    await_event("the late calls end", futures_util::future::join_all(calls)).await;
+}
+
 /// What keeps a slow call at the upstream that runs it.
 #[derive(Clone, Copy, Debug)]
 enum SlowCase {
     /// The other upstream is draining.
     NoOther,
+    /// Calls are refused because they would miss their objective, as on the day scale-1 of grown Viti.
+    Overload,
     /// The gateway shuts down.
     Shutdown,
 }
@@ -252,22 +277,39 @@
 /// take it, so that its caller gets an error; and against one that a shutdown ends early.
 #[tokio::test]
 async fn a_slow_call_is_not_given_up() {
-    for case in [SlowCase::NoOther, SlowCase::Shutdown] {
-        let env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+    for case in [SlowCase::NoOther, SlowCase::Overload, SlowCase::Shutdown] {
+        let default_plan = EnvironmentPlan::default();
+        let upstream = UpstreamPlan {
+            service: ServiceTime::Fixed { ms: 20.0 },
+            pace_percent: Some(100),
+            ..default_plan.upstream.clone()
+        };
+        let plan = EnvironmentPlan { upstream, ..default_plan };
+        let mut env = PlatformEnvironment::start(plan).await;
+        env.configure(|config| {
+            for route in &mut config.routes {
+                route.class = WorkClass::Deferrable;
+                route.objective = SLOW_OBJECTIVE;
+            }
+        })
+        .await;
+        let env = env;
         env.fill_retry_budget("slow").await;
         env.serve_calls("typical", CALLS).await;
         if matches!(case, SlowCase::NoOther) {
             env.wait_for_rows(env.upstreams[1].writer.drain()).await;
         }
         for upstream in &env.upstreams {
-            upstream.server.update(|plan| plan.service = ServiceTime::Fixed { ms: 2_000.0 });
+            upstream.server.update(|plan| plan.service = ServiceTime::Fixed { ms: 5_000.0 });
         }
         let mut connection = open(env.gate.caller_address).await;
         let call = connection.call(request(Method::GET, LOOK, "slow", None, PartBody::none()));
         let signal = async {
             wait_until("the call runs", async || env.history("slow").arrived > 0).await;
-            if matches!(case, SlowCase::Shutdown) {
-                env.gate.process.signal(Signal::TERM);
+            match case {
+                SlowCase::NoOther => {}
+                SlowCase::Overload => cause_overload(&env).await,
+                SlowCase::Shutdown => env.gate.process.signal(Signal::TERM),
             }
         };
         let (answer, ()) = await_event("an answer", async { tokio::join!(call, signal) }).await;
@@ -302,8 +344,10 @@
 /// The most memory that a gateway may use for a call with such an answer: the buffers of its head,
 /// of the body that is held back and of the two connections, each twice while it grows.
 const ENDLESS_CALL_BYTES: u64 = 2 * (64 + 256 + 2 * 64) * 1024;
-/// Connections of an upstream of which the share of one gateway suffices for these calls.
-const ENDLESS_CONNECTIONS: u32 = 100 * ENDLESS_CALLS as u32;
+/// Calls whose answers would together fill the memory of a small VM, 160 MB, if each took as much.
+const MANY_ENDLESS_CALLS: usize = 500;
+/// The most memory that a gateway may use for them: half of that of a small VM.
+const MANY_ENDLESS_BYTES: u64 = 80 * 1000 * 1000;
 /// The timeout of these calls.
 const ENDLESS_TIMEOUT: ClockSpan = ClockSpan::from_secs(3);
 
@@ -337,53 +381,72 @@
         case(EndlessPart::Excess, &[200]),
     ];
     for case in cases {
-        let default_plan = EnvironmentPlan::default();
-        let connections = ENDLESS_CONNECTIONS;
-        let slots = 2 * ENDLESS_CALLS as u32;
-        let upstream = UpstreamPlan { slots, connections, ..default_plan.upstream.clone() };
-        let plan = EnvironmentPlan {
-            upstream,
-            upstreams: 1,
-            timeout: ENDLESS_TIMEOUT,
-            retry_ratio: 0.0,
-            ..default_plan
-        };
-        let mut env = PlatformEnvironment::start(plan).await;
-        env.configure(|config| config.services[0].connections = ENDLESS_CONNECTIONS).await;
-        env.serve_calls("before", CALLS).await;
-        let process = env.gate.process.id();
-        let before = resident_bytes(process);
-        let fault = AnswerFault::Endless { part: case.part };
-        let rule = FaultRule { fault, ..FaultRule::default() };
-        env.upstreams[0].server.update(|plan| plan.faults = vec![rule]);
-        let env = &env;
-        let calls = (0..ENDLESS_CALLS).map(|index| async move {
-            let id = format!("endless-{index}");
-            let answer = env.call(BOOK, &id).await;
-            let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
-            assert!(case.statuses.contains(&status), "{:?}: {status}", case.part);
-        });
-        let mut peak = 0;
-        let mut watch = tokio::time::interval(Duration::from_millis(50));
-        let mut calls = std::pin::pin!(futures_util::future::join_all(calls));
-        loop {
-            tokio::select! {
-                _ = &mut calls => break,
-                _ = watch.tick() => peak = peak.max(resident_bytes(process)),
-            }
-        }
-        let grown = peak.saturating_sub(before);
-        println!("{:?}: {grown} bytes", case.part);
+        let grown = check_endless(&case, ENDLESS_CALLS).await;
         assert!(grown <= ENDLESS_CALLS as u64 * ENDLESS_CALL_BYTES, "{:?}: {grown}", case.part);
-        env.upstreams[0].server.update(|plan| plan.faults.clear());
-        wait_until("the connections are closed", async || {
-            env.upstreams[0].server.counts().connections <= 4
-        })
-        .await;
-        env.serve_calls("after", 4).await;
     }
 }
 
+/// Guards against endless answers to many calls that together fill the memory of the gateway, although
+/// each of them is bounded.
+#[tokio::test]
+async fn many_endless_answers_are_bounded_together() {
+    let failed = &[0, 502, 504];
+    for part in [EndlessPart::Head, EndlessPart::ChunkLine, EndlessPart::Body] {
+        let case = EndlessCase { part, statuses: failed };
+        let grown = check_endless(&case, MANY_ENDLESS_CALLS).await;
+        assert!(grown <= MANY_ENDLESS_BYTES, "{part:?}: {grown}");
+    }
+}
+
+/// Makes calls at the same time that get endless answers, and requires that later calls are served.
+/// Returns by how many bytes the memory of the gateway has grown.
+async fn check_endless(case: &EndlessCase, calls: usize) -> u64 {
+    let default_plan = EnvironmentPlan::default();
+    let connections = 100 * calls as u32;
+    let upstream =
+        UpstreamPlan { slots: 2 * calls as u32, connections, ..default_plan.upstream.clone() };
+    let plan = EnvironmentPlan {
+        upstream,
+        upstreams: 1,
+        timeout: ENDLESS_TIMEOUT,
+        retry_ratio: 0.0,
+        ..default_plan
+    };
+    let mut env = PlatformEnvironment::start(plan).await;
+    env.configure(|config| config.services[0].connections = connections).await;
+    env.serve_calls("before", CALLS).await;
+    let process = env.gate.process.id();
+    let before = resident_bytes(process);
+    let fault = AnswerFault::Endless { part: case.part };
+    let rule = FaultRule { fault, ..FaultRule::default() };
+    env.upstreams[0].server.update(|plan| plan.faults = vec![rule]);
+    let env = &env;
+    let calls = (0..calls).map(|index| async move {
+        let id = format!("endless-{index}");
+        let answer = env.call(BOOK, &id).await;
+        let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+        assert!(case.statuses.contains(&status), "{:?}: {status}", case.part);
+    });
+    let mut peak = 0;
+    let mut watch = tokio::time::interval(Duration::from_millis(50));
+    let mut calls = std::pin::pin!(futures_util::future::join_all(calls));
+    loop {
+        tokio::select! {
+            _ = &mut calls => break,
+            _ = watch.tick() => peak = peak.max(resident_bytes(process)),
+        }
+    }
+    let grown = peak.saturating_sub(before);
+    println!("{:?}: {grown} bytes", case.part);
+    env.upstreams[0].server.update(|plan| plan.faults.clear());
+    wait_until("the connections are closed", async || {
+        env.upstreams[0].server.counts().connections <= 4
+    })
+    .await;
+    env.serve_calls("after", 4).await;
+    grown
+}
+
 /// Returns whether every thread of a process is stopped by a signal.
 fn is_stopped(process: u32) -> bool {
     let threads = std::fs::read_dir(format!("/proc/{process}/task")).expect("the threads");
