--- a/crates/suspect/src/fingerprint.rs
+++ b/crates/suspect/src/fingerprint.rs
@@ -27,10 +27,7 @@
 impl FingerprintKey {
     /// Returns the key that is derived from a secret of the VMs.
     pub fn new(secret: &str) -> Self {
-        let keyed = <Hmac<Sha256> as Mac>::new_from_slice(secret.as_bytes());
-        let mut keyed = keyed.expect("HMAC accepts keys of any length");
-        keyed.update(DOMAIN);
-        Self(keyed)
+        Self(hmac_key(secret).chain_update(DOMAIN))
     }
 
     /// Returns a hasher for the parts of one request.
@@ -45,6 +42,10 @@
     }
 }
 
+fn hmac_key(secret: &str) -> Hmac<Sha256> {
+    Hmac::new_from_slice(secret.as_bytes()).expect("HMAC accepts keys of any length")
+}
+
 /// Computes the fingerprint of one request from its parts.
 pub struct FingerprintHasher(Hmac<Sha256>);
 
