--- a/crates/gate/src/discovery/join.rs
+++ b/crates/gate/src/discovery/join.rs
@@ -39,8 +39,8 @@
     /// through which others are found, and announces a changed incarnation.
     pub(super) async fn join_fleet(self: Arc<Self>) {
         if self.join_through_seeds().await {
-            self.learn_suspects().await;
             self.joined.send_replace(true);
+            self.learn_suspects().await;
             self.exchange.membership.lock().schedule_presence(self.state.clock.now());
         } else {
             self.announce_until_done().await;
@@ -146,7 +146,8 @@
     }
 
     /// Asks further VMs for their suspects until one is settled. The one that told this VM of the
-    /// others may have started at the same time.
+    /// others may have started at the same time. The configuration does not wait for this: of VMs that
+    /// all start together none knows any suspects, and they would serve calls later.
     async fn learn_suspects(&self) {
         if !self.state.options.tuning.uses(Mechanism::PeerSuspects) {
             return;
@@ -173,8 +174,8 @@
             tokio::time::sleep(pause.to_duration()).await;
         }
         self.row_written.store(true, Ordering::Relaxed);
-        self.learn_suspects().await;
         self.joined.send_replace(true);
+        self.learn_suspects().await;
     }
 
     /// Writes this VM's row, reads those of the other VMs and tells them that this one is alive.
