Replay a slow call without another slot instead of overload

Change: the case Full keeps the only slot of the other upstream occupied until the slow call has ended. It requires what Overload did, one arrival and 200.

--- a/crates/trial/tests/wishes.rs
+++ b/crates/trial/tests/wishes.rs
@@ -14,7 +14,6 @@
 use platform::PlatformCodec;
 use stand::prelude::*;
 use trial::prelude::*;
-use world::prelude::*;
 
 /// Calls after an upstream has said that it leaves or wants a pause. If it were chosen as readily as
 /// the other one, the chance that no call reaches it would be below 1 in 10^12.
@@ -240,84 +239,81 @@
     assert!(unserved > 0, "the calls are served without the mechanism as well");
 }
 
-/// The latency objective of the calls beside a slow one.
-const SLOW_OBJECTIVE: ClockSpan = ClockSpan::from_millis(300);
-/// Calls in a row that miss their objective, more than make the gateway refuse further ones.
-const LATE_CALLS: usize = 12;
-
-/// Makes all upstreams report that they are slow, and makes calls that cannot meet their objective.
-async fn cause_overload(env: &PlatformEnvironment) {
-    for upstream in &env.upstreams {
-        let pace_percent = Some(2_000);
-        let load = LoadAnswer::Fixed { in_flight: 0, queued: 0, slots: 6, pace_percent };
-        upstream.server.update(|plan| plan.load = load);
-    }
-    let calls = (0..LATE_CALLS).map(|index| async move {
-        let mut connection = open(env.gate.caller_address).await;
-        let (id, remaining) = (format!("late-{index}"), Some(SLOW_OBJECTIVE));
-        let call = request(Method::GET, LOOK, &id, remaining, PartBody::none());
-        // How these calls end does not matter.
-        let _ = connection.call(call).await;
-    });
-    await_event("the late calls end", futures_util::future::join_all(calls)).await;
-}
+/// The length of a body that is passed on while it arrives.
+const HELD_BODY_BYTES: usize = 200_000;
+/// The pace that upstreams report while a slow call runs. Its attempt counts as lost after four times
+/// the usual time of 20 ms at this pace, 4 s, so that each case takes effect before.
+const SLOW_PACE_PERCENT: u32 = 5_000;
+/// The time of a slow call, twice as long.
+const SLOW_WORK: ClockSpan = ClockSpan::from_secs(8);
 
 /// What keeps a slow call at the upstream that runs it.
 #[derive(Clone, Copy, Debug)]
 enum SlowCase {
     /// The other upstream is draining.
     NoOther,
-    /// Calls are refused because they would miss their objective, as on the day scale-1 of grown Viti.
-    Overload,
+    /// Another call has the only slot of the other upstream until the slow one has ended.
+    Full,
     /// The gateway shuts down.
     Shutdown,
 }
 
 /// Guards against a slow call that is taken from the upstream that runs it although no other one can
-/// take it, so that its caller gets an error; and against one that a shutdown ends early.
+/// take it, so that its caller gets no answer or an error; and against one that a shutdown ends early.
 #[tokio::test]
 async fn a_slow_call_is_not_given_up() {
-    for case in [SlowCase::NoOther, SlowCase::Overload, SlowCase::Shutdown] {
+    for case in [SlowCase::NoOther, SlowCase::Full, SlowCase::Shutdown] {
         let default_plan = EnvironmentPlan::default();
         let upstream = UpstreamPlan {
+            slots: 1,
             service: ServiceTime::Fixed { ms: 20.0 },
             pace_percent: Some(100),
             ..default_plan.upstream.clone()
         };
         let plan = EnvironmentPlan { upstream, ..default_plan };
-        let mut env = PlatformEnvironment::start(plan).await;
-        env.configure(|config| {
-            for route in &mut config.routes {
-                route.class = WorkClass::Deferrable;
-                route.objective = SLOW_OBJECTIVE;
-            }
-        })
-        .await;
-        let env = env;
+        let env = PlatformEnvironment::start(plan).await;
         env.fill_retry_budget("slow").await;
         env.serve_calls("typical", CALLS).await;
         if matches!(case, SlowCase::NoOther) {
             env.wait_for_rows(env.upstreams[1].writer.drain()).await;
         }
         for upstream in &env.upstreams {
-            upstream.server.update(|plan| plan.service = ServiceTime::Fixed { ms: 5_000.0 });
+            upstream.server.update(|plan| {
+                plan.service = ServiceTime::Fixed { ms: SLOW_WORK.as_millis_f64() };
+                let (in_flight, queued, slots, pace_percent) = (0, 0, 1, Some(SLOW_PACE_PERCENT));
+                plan.load = LoadAnswer::Fixed { in_flight, queued, slots, pace_percent };
+            });
         }
         let mut connection = open(env.gate.caller_address).await;
         let call = connection.call(request(Method::GET, LOOK, "slow", None, PartBody::none()));
-        let signal = async {
+        let holding = async {
             wait_until("the call runs", async || env.history("slow").arrived > 0).await;
             match case {
-                SlowCase::NoOther => {}
-                SlowCase::Overload => cause_overload(&env).await,
-                SlowCase::Shutdown => env.gate.process.signal(Signal::TERM),
+                SlowCase::NoOther => None,
+                SlowCase::Full => Some(hold_slot(&env).await),
+                SlowCase::Shutdown => {
+                    env.gate.process.signal(Signal::TERM);
+                    None
+                }
             }
         };
-        let (answer, ()) = await_event("an answer", async { tokio::join!(call, signal) }).await;
+        let (answer, _held) = await_event("an answer", async { tokio::join!(call, holding) }).await;
         let status = answer.map_or(0, |answer| answer.status.as_u16());
         assert_eq!((status, env.history("slow").arrived), (200, 1), "{case:?}");
     }
 }
 
+/// Makes a call that keeps its slot at an upstream as long as the returned sender of its body exists.
+async fn hold_slot(env: &PlatformEnvironment) -> PartSender {
+    let (sender, body) = PartBody::announced(HELD_BODY_BYTES as u64);
+    sender.send(Bytes::from(vec![b'h'; HELD_BODY_BYTES / 2])).expect("the body is open");
+    let mut connection = open(env.gate.caller_address).await;
+    let held = request(Method::POST, BOOK, "held", None, body);
+    tokio::spawn(async move { connection.call(held).await });
+    wait_until("the call arrives", async || env.history("held").arrived == 1).await;
+    sender
+}
+
 /// Guards against a dropped call that must not run twice and is sent again.
 #[tokio::test]
 async fn a_dropped_call_that_must_not_run_twice_is_not_sent_again() {
