--- a/crates/border/src/document.rs
+++ b/crates/border/src/document.rs
@@ -107,5 +107,6 @@
         upstreams,
         routes: RouteTable::default(),
         caller_limits: CallerLimits::default(),
+        access: Default::default(),
     }
 }
--- a/crates/border/src/service.rs
+++ b/crates/border/src/service.rs
@@ -86,6 +86,7 @@
             queue_limit: entry.queue_limit,
             health_path: None,
             retry_window: None,
+            cold_rate: None,
         };
         CheckedService { contract: Arc::new(contract), upstreams }
     }
--- a/crates/codec/src/call.rs
+++ b/crates/codec/src/call.rs
@@ -33,6 +33,8 @@
     pub depth: u32,
     /// The caller's idempotency key, if it sent one.
     pub key: Option<SharedName>,
+    /// The digest of the key of the caller's account, if the request has exactly one.
+    pub account_key: Option<KeyDigest>,
     /// The length of the body.
     pub body: BodyLength,
 }
@@ -104,6 +106,8 @@
     pub foreign: bool,
     /// What the upstream asks of its callers.
     pub wish: UpstreamWish,
+    /// The rest of the upstream's warm-up, if the answer reports it.
+    pub warm_up: Option<ClockSpan>,
 }
 
 /// Encodes and decodes the heads of requests and answers for one interface.
@@ -122,6 +126,11 @@
     /// Removes the headers of a caller's request that must not reach an upstream.
     fn clean_request(headers: &mut HeaderMap);
 
+    /// Replaces the key of the caller's account by the name of the account, or removes it if the
+    /// caller has none. No value that the caller sent for the name remains. Only called if the
+    /// environment has accounts.
+    fn set_account(headers: &mut HeaderMap, account: Option<&str>);
+
     /// Sets the headers that an upstream gets with each attempt.
     fn set_attempt_headers(headers: &mut HeaderMap, facts: &AttemptFacts<'_>);
 
--- a/crates/codec/src/head.rs
+++ b/crates/codec/src/head.rs
@@ -86,6 +86,14 @@
     }
 }
 
+/// Sets a header to a text, or removes it. A text that is no valid value removes it as well.
+pub fn set_or_remove(headers: &mut HeaderMap, name: &HeaderName, text: Option<&str>) {
+    headers.remove(name);
+    if let Some(value) = text.and_then(|text| HeaderValue::from_str(text).ok()) {
+        headers.insert(name, value);
+    }
+}
+
 /// Checks the rules that all interfaces share. Returns the host, in lower case and without its
 /// port, and the length of the body.
 ///
--- a/crates/codec/src/native.rs
+++ b/crates/codec/src/native.rs
@@ -32,11 +32,13 @@
 pub const DRAIN: HeaderName = HeaderName::from_static("agateroad-drain");
 /// Present with status 503 when the upstream did not run the call.
 pub const SHED: HeaderName = HeaderName::from_static("agateroad-shed");
+/// The name of the client account of the caller.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("agateroad-account");
 /// The caller's key of a non-idempotent piece of work, equal in repeated requests for it.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Headers that only gateways and upstreams set. They are removed from a caller's request.
-const GATEWAY_ONLY: [HeaderName; 6] = [ATTEMPT, REQUEST_ID, OUTCOME, LOAD, DRAIN, SHED];
+const GATEWAY_ONLY: [HeaderName; 7] = [ATTEMPT, REQUEST_ID, OUTCOME, LOAD, DRAIN, SHED, ACCOUNT];
 
 /// The path at which an upstream reports its load; health checks are sent to it.
 const LOAD_PATH: &str = "/agateroad/load";
@@ -68,6 +70,7 @@
             deadline: deadline.map(ClockSpan::from_millis),
             depth: depth(headers)?,
             key: key(headers)?,
+            account_key: None,
             body,
         })
     }
@@ -80,6 +83,10 @@
         }
     }
 
+    fn set_account(headers: &mut HeaderMap, account: Option<&str>) {
+        head::set_or_remove(headers, &ACCOUNT, account);
+    }
+
     fn set_attempt_headers(headers: &mut HeaderMap, facts: &AttemptFacts<'_>) {
         headers.insert(DEADLINE, HeaderValue::from(facts.remaining.as_millis()));
         headers.insert(ATTEMPT, HeaderValue::from(facts.attempt));
@@ -165,7 +172,7 @@
             None => header_load,
         };
         let load = load.map(|load| LoadReport { source: ReportSource::Probe, ..load });
-        CheckFacts { load, misdirected: false, foreign, wish: facts.wish }
+        CheckFacts { load, misdirected: false, foreign, wish: facts.wish, warm_up: None }
     }
 }
 
--- a/crates/directory/src/config.rs
+++ b/crates/directory/src/config.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::entry::{ConfigEntry, EntryCodec, EntryError};
+use crate::entry::{ConfigEntry, ConfigRules, EntryCodec, EntryError};
 
 /// The result of offering a configuration to a [`ConfigTracker`].
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigTracker {
     current: Option<Arc<ConfigEntry>>,
+    /// The rules of the current configuration.
+    rules: Arc<ConfigRules>,
     /// The current configuration in the encoding of the store.
     document: Option<Bytes>,
     /// The highest version that this VM or another one is known to have.
@@ -46,6 +48,11 @@
         self.current.as_ref()
     }
 
+    /// Returns the rules of the current configuration.
+    pub fn rules(&self) -> &Arc<ConfigRules> {
+        &self.rules
+    }
+
     /// Returns the highest version that this VM or another one is known to have.
     pub fn highest_version(&self) -> u64 {
         self.highest_version
@@ -62,8 +69,8 @@
         if self.document.as_ref() == Some(value) {
             return ConfigOffer::Known;
         }
-        let config = match C::decode_config(value) {
-            Ok(config) => config,
+        let (config, rules) = match C::decode_config_rules(value) {
+            Ok(decoded) => decoded,
             Err(error) => return ConfigOffer::Unreadable(error),
         };
         let is_newer = match &self.current {
@@ -75,6 +82,7 @@
         }
         let config = Arc::new(config);
         self.current = Some(Arc::clone(&config));
+        self.rules = Arc::new(rules);
         self.document = Some(value.clone());
         ConfigOffer::Newer(config)
     }
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -1,6 +1,8 @@
 //! Decoded rows of the store, and the trait that decodes them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -64,6 +66,29 @@
     pub caller_limits: CallerLimits,
 }
 
+/// The rules of a configuration that only some deployments have. The default restricts nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigRules {
+    /// Who may call, and where calls may run.
+    pub access: Arc<AccessRules>,
+    /// Calls per second that all VMs together may send to a cold upstream, by service. Upstreams of
+    /// other services have no limit.
+    pub cold_rates: HashMap<SharedName, f64>,
+}
+
+/// An evacuation of a data centre, as the operators requested it: nothing is sent to its upstreams
+/// until they end it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct EvacuationMark {
+    /// The data centre.
+    pub centre: SharedName,
+    /// The version of the store at which the evacuation started or ended.
+    pub version: u64,
+    /// Whether it is in force.
+    pub active: bool,
+}
+
 /// The row that a VM writes about itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -98,4 +123,20 @@
     ///
     /// Fails if the row is not a complete configuration.
     fn decode_config(value: &[u8]) -> Result<ConfigEntry, EntryError>;
+
+    /// Decodes the configuration and its rules. Without an own implementation there are no rules.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is not a complete configuration, or if a rule cannot be read: the
+    /// configuration must not take effect without its restrictions.
+    fn decode_config_rules(value: &[u8]) -> Result<(ConfigEntry, ConfigRules), EntryError> {
+        Ok((Self::decode_config(value)?, ConfigRules::default()))
+    }
+
+    /// Returns the data centre that a row of the configuration's table evacuates as long as it
+    /// exists, or `None` if it is another row.
+    fn evacuated_centre(_key: &str) -> Option<&str> {
+        None
+    }
 }
--- a/crates/directory/src/environment.rs
+++ b/crates/directory/src/environment.rs
@@ -6,7 +6,7 @@
 use base::prelude::*;
 use world::prelude::*;
 
-use crate::entry::{ConfigEntry, ServiceEntry};
+use crate::entry::{ConfigEntry, ConfigRules, ServiceEntry};
 use crate::upstreams::UpstreamDirectory;
 
 /// Share of calls whose latency is within the objective, as in the users' own documents.
@@ -57,6 +57,7 @@
         Arc::new(build_contract(service, &config.routes, servers, bounds))
     };
     EnvironmentMap {
+        access: Arc::default(),
         name: bounds.name.clone(),
         version: config.version,
         digest: SharedName::from(""),
@@ -69,6 +70,25 @@
     }
 }
 
+/// Adds to an environment the rules of its configuration, and removes the upstreams of evacuated data
+/// centres, so that nothing is sent to them.
+pub fn restrict_environment(
+    mut map: EnvironmentMap,
+    rules: &ConfigRules,
+    is_evacuated: impl Fn(&str) -> bool,
+) -> EnvironmentMap {
+    map.access = Arc::clone(&rules.access);
+    for contract in &mut map.contracts {
+        if let Some(rate) = rules.cold_rates.get(&contract.name) {
+            Arc::make_mut(contract).cold_rate = Some(*rate);
+        }
+    }
+    for servers in map.upstreams.values_mut() {
+        servers.retain(|server| !is_evacuated(&server.centre));
+    }
+    map
+}
+
 fn group_upstreams(
     config: &ConfigEntry,
     directory: &UpstreamDirectory,
@@ -130,6 +150,7 @@
         queue_limit: bounds.queue_limit,
         health_path: Some(service.health_path.clone()),
         retry_window: Some(bounds.retry_window),
+        cold_rate: None,
     }
 }
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -12,6 +12,7 @@
 mod draining;
 pub mod entry;
 pub mod environment;
+pub mod evacuation;
 mod health;
 mod log;
 mod record;
@@ -23,9 +24,11 @@
     pub use crate::config::{ConfigOffer, ConfigTracker};
     pub use crate::draining::DrainMark;
     pub use crate::entry::{
-        ConfigEntry, EntryCodec, EntryError, ServiceEntry, UpstreamEntry, VmEntry,
+        ConfigEntry, ConfigRules, EntryCodec, EntryError, EvacuationMark, ServiceEntry,
+        UpstreamEntry, VmEntry,
     };
-    pub use crate::environment::{FleetBounds, build_environment};
+    pub use crate::environment::{FleetBounds, build_environment, restrict_environment};
+    pub use crate::evacuation::EvacuationTable;
     pub use crate::upstreams::{
         DirectoryChange, DirectoryTuning, PositionGap, TransitionKind, UnreadableRow,
         UpstreamDirectory, UpstreamTransition,
--- a/crates/directory/src/record.rs
+++ b/crates/directory/src/record.rs
@@ -22,6 +22,10 @@
     Removed,
 }
 
+/// How much later than the known end of a warm-up the end can seem to be because a row was read late.
+/// A reader reads the table every second, and an outage of the store lasts a few seconds.
+const ROW_DELAY: ClockSpan = ClockSpan::from_secs(2);
+
 /// One row and its upstream. The default stands for a row that was never read.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RowRecord {
@@ -70,10 +74,18 @@
     }
 
     /// Replaces the upstream and returns whether the new one differs in more than the warm-up. The
-    /// end of an incarnation's warm-up follows from its first row, and later rows do not change it.
+    /// end of an incarnation's warm-up follows from its first row. Later rows change it only if they
+    /// report that the upstream is cold again.
     fn apply_server(&mut self, mut server: UpstreamServer, now: ClockTime) -> bool {
         let known = self.server.as_ref().filter(|known| known.incarnation == server.incarnation);
         match known {
+            Some(known) if self.is_cold_again(&server, now) => {
+                self.warm_up_until = now + server.warm_up;
+                if server.warm_up == known.warm_up {
+                    // A different value shows that the warm-up starts again.
+                    server.warm_up += ClockSpan::from_hundredths(1);
+                }
+            }
             Some(known) => {
                 server.warm_up = known.warm_up;
                 if **known == server {
@@ -87,6 +99,11 @@
         true
     }
 
+    /// Returns whether the row reports a warm-up that ends later than the known one.
+    fn is_cold_again(&self, server: &UpstreamServer, now: ClockTime) -> bool {
+        server.warm_up > ClockSpan::ZERO && now + server.warm_up > self.warm_up_until + ROW_DELAY
+    }
+
     /// Records that the row was removed or cannot be decoded. If `retain` is true, an upstream that
     /// is usable stays so. Returns whether the state of the row changed.
     pub fn apply_missing_entry(&mut self, state: RowState, retain: bool) -> bool {
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -17,6 +17,7 @@
 use crate::metrics::CallEnd;
 use crate::plan::{self, PlannedCall};
 use crate::progress::CallProgress;
+use crate::quota;
 use crate::service::ServiceContext;
 use crate::state::GateState;
 use crate::suspect_check;
@@ -85,6 +86,13 @@
         return (Err(refusal.with_cause(CallCause::NoRoute)), Some(traced));
     };
     traced.record_match(&context, &call);
+    let account = call.account.clone();
+    if let Some(account) = &account
+        && let Err(refusal) = quota::admit(state, account).await
+    {
+        context.metrics.count_call(call.request.class, CallEnd::NotRun);
+        return (Err(refusal), Some(traced));
+    }
     let class = call.request.class;
     let (result, traced) = if claims::is_needed(&call.request) {
         claims::run::<C>(state, &context, call, traced, facts, body).await
@@ -93,6 +101,9 @@
         (result, Some(traced))
     };
     let end = call_end(&result);
+    if let Some(account) = account.filter(|_| end == CallEnd::NotRun) {
+        state.quotas.give_back(&account, state.clock.now());
+    }
     context.metrics.count_call(class, end);
     let now = state.clock.now();
     let success = matches!(end, CallEnd::Answered);
--- a/crates/gate/src/directory_tables.rs
+++ b/crates/gate/src/directory_tables.rs
@@ -20,6 +20,10 @@
 pub struct DirectoryTables {
     /// The upstreams.
     pub upstreams: UpstreamDirectory,
+    /// The data centres that operators have evacuated.
+    pub evacuations: EvacuationTable,
+    /// When this VM last broadcast them.
+    pub evacuations_sent_at: ClockTime,
     /// The configuration.
     pub config: ConfigTracker,
     /// The part of the environment that comes from the process settings.
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -24,6 +24,7 @@
 
 mod core;
 mod datagrams;
+mod evacuations;
 mod join;
 mod upstreams;
 mod versions;
@@ -66,6 +67,8 @@
         let ordered = tuning.uses(Mechanism::VersionOrder);
         let tables = DirectoryTables {
             upstreams: UpstreamDirectory::new(directory),
+            evacuations: EvacuationTable::default(),
+            evacuations_sent_at: ClockTime::ZERO,
             config: if ordered { ConfigTracker::new() } else { ConfigTracker::unordered() },
             bounds,
             peer_read_at: None,
@@ -75,7 +78,8 @@
         };
         let tables = Arc::new(RankedMutex::new(LockRank::PeerTable, tables));
         let rows = RowStore::<_, K>::new(store, state.clock);
-        let exchange = VmExchange::bind(exchange, state.clock).await?;
+        let exchange = Arc::new(VmExchange::bind(exchange, state.clock).await?);
+        state.quotas.connect(&exchange);
         let membership = Arc::clone(&exchange.membership);
         let suspects_learned = Arc::new(AtomicBool::new(false));
         peers.offer_copies(CopySource {
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -46,7 +46,7 @@
     pub(super) state: Arc<GateState>,
     pub(super) rows: RowStore<RealClock, K>,
     pub(super) tables: Arc<RankedMutex<DirectoryTables>>,
-    pub(super) exchange: VmExchange,
+    pub(super) exchange: Arc<VmExchange>,
     pub(super) client: PeerClient,
     /// Whether this VM is the designated reader of the upstreams.
     pub(super) is_designated_reader: AtomicBool,
@@ -84,7 +84,11 @@
             }
             let previous = self.state.environment.load();
             let previous = Some(&**previous);
-            build_environment(config, &tables.upstreams, &tables.bounds, previous)
+            let map = build_environment(config, &tables.upstreams, &tables.bounds, previous);
+            let evacuations = &tables.evacuations;
+            restrict_environment(map, tables.config.rules(), |centre| {
+                evacuations.is_evacuated(centre)
+            })
         };
         let outdated = self.tables.lock().config.is_outdated();
         self.state.config_outdated.store(outdated, Ordering::Release);
--- a/crates/gate/src/discovery/datagrams.rs
+++ b/crates/gate/src/discovery/datagrams.rs
@@ -17,6 +17,7 @@
 use super::core::DiscoveryCore;
 use crate::event;
 use crate::mechanism::Mechanism;
+use crate::quota;
 
 /// The time between two checks for messages that are due.
 const SEND_PERIOD: ClockSpan = ClockSpan::from_millis(100);
@@ -68,6 +69,8 @@
             }
             let counts = VmCounts { listed: counts.known, reported: counts.reachable };
             self.state.set_vm_counts(counts, now);
+            quota::tick(&self.state, &self.exchange, now);
+            self.repeat_evacuations(now).await;
             let suspects = self.state.tables.take_suspect_notices(now);
             if !suspects.is_empty() {
                 let message = PeerMessage::Suspects(SuspectMessage { notices: suspects });
@@ -169,6 +172,13 @@
                 self.observe_config_version(message.config_version);
             }
             PeerMessage::Load(_) => {}
+            PeerMessage::Evacuations(message) => {
+                self.apply_evacuations(&message.marks, "peer");
+            }
+            PeerMessage::CreditRequest(request) => {
+                quota::answer(&self.state, &self.exchange, request, source).await;
+            }
+            PeerMessage::CreditAnswer(answer) => self.state.quotas.receive_answer(*answer),
             PeerMessage::Drains(message) => self.record_drains(&message.marks, "peer"),
             PeerMessage::Config(message) => self.receive_config(sender, message.version),
             PeerMessage::Suspects(message) => {
--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -55,6 +55,7 @@
         }
         let mut position = None;
         loop {
+            let mut is_complete = position.is_none();
             let read = tokio::select! {
                 read = self.config_changes(position) => read,
                 () = self.config_wanted.notified() => {
@@ -62,6 +63,7 @@
                     if self.fetch_newest_config().await && !refresh {
                         continue;
                     }
+                    is_complete = true;
                     self.rows.read_table(K::CONFIG_TABLE).await
                 }
             };
@@ -71,6 +73,7 @@
                     log_read(K::CONFIG_TABLE, &page);
                     self.state.store.answered(self.state.clock.now());
                     self.apply_config(&page).await;
+                    self.read_evacuations(&page, is_complete).await;
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
                 }
                 Err(StoreError::HistoryLost) => position = None,
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -74,6 +74,8 @@
 pub const UPSTREAM_PAUSED: u32 = 1206;
 /// Another server answers at the address of an upstream.
 pub const UPSTREAM_MOVED: u32 = 1207;
+/// The evacuation of a data centre started or ended.
+pub const CENTRE_EVACUATED: u32 = 1208;
 /// Calls are refused because of overload.
 pub const OVERLOAD: u32 = 1301;
 /// An upstream crashed.
--- a/crates/gate/src/fingerprint.rs
+++ b/crates/gate/src/fingerprint.rs
@@ -33,6 +33,10 @@
         hasher.add(&(values.iter().count() as u64).to_le_bytes());
         values.iter().for_each(|value| hasher.add(value.as_bytes()));
     }
+    // The key of an account is not among the headers that are passed on.
+    if let Some(account) = &call.account {
+        hasher.add(account.name.as_bytes());
+    }
     match body {
         CallBody::Empty => {
             hasher.add(&[]);
--- a/crates/gate/src/plan.rs
+++ b/crates/gate/src/plan.rs
@@ -1,5 +1,6 @@
 //! Matches a request to its service, its work rule and its deadline.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use base::prelude::*;
@@ -19,6 +20,12 @@
 pub struct PlannedCall {
     /// The properties of the call on which decisions depend.
     pub request: CallerRequest,
+    /// The name of its route, or `None` if a contract covers it.
+    pub route: Option<SharedName>,
+    /// The digest of the key of the caller's account.
+    pub account_key: Option<KeyDigest>,
+    /// The account of the caller, if it has one.
+    pub account: Option<Arc<ClientAccount>>,
     /// The version of the configuration.
     pub version: u64,
     /// The latency objective.
@@ -64,7 +71,15 @@
         let contract = environment.contract(&plan.service);
         contract.is_none_or(|contract| C::check_path(contract) != path)
     });
+    let route = plan.as_ref().and_then(|plan| plan.route.clone());
+    let verdict = environment.access.check_key(facts.account_key.as_ref(), route.as_deref());
+    let account = match verdict {
+        KeyVerdict::Unknown => return Err(unknown_key(state)),
+        KeyVerdict::Account(account) => Some(account),
+        KeyVerdict::NotNeeded | KeyVerdict::Public => None,
+    };
     let Some(plan) = plan else { return Err(no_match(state, facts, &parts)) };
+    check_regions(state, &environment, &plan, account.as_deref())?;
     let span = facts.deadline.map_or(plan.timeout, |own| own.min(plan.timeout));
     if span == ClockSpan::ZERO {
         let message = "the deadline has passed; allow more time";
@@ -73,7 +88,7 @@
     }
     let request = CallerRequest {
         service: plan.service,
-        class: plan.class,
+        class: account.as_ref().and_then(|account| account.class).unwrap_or(plan.class),
         idempotent: plan.idempotent,
         deadline: now + span,
         attempt: 1,
@@ -85,10 +100,87 @@
     };
     let mut headers = parts.headers;
     C::clean_request(&mut headers);
+    if environment.access.accounts.is_some() {
+        C::set_account(&mut headers, account.as_ref().map(|account| account.name.as_str()));
+    }
     let (method, uri, id) = (parts.method, parts.uri, id.clone());
     let (version, objective) = (environment.version, plan.objective);
     let objective_deadline = now + objective;
-    Ok(PlannedCall { request, version, objective, objective_deadline, method, uri, headers, id })
+    Ok(PlannedCall {
+        request,
+        route,
+        account_key: facts.account_key,
+        account,
+        version,
+        objective,
+        objective_deadline,
+        method,
+        uri,
+        headers,
+        id,
+    })
+}
+
+/// Checks before a call is sent that its key is still known. A call may wait while a new version of
+/// the configuration takes the key away.
+///
+/// # Errors
+///
+/// Returns the refusal if no account has the key any more.
+pub fn recheck_key(state: &GateState, call: &PlannedCall) -> Result<(), CallRefusal> {
+    let environment = state.environment.load();
+    if environment.version == call.version || call.account.is_none() {
+        return Ok(());
+    }
+    let key = call.account_key.as_ref();
+    match environment.access.check_key(key, call.route.as_deref()) {
+        KeyVerdict::Unknown => Err(unknown_key(state)),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the refusal of a request without a known key. A VM that knows that its configuration is
+/// outdated cannot conclude that no account has the key.
+fn unknown_key(state: &GateState) -> CallRefusal {
+    if state.config_outdated.load(Ordering::Acquire) {
+        return unavailable(
+            state,
+            "the gateway waits for a newer configuration; repeat the request",
+        );
+    }
+    let message = "no account has the key of the request; send a valid key";
+    CallRefusal::not_run(StatusCode::UNAUTHORIZED, message).with_cause(CallCause::UnknownKey)
+}
+
+/// Checks that every upstream that could run a call is in a region that may run it.
+///
+/// # Errors
+///
+/// Returns the refusal if an upstream is in another region. The choice of an upstream knows no
+/// regions, so that the call is refused rather than run in the wrong one.
+fn check_regions(
+    state: &GateState,
+    environment: &EnvironmentMap,
+    plan: &CallPlan,
+    account: Option<&ClientAccount>,
+) -> Result<(), CallRefusal> {
+    let access = &environment.access;
+    let route = plan.route.as_deref();
+    let has_homes = account.is_some_and(|account| !account.homes.is_empty())
+        || route.is_some_and(|route| access.route_homes.contains_key(route));
+    if !has_homes {
+        return Ok(());
+    }
+    let region = |centre: &SharedName| {
+        let known = environment.centres.iter().find(|known| known.name == *centre);
+        known.map_or("", |known| known.region.as_str())
+    };
+    let mut upstreams = environment.upstreams_of(&plan.service).iter();
+    if upstreams.all(|server| access.allows_region(route, account, region(&server.centre))) {
+        return Ok(());
+    }
+    let message = "an upstream of the service is in a region that may not run the call";
+    Err(unavailable(state, message))
 }
 
 /// Moves a call to another target of its traffic split if the chosen target has no upstreams. Only
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -206,6 +206,9 @@
     if let Some(load) = facts.load {
         state.upstreams.observe(name, load, now);
     }
+    if let Some(rest) = facts.warm_up {
+        state.upstreams.record_warm_up(name, rest, now);
+    }
     wish::apply(state, context, link.server(), facts.wish, now);
     answer.connection.record_check(now);
     CheckOutcome::Answered(answer.connection)
--- /dev/null
+++ b/crates/gate/src/quota.rs
@@ -0,0 +1,289 @@
+//! Quotas of accounts on the request path: gets a credit for each call from the VMs that own the
+//! parts of the quota, and answers the requests of other VMs.
+//!
+//! The crate `account` decides; this module sends and receives. A call waits for at most one answer
+//! from each data centre.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use account::prelude::*;
+use base::prelude::*;
+use codec::prelude::*;
+use http::StatusCode;
+use peer::prelude::*;
+use route::prelude::ColdUsers;
+use tokio::sync::oneshot;
+use trace::prelude::CallCause;
+use world::prelude::*;
+
+use crate::exchange::VmExchange;
+use crate::state::GateState;
+
+/// The longest time for an answer from the own data centre, in which a small VM that is busy answers
+/// within some tens of milliseconds. The round trip to others is added.
+const ANSWER_TIMEOUT: ClockSpan = ClockSpan::from_millis(40);
+/// The time between two updates of what depends on the membership.
+const MEMBERS_PERIOD: ClockSpan = ClockSpan::from_millis(500);
+
+/// The quotas of accounts: the parts that this VM owns, and the credits that it holds.
+#[derive(Debug)]
+pub struct QuotaTable {
+    exchange: OnceLock<Arc<VmExchange>>,
+    owner: RankedMutex<QuotaOwner>,
+    credits: RankedMutex<CreditStore>,
+    /// The requests that wait for an answer.
+    pending: RankedMutex<HashMap<u64, oneshot::Sender<CreditAnswerMessage>>>,
+    next_id: AtomicU64,
+    members: RankedMutex<MembersSeen>,
+}
+
+/// What this VM last saw of the membership.
+#[derive(Debug, Default)]
+struct MembersSeen {
+    digest: u64,
+    updated_at: Option<ClockTime>,
+}
+
+/// An entry of the pending requests, which is removed when the call no longer waits.
+struct PendingRequest<'a> {
+    table: &'a QuotaTable,
+    id: u64,
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        self.table.pending.lock().remove(&self.id);
+    }
+}
+
+impl Default for QuotaTable {
+    fn default() -> Self {
+        Self {
+            exchange: OnceLock::new(),
+            owner: RankedMutex::new(LockRank::PeerTable, QuotaOwner::new()),
+            credits: RankedMutex::new(LockRank::PeerTable, CreditStore::default()),
+            pending: RankedMutex::new(LockRank::PeerTable, HashMap::new()),
+            next_id: AtomicU64::new(rand::random()),
+            members: RankedMutex::new(LockRank::PeerTable, MembersSeen::default()),
+        }
+    }
+}
+
+impl QuotaTable {
+    /// Sets the exchange with other VMs.
+    pub(crate) fn connect(&self, exchange: &Arc<VmExchange>) {
+        // There is one exchange for the life of the process.
+        let _ = self.exchange.set(Arc::clone(exchange));
+    }
+
+    /// Gives back the credit of a call that was not run.
+    pub fn give_back(&self, account: &ClientAccount, now: ClockTime) {
+        if account.quota.is_some() {
+            self.credits.lock().add(&account.name, 1, now);
+        }
+    }
+
+    /// Hands an answer to the call that waits for it.
+    pub(crate) fn receive_answer(&self, answer: CreditAnswerMessage) {
+        let waiting = self.pending.lock().remove(&answer.id);
+        // A call that no longer waits leaves its credits unused; they count as spent.
+        if let Some(sender) = waiting {
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+/// Updates what depends on the membership. Called every 100 ms while the environment has accounts or
+/// limits the calls to cold upstreams.
+pub(crate) fn tick(state: &GateState, exchange: &VmExchange, now: ClockTime) {
+    let environment = state.environment.load();
+    let limits_cold = environment.contracts.iter().any(|contract| contract.cold_rate.is_some());
+    let has_accounts = environment.access.accounts.is_some();
+    if !has_accounts && !limits_cold {
+        return;
+    }
+    let quotas = &state.quotas;
+    let is_due = {
+        let mut seen = quotas.members.lock();
+        let is_due = seen.updated_at.is_none_or(|at| now.since(at) >= MEMBERS_PERIOD);
+        if is_due {
+            seen.updated_at = Some(now);
+        }
+        is_due
+    };
+    if limits_cold && is_due {
+        let users = ColdUsers::new(exchange.membership.lock().vms_in_service());
+        state.upstreams.set_cold_users(users);
+    }
+    if has_accounts {
+        tick_owner(quotas, exchange, now);
+    }
+}
+
+fn tick_owner(quotas: &QuotaTable, exchange: &VmExchange, now: ClockTime) {
+    let view = exchange.membership.lock().centre_view();
+    let before = std::mem::replace(&mut quotas.members.lock().digest, view.digest);
+    if before != view.digest {
+        let mut owned = quotas.owner.lock().accounts();
+        {
+            let membership = exchange.membership.lock();
+            owned.retain(|account| membership.owns_quota(account));
+        }
+        quotas.owner.lock().change_members(|account| owned.iter().any(|own| own == account), now);
+    }
+    quotas.owner.lock().tick(view.has_contact(), now);
+}
+
+/// Gets a credit for a call of an account with a quota.
+///
+/// # Errors
+///
+/// Returns the refusal if the quota is used up or no owner answers.
+pub async fn admit(state: &GateState, account: &ClientAccount) -> Result<(), CallRefusal> {
+    let Some(quota) = account.quota else { return Ok(()) };
+    let quotas = &state.quotas;
+    let parts = part_order(state);
+    quotas.credits.lock().record_call(&account.name, state.clock.now());
+    // Each part is asked at most once for a call; a refusal keeps it from being asked again.
+    for _ in 0..=parts.len() {
+        let now = state.clock.now();
+        let step = quotas.credits.lock().next_step(&account.name, &parts, now);
+        match step {
+            CreditStep::Run => return Ok(()),
+            CreditStep::Ask { centre, count } => {
+                ask(state, account, quota, &parts, &centre, count).await;
+            }
+            CreditStep::Exhausted { retry_in } => return Err(exhausted(retry_in)),
+            CreditStep::Unknown { retry_in } => return Err(unknown(retry_in)),
+        }
+    }
+    Err(unknown(state.options.tuning.retry_after))
+}
+
+fn exhausted(retry_in: ClockSpan) -> CallRefusal {
+    let message = "the account has used up its quota; send fewer requests";
+    let refusal = CallRefusal::not_run(StatusCode::TOO_MANY_REQUESTS, message);
+    refusal.with_cause(CallCause::QuotaUsed).retry_after(retry_in)
+}
+
+fn unknown(retry_in: ClockSpan) -> CallRefusal {
+    let message = "no VM answers for the quota of the account; repeat the request";
+    let refusal = CallRefusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
+    refusal.with_cause(CallCause::QuotaUsed).retry_after(retry_in)
+}
+
+/// Returns the data centres in the order in which their owners are asked: this VM's own first, then
+/// by round-trip time.
+fn part_order(state: &GateState) -> Vec<SharedName> {
+    let environment = state.environment.load();
+    let own = &state.options.vm.centre;
+    let mut parts: Vec<SharedName> =
+        environment.centres.iter().map(|centre| centre.name.clone()).collect();
+    parts.sort_by_key(|centre| (centre != own, environment.round_trip(own, centre)));
+    parts
+}
+
+/// Asks the owner of one part for credits, and records the answer.
+async fn ask(
+    state: &GateState,
+    account: &ClientAccount,
+    quota: AccountQuota,
+    parts: &[SharedName],
+    centre: &SharedName,
+    count: u32,
+) {
+    let quotas = &state.quotas;
+    let Some(exchange) = quotas.exchange.get() else {
+        quotas.credits.lock().record_silence(&account.name, centre, state.clock.now());
+        return;
+    };
+    let (owner, is_own) = {
+        let membership = exchange.membership.lock();
+        let owner = membership.quota_owner(&account.name, centre);
+        let is_own = owner.is_some_and(|owner| owner.vm.name == membership.own().vm.name);
+        (owner.map(|owner| owner.exchange_address), is_own)
+    };
+    let now = state.clock.now();
+    let answer = if is_own {
+        let part_count = parts.len() as u32;
+        let mut own = quotas.owner.lock();
+        Some(own.grant(&account.name, quota, part_count, count, true, now))
+    } else {
+        match owner {
+            Some(address) => ask_vm(state, exchange, account, centre, count, address).await,
+            None => None,
+        }
+    };
+    let now = state.clock.now();
+    let mut credits = quotas.credits.lock();
+    match answer {
+        Some(CreditGrant::Granted(granted)) => credits.add(&account.name, granted, now),
+        Some(CreditGrant::Exhausted { retry_in }) => {
+            credits.record_exhausted(&account.name, centre, retry_in, now);
+        }
+        Some(CreditGrant::NotOwner) => credits.record_not_owner(&account.name, centre, now),
+        None => credits.record_silence(&account.name, centre, now),
+    }
+}
+
+/// Asks another VM for credits. Returns `None` if it does not answer in time.
+async fn ask_vm(
+    state: &GateState,
+    exchange: &VmExchange,
+    account: &ClientAccount,
+    centre: &SharedName,
+    count: u32,
+    address: SocketAddr,
+) -> Option<CreditGrant> {
+    let quotas = &state.quotas;
+    let id = quotas.next_id.fetch_add(1, Ordering::Relaxed);
+    let (sender, receiver) = oneshot::channel();
+    quotas.pending.lock().insert(id, sender);
+    let _pending = PendingRequest { table: quotas, id };
+    let message = CreditRequestMessage { id, account: account.name.clone(), count };
+    exchange.send(PeerMessage::CreditRequest(message), &[address]).await;
+    let environment = state.environment.load_full();
+    let round_trip = environment.round_trip(&state.options.vm.centre, centre);
+    let timeout = ANSWER_TIMEOUT + round_trip.unwrap_or(ClockSpan::ZERO);
+    let answer = tokio::time::timeout(timeout.to_duration(), receiver).await.ok()?.ok()?;
+    Some(match (answer.granted, answer.retry_ms) {
+        (0, None) => CreditGrant::NotOwner,
+        (0, Some(millis)) => {
+            CreditGrant::Exhausted { retry_in: ClockSpan::from_millis(u64::from(millis)) }
+        }
+        // More than was asked for would be the answer to another request.
+        (granted, _) => CreditGrant::Granted(granted.min(count)),
+    })
+}
+
+/// Answers a request for credits of another VM.
+pub(crate) async fn answer(
+    state: &GateState,
+    exchange: &VmExchange,
+    request: &CreditRequestMessage,
+    source: SocketAddr,
+) {
+    let environment = state.environment.load_full();
+    let accounts = environment.access.accounts.as_ref();
+    let quota = accounts.and_then(|accounts| accounts.quota(&request.account));
+    let owns = exchange.membership.lock().owns_quota(&request.account);
+    let grant = quota.map_or(CreditGrant::NotOwner, |quota| {
+        let parts = environment.centres.len() as u32;
+        let now = state.clock.now();
+        let mut owner = state.quotas.owner.lock();
+        owner.grant(&request.account, quota, parts, request.count, owns, now)
+    });
+    let (granted, retry_ms) = match grant {
+        CreditGrant::Granted(granted) => (granted, None),
+        CreditGrant::Exhausted { retry_in } => {
+            (0, Some(u32::try_from(retry_in.as_millis() + 1).unwrap_or(u32::MAX)))
+        }
+        CreditGrant::NotOwner => (0, None),
+    };
+    let answer = CreditAnswerMessage { id: request.id, granted, retry_ms };
+    exchange.send(PeerMessage::CreditAnswer(answer), &[source]).await;
+}
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -20,6 +20,7 @@
 use crate::crash;
 use crate::link::{LinkConnection, UpstreamLink};
 use crate::mechanism::Mechanism;
+use crate::plan;
 use crate::retry::{self, NextStep};
 use crate::running::RunningCall;
 use crate::silence::SilenceWatch;
@@ -71,7 +72,9 @@
             running.report(CallResult::Cancelled);
             return Err(FailedAttempt::without_retry(self.expired_refusal()));
         }
-        if let Err(refusal) = stop_check::require_time(self.state, self.call.request.deadline) {
+        let allowed = plan::recheck_key(self.state, self.call)
+            .and_then(|()| stop_check::require_time(self.state, self.call.request.deadline));
+        if let Err(refusal) = allowed {
             running.report(CallResult::Cancelled);
             return Err(FailedAttempt::without_retry(refusal));
         }
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -23,6 +23,7 @@
 use crate::mechanism::Mechanism;
 use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
+use crate::quota::QuotaTable;
 use crate::stop::StopWatch;
 use crate::suspect_bodies::SuspectBodies;
 use crate::tables::CallTables;
@@ -56,6 +57,8 @@
     pub suspect_bodies: SuspectBodies,
     /// Upstreams that reported that they leave.
     pub drains: DrainReports,
+    /// The quotas of accounts.
+    pub quotas: QuotaTable,
     /// Whether the gateway is shutting down.
     pub shutting_down: AtomicBool,
     /// When calls are interrupted, once the process was asked to stop.
@@ -102,6 +105,7 @@
             held_answers: HeldMemory::default(),
             suspect_bodies: SuspectBodies::default(),
             drains: DrainReports::default(),
+            quotas: QuotaTable::default(),
             shutting_down: AtomicBool::new(false),
             stop: StopWatch::default(),
             unconfigured: AtomicBool::new(false),
@@ -131,6 +135,7 @@
             upstreams: HashMap::new(),
             routes: RouteTable::default(),
             caller_limits: CallerLimits::default(),
+            access: Arc::default(),
         };
         let state = Self::new(options, environment);
         state.unconfigured.store(true, Ordering::Release);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -37,6 +37,7 @@
         upstreams: HashMap::from([(service, vec![Arc::new(server)])]),
         routes: RouteTable::default(),
         caller_limits: CallerLimits::default(),
+        access: Default::default(),
     }
 }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -18,7 +18,7 @@
 
     pub use crate::capacity::CapacityPlan;
     pub use crate::membership::{
-        AskReach, FollowState, LostVm, MemberNotice, MembershipCounts, MembershipTable,
+        AskReach, CentreView, FollowState, LostVm, MemberNotice, MembershipCounts, MembershipTable,
         SenderStatus,
     };
     pub use crate::overlay::BroadcastId;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -19,6 +19,9 @@
 use crate::vm::MemberState;
 
 mod ask;
+mod owner;
+
+pub use owner::CentreView;
 
 /// How the sender of a datagram relates to the table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -16,8 +16,9 @@
 mod split;
 
 pub use message::{
-    ConfigMessage, DirectoryMessage, DrainMessage, HelloMessage, LoadMessage, LoadSample,
-    LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
+    ConfigMessage, CreditAnswerMessage, CreditRequestMessage, DirectoryMessage, DrainMessage,
+    EvacuationMessage, HelloMessage, LoadMessage, LoadSample, LossMessage, PeerEnvelope,
+    PeerMessage, SuspectMessage,
 };
 
 /// The most bytes in a datagram. With packet headers it stays below 1,280 bytes, which every
--- a/crates/peer/src/datagram/message.rs
+++ b/crates/peer/src/datagram/message.rs
@@ -1,7 +1,7 @@
 //! Messages that VMs send to one another in datagrams.
 
 use base::prelude::*;
-use directory::prelude::{DrainMark, VmEntry};
+use directory::prelude::{DrainMark, EvacuationMark, VmEntry};
 use member::prelude::{BroadcastId, LostVm};
 use serde::{Deserialize, Serialize};
 use store::prelude::TableRow;
@@ -67,6 +67,12 @@
     Config(ConfigMessage),
     /// Upstreams that reported that they leave.
     Drains(DrainMessage),
+    /// Data centres that operators have evacuated, or whose evacuation has ended.
+    Evacuations(EvacuationMessage),
+    /// Asks the owner of a part of an account's quota for credits.
+    CreditRequest(CreditRequestMessage),
+    /// The answer to such a request.
+    CreditAnswer(CreditAnswerMessage),
 }
 
 impl PeerMessage {
@@ -94,7 +100,10 @@
             | Self::Load(_)
             | Self::Outdated(_)
             | Self::Config(_)
-            | Self::Drains(_) => {}
+            | Self::Drains(_)
+            | Self::Evacuations(_)
+            | Self::CreditRequest(_)
+            | Self::CreditAnswer(_) => {}
         }
         self
     }
@@ -154,6 +163,39 @@
     pub marks: Vec<DrainMark>,
 }
 
+/// Data centres that are or were evacuated.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct EvacuationMessage {
+    /// One mark for each of them.
+    pub marks: Vec<EvacuationMark>,
+}
+
+/// A request for credits, each of which allows one call of an account.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct CreditRequestMessage {
+    /// The number of the request, which its answer repeats.
+    pub id: u64,
+    /// The account.
+    pub account: SharedName,
+    /// How many credits are of use.
+    pub count: u32,
+}
+
+/// The answer to a request for credits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct CreditAnswerMessage {
+    /// The number of the request.
+    pub id: u64,
+    /// How many credits were granted.
+    pub granted: u32,
+    /// Without credits, the time in milliseconds after which there may be one, or `None` if the
+    /// sender does not own the quota.
+    pub retry_ms: Option<u32>,
+}
+
 /// The load of upstreams, as observed by a VM.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/datagram/split.rs
+++ b/crates/peer/src/datagram/split.rs
@@ -9,8 +9,8 @@
 use suspect::prelude::SuspectNotice;
 
 use super::message::{
-    DirectoryMessage, DrainMessage, LoadMessage, LossMessage, PeerEnvelope, PeerMessage,
-    SuspectMessage,
+    DirectoryMessage, DrainMessage, EvacuationMessage, LoadMessage, LossMessage, PeerEnvelope,
+    PeerMessage, SuspectMessage,
 };
 
 /// Bytes by which the length prefix of a list grows from an empty list to the longest in a
@@ -38,8 +38,15 @@
         limit.saturating_sub(encoded_size(&wrap(empty)).saturating_add(LENGTH_GROWTH))
     };
     let messages: Vec<PeerMessage> = match &envelope.message {
-        PeerMessage::Hello(_) | PeerMessage::Outdated(_) | PeerMessage::Config(_) => {
-            vec![envelope.message.clone()]
+        PeerMessage::Hello(_)
+        | PeerMessage::Outdated(_)
+        | PeerMessage::Config(_)
+        | PeerMessage::CreditRequest(_)
+        | PeerMessage::CreditAnswer(_) => vec![envelope.message.clone()],
+        PeerMessage::Evacuations(evacuations) => {
+            let capacity = capacity(PeerMessage::Evacuations(EvacuationMessage::default()));
+            let lists = chunks(evacuations.marks.iter().cloned(), capacity);
+            lists.map(|marks| PeerMessage::Evacuations(EvacuationMessage { marks })).collect()
         }
         PeerMessage::Directory(directory) => {
             // Numbers of the parts take as many bytes as any number can.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,8 +21,9 @@
     pub use crate::copy::{CopyError, copy_of_text, copy_text};
     pub use crate::counts::{ControlCounts, ControlUsage};
     pub use crate::datagram::{
-        ConfigMessage, DatagramCodec, DatagramError, DirectoryMessage, DrainMessage, HelloMessage,
-        LoadMessage, LoadSample, LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
+        ConfigMessage, CreditAnswerMessage, CreditRequestMessage, DatagramCodec, DatagramError,
+        DirectoryMessage, DrainMessage, EvacuationMessage, HelloMessage, LoadMessage, LoadSample,
+        LossMessage, PeerEnvelope, PeerMessage, SuspectMessage,
     };
     pub use crate::message::{
         CopyName, ExchangeNotice, GrantRequest, GrantResult, MembersCopy, PeerContact, RowCopy,
--- a/crates/route/examples/choice_cost.rs
+++ b/crates/route/examples/choice_cost.rs
@@ -58,6 +58,7 @@
         upstreams: Default::default(),
         routes: RouteTable::default(),
         caller_limits: CallerLimits::default(),
+        access: Default::default(),
     };
     for index in 0..upstreams {
         let service = SharedName::from(format!("service-{}", index % services));
--- a/crates/route/examples/model/mod.rs
+++ b/crates/route/examples/model/mod.rs
@@ -236,6 +236,7 @@
         upstreams: [(SharedName::from(SERVICE), upstreams)].into(),
         routes: RouteTable::default(),
         caller_limits: CallerLimits::default(),
+        access: Default::default(),
     }
 }
 
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -45,7 +45,9 @@
         let record = &mut self.records[index];
         record.reserve(now);
         let key = RecordKey { index, id: record.id, sent_at: now };
-        Ok((key, Arc::clone(&record.server), ChoiceEvidence { view, cost_ms, candidates }))
+        let server = Arc::clone(&record.server);
+        self.record_cold_call(index, now);
+        Ok((key, server, ChoiceEvidence { view, cost_ms, candidates }))
     }
 
     /// Returns the best `limit` candidates in order, chosen one after the other, without a
@@ -87,7 +89,9 @@
             counts.listed += 1;
             if record.is_draining(now, &self.tuning) {
                 counts.draining += 1;
-            } else if let Some(span) = record.paused_for(now) {
+            } else if let Some(span) =
+                record.paused_for(now).or_else(|| self.cold_wait(record, now))
+            {
                 counts.paused += 1;
                 counts.retry_in = soonest(counts.retry_in, Some(span));
             } else if record.health.is_ejected(now) {
@@ -133,6 +137,7 @@
             if !record.listed
                 || record.is_draining(now, &self.tuning)
                 || record.paused_for(now).is_some()
+                || self.cold_wait(record, now).is_some()
                 || (ejected && !panic_mode)
                 || !allowed(record)
             {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 //! the current time.
 
 mod choice;
+pub mod cold;
 pub mod cost;
 pub mod estimate;
 pub mod health;
@@ -29,6 +30,7 @@
 pub mod prelude {
     //! The public types of the crate.
 
+    pub use crate::cold::ColdUsers;
     pub use crate::cost::ExpectedCost;
     pub use crate::notice::{LoadNotice, UpstreamNotice};
     pub use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus, ReportSource};
--- a/crates/route/src/record.rs
+++ b/crates/route/src/record.rs
@@ -71,6 +71,10 @@
     load: Option<LoadRecord>,
     pace: Option<PaceRecord>,
     warm_up_until: Option<ClockTime>,
+    /// When this VM may send the next call while the server is cold.
+    cold_next_at: ClockTime,
+    /// Whether this VM uses the server while it is cold; `None` until that is determined.
+    pub is_cold_user: Option<bool>,
     probe_timeout_at: Option<ClockTime>,
     drain: Option<DrainState>,
     /// Whether the server drains until it ends.
@@ -97,6 +101,8 @@
             exported_at: None,
             load: None,
             pace: None,
+            cold_next_at: ClockTime::ZERO,
+            is_cold_user: None,
             probe_timeout_at: None,
             drain: None,
             final_drain: false,
@@ -125,6 +131,32 @@
         self.server = Arc::clone(server);
     }
 
+    /// Records that the server reported the rest of its warm-up, or that it may be cold for `span`.
+    pub fn record_warm_up(&mut self, span: ClockSpan, now: ClockTime) {
+        if span > ClockSpan::ZERO {
+            self.warm_up_until = self.warm_up_until.max(Some(now + span));
+        }
+    }
+
+    /// Returns for how long the server is still cold.
+    pub fn cold_for(&self, now: ClockTime) -> Option<ClockSpan> {
+        self.warm_up_until.filter(|until| *until > now).map(|until| until.since(now))
+    }
+
+    /// Returns the time until this VM may send a call to a cold server, or `None` if it may now.
+    /// `rest` is the rest of the warm-up, after which every VM may.
+    pub fn cold_wait(&self, rest: ClockSpan, now: ClockTime) -> Option<ClockSpan> {
+        if self.is_cold_user != Some(true) {
+            return Some(rest);
+        }
+        (self.cold_next_at > now).then(|| self.cold_next_at.since(now).min(rest))
+    }
+
+    /// Records that a call is sent to the cold server.
+    pub fn record_cold_call(&mut self, interval: ClockSpan, now: ClockTime) {
+        self.cold_next_at = now + interval;
+    }
+
     /// Returns the number of calls of this VM in flight.
     pub fn own_in_flight(&self) -> u32 {
         self.sent_times.len() as u32
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use world::prelude::*;
 
+use crate::cold::{self, ColdUsers};
 use crate::estimate::DecayingMean;
 use crate::notice::UpstreamNotice;
 use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus};
@@ -50,6 +51,11 @@
 /// The pace that is assumed before any server has reported its own.
 const DEFAULT_PACE: f64 = 1.0;
 
+/// For this long, an upstream that is added to a known service counts as cold if cold upstreams of
+/// the service get few calls. The upstream reports that it is cold with its heartbeats, every 1.5 s;
+/// at the end of an evacuation, it may have become cold since the last one.
+const ADDED_COLD_TIME: ClockSpan = ClockSpan::from_secs(2);
+
 /// The evidence on the upstreams of one service.
 #[derive(Debug)]
 pub struct ServiceState {
@@ -58,6 +64,10 @@
     latency: DecayingMean,
     load: DecayingMean,
     pace: DecayingMean,
+    /// The limit on calls to cold upstreams, in calls per second of all VMs together.
+    cold_rate: Option<f64>,
+    cold_users: Arc<ColdUsers>,
+    vm_seed: u64,
     random: RandomSource,
     next_id: u64,
     version: Option<u64>,
@@ -74,6 +84,9 @@
             latency: DecayingMean::default(),
             load: DecayingMean::default(),
             pace: DecayingMean::default(),
+            cold_rate: None,
+            cold_users: Arc::default(),
+            vm_seed: 0,
             random: RandomSource::from_seed(seed),
             next_id: 0,
             version: None,
@@ -110,6 +123,8 @@
             return;
         }
         let first = self.version.replace(map.version).is_none();
+        self.cold_rate = map.contract(service).and_then(|contract| contract.cold_rate);
+        self.vm_seed = vm_seed;
         for record in &mut self.records {
             record.listed = false;
         }
@@ -120,6 +135,7 @@
         }
         self.records.retain(|record| record.listed || record.own_in_flight() > 0);
         self.rank_preferences(vm_seed);
+        self.choose_cold_users();
         self.readmit_excess(now);
         self.candidates.reserve(self.records.len());
         self.candidate_indexes.reserve(self.records.len());
@@ -142,11 +158,57 @@
         self.next_id += 1;
         if !first {
             record.health.start_ramp(now);
+            if self.cold_rate.is_some() {
+                record.record_warm_up(ADDED_COLD_TIME, now);
+            }
         }
         self.records.push(record);
         self.records.len() - 1
     }
 
+    /// Sets the live VMs, among which the users of each cold upstream are chosen.
+    pub fn set_cold_users(&mut self, users: &Arc<ColdUsers>) {
+        self.cold_users = Arc::clone(users);
+        for record in &mut self.records {
+            record.is_cold_user = None;
+        }
+        self.choose_cold_users();
+    }
+
+    fn choose_cold_users(&mut self) {
+        if self.cold_rate.is_none() {
+            return;
+        }
+        let (users, own) = (&self.cold_users, self.vm_seed);
+        for record in self.records.iter_mut().filter(|record| record.is_cold_user.is_none()) {
+            let server = &record.server;
+            record.is_cold_user = Some(users.includes(own, &server.name, &server.centre));
+        }
+    }
+
+    /// Returns the time until this VM may send a call to an upstream that is cold, or `None` if it
+    /// may now.
+    pub fn cold_wait(&self, record: &UpstreamRecord, now: ClockTime) -> Option<ClockSpan> {
+        self.cold_rate?;
+        record.cold_wait(record.cold_for(now)?, now)
+    }
+
+    /// Records a call that is sent to an upstream, if that is cold.
+    pub fn record_cold_call(&mut self, index: usize, now: ClockTime) {
+        let Some(rate) = self.cold_rate else { return };
+        let record = &mut self.records[index];
+        if record.cold_for(now).is_some() {
+            record.record_cold_call(cold::cold_interval(rate), now);
+        }
+    }
+
+    /// Records the rest of an upstream's warm-up, as it reported that itself.
+    pub fn record_warm_up(&mut self, upstream: &str, rest: ClockSpan, now: ClockTime) {
+        if let Some(record) = self.listed_mut(upstream) {
+            record.record_warm_up(rest, now);
+        }
+    }
+
     /// Ranks the servers by round-trip time, and those with the same time by this VM's rendezvous
     /// scores.
     fn rank_preferences(&mut self, vm_seed: u64) {
@@ -257,7 +319,8 @@
     pub fn accepts_checks(&self, upstream: &str, now: ClockTime) -> bool {
         self.listed_index(upstream).is_none_or(|index| {
             let record = &self.records[index];
-            !record.is_final_drain() && record.paused_for(now).is_none()
+            let is_cold = self.cold_rate.is_some() && record.cold_for(now).is_some();
+            !record.is_final_drain() && record.paused_for(now).is_none() && !is_cold
         })
     }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -7,6 +7,7 @@
 use base::prelude::*;
 use world::prelude::*;
 
+use crate::cold::ColdUsers;
 use crate::notice::UpstreamNotice;
 use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus};
 use crate::policy::ChoicePolicy;
@@ -43,6 +44,7 @@
     vm_seed: u64,
     tuning: RouteTuning,
     snapshot: ArcSwap<TableSnapshot>,
+    cold_users: ArcSwap<ColdUsers>,
 }
 
 impl UpstreamTable {
@@ -50,7 +52,8 @@
     pub fn new(centre: SharedName) -> Self {
         let vm_seed = rendezvous::name_seed(&centre);
         let snapshot = ArcSwap::from_pointee(TableSnapshot::default());
-        Self { centre, vm_seed, tuning: RouteTuning::STANDARD, snapshot }
+        let cold_users = ArcSwap::default();
+        Self { centre, vm_seed, tuning: RouteTuning::STANDARD, snapshot, cold_users }
     }
 
     /// Sets the name of the VM, which determines its order of preference among upstreams and the
@@ -84,6 +87,25 @@
         }
     }
 
+    /// Sets the live VMs, this one included, among which the users of each cold upstream are chosen.
+    pub fn set_cold_users(&self, users: ColdUsers) {
+        if **self.cold_users.load() == users {
+            return;
+        }
+        let users = Arc::new(users);
+        self.cold_users.store(Arc::clone(&users));
+        for service in self.snapshot.load().services.values() {
+            service.state.lock().set_cold_users(&users);
+        }
+    }
+
+    /// Records the rest of the warm-up that `upstream` reported. Unknown upstreams are ignored.
+    pub fn record_warm_up(&self, upstream: &str, rest: ClockSpan, now: ClockTime) {
+        if let Some(entry) = self.snapshot.load().upstreams.get(upstream) {
+            entry.service.state.lock().record_warm_up(upstream, rest, now);
+        }
+    }
+
     fn next_snapshot(
         &self,
         old: &TableSnapshot,
@@ -120,6 +142,7 @@
         let seed = rendezvous::score(self.vm_seed, name);
         let mut state = ServiceState::new(self.tuning, seed);
         state.apply(name, map, &self.centre, self.vm_seed, now);
+        state.set_cold_users(&self.cold_users.load_full());
         Arc::new(ServiceTable::new(name.clone(), state))
     }
 
--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -14,6 +14,10 @@
     Answered,
     /// No service matches the request.
     NoRoute,
+    /// No account has the key of the request.
+    UnknownKey,
+    /// The account has used up its quota.
+    QuotaUsed,
     /// The request cannot be accepted as it was sent.
     BadRequest,
     /// The gateway has no current configuration.
@@ -65,9 +69,11 @@
 
 impl CallCause {
     /// Every cause, in the order of the enum values.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::Answered,
         Self::NoRoute,
+        Self::UnknownKey,
+        Self::QuotaUsed,
         Self::BadRequest,
         Self::NoConfiguration,
         Self::NoUpstream,
@@ -117,6 +123,16 @@
                 "no service of the configuration matches the request",
                 "correct the host, method or path at the caller, or add a rule to the document",
             ),
+            Self::UnknownKey => (
+                "unknown_key",
+                "no account of the configuration has the key of the request",
+                "give the caller a key of its account, or add the key to the configuration",
+            ),
+            Self::QuotaUsed => (
+                "quota_used",
+                "the account of the caller had used up its quota",
+                "raise the quota of the account, or let the caller send fewer requests",
+            ),
             Self::BadRequest => (
                 "bad_request",
                 "the request could not be accepted as it was sent",
--- a/crates/world/src/contract.rs
+++ b/crates/world/src/contract.rs
@@ -108,6 +108,9 @@
     pub health_path: Option<SharedName>,
     /// Limits the retries of all VMs in a sliding window, in place of `retry_ratio`.
     pub retry_window: Option<RetryWindow>,
+    /// Calls per second that all VMs together may send to a cold upstream, which is one that has
+    /// not warmed up, or `None` without a limit. An upstream far above the limit crashes.
+    pub cold_rate: Option<f64>,
 }
 
 /// A limit on the retries to a service from all VMs: in any `span`, at most `ratio` times the
--- a/crates/world/src/environment.rs
+++ b/crates/world/src/environment.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 
+use crate::access::AccessRules;
 use crate::centre::{DataCentre, LinkLatency};
 use crate::contract::{ServiceContract, WorkClass};
 use crate::route::RouteTable;
@@ -30,6 +31,8 @@
     pub service: SharedName,
     /// Whether it is idempotent, so that it may run more than once.
     pub idempotent: bool,
+    /// The name of its route, or `None` if a contract covers it.
+    pub route: Option<SharedName>,
     /// Its class: how urgent it is.
     pub class: WorkClass,
     /// Its timeout.
@@ -61,6 +64,8 @@
     pub routes: RouteTable,
     /// Limits on the requests of callers.
     pub caller_limits: CallerLimits,
+    /// Who may call, and where calls may run.
+    pub access: Arc<AccessRules>,
 }
 
 impl EnvironmentMap {
@@ -79,6 +84,7 @@
         Some(CallPlan {
             service: route.target(draw)?.service.clone(),
             idempotent: route.idempotent,
+            route: Some(route.name.clone()),
             class: route.class,
             timeout: route.timeout,
             objective: route.objective,
@@ -92,6 +98,7 @@
         Some(CallPlan {
             service: contract.name.clone(),
             idempotent: rule.idempotent,
+            route: None,
             class: rule.class,
             timeout: contract.deadline,
             objective: contract.objective.latency,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -1,5 +1,6 @@
 //! The machines, data centres, links and contracts on which the gateway's decisions are based.
 
+pub mod access;
 pub mod centre;
 pub mod contract;
 pub mod environment;
@@ -11,6 +12,9 @@
 pub mod prelude {
     //! The public types of the crate.
 
+    pub use crate::access::{
+        AccessRules, AccountQuota, AccountTable, ClientAccount, KeyDigest, KeyVerdict,
+    };
     pub use crate::centre::{DataCentre, LinkLatency};
     pub use crate::contract::{
         RetryWindow, ServiceContract, ServiceObjective, WorkClass, WorkRule,
--- a/crates/world/tests/sample/mod.rs
+++ b/crates/world/tests/sample/mod.rs
@@ -26,6 +26,7 @@
         queue_limit: 100,
         health_path: None,
         retry_window: None,
+        cold_rate: None,
     }
 }
 
@@ -58,6 +59,7 @@
         links: Vec::new(),
         contracts: contracts.into_iter().map(Arc::new).collect(),
         upstreams: Default::default(),
+        access: Default::default(),
         routes: RouteTable::default(),
         caller_limits: CallerLimits::default(),
     }
