Grant credits soon after a start, and let calls wait briefly for one

Cause: after a restart of all VMs, no VM granted credits for 2 s and more, so that callers of accounts were refused. A call whose parts were refused in turn got 503 although they were only exhausted for some milliseconds.

Change: a VM settles in 0.6 s, half of the tolerance of a quota is used, and a call waits up to 60 ms for the next credit.

--- a/crates/account/src/credit.rs
+++ b/crates/account/src/credit.rs
@@ -98,11 +98,12 @@
         self.accounts.entry(account.clone()).or_default().add_demand(now);
     }
 
-    /// Returns the next step for a call of an account. `parts` are the data centres, in the order in
-    /// which their owners are asked.
+    /// Returns the next step for a call of an account. `untried` are the data centres whose owners
+    /// were not asked for this call, in the order in which they are asked, and `parts` are all.
     pub fn next_step(
         &mut self,
         account: &SharedName,
+        untried: &[SharedName],
         parts: &[SharedName],
         now: ClockTime,
     ) -> CreditStep {
@@ -111,13 +112,14 @@
             return CreditStep::Run;
         }
         let count = credits.wanted();
-        let mut refusals = Vec::with_capacity(parts.len());
-        for centre in parts {
-            match credits.refusals.get(centre) {
-                Some(refusal) if refusal.until > now => refusals.push(*refusal),
-                _ => return CreditStep::Ask { centre: centre.clone(), count },
-            }
+        let is_refused = |centre: &&SharedName| {
+            credits.refusals.get(*centre).is_some_and(|refusal| refusal.until > now)
+        };
+        if let Some(centre) = untried.iter().find(|centre| !is_refused(centre)) {
+            return CreditStep::Ask { centre: centre.clone(), count };
         }
+        let refusals: Vec<PartRefusal> =
+            parts.iter().filter_map(|centre| credits.refusals.get(centre).copied()).collect();
         let exhausted = refusals.iter().filter(|refusal| refusal.exhausted);
         let waits = refusals.iter().map(|refusal| refusal.until.since(now));
         match exhausted.map(|refusal| refusal.until.since(now)).min() {
--- a/crates/account/src/owner.rs
+++ b/crates/account/src/owner.rs
@@ -4,15 +4,19 @@
 use world::prelude::*;
 
 /// For this long after its start, a VM grants nothing: it does not know the other VMs yet, and one of
-/// them may be the owner.
-const SETTLE_TIME: ClockSpan = ClockSpan::from_secs(2);
+/// them may be the owner. VMs that all start at once know one another after about half a second; with
+/// 2 s, they refused all calls of accounts for 3 s after a restart of the whole fleet.
+const SETTLE_TIME: ClockSpan = ClockSpan::from_millis(600);
 /// After a pause of this length between two ticks, the process was paused or suspended, and another
 /// VM may have become the owner meanwhile. Ticks are 100 ms apart.
 const MAX_TICK_PAUSE: ClockSpan = ClockSpan::from_millis(1_000);
-/// Credits by which all parts of a quota together may exceed the burst. A part of a small quota is
-/// less than one credit otherwise. Less than half of the 20 calls by which a quota may be exceeded in
-/// 5 s; the rest is for parts that have two owners for a moment.
-const BURST_MARGIN: f64 = 8.0;
+/// The share by which the rate and the burst may be exceeded, half of the tolerance of 0.1. The rest
+/// is for parts that have two owners for a moment.
+const QUOTA_MARGIN: f64 = 0.05;
+/// Credits by which all parts of a quota together may exceed the burst as well, about two thirds of the
+/// 20 calls that are tolerated. Each part of a small quota is less than one credit otherwise, and an
+/// account whose callers are uneven over the data centres is refused below its quota.
+const BURST_MARGIN: f64 = 13.0;
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: f64 = 1000.0;
 
@@ -109,8 +113,9 @@
             return CreditGrant::NotOwner;
         }
         let parts = f64::from(parts.max(1));
-        let rate_per_ms = quota.rate / parts / MILLIS_PER_SECOND;
-        let depth = (quota.burst + BURST_MARGIN) / parts;
+        let share = (1.0 + QUOTA_MARGIN) / parts;
+        let rate_per_ms = quota.rate * share / MILLIS_PER_SECOND;
+        let depth = quota.burst * share + BURST_MARGIN / parts;
         let owned_since = self.owned_since;
         let bucket = self
             .buckets
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -26,6 +26,12 @@
 /// The longest time for an answer from the own data centre, in which a small VM that is busy answers
 /// within some tens of milliseconds. The round trip to others is added.
 const ANSWER_TIMEOUT: ClockSpan = ClockSpan::from_millis(40);
+/// The longest time for which a call waits for the next credit. A refusal would cost its caller more:
+/// another connection, and at least this time.
+const MAX_CREDIT_WAIT: ClockSpan = ClockSpan::from_millis(60);
+/// The shortest delay in a refusal for a quota. Callers that come back sooner find no credit, as others
+/// wait for it as well.
+const MIN_RETRY_AFTER: ClockSpan = ClockSpan::from_millis(50);
 /// The time between two updates of what depends on the membership.
 const MEMBERS_PERIOD: ClockSpan = ClockSpan::from_millis(500);
 
@@ -145,23 +151,41 @@
 /// Returns the refusal if the quota is used up or no owner answers.
 pub async fn admit(state: &GateState, account: &ClientAccount) -> Result<(), CallRefusal> {
     let Some(quota) = account.quota else { return Ok(()) };
-    let quotas = &state.quotas;
     let parts = part_order(state);
-    quotas.credits.lock().record_call(&account.name, state.clock.now());
-    // Each part is asked at most once for a call; a refusal keeps it from being asked again.
-    for _ in 0..=parts.len() {
+    state.quotas.credits.lock().record_call(&account.name, state.clock.now());
+    let mut step = ask_in_turn(state, account, quota, &parts).await;
+    if let CreditStep::Exhausted { retry_in } = step
+        && retry_in <= MAX_CREDIT_WAIT
+    {
+        tokio::time::sleep(retry_in.to_duration()).await;
+        step = ask_in_turn(state, account, quota, &parts).await;
+    }
+    match step {
+        CreditStep::Run => Ok(()),
+        CreditStep::Exhausted { retry_in } => Err(exhausted(retry_in.max(MIN_RETRY_AFTER))),
+        CreditStep::Unknown { retry_in } => Err(unknown(retry_in.max(MIN_RETRY_AFTER))),
+        CreditStep::Ask { .. } => Err(unknown(state.options.tuning.retry_after)),
+    }
+}
+
+/// Asks the owner of each part at most once, until there is a credit. Returns the last step.
+async fn ask_in_turn(
+    state: &GateState,
+    account: &ClientAccount,
+    quota: AccountQuota,
+    parts: &[SharedName],
+) -> CreditStep {
+    let mut untried = parts.to_vec();
+    let next = |untried: &[SharedName]| {
         let now = state.clock.now();
-        let step = quotas.credits.lock().next_step(&account.name, &parts, now);
-        match step {
-            CreditStep::Run => return Ok(()),
-            CreditStep::Ask { centre, count } => {
-                ask(state, account, quota, &parts, &centre, count).await;
-            }
-            CreditStep::Exhausted { retry_in } => return Err(exhausted(retry_in)),
-            CreditStep::Unknown { retry_in } => return Err(unknown(retry_in)),
-        }
+        state.quotas.credits.lock().next_step(&account.name, untried, parts, now)
+    };
+    loop {
+        let step = next(&untried);
+        let CreditStep::Ask { centre, count } = step else { return step };
+        untried.retain(|part| *part != centre);
+        ask(state, account, quota, parts, &centre, count).await;
     }
-    Err(unknown(state.options.tuning.retry_after))
 }
 
 fn exhausted(retry_in: ClockSpan) -> CallRefusal {
