Compute the share of calls that leave the data centre

Cause: the cost of a call to another data centre was fixed at 10 ms and the round trip, whatever the load at home.

The default is unchanged. Logs, explain and a metric say why a call left.

Measured: not yet.

--- a/crates/gate/src/call_trace.rs
+++ b/crates/gate/src/call_trace.rs
@@ -254,6 +254,7 @@
             own: evidence.view.own_in_flight,
             others: evidence.view.other_calls,
             candidates: evidence.candidates,
+            remote: evidence.remote.as_str(),
         });
         Self { upstream, facts: facts.unwrap_or_default(), checked, waited: now.since(started) }
     }
@@ -286,6 +287,7 @@
         own = facts.own,
         others = facts.others,
         candidates = facts.candidates,
+        remote = facts.remote,
         checked,
         waited_ms = waited.as_millis_f64(),
     );
--- a/crates/gate/src/cmd.rs
+++ b/crates/gate/src/cmd.rs
@@ -15,6 +15,7 @@
 use snafu::ResultExt;
 
 use self::error::{GateError, RuntimeSnafu};
+use self::options::RemoteCalls;
 
 mod common;
 mod error;
@@ -38,6 +39,10 @@
     /// How upstreams are chosen: random, least-in-flight, two-choices, expected-cost or paced
     #[bpaf(argument("NAME"), optional, hide)]
     policy: Option<PolicyKind>,
+    /// Whether calls leave the data centre by the cost of each upstream (cost, the default), or by a
+    /// share of the calls that is computed from the load in and outside of it (share)
+    #[bpaf(argument("NAME"), fallback(RemoteCalls::Cost))]
+    remote_calls: RemoteCalls,
     /// Turns a mechanism off, for tests only
     #[bpaf(argument("NAME"), optional, hide)]
     without: Option<Mechanism>,
@@ -59,7 +64,12 @@
     let settings = options::read_settings(&arguments.settings)?;
     let mut log = ProcessLog::start(&settings);
     let path = arguments.settings.clone();
-    let gate_options = options::gate_options(&settings, arguments.policy, arguments.without);
+    let gate_options = options::gate_options(
+        &settings,
+        arguments.policy,
+        arguments.remote_calls,
+        arguments.without,
+    );
     let state = match &arguments.document {
         Some(path) => GateState::new(gate_options, options::read_document(path)?),
         None => GateState::unconfigured(gate_options),
--- a/crates/gate/src/cmd/options.rs
+++ b/crates/gate/src/cmd/options.rs
@@ -1,6 +1,7 @@
 //! Reads the files of the process and turns settings and arguments into options.
 
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -10,12 +11,39 @@
 use gate::platform_tasks::PlatformOptions;
 use peer::prelude::*;
 use route::prelude::*;
-use snafu::ResultExt;
+use snafu::{ResultExt, Snafu};
 use store::prelude::HttpSettings;
 use world::prelude::*;
 
 use super::error::{DocumentSnafu, GateError, ReadFileSnafu, SettingsSnafu};
 
+/// How the gateway decides whether calls leave its data centre.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum RemoteCalls {
+    /// By the cost of each upstream.
+    #[default]
+    Cost,
+    /// By a share of each service's calls, computed from the load at home and away.
+    Share,
+}
+
+/// Error: a text names no way to decide about remote calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("unknown decision about remote calls: use one of cost, share"))]
+pub(super) struct UnknownRemoteCalls;
+
+impl FromStr for RemoteCalls {
+    type Err = UnknownRemoteCalls;
+
+    fn from_str(name: &str) -> Result<Self, UnknownRemoteCalls> {
+        match name {
+            "cost" => Ok(Self::Cost),
+            "share" => Ok(Self::Share),
+            _ => Err(UnknownRemoteCalls),
+        }
+    }
+}
+
 /// The version of a document that is read from a file and so has not been promoted.
 const FILE_VERSION: u64 = 1;
 
@@ -32,6 +60,7 @@
 pub(super) fn gate_options(
     settings: &ProcessSettings,
     policy: Option<PolicyKind>,
+    remote: RemoteCalls,
     disabled: Option<Mechanism>,
 ) -> GateOptions {
     let native = settings.interface == InterfaceKind::Agateroad;
@@ -39,7 +68,8 @@
         if native { PolicyKind::default() } else { PolicyKind::Paced(PacedChoice::default()) };
     let tuning = if native { CallTuning::default() } else { CallTuning::shared_machines() };
     let options = GateOptions::from_settings(settings, policy.unwrap_or(default_policy));
-    GateOptions { tuning: CallTuning { disabled, ..tuning }, ..options }
+    let remote = (remote == RemoteCalls::Share).then(RemoteTuning::default);
+    GateOptions { remote, tuning: CallTuning { disabled, ..tuning }, ..options }
 }
 
 pub(super) fn platform_options(
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -10,6 +10,7 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use route::prelude::RemoteReason;
 use trace::prelude::CallCause;
 use world::prelude::*;
 
@@ -107,6 +108,8 @@
     pub pauses: IntCounter,
     /// Calls that were lost at their upstream and sent to another one.
     pub stalled_calls: IntCounter,
+    /// Attempts in other data centres.
+    remote_calls: [IntCounter; RemoteReason::ALL.len()],
     usable: IntGauge,
     ejected: IntGauge,
     draining: IntGauge,
@@ -156,6 +159,11 @@
         self.suspects_refused.inc();
     }
 
+    /// Counts an attempt at an upstream in another data centre.
+    pub fn count_remote(&self, reason: RemoteReason) {
+        self.remote_calls[reason as usize].inc();
+    }
+
     /// Counts a probe and the slot time that it is charged.
     pub fn count_probe(&self, cost: ClockSpan) {
         self.probes.inc();
@@ -193,6 +201,7 @@
     final_drains: IntCounterVec,
     pauses: IntCounterVec,
     stalled_calls: IntCounterVec,
+    remote_calls: IntCounterVec,
     upstreams: IntGaugeVec,
     connections: IntGaugeVec,
     known_vms: IntGauge,
@@ -296,6 +305,11 @@
                 "Calls that were lost at their upstream and sent to another one.",
                 &["service"],
             ),
+            remote_calls: counter(
+                "agateroad_remote_attempts_total",
+                "Attempts at upstreams in other data centres.",
+                &["service", "reason"],
+            ),
             upstreams: gauge("agateroad_upstreams", "Upstreams by state.", &["service", "state"]),
             connections: gauge(
                 "agateroad_upstream_connections",
@@ -331,6 +345,8 @@
             final_drains: self.final_drains.with_label_values(&labels),
             pauses: self.pauses.with_label_values(&labels),
             stalled_calls: self.stalled_calls.with_label_values(&labels),
+            remote_calls: RemoteReason::ALL
+                .map(|reason| self.remote_calls.with_label_values(&[service, reason.as_str()])),
             usable: self.upstreams.with_label_values(&[service, "usable"]),
             ejected: self.upstreams.with_label_values(&[service, "ejected"]),
             draining: self.upstreams.with_label_values(&[service, "draining"]),
--- a/crates/gate/src/options.rs
+++ b/crates/gate/src/options.rs
@@ -24,6 +24,9 @@
     pub workers: usize,
     /// How an upstream is chosen.
     pub policy: PolicyKind,
+    /// How the share of calls is computed that leave the data centre, or `None` if the cost of each
+    /// upstream decides.
+    pub remote: Option<RemoteTuning>,
     /// The timeouts that apply until the settings are read again.
     pub initial_timeouts: GateTimeouts,
     /// The key of the fingerprints of requests, the same on all VMs.
@@ -131,6 +134,7 @@
             caller_address: settings.caller_address,
             workers: settings.worker_count.map_or(cores, NonZeroUsize::get),
             policy,
+            remote: None,
             initial_timeouts: GateTimeouts::from_settings(settings),
             fingerprint_key: fingerprint_key(settings),
             tuning: CallTuning::default(),
--- a/crates/gate/src/select.rs
+++ b/crates/gate/src/select.rs
@@ -38,7 +38,7 @@
         &self,
         excluded: &[SharedName],
     ) -> Result<SelectedAttempt, Box<FailedAttempt>> {
-        let Self { state, call, .. } = *self;
+        let Self { state, context, call, .. } = *self;
         let started = state.clock.now();
         let precheck = if state.options.tuning.precheck {
             self.precheck(excluded).await?
@@ -60,6 +60,10 @@
             return Err(FailedAttempt::without_retry(refusal));
         };
         let checked = precheck.take(state, &link.server().name);
+        if let Some(evidence) = slot.evidence().filter(|evidence| evidence.view.round_trip_ms > 0.0)
+        {
+            context.metrics.count_remote(evidence.remote);
+        }
         let choice = UpstreamChoice::new(&slot, checked.is_some(), started, state.clock.now());
         let mut running = RunningCall::new(state, slot, link.server().name.clone(), &call.request);
         let is_best = |best: &ShortlistEntry| best.server.name == running.upstream;
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -89,7 +89,9 @@
     /// Returns the state of a gateway that starts with `environment`.
     pub fn new(options: GateOptions, environment: EnvironmentMap) -> Self {
         let clock = RealClock::new();
-        let upstreams = UpstreamTable::new(options.vm.centre.clone()).with_vm(&options.vm.name);
+        let upstreams = UpstreamTable::new(options.vm.centre.clone())
+            .with_vm(&options.vm.name)
+            .with_remote(options.remote);
         let tables = CallTables::new(&options.vm, &options.tuning, rand::random());
         let fingerprint_key = ArcSwap::from_pointee(options.fingerprint_key.clone());
         let timeouts = ArcSwap::from_pointee(options.initial_timeouts.clone());
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -8,6 +8,7 @@
 use crate::policy::ChoicePolicy;
 use crate::record::UpstreamRecord;
 use crate::refusal::NoUpstream;
+use crate::remote::RemoteReason;
 use crate::service::{RecordKey, ServiceState};
 use crate::shortlist::ShortlistEntry;
 use crate::view::{ChoiceEvidence, UpstreamView};
@@ -37,6 +38,7 @@
         random: &mut RandomSource,
     ) -> Result<(RecordKey, Arc<UpstreamServer>, ChoiceEvidence), NoUpstream> {
         let counts = self.collect(excluded, now);
+        let remote = self.keep_home(policy, now, random);
         let chosen = self.choose(policy, now, random).ok_or_else(|| refusal(service, &counts))?;
         let view = self.candidates[chosen];
         let (cost_ms, candidates) =
@@ -47,7 +49,7 @@
         let key = RecordKey { index, id: record.id, sent_at: now };
         let server = Arc::clone(&record.server);
         self.record_cold_call(index, now);
-        Ok((key, server, ChoiceEvidence { view, cost_ms, candidates }))
+        Ok((key, server, ChoiceEvidence { view, cost_ms, candidates, remote }))
     }
 
     /// Returns the best `limit` candidates in order, chosen one after the other, without a
@@ -61,6 +63,7 @@
         random: &mut RandomSource,
     ) -> Vec<ShortlistEntry> {
         self.collect(excluded, now);
+        self.keep_home(policy, now, random);
         let mut entries = Vec::with_capacity(limit.min(self.candidates.len()));
         while entries.len() < limit && !self.candidates.is_empty() {
             let Some(chosen) = self.choose(policy, now, random) else { break };
@@ -154,6 +157,41 @@
         }
     }
 
+    /// Removes the candidates in other data centres, unless the call is to leave. Returns why it may.
+    fn keep_home<P: ChoicePolicy>(
+        &mut self,
+        policy: &P,
+        now: ClockTime,
+        random: &mut RandomSource,
+    ) -> RemoteReason {
+        let Some(tuning) = self.remote_tuning else { return RemoteReason::Cost };
+        let Some(load) = self.remote_load(&tuning, now) else { return RemoteReason::Home };
+        let share = self.remote.update(&load, &tuning, now);
+        if load.home_slots == 0.0 {
+            return RemoteReason::NoRoom;
+        }
+        if random.unit() < share {
+            return RemoteReason::Share;
+        }
+        let best = |at_home: bool| {
+            let views =
+                self.candidates.iter().filter(|view| (view.round_trip_ms == 0.0) == at_home);
+            views.filter_map(|view| policy.expected_cost_ms(view, now)).reduce(f64::min)
+        };
+        if let (Some(home), Some(away)) = (best(true), best(false))
+            && home > away + tuning.call_advantage * load.latency_ms
+        {
+            return RemoteReason::Slow;
+        }
+        for index in (0..self.candidates.len()).rev() {
+            if self.candidates[index].round_trip_ms > 0.0 {
+                self.candidates.swap_remove(index);
+                self.candidate_indexes.swap_remove(index);
+            }
+        }
+        RemoteReason::Home
+    }
+
     /// First draws at random whether a server in its slow start gets the call, as its share
     /// requires; otherwise lets the policy choose among the other servers, or among all if all are
     /// in their slow start.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod policy;
 mod record;
 pub mod refusal;
+pub mod remote;
 pub mod rendezvous;
 mod service;
 pub mod shortlist;
@@ -39,6 +40,7 @@
         ChoicePolicy, LeastInFlight, PolicyKind, RandomChoice, TwoChoices, UnknownPolicy,
     };
     pub use crate::refusal::NoUpstream;
+    pub use crate::remote::{RemoteLoad, RemoteReason, RemoteShare, RemoteTuning};
     pub use crate::shortlist::ShortlistEntry;
     pub use crate::table::{UpstreamReservation, UpstreamState, UpstreamTable};
     pub use crate::tuning::{CostTuning, PacedTuning, RouteTuning};
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -11,6 +11,7 @@
 use crate::notice::UpstreamNotice;
 use crate::outcome::{CallOutcome, CallResult, LoadReport, LoadStatus};
 use crate::record::{LoadSamples, UpstreamRecord};
+use crate::remote::{RemoteLoad, RemoteShare, RemoteTuning};
 use crate::rendezvous;
 use crate::tuning::RouteTuning;
 use crate::view::UpstreamView;
@@ -67,6 +68,9 @@
     /// The limit on calls to cold upstreams, in calls per second of all VMs together.
     cold_rate: Option<f64>,
     cold_users: Arc<ColdUsers>,
+    /// The share of calls that leave the data centre, and its parameters if it is computed.
+    pub remote: RemoteShare,
+    pub remote_tuning: Option<RemoteTuning>,
     vm_seed: u64,
     random: RandomSource,
     next_id: u64,
@@ -86,6 +90,8 @@
             pace: DecayingMean::default(),
             cold_rate: None,
             cold_users: Arc::default(),
+            remote: RemoteShare::default(),
+            remote_tuning: None,
             vm_seed: 0,
             random: RandomSource::from_seed(seed),
             next_id: 0,
@@ -259,10 +265,12 @@
         let Some(index) = self.find(key) else { return };
         let record = &mut self.records[index];
         let samples = outcome.load.map(|report| record.observe(report, now, &tuning));
+        let at_home = record.round_trip == ClockSpan::ZERO;
         let latency = record.record_latency(outcome, now, &tuning);
         if outcome.result.is_answered() {
             record.record_contact(now);
         }
+        self.record_remote_load(at_home, samples.and_then(|samples| samples.load), now);
         self.update_means(samples.unwrap_or_default(), latency, now);
         self.apply_result(index, outcome.result, key.sent_at, now);
         self.release(key);
@@ -363,10 +371,47 @@
         }
     }
 
+    fn record_remote_load(&mut self, at_home: bool, load: Option<f64>, now: ClockTime) {
+        if let (Some(tuning), Some(load)) = (&self.remote_tuning, load) {
+            self.remote.record_load(load, at_home, tuning, now);
+        }
+    }
+
+    /// Returns the load of the candidates at home and away, or `None` if there are none away.
+    pub fn remote_load(&self, tuning: &RemoteTuning, now: ClockTime) -> Option<RemoteLoad> {
+        let means = self.means();
+        let own_load = |at_home: bool| {
+            let views =
+                self.candidates.iter().filter(|view| (view.round_trip_ms == 0.0) == at_home);
+            views.fold((0.0, 0.0), |(slots, own), view| {
+                (slots + f64::from(view.slots), own + f64::from(view.own_in_flight))
+            })
+        };
+        let (home_slots, home_own) = own_load(true);
+        let (away_slots, away_own) = own_load(false);
+        let round_trip = |view: &UpstreamView| view.round_trip_ms;
+        let away = self.candidates.iter().map(round_trip).filter(|millis| *millis > 0.0);
+        let round_trip_ms = away.fold(f64::INFINITY, f64::min);
+        let load = |at_home, own: f64, slots: f64| {
+            self.remote.mean_load(at_home, means.load, tuning, now) + own / slots.max(1.0)
+        };
+        round_trip_ms.is_finite().then(|| RemoteLoad {
+            home_slots,
+            away_slots,
+            home_load: load(true, home_own, home_slots),
+            away_load: load(false, away_own, away_slots),
+            latency_ms: means.latency_ms,
+            round_trip_ms,
+        })
+    }
+
     /// Applies a load report and its drain flag.
     pub fn observe(&mut self, upstream: &str, report: LoadReport, now: ClockTime) {
         let tuning = self.tuning;
-        let samples = self.listed_mut(upstream).map(|record| record.observe(report, now, &tuning));
+        let Some(record) = self.listed_mut(upstream) else { return };
+        let at_home = record.round_trip == ClockSpan::ZERO;
+        let samples = Some(record.observe(report, now, &tuning));
+        self.record_remote_load(at_home, samples.and_then(|samples| samples.load), now);
         self.update_means(samples.unwrap_or_default(), None, now);
     }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -13,6 +13,7 @@
 use crate::policy::ChoicePolicy;
 use crate::record::UpstreamRecord;
 use crate::refusal::NoUpstream;
+use crate::remote::RemoteTuning;
 use crate::rendezvous;
 use crate::service::{RecordKey, ServiceState, ServiceTable};
 use crate::shortlist::ShortlistEntry;
@@ -45,6 +46,7 @@
     tuning: RouteTuning,
     snapshot: ArcSwap<TableSnapshot>,
     cold_users: ArcSwap<ColdUsers>,
+    remote_tuning: Option<RemoteTuning>,
 }
 
 impl UpstreamTable {
@@ -53,7 +55,8 @@
         let vm_seed = rendezvous::name_seed(&centre);
         let snapshot = ArcSwap::from_pointee(TableSnapshot::default());
         let cold_users = ArcSwap::default();
-        Self { centre, vm_seed, tuning: RouteTuning::STANDARD, snapshot, cold_users }
+        let tuning = RouteTuning::STANDARD;
+        Self { centre, vm_seed, tuning, snapshot, cold_users, remote_tuning: None }
     }
 
     /// Sets the name of the VM, which determines its order of preference among upstreams and the
@@ -71,6 +74,14 @@
         self
     }
 
+    /// Lets calls leave the data centre of this VM only if that pays, instead of by the cost of each
+    /// upstream alone. Call it before [`apply`](Self::apply).
+    #[must_use]
+    pub fn with_remote(mut self, tuning: Option<RemoteTuning>) -> Self {
+        self.remote_tuning = tuning;
+        self
+    }
+
     /// Applies a version of the environment: adds and removes upstreams and keeps the evidence on
     /// those that stay. A version older than the present one is ignored.
     pub fn apply(&self, map: &EnvironmentMap, now: ClockTime) {
@@ -141,6 +152,7 @@
     ) -> Arc<ServiceTable> {
         let seed = rendezvous::score(self.vm_seed, name);
         let mut state = ServiceState::new(self.tuning, seed);
+        state.remote_tuning = self.remote_tuning;
         state.apply(name, map, &self.centre, self.vm_seed, now);
         state.set_cold_users(&self.cold_users.load_full());
         Arc::new(ServiceTable::new(name.clone(), state))
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 
 use crate::estimate::{age_ms, decay_weight_since};
+use crate::remote::RemoteReason;
 
 /// One upstream as a candidate for a call. It holds the times at which evidence was gathered, and
 /// the policy computes the ages at the time of the choice.
@@ -66,6 +67,8 @@
     pub cost_ms: Option<f64>,
     /// Number of upstreams to choose from.
     pub candidates: u32,
+    /// Why the call may leave the data centre of this VM.
+    pub remote: RemoteReason,
 }
 
 impl ChoiceEvidence {
--- a/crates/trace/src/call.rs
+++ b/crates/trace/src/call.rs
@@ -43,6 +43,8 @@
     pub others: f64,
     /// Number of upstreams to choose from.
     pub candidates: u32,
+    /// Why the call may leave the data centre: a name of the decision in crate `route`.
+    pub remote: &'static str,
 }
 
 /// The choice of an upstream for an attempt.
--- a/crates/trace/src/explain.rs
+++ b/crates/trace/src/explain.rs
@@ -133,6 +133,17 @@
     }
 }
 
+/// Returns why a call could leave the data centre of its VM.
+fn remote_text(reason: &str) -> &'static str {
+    match reason {
+        "home" => "not used",
+        "share" => "used, as the upstreams at home are too busy for all calls",
+        "slow" => "used, as the best upstream at home is much slower",
+        "no_room" => "used, as no upstream at home can take the call",
+        _ => "used by cost",
+    }
+}
+
 /// Formats a number with at most two decimals.
 fn rounded(number: f64) -> String {
     let text = format!("{number:.2}");
@@ -165,7 +176,7 @@
             CHOSEN_EVENT => write!(
                 formatter,
                 "attempt {} chose {} of {} after {} ms: cost {} ms, {}, pace {}, {} own and {} other \
-                 calls, checked: {}",
+                 calls, checked: {}, other data centres: {}",
                 text("attempt"),
                 text("upstream"),
                 text("candidates"),
@@ -179,6 +190,7 @@
                 number("own"),
                 number("others"),
                 text("checked"),
+                remote_text(&text("remote")),
             ),
             ATTEMPT_EVENT => {
                 write!(
