--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod process;
 pub mod progress;
 pub mod quota;
+mod quota_table;
 pub mod reload;
 mod retry;
 pub mod running;
--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -4,11 +4,8 @@
 //! The crate `account` decides; this module sends and receives. A call waits for at most one answer
 //! from each data centre.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 
 use account::prelude::*;
 use base::prelude::*;
@@ -21,6 +18,7 @@
 use world::prelude::*;
 
 use crate::exchange::VmExchange;
+use crate::quota_table::{PendingRequest, QuotaTable};
 use crate::state::GateState;
 
 /// The longest time for an answer from the own data centre, in which a small VM that is busy answers
@@ -35,74 +33,6 @@
 /// The time between two updates of what depends on the membership.
 const MEMBERS_PERIOD: ClockSpan = ClockSpan::from_millis(500);
 
-/// The quotas of accounts: the parts that this VM owns, and the credits that it holds.
-#[derive(Debug)]
-pub struct QuotaTable {
-    exchange: OnceLock<Arc<VmExchange>>,
-    owner: RankedMutex<QuotaOwner>,
-    credits: RankedMutex<CreditStore>,
-    /// The requests that wait for an answer.
-    pending: RankedMutex<HashMap<u64, oneshot::Sender<CreditAnswerMessage>>>,
-    next_id: AtomicU64,
-    members: RankedMutex<MembersSeen>,
-}
-
-/// What this VM last saw of the membership.
-#[derive(Debug, Default)]
-struct MembersSeen {
-    digest: u64,
-    updated_at: Option<ClockTime>,
-}
-
-/// An entry of the pending requests, which is removed when the call no longer waits.
-struct PendingRequest<'a> {
-    table: &'a QuotaTable,
-    id: u64,
-}
-
-impl Drop for PendingRequest<'_> {
-    fn drop(&mut self) {
-        self.table.pending.lock().remove(&self.id);
-    }
-}
-
-impl Default for QuotaTable {
-    fn default() -> Self {
-        Self {
-            exchange: OnceLock::new(),
-            owner: RankedMutex::new(LockRank::PeerTable, QuotaOwner::new()),
-            credits: RankedMutex::new(LockRank::PeerTable, CreditStore::default()),
-            pending: RankedMutex::new(LockRank::PeerTable, HashMap::new()),
-            next_id: AtomicU64::new(rand::random()),
-            members: RankedMutex::new(LockRank::PeerTable, MembersSeen::default()),
-        }
-    }
-}
-
-impl QuotaTable {
-    /// Sets the exchange with other VMs.
-    pub(crate) fn connect(&self, exchange: &Arc<VmExchange>) {
-        // There is one exchange for the life of the process.
-        let _ = self.exchange.set(Arc::clone(exchange));
-    }
-
-    /// Gives back the credit of a call that was not run.
-    pub fn give_back(&self, account: &ClientAccount, now: ClockTime) {
-        if account.quota.is_some() {
-            self.credits.lock().add(&account.name, 1, now);
-        }
-    }
-
-    /// Hands an answer to the call that waits for it.
-    pub(crate) fn receive_answer(&self, answer: CreditAnswerMessage) {
-        let waiting = self.pending.lock().remove(&answer.id);
-        // A call that no longer waits leaves its credits unused; they count as spent.
-        if let Some(sender) = waiting {
-            let _ = sender.send(answer);
-        }
-    }
-}
-
 /// Updates what depends on the membership. Called every 100 ms while the environment has accounts or
 /// limits the calls to cold upstreams.
 pub(crate) fn tick(state: &GateState, exchange: &VmExchange, now: ClockTime) {
--- a/crates/gate/src/state.rs
+++ b/crates/gate/src/state.rs
@@ -23,7 +23,7 @@
 use crate::mechanism::Mechanism;
 use crate::options::{GateOptions, GateTimeouts};
 use crate::peers::GrantClient;
-use crate::quota::QuotaTable;
+use crate::quota_table::QuotaTable;
 use crate::stop::StopWatch;
 use crate::suspect_bodies::SuspectBodies;
 use crate::tables::CallTables;
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -44,6 +44,7 @@
 /// Returns the options of a gateway with two workers.
 pub fn options() -> GateOptions {
     GateOptions {
+        remote: None,
         vm: VmIdentity { name: "vm-1".into(), incarnation: 1, centre: "medeu".into() },
         caller_address: ([127, 0, 0, 1], 0).into(),
         workers: 2,
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -410,9 +410,9 @@
         let tuning = self.tuning;
         let Some(record) = self.listed_mut(upstream) else { return };
         let at_home = record.round_trip == ClockSpan::ZERO;
-        let samples = Some(record.observe(report, now, &tuning));
-        self.record_remote_load(at_home, samples.and_then(|samples| samples.load), now);
-        self.update_means(samples.unwrap_or_default(), None, now);
+        let samples = record.observe(report, now, &tuning);
+        self.record_remote_load(at_home, samples.load, now);
+        self.update_means(samples, None, now);
     }
 
     /// Accepts a peer's evidence where it is fresher.
--- a/crates/route/tests/remote.rs
+++ b/crates/route/tests/remote.rs
@@ -5,7 +5,6 @@
 use base::prelude::*;
 use route::prelude::*;
 use support::*;
-use world::prelude::*;
 
 const TUNING: RemoteTuning = RemoteTuning::STANDARD;
 /// The time between two updates of the share.
