--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -1,8 +1,8 @@
 //! Follows the configuration and the upstreams in the tables of the platform's store.
 //!
-//! This module starts the tasks. They are in the modules `versions` (configuration), `upstreams`,
-//! `join` (how a VM finds the others) and `datagrams` (messages between VMs), and depend on `core`, which holds the tables that they
-//! share.
+//! This module starts the tasks. They are in the modules `versions` (configuration), `evacuations`,
+//! `upstreams`, `join` (how a VM finds the others) and `datagrams` (messages between VMs), and depend
+//! on `core`, which holds the tables that they share.
 
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
--- a/crates/route/src/cold.rs
+++ b/crates/route/src/cold.rs
@@ -3,8 +3,8 @@
 //!
 //! The VMs share no counter. Instead, each cold upstream is used by a few VMs, which every VM chooses
 //! alike by rendezvous hashing, and each of them sends at a pace of its own. VMs whose views of the
-//! membership differ choose partly different VMs, for which the limit leaves room: with twice as many
-//! VMs, the calls in any second are still below the rate times 1.5 plus 8 at usual rates.
+//! membership differ choose partly different ones. At four requests a second, twice as many users send
+//! at most 12 calls in any second, and 14 are tolerated.
 
 use base::prelude::*;
 
