Move the second review's stand-ins to those of the project

Cause: the scripts had a store and header names of their own, which the test names_stay_in_their_folders allows in four folders only. Change: the store, the rows and the upstreams' headers come from the stand-ins in platform/. Checks, bounds, loads and times stay as they were.

--- a/review/stand-2/caller.rs
+++ b/review/stand-2/caller.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use platform::stand::is_signed;
+
 use crate::http::Connection;
 
 pub struct Request<'a> {
@@ -33,14 +35,12 @@
         body.len()
     );
     let read = || {
-        let mut connection = Connection::open(front, Duration::from_millis(deadline_ms + 500)).ok()?;
+        let mut connection =
+            Connection::open(front, Duration::from_millis(deadline_ms + 500)).ok()?;
         connection.write(text.as_bytes()).ok()?;
         let head = connection.read_head().ok()??;
         connection.read_body(&head).ok()?;
-        Some(Answer {
-            status: head.word(1).parse().ok()?,
-            signed: head.field("upstream-signature").is_some(),
-        })
+        Some(Answer { status: head.word(1).parse().ok()?, signed: is_signed(&head.map()) })
     };
     read().unwrap_or_default()
 }
--- a/review/stand-2/cases/feed.rs
+++ b/review/stand-2/cases/feed.rs
@@ -7,7 +7,10 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::cases::{self, Load};
+use directory::prelude::*;
+use world::prelude::*;
+
+use crate::cases::{self, Load, Route};
 use crate::fleet::{Bounds, Fleet};
 use crate::record::Record;
 use crate::store::Store;
@@ -21,26 +24,24 @@
 /// How long the load goes on after the change.
 const REST: Duration = Duration::from_secs(40);
 
-fn config(version: u32, service: &str) -> String {
-    let services = ["phase-desk", "almanac-office"].map(|name| {
-        format!(
-            "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConnections\":220,\
-             \"protocol\":\"h1\",\"tls\":false}}"
-        )
-    });
-    format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-phase\",\"host\":\"phase.example\",\
-         \"pathPrefix\":\"/phase/\",\"routeType\":\"safe\",\"timeout\":800,\"targetLatency\":200,\
-         \"priority\":2,\"service\":\"{service}\",\"maxAttempts\":2}}],\"services\":[{}],\
-         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":3000,\
-         \"idleTimeout\":15000}},\"baseVersion\":0}}",
-        services.join(",")
-    )
+const SERVICES: [&str; 2] = ["phase-desk", "almanac-office"];
+
+fn config(version: u64, service: &'static str) -> ConfigEntry {
+    let route = Route {
+        host: "phase.example",
+        path_prefix: "/phase/",
+        service,
+        is_safe: true,
+        timeout_ms: 800,
+        target_ms: 200,
+        class: WorkClass::Deferrable,
+    };
+    cases::config(version, &route, &SERVICES, 220)
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let (store, runs) = (Store::start(record), Arc::new(Runs::default()));
-    let upstreams: Vec<_> = ["phase-desk", "almanac-office"]
+    let (store, runs) = (Store::start(record)?, Arc::new(Runs::default()));
+    let upstreams: Vec<_> = SERVICES
         .into_iter()
         .flat_map(|service| (1..=4).map(move |number| (service, number)))
         .map(|(service, number)| {
@@ -60,7 +61,7 @@
         })
         .collect();
     cases::register(&store, &upstreams);
-    store.put("op", "config", &config(7, "phase-desk"));
+    store.put_config(&config(7, "phase-desk"));
     let bounds = Bounds { retry_slack: 58, probe_rate: 60, drain_ms: 2000 };
     let fleet = Arc::new(Fleet::start(3, "almaty-medeu", store.address, &bounds, record)?);
     thread::sleep(Duration::from_secs(6));
@@ -78,13 +79,13 @@
     let sending = cases::send_load(load, &fleet, record, &stop);
     thread::sleep(Duration::from_secs(5));
     if trouble {
-        store.lose_changes(Some("op"));
+        store.lose_config(true);
     }
-    store.put("op", "config", &config(8, "almanac-office"));
+    store.put_config(&config(8, "almanac-office"));
     let acknowledged = record.now_ms();
     record.say("version 8 is acknowledged: the route moves from phase-desk to almanac-office");
     thread::sleep(LOSS_TIME);
-    store.lose_changes(None);
+    store.lose_config(false);
     let stable = if trouble { record.now_ms() + STABLE_MS } else { acknowledged };
     let (answers, lost) = store.counts();
     record.say(&format!("the store loses no more answers; it lost {lost} of {answers}"));
@@ -94,9 +95,9 @@
 
     let bound = stable.max(acknowledged + APPLY_MS);
     let ran: HashMap<_, _> = runs.all().into_iter().map(|run| (run.id, run.upstream)).collect();
-    let is_old = |id: &str| ran.get(id).is_some_and(|upstream| upstream.starts_with("i-phase-desk"));
-    let late: Vec<_> =
-        sent.iter().filter(|sent| sent.at_ms > bound && is_old(&sent.id)).collect();
+    let is_old =
+        |id: &str| ran.get(id).is_some_and(|upstream| upstream.starts_with("i-phase-desk"));
+    let late: Vec<_> = sent.iter().filter(|sent| sent.at_ms > bound && is_old(&sent.id)).collect();
     for gateway in &fleet.gateways {
         let last = sent.iter().filter(|sent| sent.gateway == gateway.name && is_old(&sent.id));
         let last = last.map(|sent| sent.at_ms).fold(0.0, f64::max) - acknowledged;
--- a/review/stand-2/cases/mod.rs
+++ b/review/stand-2/cases/mod.rs
@@ -9,7 +9,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
+
+use base::prelude::*;
+use directory::prelude::*;
+use world::prelude::*;
 
 use crate::caller::{self, Answer, Request};
 use crate::fleet::Fleet;
@@ -22,11 +26,10 @@
 
 /// Writes the rows of the upstreams now and with every heartbeat.
 pub fn register(store: &Arc<Store>, upstreams: &[Arc<Upstream>]) {
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let (store, upstreams) = (Arc::clone(store), upstreams.to_vec());
     let write = move |beat| {
         for upstream in &upstreams {
-            store.put("servers", &upstream.plan.id, &upstream.row(beat, born));
+            store.put_upstream(&upstream.entry(), beat);
         }
     };
     write(1);
@@ -38,6 +41,43 @@
     });
 }
 
+/// A route, with times in milliseconds.
+pub struct Route {
+    pub host: &'static str,
+    pub path_prefix: &'static str,
+    pub service: &'static str,
+    pub is_safe: bool,
+    pub timeout_ms: u64,
+    pub target_ms: u64,
+    pub class: WorkClass,
+}
+
+/// Returns a configuration with one route.
+pub fn config(version: u64, route: &Route, services: &[&str], connections: u32) -> ConfigEntry {
+    let service = |name: &&str| ServiceEntry {
+        name: SharedName::from(*name),
+        health_path: SharedName::from("/health"),
+        connections,
+    };
+    let call_route = CallRoute {
+        name: SharedName::from("r-1"),
+        host: SharedName::from(route.host),
+        path_prefix: SharedName::from(route.path_prefix),
+        idempotent: route.is_safe,
+        class: route.class,
+        timeout: ClockSpan::from_millis(route.timeout_ms),
+        objective: ClockSpan::from_millis(route.target_ms),
+        attempts: 2,
+        targets: vec![RouteTarget { service: SharedName::from(route.service), weight: 1.0 }],
+    };
+    ConfigEntry {
+        version,
+        routes: vec![call_route],
+        services: services.iter().map(service).collect(),
+        caller_limits: CallerLimits { body_bytes: 64 * 1024 * 1024 },
+    }
+}
+
 /// A request of the load and its answer.
 #[derive(Clone, Debug)]
 pub struct Sent {
--- a/review/stand-2/cases/pipeline.rs
+++ b/review/stand-2/cases/pipeline.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cases;
+use world::prelude::*;
+
+use crate::cases::{self, Route};
 use crate::fleet::{Bounds, Fleet};
 use crate::http::Connection;
 use crate::record::Record;
@@ -26,7 +28,15 @@
 const DEADLINE_MS: u64 = 2500;
 const GRACE: Duration = Duration::from_secs(6);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-plate","host":"plate.example","pathPrefix":"/plate/","routeType":"safe","timeout":2500,"targetLatency":250,"priority":1,"service":"platevault","maxAttempts":2}],"services":[{"name":"platevault","healthPath":"/health","maxConnections":1180,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":0}"#;
+const ROUTE: Route = Route {
+    host: "plate.example",
+    path_prefix: "/plate/",
+    service: "platevault",
+    is_safe: true,
+    timeout_ms: 2500,
+    target_ms: 250,
+    class: WorkClass::Normal,
+};
 
 /// A request whose connection ended before its answer was complete.
 struct Cut {
@@ -37,7 +47,7 @@
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let (store, runs) = (Store::start(record), Arc::new(Runs::default()));
+    let (store, runs) = (Store::start(record)?, Arc::new(Runs::default()));
     let upstreams: Vec<_> = (1..=13)
         .map(|number| {
             let plan = Plan {
@@ -56,7 +66,7 @@
         })
         .collect();
     cases::register(&store, &upstreams);
-    store.put("op", "config", CONFIG);
+    store.put_config(&cases::config(7, &ROUTE, &["platevault"], 1180));
     let bounds = Bounds { retry_slack: 216, probe_rate: 42, drain_ms: 2500 };
     let fleet = Arc::new(Fleet::start(3, "lakes-east-a", store.address, &bounds, record)?);
     thread::sleep(Duration::from_secs(3));
--- a/review/stand-2/cases/quota.rs
+++ b/review/stand-2/cases/quota.rs
@@ -5,7 +5,10 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::cases::{self, Load};
+use platform::stand::AccountPlan;
+use world::prelude::*;
+
+use crate::cases::{self, Load, Route};
 use crate::fleet::{Bounds, Fleet};
 use crate::record::Record;
 use crate::store::Store;
@@ -30,10 +33,20 @@
 /// `grace` of the site.
 const GRACE: Duration = Duration::from_secs(6);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-status","host":"status.example","pathPrefix":"/status/","routeType":"safe","timeout":1000,"targetLatency":250,"priority":0,"service":"trackdesk","maxAttempts":2,"public":false}],"services":[{"name":"trackdesk","healthPath":"/health","maxConnections":1000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"tenants":[{"name":"north","apiKeys":["north-key-1"],"priority":1,"ratePerS":50,"burst":50}],"baseVersion":0}"#;
+const ROUTE: Route = Route {
+    host: "status.example",
+    path_prefix: "/status/",
+    service: "trackdesk",
+    is_safe: true,
+    timeout_ms: 1000,
+    target_ms: 250,
+    class: WorkClass::Urgent,
+};
+const TENANT: AccountPlan<'_> =
+    AccountPlan { name: "north", key: "north-key-1", rate: RATE, burst: BURST };
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let (store, runs) = (Store::start(record), Arc::new(Runs::default()));
+    let (store, runs) = (Store::start(record)?, Arc::new(Runs::default()));
     let upstreams: Vec<_> = (1..=8)
         .map(|number| {
             let plan = Plan {
@@ -52,7 +65,7 @@
         })
         .collect();
     cases::register(&store, &upstreams);
-    store.put("op", "config", CONFIG);
+    store.put_config_with(&cases::config(7, &ROUTE, &["trackdesk"], 1000), &[TENANT]);
     let bounds = Bounds { retry_slack: 188, probe_rate: 42, drain_ms: 2500 };
     let fleet = Arc::new(Fleet::start(3, "guj-west-a", store.address, &bounds, record)?);
     thread::sleep(Duration::from_secs(3));
--- a/review/stand-2/cases/refused.rs
+++ b/review/stand-2/cases/refused.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cases::{self, Load};
+use world::prelude::*;
+
+use crate::cases::{self, Load, Route};
 use crate::fleet::{Bounds, Fleet};
 use crate::record::Record;
 use crate::store::Store;
@@ -26,10 +28,18 @@
 /// The time of the load.
 const LENGTH: Duration = Duration::from_secs(95);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-booking","host":"booking.example","pathPrefix":"/booking/","routeType":"unsafe","timeout":1000,"targetLatency":250,"priority":1,"service":"booking-desk","maxAttempts":2}],"services":[{"name":"booking-desk","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":0}"#;
+const ROUTE: Route = Route {
+    host: "booking.example",
+    path_prefix: "/booking/",
+    service: "booking-desk",
+    is_safe: false,
+    timeout_ms: 1000,
+    target_ms: 250,
+    class: WorkClass::Normal,
+};
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let (store, runs) = (Store::start(record), Arc::new(Runs::default()));
+    let (store, runs) = (Store::start(record)?, Arc::new(Runs::default()));
     let plan = Plan {
         id: "i-booking-1".into(),
         service: "booking-desk".into(),
@@ -44,7 +54,7 @@
     };
     let upstreams = vec![Upstream::start(plan, &runs, record)];
     cases::register(&store, &upstreams);
-    store.put("op", "config", CONFIG);
+    store.put_config(&cases::config(7, &ROUTE, &["booking-desk"], 220));
     let bounds = Bounds { retry_slack: 58, probe_rate: 60, drain_ms: 2000 };
     let fleet = Arc::new(Fleet::start(15, "almaty-medeu", store.address, &bounds, record)?);
     thread::sleep(Duration::from_secs(3));
@@ -82,7 +92,8 @@
         .filter(|sent| promised(sent.answer.status) && ran.contains(sent.id.as_str()))
         .collect();
     for sent in &broken {
-        record.say(&format!("REFUSED: {} was answered {} and has run", sent.id, sent.answer.status));
+        record
+            .say(&format!("REFUSED: {} was answered {} and has run", sent.id, sent.answer.status));
     }
     let twice = all.len() - ran.len();
     if twice > 0 {
--- a/review/stand-2/cases/stray.rs
+++ b/review/stand-2/cases/stray.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::cases::{self, Load};
+use world::prelude::*;
+
+use crate::cases::{self, Load, Route};
 use crate::fleet::{Bounds, Fleet};
 use crate::record::Record;
 use crate::store::Store;
@@ -20,10 +22,18 @@
 const CALM_TIME: Duration = Duration::from_millis(1000);
 const CYCLES: u32 = 10;
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-booking","host":"booking.example","pathPrefix":"/booking/","routeType":"unsafe","timeout":1000,"targetLatency":250,"priority":1,"service":"booking-desk","maxAttempts":2}],"services":[{"name":"booking-desk","healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":3000,"idleTimeout":15000},"baseVersion":0}"#;
+const ROUTE: Route = Route {
+    host: "booking.example",
+    path_prefix: "/booking/",
+    service: "booking-desk",
+    is_safe: false,
+    timeout_ms: 1000,
+    target_ms: 250,
+    class: WorkClass::Normal,
+};
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
-    let (store, runs) = (Store::start(record), Arc::new(Runs::default()));
+    let (store, runs) = (Store::start(record)?, Arc::new(Runs::default()));
     let upstreams: Vec<_> = (1..=6)
         .map(|number| {
             let spoils = trouble && number <= 3;
@@ -43,7 +53,7 @@
         })
         .collect();
     cases::register(&store, &upstreams);
-    store.put("op", "config", CONFIG);
+    store.put_config(&cases::config(7, &ROUTE, &["booking-desk"], 220));
     let bounds = Bounds { retry_slack: 58, probe_rate: 60, drain_ms: 2000 };
     let fleet = Arc::new(Fleet::start(3, "almaty-medeu", store.address, &bounds, record)?);
     thread::sleep(Duration::from_secs(3));
@@ -76,7 +86,8 @@
     }
     let all = runs.all();
     let ran: HashSet<&str> = all.iter().map(|run| run.id.as_str()).collect();
-    let is_denied = |status: u16| (300..500).contains(&status) && ![408, 421, 429].contains(&status);
+    let is_denied =
+        |status: u16| (300..500).contains(&status) && ![408, 421, 429].contains(&status);
     let denied: Vec<_> = sent.iter().filter(|sent| is_denied(sent.answer.status)).collect();
     for sent in &denied {
         let word = if ran.contains(sent.id.as_str()) { "and ran" } else { "and did not run" };
--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -12,7 +12,7 @@
 use crate::http::Connection;
 use crate::record::Record;
 
-extern "C" {
+unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
 }
 
@@ -63,7 +63,9 @@
         let address = SocketAddr::new(self.ip, self.ports.ready);
         let ask = || {
             let mut connection = Connection::open(address, CHECK_TIME).ok()?;
-            connection.write(b"GET /ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n").ok()?;
+            connection
+                .write(b"GET /ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")
+                .ok()?;
             connection.read_head().ok()?
         };
         ask().is_some_and(|head| head.word(1) == "200")
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -5,6 +5,8 @@
 use std::os::fd::AsRawFd;
 use std::time::Duration;
 
+use http::{HeaderMap, HeaderName, HeaderValue};
+
 /// The payload of a packet.
 const PACKET_BYTES: usize = 1460;
 
@@ -19,6 +21,29 @@
         self.fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
     }
 
+    /// Returns the fields as a map of the `http` crate.
+    pub fn map(&self) -> HeaderMap {
+        let fields = self.fields.iter().filter_map(|(name, value)| {
+            Some((name.parse::<HeaderName>().ok()?, value.parse::<HeaderValue>().ok()?))
+        });
+        fields.collect()
+    }
+
+    /// Returns the bytes of the message with this head and a body, which has a length.
+    pub fn bytes(&self, body: &[u8]) -> Vec<u8> {
+        let mut text = format!("{}\r\n", self.first_line);
+        let framing = ["content-length", "transfer-encoding"];
+        for (name, value) in
+            self.fields.iter().filter(|(name, _)| !framing.contains(&name.as_str()))
+        {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
     /// Returns the n-th word of the first line.
     pub fn word(&self, index: usize) -> &str {
         self.first_line.split(' ').nth(index).unwrap_or("")
@@ -49,8 +74,14 @@
 
     /// Makes the receive window small. Call it before the first answer arrives.
     pub fn set_window(&self, bytes: i32) -> io::Result<()> {
-        extern "C" {
-            fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+        unsafe extern "C" {
+            fn setsockopt(
+                socket: i32,
+                level: i32,
+                name: i32,
+                value: *const i32,
+                length: u32,
+            ) -> i32;
         }
         const SOL_SOCKET: i32 = 1;
         const SO_RCVBUF: i32 = 8;
@@ -143,7 +174,8 @@
             loop {
                 let line = self.take_line()?;
                 let size = line.split(';').next().unwrap_or("").trim();
-                let size = usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
+                let size =
+                    usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
                 body.extend(self.take(size)?);
                 self.take_line()?;
                 if size == 0 {
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,7 +7,6 @@
 mod cases;
 mod fleet;
 mod http;
-mod json;
 mod record;
 mod store;
 mod upstream;
--- a/review/stand-2/upstream.rs
+++ b/review/stand-2/upstream.rs
@@ -5,7 +5,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base::prelude::*;
+use directory::prelude::*;
+use http::HeaderMap;
+use platform::stand::ServerDialect;
+use stand::dialect::{AnswerFate, AnswerFields, LoadSample, UpstreamDialect};
+use stand::slot::LoadFigures;
+use world::prelude::*;
 
 use crate::http::{Connection, Head};
 use crate::record::Record;
@@ -71,6 +79,8 @@
     pub sends_extra: AtomicBool,
     pub sheds: AtomicBool,
     pub address: SocketAddr,
+    /// The time of its start, in milliseconds since the Unix epoch.
+    born: u64,
     load: Mutex<Load>,
     freed: Condvar,
     runs: Arc<Runs>,
@@ -80,9 +90,11 @@
 impl Upstream {
     pub fn start(plan: Plan, runs: &Arc<Runs>, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for an upstream");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let upstream = Arc::new(Self {
             plan,
             address: listener.local_addr().expect("the address of an upstream"),
+            born: born.as_millis() as u64,
             sends_extra: AtomicBool::new(true),
             sheds: AtomicBool::new(false),
             load: Mutex::default(),
@@ -104,14 +116,20 @@
         upstream
     }
 
-    /// Returns the value of the upstream's row in the store.
-    pub fn row(&self, beat: u64, born_ms: u128) -> String {
-        let Plan { service, zone, slots, .. } = &self.plan;
-        format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"ready\",\"warmupLeft\":0,\"seq\":{beat},\"born\":{born_ms}}}",
-            self.address
-        )
+    /// Returns the entry of the upstream in the store.
+    pub fn entry(&self) -> UpstreamEntry {
+        let Plan { id, service, zone, slots, .. } = &self.plan;
+        let server = UpstreamServer {
+            name: SharedName::from(id.as_str()),
+            service: SharedName::from(service.as_str()),
+            centre: SharedName::from(zone.as_str()),
+            address: self.address,
+            slots: *slots,
+            connections: 0,
+            incarnation: self.born,
+            warm_up: ClockSpan::ZERO,
+        };
+        UpstreamEntry { server, draining: false }
     }
 
     fn serve(&self, mut connection: Connection) -> std::io::Result<()> {
@@ -121,13 +139,15 @@
             if let Some(bytes) = extra.take() {
                 let text = String::from_utf8_lossy(&bytes).replace("\r\n", " | ");
                 let id = head.field("request-id").unwrap_or("");
-                self.record.write(&format!("{} sends before its answer to {id}: {text}", self.plan.id));
+                self.record
+                    .write(&format!("{} sends before its answer to {id}: {text}", self.plan.id));
                 connection.write(&bytes)?;
             }
             let is_check = head.word(1) == "/health";
             let answer = if is_check { self.check(&head) } else { self.run(&head) };
             connection.write(&answer)?;
-            let is_spoilt = self.sends_extra.load(Ordering::SeqCst) && crate::random() < self.plan.extra_share;
+            let is_spoilt =
+                self.sends_extra.load(Ordering::SeqCst) && crate::random() < self.plan.extra_share;
             if !is_check && is_spoilt {
                 extra = match self.plan.extra {
                     Extra::None => None,
@@ -141,49 +161,57 @@
         Ok(())
     }
 
-    fn answer(&self, head: &Head, status: &str, fields: &str, body: &str) -> Vec<u8> {
-        let echo = head.field("request-id").map(|id| format!("Request-Id: {id}\r\n"));
+    fn answer(&self, head: &Head, status: &str, fate: AnswerFate, body: &str) -> Vec<u8> {
         let load = self.load.lock().unwrap();
-        let (running, waiting) = (load.running, load.waiting);
-        let text = format!(
-            "HTTP/1.1 {status}\r\n{}{fields}Upstream-Load: {running},{waiting},{},100\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            echo.unwrap_or_default(),
-            self.plan.slots,
-            body.len()
-        );
+        let figures =
+            LoadFigures { in_flight: load.running, slots: self.plan.slots, queued: load.waiting };
+        drop(load);
+        let request = ServerDialect::read(&head.map()).request;
+        let signature = format!("{}.{}", self.plan.id, request.as_deref().unwrap_or(""));
+        let fields = AnswerFields {
+            name: if fate == AnswerFate::Run { &signature } else { &self.plan.id },
+            request: request.as_deref(),
+            fate,
+            load: Some(LoadSample { figures, pace_percent: Some(100) }),
+            draining: false,
+            final_drain: false,
+            retry_after: None,
+        };
+        let mut headers = HeaderMap::new();
+        ServerDialect::set_answer_headers(&mut headers, &fields);
+        let mut text = format!("HTTP/1.1 {status}\r\n");
+        for (name, value) in &headers {
+            text.push_str(&format!("{name}: {}\r\n", String::from_utf8_lossy(value.as_bytes())));
+        }
+        text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
         text.into_bytes()
     }
 
     fn check(&self, head: &Head) -> Vec<u8> {
-        let instance = format!("Instance-Id: {}\r\n", self.plan.id);
-        match head.field("expected-instance") {
-            Some(id) if id != self.plan.id => {
-                self.answer(head, "421 Misdirected Request", &instance, "")
-            }
-            _ => self.answer(head, "200 OK", &instance, ""),
+        let expected = ServerDialect::read(&head.map()).expected;
+        match expected.filter(|expected| expected.as_str() != self.plan.id) {
+            Some(_) => self.answer(head, "421 Misdirected Request", AnswerFate::Misdirected, ""),
+            None => self.answer(head, "200 OK", AnswerFate::Check, ""),
         }
     }
 
     fn run(&self, head: &Head) -> Vec<u8> {
         let Plan { id, slots, queue, work, .. } = &self.plan;
-        let Some(request) = head.field("request-id") else {
-            return self.answer(head, "400 Bad Request", "Not-Processed: 1\r\n", "");
+        let fields = ServerDialect::read(&head.map());
+        let Some(request) = fields.request else {
+            return self.answer(head, "400 Bad Request", AnswerFate::NotRun, "");
         };
-        if head.field("expected-instance").is_some_and(|expected| expected != id) {
-            let instance = format!("Instance-Id: {id}\r\n");
-            return self.answer(head, "421 Misdirected Request", &instance, "");
+        if fields.expected.is_some_and(|expected| expected.as_str() != id) {
+            return self.answer(head, "421 Misdirected Request", AnswerFate::Misdirected, "");
         }
-        let allowed: u64 =
-            head.field("deadline-remaining").and_then(|text| text.parse().ok()).unwrap_or(60_000);
-        let deadline = Instant::now() + Duration::from_millis(allowed);
-        let not_run = "Not-Processed: 1\r\n";
+        let allowed = fields.remaining.map_or(Duration::from_secs(60), ClockSpan::to_duration);
+        let deadline = Instant::now() + allowed;
         let sheds = self.sheds.load(Ordering::SeqCst) && crate::random() < self.plan.shed_share;
         let mut load = self.load.lock().unwrap();
         if sheds || load.running >= *slots && load.waiting >= *queue {
             drop(load);
             self.record.write(&format!("{id} refuses {request}"));
-            return self.answer(head, "503 Service Unavailable", not_run, "");
+            return self.answer(head, "503 Service Unavailable", AnswerFate::NotRun, "");
         }
         load.waiting += 1;
         while load.running >= *slots {
@@ -191,7 +219,7 @@
             if Instant::now() >= deadline {
                 load.waiting -= 1;
                 drop(load);
-                return self.answer(head, "503 Service Unavailable", not_run, "");
+                return self.answer(head, "503 Service Unavailable", AnswerFate::NotRun, "");
             }
         }
         load.waiting -= 1;
@@ -199,21 +227,20 @@
         drop(load);
         let tenant = head.field("tenant-id").unwrap_or("").to_owned();
         let at_ms = self.record.now_ms();
-        let run = Run { id: request.to_owned(), upstream: id.clone(), tenant, at_ms };
+        let run = Run { id: request.to_string(), upstream: id.clone(), tenant, at_ms };
         self.record.write(&format!("{id} runs {request}"));
         self.runs.0.lock().unwrap().push(run);
         let left = deadline.saturating_duration_since(Instant::now());
         thread::sleep((*work).min(left));
         self.load.lock().unwrap().running -= 1;
         self.freed.notify_one();
-        let signature = format!("Upstream-Signature: {id}.{request}\r\n");
         if *work > left {
-            return self.answer(head, "504 Gateway Timeout", &signature, "");
+            return self.answer(head, "504 Gateway Timeout", AnswerFate::Run, "");
         }
         let mut body = format!("run of {request}\n");
         while body.len() < self.plan.body_bytes {
             body.push('.');
         }
-        self.answer(head, "200 OK", &signature, &body)
+        self.answer(head, "200 OK", AnswerFate::Run, &body)
     }
 }
