--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -17,6 +17,26 @@
 }
 
 pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
+
+/// A script that takes longer than this cannot run.
+const TIME_LIMIT: Duration = Duration::from_secs(116);
+
+/// The gateways that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all gateways and the script after the time limit.
+pub fn start_watchdog() {
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case could not run in {} s", TIME_LIMIT.as_secs());
+        for process in RUNNING.lock().unwrap().iter() {
+            // SAFETY: the process is a child that has not been waited for.
+            unsafe { kill(*process as i32, SIGKILL) };
+        }
+        std::process::exit(2);
+    });
+}
 
 /// The time between two readiness checks of the balancer, and the longest wait for an answer.
 const CHECK_TIME: Duration = Duration::from_secs(1);
@@ -55,6 +75,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        RUNNING.lock().unwrap().push(child.id());
         *self.child.lock().unwrap() = Some(child);
         Ok(())
     }
@@ -85,6 +106,7 @@
 
     fn end(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
+            RUNNING.lock().unwrap().retain(|process| *process != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -42,6 +42,7 @@
             exit(2);
         }
     };
+    fleet::start_watchdog();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match name.as_str() {
         "feed" => cases::feed::run(&record, trouble),
