Send no two attempts of a call on one connection

A connection now remembers the id of the last call on it, and no further attempt of that call is sent there. Ruled out: a new connection after each refusal, which an upstream that refuses a third of its requests would get for each.

Test: the cases "shed twice" of failing_upstreams_with_checks and failing_upstreams_without_checks.

--- a/crates/gate/src/cancel.rs
+++ b/crates/gate/src/cancel.rs
@@ -33,7 +33,7 @@
     let Ok(id) = id.to_str() else { return false };
     let Ok(target) = Uri::try_from(format!("/agateroad/cancel/{id}")) else { return false };
     let now = state.clock.now();
-    let connection = match link.take_idle(now - state.timeouts.load().verified_within) {
+    let connection = match link.take_idle(now - state.timeouts.load().verified_within, None) {
         Some(connection) => connection,
         None => match link.connect(ConnectUse::Check, timeout, state.clock).await {
             Ok(connection) => connection,
--- a/crates/gate/src/connect.rs
+++ b/crates/gate/src/connect.rs
@@ -23,7 +23,9 @@
         self.state.clock.now() - self.state.timeouts.load().verified_within
     }
 
-    /// Takes an idle connection that is verified since `verified_since`, or opens one.
+    /// Takes an idle connection that is verified since `verified_since`, or opens one. An earlier
+    /// attempt of the call used another connection: the id is the same, so that a late copy of its
+    /// answer would count as the answer to this attempt.
     pub(crate) async fn connect(
         &self,
         link: &Arc<UpstreamLink>,
@@ -31,7 +33,7 @@
     ) -> Result<LinkConnection, LinkError> {
         let state = self.state;
         let connect_timeout = state.timeouts.load().connect;
-        if let Some(connection) = link.take_idle(verified_since) {
+        if let Some(connection) = link.take_idle(verified_since, Some(&self.call.id)) {
             link.open_spare(connect_timeout, state.clock);
             return Ok(connection);
         }
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll};
 
 use base::prelude::*;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -59,6 +59,8 @@
     worker: u32,
     opened: ClockTime,
     last_answer: ClockTime,
+    /// The id of the last call that was sent.
+    last_call: Option<HeaderValue>,
 }
 
 impl HttpConnection {
@@ -79,6 +81,7 @@
             worker: worker::index(),
             opened,
             last_answer: opened,
+            last_call: None,
         })
     }
 
@@ -107,6 +110,17 @@
         self.last_answer = now;
     }
 
+    /// Returns whether the last call on the connection has this id. A late copy of its answer could
+    /// not be told from the answer to another attempt.
+    pub(crate) fn has_carried(&self, call: &HeaderValue) -> bool {
+        self.last_call.as_ref() == Some(call)
+    }
+
+    /// Records that an attempt of a call is sent on the connection.
+    pub(crate) fn record_call(&mut self, call: &HeaderValue) {
+        self.last_call = Some(call.clone());
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
--- a/crates/gate/src/dispatch.rs
+++ b/crates/gate/src/dispatch.rs
@@ -7,6 +7,8 @@
 
 use crate::attempt::{AttemptResult, CallAttempt, SelectedAttempt};
 use crate::body::SendBody;
+use crate::link::LinkConnection;
+use crate::probe;
 
 impl<C: CallCodec> CallAttempt<'_, C> {
     /// Makes an attempt at the upstream that was selected for it.
@@ -18,8 +20,9 @@
         let SelectedAttempt { link, mut running, mut checked, .. } = selected;
         let mut verified_since = self.verified_since();
         loop {
-            let was_checked = checked.is_some();
-            let connection = match checked.take() {
+            let usable = checked.take().and_then(|connection| self.unless_carried(connection));
+            let was_checked = usable.is_some();
+            let connection = match usable {
                 Some(connection) => connection,
                 None => match self.connect(&link, verified_since).await {
                     Ok(connection) => connection,
@@ -48,4 +51,13 @@
             }
         }
     }
+
+    /// Returns the connection of a health check, unless an earlier attempt of the call used it.
+    fn unless_carried(&self, connection: LinkConnection) -> Option<LinkConnection> {
+        if connection.has_carried(&self.call.id) {
+            probe::release(self.state, connection);
+            return None;
+        }
+        Some(connection)
+    }
 }
--- a/crates/gate/src/link.rs
+++ b/crates/gate/src/link.rs
@@ -209,14 +209,22 @@
         (!busy).then_some(CheckPermit(&self.checking))
     }
 
-    /// Takes an idle connection that carried an answer or was opened since `verified_since`.
-    /// Prefers one of the current worker, which avoids a switch between threads.
-    pub fn take_idle(&self, verified_since: ClockTime) -> Option<LinkConnection> {
+    /// Takes an idle connection that carried an answer or was opened since `verified_since`, and
+    /// that was not last used by an attempt of `call`. Prefers one of the current worker, which
+    /// avoids a switch between threads.
+    pub fn take_idle(
+        &self,
+        verified_since: ClockTime,
+        call: Option<&HeaderValue>,
+    ) -> Option<LinkConnection> {
         let worker = worker::index();
         let mut pool = self.pool.lock();
         let idle = &mut pool.idle;
         idle.retain(|connection| !connection.http.is_closed());
-        let usable = |connection: &LinkConnection| connection.last_verified() >= verified_since;
+        let usable = |connection: &LinkConnection| {
+            connection.last_verified() >= verified_since
+                && !call.is_some_and(|call| connection.has_carried(call))
+        };
         let own = idle
             .iter()
             .rposition(|connection| connection.http.worker() == worker && usable(connection));
@@ -380,6 +388,16 @@
         self.http.last_answer().max(self.http.opened())
     }
 
+    /// Returns whether the last call on the connection has this id.
+    pub fn has_carried(&self, call: &HeaderValue) -> bool {
+        self.http.has_carried(call)
+    }
+
+    /// Records that an attempt of a call is sent on the connection.
+    pub fn record_call(&mut self, call: &HeaderValue) {
+        self.http.record_call(call);
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -178,7 +178,7 @@
 ) -> CheckOutcome {
     let name = &link.server().name;
     // The answer verifies the connection, so any idle one can be used.
-    let connection = match link.take_idle(ClockTime::ZERO) {
+    let connection = match link.take_idle(ClockTime::ZERO, None) {
         Some(connection) => connection,
         None => match connect(state, link, timeout).await {
             Ok(connection) => connection,
--- a/crates/gate/src/send.rs
+++ b/crates/gate/src/send.rs
@@ -79,6 +79,7 @@
             return Err(FailedAttempt::without_retry(refusal));
         }
         self.progress.start_attempt();
+        connection.record_call(&self.call.id);
         let request = self.upstream_request(body, sent, &running.upstream);
         let mut guard = if C::CONFIRMS_CANCELS {
             CancelGuard::<C>::new(self.state, link, &self.call.id)
--- a/crates/stand/src/answer.rs
+++ b/crates/stand/src/answer.rs
@@ -198,8 +198,12 @@
     }
     let fault = core.draw_fault(request.uri().path(), FaultTarget::Work);
     let (head, body) = request.into_parts();
-    if let Some(AnswerFault::Early { status }) = fault {
-        return (answer_early(core, &head, fields, status), fault);
+    match fault {
+        Some(AnswerFault::Early { status }) => {
+            return (answer_early(core, &head, fields, status), fault);
+        }
+        Some(AnswerFault::RefusedTwice) => return (refuse(RefusalReason::Shed), fault),
+        _ => {}
     }
     (apply_fault(run_work(core, plan, fields, &head, body).await, fault), fault)
 }
--- a/crates/stand/src/deliver.rs
+++ b/crates/stand/src/deliver.rs
@@ -53,9 +53,11 @@
             whole.resize(whole.len() + bytes, EXTRA_BYTE);
             Err(RawScript::new(whole, ScriptEnd::Hold))
         }
-        Some(AnswerFault::Second) => {
+        Some(AnswerFault::Second | AnswerFault::RefusedTwice) => {
             let whole = Bytes::from(encode(answer, BodyFraming::Length, usize::MAX).await?);
-            Err(RawScript::new(whole.clone(), ScriptEnd::Hold).then(whole))
+            let refused = fault == Some(AnswerFault::RefusedTwice);
+            let end = if refused { ScriptEnd::Resume } else { ScriptEnd::Hold };
+            Err(RawScript::new(whole.clone(), end).then(whole))
         }
         Some(AnswerFault::Endless { part }) => Err(endless(answer, part).await?),
         Some(AnswerFault::Truncated { bytes }) => {
--- a/crates/stand/src/fault.rs
+++ b/crates/stand/src/fault.rs
@@ -67,6 +67,9 @@
     },
     /// The answer is sent again in place of the answer to the next request of the connection.
     Second,
+    /// The request is refused and not run, and the refusal is sent again before the answer to the
+    /// next request of the connection, which is run.
+    RefusedTwice,
     /// The answer has the id of another request.
     Foreign,
     /// The connection is closed before the body is complete. `content-length` is that of the whole
--- a/crates/stand/src/script.rs
+++ b/crates/stand/src/script.rs
@@ -20,6 +20,8 @@
     Hold,
     /// These bytes are sent again and again until the other side closes it.
     Repeat(&'static [u8]),
+    /// The HTTP server goes on with the next request, which the script has not read.
+    Resume,
 }
 
 /// The bytes that are still sent on a connection, and its end. A request handler returns the script
@@ -28,7 +30,7 @@
 pub struct RawScript {
     /// Bytes that are sent at once.
     first: Bytes,
-    /// Bytes that are sent after the other side has sent more bytes; may be empty.
+    /// Bytes that are sent once the other side has sent more bytes; may be empty.
     second: Bytes,
     end: ScriptEnd,
 }
@@ -50,11 +52,10 @@
         Self { second: second.into(), ..self }
     }
 
-    /// Runs the script on a connection. It stops early if the connection fails.
-    pub async fn run(&self, mut stream: TcpStream) {
-        if self.send(&mut stream).await.is_none() {
-            return;
-        }
+    /// Runs the script on a connection. It stops early if the connection fails. Returns the
+    /// connection if the HTTP server is to go on with it.
+    pub async fn run(&self, mut stream: TcpStream) -> Option<TcpStream> {
+        self.send(&mut stream).await?;
         match self.end {
             ScriptEnd::Close => {
                 // An error means that the connection has already ended.
@@ -67,13 +68,19 @@
             }
             ScriptEnd::Repeat(bytes) => while stream.write_all(bytes).await.is_ok() {},
             ScriptEnd::Hold => while receive(&mut stream).await.is_some() {},
+            ScriptEnd::Resume => return Some(stream),
         }
+        None
     }
 
     async fn send(&self, stream: &mut TcpStream) -> Option<()> {
         stream.write_all(&self.first).await.ok()?;
         if !self.second.is_empty() {
-            receive(stream).await?;
+            if self.end == ScriptEnd::Resume {
+                stream.peek(&mut [0]).await.ok().filter(|length| *length > 0)?;
+            } else {
+                receive(stream).await?;
+            }
             stream.write_all(&self.second).await.ok()?;
         }
         Some(())
--- a/crates/stand/src/web.rs
+++ b/crates/stand/src/web.rs
@@ -4,6 +4,7 @@
 use std::error::Error;
 use std::fmt;
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -56,9 +57,9 @@
 }
 
 /// Serves one connection until it ends, its port closes it, or `idle` completes. If the handler
-/// fails with a script, the script takes over the connection.
+/// fails with a script, the script takes over the connection, and may give it back.
 pub(crate) async fn serve_scripted<F, R>(
-    stream: TcpStream,
+    mut stream: TcpStream,
     mut cut: CutSignal,
     idle: impl Future<Output = ()>,
     handler: F,
@@ -66,22 +67,25 @@
     F: Fn(Request<Incoming>) -> R + Unpin,
     R: Future<Output = Result<Response<StandBody>, RawScript>>,
 {
-    let stream = TokioIo::new(stream);
-    let mut connection = http1::Builder::new().serve_connection(stream, service_fn(handler));
-    let end = tokio::select! {
-        biased;
-        () = cut.wait() => return,
-        () = idle => return,
-        end = &mut connection => end,
-    };
-    let script = end.err().and_then(|error| script_of(&error));
-    if let Some(script) = script {
-        let stream = connection.into_parts().io.into_inner();
-        tokio::select! {
+    let mut idle = pin!(idle);
+    loop {
+        let io = TokioIo::new(stream);
+        let mut connection = http1::Builder::new().serve_connection(io, service_fn(&handler));
+        let end = tokio::select! {
             biased;
-            () = cut.wait() => {}
-            () = script.run(stream) => {}
-        }
+            () = cut.wait() => return,
+            () = &mut idle => return,
+            end = &mut connection => end,
+        };
+        let Some(script) = end.err().and_then(|error| script_of(&error)) else { return };
+        let taken = connection.into_parts().io.into_inner();
+        let resumed = tokio::select! {
+            biased;
+            () = cut.wait() => None,
+            resumed = script.run(taken) => resumed,
+        };
+        let Some(next) = resumed else { return };
+        stream = next;
     }
 }
 
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -176,6 +176,15 @@
         case("lost", Answer(Fault::Reset), BOOK, &[502], 1..=1),
         case("shed", Answer(Fault::Early { status: 503 }), LOOK, &[200], 1..=1),
         case("shed", Answer(Fault::Early { status: 503 }), BOOK, &[200], 1..=1),
+        // The only upstream gets the second attempt as well.
+        FaultCase {
+            upstreams: 1,
+            ..case("shed twice", Answer(Fault::RefusedTwice), LOOK, &[200], 1..=1)
+        },
+        FaultCase {
+            upstreams: 1,
+            ..case("shed twice", Answer(Fault::RefusedTwice), BOOK, &[200], 1..=1)
+        },
         case("all shed", EveryAnswer(Fault::Early { status: 503 }), LOOK, &[503], 0..=0),
         case("all shed", EveryAnswer(Fault::Early { status: 503 }), BOOK, &[503], 0..=0),
         FaultCase {
