Refuse answers whose status is not from 200 to 599

Checked for the report of other operators: an answer with the status 000, or with a head that is cut off, does not reach a caller here. Answers with 101, 600 and 999 did: the HTTP library accepts them, and the gateway passed on each status that is neither a success nor from 500 to 599.

Such an answer now counts as one that belongs to another request: its connection is closed, a call that may run twice is sent again, another one ends with 502.

Test: malformed_heads_are_not_passed_on, five statuses and five cuts of the head; it failed before for 101, 600 and 999. The stand-in learns both faults.

--- a/crates/gate/src/verdict.rs
+++ b/crates/gate/src/verdict.rs
@@ -1,5 +1,7 @@
 //! Classifies an upstream's answer, and forwards it or turns it into a failed attempt.
 
+use std::ops::Range;
+
 use base::prelude::*;
 use bytes::Bytes;
 use codec::prelude::*;
@@ -19,6 +21,10 @@
 use crate::running::RunningCall;
 use crate::wish;
 
+/// The statuses of final answers (RFC 9110, section 15). hyper refuses those below 100 and passes
+/// over interim ones, except for 101, which the gateway never asks for.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 impl<C: CallCodec> CallAttempt<'_, C> {
     /// Classifies an answer, and returns it for the caller or as part of a failed attempt.
     pub(crate) async fn classify(
@@ -27,6 +33,9 @@
         mut running: RunningCall,
     ) -> AttemptResult {
         let (mut parts, mut incoming) = response.into_parts();
+        if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+            return Err(self.foreign_answer(running));
+        }
         let mut facts = C::read_answer(parts.status, &mut parts.headers, &self.call.id);
         running.load = facts.load;
         running.result = call_result(facts.verdict);
--- a/crates/stand/src/deliver.rs
+++ b/crates/stand/src/deliver.rs
@@ -59,6 +59,15 @@
             let end = if refused { ScriptEnd::Resume } else { ScriptEnd::Hold };
             Err(RawScript::new(whole.clone(), end).then(whole))
         }
+        Some(AnswerFault::StatusLine { status }) => {
+            let whole = encode(answer, BodyFraming::Length, usize::MAX).await?;
+            Err(RawScript::new(replace_status(&whole, status), ScriptEnd::Hold))
+        }
+        Some(AnswerFault::HeadCut { bytes }) => {
+            let mut head = encode(answer, BodyFraming::Length, 0).await?;
+            head.truncate(bytes.min(head.len() - 1));
+            Err(RawScript::new(head, ScriptEnd::Close))
+        }
         Some(AnswerFault::Endless { part }) => Err(endless(answer, part).await?),
         Some(AnswerFault::Truncated { bytes }) => {
             let part = encode(answer, BodyFraming::Length, bytes).await?;
@@ -138,6 +147,14 @@
     Ok(bytes)
 }
 
+/// Returns an answer with another number in its status line.
+fn replace_status(answer: &[u8], status: u16) -> Vec<u8> {
+    let end = answer.iter().position(|byte| *byte == b'\r').unwrap_or(answer.len());
+    let mut replaced = format!("HTTP/1.1 {status:03} Status").into_bytes();
+    replaced.extend_from_slice(&answer[end..]);
+    replaced
+}
+
 fn encode_head(head: &Parts) -> String {
     let reason = head.status.canonical_reason().unwrap_or_default();
     let mut text = format!("HTTP/1.1 {} {reason}\r\n", head.status.as_u16());
--- a/crates/stand/src/fault.rs
+++ b/crates/stand/src/fault.rs
@@ -102,6 +102,17 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The answer has this number in place of its status, which need not be valid, and is otherwise
+    /// that of a run.
+    StatusLine {
+        /// The number.
+        status: u16,
+    },
+    /// The connection is closed before the end of the head.
+    HeadCut {
+        /// The bytes of the head that are sent, at most all but the last one.
+        bytes: usize,
+    },
     /// The answer has `connection: close`, and the connection is closed after it.
     Close,
     /// Bytes follow without end until the other side closes the connection.
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -271,6 +271,30 @@
     ]
 }
 
+/// Returns cases of answers whose status is no status of a final answer, or whose head is cut off.
+fn head_cases() -> Vec<FaultCase> {
+    let faults = [
+        ("status 000", AnswerFault::StatusLine { status: 0 }),
+        ("status 099", AnswerFault::StatusLine { status: 99 }),
+        ("status 101", AnswerFault::StatusLine { status: 101 }),
+        ("status 600", AnswerFault::StatusLine { status: 600 }),
+        ("status 999", AnswerFault::StatusLine { status: 999 }),
+        ("cut in the version", AnswerFault::HeadCut { bytes: 4 }),
+        ("cut after the status", AnswerFault::HeadCut { bytes: 12 }),
+        ("cut after the status line", AnswerFault::HeadCut { bytes: 17 }),
+        ("cut in a header", AnswerFault::HeadCut { bytes: 60 }),
+        ("cut before the last byte", AnswerFault::HeadCut { bytes: usize::MAX }),
+    ];
+    let cases = faults.into_iter().flat_map(|(name, fault)| {
+        let fault = CaseFault::Answer(fault);
+        [
+            FaultCase::new(name, fault, LOOK, &[200], 2..=2),
+            FaultCase::new(name, fault, BOOK, &[502], 1..=1),
+        ]
+    });
+    cases.map(|case| FaultCase { calls: 1, ..case }).collect()
+}
+
 fn closing_cases() -> Vec<FaultCase> {
     let faults = [
         ("closed after a check", AnswerFault::Close),
@@ -465,6 +489,13 @@
     run_cases(fault_cases(), false).await;
 }
 
+/// Guards against an answer with status 000 or another one that ends no call, and against an answer
+/// whose head is cut off, which reach a caller as answers.
+#[tokio::test]
+async fn malformed_heads_are_not_passed_on() {
+    run_cases(head_cases(), false).await;
+}
+
 /// Guards against calls that fail because the health checks before them fail.
 #[tokio::test]
 async fn failing_checks() {
