Check beside the long poll whether the configuration changed

A long poll of 25 s whose answer is lost looks like one without changes, and nobody asked again before its timeout.

Compared: shorter polls of all followers, which cost several times the calls; the version in other answers of the store, which grows with every heartbeat.

--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -19,8 +19,16 @@
 
 /// The longest time of a long poll for changes of the configuration. It is a little less than the
 /// store's limit of 30 s, so that few calls are made, each of which has a price. TCP keep-alive
-/// detects a connection that stops responding meanwhile.
+/// detects a connection that stops responding meanwhile, and the checks of the designated reader
+/// one that delivers nothing.
 const CONFIG_POLL_LIMIT: ClockSpan = ClockSpan::from_secs(25);
+/// The time between two checks of the designated reader whether the configuration has changed. The
+/// answer of a long poll may be lost without a sign, and a VM must apply a version within 3 s after
+/// the store has answered everything again.
+const CHECK_PERIOD: ClockSpan = ClockSpan::from_millis(2_800);
+/// The timeout of such a check. The store answers within milliseconds, and a check that fails is
+/// repeated.
+const CHECK_TIMEOUT: ClockSpan = ClockSpan::from_secs(1);
 /// The shortest time between two reads of the configuration. Versions that follow each other within
 /// this time cost one call. The time is a fraction of the 2 s within which one must be applied.
 const CONFIG_PAUSE: ClockSpan = ClockSpan::from_millis(200);
@@ -95,11 +103,40 @@
             tokio::time::sleep(ROLE_PERIOD.to_duration()).await;
         }
         match position {
-            Some(position) => self.rows.changes(K::CONFIG_TABLE, position, CONFIG_POLL_LIMIT).await,
+            Some(position) => tokio::select! {
+                read = self.rows.changes(K::CONFIG_TABLE, position, CONFIG_POLL_LIMIT) => read,
+                read = self.checked_changes(position) => read,
+            },
             None => self.rows.read_table(K::CONFIG_TABLE).await,
         }
     }
 
+    /// Checks from time to time whether there are changes, and returns the first ones. Only the
+    /// designated reader does so, because each call to the store has a price.
+    async fn checked_changes(&self, mut position: u64) -> Result<RowPage, StoreError> {
+        let mut pause = CHECK_PERIOD;
+        loop {
+            tokio::time::sleep(pause.to_duration()).await;
+            pause = CHECK_PERIOD;
+            if !self.is_designated_reader.load(Ordering::Relaxed) {
+                continue;
+            }
+            let check = self.rows.changes(K::CONFIG_TABLE, position, ClockSpan::ZERO);
+            match tokio::time::timeout(CHECK_TIMEOUT.to_duration(), check).await {
+                Ok(Ok(page)) if page.rows.is_empty() => {
+                    // The store keeps the history for less time than a long poll takes.
+                    position = page.position;
+                    continue;
+                }
+                Ok(Ok(page)) => return Ok(page),
+                Ok(Err(StoreError::HistoryLost)) => return Err(StoreError::HistoryLost),
+                Ok(Err(error)) => tracing::debug!(event = event::STORE_READ_FAILED, %error),
+                Err(_) => tracing::debug!(event = event::STORE_READ_FAILED, "no answer in time"),
+            }
+            pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
+        }
+    }
+
     /// Fetches the configuration from the peer that reported it, else from any.
     async fn fetch_config_at_start(&self, reach: AskReach) -> bool {
         let source = self.config_source.lock().take();
--- a/crates/stand/src/row_core.rs
+++ b/crates/stand/src/row_core.rs
@@ -224,6 +224,20 @@
         })
     }
 
+    /// Returns whether the changes of a table in an answer are lost, and how.
+    fn change_loss(
+        &self,
+        source: IpAddr,
+        table: Option<SharedName>,
+        answer: &RowAnswer,
+    ) -> Option<AnswerLoss> {
+        let RowAnswer::Changes { changes, .. } = answer else { return None };
+        let mut state = self.state.lock();
+        let fault = state.plan.fault(source, RowCallKind::Feed)?;
+        (!changes.is_empty() && table.is_some() && fault.lost_changes == table)
+            .then_some(fault.loss)
+    }
+
     /// Answers a call during an outage, leaves it without an answer, or resets its connection.
     async fn apply_outage<D: RowDialect>(
         &self,
@@ -296,7 +310,15 @@
             return leave_unanswered(loss).await;
         }
     }
+    let feed_table = match &call {
+        RowCall::Feed(feed) => Some(feed.table.clone()),
+        RowCall::Read(_) | RowCall::Transact(_) => None,
+    };
     let answer = core.execute(source, call).await;
+    if let Some(loss) = core.change_loss(source, feed_table, &answer) {
+        core.count(source, |counts| counts.lost_answers += 1);
+        return leave_unanswered(loss).await;
+    }
     // An outage may have begun while the call waited for changes.
     if kind == RowCallKind::Feed
         && let Some(outage) = core.outage(source, kind)
--- a/crates/stand/src/row_plan.rs
+++ b/crates/stand/src/row_plan.rs
@@ -85,6 +85,8 @@
     pub lost_answers: u64,
     /// If present, calls are executed this many milliseconds later, and not answered.
     pub late_ms: Option<u64>,
+    /// Calls for the changes of this table are not answered while there are changes.
+    pub lost_changes: Option<SharedName>,
     /// What happens to the connection of a call that is not answered.
     pub loss: AnswerLoss,
 }
--- a/crates/trial/tests/platform.rs
+++ b/crates/trial/tests/platform.rs
@@ -66,6 +66,8 @@
 const LONG_CHANGE_PERIOD: ClockSpan = ClockSpan::from_secs(1);
 /// The bytes of such a change; a datagram has at most 1,200.
 const LONG_ROW_BYTES: usize = 2_000;
+/// How long the store loses answers, as at most in the users' deployments.
+const LOSS_SPAN: ClockSpan = ClockSpan::from_millis(4_500);
 /// How long a VM is frozen, above the 1 s from which a pause is detected.
 const FREEZE_SPAN: ClockSpan = ClockSpan::from_secs(3);
 /// The time after a change was acknowledged and a disturbance has ended, from which no VM may use
@@ -921,6 +923,44 @@
     assert_eq!(old_route_calls, DRAIN_CALLS as u64, "the old configuration stays in use");
 }
 
+/// Guards against a version of the configuration that comes into force only after the longest long
+/// poll, because the store lost every answer that carried it and nothing else failed (review/9).
+#[tokio::test]
+async fn lost_changes_of_the_configuration_are_read_again() {
+    let mut env = PlatformEnvironment::start(EnvironmentPlan::default()).await;
+    env.add_upstream("annex-0", ANNEX).await;
+    let (_proxy, _first) = env.replace_gate("vm-2").await;
+    let (_other_proxy, _second) = env.replace_gate("vm-3").await;
+    env.wait_for_vms(3).await;
+    env.configure(|config| config.services.push(service(ANNEX))).await;
+    env.serve_calls("before", DEFAULT_CALLS).await;
+    env.fail_store(vec![RowFault {
+        lost_changes: Some(PlatformCodec::CONFIG_TABLE.into()),
+        ..RowFault::default()
+    }]);
+    let mut config = env.config().clone();
+    config.version += 1;
+    for route in config.routes.iter_mut().filter(|route| *route.path_prefix == *LOOK) {
+        route.targets[0].service = ANNEX.into();
+    }
+    platform::stand::write_config(&env.store.handle(), &config);
+    await_event("the change is lost", env.store.wait_for(|counts| counts.all.lost_answers > 0))
+        .await;
+    tokio::time::sleep(LOSS_SPAN.to_duration()).await;
+    env.fail_store(Vec::new());
+    tokio::time::sleep(SETTLED_SPAN.to_duration()).await;
+    for index in 0..DEFAULT_CALLS {
+        let id = format!("after-{index}");
+        env.call_and_check(LOOK, &id, &ExpectedEnd::SERVED).await.expect("a served call");
+        let annex = env.upstreams.last().expect("the upstream of the annex");
+        assert_eq!(
+            annex.server.counts().request_record(&id).runs,
+            1,
+            "{id} ran at the old service"
+        );
+    }
+}
+
 /// Guards against a removed upstream that stays in use at a VM that misses other changes: its peers
 /// leave out those that do not fit into a datagram, so that it reads the store itself and fails.
 /// With the mechanism turned off, calls must reach the upstream; this needs missed changes, because
