Draw repeated, stray, malformed and lost answers in the soak

Two more series of each schedule repeat refusals, send answers that belong to no request, answers without a valid status or with half a head, or lose changes of the configuration. They come from a random stream of their own, so that the faults for which the seeds of the tests were found stay.

The test of the kinds drawn counts the five new ones.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -82,6 +82,8 @@
     },
     /// Calls are executed but not answered.
     Lost(AnswerLoss),
+    /// Answers with changes of the configuration are lost, and all others arrive.
+    LostConfig,
     /// Calls are executed late and are not answered.
     Late {
         /// The time until a call is executed, in milliseconds.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -18,6 +18,11 @@
 /// The least and the most series of faults in a schedule. With fewer, faults seldom overlap; with
 /// more, hardly any call is served.
 const SERIES_COUNT: (usize, usize) = (10, 16);
+/// The number of series of answers that are lost, repeated, misplaced or malformed.
+const ANSWER_SERIES: usize = 2;
+/// Changes the seed for these series. They are drawn after the others, whose faults thus stay those
+/// for which the seeds of the tests were found.
+const ANSWER_SEED: u64 = 0x616e_7377_6572;
 /// The most faults in a series.
 const MAX_SERIES_FAULTS: usize = 4;
 /// The least and the most time between the starts of two faults of a series, in milliseconds.
@@ -44,6 +49,8 @@
 const FAULTY_SHARE: (f64, f64) = (0.1, 0.7);
 /// Body bytes that a truncated answer sends; ordinary answers are longer.
 const TRUNCATED_BYTES: usize = 5;
+/// Bytes of the head that an answer whose head is cut off sends: a part of a header.
+const CUT_HEAD_BYTES: usize = 60;
 /// Bytes that an upstream sends after a complete answer.
 const EXTRA_BYTES: usize = 40;
 
@@ -63,6 +70,9 @@
         let series = SERIES_COUNT.0 + generator.random.below(SERIES_COUNT.1 - SERIES_COUNT.0 + 1);
         let mut faults: Vec<ScheduledFault> =
             (0..series).flat_map(|_| generator.draw_series()).collect();
+        let mut generator =
+            ScheduleGenerator { random: RandomSource::from_seed(seed ^ ANSWER_SEED) };
+        faults.extend((0..ANSWER_SERIES).flat_map(|_| generator.draw_answer_series()));
         faults.sort_by_key(|fault| fault.at);
         Self { seed, faults }
     }
@@ -92,13 +102,48 @@
     /// Draws a series: faults of one kind that start one after the other.
     fn draw_series(&mut self) -> Vec<ScheduledFault> {
         let first = self.draw_fault();
+        self.draw_series_with(first, Self::draw_same_kind)
+    }
+
+    /// Draws a series of answers that are lost, repeated, misplaced or malformed.
+    fn draw_answer_series(&mut self) -> Vec<ScheduledFault> {
+        let first = self.draw_answer_fault();
+        self.draw_series_with(first, |generator, _| generator.draw_answer_fault())
+    }
+
+    fn draw_answer_fault(&mut self) -> SoakFault {
+        let status = self.pick(&[200, 204, 304, 400, 404, 500, 503]);
+        let fault = self.pick(&[
+            AnswerFault::RefusedTwice,
+            AnswerFault::RefusedTwice,
+            AnswerFault::StrayNext { status },
+            AnswerFault::StrayNext { status },
+            AnswerFault::StatusLine { status: 0 },
+            AnswerFault::StatusLine { status: 101 },
+            AnswerFault::StatusLine { status: 999 },
+            AnswerFault::HeadCut { bytes: CUT_HEAD_BYTES },
+        ]);
+        let share = self.draw_between(FAULTY_SHARE);
+        let upstream = self.draw_upstream_index();
+        if self.random.chance(0.2) {
+            return SoakFault::Store(StoreFault::LostConfig);
+        }
+        SoakFault::Upstream { upstream, fault: UpstreamFault::Answers { fault, share } }
+    }
+
+    /// Draws a series that begins with `first`. `draw_next` draws a fault that follows it.
+    fn draw_series_with(
+        &mut self,
+        first: SoakFault,
+        draw_next: impl Fn(&mut Self, SoakFault) -> SoakFault,
+    ) -> Vec<ScheduledFault> {
         let mut at = self.draw_between((0.0, START_SPAN_MS));
         let count = 1 + self.random.below(MAX_SERIES_FAULTS);
         let mut faults = Vec::new();
         for _ in 0..count {
             // About half of the faults repeat the first one on the same target, so that a fault
             // starts while an equal one is in force.
-            let fault = if self.random.chance(0.5) { first } else { self.draw_same_kind(first) };
+            let fault = if self.random.chance(0.5) { first } else { draw_next(self, first) };
             let duration = ClockSpan::from_millis_f64(self.draw_duration_ms(fault));
             faults.push(ScheduledFault { at: ClockSpan::from_millis_f64(at), duration, fault });
             at = (at + self.draw_between(INTERVAL_MS)).min(START_SPAN_MS);
--- a/crates/soak/src/setup.rs
+++ b/crates/soak/src/setup.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use directory::prelude::*;
+use platform::PlatformCodec;
 use platform::stand::{StoreStand, write_config};
 use stand::prelude::*;
 use world::prelude::*;
@@ -137,6 +138,9 @@
         StoreFault::Down(outage) => Some(RowFault { down: Some(outage), ..rule }),
         StoreFault::Slow { ms } => Some(RowFault { slow_ms: ms, ..rule }),
         StoreFault::Lost(loss) => Some(RowFault { lost_answers: LOST_ANSWERS, loss, ..rule }),
+        StoreFault::LostConfig => {
+            Some(RowFault { lost_changes: Some(PlatformCodec::CONFIG_TABLE.into()), ..rule })
+        }
         StoreFault::Late { ms, loss } => Some(RowFault { late_ms: Some(ms), loss, ..rule }),
         StoreFault::Closed | StoreFault::HistoryDropped => None,
     }
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -68,7 +68,7 @@
     let schedules = (0..SEEDS).map(FaultSchedule::draw);
     let kinds: HashSet<String> =
         schedules.flat_map(|schedule| schedule.faults).map(|fault| kind(fault.fault)).collect();
-    // 3 links with 7 faults, 9 of the store, 12 of answers, 12 of checks, 5 others of upstreams,
+    // 3 links with 7 faults, 10 of the store, 16 of answers, 12 of checks, 5 others of upstreams,
     // 4 of processes and 2 of the configuration.
-    assert_eq!(kinds.len(), 21 + 9 + 12 + 12 + 5 + 4 + 2, "{kinds:?}");
+    assert_eq!(kinds.len(), 21 + 10 + 16 + 12 + 5 + 4 + 2, "{kinds:?}");
 }
