Make the order of a test of the last connections sure

The test makes the call once connections are refused, but the gateway closes its listener first and the open connections up to a timer tick later, and answers a call in between.

The test now waits until the gateway has closed the connection, and fails if it does not. With the mechanism on, it calls at the same time as before.

--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -92,6 +92,11 @@
         Ok(Self { sender, driver })
     }
 
+    /// Returns whether the gateway has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
--- a/crates/trial/tests/wishes.rs
+++ b/crates/trial/tests/wishes.rs
@@ -486,9 +486,18 @@
     assert_eq!(arrivals_after_deadline().await, 0);
 }
 
-/// Opens a connection during the shutdown of a gateway and makes its first call when the gateway has
-/// stopped to accept connections. Returns the status, or 0 without an answer.
-async fn status_of_late_first_call(disabled: DisabledList) -> u16 {
+/// When the first call on a connection is made during a shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FirstCall {
+    /// Once the gateway accepts no further connections.
+    ListenerClosed,
+    /// Once the gateway has closed the connection, a little later.
+    ConnectionClosed,
+}
+
+/// Opens a connection during the shutdown of a gateway and makes its first call. Returns the status,
+/// or 0 without an answer.
+async fn status_of_late_first_call(disabled: DisabledList, first: FirstCall) -> u16 {
     let plan = EnvironmentPlan { disabled, ..EnvironmentPlan::default() };
     let env = PlatformEnvironment::start(plan).await;
     env.serve_calls("before", CALLS).await;
@@ -498,6 +507,9 @@
     let address = env.gate.caller_address;
     wait_until("connections are refused", async || CallerConnection::open(address).await.is_err())
         .await;
+    if first == FirstCall::ConnectionClosed {
+        wait_until("the connection is closed", async || connection.is_closed()).await;
+    }
     let call = connection.call(request(Method::POST, BOOK, "first", None, PartBody::none()));
     let answer = await_event("an end", call).await;
     let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
@@ -508,11 +520,12 @@
 }
 
 /// Guards against a planned stop that closes connections which it has accepted, but from which it
-/// has not read the first request yet.
+/// has not read the first request yet. With the mechanism turned off, the gateway must do so. It
+/// closes its listener before these connections, and still answers a call in between.
 #[tokio::test]
 async fn a_shutdown_answers_the_first_call_of_each_connection() {
-    assert_eq!(status_of_late_first_call(&[]).await, 200);
-    let status = status_of_late_first_call(&["first-request"]).await;
+    assert_eq!(status_of_late_first_call(&[], FirstCall::ListenerClosed).await, 200);
+    let status = status_of_late_first_call(&["first-request"], FirstCall::ConnectionClosed).await;
     assert_eq!(status, 0, "the call is answered without the mechanism as well");
 }
 
