--- /dev/null
+++ b/review/stand-3/src/cases.rs
@@ -0,0 +1,14 @@
+//! The cases.
+
+use std::io;
+use std::path::Path;
+
+mod quota_holders;
+
+/// Runs a case. Returns whether the rule was broken.
+pub async fn run(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
+    match case {
+        "quota-holders" => quota_holders::run(folder, trouble).await,
+        _ => Err(io::Error::other("no such case")),
+    }
+}
