--- a/review/stand-3/src/fleet.rs
+++ b/review/stand-3/src/fleet.rs
@@ -34,7 +34,6 @@
     ready: SocketAddr,
     control: SocketAddr,
     exchange: SocketAddr,
-    platform: SocketAddr,
 }
 
 /// The gateways, their settings and their logs.
@@ -44,7 +43,7 @@
     /// The control addresses of the first machine of each zone.
     seeds: Vec<SocketAddr>,
     zones: Vec<String>,
-    store: Store,
+    store: SocketAddr,
     folder: PathBuf,
 }
 
@@ -68,7 +67,7 @@
 impl Fleet {
     /// Starts `per_zone` gateways in each zone. The first one of each zone is a seed, as in the
     /// settings on the users' page.
-    pub async fn start(
+    pub fn start(
         store: &Store,
         zones: &[&str],
         per_zone: usize,
@@ -76,12 +75,12 @@
     ) -> io::Result<Self> {
         let names = zones.iter().map(|zone| (*zone).to_owned()).collect();
         let (gateways, seeds) = (Vec::new(), Vec::new());
-        let (store, folder) = (store.clone(), folder.to_owned());
+        let (store, folder) = (store.address(), folder.to_owned());
         let mut fleet = Self { gateways, seeds, zones: names, store, folder };
         let mut machines = Vec::new();
         for (zone, _) in zones.iter().enumerate() {
             for index in 1..=per_zone {
-                let machine = fleet.machine(zone, index).await?;
+                let machine = fleet.machine(zone, index)?;
                 if index == 1 {
                     fleet.seeds.push(machine.control);
                 }
@@ -95,25 +94,24 @@
     }
 
     /// Adds a machine that was not there before: the one with number `index` of a zone.
-    pub async fn add(&mut self, zone: usize, index: usize) -> io::Result<()> {
-        let machine = self.machine(zone, index).await?;
+    pub fn add(&mut self, zone: usize, index: usize) -> io::Result<()> {
+        let machine = self.machine(zone, index)?;
         self.run(machine)
     }
 
-    async fn machine(&self, zone: usize, index: usize) -> io::Result<Machine> {
+    fn machine(&self, zone: usize, index: usize) -> io::Result<Machine> {
         let ip = machine_ip(zone, index);
         let [front, ready, control, exchange] = PORTS.map(|port| SocketAddr::from((ip, port)));
         for address in [front, ready, control, exchange] {
             check_free(address)?;
         }
-        let platform = self.store.listen().await?;
         let zone = self.zones[zone].clone();
         let name = format!("edge-{zone}-{index}");
-        Ok(Machine { name, zone, front, ready, control, exchange, platform })
+        Ok(Machine { name, zone, front, ready, control, exchange })
     }
 
     fn run(&mut self, machine: Machine) -> io::Result<()> {
-        let Machine { name, zone, front, ready, control, exchange, platform } = machine;
+        let Machine { name, zone, front, ready, control, exchange } = machine;
         let regions = self.zones.iter().map(|zone| (zone.clone(), json!("region")));
         let regions: serde_json::Map<_, _> = regions.collect();
         // The template of the deploy file, filled in.
@@ -121,7 +119,7 @@
             "interface": "platform", "vm_name": name, "data_centre": zone, "region": "region",
             "regions": regions, "caller_address": front, "metrics_address": ready,
             "control_address": control, "peer_seeds": self.seeds, "exchange_address": exchange,
-            "platform_address": platform,
+            "platform_address": self.store,
             "peer_secrets": ["agateroad-peers-of-one-deployment"],
             "operator_secrets": ["agateroad-operators-of-one-deployment"],
             "worker_count": 1, "log_level": "info", "log_format": "json",
--- a/review/stand-3/src/http.rs
+++ b/review/stand-3/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use ::http::{HeaderMap, HeaderName, HeaderValue};
 use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// The head of a request or of an answer.
@@ -20,6 +21,15 @@
         field.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the fields as a map.
+    pub fn map(&self) -> HeaderMap {
+        let field = |(name, value): &(String, String)| {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            Some((name, HeaderValue::from_str(value).ok()?))
+        };
+        self.fields.iter().filter_map(field).collect()
+    }
+
     /// Returns a word of the first line.
     pub fn word(&self, index: usize) -> &str {
         self.line.split(' ').nth(index).unwrap_or("")
@@ -93,12 +103,12 @@
 pub async fn write_answer<W: AsyncWrite + Unpin>(
     writer: &mut W,
     status: u16,
-    fields: &[(&str, String)],
+    headers: &HeaderMap,
     body: &[u8],
 ) -> io::Result<()> {
     let mut text = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n", body.len());
-    for (name, value) in fields {
-        text.push_str(&format!("{name}: {value}\r\n"));
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap_or("")));
     }
     text.push_str("\r\n");
     let mut bytes = text.into_bytes();
--- a/review/stand-3/src/upstream.rs
+++ b/review/stand-3/src/upstream.rs
@@ -1,21 +1,26 @@
 //! Upstreams: they answer health checks at once, work on every other request for a fixed time, and
-//! write down what they run. They register themselves in the store and write there every 1.5 s.
+//! write down what they run. The headers are those of the project's own stand-ins.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use serde_json::json;
+use ::http::HeaderMap;
+use base::prelude::*;
+use directory::prelude::*;
+use platform::stand::ServerDialect;
+use stand::dialect::{AnswerFate, AnswerFields, LoadSample, UpstreamDialect};
+use stand::slot::LoadFigures;
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
+use world::prelude::*;
 
-use crate::http;
+use crate::http::{self, Head};
 use crate::record::Record;
 use crate::store::Store;
 
-/// A request that an upstream has run.
+/// A request that an upstream has begun to run.
 #[derive(Clone, Debug)]
 pub struct Run {
     /// The id of the request.
@@ -30,7 +35,6 @@
 /// One upstream.
 pub struct Upstream {
     id: String,
-    service: String,
     slots: u32,
     work: Duration,
     running: AtomicU32,
@@ -47,12 +51,11 @@
         runs: &Runs,
         record: &Record,
         store: &Store,
-    ) -> io::Result<SocketAddr> {
+    ) -> io::Result<()> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let upstream = Arc::new(Self {
             id: id.to_owned(),
-            service: service.to_owned(),
             slots,
             work,
             running: AtomicU32::new(0),
@@ -65,22 +68,19 @@
                 tokio::spawn(async move { upstream.serve(stream).await });
             }
         });
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        let (store, id, service, zone) =
-            (store.clone(), id.to_owned(), service.to_owned(), zone.to_owned());
-        let row = move |seq: u64| {
-            json!({"service": service, "address": address.to_string(), "zone": zone,
-                "version": "v1", "slots": slots, "state": "ready", "warmupLeft": 0,
-                "seq": seq, "born": born as u64})
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let server = UpstreamServer {
+            name: SharedName::from(id),
+            service: SharedName::from(service),
+            centre: SharedName::from(zone),
+            address,
+            slots,
+            connections: 0,
+            incarnation: born.as_millis() as u64,
+            warm_up: ClockSpan::ZERO,
         };
-        store.put("servers", &id, &row(0));
-        tokio::spawn(async move {
-            for seq in 1.. {
-                tokio::time::sleep(Duration::from_millis(1500)).await;
-                store.put("servers", &id, &row(seq));
-            }
-        });
-        Ok(address)
+        store.put_upstream(&UpstreamEntry { server, draining: false });
+        Ok(())
     }
 
     async fn serve(&self, stream: TcpStream) {
@@ -89,41 +89,62 @@
         let mut reader = BufReader::new(reader);
         while let Ok(Some(head)) = http::read_head(&mut reader).await {
             let Ok(body) = http::read_body(&mut reader, &head, false).await else { return };
-            let id = head.get("request-id").unwrap_or("").to_owned();
-            let load = format!("{},0,{}", self.running.load(Ordering::Relaxed), self.slots);
-            let mut fields = vec![("Upstream-Load", load), ("Keep-Alive", "timeout=10".to_owned())];
-            if !id.is_empty() {
-                fields.push(("Request-Id", id.clone()));
-            }
-            let expected = head.get("expected-instance");
-            let (status, body) = if expected.is_some_and(|expected| expected != self.id) {
-                fields.push(("Instance-Id", self.id.clone()));
-                (421, Vec::new())
-            } else if head.word(1) == "/health" {
-                fields.push(("Instance-Id", self.id.clone()));
-                (200, Vec::new())
-            } else {
-                self.run(&head, &id, body.len()).await;
-                fields.push(("Upstream-Signature", format!("signed.{id}")));
-                (200, format!("{} ran {id}", self.service).into_bytes())
-            };
-            if http::write_answer(&mut writer, status, &fields, &body).await.is_err() {
+            let (status, headers) = self.answer(&head, body.len()).await;
+            let answer = http::write_answer(&mut writer, status, &headers, b"done").await;
+            if answer.is_err() {
                 return;
             }
         }
     }
 
-    async fn run(&self, head: &http::Head, id: &str, length: usize) {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let (request, at) = (id.to_owned(), self.record.seconds());
-        self.runs.lock().unwrap().push(Run { request, at });
+    async fn answer(&self, head: &Head, length: usize) -> (u16, HeaderMap) {
+        let fields = ServerDialect::read(&head.map());
+        let request = fields.request.as_deref().unwrap_or("").to_owned();
+        let (status, fate) = if fields.expected.is_some_and(|expected| expected.as_str() != self.id)
+        {
+            (421, AnswerFate::Misdirected)
+        } else if head.word(1) == ServerDialect::HEALTH_PATH {
+            (200, AnswerFate::Check)
+        } else if request.is_empty() {
+            (400, AnswerFate::NotRun)
+        } else if !self.run(head, &request, length).await {
+            (503, AnswerFate::NotRun)
+        } else {
+            (200, AnswerFate::Run)
+        };
+        let in_flight = self.running.load(Ordering::Relaxed);
+        let figures = LoadFigures { in_flight, slots: self.slots, queued: 0 };
+        let signature = format!("{}.{request}", self.id);
+        let fields = AnswerFields {
+            name: if fate == AnswerFate::Run { &signature } else { &self.id },
+            request: (!request.is_empty()).then_some(request.as_str()),
+            fate,
+            load: Some(LoadSample { figures, pace_percent: Some(100) }),
+            draining: false,
+            final_drain: false,
+            retry_after: None,
+        };
+        let mut headers = HeaderMap::new();
+        ServerDialect::set_answer_headers(&mut headers, &fields);
+        (status, headers)
+    }
+
+    /// Runs a request. Returns whether there was a slot for it.
+    async fn run(&self, head: &Head, request: &str, length: usize) -> bool {
+        if self.running.fetch_add(1, Ordering::Relaxed) >= self.slots {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            self.record.write(&format!("{} is full and refuses {request}", self.id));
+            return false;
+        }
+        let (id, at) = (request.to_owned(), self.record.seconds());
+        self.runs.lock().unwrap().push(Run { request: id, at });
         let tenant = head.get("tenant-id").unwrap_or("-");
-        let text = format!(
-            "{} of {} runs {id} ({}, tenant {tenant}, body {length})",
-            self.id, self.service, head.line
-        );
-        self.record.write(&text);
+        self.record.write(&format!(
+            "{} runs {request} ({}, tenant {tenant}, body {length})",
+            self.id, head.line
+        ));
         tokio::time::sleep(self.work).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
+        true
     }
 }
