--- a/review/stand-3/src/fleet.rs
+++ b/review/stand-3/src/fleet.rs
@@ -128,19 +128,8 @@
             "timeouts": {"connect_ms": 250, "platform_ms": 1500, "head_ms": 20000,
                 "caller_idle_ms": 20000, "upstream_idle_ms": 6000, "leave_ms": 3200}
         });
-        let file = self.folder.join(format!("{name}.json"));
-        std::fs::write(&file, settings.to_string())?;
-        let log = std::fs::File::create(self.folder.join(format!("{name}.log")))?;
-        // The command of the deploy file, with the path of the settings.
-        let child = Command::new("target/release/agateroad")
-            .arg("--settings")
-            .arg(&file)
-            .args(["--centre-losses", "0"])
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()?;
+        std::fs::write(self.folder.join(format!("{name}.json")), settings.to_string())?;
+        let child = self.spawn(&name)?;
         self.gateways.push(Gateway { name, zone, front, ready, child: Some(child) });
         Ok(())
     }
@@ -159,6 +148,27 @@
         true
     }
 
+    /// Starts the process of a killed gateway again, with the same settings.
+    pub fn restart(&mut self, index: usize) -> io::Result<()> {
+        self.gateways[index].child = Some(self.spawn(&self.gateways[index].name)?);
+        Ok(())
+    }
+
+    /// Starts a process with the command of the deploy file and the path of the settings.
+    fn spawn(&self, name: &str) -> io::Result<Child> {
+        let log = self.folder.join(format!("{name}.log"));
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        Command::new("target/release/agateroad")
+            .arg("--settings")
+            .arg(self.folder.join(format!("{name}.json")))
+            .args(["--centre-losses", "0"])
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+    }
+
     /// Kills the process of a gateway (SIGKILL) and waits for its end.
     pub async fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.gateways[index].child.take() {
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -2,15 +2,17 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use directory::prelude::*;
 use platform::PlatformCodec;
-use platform::stand::{AccountPlan, StoreStand, config_value_with, upstream_value};
+use platform::stand::{AccountPlan, StoreStand, config_value, config_value_with, upstream_value};
 use stand::prelude::{RowHandle, RowPath, RowPlan};
 
-/// The store.
+/// The store. Clones are the same store.
+#[derive(Clone)]
 pub struct Store {
-    stand: StoreStand,
+    stand: Arc<StoreStand>,
     rows: RowHandle,
 }
 
@@ -19,7 +21,7 @@
     pub async fn start() -> io::Result<Self> {
         let stand = StoreStand::start(RowPlan::default()).await.map_err(io::Error::other)?;
         let rows = stand.handle();
-        Ok(Self { stand, rows })
+        Ok(Self { stand: Arc::new(stand), rows })
     }
 
     /// Returns its address.
@@ -27,10 +29,14 @@
         self.stand.address()
     }
 
-    /// Writes a configuration with tenants, as the operator does.
-    pub fn put_config(&self, entry: &ConfigEntry, accounts: &[AccountPlan<'_>]) {
+    /// Writes a configuration, as the operator does. Without tenants, requests need no key.
+    pub fn put_config(&self, entry: &ConfigEntry, tenants: &[AccountPlan<'_>]) {
         let path = RowPath::new(PlatformCodec::CONFIG_TABLE, PlatformCodec::CONFIG_KEY);
-        self.rows.put(path, config_value_with(entry, accounts));
+        let value = match tenants {
+            [] => config_value(entry),
+            tenants => config_value_with(entry, tenants),
+        };
+        self.rows.put(path, value);
     }
 
     /// Writes the row of an upstream. It changes no more, as only its count would.
--- a/review/stand-3/src/upstream.rs
+++ b/review/stand-3/src/upstream.rs
@@ -14,12 +14,19 @@
 use stand::slot::LoadFigures;
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use world::prelude::*;
 
 use crate::http::{self, Head};
 use crate::record::Record;
 use crate::store::Store;
 
+/// The path of a request that crashes the upstream that begins to run it.
+pub const CRASH_PATH: &str = "/pledges/crash";
+/// The time until a crashed upstream is back.
+const DOWN_TIME: Duration = Duration::from_millis(2500);
+
 /// A request that an upstream has begun to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -40,6 +47,8 @@
     running: AtomicU32,
     runs: Runs,
     record: Record,
+    /// Notified when a request crashes the upstream.
+    crashed: Notify,
 }
 
 impl Upstream {
@@ -52,7 +61,7 @@
         record: &Record,
         store: &Store,
     ) -> io::Result<()> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let mut listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let upstream = Arc::new(Self {
             id: id.to_owned(),
@@ -61,12 +70,7 @@
             running: AtomicU32::new(0),
             runs: Arc::clone(runs),
             record: record.clone(),
-        });
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let upstream = Arc::clone(&upstream);
-                tokio::spawn(async move { upstream.serve(stream).await });
-            }
+            crashed: Notify::new(),
         });
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let server = UpstreamServer {
@@ -79,10 +83,41 @@
             incarnation: born.as_millis() as u64,
             warm_up: ClockSpan::ZERO,
         };
-        store.put_upstream(&UpstreamEntry { server, draining: false });
+        store.put_upstream(&UpstreamEntry { server: server.clone(), draining: false });
+        let store = store.clone();
+        tokio::spawn(async move {
+            loop {
+                upstream.accept(listener).await;
+                upstream.record.write(&format!("{} has crashed", upstream.id));
+                tokio::time::sleep(DOWN_TIME).await;
+                let Ok(next) = TcpListener::bind(address).await else { return };
+                listener = next;
+                let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                let server =
+                    UpstreamServer { incarnation: born.as_millis() as u64, ..server.clone() };
+                store.put_upstream(&UpstreamEntry { server, draining: false });
+                upstream.record.write(&format!("{} is back", upstream.id));
+            }
+        });
         Ok(())
     }
 
+    /// Serves connections until the upstream crashes, and then closes all of them.
+    async fn accept(self: &Arc<Self>, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    let upstream = Arc::clone(self);
+                    connections.spawn(async move { upstream.serve(stream).await });
+                }
+                () = self.crashed.notified() => return,
+                Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            }
+        }
+    }
+
     async fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (reader, mut writer) = stream.into_split();
@@ -143,6 +178,11 @@
             "{} runs {request} ({}, tenant {tenant}, body {length})",
             self.id, head.line
         ));
+        if head.word(1) == CRASH_PATH {
+            self.running.store(0, Ordering::Relaxed);
+            self.crashed.notify_one();
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(self.work).await;
         self.running.fetch_sub(1, Ordering::Relaxed);
         true
