Check the configuration when a version of the store is unexplained

Callers saw: after half a second in which the store answered nobody, just after a version of the configuration, the next version came into force on all gateways up to 4.3 s after its acknowledgement (2 s are allowed), though the store had long been calm.

Cause: all VMs that follow the configuration send their next long poll within 0.2 s of a version, so one short outage swallows all of them. A lost long poll looks like one without changes for 26.5 s. The only other path was a check every 5 s. Another VM takes over the reading only if a read of the upstreams fails, and one that was sent before the outage does not.

Change: ChangeDetector compares the newest version in each read of the upstreams with the versions of their rows. A version that neither they nor a read of the configuration explain causes one check 0.1 s later, and further ones until it is explained. Versions that only peers have read do not count, so that a VM that becomes the designated reader checks as well; its read at that moment was given up after one failure. The check every 5 s is gone. Ruled out: polls sent apart (holds for outages of a known length only) and polls renewed after failed calls (no call fails here).

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,9 +6,11 @@
 //!
 //! [`upstreams::UpstreamDirectory`] turns rows into usable upstreams, [`config::ConfigTracker`]
 //! keeps the newest configuration, and [`environment::build_environment`] joins both.
+//! [`detector::ChangeDetector`] tells when a change of the configuration may have been missed.
 //! [`entry::EntryCodec`] decodes the rows; each platform has its own.
 
 pub mod config;
+pub mod detector;
 mod draining;
 pub mod entry;
 pub mod environment;
@@ -22,6 +24,7 @@
     //! The types that the `gate` crate needs.
 
     pub use crate::config::{ConfigOffer, ConfigTracker};
+    pub use crate::detector::ChangeDetector;
     pub use crate::draining::DrainMark;
     pub use crate::entry::{
         ConfigEntry, ConfigRules, EntryCodec, EntryError, EvacuationMark, ServiceEntry,
--- a/crates/gate/src/directory_tables.rs
+++ b/crates/gate/src/directory_tables.rs
@@ -26,6 +26,8 @@
     pub evacuations_sent_at: ClockTime,
     /// The configuration.
     pub config: ConfigTracker,
+    /// Detects changes of the configuration that this VM has missed.
+    pub detector: ChangeDetector,
     /// The part of the environment that comes from the process settings.
     pub bounds: FleetBounds,
     /// When a peer last reported a read of the upstreams.
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -54,6 +54,8 @@
     pub(super) config_wanted: Notify,
     /// Whether the configuration is to be read from the store.
     pub(super) config_refresh: AtomicBool,
+    /// Wakes the check for changes of the configuration that the long poll did not deliver.
+    pub(super) check_wanted: Notify,
     /// The control address of the peer that last reported a version that this VM lacks.
     pub(super) config_source: RankedMutex<Option<SocketAddr>>,
     /// Wakes the task that follows the upstreams, to get changes.
--- a/crates/gate/src/discovery/upstreams.rs
+++ b/crates/gate/src/discovery/upstreams.rs
@@ -89,11 +89,9 @@
             if first || self.exchange.has_preferred_reader() {
                 return;
             }
-            if !self.is_designated_reader.swap(true, Ordering::Relaxed) {
-                // The VM that followed the configuration until now may have failed before it
-                // reported a new version. If this VM followed it, too, its long poll may have been
-                // lost in an outage, and would last for half a minute.
-                self.refresh_config();
+            self.is_designated_reader.store(true, Ordering::Relaxed);
+            if self.tables.lock().detector.is_pending() {
+                self.check_wanted.notify_one();
             }
             poll_limit = READ_POLL_LIMIT;
             tokio::time::sleep(READ_PAUSE.to_duration()).await;
@@ -167,7 +165,8 @@
         let timeout_count = self.rows.timeout_count();
         let peer_reads = self.has_recent_peer_read(now);
         let change = {
-            let mut tables = self.tables.lock();
+            let mut guard = self.tables.lock();
+            let tables = &mut *guard;
             // Another call may have met an outage that ended before this read began. While peers
             // report reads, only this VM's path to the store failed.
             let unanswered = std::mem::replace(&mut tables.timeout_count, timeout_count)
@@ -179,8 +178,14 @@
                 (page.after_timeout || unanswered) && upstreams.record_failure(now);
             upstreams.record_success(now);
             let change = match known.filter(|_| !whole) {
-                Some(from) => upstreams.apply_changes::<K>(from, &page, now).unwrap_or_default(),
-                None => upstreams.replace::<K>(&page, now),
+                Some(from) => {
+                    tables.detector.record_changes(from, &page, now);
+                    upstreams.apply_changes::<K>(from, &page, now).unwrap_or_default()
+                }
+                None => {
+                    tables.detector.record_table(page.position, now);
+                    upstreams.replace::<K>(&page, now)
+                }
             };
             let upstreams_changed = change.upstreams_changed || failure_recorded;
             DirectoryChange { upstreams_changed, ..change }
--- a/crates/gate/src/discovery/versions.rs
+++ b/crates/gate/src/discovery/versions.rs
@@ -22,13 +22,8 @@
 /// detects a connection that stops responding meanwhile, and the checks of the designated reader
 /// one that delivers nothing.
 const CONFIG_POLL_LIMIT: ClockSpan = ClockSpan::from_secs(25);
-/// The time between two checks of the designated reader whether the configuration has changed. The
-/// answer of a long poll may be lost without a sign, and a VM must apply a version within 3 s after
-/// the store has answered everything again. With this period it does if answers are lost for 2 s or
-/// longer; with 2.8 s it always does, but the calls cost a fleet with a small load too much.
-const CHECK_PERIOD: ClockSpan = ClockSpan::from_secs(5);
-/// The timeout of such a check. The store answers within milliseconds, and a check that fails is
-/// repeated.
+/// The timeout of a check for changes that the long poll did not deliver. The store answers within
+/// milliseconds, and a check that fails is repeated.
 const CHECK_TIMEOUT: ClockSpan = ClockSpan::from_secs(1);
 /// The shortest time between two reads of the configuration. Versions that follow each other within
 /// this time cost one call. The time is a fraction of the 2 s within which one must be applied.
@@ -81,6 +76,7 @@
                     position = Some(page.position);
                     log_read(K::CONFIG_TABLE, &page);
                     self.state.store.answered(self.state.clock.now());
+                    self.tables.lock().detector.record_config(page.position);
                     self.apply_config(&page).await;
                     self.read_evacuations(&page, is_complete).await;
                     tokio::time::sleep(CONFIG_PAUSE.to_duration()).await;
@@ -106,36 +102,55 @@
         match position {
             Some(position) => tokio::select! {
                 read = self.rows.changes(K::CONFIG_TABLE, position, CONFIG_POLL_LIMIT) => read,
-                read = self.checked_changes(position) => read,
+                read = self.missed_changes(position) => read,
             },
             None => self.rows.read_table(K::CONFIG_TABLE).await,
         }
     }
 
-    /// Checks from time to time whether there are changes, and returns the first ones. Only the
-    /// designated reader does so, because each call to the store has a price.
-    async fn checked_changes(&self, mut position: u64) -> Result<RowPage, StoreError> {
-        let mut pause = CHECK_PERIOD;
+    /// Waits until the long poll seems to have missed changes, and returns the first ones. Only the
+    /// designated reader checks this, because each call to the store has a price.
+    async fn missed_changes(&self, mut position: u64) -> Result<RowPage, StoreError> {
+        let polled_at = self.state.clock.now();
         loop {
-            tokio::time::sleep(pause.to_duration()).await;
-            pause = CHECK_PERIOD;
-            let is_used = self.state.options.tuning.uses(Mechanism::ConfigCheck);
-            if !is_used || !self.is_designated_reader.load(Ordering::Relaxed) {
-                continue;
-            }
+            self.wait_for_check(polled_at).await;
+            self.tables.lock().detector.record_check(self.state.clock.now());
             let check = self.rows.changes(K::CONFIG_TABLE, position, ClockSpan::ZERO);
             match tokio::time::timeout(CHECK_TIMEOUT.to_duration(), check).await {
                 Ok(Ok(page)) if page.rows.is_empty() => {
+                    self.tables.lock().detector.record_config(page.position);
                     // The store keeps the history for less time than a long poll takes.
                     position = page.position;
                     continue;
                 }
-                Ok(Ok(page)) => return Ok(page),
+                Ok(Ok(page)) => {
+                    let position = page.position;
+                    tracing::info!(event = event::CHANGES_MISSED, position, "changes were missed");
+                    return Ok(page);
+                }
                 Ok(Err(StoreError::HistoryLost)) => return Err(StoreError::HistoryLost),
                 Ok(Err(error)) => tracing::debug!(event = event::STORE_READ_FAILED, %error),
                 Err(_) => tracing::debug!(event = event::STORE_READ_FAILED, "no answer in time"),
             }
-            pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
+            let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
+            tokio::time::sleep(pause.to_duration()).await;
+        }
+    }
+
+    /// Waits until this VM is the designated reader and a check is due. The current long poll was
+    /// sent at `polled_at`.
+    async fn wait_for_check(&self, polled_at: ClockTime) {
+        let is_used = self.state.options.tuning.uses(Mechanism::ConfigCheck);
+        loop {
+            let is_reader = self.is_designated_reader.load(Ordering::Relaxed);
+            let due = self.tables.lock().detector.next_check(polled_at);
+            match due.filter(|_| is_used && is_reader) {
+                Some(due) if due <= self.state.clock.now() => return,
+                Some(due) => {
+                    tokio::time::sleep_until(self.state.clock.to_instant(due).into()).await;
+                }
+                None => self.check_wanted.notified().await,
+            }
         }
     }
 
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -44,6 +44,8 @@
 pub const PAUSE_DETECTED: u32 = 1025;
 /// A table of the platform's store was read.
 pub const TABLE_READ: u32 = 1026;
+/// The long poll for the configuration did not deliver changes that a check found.
+pub const CHANGES_MISSED: u32 = 1027;
 /// How a call was classified.
 pub const CALL_CLASSIFIED: u32 = 1030;
 /// Which upstream was chosen for an attempt, and on what evidence.
--- a/crates/gate/src/mechanism.rs
+++ b/crates/gate/src/mechanism.rs
@@ -44,7 +44,8 @@
     PeerConfig,
     /// A VM that starts learns from its peers which requests crash upstreams.
     PeerSuspects,
-    /// Beside its long poll, the designated reader checks whether the configuration has changed.
+    /// The designated reader reads the configuration again if versions of the store show that its long
+    /// poll may have missed a change.
     ConfigCheck,
 }
 
--- a/crates/stand/src/row_core.rs
+++ b/crates/stand/src/row_core.rs
@@ -238,6 +238,14 @@
             .then_some(fault.loss)
     }
 
+    /// Returns whether a call for changes is neither executed nor answered.
+    fn is_poll_lost(&self, source: IpAddr, call: &RowCall) -> bool {
+        let RowCall::Feed(feed) = call else { return false };
+        let mut state = self.state.lock();
+        let fault = state.plan.fault(source, RowCallKind::Feed);
+        fault.is_some_and(|fault| fault.lost_polls.as_ref() == Some(&feed.table))
+    }
+
     /// Answers a call during an outage, leaves it without an answer, or resets its connection.
     async fn apply_outage<D: RowDialect>(
         &self,
@@ -289,6 +297,9 @@
     if let Some(outage) = core.outage(source, kind) {
         return core.apply_outage::<D>(source, outage).await;
     }
+    if core.is_poll_lost(source, &call) {
+        return core.apply_outage::<D>(source, RowOutage::Silent).await;
+    }
     let delay = core.delay(source, kind);
     if delay > ClockSpan::ZERO {
         tokio::time::sleep(delay.to_duration()).await;
--- a/crates/stand/src/row_plan.rs
+++ b/crates/stand/src/row_plan.rs
@@ -87,6 +87,8 @@
     pub late_ms: Option<u64>,
     /// Calls for the changes of this table are not answered while there are changes.
     pub lost_changes: Option<SharedName>,
+    /// Calls for the changes of this table that arrive meanwhile are neither executed nor answered.
+    pub lost_polls: Option<SharedName>,
     /// What happens to the connection of a call that is not answered.
     pub loss: AnswerLoss,
 }
