Draw short outages between changes of the configuration in the soak

Change: every schedule has an outage of 0.2 to 2 s, or lost calls for changes of the configuration, just after one change and before the next. The ledger checks the new promise VersionInTime: 2 s after the acknowledgement, a VM that was calm for the stable window shows that version or a newer one.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -84,6 +84,8 @@
     Lost(AnswerLoss),
     /// Answers with changes of the configuration are lost, and all others arrive.
     LostConfig,
+    /// Calls for changes of the configuration are neither executed nor answered.
+    LostPolls,
     /// Calls are executed late and are not answered.
     Late {
         /// The time until a call is executed, in milliseconds.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Records what callers and upstreams observed, and finds the promises that were broken.
 //!
-//! A ledger performs no I/O and reads no clock. The checks compare counts and order; the drain
-//! bound is the only limit in time among them.
+//! A ledger performs no I/O and reads no clock. The checks compare counts and order; the bounds of
+//! drains and of the configuration are the only limits in time among them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -14,6 +14,9 @@
 /// No call reaches an upstream later than this after it started to drain (section 1.2 of
 /// docs/platform-deployment.md).
 pub const DRAIN_BOUND: ClockSpan = ClockSpan::from_secs(2);
+/// A VM applies a version of the configuration within this time after the store has acknowledged it
+/// (section 1.2 of docs/platform-deployment.md).
+pub const CONFIG_BOUND: ClockSpan = ClockSpan::from_secs(2);
 /// Limits in time are checked on a VM only after this time without a disruption (section 1.2 of
 /// docs/platform-deployment.md).
 pub const STABLE_WINDOW: ClockSpan = ClockSpan::from_secs(3);
@@ -118,6 +121,8 @@
     GracefulStop,
     /// A process never goes back to an older version of the configuration.
     VersionOrder,
+    /// A VM applies a version of the configuration within its bound.
+    VersionInTime,
     /// A process exits by itself only after SIGTERM.
     StaysUp,
 }
@@ -183,6 +188,13 @@
     acknowledged_at: ClockTime,
 }
 
+/// A write of the configuration.
+#[derive(Clone, Copy, Debug)]
+struct VersionRecord {
+    version: u64,
+    acknowledged_at: ClockTime,
+}
+
 /// Counts of calls, for the verdict line of a run.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LedgerCounts {
@@ -204,6 +216,8 @@
     calls: HashMap<SharedName, CallRecord>,
     stops: BTreeMap<ProcessId, StopRecord>,
     drains: Vec<DrainRecord>,
+    /// The writes of the configuration, in their order.
+    versions: Vec<VersionRecord>,
     /// Broken promises that were recorded during the run, not found by comparing records.
     recorded_broken: Vec<BrokenPromise>,
 }
@@ -245,6 +259,11 @@
         self.drains.push(DrainRecord { upstream, started_at, acknowledged_at });
     }
 
+    /// Records that the store has acknowledged a version of the configuration.
+    pub fn record_version(&mut self, version: u64, acknowledged_at: ClockTime) {
+        self.versions.push(VersionRecord { version, acknowledged_at });
+    }
+
     /// Records that a process is about to get SIGTERM.
     pub fn record_stop(&mut self, process: ProcessId, now: ClockTime) {
         let record = StopRecord { signalled_at: now, exit_success: None, was_killed: false };
@@ -305,6 +324,7 @@
             add(Promise::NotRun, false_refusal(record));
             add(Promise::Drain, self.late_arrival(record));
             add(Promise::GracefulStop, self.interrupted_call(record));
+            add(Promise::VersionInTime, self.late_version(record));
         }
         broken.extend(self.failed_stops());
         broken.extend(self.version_regressions());
@@ -342,6 +362,28 @@
         None
     }
 
+    /// Describes a call that a VM handled by an older version than the one that it must have applied.
+    fn late_version(&self, record: &CallRecord) -> Option<String> {
+        let (vm, handled) = (record.call.process.vm, record.version()?);
+        let is_due = |write: &&VersionRecord| write.acknowledged_at + CONFIG_BOUND < record.sent;
+        let due = self.versions.iter().rfind(is_due)?;
+        // VMs that start after an older version was written cannot know the newer one.
+        let is_overwritten = self.versions.iter().any(|write| {
+            write.acknowledged_at > due.acknowledged_at && write.version < due.version
+        });
+        let parts = [
+            DisruptedPart::Store,
+            DisruptedPart::StoreLink(vm),
+            DisruptedPart::Paused(vm),
+            DisruptedPart::Starting(vm),
+            DisruptedPart::Machine,
+        ];
+        let is_calm = !self.disruptions.overlaps(&parts, record.sent, record.sent, STABLE_WINDOW);
+        let age = record.sent.since(due.acknowledged_at);
+        (handled < due.version && is_calm && !is_overwritten)
+            .then(|| format!("shows version {handled}, {age} after version {}", due.version))
+    }
+
     /// Describes the interruption of a call that a stopping process accepted and did not answer.
     fn interrupted_call(&self, record: &CallRecord) -> Option<String> {
         let process = record.call.process;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -263,7 +263,10 @@
                 ProcessFault::Pause => self.vms[vm].pause(true),
                 ProcessFault::Hangup => self.vms[vm].reload_settings()?,
             },
-            SoakFault::Config(fault) => self.store.write_version(fault),
+            SoakFault::Config(fault) => {
+                let version = self.store.write_version(fault);
+                self.ledger.lock().record_version(version, self.clock.now());
+            }
             SoakFault::Store(_) | SoakFault::Upstream { .. } => {}
         }
         self.apply_active(scheduled.fault).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -23,6 +23,20 @@
 /// Changes the seed for these series. They are drawn after the others, whose faults thus stay those
 /// for which the seeds of the tests were found.
 const ANSWER_SEED: u64 = 0x616e_7377_6572;
+/// Changes the seed for the outages of the store around changes of the configuration, for the same
+/// reason.
+const OUTAGE_SEED: u64 = 0x6f75_7461_6765;
+/// The time from a change of the configuration to the outage that follows it, in milliseconds. All
+/// VMs that follow the configuration send their next long polls in this time.
+const OUTAGE_DELAY_MS: (f64, f64) = (0.0, 300.0);
+/// The shortest and the longest of these outages in milliseconds.
+const OUTAGE_MS: (f64, f64) = (200.0, 2_000.0);
+/// The time from the end of such an outage to the next change of the configuration, in milliseconds.
+/// Longer than the stable window.
+const CALM_MS: (f64, f64) = (3_000.0, 6_000.0);
+/// The time within which the first of these changes is made, in milliseconds. The last calls to which
+/// the second one applies end within the time limit of a run.
+const CHANGE_SPAN_MS: f64 = 4_000.0;
 /// The most faults in a series.
 const MAX_SERIES_FAULTS: usize = 4;
 /// The least and the most time between the starts of two faults of a series, in milliseconds.
@@ -73,6 +87,9 @@
         let mut generator =
             ScheduleGenerator { random: RandomSource::from_seed(seed ^ ANSWER_SEED) };
         faults.extend((0..ANSWER_SERIES).flat_map(|_| generator.draw_answer_series()));
+        let mut generator =
+            ScheduleGenerator { random: RandomSource::from_seed(seed ^ OUTAGE_SEED) };
+        faults.extend(generator.draw_outage_between_changes());
         faults.sort_by_key(|fault| fault.at);
         Self { seed, faults }
     }
@@ -111,6 +128,31 @@
         self.draw_series_with(first, |generator, _| generator.draw_answer_fault())
     }
 
+    /// Draws two changes of the configuration: one just before an outage of the store, and one that
+    /// follows when the store has been calm for longer than the stable window.
+    fn draw_outage_between_changes(&mut self) -> [ScheduledFault; 3] {
+        let change_ms = self.draw_between((0.0, CHANGE_SPAN_MS));
+        let outage_ms = change_ms + self.draw_between(OUTAGE_DELAY_MS);
+        let duration_ms = self.draw_between(OUTAGE_MS);
+        let next_change_ms = outage_ms + duration_ms + self.draw_between(CALM_MS);
+        let outage = self.pick(&[
+            StoreFault::Down(RowOutage::Silent),
+            StoreFault::Down(RowOutage::Reset),
+            StoreFault::LostPolls,
+        ]);
+        let change = SoakFault::Config(ConfigFault::Newer);
+        let scheduled = |at_ms, duration_ms, fault| ScheduledFault {
+            at: ClockSpan::from_millis_f64(at_ms),
+            duration: ClockSpan::from_millis_f64(duration_ms),
+            fault,
+        };
+        [
+            scheduled(change_ms, 0.0, change),
+            scheduled(outage_ms, duration_ms, SoakFault::Store(outage)),
+            scheduled(next_change_ms, 0.0, change),
+        ]
+    }
+
     fn draw_answer_fault(&mut self) -> SoakFault {
         let status = self.pick(&[200, 204, 304, 400, 404, 500, 503]);
         let fault = self.pick(&[
--- a/crates/soak/src/setup.rs
+++ b/crates/soak/src/setup.rs
@@ -112,8 +112,8 @@
         Ok(store)
     }
 
-    /// Writes a newer version of the configuration, or the one before the newest.
-    pub fn write_version(&mut self, fault: ConfigFault) {
+    /// Writes a newer version of the configuration, or the one before the newest. Returns its number.
+    pub fn write_version(&mut self, fault: ConfigFault) -> u64 {
         let version = match fault {
             ConfigFault::Newer => {
                 self.newest_version += VERSION_STEP;
@@ -122,6 +122,7 @@
             ConfigFault::Older => self.newest_version - VERSION_STEP,
         };
         write_config(&self.stand.handle(), &route_config(version));
+        version
     }
 
     /// Replaces the faults in force.
@@ -141,6 +142,9 @@
         StoreFault::LostConfig => {
             Some(RowFault { lost_changes: Some(PlatformCodec::CONFIG_TABLE.into()), ..rule })
         }
+        StoreFault::LostPolls => {
+            Some(RowFault { lost_polls: Some(PlatformCodec::CONFIG_TABLE.into()), ..rule })
+        }
         StoreFault::Late { ms, loss } => Some(RowFault { late_ms: Some(ms), loss, ..rule }),
         StoreFault::Closed | StoreFault::HistoryDropped => None,
     }
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -382,3 +382,61 @@
         }),
     ]);
 }
+
+/// Guards against a check that misses a VM which applies a version late, or that reports one that was
+/// disrupted or cannot know the version.
+#[test]
+fn a_version_is_applied_in_time() {
+    fn write_versions(builder: &mut LedgerBuilder, versions: &[(u64, u64)]) {
+        for (version, at) in versions {
+            builder.ledger.record_version(*version, ms(*at));
+        }
+    }
+    fn disrupt(builder: &mut LedgerBuilder, part: DisruptedPart, from: u64, to: u64) {
+        builder.ledger.disruptions.add(part, ms(from), ms(to));
+    }
+    let late = &[Promise::VersionInTime];
+    check(&[
+        case("the newest version", &[], |builder| {
+            write_versions(builder, &[(3, 0), (6, 1_000)]);
+            builder.add_versioned_call(PROCESS, 3_100, 3_110, 6);
+        }),
+        case("a newer version before its bound", &[], |builder| {
+            write_versions(builder, &[(3, 0), (6, 3_000)]);
+            builder.add_versioned_call(PROCESS, 3_100, 3_110, 6);
+        }),
+        case("the previous version within the bound", &[], |builder| {
+            write_versions(builder, &[(3, 0), (6, 1_000)]);
+            builder.add_versioned_call(PROCESS, 2_900, 2_910, 3);
+        }),
+        case("the previous version after the bound", late, |builder| {
+            write_versions(builder, &[(3, 0), (6, 1_000)]);
+            builder.add_versioned_call(PROCESS, 3_100, 3_110, 3);
+        }),
+        case("an outage long before", late, |builder| {
+            write_versions(builder, &[(3, 0), (6, 5_000)]);
+            disrupt(builder, DisruptedPart::Store, 500, 4_000);
+            builder.add_versioned_call(PROCESS, 7_100, 7_110, 3);
+        }),
+        case("an outage in the stable window", &[], |builder| {
+            write_versions(builder, &[(3, 0), (6, 5_000)]);
+            disrupt(builder, DisruptedPart::Store, 500, 4_200);
+            builder.add_versioned_call(PROCESS, 7_100, 7_110, 3);
+        }),
+        case("a start in the stable window", &[], |builder| {
+            write_versions(builder, &[(3, 0), (6, 5_000)]);
+            disrupt(builder, DisruptedPart::Starting(PROCESS.vm), 500, 4_200);
+            builder.add_versioned_call(PROCESS, 7_100, 7_110, 3);
+        }),
+        case("a pause of another VM", late, |builder| {
+            write_versions(builder, &[(3, 0), (6, 5_000)]);
+            disrupt(builder, DisruptedPart::Paused(PROCESS.vm + 1), 4_900, 6_900);
+            builder.add_versioned_call(PROCESS, 7_100, 7_110, 3);
+        }),
+        case("an older version was written over it", &[], |builder| {
+            write_versions(builder, &[(6, 0), (3, 100)]);
+            builder.add_versioned_call(PROCESS, 2_050, 2_060, 3);
+            builder.add_versioned_call(PROCESS, 7_100, 7_110, 3);
+        }),
+    ]);
+}
--- a/crates/soak/tests/runs.rs
+++ b/crates/soak/tests/runs.rs
@@ -24,6 +24,7 @@
     check(&[
         SeedCase { name: "drains, malformed or wrong answers, and stops", seed: 1000 },
         SeedCase { name: "older configurations and drains", seed: 1002 },
+        SeedCase { name: "a change after a short outage of the store", seed: 5011 },
     ])
     .await;
 }
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -68,7 +68,26 @@
     let schedules = (0..SEEDS).map(FaultSchedule::draw);
     let kinds: HashSet<String> =
         schedules.flat_map(|schedule| schedule.faults).map(|fault| kind(fault.fault)).collect();
-    // 3 links with 7 faults, 10 of the store, 16 of answers, 12 of checks, 5 others of upstreams,
+    // 3 links with 7 faults, 11 of the store, 16 of answers, 12 of checks, 5 others of upstreams,
     // 4 of processes and 2 of the configuration.
-    assert_eq!(kinds.len(), 21 + 10 + 16 + 12 + 5 + 4 + 2, "{kinds:?}");
+    assert_eq!(kinds.len(), 21 + 11 + 16 + 12 + 5 + 4 + 2, "{kinds:?}");
+}
+
+/// Guards against schedules in which no change of the configuration follows a short outage of the
+/// store in calm.
+#[test]
+fn changes_follow_short_outages() {
+    let calm = ClockSpan::from_secs(3);
+    for seed in 0..SEEDS {
+        let schedule = FaultSchedule::draw(seed);
+        let follows_outage = |change: &ScheduledFault| {
+            schedule.faults.iter().any(|fault| {
+                let is_outage = matches!(fault.fault, SoakFault::Store(_));
+                is_outage && fault.end() + calm <= change.at
+            })
+        };
+        let is_change =
+            |fault: &&ScheduledFault| fault.fault == SoakFault::Config(ConfigFault::Newer);
+        assert!(schedule.faults.iter().filter(is_change).any(follows_outage), "seed {seed}");
+    }
 }
