Ask the VMs with rows in the store before reading the upstreams

Callers saw: a VM that starts sent calls to an upstream that had told the other VMs in an answer that it leaves, while the store listed it as ready.

Cause: a VM without live seeds reads the rows of the others and goes on at once.

Weighed and ruled out: a longer wait for peers at each start, and marks in the store. VMs that join through their seeds are not affected.

--- a/crates/gate/src/directory_tables.rs
+++ b/crates/gate/src/directory_tables.rs
@@ -94,9 +94,12 @@
     pub fn copy(&self, name: CopyName, now: ClockTime) -> Option<Bytes> {
         if name == CopyName::Members {
             let members = self.membership.lock().members(now);
-            let config_version = self.tables.lock().config.highest_version();
+            let (config_version, drains) = {
+                let tables = self.tables.lock();
+                (tables.config.highest_version(), tables.upstreams.drain_marks().cloned().collect())
+            };
             let (suspect_digest, is_settled) = (self.suspects.digest(now), self.is_settled(now));
-            let copy = MembersCopy { members, config_version, suspect_digest, is_settled };
+            let copy = MembersCopy { members, config_version, suspect_digest, is_settled, drains };
             // Names, addresses and numbers can always be serialised.
             return serde_json::to_vec(&copy).ok().map(Bytes::from);
         }
--- a/crates/gate/src/discovery/join.rs
+++ b/crates/gate/src/discovery/join.rs
@@ -9,8 +9,10 @@
 
 use base::prelude::*;
 use directory::prelude::*;
+use futures_util::future::join_all;
 use member::prelude::*;
 use peer::prelude::*;
+use rand::seq::SliceRandom;
 use store::prelude::*;
 
 use super::core::{DiscoveryCore, log_read};
@@ -28,6 +30,9 @@
 const SUSPECT_REQUESTS: usize = 4;
 /// The mean pause between two rounds of these requests.
 const SEED_PAUSE: ClockSpan = ClockSpan::from_millis(60);
+/// The most VMs with rows in the store that a VM which starts asks for the others. Some of them may be
+/// gone.
+const LISTED_REQUESTS: usize = 4;
 /// The mean pause after a failed call to the store.
 const FAILURE_PAUSE: ClockSpan = ClockSpan::from_millis(700);
 /// The mean time between two checks whether this VM must be found through the store. VMs that start
@@ -106,6 +111,7 @@
         let now = self.state.clock.now();
         self.exchange.membership.lock().merge_members(&copy.members, now);
         self.observe_config_version(copy.config_version);
+        self.record_drains(&copy.drains, "peer");
         self.compare_suspects(address, &copy).await;
         if let Some(sender) = copy.members.first() {
             let address = sender.entry.exchange_address;
@@ -167,21 +173,28 @@
     /// Announces this VM in the store, repeatedly until that succeeds. After the first try, tasks
     /// that wait for peers go on.
     async fn announce_until_done(&self) {
-        while let Err(error) = self.announce_in_store().await {
-            tracing::debug!(event = event::STORE_READ_FAILED, %error);
+        let is_start = !*self.joined.borrow();
+        let listed = loop {
+            match self.announce_in_store().await {
+                Ok(listed) => break listed,
+                Err(error) => tracing::debug!(event = event::STORE_READ_FAILED, %error),
+            }
             self.joined.send_replace(true);
             let pause = FAILURE_PAUSE.scaled(0.5 + rand::random::<f64>());
             tokio::time::sleep(pause.to_duration()).await;
-        }
+        };
         self.row_written.store(true, Ordering::Relaxed);
+        if is_start {
+            self.ask_listed_vms(listed).await;
+        }
         self.joined.send_replace(true);
         self.learn_suspects().await;
     }
 
     /// Writes this VM's row, reads those of the other VMs and tells them that this one is alive.
     /// The write comes first, so that of two VMs that start at the same time at least one reads the
-    /// row of the other.
-    async fn announce_in_store(&self) -> Result<(), StoreError> {
+    /// row of the other. Returns the control addresses of the others.
+    async fn announce_in_store(&self) -> Result<Vec<SocketAddr>, StoreError> {
         let own = self.exchange.membership.lock().own().clone();
         // Names and addresses can always be serialised.
         let value = serde_json::to_vec(&own).unwrap_or_default();
@@ -198,9 +211,20 @@
                 }
             }
         }
+        let others = entries.iter().filter(|entry| entry.vm.name != own.vm.name);
+        let addresses = others.map(|entry| entry.control_address).collect();
         self.exchange.membership.lock().add_rows(entries, self.state.clock.now());
         self.broadcast_presence().await;
-        Ok(())
+        Ok(addresses)
+    }
+
+    /// Asks some of the VMs that have rows for those that they know. Without an answer, this VM would
+    /// read the store as if it were the only one, and use upstreams that have told others that they
+    /// leave.
+    async fn ask_listed_vms(&self, mut addresses: Vec<SocketAddr>) {
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(LISTED_REQUESTS);
+        join_all(addresses.into_iter().map(|address| self.ask_for_members(address))).await;
     }
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -195,6 +195,9 @@
     /// See [`SuspectsCopy::is_settled`].
     #[serde(default)]
     pub is_settled: bool,
+    /// Upstreams that reported that they leave. The store may list them as ready.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drains: Vec<DrainMark>,
 }
 
 /// The requests that crash upstreams, as a VM knows them, for a peer.
