Forget unexplained versions when the upstreams are read as a whole

Cause: after a store has lost its last versions, which are given out again, the detector of changes kept the highest version that it had seen, and would have checked the configuration every 0.5 s until the store reached it.

Change: a read of the whole table, which follows such a loss, replaces the finding. By reading only; a case of the detector's test covers it.

--- a/crates/directory/src/detector.rs
+++ b/crates/directory/src/detector.rs
@@ -43,9 +43,11 @@
     }
 
     /// Records that this VM has read the whole table of upstreams. Its rows do not show which changes
-    /// preceded theirs.
+    /// preceded theirs, so that the configuration must be read up to `position`. Earlier findings do
+    /// not count any more: they are older, or of a store that has lost its last versions since.
     pub fn record_table(&mut self, position: u64, now: ClockTime) {
         self.followed = position;
+        self.unexplained = 0;
         self.detect(position, now);
     }
 
--- a/crates/directory/tests/detector.rs
+++ b/crates/directory/tests/detector.rs
@@ -89,6 +89,11 @@
             pending: false,
         },
         ReadCase { name: "whole table", reads: &[Upstreams(9)], pending: true },
+        ReadCase {
+            name: "versions that the store has lost",
+            reads: &[Changes(0, 9, &[]), Upstreams(5), Config(5)],
+            pending: false,
+        },
         ReadCase {
             name: "changes after the whole table",
             reads: &[Upstreams(9), Config(9), Changes(9, 10, &[10])],
--- a/crates/gate/src/discovery/core.rs
+++ b/crates/gate/src/discovery/core.rs
@@ -100,15 +100,10 @@
     /// Requests reads of the configuration and the upstreams from the store, because the current
     /// ones may be outdated although no peer has reported newer ones.
     pub(super) fn refresh(&self) {
-        self.refresh_config();
-        self.upstreams_refresh.store(true, Ordering::Relaxed);
-        self.upstreams_wanted.notify_one();
-    }
-
-    /// Requests a read of the configuration from the store.
-    pub(super) fn refresh_config(&self) {
         self.config_refresh.store(true, Ordering::Relaxed);
         self.config_wanted.notify_one();
+        self.upstreams_refresh.store(true, Ordering::Relaxed);
+        self.upstreams_wanted.notify_one();
     }
 
     /// Records that a peer has a version of the configuration, and requests it if this VM lacks it.
